Lay out the headers of the reducer and its first parts

The events and effects come first, since every other part is written against them. Nothing was measured yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,97 @@
+# jackdawladder
+#
+#   make            build the daemon and the tool
+#   make check      install what is missing, build, run all tests
+#   make demo       a small three-zone site under load
+#   make bench      figures, never a verdict
+#   make lint       formatter and linter
+#
+# SANITIZE=address,undefined or thread, TEST_HOOKS=1, BUILD=directory.
+
+CC ?= gcc
+BUILD ?= build
+PACKAGES = glib-2.0 json-c libcurl libtirpc liburcu-memb liburcu-cds libxxhash
+CPPFLAGS += -Iinclude -Isource -D_GNU_SOURCE
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -pthread
+ifdef SANITIZE
+CFLAGS += -fsanitize=$(SANITIZE) -fno-omit-frame-pointer
+LDFLAGS += -fsanitize=$(SANITIZE)
+endif
+ifdef TEST_HOOKS
+CPPFLAGS += -DJL_TEST_HOOKS
+endif
+# Set the first time a rule needs them, so that "make install" works without.
+PKG_CFLAGS = $(eval PKG_CFLAGS := $$(shell pkg-config --cflags $(PACKAGES)))$(PKG_CFLAGS)
+PKG_LIBS = $(eval PKG_LIBS := $$(shell pkg-config --libs $(PACKAGES)))$(PKG_LIBS)
+LIBS = -lcivetweb $(PKG_LIBS) -pthread -lm
+
+LIB_SOURCES = $(filter-out source/daemon/main.c source/tool/%,$(wildcard source/*/*.c source/rpc/gen/*.c))
+TOOL_SOURCES = $(wildcard source/tool/*.c)
+STANDIN_SOURCES = $(wildcard tests/standins/*.c)
+TEST_SOURCES = $(wildcard tests/unit/*.c)
+RANDOM_SOURCES = $(wildcard tests/random/*.c)
+
+OBJECT = $(patsubst %.c,$(BUILD)/%.o,$(1))
+LIBRARY = $(BUILD)/libjackdawladder.a
+STANDINS = $(patsubst tests/standins/%.c,$(BUILD)/standins/%,$(filter-out %/common.c,$(STANDIN_SOURCES)))
+UNITS = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(TEST_SOURCES))
+RANDOM = $(if $(RANDOM_SOURCES),$(BUILD)/random-run)
+
+all: $(BUILD)/jackdawladderd $(BUILD)/jackdawladder
+
+tests: all $(STANDINS) $(UNITS) $(RANDOM)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c $< -o $@
+
+# What rpcgen makes is not ours to keep free of warnings.
+$(BUILD)/source/rpc/gen/%.o: CFLAGS += -w
+
+$(LIBRARY): $(call OBJECT,$(LIB_SOURCES))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/jackdawladderd: $(BUILD)/source/daemon/main.o $(LIBRARY)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
+$(BUILD)/jackdawladder: $(call OBJECT,$(TOOL_SOURCES)) $(LIBRARY)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
+$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(call OBJECT,$(filter %/common.c,$(STANDIN_SOURCES))) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ -lcriterion $(LIBS) -o $@
+
+$(BUILD)/random-run: $(call OBJECT,$(RANDOM_SOURCES)) $(LIBRARY)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
+install-packages:
+	scripts/install-packages
+
+check: install-packages
+	scripts/check
+
+demo: install-packages
+	scripts/demo
+
+bench: install-packages
+	scripts/bench
+
+format:
+	scripts/lint --fix
+
+lint:
+	scripts/lint
+
+clean:
+	rm -rf $(BUILD) out
+
+.PHONY: all tests install-packages check demo bench format lint clean
+.SECONDARY:
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/source/core/core.c
@@ -0,0 +1,222 @@
+/**
+ * DOC: The reducer: takes one event to the part that handles it.
+ */
+
+#include "core-impl.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#include "admit.h"
+#include "entry.h"
+#include "graph.h"
+#include "guard.h"
+#include "member.h"
+#include "once.h"
+#include "place.h"
+#include "poison.h"
+#include "retry.h"
+#include "seen.h"
+
+struct jl_effect *
+jl_emit (struct jl_core *core, enum jl_effect_type type)
+{
+  return jl_effects_add (core->effects, type);
+}
+
+void
+jl_log_event (struct jl_core *core, uint32_t number, uint32_t count, ...)
+{
+  struct jl_effect_log *log = &jl_emit (core, JL_EFFECT_LOG)->log;
+  va_list arguments;
+
+  log->number = number;
+  log->count = count;
+  va_start (arguments, count);
+  for (uint32_t i = 0; i < count && i < JL_LOG_ARGUMENT_MAX; i++)
+    log->arguments[i] = va_arg (arguments, uint64_t);
+  va_end (arguments);
+}
+
+uint32_t
+jl_random_below (struct jl_core *core, uint32_t bound)
+{
+  return g_rand_int (core->random) % bound;
+}
+
+struct jl_core *
+jl_core_new (const struct jl_core_options *options)
+{
+  struct jl_core *core = g_new0 (struct jl_core, 1);
+
+  core->options = *options;
+  core->identity = options->identity;
+  core->now_us = options->now_us;
+  core->random = g_rand_new_with_seed (options->seed);
+  core->timers = jl_timers_new ();
+  core->target.service = JL_NONE;
+  core->calls = g_hash_table_new (g_direct_hash, g_direct_equal);
+  core->works = g_hash_table_new (g_direct_hash, g_direct_equal);
+  core->effects = jl_effects_new ();
+  core->retry = jl_retry_new (core);
+  core->once = jl_once_new (core);
+  core->poison = jl_poison_new (core);
+  core->seen = jl_seen_new (core);
+  core->graph = jl_graph_new (core);
+  core->place = jl_place_new (core);
+  core->admit = jl_admit_new (core);
+  core->members = jl_members_new (core);
+  jl_effects_drop (core->effects);
+  core->effects = NULL;
+  return core;
+}
+
+/* Frees what is still in progress; nobody is answered. */
+static void
+drop_progress (struct jl_core *core)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, core->calls);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct jl_call *call = value;
+
+      jl_config_drop (call->config);
+      g_free (call);
+    }
+  g_hash_table_iter_init (&iterator, core->works);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct jl_work *work = value;
+
+      jl_config_drop (work->config);
+      g_free (work);
+    }
+}
+
+void
+jl_core_drop (struct jl_core *core)
+{
+  drop_progress (core);
+  jl_members_drop (core->members);
+  jl_admit_drop (core->admit);
+  jl_place_drop (core->place);
+  jl_graph_drop (core->graph);
+  jl_poison_drop (core->poison);
+  jl_seen_drop (core->seen);
+  jl_once_drop (core->once);
+  jl_retry_drop (core->retry);
+  g_hash_table_destroy (core->calls);
+  g_hash_table_destroy (core->works);
+  jl_timers_drop (core->timers);
+  g_rand_free (core->random);
+  if (core->config != NULL)
+    jl_config_drop (core->config);
+  g_free (core);
+}
+
+/* Installs a configuration, unless it is older than the one in force. */
+static void
+install_config (struct jl_core *core, struct jl_config *config)
+{
+  if (core->config != NULL && config->version <= core->config->version)
+    return;
+  if (core->config != NULL)
+    jl_config_drop (core->config);
+  core->config = jl_config_keep (config);
+  jl_members_config (core);
+  jl_guard_config (core);
+  jl_graph_config (core);
+  jl_log_event (core, 101, 1, config->version);
+}
+
+static void
+handle_message (struct jl_core *core, const struct jl_message *message)
+{
+  core->counts.messages_received++;
+  jl_members_message (core, message);
+  jl_poison_message (core, message);
+  switch (message->type)
+    {
+    case JL_MESSAGE_CANCEL:
+      jl_guard_cancel (core, message);
+      break;
+    case JL_MESSAGE_CANCELLED:
+    case JL_MESSAGE_CANCEL_LATE:
+      jl_entry_cancelled (core, message);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+handle_event (struct jl_core *core, const struct jl_event *event)
+{
+  switch (event->type)
+    {
+    case JL_EVENT_TICK:
+      break;
+    case JL_EVENT_CONFIG:
+      install_config (core, event->config);
+      break;
+    case JL_EVENT_ANNOUNCE:
+      jl_guard_announce (core, &event->announce);
+      break;
+    case JL_EVENT_TARGET_LEAVE:
+      jl_guard_target_leave (core);
+      break;
+    case JL_EVENT_DRAIN:
+      jl_guard_drain (core);
+      break;
+    case JL_EVENT_CALL:
+      jl_entry_call (core, &event->call);
+      break;
+    case JL_EVENT_CALL_RESULT:
+      jl_entry_result (core, &event->call_result);
+      break;
+    case JL_EVENT_CALL_GONE:
+      jl_entry_gone (core, event->call_gone);
+      break;
+    case JL_EVENT_CLAIM_RESULT:
+      jl_entry_claim_result (core, &event->claim_result);
+      break;
+    case JL_EVENT_WORK:
+      jl_guard_work (core, &event->work);
+      break;
+    case JL_EVENT_WORK_RESULT:
+      jl_guard_result (core, &event->work_result);
+      break;
+    case JL_EVENT_MESSAGE:
+      handle_message (core, event->message);
+      break;
+    case JL_EVENT_SEED:
+      jl_members_seed (core, event->seed.control);
+      break;
+    case JL_EVENT_TYPE_COUNT:
+      break;
+    }
+}
+
+void
+jl_core_step (struct jl_core *core,
+              const struct jl_event *event,
+              struct jl_effects *effects)
+{
+  core->effects = effects;
+  if (event->now_us > core->now_us)
+    core->now_us = event->now_us;
+  core->counts.events++;
+  jl_timers_run (core->timers, core->now_us);
+  handle_event (core, event);
+  jl_guard_check_drained (core);
+  core->effects = NULL;
+}
+
+uint64_t
+jl_core_next_timer (const struct jl_core *core)
+{
+  return jl_timers_next (core->timers);
+}
--- /dev/null
+++ b/source/core/entry.c
@@ -0,0 +1,682 @@
+/**
+ * DOC: The entry: from a call's arrival to its final answer.
+ */
+
+#include "entry.h"
+
+#include <string.h>
+
+#include "graph.h"
+#include "member.h"
+#include "once.h"
+#include "place.h"
+#include "poison.h"
+#include "retry.h"
+
+/* How long a guard has to answer a cancellation. */
+#define CANCEL_WAIT_US (150 * JL_USEC_PER_MSEC)
+/* When to come back after an answer that has no better hint. */
+#define RETRY_AFTER_MS 1000
+
+static const struct jl_kind *
+kind_of (const struct jl_call *call)
+{
+  return &call->config->kinds[call->kind];
+}
+
+static uint32_t
+class_of (const struct jl_call *call)
+{
+  return call->priority / JL_SAMPLE_COUNT;
+}
+
+/* Answers an event for which no call was made. */
+static void
+answer_event (struct jl_core *core,
+              const struct jl_event_call *event,
+              enum jl_reason reason)
+{
+  struct jl_effect_answer *answer = &jl_emit (core, JL_EFFECT_ANSWER)->answer;
+
+  answer->call = event->call;
+  answer->outcome = JL_OUTCOME_NOT_RUN;
+  answer->sending = JL_OUTCOME_NOT_RUN;
+  answer->reason = reason;
+  answer->retry_after_ms
+      = reason == JL_REASON_NO_KIND || reason == JL_REASON_MALFORMED
+            ? 0
+            : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+  answer->tokens = event->forwarded ? event->tokens : 0;
+  if (event->key_type != JL_KEY_NONE)
+    answer->outcome = JL_OUTCOME_UNKNOWN;
+}
+
+static void
+count_answer (struct jl_core *core,
+              const struct jl_call *call,
+              enum jl_outcome outcome)
+{
+  uint32_t importance = class_of (call);
+
+  if (outcome == JL_OUTCOME_DONE)
+    core->counts.answers_done[importance]++;
+  else if (outcome == JL_OUTCOME_NOT_RUN)
+    core->counts.answers_not_run[importance]++;
+  else
+    core->counts.answers_unknown[importance]++;
+}
+
+static void
+free_call (struct jl_core *core, struct jl_call *call)
+{
+  jl_timer_stop (core->timers, &call->timer);
+  if (call->parent != NULL)
+    cds_list_del (&call->siblings);
+  g_hash_table_remove (core->calls, JL_HASH_KEY (call->number));
+  jl_config_drop (call->config);
+  g_free (call);
+}
+
+struct jl_effect_answer *
+jl_entry_answer (struct jl_core *core,
+                 struct jl_call *call,
+                 enum jl_outcome outcome,
+                 enum jl_reason reason)
+{
+  struct jl_effect_answer *answer = &jl_emit (core, JL_EFFECT_ANSWER)->answer;
+
+  answer->call = call->number;
+  answer->outcome = outcome;
+  answer->sending = outcome;
+  answer->reason = reason;
+  answer->sends = call->sends;
+  answer->ticket = call->ticket;
+  if (call->parent == NULL)
+    answer->tokens = call->tokens;
+  if (call->parent == NULL && !call->forwarded)
+    answer->next_ticket = jl_once_mint (core);
+  count_answer (core, call, outcome);
+  free_call (core, call);
+  return answer;
+}
+
+/* Ends a call that was sent, or was refused before it was. */
+static struct jl_effect_answer *
+end_call (struct jl_core *core,
+          struct jl_call *call,
+          enum jl_outcome outcome,
+          enum jl_reason reason)
+{
+  struct jl_effect_answer *answer;
+  bool guarded = call->guarded;
+  uint32_t retry_after_ms = call->last_retry_after_ms;
+
+  if (outcome == JL_OUTCOME_NOT_RUN && call->may_have_run)
+    outcome = JL_OUTCOME_UNKNOWN;
+  JL_INVARIANT (outcome != JL_OUTCOME_NOT_RUN || !call->may_have_run,
+                "not run is said only when no sending may have run");
+  if (guarded)
+    jl_once_answered (core, call, outcome);
+  answer = jl_entry_answer (core, call, outcome, reason);
+  answer->keep = guarded && outcome == JL_OUTCOME_DONE;
+  if (outcome != JL_OUTCOME_DONE)
+    answer->retry_after_ms
+        = retry_after_ms > 0
+              ? retry_after_ms
+              : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+  return answer;
+}
+
+/* A sample that is the same for each sending of one request. */
+static uint32_t
+choose_sample (struct jl_core *core, const struct jl_event_call *event)
+{
+  if (event->key_type == JL_KEY_CALLER)
+    return event->key_hash % JL_SAMPLE_COUNT;
+  if (event->key_type == JL_KEY_TICKET)
+    return event->ticket.number % JL_SAMPLE_COUNT;
+  return jl_random_below (core, JL_SAMPLE_COUNT);
+}
+
+static uint64_t
+choose_deadline (struct jl_core *core,
+                 const struct jl_event_call *event,
+                 const struct jl_kind *kind,
+                 const struct jl_work *parent)
+{
+  uint64_t budget_us = kind->deadline_us;
+  uint64_t deadline_us;
+
+  if (event->budget_us > 0 && event->budget_us < budget_us)
+    budget_us = event->budget_us;
+  deadline_us = core->now_us + budget_us;
+  if (parent != NULL && parent->deadline_us < deadline_us)
+    deadline_us = parent->deadline_us;
+  return deadline_us;
+}
+
+static void
+inherit_from_parent (struct jl_core *core,
+                     struct jl_call *call,
+                     struct jl_work *parent)
+{
+  call->parent = parent;
+  cds_list_add_tail (&call->siblings, &parent->children);
+  call->priority = parent->priority;
+  call->invested_us = parent->invested_us + (core->now_us - parent->started_us);
+  call->anchor = parent->anchor;
+}
+
+static void
+begin_tree (struct jl_core *core,
+            struct jl_call *call,
+            const struct jl_event_call *event,
+            const struct jl_kind *kind)
+{
+  call->priority
+      = kind->importance * JL_SAMPLE_COUNT + choose_sample (core, event);
+  call->tokens = kind->retry_tokens;
+  call->anchor = jl_once_mint (core);
+}
+
+static struct jl_call *
+make_call (struct jl_core *core,
+           const struct jl_event_call *event,
+           struct jl_work *parent)
+{
+  struct jl_call *call = g_new0 (struct jl_call, 1);
+  const struct jl_kind *kind = &core->config->kinds[event->kind];
+
+  call->number = event->call;
+  call->config = jl_config_keep (core->config);
+  call->kind = event->kind;
+  call->forwarded = event->forwarded;
+  call->key_hash = event->key_hash;
+  call->digest = event->digest;
+  call->arrived_us = core->now_us;
+  call->deadline_us = choose_deadline (core, event, kind, parent);
+  call->guarded = !kind->idempotent && core->options.mode != JL_CORE_FORWARD;
+  if (parent != NULL)
+    inherit_from_parent (core, call, parent);
+  else
+    begin_tree (core, call, event, kind);
+  if (event->forwarded)
+    {
+      call->priority = event->priority % JL_PRIORITY_COUNT;
+      call->tokens = event->tokens;
+      call->invested_us = event->invested_us;
+      call->anchor = event->ticket;
+    }
+  g_hash_table_insert (core->calls, JL_HASH_KEY (call->number), call);
+  core->counts.calls[class_of (call)]++;
+  return call;
+}
+
+/* Only the minter of its ticket may send a guarded call. */
+static void
+proceed_guarded (struct jl_core *core, struct jl_call *call)
+{
+  if (call->ticket.minter.member != core->identity.member)
+    {
+      jl_entry_forward (core, call);
+      return;
+    }
+  if (jl_once_arrive (core, call))
+    jl_entry_proceed (core, call);
+}
+
+static void
+claim_expired (void *context, struct jl_timer *timer)
+{
+  struct jl_core *core = context;
+  struct jl_call *call = caa_container_of (timer, struct jl_call, timer);
+
+  call->may_have_run = true;
+  jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_PLATFORM)->sending
+      = JL_OUTCOME_NOT_RUN;
+}
+
+/* Asks the platform's table whose ticket a caller's key stands for. */
+static void
+claim_key (struct jl_core *core, struct jl_call *call)
+{
+  struct jl_effect_claim *claim = &jl_emit (core, JL_EFFECT_CLAIM)->claim;
+
+  call->state = JL_CALL_CLAIMING;
+  call->ticket = jl_once_mint (core);
+  claim->call = call->number;
+  claim->key_hash = call->key_hash;
+  claim->ticket = call->ticket;
+  jl_timer_start (core->timers, &call->timer, call->deadline_us, claim_expired,
+                  core);
+}
+
+static void
+begin_guarded (struct jl_core *core,
+               struct jl_call *call,
+               const struct jl_event_call *event)
+{
+  if (call->parent != NULL)
+    call->ticket = jl_once_derive (call->anchor, event->kind, event->ordinal);
+  else if (event->key_type == JL_KEY_TICKET)
+    call->ticket = event->ticket;
+  else if (event->key_type == JL_KEY_NONE)
+    call->ticket = call->anchor;
+  else if (!jl_once_key_ticket (core, event->key_hash, &call->ticket))
+    {
+      claim_key (core, call);
+      return;
+    }
+  proceed_guarded (core, call);
+}
+
+void
+jl_entry_call (struct jl_core *core, const struct jl_event_call *event)
+{
+  struct jl_work *parent = NULL;
+  struct jl_call *call;
+
+  if (core->config == NULL)
+    {
+      answer_event (core, event, JL_REASON_NO_CONFIG);
+      return;
+    }
+  if (event->kind >= core->config->kind_count
+      || event->config_version != core->config->version)
+    {
+      answer_event (core, event, JL_REASON_NO_KIND);
+      return;
+    }
+  if (event->parent != 0)
+    {
+      parent = g_hash_table_lookup (core->works, JL_HASH_KEY (event->parent));
+      if (parent == NULL || parent->state != JL_WORK_RUNNING
+          || parent->cancelled)
+        {
+          answer_event (core, event, JL_REASON_CANCELLED);
+          return;
+        }
+    }
+  else if (core->draining && !event->forwarded)
+    {
+      answer_event (core, event, JL_REASON_DRAINING);
+      return;
+    }
+  call = make_call (core, event, parent);
+  if (call->guarded)
+    begin_guarded (core, call, event);
+  else
+    jl_entry_proceed (core, call);
+}
+
+void
+jl_entry_claim_result (struct jl_core *core,
+                       const struct jl_event_claim_result *event)
+{
+  struct jl_call *call
+      = g_hash_table_lookup (core->calls, JL_HASH_KEY (event->call));
+
+  if (call == NULL || call->state != JL_CALL_CLAIMING)
+    return;
+  if (!event->known)
+    {
+      claim_expired (core, &call->timer);
+      return;
+    }
+  jl_timer_stop (core->timers, &call->timer);
+  call->state = JL_CALL_NEW;
+  call->ticket = event->owner_ticket;
+  jl_once_learn_key (core, call->key_hash, call->ticket);
+  proceed_guarded (core, call);
+}
+
+/* Begins a sending; its number is never used again. */
+static void
+begin_attempt (struct jl_core *core, struct jl_call *call)
+{
+  call->attempt.origin = core->identity;
+  call->attempt.number = ++core->next_attempt;
+  call->lent = jl_retry_lend (core, call);
+  core->counts.sends++;
+}
+
+void
+jl_entry_forward (struct jl_core *core, struct jl_call *call)
+{
+  struct jl_member *minter = jl_members_find (core, call->ticket.minter.member);
+  struct jl_effect_forward *forward;
+
+  if (call->forwarded || minter == NULL
+      || minter->info.identity.epoch != call->ticket.minter.epoch)
+    {
+      jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST)
+          ->sending
+          = JL_OUTCOME_NOT_RUN;
+      return;
+    }
+  call->state = JL_CALL_FORWARDED;
+  begin_attempt (core, call);
+  forward = &jl_emit (core, JL_EFFECT_FORWARD)->forward;
+  forward->call = call->number;
+  forward->attempt = call->attempt;
+  forward->peer = minter->info.peer;
+  forward->ticket = call->ticket;
+  forward->kind = call->kind;
+  forward->config_version = call->config->version;
+  forward->priority = call->priority;
+  forward->tokens = call->lent;
+  forward->invested_us = call->invested_us;
+  forward->budget_us = call->deadline_us - core->now_us;
+}
+
+static void
+send_call (struct jl_core *core, struct jl_call *call, struct jl_member *member)
+{
+  struct jl_effect_send *send;
+
+  begin_attempt (core, call);
+  if (call->sends++ == 0)
+    jl_retry_first (core, kind_of (call)->service);
+  call->state = JL_CALL_SENT;
+  call->member = member->info.identity.member;
+  jl_place_sent (core, member);
+  send = &jl_emit (core, JL_EFFECT_SEND)->send;
+  send->call = call->number;
+  send->attempt = call->attempt;
+  send->peer = member->info.peer;
+  send->member = call->member;
+  send->local = call->member == core->identity.member;
+  send->kind = call->kind;
+  send->config_version = call->config->version;
+  send->priority = call->priority;
+  send->invested_us = call->invested_us;
+  send->budget_us = call->deadline_us - core->now_us;
+  send->anchor = call->anchor;
+  send->tokens = call->lent;
+  send->digest = call->digest;
+}
+
+void
+jl_entry_proceed (struct jl_core *core, struct jl_call *call)
+{
+  struct jl_member *member = NULL;
+  enum jl_place_verdict verdict;
+  uint32_t service;
+
+  if (core->now_us >= call->deadline_us)
+    {
+      end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DEADLINE);
+      return;
+    }
+  if (jl_poison_refuses (core, call->digest))
+    {
+      end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_POISON);
+      return;
+    }
+  if (call->sends == 0
+      && jl_graph_refuses (core, call->kind, call->priority, &service))
+    {
+      end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+      return;
+    }
+  verdict = jl_place_choose (core, call, &member);
+  if (verdict == JL_PLACE_CHOSEN)
+    send_call (core, call, member);
+  else if (call->last_reason != JL_REASON_NONE)
+    end_call (core, call, JL_OUTCOME_NOT_RUN, call->last_reason);
+  else
+    end_call (core, call, JL_OUTCOME_NOT_RUN,
+              verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
+                                          : JL_REASON_NO_TARGET);
+}
+
+/* Sends the call to another target if that is allowed, or ends it. */
+static void
+try_again (struct jl_core *core,
+           struct jl_call *call,
+           enum jl_reason reason,
+           bool no_retry)
+{
+  call->last_reason = reason;
+  if (call->tried_count < JL_TRIED_MAX)
+    call->tried[call->tried_count++] = call->member;
+  if (no_retry || !jl_retry_spend (core, call))
+    {
+      end_call (core, call, JL_OUTCOME_NOT_RUN, reason);
+      return;
+    }
+  core->counts.retries++;
+  jl_entry_proceed (core, call);
+}
+
+static void
+send_cancel (struct jl_core *core, const struct jl_call *call)
+{
+  struct jl_effect_message *effect;
+
+  effect = jl_emit (core, JL_EFFECT_MESSAGE)->message;
+  effect->to = jl_member_endpoint (call->member);
+  effect->message.type = JL_MESSAGE_CANCEL;
+  effect->message.from = core->identity;
+  effect->message.to.member = call->member;
+  effect->message.attempt = call->attempt;
+  core->counts.messages_sent++;
+}
+
+static void
+cancel_expired (void *context, struct jl_timer *timer)
+{
+  struct jl_core *core = context;
+  struct jl_call *call = caa_container_of (timer, struct jl_call, timer);
+
+  call->may_have_run = true;
+  end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_TARGET_LOST);
+}
+
+/* Asks the guard whether a guarded sending that broke has started. */
+static void
+begin_cancel (struct jl_core *core, struct jl_call *call)
+{
+  uint64_t due_us = core->now_us + CANCEL_WAIT_US;
+
+  call->state = JL_CALL_CANCELLING;
+  send_cancel (core, call);
+  jl_timer_start (core->timers, &call->timer, due_us, cancel_expired, core);
+}
+
+void
+jl_entry_cancelled (struct jl_core *core, const struct jl_message *message)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  /* Few calls are cancelled at a time; all are few. */
+  g_hash_table_iter_init (&iterator, core->calls);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct jl_call *call = value;
+
+      if (call->state != JL_CALL_CANCELLING
+          || !jl_attempt_id_equal (call->attempt, message->attempt))
+        continue;
+      jl_timer_stop (core->timers, &call->timer);
+      if (message->type == JL_MESSAGE_CANCELLED)
+        try_again (core, call, JL_REASON_TARGET_LOST, false);
+      else
+        cancel_expired (core, &call->timer);
+      return;
+    }
+}
+
+static void
+end_done (struct jl_core *core,
+          struct jl_call *call,
+          const struct jl_event_call_result *event)
+{
+  struct jl_effect_answer *answer
+      = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
+
+  answer->report = event->report;
+}
+
+/* The guard has answered. */
+static void
+handle_answer (struct jl_core *core,
+               struct jl_call *call,
+               const struct jl_event_call_result *event)
+{
+  call->last_retry_after_ms = event->retry_after_ms;
+  switch (event->outcome)
+    {
+    case JL_OUTCOME_DONE:
+      end_done (core, call, event);
+      return;
+    case JL_OUTCOME_NOT_RUN:
+      try_again (core, call, event->reason, event->no_retry);
+      return;
+    case JL_OUTCOME_UNKNOWN:
+      call->may_have_run = true;
+      if (!call->guarded && event->reason == JL_REASON_TARGET_LOST)
+        try_again (core, call, event->reason, event->no_retry);
+      else
+        end_call (core, call, JL_OUTCOME_UNKNOWN, event->reason);
+      return;
+    }
+}
+
+/* The connection broke while the call may have been running. */
+static void
+handle_broken (struct jl_core *core, struct jl_call *call)
+{
+  jl_members_eject (core, call->member);
+  if (call->guarded)
+    {
+      begin_cancel (core, call);
+      return;
+    }
+  call->may_have_run = true;
+  send_cancel (core, call);
+  try_again (core, call, JL_REASON_TARGET_LOST, false);
+}
+
+static void
+handle_sent_result (struct jl_core *core,
+                    struct jl_call *call,
+                    const struct jl_event_call_result *event)
+{
+  struct jl_member *member = jl_members_find (core, call->member);
+
+  if (member != NULL)
+    jl_place_result (core, member, event);
+  switch (event->result)
+    {
+    case JL_SEND_ANSWERED:
+      handle_answer (core, call, event);
+      return;
+    case JL_SEND_NOT_SENT:
+      jl_members_eject (core, call->member);
+      try_again (core, call, JL_REASON_TARGET_LOST, false);
+      return;
+    case JL_SEND_BROKEN:
+      handle_broken (core, call);
+      return;
+    case JL_SEND_TIMEOUT:
+      send_cancel (core, call);
+      call->may_have_run = true;
+      end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_TIMEOUT);
+      return;
+    }
+}
+
+/* The minter of the ticket has answered, or cannot be reached. */
+static void
+handle_forward_result (struct jl_core *core,
+                       struct jl_call *call,
+                       const struct jl_event_call_result *event)
+{
+  struct jl_effect_answer *answer;
+
+  if (event->result == JL_SEND_ANSWERED)
+    {
+      answer = jl_entry_answer (core, call, event->outcome, event->reason);
+      answer->retry_after_ms = event->retry_after_ms;
+      answer->report = event->report;
+      return;
+    }
+  answer
+      = jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST);
+  if (event->result == JL_SEND_NOT_SENT)
+    answer->sending = JL_OUTCOME_NOT_RUN;
+}
+
+void
+jl_entry_result (struct jl_core *core, const struct jl_event_call_result *event)
+{
+  struct jl_call *call
+      = g_hash_table_lookup (core->calls, JL_HASH_KEY (event->call));
+
+  if (call == NULL || !jl_attempt_id_equal (call->attempt, event->attempt))
+    return;
+  if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
+    return;
+  if (event->result == JL_SEND_ANSWERED)
+    {
+      jl_retry_return (core, call, event->tokens);
+      jl_graph_learn (core, call->kind, &event->report);
+      if (call->parent != NULL)
+        jl_report_merge (&call->parent->report, &event->report);
+    }
+  else if (event->result == JL_SEND_NOT_SENT)
+    jl_retry_return (core, call, call->lent);
+  if (call->state == JL_CALL_FORWARDED)
+    handle_forward_result (core, call, event);
+  else
+    handle_sent_result (core, call, event);
+}
+
+/* Stops a call that nobody waits for any more. */
+static void
+stop_call (struct jl_core *core, struct jl_call *call)
+{
+  struct jl_member *member = jl_members_find (core, call->member);
+  struct jl_event_call_result ended = { .result = JL_SEND_TIMEOUT };
+
+  if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
+    {
+      struct jl_effect *stop = jl_emit (core, JL_EFFECT_STOP_SEND);
+
+      stop->stop_send.call = call->number;
+      stop->stop_send.attempt = call->attempt;
+      call->may_have_run = true;
+    }
+  if (call->state == JL_CALL_SENT)
+    {
+      send_cancel (core, call);
+      if (member != NULL)
+        jl_place_result (core, member, &ended);
+    }
+  if (call->state == JL_CALL_SENT || call->state == JL_CALL_CANCELLING)
+    end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_CANCELLED);
+  else
+    jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_CANCELLED);
+}
+
+void
+jl_entry_gone (struct jl_core *core, uint64_t number)
+{
+  struct jl_call *call
+      = g_hash_table_lookup (core->calls, JL_HASH_KEY (number));
+
+  if (call != NULL)
+    stop_call (core, call);
+}
+
+void
+jl_entry_work_ended (struct jl_core *core, struct jl_work *work)
+{
+  struct jl_call *call;
+  struct jl_call *next;
+
+  cds_list_for_each_entry_safe (call, next, &work->children, siblings)
+      stop_call (core, call);
+}
--- /dev/null
+++ b/source/core/poison.h
@@ -0,0 +1,49 @@
+#ifndef JACKDAWLADDER_POISON_H
+#define JACKDAWLADDER_POISON_H
+
+/**
+ * DOC: Requests that crash the targets that run them.
+ *
+ * A request in progress when its target died gets a strike, by the digest of
+ * its content. One that has a strike runs alone; at two strikes on different
+ * targets it is refused everywhere for a while. Strikes travel with messages.
+ */
+
+#include "core-impl.h"
+
+struct jl_poison *jl_poison_new (struct jl_core *core);
+void jl_poison_drop (struct jl_poison *poison);
+
+/**
+ * jl_poison_strike - @digest was in progress when @target died
+ */
+void jl_poison_strike (struct jl_core *core, uint64_t digest, uint64_t target);
+
+/**
+ * jl_poison_strikes - different targets that died with @digest in progress
+ */
+uint32_t jl_poison_strikes (struct jl_core *core, uint64_t digest);
+
+/**
+ * jl_poison_refuses - whether requests of this content are refused
+ */
+bool jl_poison_refuses (struct jl_core *core, uint64_t digest);
+
+/**
+ * jl_poison_runs_alone - whether it may run only while nothing else does
+ */
+bool jl_poison_runs_alone (struct jl_core *core, uint64_t digest);
+
+/**
+ * jl_poison_fill - adds recent strikes to a message
+ */
+void jl_poison_fill (struct jl_core *core, struct jl_message *message);
+
+/**
+ * jl_poison_message - takes over the strikes in a message
+ */
+void jl_poison_message (struct jl_core *core, const struct jl_message *message);
+
+void jl_poison_dump (struct jl_core *core, GString *out);
+
+#endif
--- /dev/null
+++ b/source/core/retry.h
@@ -0,0 +1,45 @@
+#ifndef JACKDAWLADDER_RETRY_H
+#define JACKDAWLADDER_RETRY_H
+
+/**
+ * DOC: Retries: tokens for a whole tree of calls, and a ratio per service.
+ *
+ * Tokens are lent down with a sending, and the unspent ones come back with
+ * its answer. A lost answer loses tokens; nothing makes them.
+ */
+
+#include "core-impl.h"
+
+struct jl_retry *jl_retry_new (struct jl_core *core);
+void jl_retry_drop (struct jl_retry *retry);
+
+/**
+ * jl_retry_lend - takes tokens from the call's pool for its next sending
+ */
+uint32_t jl_retry_lend (struct jl_core *core, struct jl_call *call);
+
+/**
+ * jl_retry_return - gives unspent tokens back to the call's pool
+ * @tokens: more than were lent is cut to what was lent
+ */
+void
+jl_retry_return (struct jl_core *core, struct jl_call *call, uint32_t tokens);
+
+/**
+ * jl_retry_first - a call's first sending; it earns its service's ratio
+ */
+void jl_retry_first (struct jl_core *core, uint32_t service);
+
+/**
+ * jl_retry_spend - takes one token for a retry
+ *
+ * Return: false when the tree has none left, or the service's ratio is spent.
+ */
+bool jl_retry_spend (struct jl_core *core, struct jl_call *call);
+
+/**
+ * jl_retry_left - tokens left in the call's pool
+ */
+uint32_t jl_retry_left (const struct jl_call *call);
+
+#endif
