Name log events by number in one catalogue

The linter took a variable argument list for an uninitialized one (a false positive of its analyzer). Every event has at most two numbers, so two plain arguments replace the list and the catalogue names them.

--- a/include/jackdawladder/effect.h
+++ b/include/jackdawladder/effect.h
@@ -9,9 +9,7 @@
  */
 
 #include "jackdawladder/event.h"
-
-/* Arguments of a log event. */
-#define JL_LOG_ARGUMENT_MAX 4
+#include "jackdawladder/log.h"
 
 /**
  * enum jl_effect_type - what the edge is to do
@@ -170,15 +168,13 @@
 };
 
 /**
- * struct jl_effect_log - write a log event
- * @number: see docs/EVENTS.md
- * @count: how many of @arguments the event has
+ * struct jl_effect_log - write a log event, see jl_log()
  */
 struct jl_effect_log
 {
-  uint32_t number;
-  uint32_t count;
-  uint64_t arguments[JL_LOG_ARGUMENT_MAX];
+  enum jl_log_number number;
+  uint64_t first;
+  uint64_t second;
 };
 
 struct jl_effect
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -11,6 +11,7 @@
 #include <urcu/list.h>
 
 #include "jackdawladder/core.h"
+#include "jackdawladder/log.h"
 #include "jackdawladder/timer.h"
 
 struct jl_members;
@@ -193,9 +194,11 @@
 
 /**
  * jl_log_event - emits JL_EFFECT_LOG
- * @count: arguments that follow, each uint64_t
  */
-void jl_log_event (struct jl_core *core, uint32_t number, uint32_t count, ...);
+void jl_log_event (struct jl_core *core,
+                   enum jl_log_number number,
+                   uint64_t first,
+                   uint64_t second);
 
 /**
  * jl_random_below - a number from 0 to @bound - 1
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -4,7 +4,6 @@
 
 #include "core-impl.h"
 
-#include <stdarg.h>
 #include <string.h>
 
 #include "admit.h"
@@ -25,17 +24,16 @@
 }
 
 void
-jl_log_event (struct jl_core *core, uint32_t number, uint32_t count, ...)
+jl_log_event (struct jl_core *core,
+              enum jl_log_number number,
+              uint64_t first,
+              uint64_t second)
 {
   struct jl_effect_log *log = &jl_emit (core, JL_EFFECT_LOG)->log;
-  va_list arguments;
 
   log->number = number;
-  log->count = count;
-  va_start (arguments, count);
-  for (uint32_t i = 0; i < count && i < JL_LOG_ARGUMENT_MAX; i++)
-    log->arguments[i] = va_arg (arguments, uint64_t);
-  va_end (arguments);
+  log->first = first;
+  log->second = second;
 }
 
 uint32_t
@@ -129,7 +127,7 @@
   jl_members_config (core);
   jl_guard_config (core);
   jl_graph_config (core);
-  jl_log_event (core, 101, 1, config->version);
+  jl_log_event (core, JL_LOG_CONFIG_INSTALLED, config->version, 0);
 }
 
 static void
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -35,7 +35,7 @@
   jl_admit_slots (core, 0);
   jl_admit_refuse_all (core, JL_REASON_TARGET_LOST);
   jl_members_self_changed (core);
-  jl_log_event (core, 202, 1, (uint64_t)reason);
+  jl_log_event (core, JL_LOG_TARGET_DOWN, reason, 0);
 }
 
 static void
@@ -83,7 +83,7 @@
   find_service (core);
   jl_admit_slots (core, announce->slots);
   jl_members_self_changed (core);
-  jl_log_event (core, 201, 2, (uint64_t)announce->slots, announce->started);
+  jl_log_event (core, JL_LOG_TARGET_UP, announce->slots, announce->started);
 }
 
 void
@@ -367,7 +367,7 @@
     return;
   core->draining = true;
   jl_members_leave (core);
-  jl_log_event (core, 203, 0);
+  jl_log_event (core, JL_LOG_DRAIN_BEGUN, 0, 0);
 }
 
 void
