--- a/Makefile
+++ b/Makefile
@@ -31,16 +31,24 @@
 STANDIN_SOURCES = $(wildcard tests/standins/*.c)
 TEST_SOURCES = $(wildcard tests/unit/*.c)
 RANDOM_SOURCES = $(wildcard tests/random/*.c)
+SCRIPTED_SOURCES = $(wildcard tests/scripted/*.c)
+SUPPORT_SOURCES = $(wildcard tests/support/*.c)
+FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 
 OBJECT = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libjackdawladder.a
 STANDINS = $(patsubst tests/standins/%.c,$(BUILD)/standins/%,$(filter-out %/common.c,$(STANDIN_SOURCES)))
 UNITS = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(TEST_SOURCES))
 RANDOM = $(if $(RANDOM_SOURCES),$(BUILD)/random-run)
+SCRIPTED = $(if $(SCRIPTED_SOURCES),$(BUILD)/scripted-run)
+FUZZ = $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(FUZZ_SOURCES))
 
 all: $(BUILD)/jackdawladderd $(BUILD)/jackdawladder
 
-tests: all $(STANDINS) $(UNITS) $(RANDOM)
+tests: all $(STANDINS) $(UNITS) $(RANDOM) $(SCRIPTED)
+
+# Needs CC=clang SANITIZE=fuzzer,address and a BUILD of its own.
+fuzzers: $(FUZZ)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -67,7 +75,14 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -lcriterion $(LIBS) -o $@
 
-$(BUILD)/random-run: $(call OBJECT,$(RANDOM_SOURCES)) $(LIBRARY)
+$(BUILD)/random-run: $(call OBJECT,$(RANDOM_SOURCES) $(SUPPORT_SOURCES)) $(LIBRARY)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
+$(BUILD)/scripted-run: $(call OBJECT,$(SCRIPTED_SOURCES) $(SUPPORT_SOURCES)) $(LIBRARY)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
+$(BUILD)/fuzz/%: $(BUILD)/tests/fuzz/%.o $(LIBRARY)
+	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
 install-packages:
@@ -91,7 +106,7 @@
 clean:
 	rm -rf $(BUILD) out
 
-.PHONY: all tests install-packages check demo bench format lint clean
+.PHONY: all tests fuzzers install-packages check demo bench format lint clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
