--- /dev/null
+++ b/tests/standins/target.c
@@ -0,0 +1,669 @@
+/**
+ * DOC: Stand-in for a target: one instance of a service.
+ *
+ * It announces itself to its daemon, works on requests in a bounded number of
+ * slots, calls further services, and records each run before the work starts.
+ * The request's identifier comes in the query string as "id", the place of
+ * the call in its tree as "hop"; both go on to calls further down.
+ */
+
+#include "common.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <math.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANNOUNCE_PERIOD_US USEC_PER_SEC
+#define ANNOUNCE_TIMEOUT_MS 800
+#define THEN_MAX 8
+#define DESCRIPTOR_MAX 4096
+#define CRASH_STATUS 70
+#define BUDGET_NONE_MS 60000
+
+/**
+ * struct then - a call that requests for @prefix go on to make
+ */
+struct then
+{
+  char *prefix;
+  char *method;
+  char *path;
+};
+
+struct target
+{
+  const char *listen;
+  const char *daemon;
+  const char *service;
+  const char *name;
+  const char *history_path;
+  unsigned slots;
+  unsigned connections;
+  unsigned threads;
+  double service_ms;
+  bool exponential;
+  unsigned seed;
+  double cold_seconds;
+  double cold_factor;
+  bool queues;
+  struct then thens[THEN_MAX];
+  unsigned then_count;
+
+  struct history *history;
+  uint64_t started_us;
+  GMutex lock;
+  GCond slot_free;
+  GRand *random;
+  unsigned in_progress;
+  double slow_factor;
+  uint64_t last_run;
+  atomic_bool left;
+};
+
+/**
+ * struct run - one request in progress
+ * @socket: the connection that it came on, -1 if not known
+ * @deadline_us: end of its budget
+ * @cut: the connection was closed before the answer was sent
+ */
+struct run
+{
+  struct mg_connection *connection;
+  const struct mg_request_info *request;
+  uint64_t number;
+  char *id;
+  char *hop;
+  char *path;
+  int socket;
+  uint64_t deadline_us;
+  bool cut;
+};
+
+static struct target target = { .slots = 10,
+                                .connections = 100,
+                                .threads = 200,
+                                .service_ms = 10,
+                                .seed = 1,
+                                .cold_factor = 1,
+                                .slow_factor = 1,
+                                .service = "service",
+                                .name = "target" };
+
+/* Our end of the connection with a given remote port. */
+static int
+find_socket (int remote_port)
+{
+  for (int file = 3; file < DESCRIPTOR_MAX; file++)
+    {
+      struct sockaddr_in peer;
+      socklen_t size = sizeof peer;
+      struct sockaddr_in own;
+      socklen_t own_size = sizeof own;
+
+      if (getpeername (file, (struct sockaddr *)&peer, &size) != 0)
+        continue;
+      if (peer.sin_family != AF_INET || ntohs (peer.sin_port) != remote_port)
+        continue;
+      if (getsockname (file, (struct sockaddr *)&own, &own_size) != 0)
+        continue;
+      if (ntohs (own.sin_port)
+          == strtol (strchr (target.listen, ':') + 1, NULL, 10))
+        return file;
+    }
+  return -1;
+}
+
+/* A connection starts out without a known socket. */
+static int
+forget_socket (const struct mg_connection *connection G_GNUC_UNUSED,
+               void **data)
+{
+  *data = NULL;
+  return 0;
+}
+
+/* The socket of a connection, found at its first request. */
+static int
+connection_socket (struct mg_connection *connection)
+{
+  int known = GPOINTER_TO_INT (mg_get_user_connection_data (connection));
+
+  if (known == 0)
+    {
+      int port = mg_get_request_info (connection)->remote_port;
+
+      known = find_socket (port) + 1;
+      mg_set_user_connection_data (connection, GINT_TO_POINTER (known));
+    }
+  return known - 1;
+}
+
+/* Sleeps while the client stays; false when it closed the connection. */
+static bool
+sleep_connected (struct run *run, uint64_t until_us)
+{
+  struct pollfd wait = { .fd = run->socket, .events = POLLRDHUP };
+  uint64_t now_us;
+
+  while ((now_us = clock_us ()) < until_us)
+    {
+      struct timespec time
+          = { .tv_sec = (time_t)((until_us - now_us) / USEC_PER_SEC),
+              .tv_nsec = (long)((until_us - now_us) % USEC_PER_SEC) * 1000 };
+
+      if (ppoll (&wait, 1, &time, NULL) > 0 && wait.revents != 0)
+        {
+          run->cut = true;
+          return false;
+        }
+    }
+  return true;
+}
+
+/* How long the next request takes. */
+static uint64_t
+draw_service_time (void)
+{
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&target.lock);
+  double milliseconds = target.service_ms * target.slow_factor;
+  double age = (double)(clock_us () - target.started_us) / USEC_PER_SEC;
+
+  if (target.exponential)
+    milliseconds *= -log (1 - g_rand_double (target.random));
+  if (age < target.cold_seconds)
+    milliseconds *= target.cold_factor;
+  return (uint64_t)(milliseconds * USEC_PER_MSEC);
+}
+
+/* Takes a slot; false when there is none and requests do not queue. */
+static bool
+take_slot (const struct run *run)
+{
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&target.lock);
+
+  while (target.in_progress >= target.slots)
+    {
+      if (!target.queues)
+        return false;
+      if (!g_cond_wait_until (&target.slot_free, &target.lock,
+                              (gint64)run->deadline_us))
+        return false;
+    }
+  target.in_progress++;
+  return true;
+}
+
+static void
+free_slot (void)
+{
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&target.lock);
+
+  target.in_progress--;
+  g_cond_signal (&target.slot_free);
+}
+
+static size_t
+ignore_bytes (char *bytes G_GNUC_UNUSED,
+              size_t size,
+              size_t count,
+              void *context G_GNUC_UNUSED)
+{
+  return size * count;
+}
+
+static int
+watch_client (void *context,
+              curl_off_t a G_GNUC_UNUSED,
+              curl_off_t b G_GNUC_UNUSED,
+              curl_off_t c G_GNUC_UNUSED,
+              curl_off_t d G_GNUC_UNUSED)
+{
+  struct run *run = context;
+  struct pollfd wait = { .fd = run->socket, .events = POLLRDHUP };
+
+  if (poll (&wait, 1, 0) > 0 && wait.revents != 0)
+    run->cut = true;
+  return run->cut ? 1 : 0;
+}
+
+/* Each thread keeps its connection to the daemon. */
+static CURL *
+thread_curl (void)
+{
+  static GPrivate handles = G_PRIVATE_INIT (curl_easy_cleanup);
+  CURL *curl = g_private_get (&handles);
+
+  if (curl == NULL)
+    {
+      curl = curl_easy_init ();
+      g_private_set (&handles, curl);
+    }
+  curl_easy_reset (curl);
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, ignore_bytes);
+  return curl;
+}
+
+/* Makes one call further down; its HTTP status, 0 when there is no answer. */
+static long
+call_further (struct run *run, const struct then *then, unsigned ordinal)
+{
+  const char *work = mg_get_header (run->connection, "Jl-Work");
+  g_autofree char *url = g_strdup_printf (
+      "http://%s%s%cid=%s&hop=%s.%u", target.daemon, then->path,
+      strchr (then->path, '?') ? '&' : '?', run->id, run->hop, ordinal);
+  g_autofree char *work_header
+      = g_strdup_printf ("Jl-Work: %s", work == NULL ? "" : work);
+  g_autofree char *id_header = g_strdup_printf ("X-Request-Id: %s", run->id);
+  g_autoptr (GString) body = payload_new (run->id, 64);
+  struct curl_slist *headers = curl_slist_append (NULL, work_header);
+  uint64_t now_us = clock_us ();
+  CURL *curl = thread_curl ();
+  CURLcode result;
+  long status = 0;
+
+  if (now_us >= run->deadline_us)
+    {
+      curl_slist_free_all (headers);
+      return 0;
+    }
+  headers = curl_slist_append (headers, id_header);
+  headers = curl_slist_append (headers, "Expect:");
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS,
+                    (long)((run->deadline_us - now_us) / USEC_PER_MSEC) + 1);
+  curl_easy_setopt (curl, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt (curl, CURLOPT_XFERINFOFUNCTION, watch_client);
+  curl_easy_setopt (curl, CURLOPT_XFERINFODATA, run);
+  if (strcmp (then->method, "GET") != 0)
+    {
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE, (long)body->len);
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body->str);
+      curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, then->method);
+    }
+  result = curl_easy_perform (curl);
+  if (result == CURLE_OK)
+    curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  curl_slist_free_all (headers);
+  return status;
+}
+
+/* Makes all calls for a path, one after the other, up to the first failure. */
+static long
+call_all_further (struct run *run)
+{
+  unsigned ordinal = 0;
+
+  for (unsigned i = 0; i < target.then_count; i++)
+    {
+      const struct then *then = &target.thens[i];
+      long status;
+
+      if (!g_str_has_prefix (run->path, then->prefix))
+        continue;
+      status = call_further (run, then, ordinal++);
+      if (status != 200)
+        return status == 503 ? 503 : 502;
+    }
+  return 200;
+}
+
+static void
+record_start (struct run *run, bool whole_body)
+{
+  const char *work_key = mg_get_header (run->connection, "Idempotency-Key");
+  g_autofree char *key = history_text (work_key);
+  g_autofree char *path = history_text (run->path);
+  g_autofree char *method = history_text (run->request->request_method);
+
+  history_add (target.history,
+               "\"t\":\"run\",\"who\":\"%s\",\"pid\":%d,\"run\":%" PRIu64
+               ",\"id\":\"%s\",\"hop\":\"%s\",\"key\":\"%s\","
+               "\"method\":\"%s\",\"path\":\"%s\",\"service\":\"%s\","
+               "\"body_whole\":%s",
+               target.name, getpid (), run->number, run->id, run->hop, key,
+               method, path, target.service, whole_body ? "true" : "false");
+}
+
+static void
+record_end (const struct run *run, long status)
+{
+  history_add (target.history,
+               "\"t\":\"end\",\"who\":\"%s\",\"pid\":%d,\"run\":%" PRIu64
+               ",\"id\":\"%s\",\"hop\":\"%s\",\"status\":%ld,\"cut\":%s",
+               target.name, getpid (), run->number, run->id, run->hop, status,
+               run->cut ? "true" : "false");
+}
+
+/* Works for the service time, but not past the deadline. */
+static long
+work (struct run *run)
+{
+  uint64_t end_us = clock_us () + draw_service_time ();
+
+  if (!sleep_connected (run, MIN (end_us, run->deadline_us)))
+    return 0;
+  if (end_us > run->deadline_us)
+    return 504;
+  return call_all_further (run);
+}
+
+static int
+answer (struct run *run, long status)
+{
+  size_t size = (size_t)server_query_number (run->request, "bytes", 100);
+  g_autoptr (GString) payload = NULL;
+  int sent;
+
+  if (run->cut)
+    return server_hang_up (run->connection);
+  payload = payload_new (run->id, size);
+  sent = server_reply (run->connection, (int)status, NULL, payload->str,
+                       payload->len);
+  if (sent < 0)
+    run->cut = true;
+  return sent;
+}
+
+static uint64_t
+next_run (void)
+{
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&target.lock);
+
+  return ++target.last_run;
+}
+
+static bool
+is_crash (const struct run *run, const GString *body)
+{
+  return server_query_number (run->request, "crash", 0) != 0
+         || mg_get_header (run->connection, "X-Crash") != NULL
+         || g_str_has_prefix (body->str, "crash");
+}
+
+/* Reads the body and records the start; false when the body was cut off. */
+static bool
+start_run (struct run *run)
+{
+  g_autoptr (GString) body = server_read_body (run->connection);
+  char owner[REQUEST_ID_SIZE];
+  bool whole = body->len == 0 || payload_check (body->str, body->len, owner);
+
+  if (run->request->content_length > 0
+      && (long long)body->len < run->request->content_length)
+    return false;
+  run->number = next_run ();
+  record_start (run, whole && (body->len == 0 || strcmp (owner, run->id) == 0));
+  if (is_crash (run, body))
+    _exit (CRASH_STATUS);
+  return true;
+}
+
+static int
+serve (struct run *run)
+{
+  long status;
+  int sent;
+
+  if (!take_slot (run))
+    return server_reply (run->connection, 503, NULL, "busy\n", 5);
+  if (!start_run (run))
+    {
+      free_slot ();
+      return server_hang_up (run->connection);
+    }
+  status = work (run);
+  free_slot ();
+  sent = answer (run, status);
+  record_end (run, status);
+  return sent;
+}
+
+static int
+handle_test (struct mg_connection *connection,
+             const struct mg_request_info *request)
+{
+  if (strcmp (request->local_uri, "/test/slow") == 0)
+    {
+      g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&target.lock);
+
+      target.slow_factor = server_query_number (request, "factor", 1);
+      history_add (target.history,
+                   "\"t\":\"fault\",\"who\":\"%s\",\"what\":\"slow\","
+                   "\"factor\":%g",
+                   target.name, target.slow_factor);
+    }
+  else if (strcmp (request->local_uri, "/test/leave") == 0)
+    target.left = true;
+  else
+    return server_reply (connection, 404, NULL, "", 0);
+  return server_reply (connection, 200, NULL, "ok\n", 3);
+}
+
+static int
+handle (struct mg_connection *connection, void *context G_GNUC_UNUSED)
+{
+  const struct mg_request_info *request = mg_get_request_info (connection);
+  const char *budget = mg_get_header (connection, "Jl-Budget-Ms");
+  const char *header_id = mg_get_header (connection, "X-Request-Id");
+  g_autofree char *raw_id
+      = server_query (request, "id", header_id == NULL ? "none" : header_id);
+  g_autofree char *raw_hop = server_query (request, "hop", "0");
+  g_autofree char *id = history_text (raw_id);
+  g_autofree char *hop = history_text (raw_hop);
+  struct run run
+      = { .connection = connection, .request = request, .id = id, .hop = hop };
+  uint64_t budget_ms
+      = budget == NULL ? BUDGET_NONE_MS : g_ascii_strtoull (budget, NULL, 10);
+
+  if (g_str_has_prefix (request->local_uri, "/test/"))
+    return handle_test (connection, request);
+  run.path = (char *)request->local_uri;
+  run.socket = connection_socket (connection);
+  run.deadline_us = clock_us () + budget_ms * USEC_PER_MSEC;
+  return serve (&run);
+}
+
+/* Posts to the daemon's local port; true when it was taken. */
+static bool
+post_daemon (const char *path, const char *body)
+{
+  g_autofree char *url = g_strdup_printf ("http://%s%s", target.daemon, path);
+  CURL *curl = thread_curl ();
+  long status = 0;
+
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)ANNOUNCE_TIMEOUT_MS);
+  if (curl_easy_perform (curl) != CURLE_OK)
+    return false;
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  return status / 100 == 2;
+}
+
+static gpointer
+announce (gpointer context G_GNUC_UNUSED)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"service\": \"%s\", \"slots\": %u, \"connections\": %u, "
+      "\"started\": %" PRIu64 "}",
+      target.service, target.slots, target.connections, target.started_us);
+
+  while (!target.left)
+    {
+      post_daemon ("/jl/announce", body);
+      for (unsigned i = 0; i < 20 && !target.left; i++)
+        sleep_us (ANNOUNCE_PERIOD_US / 20);
+    }
+  if (post_daemon ("/jl/leave", ""))
+    history_add (target.history, "\"t\":\"leave\",\"who\":\"%s\",\"pid\":%d",
+                 target.name, getpid ());
+  return NULL;
+}
+
+/* Waits until no request is in progress. */
+static void
+finish_work (void)
+{
+  for (;;)
+    {
+      g_mutex_lock (&target.lock);
+      if (target.in_progress == 0)
+        break;
+      g_mutex_unlock (&target.lock);
+      sleep_us (10 * USEC_PER_MSEC);
+    }
+  g_mutex_unlock (&target.lock);
+}
+
+/* "GET /path", or "/prefix GET /path" for requests that start so. */
+static void
+add_then (struct argp_state *state, const char *text)
+{
+  char **words = g_strsplit (text, " ", 0);
+  unsigned count = g_strv_length (words);
+  struct then *then = &target.thens[target.then_count];
+
+  if (target.then_count == THEN_MAX || count < 2 || count > 3)
+    argp_error (state, "--then takes \"[PREFIX] METHOD PATH\"");
+  target.then_count++;
+  then->prefix = g_strdup (count == 3 ? words[0] : "/");
+  then->method = g_strdup (words[count - 2]);
+  then->path = g_strdup (words[count - 1]);
+  g_strfreev (words);
+}
+
+static const struct argp_option options[] = {
+  { "listen", 'l', "ADDRESS:PORT", 0, "where to take requests", 0 },
+  { "daemon", 'd', "ADDRESS:PORT", 0, "local port of the own daemon", 0 },
+  { "service", 's', "NAME", 0, "service that it belongs to", 0 },
+  { "name", 'n', "NAME", 0, "name in the history", 0 },
+  { "history", 'h', "FILE", 0, "where to record runs", 0 },
+  { "slots", 'k', "N", 0, "requests in progress at most", 0 },
+  { "connections", 'c', "N", 0, "connections that it announces", 0 },
+  { "threads", 't', "N", 0, "connections that it takes", 0 },
+  { "service-ms", 'm', "MS", 0, "mean service time", 0 },
+  { "exponential", 'e', 0, 0, "exponential service times", 0 },
+  { "seed", 'r', "N", 0, "seed of the service times", 0 },
+  { "cold-seconds", 'x', "S", 0, "how long it is slower at first", 0 },
+  { "cold-factor", 'f', "F", 0, "how much slower it is then", 0 },
+  { "queue", 'q', 0, 0, "queue requests beyond the slots", 0 },
+  { "then", 'w', "CALL", 0, "[PREFIX] METHOD PATH: a call further down", 0 },
+  { 0 },
+};
+
+static bool
+parse_number (int key, const char *argument)
+{
+  double number = argument == NULL ? 0 : g_ascii_strtod (argument, NULL);
+
+  switch (key)
+    {
+    case 'k':
+      target.slots = (unsigned)number;
+      return true;
+    case 'c':
+      target.connections = (unsigned)number;
+      return true;
+    case 't':
+      target.threads = (unsigned)number;
+      return true;
+    case 'm':
+      target.service_ms = number;
+      return true;
+    case 'r':
+      target.seed = (unsigned)number;
+      return true;
+    case 'x':
+      target.cold_seconds = number;
+      return true;
+    case 'f':
+      target.cold_factor = number;
+      return true;
+    default:
+      return false;
+    }
+}
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  if (parse_number (key, argument))
+    return 0;
+  switch (key)
+    {
+    case 'l':
+      target.listen = argument;
+      return 0;
+    case 'd':
+      target.daemon = argument;
+      return 0;
+    case 's':
+      target.service = argument;
+      return 0;
+    case 'n':
+      target.name = argument;
+      return 0;
+    case 'h':
+      target.history_path = argument;
+      return 0;
+    case 'e':
+      target.exponential = true;
+      return 0;
+    case 'q':
+      target.queues = true;
+      return 0;
+    case 'w':
+      add_then (state, argument);
+      return 0;
+    case ARGP_KEY_END:
+      if (target.listen == NULL || strchr (target.listen, ':') == NULL)
+        argp_error (state, "--listen is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct argp argp
+      = { options, parse_option, NULL, "Stand-in for a target.",
+          NULL,    NULL,         NULL };
+  const struct mg_callbacks callbacks = { .init_connection = forget_socket };
+  struct mg_context *server;
+  GThread *announcer = NULL;
+
+  argp_parse (&argp, argc, argv, 0, NULL, NULL);
+  block_stop_signals ();
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  target.history = history_open (target.history_path);
+  target.random = g_rand_new_with_seed (target.seed);
+  target.started_us = clock_us ();
+  history_add (target.history, "\"t\":\"start\",\"who\":\"%s\",\"pid\":%d",
+               target.name, getpid ());
+  server = server_start (target.listen, target.threads, &callbacks, handle);
+  if (target.daemon != NULL)
+    announcer = g_thread_new ("announce", announce, NULL);
+  wait_for_stop ();
+  target.left = true;
+  if (announcer != NULL)
+    g_thread_join (announcer);
+  finish_work ();
+  mg_stop (server);
+  history_add (target.history, "\"t\":\"stop\",\"who\":\"%s\",\"pid\":%d",
+               target.name, getpid ());
+  return 0;
+}
