--- a/include/jackdawladder/core.h
+++ b/include/jackdawladder/core.h
@@ -76,6 +76,11 @@
  */
 uint64_t jl_core_next_timer (const struct jl_core *core);
 
+/**
+ * jl_core_member_count - daemons that are seen alive, this one included
+ */
+uint32_t jl_core_member_count (struct jl_core *core);
+
 /**
  * jl_core_dump - appends the whole state as one JSON object
  */
--- a/include/jackdawladder/effect.h
+++ b/include/jackdawladder/effect.h
@@ -23,6 +23,7 @@
  * @JL_EFFECT_STOP_SEND: stop the sending of a call; its result still comes
  * @JL_EFFECT_MESSAGE: send a control message
  * @JL_EFFECT_PUBLISH: the own row for the platform's table has changed
+ * @JL_EFFECT_CONFIG: a configuration is in force from now on
  * @JL_EFFECT_FETCH_CONFIG: get the configuration from a peer
  * @JL_EFFECT_LOG: write a log event
  * @JL_EFFECT_EXIT: drained; end the process
@@ -39,6 +40,7 @@
   JL_EFFECT_STOP_SEND,
   JL_EFFECT_MESSAGE,
   JL_EFFECT_PUBLISH,
+  JL_EFFECT_CONFIG,
   JL_EFFECT_FETCH_CONFIG,
   JL_EFFECT_LOG,
   JL_EFFECT_EXIT,
@@ -192,6 +194,7 @@
     struct jl_effect_stop_send stop_send;
     struct jl_effect_message *message; /* owned by the effect list */
     struct jl_member_info publish;
+    struct jl_config *config; /* valid until the next step */
     struct jl_effect_fetch_config fetch_config;
     struct jl_effect_log log;
   };
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -127,6 +127,7 @@
   jl_members_config (core);
   jl_guard_config (core);
   jl_graph_config (core);
+  jl_emit (core, JL_EFFECT_CONFIG)->config = core->config;
   jl_log_event (core, JL_LOG_CONFIG_INSTALLED, config->version, 0);
 }
 
@@ -213,6 +214,12 @@
   core->effects = NULL;
 }
 
+uint32_t
+jl_core_member_count (struct jl_core *core)
+{
+  return jl_members_count (core);
+}
+
 uint64_t
 jl_core_next_timer (const struct jl_core *core)
 {
--- /dev/null
+++ b/source/daemon/daemon.c
@@ -0,0 +1,446 @@
+/**
+ * DOC: Steps of the reducer, and the way of its effects to the threads.
+ */
+
+#include "daemon/daemon.h"
+
+#include <string.h>
+#include <urcu.h>
+
+#include "daemon/answers.h"
+#include "daemon/hooks.h"
+#include "jackdawladder/log.h"
+
+/* Kept connections to one endpoint. */
+#define IDLE_CONNECTION_MAX 16
+#define PLATFORM_TIMEOUT_MS 1000
+
+void
+jl_waiter_init (struct jl_waiter *waiter)
+{
+  memset (waiter, 0, sizeof *waiter);
+  g_cond_init (&waiter->cond);
+  g_queue_init (&waiter->inbox);
+}
+
+void
+jl_waiter_clear (struct jl_waiter *waiter)
+{
+  g_cond_clear (&waiter->cond);
+  g_queue_clear_full (&waiter->inbox, g_free);
+  if (waiter->ordinals != NULL)
+    g_hash_table_destroy (waiter->ordinals);
+}
+
+struct jl_effect
+jl_waiter_next (struct jl_daemon *daemon, struct jl_waiter *waiter)
+{
+  struct jl_effect *queued;
+  struct jl_effect effect;
+
+  while (g_queue_is_empty (&waiter->inbox))
+    g_cond_wait (&waiter->cond, &daemon->lock);
+  queued = g_queue_pop_head (&waiter->inbox);
+  effect = *queued;
+  g_free (queued);
+  return effect;
+}
+
+/* Gives an effect to the thread that waits for it. */
+static void
+deliver (GHashTable *waiters, uint64_t number, const struct jl_effect *effect)
+{
+  struct jl_waiter *waiter = g_hash_table_lookup (waiters, &number);
+
+  if (waiter == NULL)
+    return;
+  g_queue_push_tail (&waiter->inbox, g_memdup2 (effect, sizeof *effect));
+  g_cond_signal (&waiter->cond);
+}
+
+static void
+abort_transfer (GHashTable *waiters, uint64_t number)
+{
+  struct jl_waiter *waiter = g_hash_table_lookup (waiters, &number);
+
+  if (waiter != NULL)
+    jl_http_transfer_abort (&waiter->transfer);
+}
+
+/* Keeps an effect until the lock is given back. */
+static void
+put_off (struct jl_daemon *daemon, const struct jl_effect *effect)
+{
+  struct jl_effect copy = *effect;
+
+  if (effect->type == JL_EFFECT_MESSAGE)
+    copy.message = g_memdup2 (effect->message, sizeof *effect->message);
+  g_array_append_val (daemon->outgoing, copy);
+}
+
+static void
+replace_config (struct jl_daemon *daemon, struct jl_config *config)
+{
+  struct jl_config *old = daemon->config;
+
+  rcu_assign_pointer (daemon->config, jl_config_keep (config));
+  daemon->retired = old;
+}
+
+static void
+dispatch (struct jl_daemon *daemon, const struct jl_effect *effect)
+{
+  switch (effect->type)
+    {
+    case JL_EFFECT_SEND:
+      deliver (daemon->calls, effect->send.call, effect);
+      break;
+    case JL_EFFECT_FORWARD:
+      deliver (daemon->calls, effect->forward.call, effect);
+      break;
+    case JL_EFFECT_ANSWER:
+      deliver (daemon->calls, effect->answer.call, effect);
+      break;
+    case JL_EFFECT_CLAIM:
+      deliver (daemon->calls, effect->claim.call, effect);
+      break;
+    case JL_EFFECT_RUN:
+      deliver (daemon->works, effect->run.work, effect);
+      break;
+    case JL_EFFECT_FINISH:
+      deliver (daemon->works, effect->finish.work, effect);
+      break;
+    case JL_EFFECT_ABORT:
+      abort_transfer (daemon->works, effect->abort_work);
+      break;
+    case JL_EFFECT_STOP_SEND:
+      abort_transfer (daemon->calls, effect->stop_send.call);
+      break;
+    case JL_EFFECT_CONFIG:
+      replace_config (daemon, effect->config);
+      break;
+    case JL_EFFECT_PUBLISH:
+    case JL_EFFECT_FETCH_CONFIG:
+      g_async_queue_push (daemon->background,
+                          g_memdup2 (effect, sizeof *effect));
+      break;
+    case JL_EFFECT_MESSAGE:
+    case JL_EFFECT_LOG:
+      put_off (daemon, effect);
+      break;
+    case JL_EFFECT_EXIT:
+      daemon->exiting = true;
+      g_cond_broadcast (&daemon->exit);
+      break;
+    }
+}
+
+void
+jl_daemon_begin (struct jl_daemon *daemon)
+{
+  g_mutex_lock (&daemon->lock);
+}
+
+void
+jl_daemon_step (struct jl_daemon *daemon, struct jl_event *event)
+{
+  uint64_t next_us;
+
+  event->now_us = jl_now ();
+  jl_effects_clear (daemon->effects);
+  jl_core_step (daemon->core, event, daemon->effects);
+  for (size_t i = 0; i < jl_effects_count (daemon->effects); i++)
+    dispatch (daemon, jl_effects_get (daemon->effects, i));
+  next_us = jl_core_next_timer (daemon->core);
+  if (next_us < daemon->tick_at_us)
+    g_cond_signal (&daemon->tick);
+}
+
+static void
+carry_out (struct jl_daemon *daemon, const struct jl_effect *effect)
+{
+  if (effect->type == JL_EFFECT_LOG)
+    {
+      jl_log (effect->log.number, effect->log.first, effect->log.second);
+      return;
+    }
+  if (!jl_hooks_cut (effect->message->to.ip))
+    jl_control_send (daemon->control, effect->message->to,
+                     &effect->message->message);
+  g_free (effect->message);
+}
+
+void
+jl_daemon_end (struct jl_daemon *daemon)
+{
+  GArray *outgoing = NULL;
+  struct jl_config *retired = daemon->retired;
+
+  if (daemon->outgoing->len > 0)
+    {
+      outgoing = daemon->outgoing;
+      daemon->outgoing = g_array_new (FALSE, FALSE, sizeof (struct jl_effect));
+    }
+  daemon->retired = NULL;
+  g_mutex_unlock (&daemon->lock);
+  if (outgoing != NULL)
+    {
+      for (guint i = 0; i < outgoing->len; i++)
+        carry_out (daemon, &g_array_index (outgoing, struct jl_effect, i));
+      g_array_free (outgoing, TRUE);
+    }
+  if (retired != NULL)
+    {
+      synchronize_rcu ();
+      jl_config_drop (retired);
+    }
+}
+
+void
+jl_daemon_post (struct jl_daemon *daemon, struct jl_event *event)
+{
+  jl_daemon_begin (daemon);
+  jl_daemon_step (daemon, event);
+  jl_daemon_end (daemon);
+}
+
+struct jl_config *
+jl_daemon_get_config (struct jl_daemon *daemon)
+{
+  struct jl_config *config;
+
+  rcu_read_lock ();
+  config = rcu_dereference (daemon->config);
+  if (config != NULL)
+    jl_config_keep (config);
+  rcu_read_unlock ();
+  return config;
+}
+
+bool
+jl_daemon_install (struct jl_daemon *daemon, const char *text, size_t size,
+                   uint64_t version, GError **error)
+{
+  struct jl_config *config = jl_config_new (text, size, version, error);
+  struct jl_event event = { .type = JL_EVENT_CONFIG, .config = config };
+
+  if (config == NULL)
+    {
+      jl_log (JL_LOG_CONFIG_REFUSED, version, 0);
+      return false;
+    }
+  jl_daemon_post (daemon, &event);
+  jl_config_drop (config);
+  return true;
+}
+
+static void
+receive_message (void *context, const struct jl_message *message)
+{
+  struct jl_event event = { .type = JL_EVENT_MESSAGE, .message = message };
+
+  if (!jl_hooks_cut (jl_member_endpoint (message->from.member).ip))
+    jl_daemon_post (context, &event);
+}
+
+/* Sends ticks when timers of the reducer are due. */
+static gpointer
+run_timers (gpointer context)
+{
+  struct jl_daemon *daemon = context;
+  struct jl_event event = { .type = JL_EVENT_TICK };
+
+  rcu_register_thread ();
+  jl_daemon_begin (daemon);
+  while (!daemon->stopping)
+    {
+      uint64_t now_us = jl_now ();
+
+      daemon->tick_at_us = jl_core_next_timer (daemon->core);
+      if (daemon->tick_at_us > now_us)
+        {
+          uint64_t wait_us
+              = MIN (daemon->tick_at_us - now_us, JL_USEC_PER_SEC);
+
+          g_cond_wait_until (&daemon->tick, &daemon->lock,
+                             g_get_monotonic_time () + (gint64) wait_us);
+          continue;
+        }
+      daemon->tick_at_us = 0;
+      jl_daemon_step (daemon, &event);
+      jl_daemon_end (daemon);
+      jl_daemon_begin (daemon);
+    }
+  jl_daemon_end (daemon);
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+static struct jl_endpoint
+own_endpoint (const struct jl_settings *settings, uint16_t port)
+{
+  return (struct jl_endpoint){ .ip = settings->ip, .port = port };
+}
+
+static struct jl_core *
+make_core (const struct jl_settings *settings)
+{
+  struct jl_core_options options = {
+    .identity = { .member = jl_member_id (
+                      own_endpoint (settings, settings->control_port)),
+                  .epoch = (uint64_t) g_get_real_time () },
+    .peer = own_endpoint (settings, settings->peer_port),
+    .now_us = jl_now (),
+    .mode = settings->mode,
+  };
+
+  options.seed = (uint32_t) (options.identity.epoch ^ options.identity.member);
+  options.switched_off = jl_hooks_switched_off ();
+  g_strlcpy (options.zone, settings->zone, JL_NAME_SIZE);
+  return jl_core_new (&options);
+}
+
+static bool
+open_sockets (struct jl_daemon *daemon, GError **error)
+{
+  const struct jl_settings *settings = daemon->settings;
+
+  daemon->control
+      = jl_control_open (own_endpoint (settings, settings->control_port),
+                         receive_message, daemon, error);
+  if (daemon->control == NULL)
+    return false;
+  daemon->peer_server
+      = jl_http_server_open (own_endpoint (settings, settings->peer_port),
+                             settings->peer_threads, jl_peer_handle, daemon,
+                             error);
+  if (daemon->peer_server == NULL)
+    return false;
+  daemon->local_server
+      = jl_http_server_open (own_endpoint (settings, settings->local_port),
+                             settings->local_threads, jl_local_handle, daemon,
+                             error);
+  if (daemon->local_server == NULL)
+    return false;
+  daemon->entry_server
+      = jl_http_server_open (own_endpoint (settings, settings->entry_port),
+                             settings->entry_threads, jl_entry_handle, daemon,
+                             error);
+  return daemon->entry_server != NULL;
+}
+
+static void
+post_seeds (struct jl_daemon *daemon)
+{
+  for (uint32_t i = 0; i < daemon->settings->seed_count; i++)
+    {
+      struct jl_event event
+          = { .type = JL_EVENT_SEED,
+              .seed.control = daemon->settings->seeds[i] };
+
+      jl_daemon_post (daemon, &event);
+    }
+}
+
+struct jl_daemon *
+jl_daemon_open (struct jl_settings *settings, GError **error)
+{
+  struct jl_daemon *daemon = g_new0 (struct jl_daemon, 1);
+
+  daemon->settings = settings;
+  g_mutex_init (&daemon->lock);
+  g_cond_init (&daemon->tick);
+  g_cond_init (&daemon->exit);
+  daemon->core = make_core (settings);
+  daemon->effects = jl_effects_new ();
+  daemon->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  daemon->works = g_hash_table_new (g_int64_hash, g_int64_equal);
+  daemon->outgoing = g_array_new (FALSE, FALSE, sizeof (struct jl_effect));
+  daemon->answers = jl_answer_store_new ();
+  daemon->pool = jl_http_pool_new (IDLE_CONNECTION_MAX);
+  daemon->background = g_async_queue_new_full (g_free);
+  if (settings->has_platform)
+    daemon->platform
+        = jl_platform_new (settings->platform, PLATFORM_TIMEOUT_MS);
+  if (!open_sockets (daemon, error))
+    {
+      jl_daemon_close (daemon);
+      return NULL;
+    }
+  post_seeds (daemon);
+  daemon->timer_thread = g_thread_new ("timers", run_timers, daemon);
+  daemon->background_thread
+      = g_thread_new ("background", jl_background_run, daemon);
+  jl_log_text (JL_LOG_STARTED, settings->name);
+  return daemon;
+}
+
+void
+jl_daemon_drain (struct jl_daemon *daemon)
+{
+  struct jl_event event = { .type = JL_EVENT_DRAIN };
+
+  jl_daemon_post (daemon, &event);
+}
+
+bool
+jl_daemon_wait_exit (struct jl_daemon *daemon, uint64_t timeout_us)
+{
+  gint64 until = g_get_monotonic_time () + (gint64) timeout_us;
+  bool exiting;
+
+  g_mutex_lock (&daemon->lock);
+  while (!daemon->exiting)
+    if (!g_cond_wait_until (&daemon->exit, &daemon->lock, until))
+      break;
+  exiting = daemon->exiting;
+  g_mutex_unlock (&daemon->lock);
+  return exiting;
+}
+
+static void
+join_threads (struct jl_daemon *daemon)
+{
+  jl_daemon_begin (daemon);
+  daemon->stopping = true;
+  g_cond_signal (&daemon->tick);
+  jl_daemon_end (daemon);
+  if (daemon->background_thread != NULL)
+    {
+      struct jl_effect *wake = g_new0 (struct jl_effect, 1);
+
+      wake->type = JL_EFFECT_EXIT;
+      g_async_queue_push (daemon->background, wake);
+      g_thread_join (daemon->background_thread);
+    }
+  if (daemon->timer_thread != NULL)
+    g_thread_join (daemon->timer_thread);
+}
+
+void
+jl_daemon_close (struct jl_daemon *daemon)
+{
+  if (daemon->entry_server != NULL)
+    jl_http_server_close (daemon->entry_server);
+  if (daemon->peer_server != NULL)
+    jl_http_server_close (daemon->peer_server);
+  if (daemon->local_server != NULL)
+    jl_http_server_close (daemon->local_server);
+  if (daemon->control != NULL)
+    jl_control_close (daemon->control);
+  join_threads (daemon);
+  if (daemon->platform != NULL)
+    jl_platform_drop (daemon->platform);
+  jl_http_pool_drop (daemon->pool);
+  jl_core_drop (daemon->core);
+  jl_effects_drop (daemon->effects);
+  jl_answer_store_drop (daemon->answers);
+  if (daemon->config != NULL)
+    jl_config_drop (daemon->config);
+  g_array_free (daemon->outgoing, TRUE);
+  g_async_queue_unref (daemon->background);
+  g_hash_table_destroy (daemon->calls);
+  g_hash_table_destroy (daemon->works);
+  jl_log_text (JL_LOG_STOPPED, daemon->settings->name);
+  g_free (daemon);
+}
