Judge histories by rules, each with a made-up history that breaks it

The checker is Python and shares no code with the product. All rules have at least one failing and most a passing case; tests/checks/history-checker fails too if a rule has no failing case.

--- /dev/null
+++ b/tests/history/table.py
@@ -0,0 +1,90 @@
+"""Figures of a history: outcomes for each kind, goodput, recovery time."""
+
+from history import group
+from rules import MSEC_US, SECOND_US, is_idempotent, Options
+
+BUCKET_US = 100 * MSEC_US
+SMOOTHED_BUCKETS = 5
+RECOVERED_SHARE = 0.9
+
+COLUMNS = ("asked", "whole", "refused", "unknown", "failed", "doubled")
+
+
+def final_outcome(sendings):
+    """What a caller had at last, over all sendings of a request."""
+    if any(sending.good for sending in sendings):
+        return "whole"
+    outcome = sendings[-1].outcome
+    return {"not-run": "refused", "done": "failed"}.get(outcome, "unknown")
+
+
+def count_doubled(history):
+    """Requests of each kind that are not idempotent and ran twice."""
+    runs = history.runs_by_request()
+    doubled = {}
+    for request, sendings in history.sendings_by_request().items():
+        own = [run for run in runs.get(request, []) if run.hop == "0"]
+        if len(own) > 1 and not is_idempotent(own[0], sendings, Options()):
+            kind = sendings[0].send["kind"]
+            doubled[kind] = doubled.get(kind, 0) + 1
+    return doubled
+
+
+def goodput_buckets(history):
+    """Whole answers in each bucket of time since the first sending."""
+    start = history.sendings[0].send["at"]
+    end = max(s.answer["at"] for s in history.sendings if s.answer)
+    buckets = [0] * ((end - start) // BUCKET_US + 1)
+    for sending in history.sendings:
+        if sending.good:
+            buckets[(sending.answer["at"] - start) // BUCKET_US] += 1
+    return start, buckets
+
+
+def recovery_us(history, fault):
+    """How long after a fault goodput was back, None if it never was."""
+    start, buckets = goodput_buckets(history)
+    at = (fault["at"] - start) // BUCKET_US
+    before = buckets[max(0, at - 2 * SMOOTHED_BUCKETS) : at]
+    if not before:
+        return None
+    wanted = RECOVERED_SHARE * sum(before) / len(before)
+    for number in range(at, len(buckets) - SMOOTHED_BUCKETS + 1):
+        window = buckets[number : number + SMOOTHED_BUCKETS]
+        if sum(window) / SMOOTHED_BUCKETS >= wanted:
+            return max(0, start + number * BUCKET_US - fault["at"])
+    return None
+
+
+def count_kinds(history):
+    """Counts of each kind, by column."""
+    doubled = count_doubled(history)
+    requests = group(
+        history.sendings, lambda sending: (sending.send["who"], sending.send["request"])
+    )
+    kinds = {}
+    for sendings in requests.values():
+        kind = sendings[0].send["kind"]
+        counts = kinds.setdefault(kind, dict.fromkeys(COLUMNS, 0))
+        counts["asked"] += 1
+        counts[final_outcome(sendings)] += 1
+        counts["doubled"] = doubled.get(kind, 0)
+    return kinds
+
+
+def print_table(history):
+    """Prints the figures."""
+    if not any(sending.answer for sending in history.sendings):
+        return
+    _, buckets = goodput_buckets(history)
+    seconds = len(buckets) * BUCKET_US / SECOND_US
+    print(f"{'kind':<18}" + "".join(f"{name:>9}" for name in COLUMNS) + "  goodput/s")
+    for kind, counts in sorted(count_kinds(history).items()):
+        numbers = "".join(f"{counts[name]:>9}" for name in COLUMNS)
+        print(f"{kind:<18}{numbers}{counts['whole'] / seconds:>11.1f}")
+    for fault in history.faults:
+        if fault["at"] < history.sendings[0].send["at"]:
+            continue
+        time_us = recovery_us(history, fault)
+        text = "not seen" if time_us is None else f"{time_us / SECOND_US:.1f} s"
+        print(f"recovery after {fault['what']} of {fault['who']}: {text}")
--- /dev/null
+++ b/tests/history/test_rules.py
@@ -0,0 +1,312 @@
+#!/usr/bin/env python3
+"""Tests of the rules: each must fail on a history that breaks it.
+
+Each case is a small made-up history and the set of rules that it breaks.
+"""
+
+import json
+import sys
+import tempfile
+
+from history import load
+from rules import MSEC_US, RULES, SECOND_US, Options
+
+KINDS = [
+    {"path": "/reserve", "method": "POST", "idempotent": False},
+    {"path": "/", "idempotent": True},
+]
+CASES = {}
+
+
+def case(*broken):
+    """Registers a function that makes a history which breaks some rules."""
+
+    def register(function):
+        CASES[function.__name__.replace("_", "-")] = function, set(broken)
+        return function
+
+    return register
+
+
+def send(at, identifier, **values):
+    record = {"t": "send", "at": at, "who": "caller", "request": 1, "sending": 1,
+              "id": identifier, "kind": "listing", "importance": 1,
+              "idempotent": True, "key": "", "entry": "127.30.1.1:8000"}
+    return {**record, **values}
+
+
+def answer(at, identifier, **values):
+    record = {"t": "answer", "at": at, "who": "caller", "request": 1, "sending": 1,
+              "id": identifier, "kind": "listing", "status": 200, "outcome": "done",
+              "own_outcome": "done", "reason": "none", "whole": True, "own": True,
+              "latency_us": 1, "error": "", "entry": "127.30.1.1:8000"}
+    return {**record, **values}
+
+
+def not_run(at, identifier, **values):
+    refused = {"outcome": "not-run", "own_outcome": "not-run", "status": 503,
+               "reason": "overload", "whole": False, "own": False}
+    return answer(at, identifier, **{**refused, **values})
+
+
+def run(at, identifier, number=1, **values):
+    record = {"t": "run", "at": at, "who": "t1", "pid": 7, "run": number,
+              "id": identifier, "hop": "0", "key": "", "method": "GET",
+              "path": "/list", "service": "listings", "body_whole": True,
+              "crash": False}
+    return {**record, **values}
+
+
+def end(at, identifier, number=1, **values):
+    record = {"t": "end", "at": at, "who": "t1", "pid": 7, "run": number,
+              "id": identifier, "hop": "0", "status": 200, "cut": False}
+    return {**record, **values}
+
+
+def exchange(at, identifier, number=1, **values):
+    """A request that ran once and was answered."""
+    return [send(at, identifier, request=number, **values),
+            run(at + 1, identifier, number), end(at + 2, identifier, number),
+            answer(at + 3, identifier, request=number)]
+
+
+@case()
+def good_exchange():
+    return exchange(0, "a") + exchange(10, "b", 2)
+
+
+@case("at-most-once")
+def reservation_runs_twice():
+    return [send(0, "a", idempotent=False, key="k"), run(1, "a", 1), end(2, "a", 1),
+            run(3, "a", 2), end(4, "a", 2), answer(5, "a")]
+
+
+@case("at-most-once")
+def reservation_runs_twice_over_sendings():
+    return [send(0, "a", idempotent=False, key="k"), run(1, "a", 1, who="t1"),
+            answer(2, "a", outcome="unknown", status=504, whole=False, own=False),
+            send(3, "a", sending=2, idempotent=False, key="k"),
+            run(4, "a", 1, who="t2"), answer(5, "a", sending=2)]
+
+
+@case("at-most-once")
+def nested_reservation_runs_twice():
+    return exchange(0, "a") + [
+        run(4, "a", 2, hop="0.0", method="POST", path="/reserve"),
+        run(5, "a", 3, hop="0.0", method="POST", path="/reserve")]
+
+
+@case()
+def idempotent_request_runs_twice():
+    return exchange(0, "a") + [run(1, "a", 2)]
+
+
+@case("whole-own-answers")
+def answer_of_another_request():
+    return [send(0, "a"), run(1, "a"), end(2, "a"), answer(3, "a", own=False)]
+
+
+@case("whole-own-answers")
+def answer_in_part():
+    return [send(0, "a"), run(1, "a"), end(2, "a"),
+            answer(3, "a", whole=False, own=False)]
+
+
+@case("whole-own-answers")
+def answer_without_run():
+    return [send(0, "a"), answer(3, "a")]
+
+
+@case("whole-requests")
+def request_in_part():
+    return [send(0, "a"), run(1, "a", body_whole=False), end(2, "a"),
+            answer(3, "a")]
+
+
+@case("not-run-is-final")
+def refused_request_ran():
+    return [send(0, "a"), run(1, "a"), end(2, "a"), not_run(3, "a")]
+
+
+@case("not-run-is-final")
+def refused_request_runs_later():
+    return [send(0, "a"), not_run(3, "a"), run(5 * SECOND_US, "a")]
+
+
+@case("not-run-is-final")
+def refused_request_ran_deep_down():
+    return [send(0, "a"), run(1, "a", hop="0.0.1"), not_run(3, "a")]
+
+
+@case("not-run-is-final")
+def second_sending_is_refused_after_the_first_ran():
+    return [send(0, "a", key="k"), run(1, "a"),
+            answer(2, "a", outcome="unknown", status=504, whole=False, own=False),
+            send(3, "a", sending=2, key="k"), not_run(4, "a", sending=2)]
+
+
+@case("not-run-is-final")
+def same_content_refused_each_time_ran():
+    return [send(0, "a"), not_run(1, "a"), send(2, "a", sending=2), run(3, "a"),
+            not_run(4, "a", sending=2)]
+
+
+@case()
+def refused_request_runs_when_sent_again():
+    return [send(0, "a", key="k"), not_run(1, "a"),
+            send(2, "a", sending=2, key="k"), run(3, "a"), answer(4, "a", sending=2)]
+
+
+@case("bounded-runs")
+def hop_runs_four_times():
+    return exchange(0, "a") + [run(9, "a", n, hop="0.1") for n in range(2, 6)]
+
+
+@case()
+def hop_runs_three_times():
+    return exchange(0, "a") + [run(9, "a", n, hop="0.1") for n in range(2, 5)]
+
+
+@case("bounded-crashes")
+def request_crashes_three_targets():
+    return [send(0, "a", key="k"),
+            *[run(n, "a", 1, pid=n, crash=True) for n in (1, 2, 3)],
+            answer(9, "a", outcome="unknown", status=504, whole=False, own=False)]
+
+
+def overload(shed):
+    """100 requests of each class; shed gives how many of them are refused."""
+    records = []
+    for importance, count in enumerate(shed):
+        for n in range(100):
+            at = n * MSEC_US + importance
+            number = importance * 1000 + n
+            request = f"{importance}-{n}"
+            if n % 100 < count:
+                records.append(send(at, request, request=number, importance=importance))
+                records.append(not_run(at + 9, request, request=number))
+            else:
+                records += exchange(at, request, number, importance=importance)
+    return records
+
+
+@case("importance-order")
+def important_refused_alone():
+    return overload([1, 0, 0])
+
+
+@case("importance-order")
+def important_refused_before_the_middle():
+    return overload([5, 0, 90])
+
+
+@case("importance-order")
+def important_refused_more():
+    return overload([60, 60, 20])
+
+
+@case()
+def least_important_refused_first():
+    return overload([0, 50, 100])
+
+
+@case("nothing-after-leaving")
+def work_after_leaving():
+    return exchange(0, "a") + [
+        {"t": "leave", "at": 10, "who": "t1", "pid": 7},
+        *exchange(10 + 4 * SECOND_US, "b", 2)]
+
+
+@case()
+def work_just_after_leaving():
+    return exchange(0, "a") + [
+        {"t": "leave", "at": 10, "who": "t1", "pid": 7},
+        *exchange(10 + 2 * SECOND_US, "b", 2)]
+
+
+@case("drain-cuts-nothing")
+def upload_cut_off_by_drain():
+    return [send(0, "a"), run(1, "a"),
+            {"t": "fault", "at": 5, "who": "t1", "what": "drain"},
+            end(9, "a", cut=True, status=0), answer(10, "a")]
+
+
+@case("drain-cuts-nothing")
+def upload_never_ends():
+    return [send(0, "a"), run(1, "a"),
+            {"t": "leave", "at": 5, "who": "t1", "pid": 7}, answer(10, "a")]
+
+
+@case("drain-cuts-nothing")
+def connection_broken_by_drain():
+    return [send(0, "a"), {"t": "fault", "at": 5, "who": "d1", "what": "drain"},
+            answer(9, "a", outcome="", status=0, whole=False, own=False,
+                   error="Failure when receiving data from the peer")]
+
+
+@case()
+def upload_given_up_by_its_caller():
+    return [send(0, "a"), run(1, "a"),
+            {"t": "fault", "at": 5, "who": "t1", "what": "drain"},
+            answer(8, "a", outcome="", status=0, whole=False, own=False,
+                   error="Timeout was reached"),
+            end(9, "a", cut=True, status=0)]
+
+
+def version(at, number, who="d1", life=1, digest=None):
+    return {"t": "version", "at": at, "who": who, "life": life, "version": number,
+            "digest": digest or f"digest-{number}"}
+
+
+@case("config-never-reverts")
+def version_goes_back():
+    return [version(0, 1), version(1, 2), version(2, 1)]
+
+
+@case("config-never-reverts")
+def version_with_two_texts():
+    return [version(0, 2), version(1, 2, who="d2", digest="other")]
+
+
+@case("config-never-reverts")
+def version_not_everywhere_in_time():
+    return [version(0, 1), {"t": "applied", "at": 1, "version": 2},
+            version(20 * SECOND_US, 1)]
+
+
+@case()
+def version_starts_again_with_a_new_life():
+    return [version(0, 2), version(1, 0, life=2), version(2, 2, life=2)]
+
+
+def broken_rules(records):
+    with tempfile.NamedTemporaryFile("w", suffix=".jsonl") as file:
+        for record in records:
+            file.write(json.dumps(record) + "\n")
+        file.flush()
+        history = load([file.name])
+    options = Options(kinds=KINDS)
+    return {name for name, rule in RULES.items() if list(rule(history, options))}
+
+
+def main():
+    failed = 0
+    covered = set()
+    for name, (make, broken) in CASES.items():
+        found = broken_rules(make())
+        covered |= broken
+        if found == broken:
+            print(f"ok history-{name}")
+        else:
+            failed += 1
+            print(f"  broken: {sorted(broken)}, found: {sorted(found)}")
+            print(f"not ok history-{name}")
+    if covered != set(RULES):
+        failed += 1
+        print(f"  rules without a failing case: {sorted(set(RULES) - covered)}")
+        print("not ok history-all-rules-covered")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/target.c
+++ b/tests/standins/target.c
@@ -105,9 +105,9 @@
 {
   for (int file = 3; file < DESCRIPTOR_MAX; file++)
     {
-      struct sockaddr_in peer;
+      struct sockaddr_in peer = { 0 };
       socklen_t size = sizeof peer;
-      struct sockaddr_in own;
+      struct sockaddr_in own = { 0 };
       socklen_t own_size = sizeof own;
 
       if (getpeername (file, (struct sockaddr *)&peer, &size) != 0)
@@ -320,7 +320,7 @@
 }
 
 static void
-record_start (struct run *run, bool whole_body)
+record_start (struct run *run, bool whole_body, bool crash)
 {
   const char *work_key = mg_get_header (run->connection, "Idempotency-Key");
   g_autofree char *key = history_text (work_key);
@@ -331,9 +331,10 @@
                "\"t\":\"run\",\"who\":\"%s\",\"pid\":%d,\"run\":%" PRIu64
                ",\"id\":\"%s\",\"hop\":\"%s\",\"key\":\"%s\","
                "\"method\":\"%s\",\"path\":\"%s\",\"service\":\"%s\","
-               "\"body_whole\":%s",
+               "\"body_whole\":%s,\"crash\":%s",
                target.name, getpid (), run->number, run->id, run->hop, key,
-               method, path, target.service, whole_body ? "true" : "false");
+               method, path, target.service, whole_body ? "true" : "false",
+               crash ? "true" : "false");
 }
 
 static void
@@ -398,18 +399,30 @@
 {
   g_autoptr (GString) body = server_read_body (run->connection);
   char owner[REQUEST_ID_SIZE];
+  bool crash;
   bool whole = body->len == 0 || payload_check (body->str, body->len, owner);
 
   if (run->request->content_length > 0
       && (long long)body->len < run->request->content_length)
     return false;
   run->number = next_run ();
-  record_start (run, whole && (body->len == 0 || strcmp (owner, run->id) == 0));
-  if (is_crash (run, body))
+  crash = is_crash (run, body);
+  record_start (run, whole && (body->len == 0 || strcmp (owner, run->id) == 0),
+                crash);
+  if (crash)
     _exit (CRASH_STATUS);
   return true;
 }
 
+/* An answer of the target's own that the request was not run. */
+static int
+refuse (const struct run *run)
+{
+  g_autoptr (GString) payload = payload_new (run->id, 0);
+
+  return server_reply (run->connection, 503, NULL, payload->str, payload->len);
+}
+
 static int
 serve (struct run *run)
 {
@@ -417,7 +430,7 @@
   int sent;
 
   if (!take_slot (run))
-    return server_reply (run->connection, 503, NULL, "busy\n", 5);
+    return refuse (run);
   if (!start_run (run))
     {
       free_slot ();
