Serve callers, other daemons, the own target and operators

A drained daemon stays for a second to refuse, since peers that have not heard yet would find a dead connection and could not tell whether their request ran.

--- a/include/jackdawladder/config.h
+++ b/include/jackdawladder/config.h
@@ -129,6 +129,11 @@
                           const char *method,
                           const char *path);
 
+/**
+ * jl_config_kind - index of a kind by name, JL_NONE when none has it
+ */
+uint32_t jl_config_kind (const struct jl_config *config, const char *name);
+
 /**
  * jl_config_service - index of a service by name, JL_NONE when none has it
  */
--- a/include/jackdawladder/core.h
+++ b/include/jackdawladder/core.h
@@ -81,6 +81,16 @@
  */
 uint32_t jl_core_member_count (struct jl_core *core);
 
+/**
+ * jl_core_mint_ticket - a ticket for a caller that asks for one
+ */
+struct jl_ticket jl_core_mint_ticket (struct jl_core *core);
+
+/**
+ * jl_core_status - appends a short JSON object for operators
+ */
+void jl_core_status (struct jl_core *core, GString *out);
+
 /**
  * jl_core_dump - appends the whole state as one JSON object
  */
--- a/source/config/config.c
+++ b/source/config/config.c
@@ -330,6 +330,15 @@
   return JL_NONE;
 }
 
+uint32_t
+jl_config_kind (const struct jl_config *config, const char *name)
+{
+  for (uint32_t i = 0; i < config->kind_count; i++)
+    if (strcmp (config->kinds[i].name, name) == 0)
+      return i;
+  return JL_NONE;
+}
+
 uint32_t
 jl_config_service (const struct jl_config *config, const char *name)
 {
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -173,6 +173,7 @@
   struct jl_target target;
   bool draining;
   bool left;
+  struct jl_timer drain_linger;
   uint64_t next_attempt;
   GHashTable *calls; /* number to struct jl_call */
   GHashTable *works; /* number to struct jl_work */
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -214,6 +214,12 @@
   core->effects = NULL;
 }
 
+struct jl_ticket
+jl_core_mint_ticket (struct jl_core *core)
+{
+  return jl_once_mint (core);
+}
+
 uint32_t
 jl_core_member_count (struct jl_core *core)
 {
--- a/source/core/dump.c
+++ b/source/core/dump.c
@@ -20,8 +20,9 @@
   return "other";
 }
 
-void
-jl_core_dump (struct jl_core *core, GString *out)
+/* Members of the object that a short status and a dump share. */
+static void
+append_summary (struct jl_core *core, GString *out)
 {
   const struct jl_target *target = &core->target;
 
@@ -38,6 +39,23 @@
   g_string_append_printf (out, ",\"calls\":%u,\"works\":%u",
                           g_hash_table_size (core->calls),
                           g_hash_table_size (core->works));
+}
+
+void
+jl_core_status (struct jl_core *core, GString *out)
+{
+  append_summary (core, out);
+  g_string_append_printf (out,
+                          ",\"alive\":%u,\"running\":%u,\"waiting\":%u,"
+                          "\"level\":%u}\n",
+                          jl_members_count (core), jl_admit_running (core),
+                          jl_admit_waiting (core), jl_admit_level (core));
+}
+
+void
+jl_core_dump (struct jl_core *core, GString *out)
+{
+  append_summary (core, out);
   g_string_append (out, ",\"admission\":");
   jl_admit_dump (core, out);
   g_string_append (out, ",\"members\":");
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -16,6 +16,8 @@
 
 /* An announcement holds this long. */
 #define ANNOUNCE_LEASE_US (3 * JL_USEC_PER_SEC)
+/* A drained daemon refuses for this long, until its peers have heard of it. */
+#define DRAIN_LINGER_US (1 * JL_USEC_PER_SEC)
 /* When to come back after a refusal that is no matter of load. */
 #define RETRY_AFTER_MS 500
 
@@ -360,12 +362,20 @@
                      : JL_MESSAGE_CANCEL_LATE);
 }
 
+/* Only wakes the reducer up; jl_guard_check_drained() does the rest. */
+static void
+linger_ended (void *context G_GNUC_UNUSED, struct jl_timer *timer G_GNUC_UNUSED)
+{
+}
+
 void
 jl_guard_drain (struct jl_core *core)
 {
   if (core->draining)
     return;
   core->draining = true;
+  jl_timer_start (core->timers, &core->drain_linger,
+                  core->now_us + DRAIN_LINGER_US, linger_ended, core);
   jl_members_leave (core);
   jl_log_event (core, JL_LOG_DRAIN_BEGUN, 0, 0);
 }
@@ -373,7 +383,7 @@
 void
 jl_guard_check_drained (struct jl_core *core)
 {
-  if (!core->draining || core->left)
+  if (!core->draining || core->left || core->drain_linger.index != 0)
     return;
   if (g_hash_table_size (core->works) > 0
       || g_hash_table_size (core->calls) > 0)
--- /dev/null
+++ b/source/daemon/main.c
@@ -0,0 +1,113 @@
+/**
+ * DOC: jackdawladderd, the daemon beside a target.
+ */
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <urcu.h>
+
+#include "daemon/daemon.h"
+
+#define EXIT_SETTINGS 1
+#define EXIT_SOCKETS 3
+#define EXIT_CUT_OFF 4
+
+const char *argp_program_version = "jackdawladderd 0.1";
+
+static const char doc[]
+    = "Overload control beside one target instance.\v"
+      "SIGTERM begins a planned stop: the daemon takes no new work, finishes "
+      "what is in progress and ends. A second one ends it at once.\n\n"
+      "Exit status: 0 stopped as planned, 1 settings refused, 2 usage, "
+      "3 a socket could not be opened, 4 stopped with requests in progress.";
+
+static const struct argp_option options[] = {
+  { "settings", 's', "FILE", 0, "Settings of this process", 0 },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  const char **path = state->input;
+
+  switch (key)
+    {
+    case 's':
+      *path = argument;
+      return 0;
+    case ARGP_KEY_END:
+      if (*path == NULL)
+        argp_error (state, "--settings is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp parser
+    = { options, parse_option, NULL, doc, NULL, NULL, NULL };
+
+/* A thread of its own waits for signals; all others have them blocked. */
+static gpointer
+wait_signals (gpointer context)
+{
+  struct jl_daemon *daemon = context;
+  sigset_t set;
+  int number;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  rcu_register_thread ();
+  sigwait (&set, &number);
+  jl_daemon_drain (daemon);
+  sigwait (&set, &number);
+  _exit (EXIT_CUT_OFF);
+}
+
+static void
+block_signals (void)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  (void)signal (SIGPIPE, SIG_IGN);
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *path = NULL;
+  struct jl_settings *settings;
+  struct jl_daemon *daemon;
+  GError *error = NULL;
+
+  argp_parse (&parser, argc, argv, 0, NULL, &path);
+  settings = jl_settings_load (path, &error);
+  if (settings == NULL)
+    {
+      fprintf (stderr, "jackdawladderd: %s\n", error->message);
+      return EXIT_SETTINGS;
+    }
+  block_signals ();
+  rcu_register_thread ();
+  daemon = jl_daemon_open (settings, &error);
+  if (daemon == NULL)
+    {
+      fprintf (stderr, "jackdawladderd: %s\n", error->message);
+      return EXIT_SOCKETS;
+    }
+  g_thread_unref (g_thread_new ("signals", wait_signals, daemon));
+  while (!jl_daemon_wait_exit (daemon, UINT32_MAX))
+    continue;
+  jl_daemon_close (daemon);
+  g_free (settings);
+  rcu_unregister_thread ();
+  return EXIT_SUCCESS;
+}
