--- /dev/null
+++ b/tests/history/watch.py
@@ -0,0 +1,62 @@
+#!/usr/bin/env python3
+"""Samples the configuration of daemons into a history until it is stopped."""
+
+import argparse
+import hashlib
+import http.client
+import json
+import time
+
+TIMEOUT_S = 0.5
+
+
+def get(address, path):
+    connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+    try:
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        return answer, answer.read()
+    finally:
+        connection.close()
+
+
+def sample(name, address):
+    """A "version" record; None when the daemon cannot be reached."""
+    try:
+        _, status = get(address, "/jl/status")
+        answer, text = get(address, "/jl/config")
+        life = json.loads(status)["epoch"]
+    except (OSError, http.client.HTTPException, ValueError):
+        return None
+    return {
+        "at": time.monotonic_ns() // 1000,
+        "t": "version",
+        "who": name,
+        "life": life,
+        "version": int(answer.getheader("Jl-Config-Version", "0")),
+        "digest": hashlib.sha256(text).hexdigest()[:16],
+    }
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--history", required=True)
+    parser.add_argument("--interval-ms", type=int, default=200)
+    parser.add_argument("daemons", nargs="+", metavar="NAME=ADDRESS:PORT")
+    arguments = parser.parse_args()
+    daemons = [item.split("=", 1) for item in arguments.daemons]
+    with open(arguments.history, "a", encoding="utf-8") as file:
+        while True:
+            for name, address in daemons:
+                record = sample(name, address)
+                if record is not None:
+                    file.write(json.dumps(record) + "\n")
+            file.flush()
+            time.sleep(arguments.interval_ms / 1000)
+
+
+if __name__ == "__main__":
+    try:
+        main()
+    except KeyboardInterrupt:
+        pass
--- /dev/null
+++ b/tests/site.sh
@@ -0,0 +1,246 @@
+# A small site of stand-ins and daemons on loopback addresses; to be sourced.
+#
+# Each member is a daemon and its target at one address 127.30.ZONE.N:
+# entry port 8000, peers 8001, local 8002, control 8003, target 8080.
+# Everything started is stopped by its process number. Needs bash.
+#
+#   site_begin DIRECTORY          starts with an empty directory
+#   site_member NAME ZONE SERVICE ADDRESS [target option...]
+#   site_start                    platform, all daemons, all targets
+#   site_apply FILE               puts a configuration in force
+#   site_wait                     until every daemon sees all others, ready
+#   site_call [caller option...]  load at the entry ports in SITE_ENTRIES
+#   site_check [checker option...]
+#   site_end                      stops what runs
+
+SITE_ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+BUILD=${BUILD:-build}
+case "$BUILD" in /*) ;; *) BUILD=$SITE_ROOT/$BUILD ;; esac
+SITE_PLATFORM=127.30.0.1:9000
+SITE_DEADLINE_S=${SITE_DEADLINE_S:-20}
+
+declare -A SITE_ZONE SITE_SERVICE SITE_ADDRESS SITE_OPTIONS
+declare -A DAEMON_PID TARGET_PID
+SITE_MEMBERS=()
+SITE_ENTRIES=()
+SITE_OTHERS=()
+PLATFORM_PID=
+
+site_fail ()
+{
+  echo "site: $*" >&2
+  exit 1
+}
+
+site_begin ()
+{
+  SITE_DIR=$1
+  rm -rf "$SITE_DIR"
+  mkdir -p "$SITE_DIR"
+  trap site_end EXIT
+}
+
+# Records a fault. The time is read right before the fault is made.
+site_note ()
+{
+  local who=$1 what=$2
+  python3 -c 'import json, sys, time
+print(json.dumps({"at": time.monotonic_ns() // 1000, "t": "fault",
+                  "who": sys.argv[1], "what": sys.argv[2]}))' \
+    "$who" "$what" >> "$SITE_DIR/faults.jsonl"
+}
+
+site_member ()
+{
+  local name=$1 zone=$2 service=$3 address=$4
+  shift 4
+  SITE_MEMBERS+=("$name")
+  SITE_ZONE[$name]=$zone
+  SITE_SERVICE[$name]=$service
+  SITE_ADDRESS[$name]=$address
+  SITE_OPTIONS[$name]="$*"
+  SITE_ENTRIES+=("$address:8000")
+}
+
+# The first two members are the seeds of all.
+site_settings ()
+{
+  local name=$1 seeds="" other
+  for other in "${SITE_MEMBERS[@]:0:2}"; do
+    seeds="$seeds${seeds:+, }\"${SITE_ADDRESS[$other]}:8003\""
+  done
+  cat << END
+{
+  "name": "$name",
+  "zone": "${SITE_ZONE[$name]}",
+  "address": "${SITE_ADDRESS[$name]}",
+  "entry_port": 8000, "peer_port": 8001,
+  "local_port": 8002, "control_port": 8003,
+  "target": "${SITE_ADDRESS[$name]}:8080",
+  "platform": "$SITE_PLATFORM",
+  "seeds": [$seeds],
+  "threads": {"entry": 200, "peer": 200, "local": 100},
+  "mode": "${SITE_MODE:-full}",
+  "drain_ms": 60000
+}
+END
+}
+
+start_platform ()
+{
+  "$BUILD/standins/platform" --listen "$SITE_PLATFORM" \
+    --history "$SITE_DIR/platform.jsonl" >> "$SITE_DIR/platform.log" 2>&1 &
+  PLATFORM_PID=$!
+}
+
+start_daemon ()
+{
+  local name=$1
+  site_settings "$name" > "$SITE_DIR/$name.json"
+  "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
+    >> "$SITE_DIR/$name.daemon.log" 2>&1 &
+  DAEMON_PID[$name]=$!
+}
+
+start_target ()
+{
+  local name=$1 address=${SITE_ADDRESS[$1]} options
+  eval "options=(${SITE_OPTIONS[$name]})"
+  "$BUILD/standins/target" --listen "$address:8080" --daemon "$address:8002" \
+    --service "${SITE_SERVICE[$name]}" --name "$name" \
+    --history "$SITE_DIR/$name.target.jsonl" "${options[@]}" \
+    >> "$SITE_DIR/$name.target.log" 2>&1 &
+  TARGET_PID[$name]=$!
+}
+
+kill_daemon ()
+{
+  site_note "$1" kill
+  kill -KILL "${DAEMON_PID[$1]}"
+  wait "${DAEMON_PID[$1]}" 2> /dev/null
+  unset "DAEMON_PID[$1]"
+}
+
+kill_target ()
+{
+  site_note "$1" kill
+  kill -KILL "${TARGET_PID[$1]}"
+  wait "${TARGET_PID[$1]}" 2> /dev/null
+  unset "TARGET_PID[$1]"
+}
+
+# Begins a planned stop; does not wait for its end.
+drain_daemon ()
+{
+  site_note "$1" drain
+  kill -TERM "${DAEMON_PID[$1]}"
+}
+
+site_start ()
+{
+  local name
+  start_platform
+  for name in "${SITE_MEMBERS[@]}"; do
+    start_daemon "$name"
+  done
+  for name in "${SITE_MEMBERS[@]}"; do
+    start_target "$name"
+  done
+}
+
+site_status ()
+{
+  curl -s -m 1 "http://${SITE_ADDRESS[$1]}:8002/jl/status"
+}
+
+# Whether a daemon has a configuration, its target and all members.
+is_ready ()
+{
+  local count=$2
+  site_status "$1" | python3 -c 'import json, sys
+status = json.load(sys.stdin)
+sys.exit(0 if status["config_version"] > 0 and status["target"]["up"]
+         and status["alive"] >= int(sys.argv[1]) else 1)' "$count" 2> /dev/null
+}
+
+site_wait ()
+{
+  local name count=${1:-${#DAEMON_PID[@]}} until=$((SECONDS + SITE_DEADLINE_S))
+  for name in "${!DAEMON_PID[@]}"; do
+    until is_ready "$name" "$count"; do
+      [ "$SECONDS" -lt "$until" ] \
+        || site_fail "$name is not ready: $(site_status "$name")"
+      sleep 0.1
+    done
+  done
+}
+
+site_tool ()
+{
+  "$BUILD/jackdawladder" "$@"
+}
+
+site_apply ()
+{
+  local until=$((SECONDS + SITE_DEADLINE_S))
+  SITE_CONFIG=$1
+  until site_tool apply --platform "$SITE_PLATFORM" "$1" \
+    >> "$SITE_DIR/apply.log" 2>&1; do
+    [ "$SECONDS" -lt "$until" ] \
+      || site_fail "cannot apply $1: $(tail -n 3 "$SITE_DIR/apply.log")"
+    sleep 0.2
+  done
+}
+
+platform_control ()
+{
+  curl -s -m 2 -X POST "http://$SITE_PLATFORM/test/$1" > /dev/null
+}
+
+# Load from a caller with the given name; the history is CALLER.caller.jsonl.
+site_call ()
+{
+  local name=$1 entry entries=()
+  shift
+  for entry in "${SITE_ENTRIES[@]}"; do
+    entries+=(--entry "$entry")
+  done
+  "$BUILD/standins/caller" --name "$name" "${entries[@]}" \
+    --history "$SITE_DIR/$name.caller.jsonl" \
+    --csv "$SITE_DIR/$name.csv" "$@"
+}
+
+site_watch ()
+{
+  local name daemons=()
+  for name in "${SITE_MEMBERS[@]}"; do
+    daemons+=("$name=${SITE_ADDRESS[$name]}:8002")
+  done
+  python3 -B "$SITE_ROOT/tests/history/watch.py" \
+    --history "$SITE_DIR/versions.jsonl" "${daemons[@]}" &
+  SITE_OTHERS+=($!)
+}
+
+site_check ()
+{
+  python3 -B "$SITE_ROOT/tests/history/check.py" \
+    ${SITE_CONFIG:+--config "$SITE_CONFIG"} "$@" "$SITE_DIR"/*.jsonl
+}
+
+# Stops what is left. Daemons and stopped processes get no planned stop here.
+site_end ()
+{
+  local process
+  for process in "${SITE_OTHERS[@]}" "${DAEMON_PID[@]}" "${TARGET_PID[@]}" \
+    $PLATFORM_PID; do
+    kill -KILL "$process" 2> /dev/null
+  done
+  for process in "${SITE_OTHERS[@]}" "${DAEMON_PID[@]}" "${TARGET_PID[@]}" \
+    $PLATFORM_PID; do
+    wait "$process" 2> /dev/null
+  done
+  DAEMON_PID=()
+  TARGET_PID=()
+  SITE_OTHERS=()
+  PLATFORM_PID=
+}
