--- a/include/jackdawladder/platform.h
+++ b/include/jackdawladder/platform.h
@@ -8,7 +8,8 @@
  * /table/KEY gives a row with an ETag, PUT with If-None-Match: * inserts it
  * if it is absent, PUT with If-Match: ETAG replaces it if it is unchanged,
  * and 412 says that the condition did not hold. GET /table?prefix=P gives a
- * JSON object of keys and values. Calls block for at most the time-out.
+ * JSON object of keys and values. Each request blocks for at most the time-out;
+ * jl_platform_apply_config() and jl_platform_claim() make at most seven.
  */
 
 #include "jackdawladder/base.h"
