--- a/tests/history/table.py
+++ b/tests/history/table.py
@@ -41,19 +41,31 @@
     return start, buckets
 
 
-def recovery_us(history, fault):
-    """How long after a fault goodput was back, None if it never was."""
+def smoothed(buckets):
+    """Mean of each run of neighbouring buckets."""
+    return [
+        sum(buckets[n : n + SMOOTHED_BUCKETS]) / SMOOTHED_BUCKETS
+        for n in range(len(buckets) - SMOOTHED_BUCKETS + 1)
+    ]
+
+
+def recovery_us(history, fault, until_us):
+    """How long after a fault goodput was back to its level before it.
+
+    Zero when it never fell, None when it was not back by until_us.
+    """
     start, buckets = goodput_buckets(history)
     at = (fault["at"] - start) // BUCKET_US
     before = buckets[max(0, at - 2 * SMOOTHED_BUCKETS) : at]
-    if not before:
+    after = smoothed(buckets[at : (until_us - start) // BUCKET_US])
+    if not before or not after:
         return None
     wanted = RECOVERED_SHARE * sum(before) / len(before)
-    for number in range(at, len(buckets) - SMOOTHED_BUCKETS + 1):
-        window = buckets[number : number + SMOOTHED_BUCKETS]
-        if sum(window) / SMOOTHED_BUCKETS >= wanted:
-            return max(0, start + number * BUCKET_US - fault["at"])
-    return None
+    low = [number for number, mean in enumerate(after) if mean < wanted]
+    if not low:
+        return 0
+    back = [n for n in range(low[0], len(after)) if after[n] >= wanted]
+    return back[0] * BUCKET_US if back else None
 
 
 def count_kinds(history):
@@ -82,9 +94,10 @@
     for kind, counts in sorted(count_kinds(history).items()):
         numbers = "".join(f"{counts[name]:>9}" for name in COLUMNS)
         print(f"{kind:<18}{numbers}{counts['whole'] / seconds:>11.1f}")
-    for fault in history.faults:
-        if fault["at"] < history.sendings[0].send["at"]:
-            continue
-        time_us = recovery_us(history, fault)
+    sent = [sending.send["at"] for sending in history.sendings]
+    faults = [fault for fault in history.faults if sent[0] < fault["at"] < sent[-1]]
+    ends = [fault["at"] for fault in faults[1:]] + [sent[-1]]
+    for fault, until_us in zip(faults, ends):
+        time_us = recovery_us(history, fault, until_us)
         text = "not seen" if time_us is None else f"{time_us / SECOND_US:.1f} s"
         print(f"recovery after {fault['what']} of {fault['who']}: {text}")
--- a/tests/history/watch.py
+++ b/tests/history/watch.py
@@ -42,6 +42,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--history", required=True)
     parser.add_argument("--interval-ms", type=int, default=200)
+    parser.add_argument("--once", action="store_true")
     parser.add_argument("daemons", nargs="+", metavar="NAME=ADDRESS:PORT")
     arguments = parser.parse_args()
     daemons = [item.split("=", 1) for item in arguments.daemons]
@@ -52,6 +53,8 @@
                 if record is not None:
                     file.write(json.dumps(record) + "\n")
             file.flush()
+            if arguments.once:
+                break
             time.sleep(arguments.interval_ms / 1000)
 
 
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -207,17 +207,30 @@
     --csv "$SITE_DIR/$name.csv" "$@"
 }
 
-site_watch ()
+# Samples all daemons' configurations until the end, or once with --once.
+site_sample ()
 {
   local name daemons=()
   for name in "${SITE_MEMBERS[@]}"; do
     daemons+=("$name=${SITE_ADDRESS[$name]}:8002")
   done
-  python3 -B "$SITE_ROOT/tests/history/watch.py" \
-    --history "$SITE_DIR/versions.jsonl" "${daemons[@]}" &
+  python3 -B "$SITE_ROOT/tests/history/watch.py" "$@" \
+    --history "$SITE_DIR/versions.jsonl" "${daemons[@]}"
+}
+
+site_watch ()
+{
+  site_sample &
   SITE_OTHERS+=($!)
 }
 
+# Hands a document to a daemon as the tool does.
+site_install ()
+{
+  curl -s -m 2 -X POST -H "Jl-Config-Version: $2" --data-binary "@$3" \
+    "http://${SITE_ADDRESS[$1]}:8002/jl/config" > /dev/null
+}
+
 site_check ()
 {
   python3 -B "$SITE_ROOT/tests/history/check.py" \
@@ -241,3 +254,71 @@
   SITE_OTHERS=()
   PLATFORM_PID=
 }
+
+# The site of the process tests: front and store in zones a, b and c.
+# Members are front-a, store-a and so on; arguments go to all targets.
+small_site ()
+{
+  local zone number=0
+  site_begin "$1"
+  shift
+  for zone in a b c; do
+    number=$((number + 1))
+    site_member "front-$zone" "$zone" front "127.30.$number.1" "$@" \
+      --then "'/order POST /book'"
+    site_member "store-$zone" "$zone" store "127.30.$number.2" "$@"
+  done
+  site_start
+  site_apply "$SITE_ROOT/tests/site.json"
+  site_wait
+}
+
+RESERVE="reserve POST /reserve importance=0 idempotent=0 key=ticket request-bytes=200"
+LIST="list GET /list importance=1"
+SCAN="scan GET /scan importance=2"
+ORDER="order POST /order importance=1 request-bytes=200"
+UPLOAD="upload PUT /upload importance=2 request-bytes=500000"
+
+# Whether requests of a caller are all answered whole again, with patience.
+site_serves ()
+{
+  site_call after --rate 50 --seconds 30 --count 50 --resends 60 \
+    --resend-ms 250 --hammer --timeout-ms 3000 --all \
+    --kind "$LIST" --kind "$RESERVE" --kind "$ORDER"
+}
+
+# process_test NAME FUNCTION [argument...]: one test line.
+process_test ()
+{
+  local name=$1 log=$SITE_ROOT/out/$1.log
+  shift
+  mkdir -p "$SITE_ROOT/out"
+  if ("$@" "$SITE_ROOT/out/$name") > "$log" 2>&1; then
+    echo "ok $name"
+  else
+    cat "$log"
+    echo "not ok $name"
+  fi
+}
+
+# process_test_broken NAME RULE FUNCTION: the test line of a run that has to
+# break a rule, because a mechanism is off or the daemons only forward.
+process_test_broken ()
+{
+  local name=$1 rule=$2 log=$SITE_ROOT/out/$1.log
+  shift 2
+  mkdir -p "$SITE_ROOT/out"
+  ("$@" "$SITE_ROOT/out/$name") > "$log" 2>&1
+  if grep -q "^violated $rule:" "$log"; then
+    echo "ok $name"
+  else
+    cat "$log"
+    echo "not ok $name"
+  fi
+}
+
+# Posts to a daemon's test hooks.
+site_hook ()
+{
+  curl -s -m 1 -X POST "http://${SITE_ADDRESS[$1]}:8002/test/$2" > /dev/null
+}
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -105,6 +105,7 @@
   unsigned resends;
   bool hammers;
   bool same_content;
+  bool wants_all;
   long resend_ms;
   long timeout_ms;
   long budget_ms;
@@ -635,6 +636,15 @@
   fclose (file);
 }
 
+static bool
+all_are_whole (void)
+{
+  for (unsigned i = 0; i < caller.kind_count; i++)
+    if (caller.kinds[i].done < caller.kinds[i].asked)
+      return false;
+  return true;
+}
+
 static bool
 set_kind_value (struct kind *kind, const char *name, const char *value)
 {
@@ -705,6 +715,7 @@
   { "resends", 'R', "N", 0, "how often a request is sent again", 0 },
   { "resend-ms", 'M', "MS", 0, "pause before sending again", 0 },
   { "hammer", 'H', 0, 0, "send again whatever Retry-After says", 0 },
+  { "all", 'a', 0, 0, "exit status 1 unless all are answered whole", 0 },
   { "same-content", 'x', 0, 0, "send again with the same content", 0 },
   { "timeout-ms", 't', "MS", 0, "how long to wait for an answer", 0 },
   { "budget-ms", 'b', "MS", 0, "Jl-Budget-Ms of all requests", 0 },
@@ -778,6 +789,9 @@
     case 'H':
       caller.hammers = true;
       return 0;
+    case 'a':
+      caller.wants_all = true;
+      return 0;
     case 'x':
       caller.same_content = true;
       return 0;
@@ -809,5 +823,5 @@
   run_load ();
   print_table ();
   write_csv ();
-  return 0;
+  return caller.wants_all && !all_are_whole () ? 1 : 0;
 }
