--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 LIB_SOURCES = $(filter-out source/daemon/main.c source/tool/%,$(wildcard source/*/*.c source/rpc/gen/*.c))
 TOOL_SOURCES = $(wildcard source/tool/*.c)
 STANDIN_SOURCES = $(wildcard tests/standins/*.c)
+STANDIN_PARTS = $(wildcard tests/standins/parts/*.c)
 TEST_SOURCES = $(wildcard tests/unit/*.c)
 RANDOM_SOURCES = $(wildcard tests/random/*.c)
 SCRIPTED_SOURCES = $(wildcard tests/scripted/*.c)
@@ -71,7 +72,7 @@
 $(BUILD)/jackdawladder: $(call OBJECT,$(TOOL_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(call OBJECT,$(filter %/common.c,$(STANDIN_SOURCES))) $(LIBRARY)
+$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(call OBJECT,$(filter %/common.c,$(STANDIN_SOURCES)) $(STANDIN_PARTS)) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -6,6 +6,8 @@
  */
 
 #include "common.h"
+#include "parts/answer.h"
+#include "parts/mix.h"
 
 #include <argp.h>
 #include <curl/curl.h>
@@ -15,7 +17,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KIND_MAX 16
 #define ENTRY_MAX 64
 #define TICKET_MAX 256
 #define BUCKET_US (100 * USEC_PER_MSEC)
@@ -23,39 +24,6 @@
 #define TICKET_PATIENCE_US (5 * USEC_PER_SEC)
 #define TICKET_RETRY_US (50 * USEC_PER_MSEC)
 
-/**
- * enum key_type - how a kind's requests are named
- */
-enum key_type
-{
-  KEY_NONE,
-  KEY_TICKET,
-  KEY_OWN,
-};
-
-/**
- * struct kind - one kind of request in the mix, and its counts
- */
-struct kind
-{
-  char *name;
-  char *method;
-  char *path;
-  double weight;
-  int importance;
-  bool idempotent;
-  size_t request_bytes;
-  size_t answer_bytes;
-  enum key_type key;
-  bool crash;
-  unsigned asked;
-  unsigned done;
-  unsigned refused;
-  unsigned unknown;
-  unsigned failed;
-  unsigned skipped;
-};
-
 /**
  * struct request - one request of a caller, over all its sendings
  * @due_us: when to send it next
@@ -85,12 +53,7 @@
   CURL *curl;
   struct curl_slist *headers;
   GString *request_body;
-  GString *body;
-  char outcome[16];
-  char own_outcome[16];
-  char reason[24];
-  char ticket[128];
-  long retry_after_ms;
+  struct answer answer;
 };
 
 struct caller
@@ -111,8 +74,7 @@
   long budget_ms;
   unsigned in_progress_max;
   unsigned count_max;
-  struct kind kinds[KIND_MAX];
-  unsigned kind_count;
+  struct mix mix;
   const char *entries[ENTRY_MAX];
   unsigned entry_count;
 
@@ -137,82 +99,22 @@
                                 .timeout_ms = 5000,
                                 .in_progress_max = 2000 };
 
-static size_t
-take_body (char *bytes, size_t size, size_t count, void *context)
-{
-  g_string_append_len (((struct sending *)context)->body, bytes,
-                       (gssize)(size * count));
-  return size * count;
-}
-
-/* The value of a header line called @name, NULL for other headers. */
-static char *
-header_value (const char *line, size_t size, const char *name)
-{
-  size_t length = strlen (name);
-
-  if (size <= length || line[length] != ':'
-      || g_ascii_strncasecmp (line, name, length) != 0)
-    return NULL;
-  return g_strstrip (g_strndup (line + length + 1, size - length - 1));
-}
-
-static void
-copy_header (const char *line,
-             size_t size,
-             const char *name,
-             char *value,
-             size_t value_size)
-{
-  g_autofree char *text = header_value (line, size, name);
-
-  if (text != NULL)
-    g_strlcpy (value, text, value_size);
-}
-
-static size_t
-take_header (char *line, size_t size, size_t count, void *context)
-{
-  struct sending *sending = context;
-  size_t length = size * count;
-  g_autofree char *seconds = header_value (line, length, "Retry-After");
-  g_autofree char *exact = header_value (line, length, "Jl-Retry-After-Ms");
-
-  copy_header (line, length, "Jl-Outcome", sending->outcome,
-               sizeof sending->outcome);
-  copy_header (line, length, "Jl-Sending", sending->own_outcome,
-               sizeof sending->own_outcome);
-  copy_header (line, length, "Jl-Reason", sending->reason,
-               sizeof sending->reason);
-  copy_header (line, length, "Jl-Ticket", sending->ticket,
-               sizeof sending->ticket);
-  if (seconds != NULL && sending->retry_after_ms < 0)
-    sending->retry_after_ms = strtol (seconds, NULL, 10) * 1000;
-  if (exact != NULL)
-    sending->retry_after_ms = strtol (exact, NULL, 10);
-  return length;
-}
-
 static struct sending *
 sending_new (struct request *request)
 {
   struct sending *sending = g_new0 (struct sending, 1);
 
   sending->request = request;
-  sending->retry_after_ms = -1;
   sending->entry = caller.entries[g_rand_int_range (
       caller.random, 0, (gint32)caller.entry_count)];
-  sending->body = g_string_new (NULL);
+  answer_init (&sending->answer);
   sending->curl = g_queue_pop_head (&caller.idle);
   if (sending->curl == NULL)
     sending->curl = curl_easy_init ();
   curl_easy_reset (sending->curl);
   curl_easy_setopt (sending->curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (sending->curl, CURLOPT_PRIVATE, sending);
-  curl_easy_setopt (sending->curl, CURLOPT_WRITEFUNCTION, take_body);
-  curl_easy_setopt (sending->curl, CURLOPT_WRITEDATA, sending);
-  curl_easy_setopt (sending->curl, CURLOPT_HEADERFUNCTION, take_header);
-  curl_easy_setopt (sending->curl, CURLOPT_HEADERDATA, sending);
+  answer_receive (&sending->answer, sending->curl);
   curl_easy_setopt (sending->curl, CURLOPT_TIMEOUT_MS, caller.timeout_ms);
   return sending;
 }
@@ -223,7 +125,7 @@
   curl_multi_remove_handle (caller.multi, sending->curl);
   g_queue_push_head (&caller.idle, sending->curl);
   curl_slist_free_all (sending->headers);
-  g_string_free (sending->body, TRUE);
+  answer_clear (&sending->answer);
   if (sending->request_body != NULL)
     g_string_free (sending->request_body, TRUE);
   g_free (sending);
@@ -399,10 +301,10 @@
       "\"reason\":\"%s\",\"retry_after_ms\":%ld,\"whole\":%s,\"own\":%s,"
       "\"latency_us\":%" PRIu64 ",\"error\":\"%s\"",
       caller.name, request->number, request->sendings, request->id,
-      request->kind->name, sending->entry, status, sending->outcome,
-      sending->own_outcome, sending->reason, sending->retry_after_ms,
-      whole ? "true" : "false", own ? "true" : "false",
-      clock_us () - sending->sent_us,
+      request->kind->name, sending->entry, status, sending->answer.outcome,
+      sending->answer.own_outcome, sending->answer.reason,
+      sending->answer.retry_after_ms, whole ? "true" : "false",
+      own ? "true" : "false", clock_us () - sending->sent_us,
       result == CURLE_OK ? "" : curl_easy_strerror (result));
 }
 
@@ -414,11 +316,11 @@
 
   if (sending->request->sendings > caller.resends)
     return false;
-  if (!caller.hammers && sending->outcome[0] != '\0')
+  if (!caller.hammers && sending->answer.outcome[0] != '\0')
     {
-      if (sending->retry_after_ms < 0)
+      if (sending->answer.retry_after_ms < 0)
         return false;
-      wait_ms = sending->retry_after_ms;
+      wait_ms = sending->answer.retry_after_ms;
     }
   *due_us = clock_us () + (uint64_t)wait_ms * USEC_PER_MSEC;
   return true;
@@ -435,9 +337,9 @@
       if (bucket < BUCKET_MAX)
         caller.goodput[bucket]++;
     }
-  else if (strcmp (sending->outcome, "not-run") == 0)
+  else if (strcmp (sending->answer.outcome, "not-run") == 0)
     kind->refused++;
-  else if (strcmp (sending->outcome, "done") == 0)
+  else if (strcmp (sending->answer.outcome, "done") == 0)
     kind->failed++;
   else
     kind->unknown++;
@@ -448,9 +350,9 @@
 {
   struct request *request = sending->request;
 
-  if (sending->ticket[0] != '\0')
+  if (sending->answer.ticket[0] != '\0')
     {
-      request->key = g_strdup (sending->ticket);
+      request->key = g_strdup (sending->answer.ticket);
       send_request (request);
     }
   else if (clock_us () < request->start_us + TICKET_PATIENCE_US)
@@ -473,11 +375,12 @@
 
   curl_easy_getinfo (sending->curl, CURLINFO_RESPONSE_CODE, &status);
   whole = result == CURLE_OK
-          && payload_check (sending->body->str, sending->body->len, owner);
+          && payload_check (sending->answer.body->str,
+                            sending->answer.body->len, owner);
   own = strcmp (owner, request->id) == 0;
   good = whole && own && status == 200;
   record_answer (sending, result, status, whole, own);
-  keep_ticket (sending->ticket);
+  keep_ticket (sending->answer.ticket);
   if (!good && plan_resend (sending, &due_us))
     {
       wait_request (request, due_us);
@@ -510,28 +413,10 @@
     }
 }
 
-static struct kind *
-draw_kind (void)
-{
-  double total = 0;
-  double drawn;
-
-  for (unsigned i = 0; i < caller.kind_count; i++)
-    total += caller.kinds[i].weight;
-  drawn = g_rand_double (caller.random) * total;
-  for (unsigned i = 0; i < caller.kind_count; i++)
-    {
-      drawn -= caller.kinds[i].weight;
-      if (drawn < 0)
-        return &caller.kinds[i];
-    }
-  return &caller.kinds[caller.kind_count - 1];
-}
-
 static void
 start_request (uint64_t now_us)
 {
-  struct kind *kind = draw_kind ();
+  struct kind *kind = mix_draw (&caller.mix, caller.random);
   struct request *request;
 
   kind->asked++;
@@ -600,21 +485,6 @@
     }
 }
 
-static void
-print_table (void)
-{
-  printf ("%-18s %8s %8s %8s %8s %8s %8s %10s\n", "kind", "asked", "whole",
-          "refused", "unknown", "failed", "skipped", "goodput/s");
-  for (unsigned i = 0; i < caller.kind_count; i++)
-    {
-      const struct kind *kind = &caller.kinds[i];
-
-      printf ("%-18s %8u %8u %8u %8u %8u %8u %10.1f\n", kind->name, kind->asked,
-              kind->done, kind->refused, kind->unknown, kind->failed,
-              kind->skipped, kind->done / caller.seconds);
-    }
-}
-
 static void
 write_csv (void)
 {
@@ -636,72 +506,6 @@
   fclose (file);
 }
 
-static bool
-all_are_whole (void)
-{
-  for (unsigned i = 0; i < caller.kind_count; i++)
-    if (caller.kinds[i].done < caller.kinds[i].asked)
-      return false;
-  return true;
-}
-
-static bool
-set_kind_value (struct kind *kind, const char *name, const char *value)
-{
-  double number = g_ascii_strtod (value, NULL);
-
-  if (strcmp (name, "weight") == 0)
-    kind->weight = number;
-  else if (strcmp (name, "importance") == 0)
-    kind->importance = (int)number;
-  else if (strcmp (name, "idempotent") == 0)
-    kind->idempotent = number != 0;
-  else if (strcmp (name, "request-bytes") == 0)
-    kind->request_bytes = (size_t)number;
-  else if (strcmp (name, "answer-bytes") == 0)
-    kind->answer_bytes = (size_t)number;
-  else if (strcmp (name, "crash") == 0)
-    kind->crash = number != 0;
-  else if (strcmp (name, "key") != 0)
-    return false;
-  else if (strcmp (value, "ticket") == 0)
-    kind->key = KEY_TICKET;
-  else if (strcmp (value, "own") == 0)
-    kind->key = KEY_OWN;
-  else
-    return strcmp (value, "none") == 0;
-  return true;
-}
-
-/* "NAME METHOD PATH [name=value]..." */
-static void
-add_kind (struct argp_state *state, const char *text)
-{
-  char **words = g_strsplit (text, " ", 0);
-  struct kind *kind = &caller.kinds[caller.kind_count];
-
-  if (caller.kind_count == KIND_MAX || g_strv_length (words) < 3)
-    argp_error (state, "--kind takes \"NAME METHOD PATH [name=value]...\"");
-  caller.kind_count++;
-  *kind = (struct kind){ .name = g_strdup (words[0]),
-                         .method = g_strdup (words[1]),
-                         .path = g_strdup (words[2]),
-                         .weight = 1,
-                         .idempotent = true,
-                         .answer_bytes = 100 };
-  for (char **word = words + 3; *word != NULL; word++)
-    {
-      char *equals = strchr (*word, '=');
-
-      if (equals == NULL)
-        argp_error (state, "\"%s\" is not name=value", *word);
-      *equals = '\0';
-      if (!set_kind_value (kind, *word, equals + 1))
-        argp_error (state, "\"%s\" is no property of a kind", *word);
-    }
-  g_strfreev (words);
-}
-
 static const struct argp_option options[] = {
   { "entry", 'e', "ADDRESS:PORT", 0, "an entry port; several are allowed", 0 },
   { "kind", 'k', "KIND", 0, "NAME METHOD PATH [name=value]...", 0 },
@@ -765,6 +569,8 @@
 static error_t
 parse_option (int key, char *argument, struct argp_state *state)
 {
+  const char *problem;
+
   if (parse_number (key, argument))
     return 0;
   switch (key)
@@ -775,7 +581,8 @@
       caller.entries[caller.entry_count++] = argument;
       return 0;
     case 'k':
-      add_kind (state, argument);
+      if (!mix_add (&caller.mix, argument, &problem))
+        argp_error (state, "--kind %s: %s", argument, problem);
       return 0;
     case 'n':
       caller.name = argument;
@@ -796,7 +603,7 @@
       caller.same_content = true;
       return 0;
     case ARGP_KEY_END:
-      if (caller.entry_count == 0 || caller.kind_count == 0)
+      if (caller.entry_count == 0 || caller.mix.count == 0)
         argp_error (state, "--entry and --kind are needed");
       return 0;
     default:
@@ -821,7 +628,7 @@
                      (long)caller.in_progress_max);
   caller.start_us = clock_us ();
   run_load ();
-  print_table ();
+  mix_print (&caller.mix, caller.seconds);
   write_csv ();
-  return caller.wants_all && !all_are_whole () ? 1 : 0;
+  return caller.wants_all && !mix_all_whole (&caller.mix) ? 1 : 0;
 }
--- a/tests/standins/target.c
+++ b/tests/standins/target.c
@@ -8,6 +8,7 @@
  */
 
 #include "common.h"
+#include "parts/further.h"
 
 #include <argp.h>
 #include <curl/curl.h>
@@ -25,21 +26,10 @@
 
 #define ANNOUNCE_PERIOD_US USEC_PER_SEC
 #define ANNOUNCE_TIMEOUT_MS 800
-#define THEN_MAX 8
 #define DESCRIPTOR_MAX 4096
 #define CRASH_STATUS 70
 #define BUDGET_NONE_MS 60000
 
-/**
- * struct then - a call that requests for @prefix go on to make
- */
-struct then
-{
-  char *prefix;
-  char *method;
-  char *path;
-};
-
 struct target
 {
   const char *listen;
@@ -56,8 +46,7 @@
   double cold_seconds;
   double cold_factor;
   bool queues;
-  struct then thens[THEN_MAX];
-  unsigned then_count;
+  struct further further;
 
   struct history *history;
   uint64_t started_us;
@@ -212,15 +201,6 @@
   g_cond_signal (&target.slot_free);
 }
 
-static size_t
-ignore_bytes (char *bytes G_GNUC_UNUSED,
-              size_t size,
-              size_t count,
-              void *context G_GNUC_UNUSED)
-{
-  return size * count;
-}
-
 static int
 watch_client (void *context,
               curl_off_t a G_GNUC_UNUSED,
@@ -236,24 +216,6 @@
   return run->cut ? 1 : 0;
 }
 
-/* Each thread keeps its connection to the daemon. */
-static CURL *
-thread_curl (void)
-{
-  static GPrivate handles = G_PRIVATE_INIT (curl_easy_cleanup);
-  CURL *curl = g_private_get (&handles);
-
-  if (curl == NULL)
-    {
-      curl = curl_easy_init ();
-      g_private_set (&handles, curl);
-    }
-  curl_easy_reset (curl);
-  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, ignore_bytes);
-  return curl;
-}
-
 /* Makes one call further down; its HTTP status, 0 when there is no answer. */
 static long
 call_further (struct run *run, const struct then *then, unsigned ordinal)
@@ -268,7 +230,7 @@
   g_autoptr (GString) body = payload_new (run->id, 64);
   struct curl_slist *headers = curl_slist_append (NULL, work_header);
   uint64_t now_us = clock_us ();
-  CURL *curl = thread_curl ();
+  CURL *curl = further_curl ();
   CURLcode result;
   long status = 0;
 
@@ -305,9 +267,9 @@
 {
   unsigned ordinal = 0;
 
-  for (unsigned i = 0; i < target.then_count; i++)
+  for (unsigned i = 0; i < target.further.count; i++)
     {
-      const struct then *then = &target.thens[i];
+      const struct then *then = &target.further.thens[i];
       long status;
 
       if (!g_str_has_prefix (run->path, then->prefix))
@@ -493,7 +455,7 @@
 post_daemon (const char *path, const char *body)
 {
   g_autofree char *url = g_strdup_printf ("http://%s%s", target.daemon, path);
-  CURL *curl = thread_curl ();
+  CURL *curl = further_curl ();
   long status = 0;
 
   curl_easy_setopt (curl, CURLOPT_URL, url);
@@ -540,23 +502,6 @@
   g_mutex_unlock (&target.lock);
 }
 
-/* "GET /path", or "/prefix GET /path" for requests that start so. */
-static void
-add_then (struct argp_state *state, const char *text)
-{
-  char **words = g_strsplit (text, " ", 0);
-  unsigned count = g_strv_length (words);
-  struct then *then = &target.thens[target.then_count];
-
-  if (target.then_count == THEN_MAX || count < 2 || count > 3)
-    argp_error (state, "--then takes \"[PREFIX] METHOD PATH\"");
-  target.then_count++;
-  then->prefix = g_strdup (count == 3 ? words[0] : "/");
-  then->method = g_strdup (words[count - 2]);
-  then->path = g_strdup (words[count - 1]);
-  g_strfreev (words);
-}
-
 static const struct argp_option options[] = {
   { "listen", 'l', "ADDRESS:PORT", 0, "where to take requests", 0 },
   { "daemon", 'd', "ADDRESS:PORT", 0, "local port of the own daemon", 0 },
@@ -638,7 +583,8 @@
       target.queues = true;
       return 0;
     case 'w':
-      add_then (state, argument);
+      if (!further_add (&target.further, argument))
+        argp_error (state, "--then takes \"[PREFIX] METHOD PATH\"");
       return 0;
     case ARGP_KEY_END:
       if (target.listen == NULL || strchr (target.listen, ':') == NULL)
