Bound the calls in progress at an entry, and drain without refusing callers

Cause: an entry's threads are its limit on calls in progress. With a deep service slow for its callers' whole deadline, 64 threads carry 32 calls a second, and what waits behind them in the accept queue waits in no order. The limit is now the reducer's: the least important class may use half of the threads, the most important all of them. A drained daemon refused callers at once, reservations too; it now goes on as an entry until its guard has nothing left, and closes connections so that callers move.

--- a/include/jackdawladder/core.h
+++ b/include/jackdawladder/core.h
@@ -47,6 +47,8 @@
 /**
  * struct jl_core_options - what a reducer starts with
  * @seed: of its random numbers
+ * @call_max: calls of callers in progress at most, 0 for no limit
+ * @work_max: work items waiting and running at most, 0 for no limit
  * @switched_off: set of enum jl_mechanism
  */
 struct jl_core_options
@@ -55,6 +57,8 @@
   struct jl_endpoint peer;
   char zone[JL_NAME_SIZE];
   uint32_t seed;
+  uint32_t call_max;
+  uint32_t work_max;
   uint64_t now_us;
   enum jl_core_mode mode;
   uint32_t switched_off;
--- a/include/jackdawladder/http.h
+++ b/include/jackdawladder/http.h
@@ -156,7 +156,7 @@
  * @path: path alone, decoded
  * @status: set by the handler
  * @answer: filled by the handler
- * @read_body: reads the body into @request, see jl_http_read_body()
+ * @close: set by the handler to close the connection after the answer
  */
 struct jl_http_exchange
 {
@@ -166,6 +166,7 @@
   struct jl_http_message request;
   uint32_t status;
   struct jl_http_message answer;
+  bool close;
   void *connection;
 };
 
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -175,8 +175,9 @@
   bool left;
   struct jl_timer drain_linger;
   uint64_t next_attempt;
-  GHashTable *calls; /* number to struct jl_call */
-  GHashTable *works; /* number to struct jl_work */
+  uint32_t caller_calls; /* calls of callers in progress */
+  GHashTable *calls;     /* number to struct jl_call */
+  GHashTable *works;     /* number to struct jl_work */
   struct jl_members *members;
   struct jl_admit *admit;
   struct jl_place *place;
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -72,6 +72,8 @@
   jl_timer_stop (core->timers, &call->timer);
   if (call->parent != NULL)
     cds_list_del (&call->siblings);
+  else
+    core->caller_calls--;
   g_hash_table_remove (core->calls, JL_HASH_KEY (call->number));
   jl_config_drop (call->config);
   g_free (call);
@@ -200,6 +202,7 @@
     inherit_from_parent (core, call, parent);
   else
     begin_tree (core, call, event, kind);
+  core->caller_calls += parent == NULL;
   if (event->forwarded)
     {
       call->priority = event->priority % JL_PRIORITY_COUNT;
@@ -270,9 +273,42 @@
   proceed_guarded (core, call);
 }
 
+/*
+ * Whether calls in progress leave no room for one of this importance. Of
+ * @call_max the most important class may use all and the least important
+ * half, so that a class is refused only while all below it are.
+ */
+static bool
+is_full (const struct jl_core *core, const struct jl_event_call *event)
+{
+  uint32_t importance = core->config->kinds[event->kind].importance;
+  uint32_t count = core->config->class_count;
+  uint32_t max = core->options.call_max;
+
+  if (max == 0 || core->options.mode != JL_CORE_FULL || event->forwarded)
+    return false;
+  return core->caller_calls >= max - max * importance / (2 * count);
+}
+
+/*
+ * Why a call of a caller is refused at once. While it drains, the daemon
+ * goes on as an entry until its guard has nothing left to do.
+ */
+static enum jl_reason
+check_caller (const struct jl_core *core, const struct jl_event_call *event)
+{
+  if (core->draining && !event->forwarded && core->drain_linger.index == 0
+      && g_hash_table_size (core->works) == 0)
+    return JL_REASON_DRAINING;
+  if (is_full (core, event))
+    return JL_REASON_OVERLOAD;
+  return JL_REASON_NONE;
+}
+
 void
 jl_entry_call (struct jl_core *core, const struct jl_event_call *event)
 {
+  enum jl_reason reason;
   struct jl_work *parent = NULL;
   struct jl_call *call;
 
@@ -297,9 +333,9 @@
           return;
         }
     }
-  else if (core->draining && !event->forwarded)
+  else if ((reason = check_caller (core, event)) != JL_REASON_NONE)
     {
-      answer_event (core, event, JL_REASON_DRAINING);
+      answer_event (core, event, reason);
       return;
     }
   call = make_call (core, event, parent);
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -17,7 +17,7 @@
 /* An announcement holds this long. */
 #define ANNOUNCE_LEASE_US (3 * JL_USEC_PER_SEC)
 /* A drained daemon refuses for this long, until its peers have heard of it. */
-#define DRAIN_LINGER_US (1 * JL_USEC_PER_SEC)
+#define DRAIN_LINGER_US (2 * JL_USEC_PER_SEC)
 /* When to come back after a refusal that is no matter of load. */
 #define RETRY_AFTER_MS 500
 
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -292,6 +292,8 @@
                       own_endpoint (settings, settings->control_port)),
                   .epoch = (uint64_t)g_get_real_time () },
     .peer = own_endpoint (settings, settings->peer_port),
+    .call_max = settings->entry_threads,
+    .work_max = settings->peer_threads,
     .now_us = jl_now (),
     .mode = settings->mode,
   };
@@ -378,6 +380,7 @@
 {
   struct jl_event event = { .type = JL_EVENT_DRAIN };
 
+  g_atomic_int_set (&daemon->draining, 1);
   jl_daemon_post (daemon, &event);
 }
 
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -27,6 +27,7 @@
  * @calls: number to struct jl_waiter
  * @works: number to struct jl_waiter
  * @outgoing: effects to be carried out after the step's lock is given back
+ * @draining: callers' connections are closed after each answer
  * @tick_at_us: when the timer thread will wake up
  * @background: struct jl_effect of the background thread
  */
@@ -44,6 +45,7 @@
   GArray *outgoing;
   uint64_t tick_at_us;
   GCond tick;
+  int draining;
   bool exiting;
   bool stopping;
   GCond exit;
--- a/source/daemon/entry.c
+++ b/source/daemon/entry.c
@@ -23,12 +23,32 @@
   jl_answer_plain (exchange, 200, text);
 }
 
+/* For load balancers of callers: 503 while the daemon drains. */
+static void
+serve_ready (struct jl_daemon *daemon, struct jl_http_exchange *exchange)
+{
+  struct jl_config *config = jl_daemon_get_config (daemon);
+
+  if (config == NULL)
+    jl_answer_plain (exchange, 503, "no configuration");
+  else if (g_atomic_int_get (&daemon->draining) != 0)
+    jl_answer_plain (exchange, 503, "draining");
+  else
+    jl_answer_plain (exchange, 200, "ready");
+  if (config != NULL)
+    jl_config_drop (config);
+}
+
 void
 jl_entry_handle (void *context, struct jl_http_exchange *exchange)
 {
+  struct jl_daemon *daemon = context;
   struct jl_incoming incoming = { .ordinal = JL_NONE };
 
-  if (strcmp (exchange->path, "/jl/ticket") == 0)
+  exchange->close = g_atomic_int_get (&daemon->draining) != 0;
+  if (strcmp (exchange->path, "/jl/ready") == 0)
+    serve_ready (context, exchange);
+  else if (strcmp (exchange->path, "/jl/ticket") == 0)
     serve_ticket (context, exchange);
   else
     jl_serve_call (context, exchange, &incoming);
--- a/source/daemon/local.c
+++ b/source/daemon/local.c
@@ -195,7 +195,10 @@
   else if (strcmp (exchange->path, "/jl/leave") == 0)
     serve_event (daemon, exchange, JL_EVENT_TARGET_LEAVE, "left");
   else if (strcmp (exchange->path, "/jl/drain") == 0)
-    serve_event (daemon, exchange, JL_EVENT_DRAIN, "draining");
+    {
+      jl_daemon_drain (daemon);
+      jl_answer_plain (exchange, 200, "draining");
+    }
   else if (strcmp (exchange->path, "/jl/config") == 0)
     serve_new_config (daemon, exchange);
   else
--- a/source/http/server.c
+++ b/source/http/server.c
@@ -136,7 +136,7 @@
   server->handle (server->handler_context, &exchange);
   keep = g_atomic_int_get (&server->connections) * 100
              <= (int)server->threads * KEEP_SHARE
-         && exchange.status != 400 && exchange.status != 413;
+         && exchange.status != 400 && exchange.status != 413 && !exchange.close;
   if (!keep)
     mg_disable_connection_keep_alive (connection);
   write_answer (&exchange, keep);
--- a/tests/bench/latency.c
+++ b/tests/bench/latency.c
@@ -92,8 +92,8 @@
 static gint
 compare_times (gconstpointer a, gconstpointer b)
 {
-  uint64_t first = *(const uint64_t *) a;
-  uint64_t second = *(const uint64_t *) b;
+  uint64_t first = *(const uint64_t *)a;
+  uint64_t second = *(const uint64_t *)b;
 
   return (first > second) - (first < second);
 }
@@ -101,7 +101,7 @@
 static uint64_t
 quantile (const GArray *times, double share)
 {
-  guint index = (guint) (share * times->len);
+  guint index = (guint)(share * times->len);
 
   if (times->len == 0)
     return 0;
@@ -117,9 +117,9 @@
   g_array_sort (times, compare_times);
   jl_endpoint_format (bench->endpoints[which], endpoint);
   printf ("%-22s answered %u failed %u  50%% %u us  99%% %u us  99.9%% %u us\n",
-          endpoint, times->len, (unsigned) bench->failed[which],
-          (unsigned) quantile (times, 0.5), (unsigned) quantile (times, 0.99),
-          (unsigned) quantile (times, 0.999));
+          endpoint, times->len, (unsigned)bench->failed[which],
+          (unsigned)quantile (times, 0.5), (unsigned)quantile (times, 0.99),
+          (unsigned)quantile (times, 0.999));
 }
 
 int
@@ -134,11 +134,10 @@
   bench.path = argv[1];
   rate = atoi (argv[2]);
   bench.total = rate * atoi (argv[3]);
-  bench.interval_us = JL_USEC_PER_SEC / (uint64_t) rate;
+  bench.interval_us = JL_USEC_PER_SEC / (uint64_t)rate;
   for (int i = 4; i < argc && bench.endpoint_count < ENDPOINT_MAX; i++)
     {
-      if (!jl_endpoint_parse (argv[i],
-                              &bench.endpoints[bench.endpoint_count]))
+      if (!jl_endpoint_parse (argv[i], &bench.endpoints[bench.endpoint_count]))
         return 2;
       bench.times[bench.endpoint_count++]
           = g_array_new (FALSE, FALSE, sizeof (uint64_t));
