--- /dev/null
+++ b/tests/random/faults.c
@@ -0,0 +1,293 @@
+/**
+ * DOC: Starts, stops and faults of daemons, targets, network and platform.
+ */
+
+#include <stdio.h>
+
+#include "../support/print.h"
+#include "core/core-impl.h"
+#include "world.h"
+
+#define POLL_US (2 * JL_USEC_PER_SEC)
+#define ANNOUNCE_US (1 * JL_USEC_PER_SEC)
+#define SLOTS 6
+/* How long after a fault others may still act on what they knew before. */
+#define BLUR_US (6 * JL_USEC_PER_SEC)
+
+/* Notes from when on a target takes no work, or takes it again. */
+static void
+note_gone (struct node *node)
+{
+  bool gone = node->core == NULL || node->core->draining || !node->target_up
+              || node->target_leaving;
+
+  if (!gone)
+    node->gone_us = 0;
+  else if (node->gone_us == 0)
+    node->gone_us = node->world->now_us;
+}
+
+static void
+seed_node (struct node *node, uint32_t other)
+{
+  struct jl_event event = { .type = JL_EVENT_SEED };
+
+  event.seed.control = jl_member_endpoint (jl_print_member (other + 1));
+  post_event (node, node->life, between (node->world, 1, 100000), &event);
+}
+
+/* The version that a read of the platform's table gives; some are late. */
+static void
+poll_platform (struct world *world,
+               struct node *node,
+               void *argument G_GNUC_UNUSED)
+{
+  struct jl_event event = { .type = JL_EVENT_CONFIG };
+  uint32_t newest = world->configs->len - 1;
+
+  post_to (node, node->life, POLL_US, poll_platform, NULL);
+  if (world->outage_until_us > world->now_us)
+    return;
+  if (chance (world, 150))
+    newest = pick (world, newest + 1);
+  event.config = g_ptr_array_index (world->configs, newest);
+  step (node, &event);
+  if (node->core != NULL)
+    seed_node (node, pick (world, world->plan->node_count));
+}
+
+static void
+announce (struct world *world G_GNUC_UNUSED,
+          struct node *node,
+          void *argument G_GNUC_UNUSED)
+{
+  struct jl_event event = { .type = JL_EVENT_ANNOUNCE };
+
+  post_to (node, node->life, ANNOUNCE_US, announce, NULL);
+  if (!node->target_up || node->target_leaving)
+    return;
+  snprintf (event.announce.service, JL_NAME_SIZE, "s%u",
+            node->index % world->plan->service_count);
+  event.announce.slots = SLOTS;
+  event.announce.connections = 64;
+  event.announce.started = node->target_life;
+  step (node, &event);
+}
+
+void
+start_node (struct node *node)
+{
+  struct world *world = node->world;
+  uint64_t member = jl_print_member (node->index + 1);
+  struct jl_core_options options = { .mode = JL_CORE_FULL };
+
+  options.identity.member = member;
+  options.identity.epoch = 1000000 + world->now_us;
+  options.peer = jl_member_endpoint (member);
+  options.peer.port = JL_PRINT_PEER_PORT;
+  snprintf (options.zone, sizeof options.zone, "z%u", node->zone);
+  options.seed = g_rand_int (world->random);
+  options.switched_off = world->plan->switched_off;
+  node->offset_us = between (world, 0, 1000 * JL_USEC_PER_SEC);
+  options.now_us = world->now_us + node->offset_us;
+  node->core = jl_core_new (&options);
+  node->life++;
+  node->tick_us = 0;
+  node->frozen_until_us = 0;
+  node->blurred_until_us = world->now_us + BLUR_US;
+  node->config_version = 0;
+  node->next_number = 0;
+  node->calls
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  node->works
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  node->stored = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (uint32_t i = 0; i < 3; i++)
+    seed_node (node, pick (world, world->plan->node_count));
+  post_to (node, node->life, between (world, 1, 300000), poll_platform, NULL);
+  post_to (node, node->life, between (world, 1, ANNOUNCE_US), announce, NULL);
+  note_gone (node);
+}
+
+void
+exit_node (struct node *node)
+{
+  jl_core_drop (node->core);
+  node->core = NULL;
+  g_hash_table_destroy (node->calls);
+  g_hash_table_destroy (node->works);
+  g_hash_table_destroy (node->stored);
+  node->calls = NULL;
+  node->works = NULL;
+  node->stored = NULL;
+  note_gone (node);
+}
+
+void
+stop_node (struct node *node)
+{
+  break_exchanges (node);
+  exit_node (node);
+}
+
+void
+fetch_config (struct node *node, struct jl_endpoint peer)
+{
+  struct jl_event event = { .type = JL_EVENT_CONFIG };
+  struct node *other = node_at (node->world, peer);
+
+  if (other == NULL || other->core == NULL || is_cut (node->world, node, other)
+      || other->frozen_until_us > node->world->now_us
+      || other->core->config == NULL)
+    return;
+  event.config = g_ptr_array_index (node->world->configs,
+                                    (uint32_t)other->core->config->version - 1);
+  post_event (node, node->life, between (node->world, 500, 5000), &event);
+}
+
+static void
+come_back (struct world *world G_GNUC_UNUSED,
+           struct node *unused G_GNUC_UNUSED,
+           void *argument)
+{
+  struct node *node = argument;
+
+  if (node->core == NULL)
+    start_node (node);
+}
+
+static void
+target_back (struct world *world G_GNUC_UNUSED,
+             struct node *unused G_GNUC_UNUSED,
+             void *argument)
+{
+  struct node *node = argument;
+
+  if (!node->target_up)
+    node->target_life++;
+  node->target_up = true;
+  node->target_leaving = false;
+  note_gone (node);
+}
+
+static void
+wake (struct world *world G_GNUC_UNUSED,
+      struct node *node G_GNUC_UNUSED,
+      void *argument G_GNUC_UNUSED)
+{
+}
+
+static void
+freeze (struct node *node, uint64_t duration_us)
+{
+  node->frozen_until_us = node->world->now_us + duration_us;
+  node->blurred_until_us = node->frozen_until_us + BLUR_US;
+  post_to (node, node->life, duration_us + 1, wake, NULL);
+}
+
+static void
+cut (struct world *world, uint32_t a, uint32_t b, uint64_t duration_us)
+{
+  uint64_t until_us = world->now_us + duration_us;
+
+  if (a == b)
+    return;
+  world->cut_until_us[a][b] = until_us;
+  world->cut_until_us[b][a] = until_us;
+  world->calm_from_us = MAX (world->calm_from_us, until_us + BLUR_US);
+}
+
+static void
+drain (struct node *node, uint64_t duration_us)
+{
+  struct jl_event event = { .type = JL_EVENT_DRAIN };
+
+  if (node->gone_us == 0)
+    node->gone_us = node->world->now_us;
+  post_event (node, node->life, 0, &event);
+  post (node->world, duration_us + 5 * JL_USEC_PER_SEC, come_back, node);
+}
+
+static void
+leave (struct node *node)
+{
+  struct jl_event event = { .type = JL_EVENT_TARGET_LEAVE };
+
+  node->target_leaving = true;
+  note_gone (node);
+  post_event (node, node->life, 1000, &event);
+}
+
+/* Two operators at once: both read one version, one of them wins. */
+static void
+apply (struct world *world)
+{
+  if (world->outage_until_us > world->now_us)
+    return;
+  g_ptr_array_add (world->configs,
+                   make_config (world->plan, world->configs->len + 1));
+}
+
+static void
+begin_node_fault (struct node *node, const struct input *input)
+{
+  struct world *world = node->world;
+
+  if (node->core == NULL)
+    return;
+  switch (input->type)
+    {
+    case INPUT_FREEZE:
+      freeze (node, input->duration_us);
+      return;
+    case INPUT_CRASH:
+      stop_node (node);
+      post (world, input->duration_us, come_back, node);
+      return;
+    case INPUT_TARGET_SLOW:
+      node->target_slow_until_us = world->now_us + input->duration_us;
+      return;
+    case INPUT_TARGET_CRASH:
+      crash_target (node);
+      note_gone (node);
+      post (world, input->duration_us, target_back, node);
+      return;
+    case INPUT_TARGET_LEAVE:
+      leave (node);
+      post (world, input->duration_us, target_back, node);
+      return;
+    case INPUT_DRAIN:
+      drain (node, input->duration_us);
+      return;
+    default:
+      return;
+    }
+}
+
+void
+begin_input (struct world *world, const struct input *input)
+{
+  switch (input->type)
+    {
+    case INPUT_REQUEST:
+      begin_request (world, input);
+      return;
+    case INPUT_CUT:
+      cut (world, input->node, input->argument, input->duration_us);
+      return;
+    case INPUT_OUTAGE:
+      world->outage_until_us = world->now_us + input->duration_us;
+      return;
+    case INPUT_LOSS:
+      world->loss_until_us = world->now_us + input->duration_us;
+      world->calm_from_us
+          = MAX (world->calm_from_us, world->loss_until_us + BLUR_US);
+      return;
+    case INPUT_APPLY:
+      apply (world);
+      return;
+    default:
+      begin_node_fault (&world->nodes[input->node], input);
+      return;
+    }
+}
