Confirm a cancellation only in the life that was sent the call

A guard that had restarted found no trace of a sending, left a tombstone and confirmed that it had not run, though its earlier life may have run it: the request was then sent elsewhere, or told "not run". A cancellation now names the life that the call was sent to, and any other life answers that it is late.

--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -68,6 +68,7 @@
  * @lent: tokens that went out with the sending in progress
  * @attempt: the sending in progress
  * @member: where it went
+ * @member_epoch: the life of that daemon
  * @tried: members that are not to be tried again
  */
 struct jl_call
@@ -94,6 +95,7 @@
   uint32_t sends;
   struct jl_attempt_id attempt;
   uint64_t member;
+  uint64_t member_epoch;
 #define JL_TRIED_MAX 8
   uint32_t tried_count;
   uint64_t tried[JL_TRIED_MAX];
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -379,6 +379,7 @@
     jl_retry_first (core, kind_of (call)->service);
   call->state = JL_CALL_SENT;
   call->member = member->info.identity.member;
+  call->member_epoch = member->info.identity.epoch;
   jl_place_sent (core, member);
   send = &jl_emit (core, JL_EFFECT_SEND)->send;
   send->call = call->number;
@@ -459,6 +460,7 @@
   effect->message.type = JL_MESSAGE_CANCEL;
   effect->message.from = core->identity;
   effect->message.to.member = call->member;
+  effect->message.to.epoch = call->member_epoch;
   effect->message.attempt = call->attempt;
   core->counts.messages_sent++;
 }
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -341,6 +341,12 @@
 {
   struct jl_work *work = find_work (core, message->attempt);
 
+  /* What an earlier life of this daemon ran is not known any more. */
+  if (message->to.epoch != core->identity.epoch)
+    {
+      answer_cancel (core, message, JL_MESSAGE_CANCEL_LATE);
+      return;
+    }
   if (work != NULL && work->state == JL_WORK_WAITING)
     {
       jl_admit_remove (core, work);
