Forward no call past its deadline

A call that a run makes after its own deadline was forwarded with a budget below zero, which is very long as an unsigned number. Found by reading; test: once nothing_is_forwarded_past_its_deadline (failed before).

--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -340,6 +340,16 @@
   core->counts.sends++;
 }
 
+/* Other sendings of the request may have run; this one did not leave. */
+static void
+answer_unforwarded (struct jl_core *core,
+                    struct jl_call *call,
+                    enum jl_reason reason)
+{
+  jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, reason)->sending
+      = JL_OUTCOME_NOT_RUN;
+}
+
 void
 jl_entry_forward (struct jl_core *core, struct jl_call *call)
 {
@@ -349,9 +359,12 @@
   if (call->forwarded || minter == NULL
       || minter->info.identity.epoch != call->ticket.minter.epoch)
     {
-      jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST)
-          ->sending
-          = JL_OUTCOME_NOT_RUN;
+      answer_unforwarded (core, call, JL_REASON_HOME_LOST);
+      return;
+    }
+  if (core->now_us >= call->deadline_us)
+    {
+      answer_unforwarded (core, call, JL_REASON_DEADLINE);
       return;
     }
   call->state = JL_CALL_FORWARDED;
