--- a/source/core/core.c
+++ b/source/core/core.c
@@ -119,7 +119,8 @@
 static void
 install_config (struct jl_core *core, struct jl_config *config)
 {
-  if (core->config != NULL && config->version <= core->config->version)
+  if (core->config != NULL && config->version <= core->config->version
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_CONFIG_ORDER))
     return;
   if (core->config != NULL)
     jl_config_drop (core->config);
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -630,7 +630,10 @@
   struct jl_call *call
       = g_hash_table_lookup (core->calls, JL_HASH_KEY (event->call));
 
-  if (call == NULL || !jl_attempt_id_equal (call->attempt, event->attempt))
+  if (call == NULL)
+    return;
+  if (!jl_attempt_id_equal (call->attempt, event->attempt)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_ATTEMPT_MATCH))
     return;
   if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
     return;
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -176,6 +176,9 @@
   enum jl_reason reason;
   struct jl_work *work;
 
+  if (seen == JL_SEEN_TOMBSTONE
+      && JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
+    seen = JL_SEEN_NEVER;
   if (seen == JL_SEEN_TOMBSTONE)
     {
       refuse_event (core, event, JL_OUTCOME_NOT_RUN, JL_REASON_CANCELLED);
@@ -381,8 +384,9 @@
 {
   if (!core->draining || core->left)
     return;
-  if (g_hash_table_size (core->works) > 0
-      || g_hash_table_size (core->calls) > 0)
+  if ((g_hash_table_size (core->works) > 0
+       || g_hash_table_size (core->calls) > 0)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_DRAIN))
     return;
   core->left = true;
   jl_emit (core, JL_EFFECT_EXIT);
