--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -376,6 +376,16 @@
   core->counts.sends++;
 }
 
+/* Other sendings of the request may have run; this one did not leave. */
+static void
+answer_unforwarded (struct jl_core *core,
+                    struct jl_call *call,
+                    enum jl_reason reason)
+{
+  jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, reason)->sending
+      = JL_OUTCOME_NOT_RUN;
+}
+
 void
 jl_entry_forward (struct jl_core *core, struct jl_call *call)
 {
@@ -385,9 +395,12 @@
   if (call->forwarded || minter == NULL
       || minter->info.identity.epoch != call->ticket.minter.epoch)
     {
-      jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST)
-          ->sending
-          = JL_OUTCOME_NOT_RUN;
+      answer_unforwarded (core, call, JL_REASON_HOME_LOST);
+      return;
+    }
+  if (core->now_us >= call->deadline_us)
+    {
+      answer_unforwarded (core, call, JL_REASON_DEADLINE);
       return;
     }
   call->state = JL_CALL_FORWARDED;
@@ -415,6 +428,7 @@
     jl_retry_first (core, kind_of (call)->service);
   call->state = JL_CALL_SENT;
   call->member = member->info.identity.member;
+  call->member_epoch = member->info.identity.epoch;
   jl_place_sent (core, member);
   send = &jl_emit (core, JL_EFFECT_SEND)->send;
   send->call = call->number;
@@ -495,6 +509,7 @@
   effect->message.type = JL_MESSAGE_CANCEL;
   effect->message.from = core->identity;
   effect->message.to.member = call->member;
+  effect->message.to.epoch = call->member_epoch;
   effect->message.attempt = call->attempt;
   core->counts.messages_sent++;
 }
@@ -651,7 +666,10 @@
   struct jl_call *call
       = g_hash_table_lookup (core->calls, JL_HASH_KEY (event->call));
 
-  if (call == NULL || !jl_attempt_id_equal (call->attempt, event->attempt))
+  if (call == NULL)
+    return;
+  if (!jl_attempt_id_equal (call->attempt, event->attempt)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_ATTEMPT_MATCH))
     return;
   if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
     return;
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -178,6 +178,9 @@
   enum jl_reason reason;
   struct jl_work *work;
 
+  if (seen == JL_SEEN_TOMBSTONE
+      && JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
+    seen = JL_SEEN_NEVER;
   if (seen == JL_SEEN_TOMBSTONE)
     {
       refuse_event (core, event, JL_OUTCOME_NOT_RUN, JL_REASON_CANCELLED);
@@ -343,6 +346,12 @@
 {
   struct jl_work *work = find_work (core, message->attempt);
 
+  /* What an earlier life of this daemon ran is not known any more. */
+  if (message->to.epoch != core->identity.epoch)
+    {
+      answer_cancel (core, message, JL_MESSAGE_CANCEL_LATE);
+      return;
+    }
   if (work != NULL && work->state == JL_WORK_WAITING)
     {
       jl_admit_remove (core, work);
@@ -385,8 +394,9 @@
 {
   if (!core->draining || core->left || core->drain_linger.index != 0)
     return;
-  if (g_hash_table_size (core->works) > 0
-      || g_hash_table_size (core->calls) > 0)
+  if ((g_hash_table_size (core->works) > 0
+       || g_hash_table_size (core->calls) > 0)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_DRAIN))
     return;
   core->left = true;
   jl_emit (core, JL_EFFECT_EXIT);
