--- a/tests/random/http.c
+++ b/tests/random/http.c
@@ -471,6 +471,7 @@
       exit_node (node);
       return;
     case JL_EFFECT_PUBLISH:
+    case JL_EFFECT_CONFIG:
     case JL_EFFECT_LOG:
       return;
     }
