--- a/tests/site.sh
+++ b/tests/site.sh
@@ -79,7 +79,7 @@
   "target": "${SITE_ADDRESS[$name]}:8080",
   "platform": "$SITE_PLATFORM",
   "seeds": [$seeds],
-  "threads": {"entry": 200, "peer": 200, "local": 100},
+  "threads": {${SITE_THREADS:-"entry": 200, "peer": 200, "local": 100}},
   "mode": "${SITE_MODE:-full}",
   "drain_ms": 60000
 }
