--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -123,6 +123,7 @@
   uint64_t number;
   enum jl_work_state state;
   struct jl_config *config;
+ * @struck: its content had a strike when it began to run
   struct jl_attempt_id attempt;
   uint32_t kind;
   uint32_t priority;
@@ -144,6 +145,7 @@
 /**
  * struct jl_counts - counters of decisions, by class where that matters
  */
+  bool struck;
 struct jl_counts
 {
   uint64_t events;
--- /dev/null
+++ b/source/core/level.c
@@ -0,0 +1,194 @@
+/**
+ * DOC: The admission level, from arrivals by priority.
+ */
+
+#include "level.h"
+
+/* Arrivals are kept in thousandths of an item for each window. */
+#define ITEM_MILLI 1000
+/* Weight of the newest window, below the level: 1 in 4. */
+#define ADMITTED_SHIFT 2
+/* Above the level arrivals are kept longer, since they stay away: 1 in 16. */
+#define REFUSED_SHIFT 4
+/* Share of the capacity that is let in after an overloaded window. */
+#define OVERLOADED_PERCENT 95
+/* First step up, in priorities; each next one is twice as large. */
+#define FIRST_STEP 8
+#define LAST_STEP (JL_PRIORITY_COUNT / 2)
+
+/**
+ * struct jl_level - the level and what it is set from
+ * @value: lowest priority refused
+ * @lowest_refused: most important priority refused in this window
+ * @step: how far it comes up at most after the next good window
+ * @arrived: arrivals in this window, by priority
+ * @demand_milli: arrivals for each window, smoothed, by priority
+ * @arrivals: arrivals in this window
+ * @refusals: refusals in this window
+ */
+struct jl_level
+{
+  uint32_t value;
+  uint32_t lowest_refused;
+  uint32_t step;
+  uint32_t arrivals;
+  uint32_t refusals;
+  uint32_t refused_permille;
+  uint32_t arrived[JL_PRIORITY_COUNT];
+  uint32_t demand_milli[JL_PRIORITY_COUNT];
+};
+
+struct jl_level *
+jl_level_new (void)
+{
+  struct jl_level *level = g_new0 (struct jl_level, 1);
+
+  level->value = JL_PRIORITY_COUNT;
+  level->lowest_refused = JL_PRIORITY_COUNT;
+  level->step = FIRST_STEP;
+  return level;
+}
+
+void
+jl_level_drop (struct jl_level *level)
+{
+  g_free (level);
+}
+
+uint32_t
+jl_level_get (const struct jl_level *level)
+{
+  return level->value;
+}
+
+uint32_t
+jl_level_lowest_refused (const struct jl_level *level)
+{
+  return level->lowest_refused;
+}
+
+uint32_t
+jl_level_refused_permille (const struct jl_level *level)
+{
+  return level->refused_permille;
+}
+
+void
+jl_level_arrive (struct jl_level *level, uint32_t priority)
+{
+  level->arrived[priority]++;
+  level->arrivals++;
+}
+
+void
+jl_level_refused (struct jl_level *level, uint32_t priority)
+{
+  level->refusals++;
+  level->lowest_refused = MIN (level->lowest_refused, priority);
+  level->value = MIN (level->value, priority + 1);
+}
+
+/* Takes the arrivals of this window into the smoothed ones. */
+static void
+update_demand (struct jl_level *level)
+{
+  for (uint32_t i = 0; i < JL_PRIORITY_COUNT; i++)
+    {
+      uint32_t shift = i < level->value ? ADMITTED_SHIFT : REFUSED_SHIFT;
+      uint32_t old = level->demand_milli[i];
+      uint32_t new = level->arrived[i] * ITEM_MILLI;
+
+      if (new > old)
+        shift = ADMITTED_SHIFT;
+      old -= (old + (1U << shift) - 1) >> shift;
+      level->demand_milli[i] = old + (new >> shift);
+      level->arrived[i] = 0;
+    }
+}
+
+/* The highest level below which no more than @room_milli items arrive. */
+static uint32_t
+find_cursor (const struct jl_level *level, uint64_t room_milli)
+{
+  uint64_t sum_milli = 0;
+  uint32_t cursor = 0;
+
+  for (; cursor < JL_PRIORITY_COUNT; cursor++)
+    {
+      sum_milli += level->demand_milli[cursor];
+      if (sum_milli > room_milli)
+        break;
+    }
+  return cursor;
+}
+
+static uint64_t
+sum_below (const struct jl_level *level, uint32_t end)
+{
+  uint64_t sum_milli = 0;
+
+  for (uint32_t i = 0; i < end; i++)
+    sum_milli += level->demand_milli[i];
+  return sum_milli;
+}
+
+/* The most important priority that arrives is never refused by the level. */
+static uint32_t
+lowest_level (const struct jl_level *level)
+{
+  for (uint32_t i = 0; i < JL_PRIORITY_COUNT; i++)
+    if (level->demand_milli[i] > 0)
+      return i + 1;
+  return JL_PRIORITY_COUNT;
+}
+
+static void
+lower (struct jl_level *level, const struct jl_level_window *window)
+{
+  uint64_t room_milli = sum_below (level, level->value);
+  uint32_t cursor;
+
+  if (window->capacity_milli > 0)
+    room_milli = MIN (room_milli, window->capacity_milli);
+  cursor = find_cursor (level, room_milli * OVERLOADED_PERCENT / 100);
+  cursor = MAX (cursor, lowest_level (level));
+  level->value = MIN (level->value, cursor);
+  level->step = FIRST_STEP;
+}
+
+static void
+raise_level (struct jl_level *level, const struct jl_level_window *window)
+{
+  uint32_t highest = MIN (level->value + level->step, JL_PRIORITY_COUNT);
+  uint32_t cursor = highest;
+
+  if (window->capacity_milli > 0)
+    cursor = find_cursor (level, window->capacity_milli);
+  level->step = MIN (level->step * 2, LAST_STEP);
+  level->value = MAX (level->value, MIN (cursor, highest));
+}
+
+void
+jl_level_end_window (struct jl_level *level,
+                     const struct jl_level_window *window)
+{
+  uint32_t refused_permille = 1000 * level->refusals / MAX (level->arrivals, 1);
+
+  update_demand (level);
+  level->refused_permille
+      = (3 * level->refused_permille + MIN (refused_permille, 1000)) / 4;
+  level->arrivals = 0;
+  level->refusals = 0;
+  level->lowest_refused = JL_PRIORITY_COUNT;
+  if (window->overloaded)
+    lower (level, window);
+  else if (level->value < JL_PRIORITY_COUNT && !window->waiting)
+    raise_level (level, window);
+}
+
+bool
+jl_level_idle (const struct jl_level *level)
+{
+  return level->value == JL_PRIORITY_COUNT && level->refused_permille == 0
+         && sum_below (level, JL_PRIORITY_COUNT) == 0;
+}
