Keep at-most-once state for the whole path, and within bounds

- A call's ticket is derived from the whole path down the tree.
- The step hashes the kind's name by XXH3; the index differs between versions of the configuration, so a repeated parent ran its call again after an apply.
- A key used for other content is "unknown" once its request may have run.
- "Not run" holds until the time at which the caller is to come back: a sending given up before could arrive later and run.
- Used tickets and keys are bounded in count and time.
The order of expiry has settled tickets only; it was stuck behind one in progress and behind numbers minted after the last mark.
- Asserted: one grant of a ticket at a time, none after one that may have run.

--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -63,6 +63,7 @@
  * @parent: the work that makes it, NULL for a caller's
  * @siblings: place in @parent's list of children
  * @guarded: its runs are granted under @ticket, at most one of them
+ * @keyed: its caller named it, and may have sent it before
  * @may_have_run: some sending may have run
  * @tokens: retry tokens of a call without @parent; else the parent's are used
  * @lent: tokens that went out with the sending in progress
@@ -80,6 +81,7 @@
   struct jl_work *parent;
   struct cds_list_head siblings;
   bool guarded;
+  bool keyed;
   bool forwarded;
   bool may_have_run;
   struct jl_ticket ticket;
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -47,7 +47,8 @@
             ? 0
             : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
   answer->tokens = event->forwarded ? event->tokens : 0;
-  if (event->key_type != JL_KEY_NONE)
+  /* An earlier sending, or the same call of a repeated parent, may have run. */
+  if (event->key_type != JL_KEY_NONE || event->parent != 0)
     answer->outcome = JL_OUTCOME_UNKNOWN;
 }
 
@@ -109,21 +110,25 @@
 {
   struct jl_effect_answer *answer;
   bool guarded = call->guarded;
+  bool keyed = call->keyed;
   uint32_t retry_after_ms = call->last_retry_after_ms;
 
   if (outcome == JL_OUTCOME_NOT_RUN && call->may_have_run)
     outcome = JL_OUTCOME_UNKNOWN;
   JL_INVARIANT (outcome != JL_OUTCOME_NOT_RUN || !call->may_have_run,
                 "not run is said only when no sending may have run");
+  if (retry_after_ms == 0)
+    retry_after_ms = RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
   if (guarded)
-    jl_once_answered (core, call, outcome);
+    retry_after_ms
+        = jl_once_answered (core, call, outcome, reason, retry_after_ms);
   answer = jl_entry_answer (core, call, outcome, reason);
   answer->keep = guarded && outcome == JL_OUTCOME_DONE;
   if (outcome != JL_OUTCOME_DONE)
-    answer->retry_after_ms
-        = retry_after_ms > 0
-              ? retry_after_ms
-              : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+    answer->retry_after_ms = retry_after_ms;
+  /* Nobody keeps account of other sendings of an idempotent request. */
+  if (!guarded && keyed && outcome == JL_OUTCOME_NOT_RUN)
+    answer->outcome = JL_OUTCOME_UNKNOWN;
   return answer;
 }
 
@@ -158,13 +163,14 @@
 static void
 inherit_from_parent (struct jl_core *core,
                      struct jl_call *call,
-                     struct jl_work *parent)
+                     struct jl_work *parent,
+                     uint32_t ordinal)
 {
   call->parent = parent;
   cds_list_add_tail (&call->siblings, &parent->children);
   call->priority = parent->priority;
   call->invested_us = parent->invested_us + (core->now_us - parent->started_us);
-  call->anchor = parent->anchor;
+  call->anchor = jl_once_derive (parent->anchor, kind_of (call)->name, ordinal);
 }
 
 static void
@@ -176,7 +182,8 @@
   call->priority
       = kind->importance * JL_SAMPLE_COUNT + choose_sample (core, event);
   call->tokens = kind->retry_tokens;
-  call->anchor = jl_once_mint (core);
+  call->anchor
+      = event->key_type == JL_KEY_TICKET ? event->ticket : jl_once_mint (core);
 }
 
 static struct jl_call *
@@ -191,13 +198,14 @@
   call->config = jl_config_keep (core->config);
   call->kind = event->kind;
   call->forwarded = event->forwarded;
+  call->keyed = event->key_type != JL_KEY_NONE;
   call->key_hash = event->key_hash;
   call->digest = event->digest;
   call->arrived_us = core->now_us;
   call->deadline_us = choose_deadline (core, event, kind, parent);
   call->guarded = !kind->idempotent && core->options.mode != JL_CORE_FORWARD;
   if (parent != NULL)
-    inherit_from_parent (core, call, parent);
+    inherit_from_parent (core, call, parent, event->ordinal);
   else
     begin_tree (core, call, event, kind);
   if (event->forwarded)
@@ -205,7 +213,6 @@
       call->priority = event->priority % JL_PRIORITY_COUNT;
       call->tokens = event->tokens;
       call->invested_us = event->invested_us;
-      call->anchor = event->ticket;
     }
   g_hash_table_insert (core->calls, JL_HASH_KEY (call->number), call);
   core->counts.calls[class_of (call)]++;
@@ -256,11 +263,7 @@
                struct jl_call *call,
                const struct jl_event_call *event)
 {
-  if (call->parent != NULL)
-    call->ticket = jl_once_derive (call->anchor, event->kind, event->ordinal);
-  else if (event->key_type == JL_KEY_TICKET)
-    call->ticket = event->ticket;
-  else if (event->key_type == JL_KEY_NONE)
+  if (event->key_type != JL_KEY_CALLER)
     call->ticket = call->anchor;
   else if (!jl_once_key_ticket (core, event->key_hash, &call->ticket))
     {
--- a/source/core/once.c
+++ b/source/core/once.c
@@ -5,16 +5,26 @@
 #include "once.h"
 
 #include <inttypes.h>
+#include <string.h>
+
+#include <xxhash.h>
 
 #include "entry.h"
 
 /* A used ticket's state is kept this long, an unused one holds this long. */
 #define TICKET_KEEP_US (600 * JL_USEC_PER_SEC)
+/* Used tickets kept at most; the oldest expire early beyond. */
+#define TICKET_MAX (256 * 1024)
 /* How often the lowest number that still holds is noted. */
 #define MARK_INTERVAL_US (10 * JL_USEC_PER_SEC)
 #define MARK_COUNT 64
+/* The table of keys only spares reads of the platform's table. */
+#define KEY_KEEP_US (600 * JL_USEC_PER_SEC)
+#define KEY_MAX (64 * 1024)
 /* When to ask again for a request that is in progress. */
 #define IN_PROGRESS_RETRY_MS 200
+/* Least time for which a refused request is not granted again. */
+#define HOLD_MIN_MS 500
 
 /**
  * enum ticket_state - what is known of a used ticket
@@ -31,14 +41,24 @@
   TICKET_UNKNOWN,
 };
 
+/**
+ * struct ticket_entry - one used ticket
+ * @may_have_run: some grant was not confirmed as not run
+ * @reason: why it was not run, with TICKET_IDLE
+ * @held_until_us: no grant before, see jl_once_answered()
+ * @settled_us: when its last grant ended
+ * @order: place in the order of @settled_us; in no list while in progress
+ */
 struct ticket_entry
 {
   struct jl_ticket ticket;
   enum ticket_state state;
+  bool may_have_run;
+  enum jl_reason reason;
   uint64_t digest;
-  uint32_t grants;
   uint32_t tokens;
-  uint64_t used_us;
+  uint64_t held_until_us;
+  uint64_t settled_us;
   struct cds_list_head order;
 };
 
@@ -47,8 +67,10 @@
  */
 struct key_entry
 {
+  uint64_t key_hash;
   struct jl_ticket ticket;
   uint64_t learned_us;
+  struct cds_list_head order;
 };
 
 /**
@@ -60,6 +82,10 @@
   uint64_t minted_us;
 };
 
+/**
+ * struct jl_once - tickets and keys of one daemon
+ * @expired_below: numbers up to this one hold no longer
+ */
 struct jl_once
 {
   uint64_t minted;
@@ -70,16 +96,13 @@
   GHashTable *tickets;
   GHashTable *keys;
   struct cds_list_head order;
+  struct cds_list_head key_order;
 };
 
 static guint
 ticket_hash (gconstpointer key)
 {
-  const struct jl_ticket *ticket = key;
-  uint64_t hash = ticket->number * UINT64_C (0x9e3779b97f4a7c15);
-
-  hash ^= ticket->branch;
-  return (guint)(hash >> 32 ^ hash);
+  return (guint)XXH3_64bits (key, sizeof (struct jl_ticket));
 }
 
 static gboolean
@@ -101,6 +124,7 @@
   once->keys
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&once->order);
+  CDS_INIT_LIST_HEAD (&once->key_order);
   return once;
 }
 
@@ -159,18 +183,16 @@
 }
 
 struct jl_ticket
-jl_once_derive (struct jl_ticket anchor, uint32_t kind, uint32_t ordinal)
+jl_once_derive (struct jl_ticket anchor, const char *kind, uint32_t ordinal)
 {
-  uint64_t step = (uint64_t)kind << 32 | ordinal;
+  uint64_t step[2] = { anchor.branch, ordinal };
 
-  anchor.branch ^= step + UINT64_C (0x9e3779b97f4a7c15) + (anchor.branch << 6)
-                   + (anchor.branch >> 2);
-  anchor.branch *= UINT64_C (0xff51afd7ed558ccd);
-  anchor.branch ^= anchor.branch >> 33;
+  anchor.branch = XXH3_64bits_withSeed (kind, strlen (kind),
+                                        XXH3_64bits (step, sizeof step));
   return anchor;
 }
 
-/* Forgets tickets whose numbers have expired. */
+/* Forgets tickets that are past their time, and their numbers with them. */
 static void
 expire_tickets (struct jl_core *core)
 {
@@ -181,10 +203,10 @@
       struct ticket_entry *oldest
           = cds_list_first_entry (&once->order, struct ticket_entry, order);
 
-      if (oldest->ticket.number > once->expired_below
-          || oldest->state == TICKET_IN_PROGRESS
-          || oldest->used_us + TICKET_KEEP_US > core->now_us)
+      if (oldest->settled_us + TICKET_KEEP_US > core->now_us
+          && g_hash_table_size (once->tickets) <= TICKET_MAX)
         return;
+      once->expired_below = MAX (once->expired_below, oldest->ticket.number);
       cds_list_del (&oldest->order);
       g_hash_table_remove (once->tickets, &oldest->ticket);
     }
@@ -195,16 +217,37 @@
 {
   struct ticket_entry *entry = g_new0 (struct ticket_entry, 1);
 
-  expire_tickets (core);
   entry->ticket = call->ticket;
   entry->digest = call->digest;
   entry->tokens = call->tokens;
-  entry->used_us = core->now_us;
-  cds_list_add_tail (&entry->order, &core->once->order);
+  CDS_INIT_LIST_HEAD (&entry->order);
   g_hash_table_insert (core->once->tickets, &entry->ticket, entry);
   return entry;
 }
 
+/* Lets the call under this ticket be sent. */
+static void
+grant (struct ticket_entry *entry)
+{
+  JL_INVARIANT (entry->state == TICKET_IDLE, "one grant of a ticket at a time");
+  JL_INVARIANT (!entry->may_have_run, "no grant after one that may have run");
+  entry->state = TICKET_IN_PROGRESS;
+  cds_list_del_init (&entry->order);
+}
+
+/* The grant has ended. */
+static void
+settle (struct jl_core *core,
+        struct ticket_entry *entry,
+        enum ticket_state state)
+{
+  entry->state = state;
+  entry->may_have_run = state != TICKET_IDLE;
+  entry->settled_us = core->now_us;
+  cds_list_add_tail (&entry->order, &core->once->order);
+  expire_tickets (core);
+}
+
 /* Answers a call that may not be sent. */
 static bool
 answer_unsent (struct jl_core *core,
@@ -232,23 +275,29 @@
          && ticket.number > core->once->expired_below;
 }
 
-bool
-jl_once_arrive (struct jl_core *core, struct jl_call *call)
+/* Answers a sending of a request that was just told "not run". */
+static bool
+answer_held (struct jl_core *core,
+             struct jl_call *call,
+             const struct ticket_entry *entry)
 {
-  struct ticket_entry *entry
-      = g_hash_table_lookup (core->once->tickets, &call->ticket);
+  uint64_t wait_us = entry->held_until_us - core->now_us;
 
-  expire_marks (core);
-  if (entry == NULL && !is_valid (core, call->ticket))
-    return answer_unsent (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST,
-                          0);
-  if (entry == NULL)
-    entry = use_ticket (core, call);
-  else if (entry->digest != call->digest)
-    return answer_unsent (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_KEY_REUSED,
-                          0);
-  else
-    call->tokens = MIN (call->tokens, entry->tokens);
+  return answer_unsent (core, call, JL_OUTCOME_NOT_RUN, entry->reason,
+                        (uint32_t)(wait_us / JL_USEC_PER_MSEC) + 1);
+}
+
+/* Grants a run under a ticket that was used before, or answers. */
+static bool
+arrive_again (struct jl_core *core,
+              struct jl_call *call,
+              struct ticket_entry *entry)
+{
+  if (entry->digest != call->digest)
+    return answer_unsent (core, call,
+                          entry->state == TICKET_IDLE ? JL_OUTCOME_NOT_RUN
+                                                      : JL_OUTCOME_UNKNOWN,
+                          JL_REASON_KEY_REUSED, 0);
   switch (entry->state)
     {
     case TICKET_IN_PROGRESS:
@@ -262,28 +311,84 @@
     case TICKET_IDLE:
       break;
     }
-  entry->state = TICKET_IN_PROGRESS;
-  entry->grants++;
+  if (core->now_us < entry->held_until_us)
+    return answer_held (core, call, entry);
+  /* Tokens of a call further down were lent by its tree already. */
+  if (call->ticket.branch == 0)
+    call->tokens = MIN (call->tokens, entry->tokens);
+  grant (entry);
   return true;
 }
 
-void
+bool
+jl_once_arrive (struct jl_core *core, struct jl_call *call)
+{
+  struct ticket_entry *entry;
+
+  if (JL_SWITCHED_OFF (core, JL_MECHANISM_ONCE))
+    return true;
+  expire_marks (core);
+  expire_tickets (core);
+  entry = g_hash_table_lookup (core->once->tickets, &call->ticket);
+  if (entry != NULL)
+    return arrive_again (core, call, entry);
+  if (!is_valid (core, call->ticket))
+    return answer_unsent (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST,
+                          0);
+  grant (use_ticket (core, call));
+  return true;
+}
+
+uint32_t
 jl_once_answered (struct jl_core *core,
                   struct jl_call *call,
-                  enum jl_outcome outcome)
+                  enum jl_outcome outcome,
+                  enum jl_reason reason,
+                  uint32_t retry_after_ms)
 {
-  struct ticket_entry *entry
-      = g_hash_table_lookup (core->once->tickets, &call->ticket);
+  struct ticket_entry *entry;
 
+  if (JL_SWITCHED_OFF (core, JL_MECHANISM_ONCE))
+    return retry_after_ms;
+  entry = g_hash_table_lookup (core->once->tickets, &call->ticket);
   JL_INVARIANT (entry != NULL && entry->state == TICKET_IN_PROGRESS,
                 "only a granted ticket is answered");
+  retry_after_ms = MAX (retry_after_ms, HOLD_MIN_MS);
   entry->tokens = call->tokens;
+  entry->reason = reason;
+  entry->held_until_us = core->now_us + retry_after_ms * JL_USEC_PER_MSEC;
   if (outcome == JL_OUTCOME_DONE)
-    entry->state = TICKET_DONE;
+    settle (core, entry, TICKET_DONE);
   else if (outcome == JL_OUTCOME_NOT_RUN)
-    entry->state = TICKET_IDLE;
+    settle (core, entry, TICKET_IDLE);
   else
-    entry->state = TICKET_UNKNOWN;
+    settle (core, entry, TICKET_UNKNOWN);
+  return retry_after_ms;
+}
+
+static void
+drop_key (struct jl_once *once, struct key_entry *entry)
+{
+  cds_list_del (&entry->order);
+  g_hash_table_remove (once->keys, JL_HASH_KEY (entry->key_hash));
+}
+
+/* Forgets keys that are past their time, and the oldest when there are many. */
+static void
+expire_keys (struct jl_core *core)
+{
+  struct jl_once *once = core->once;
+
+  while (!cds_list_empty (&once->key_order))
+    {
+      struct key_entry *oldest
+          = cds_list_first_entry (&once->key_order, struct key_entry, order);
+
+      if (oldest->learned_us + KEY_KEEP_US > core->now_us
+          && g_hash_table_size (once->keys) <= KEY_MAX)
+        return;
+      drop_key (once, oldest);
+    }
 }
 
 bool
@@ -291,9 +396,10 @@
                     uint64_t key_hash,
                     struct jl_ticket *ticket)
 {
-  struct key_entry *entry
-      = g_hash_table_lookup (core->once->keys, JL_HASH_KEY (key_hash));
+  struct key_entry *entry;
 
+  expire_keys (core);
+  entry = g_hash_table_lookup (core->once->keys, JL_HASH_KEY (key_hash));
   if (entry == NULL)
     return false;
   *ticket = entry->ticket;
@@ -305,11 +411,19 @@
                    uint64_t key_hash,
                    struct jl_ticket ticket)
 {
-  struct key_entry *entry = g_new0 (struct key_entry, 1);
+  struct jl_once *once = core->once;
+  struct key_entry *entry
+      = g_hash_table_lookup (once->keys, JL_HASH_KEY (key_hash));
 
+  if (entry != NULL)
+    drop_key (once, entry);
+  entry = g_new0 (struct key_entry, 1);
+  entry->key_hash = key_hash;
   entry->ticket = ticket;
   entry->learned_us = core->now_us;
-  g_hash_table_insert (core->once->keys, JL_HASH_KEY (key_hash), entry);
+  cds_list_add_tail (&entry->order, &once->key_order);
+  g_hash_table_insert (once->keys, JL_HASH_KEY (key_hash), entry);
+  expire_keys (core);
 }
 
 void
--- a/source/core/once.h
+++ b/source/core/once.h
@@ -20,9 +20,14 @@
 
 /**
  * jl_once_derive - ticket of a call that a target makes further down
+ * @anchor: that of the run which makes the call
+ * @kind: its kind by name, since an index differs between configurations
+ *
+ * The branch hashes the whole path down the tree; a collision of two paths of
+ * one tree is as good as impossible at 64 bits.
  */
 struct jl_ticket
-jl_once_derive (struct jl_ticket anchor, uint32_t kind, uint32_t ordinal);
+jl_once_derive (struct jl_ticket anchor, const char *kind, uint32_t ordinal);
 
 /**
  * jl_once_arrive - a call under a ticket arrives at its minter
@@ -34,10 +39,18 @@
 /**
  * jl_once_answered - records the final outcome of the sending in progress
  * @outcome: JL_OUTCOME_NOT_RUN lets the request be sent again
+ * @retry_after_ms: when the caller will be told to come back
+ *
+ * A request that was not run is not granted again before that time, since
+ * what arrives earlier may be a sending that its caller has given up.
+ *
+ * Return: @retry_after_ms, or more.
  */
-void jl_once_answered (struct jl_core *core,
-                       struct jl_call *call,
-                       enum jl_outcome outcome);
+uint32_t jl_once_answered (struct jl_core *core,
+                           struct jl_call *call,
+                           enum jl_outcome outcome,
+                           enum jl_reason reason,
+                           uint32_t retry_after_ms);
 
 /**
  * jl_once_key_ticket - the ticket that a caller's key is known to stand for
--- a/tests/random/caller.c
+++ b/tests/random/caller.c
@@ -32,6 +32,7 @@
 
   sending->serial = ++world->next_serial;
   sending->request = request;
+  sending->path = request->id;
   sending->root = sending;
   sending->open = true;
   g_ptr_array_add (world->owned, sending);
@@ -66,7 +67,7 @@
   event.key_type = caller->key_type;
   event.ticket = caller->ticket;
   event.key_hash = caller->key_hash;
-  event.digest = sending->request->id;
+  event.digest = sending->path;
   caller->call = node->next_number + 1;
   call_node (node, sending, NULL, &event);
 }
--- a/tests/random/http.c
+++ b/tests/random/http.c
@@ -175,7 +175,7 @@
                                  .forwarded = true,
                                  .key_type = JL_KEY_TICKET,
                                  .ticket = forward->ticket,
-                                 .digest = exchange->sending->request->id,
+                                 .digest = exchange->sending->path,
                                  .budget_us = forward->budget_us,
                                  .priority = forward->priority,
                                  .tokens = forward->tokens,
--- a/tests/random/kinds.c
+++ b/tests/random/kinds.c
@@ -57,7 +57,9 @@
   if (kind_idempotent (kind))
     {
       children[count++] = get;
-      if (service % 2 == 0)
+      if (service == 0)
+        children[count++] = get;
+      if (service < 2)
         children[count++] = get + 1;
       return count;
     }
--- a/tests/random/target.c
+++ b/tests/random/target.c
@@ -48,7 +48,8 @@
   uint32_t kind;
   struct jl_event_call event = { .parent = run->work };
   struct sending *sending;
-  uint64_t id[3] = { run->sending->request->id };
+  uint64_t id[3] = { run->sending->path };
+  uint64_t request_id;
 
   if (run->over)
     return;
@@ -61,7 +62,13 @@
   id[1] = kind;
   id[2] = event.ordinal;
   event.digest = XXH3_64bits (id, sizeof id);
-  sending = new_sending (world, find_request (world, event.digest, kind));
+  request_id = event.digest;
+  /* An idempotent call has no key: each is a request of its own. */
+  id[2] = world->next_serial;
+  if (kind_idempotent (kind))
+    request_id = XXH3_64bits (id, sizeof id);
+  sending = new_sending (world, find_request (world, request_id, kind));
+  sending->path = event.digest;
   sending->parent = run;
   sending->root = run->sending->root;
   call_node (node, sending, NULL, &event);
--- a/tests/random/world.h
+++ b/tests/random/world.h
@@ -97,12 +97,14 @@
 /**
  * struct sending - one call made by a caller or by a target
  * @serial: counts up over the world
+ * @path: the same each time that a repeated parent makes this call
  * @root: the sending that its tree began with
  * @told_not_run: its maker was told that this sending did not run
  */
 struct sending
 {
   uint64_t serial;
+  uint64_t path;
   struct request *request;
   struct sending *root;
   struct run *parent;
