--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -120,6 +120,7 @@
  * @queue: place in the admission queue while it waits
  * @children: calls that the target makes meanwhile, by jl_call.siblings
  * @cancelled: its result is wanted by nobody
+ * @struck: its content had a strike when it began to run
  * @report: what its children's answers said of the services below
  */
 struct jl_work
@@ -127,7 +128,6 @@
   uint64_t number;
   enum jl_work_state state;
   struct jl_config *config;
- * @struck: its content had a strike when it began to run
   struct jl_attempt_id attempt;
   uint32_t kind;
   uint32_t priority;
@@ -140,6 +140,7 @@
   struct jl_ticket anchor;
   uint32_t tokens;
   bool cancelled;
+  bool struck;
   struct cds_list_head queue;
   struct cds_list_head children;
   struct jl_report report;
@@ -149,7 +150,6 @@
 /**
  * struct jl_counts - counters of decisions, by class where that matters
  */
-  bool struck;
 struct jl_counts
 {
   uint64_t events;
