--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -396,6 +396,43 @@
   send->digest = call->digest;
 }
 
+/* Tells the parent's entry the level of the service that @call is for. */
+static void
+report_service (struct jl_core *core, struct jl_call *call)
+{
+  uint32_t service = jl_place_service (core, call);
+
+  if (call->parent != NULL && service != JL_NONE)
+    jl_report_add (&call->parent->report, service,
+                   jl_place_level (core, service));
+}
+
+/* Answers a call that would be refused further down, before anything ran. */
+static void
+refuse_below (struct jl_core *core, struct jl_call *call, uint32_t service)
+{
+  if (call->parent != NULL)
+    jl_report_add (&call->parent->report, service,
+                   jl_graph_level (core, service));
+  end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+}
+
+/* Answers a call for which no target was found. */
+static void
+end_unplaced (struct jl_core *core,
+              struct jl_call *call,
+              enum jl_place_verdict verdict)
+{
+  enum jl_reason reason = call->last_reason;
+
+  if (verdict == JL_PLACE_REFUSED)
+    report_service (core, call);
+  if (reason == JL_REASON_NONE)
+    reason = verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
+                                         : JL_REASON_NO_TARGET;
+  end_call (core, call, JL_OUTCOME_NOT_RUN, reason);
+}
+
 void
 jl_entry_proceed (struct jl_core *core, struct jl_call *call)
 {
@@ -413,21 +450,17 @@
       end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_POISON);
       return;
     }
-  if (call->sends == 0
+  if (call->sends == 0 && call->config == core->config
       && jl_graph_refuses (core, call->kind, call->priority, &service))
     {
-      end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+      refuse_below (core, call, service);
       return;
     }
   verdict = jl_place_choose (core, call, &member);
   if (verdict == JL_PLACE_CHOSEN)
     send_call (core, call, member);
-  else if (call->last_reason != JL_REASON_NONE)
-    end_call (core, call, JL_OUTCOME_NOT_RUN, call->last_reason);
   else
-    end_call (core, call, JL_OUTCOME_NOT_RUN,
-              verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
-                                          : JL_REASON_NO_TARGET);
+    end_unplaced (core, call, verdict);
 }
 
 /* Sends the call to another target if that is allowed, or ends it. */
@@ -609,6 +642,29 @@
     answer->sending = JL_OUTCOME_NOT_RUN;
 }
 
+static void
+note_place_result (struct jl_core *core,
+                   const struct jl_call *call,
+                   const struct jl_event_call_result *event)
+{
+  struct jl_member *member = jl_members_find (core, call->member);
+
+  if (member != NULL)
+    jl_place_result (core, member, event);
+}
+
+/* Tells the parent's entry what an answer said of the services below. */
+static void
+report_answer (struct jl_core *core,
+               struct jl_call *call,
+               const struct jl_report *report)
+{
+  if (call->parent == NULL)
+    return;
+  jl_report_merge (&call->parent->report, report);
+  report_service (core, call);
+}
+
 void
 jl_entry_result (struct jl_core *core, const struct jl_event_call_result *event)
 {
@@ -619,15 +675,18 @@
     return;
   if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
     return;
+  if (call->state == JL_CALL_SENT)
+    note_place_result (core, call, event);
   if (event->result == JL_SEND_ANSWERED)
     {
       jl_retry_return (core, call, event->tokens);
-      jl_graph_learn (core, call->kind, &event->report);
-      if (call->parent != NULL)
-        jl_report_merge (&call->parent->report, &event->report);
+      report_answer (core, call, &event->report);
+      if (call->config == core->config)
+        jl_graph_learn (core, call->kind, event->outcome, &event->report);
     }
-  else if (event->result == JL_SEND_NOT_SENT)
-    jl_retry_return (core, call, call->lent);
+  else
+    jl_retry_return (core, call,
+                     event->result == JL_SEND_NOT_SENT ? call->lent : 0);
   if (call->state == JL_CALL_FORWARDED)
     handle_forward_result (core, call, event);
   else
@@ -652,8 +711,7 @@
   if (call->state == JL_CALL_SENT)
     {
       send_cancel (core, call);
-      if (member != NULL)
-        jl_place_result (core, member, &ended);
+      note_place_result (core, call, &ended);
     }
   if (call->state == JL_CALL_SENT || call->state == JL_CALL_CANCELLING)
     end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_CANCELLED);
--- a/source/core/graph.c
+++ b/source/core/graph.c
@@ -4,25 +4,54 @@
 
 #include "graph.h"
 
-#include <inttypes.h>
+#include "member.h"
 
-/* What was said of a service's level holds this long. */
+/* A level holds this long; of two halves of it the higher level counts. */
 #define LEVEL_FRESH_US (500 * JL_USEC_PER_MSEC)
-/* A service not seen below a kind for this long is forgotten. */
-#define EDGE_KEEP_US (60 * JL_USEC_PER_SEC)
+#define LEVEL_HALF_US (LEVEL_FRESH_US / 2)
+/* After that it bars, but is tried out; it is forgotten after this long. */
+#define LEVEL_KEEP_US (3 * JL_USEC_PER_SEC)
+/* Time from one trial to the next, for each of this many daemons. */
+#define TRIAL_INTERVAL_US (50 * JL_USEC_PER_MSEC)
+#define TRIAL_DAEMONS 16
+/* Of a kind's requests, this share has to reach a service that bars it. */
+#define REACH_PERCENT 90
+/* Answers from which the share is known, and at which it is halved. */
+#define ANSWERS_MIN 4
+#define ANSWERS_MAX 64
 
 /**
- * struct edge - a kind of request was seen to reach a service
+ * struct service_level - what answers said of a service's level
+ * @half_us: when the half in progress began
+ * @level: highest level in that half
+ * @last_level: highest level in the half before, 0 for none
+ * @heard_us: time of the last answer; 0 for never
+ * @trial_us: when a request may go through in spite of the level
  */
-struct edge
+struct service_level
 {
-  uint64_t seen_us;
+  uint64_t half_us;
   uint32_t level;
+  uint32_t last_level;
+  uint64_t heard_us;
+  uint64_t trial_us;
+};
+
+/**
+ * struct reach - which services the requests of a kind reach
+ * @answers: requests answered
+ * @reached: how many of these went through each service
+ */
+struct reach
+{
+  uint16_t answers;
+  uint16_t reached[JL_SERVICE_MAX];
 };
 
 struct jl_graph
 {
-  struct edge edges[JL_KIND_MAX][JL_SERVICE_MAX];
+  struct service_level services[JL_SERVICE_MAX];
+  struct reach kinds[JL_KIND_MAX];
 };
 
 struct jl_graph *
@@ -44,21 +73,82 @@
   core->graph = jl_graph_new (core);
 }
 
+static void
+hear_level (struct jl_core *core, uint32_t service, uint32_t level)
+{
+  struct service_level *known = &core->graph->services[service];
+  uint64_t age_us = core->now_us - known->half_us;
+
+  if (known->heard_us == 0 || age_us >= LEVEL_HALF_US)
+    {
+      known->last_level = age_us < LEVEL_FRESH_US ? known->level : 0;
+      known->level = 0;
+      known->half_us = core->now_us;
+    }
+  known->level = MAX (known->level, level);
+  known->heard_us = core->now_us;
+}
+
+static void
+halve (struct reach *reach)
+{
+  reach->answers /= 2;
+  for (uint32_t i = 0; i < JL_SERVICE_MAX; i++)
+    reach->reached[i] /= 2;
+}
+
 void
 jl_graph_learn (struct jl_core *core,
                 uint32_t kind,
+                enum jl_outcome outcome,
                 const struct jl_report *report)
 {
+  struct reach *reach = &core->graph->kinds[kind];
+
+  if (outcome == JL_OUTCOME_DONE)
+    reach->answers++;
   for (uint32_t i = 0; i < report->count; i++)
     {
-      struct edge *edge;
+      uint32_t service = report->items[i].service;
 
-      if (report->items[i].service >= JL_SERVICE_MAX)
+      if (service >= JL_SERVICE_MAX)
         continue;
-      edge = &core->graph->edges[kind][report->items[i].service];
-      edge->seen_us = core->now_us;
-      edge->level = report->items[i].level;
+      hear_level (core, service, report->items[i].level);
+      if (outcome == JL_OUTCOME_DONE)
+        reach->reached[service]++;
     }
+  if (reach->answers >= ANSWERS_MAX)
+    halve (reach);
+}
+
+static bool
+is_reached (const struct reach *reach, uint32_t service)
+{
+  return reach->answers >= ANSWERS_MIN
+         && reach->reached[service] * 100U >= reach->answers * REACH_PERCENT;
+}
+
+uint32_t
+jl_graph_level (struct jl_core *core, uint32_t service)
+{
+  const struct service_level *known = &core->graph->services[service];
+
+  if (known->heard_us == 0 || known->heard_us + LEVEL_KEEP_US < core->now_us)
+    return JL_PRIORITY_COUNT;
+  return MAX (known->level, known->last_level);
+}
+
+/* Whether a request goes through to learn of a level heard long ago. */
+static bool
+is_trial (struct jl_core *core, struct service_level *known)
+{
+  uint32_t shares = 1 + jl_members_count (core) / TRIAL_DAEMONS;
+
+  if (known->heard_us + LEVEL_FRESH_US >= core->now_us
+      || known->trial_us > core->now_us)
+    return false;
+  known->trial_us = core->now_us + shares * TRIAL_INTERVAL_US;
+  return true;
 }
 
 bool
@@ -68,22 +158,18 @@
                   uint32_t *service)
 {
   uint32_t own = core->config->kinds[kind].service;
+  const struct reach *reach = &core->graph->kinds[kind];
 
   if (core->options.mode != JL_CORE_FULL)
     return false;
   for (uint32_t i = 0; i < core->config->service_count; i++)
     {
-      const struct edge *edge = &core->graph->edges[kind][i];
-
-      if (i == own || edge->seen_us == 0)
+      if (i == own || !is_reached (reach, i)
+          || priority < jl_graph_level (core, i)
+          || is_trial (core, &core->graph->services[i]))
         continue;
-      if (edge->seen_us + LEVEL_FRESH_US < core->now_us)
-        continue;
-      if (priority >= edge->level)
-        {
-          *service = i;
-          return true;
-        }
+      *service = i;
+      return true;
     }
   return false;
 }
@@ -108,7 +194,15 @@
 jl_report_merge (struct jl_report *into, const struct jl_report *from)
 {
   for (uint32_t i = 0; i < from->count; i++)
-    jl_report_add (into, from->items[i].service, from->items[i].level);
+    {
+      const struct jl_report_item *item = &from->items[i];
+      uint32_t level = item->level;
+
+      for (uint32_t j = 0; j < into->count; j++)
+        if (into->items[j].service == item->service)
+          level = MAX (level, into->items[j].level);
+      jl_report_add (into, item->service, level);
+    }
 }
 
 void
@@ -121,14 +215,17 @@
        core->config != NULL && kind < core->config->kind_count; kind++)
     for (uint32_t i = 0; i < core->config->service_count; i++)
       {
-        const struct edge *edge = &core->graph->edges[kind][i];
+        const struct reach *reach = &core->graph->kinds[kind];
 
-        if (edge->seen_us == 0 || edge->seen_us + EDGE_KEEP_US < core->now_us)
+        if (reach->reached[i] == 0)
           continue;
         g_string_append_printf (
-            out, "%s{\"kind\":\"%s\",\"service\":\"%s\",\"level\":%u}", comma,
-            core->config->kinds[kind].name, core->config->services[i].name,
-            edge->level);
+            out,
+            "%s{\"kind\":\"%s\",\"service\":\"%s\",\"reached\":%u,"
+            "\"answers\":%u,\"level\":%u}",
+            comma, core->config->kinds[kind].name,
+            core->config->services[i].name, reach->reached[i], reach->answers,
+            jl_graph_level (core, i));
         comma = ",";
       }
   g_string_append (out, "]");
--- a/source/core/graph.h
+++ b/source/core/graph.h
@@ -4,6 +4,12 @@
 /**
  * DOC: The learned call graph: which services a kind of request reaches, and
  * what they refuse.
+ *
+ * Each answer brings the levels of the services that its request went
+ * through. A service bars a kind if nearly all requests of the kind reach it;
+ * one that only some reach is left to its own guards. A level holds for a
+ * short time. After that it still bars, but now and then a request goes
+ * through to learn of it, until it is forgotten.
  */
 
 #include "core-impl.h"
@@ -17,6 +23,7 @@
  */
 void jl_graph_learn (struct jl_core *core,
                      uint32_t kind,
+                     enum jl_outcome outcome,
                      const struct jl_report *report);
 
 /**
@@ -28,8 +35,15 @@
                        uint32_t priority,
                        uint32_t *service);
 
+/**
+ * jl_graph_level - lowest priority that a service is known to refuse
+ */
+uint32_t jl_graph_level (struct jl_core *core, uint32_t service);
+
 /**
  * jl_report_merge - adds the items of @from to @into
+ *
+ * Of a service that is in both the higher level stays.
  */
 void jl_report_merge (struct jl_report *into, const struct jl_report *from);
 
--- a/source/core/member.h
+++ b/source/core/member.h
@@ -21,6 +21,8 @@
  * @level: lowest priority that it refuses, by its last answer
  * @level_us: when that answer came; 0 for never
  * @first_seen_us: when this life of it was first heard of
+ * @load_us: when its load was last heard of; 0 for never
+ * @rank: see rank_of() in place.c; 0 while not set
  */
 struct jl_member
 {
@@ -35,6 +37,8 @@
   uint32_t load_permille;
   uint32_t level;
   uint64_t level_us;
+  uint64_t load_us;
+  uint64_t rank;
   uint32_t gossip_left;
   struct jl_timer suspicion;
 };
