Check that retry tokens are never made, and look cancellations up

Tokens left and lent are counted for each pool, and each change checks that they do not exceed what it began with. Tokens whose answer is lost leave the pool for good when the sending ends. JL_MECHANISM_TOKENS switches the bound off.

A cancellation, and its answer, searched all works and all calls. Works are now found by the table of sendings seen, calls by their attempt number.

--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -65,6 +65,8 @@
  * @guarded: its runs are granted under @ticket, at most one of them
  * @may_have_run: some sending may have run
  * @tokens: retry tokens of a call without @parent; else the parent's are used
+ * @tokens_begun: what @tokens began with
+ * @tokens_lent: what is out of @tokens with the sending in progress
  * @lent: tokens that went out with the sending in progress
  * @attempt: the sending in progress
  * @member: where it went
@@ -90,6 +92,8 @@
   uint64_t invested_us;
   uint64_t deadline_us;
   uint32_t tokens;
+  uint32_t tokens_begun;
+  uint32_t tokens_lent;
   uint32_t lent;
   uint32_t sends;
   struct jl_attempt_id attempt;
@@ -115,7 +119,11 @@
  * struct jl_work - one sending of a call at its guard
  * @queue: place in the admission queue while it waits
  * @children: calls that the target makes meanwhile, by jl_call.siblings
+ * @tokens: retry tokens that its children draw on
+ * @tokens_begun: what @tokens began with
+ * @tokens_lent: what is out of @tokens with sendings of its children
  * @cancelled: its result is wanted by nobody
+ * @struck: its content had a strike when it began to run
  * @report: what its children's answers said of the services below
  */
 struct jl_work
@@ -123,7 +131,6 @@
   uint64_t number;
   enum jl_work_state state;
   struct jl_config *config;
- * @struck: its content had a strike when it began to run
   struct jl_attempt_id attempt;
   uint32_t kind;
   uint32_t priority;
@@ -135,7 +142,10 @@
   uint64_t target_started;
   struct jl_ticket anchor;
   uint32_t tokens;
+  uint32_t tokens_begun;
+  uint32_t tokens_lent;
   bool cancelled;
+  bool struck;
   struct cds_list_head queue;
   struct cds_list_head children;
   struct jl_report report;
@@ -145,7 +155,6 @@
 /**
  * struct jl_counts - counters of decisions, by class where that matters
  */
-  bool struck;
 struct jl_counts
 {
   uint64_t events;
@@ -176,8 +185,9 @@
   bool draining;
   bool left;
   uint64_t next_attempt;
-  GHashTable *calls; /* number to struct jl_call */
-  GHashTable *works; /* number to struct jl_work */
+  GHashTable *calls;      /* number to struct jl_call */
+  GHashTable *works;      /* number to struct jl_work */
+  GHashTable *cancelling; /* attempt number to struct jl_call */
   struct jl_members *members;
   struct jl_admit *admit;
   struct jl_place *place;
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -55,6 +55,7 @@
   core->target.service = JL_NONE;
   core->calls = g_hash_table_new (g_direct_hash, g_direct_equal);
   core->works = g_hash_table_new (g_direct_hash, g_direct_equal);
+  core->cancelling = g_hash_table_new (g_direct_hash, g_direct_equal);
   core->effects = jl_effects_new ();
   core->retry = jl_retry_new (core);
   core->once = jl_once_new (core);
@@ -108,6 +109,7 @@
   jl_retry_drop (core->retry);
   g_hash_table_destroy (core->calls);
   g_hash_table_destroy (core->works);
+  g_hash_table_destroy (core->cancelling);
   jl_timers_drop (core->timers);
   g_rand_free (core->random);
   if (core->config != NULL)
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -70,8 +70,11 @@
 free_call (struct jl_core *core, struct jl_call *call)
 {
   jl_timer_stop (core->timers, &call->timer);
+  jl_retry_return (core, call, 0);
   if (call->parent != NULL)
     cds_list_del (&call->siblings);
+  if (call->state == JL_CALL_CANCELLING)
+    g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
   g_hash_table_remove (core->calls, JL_HASH_KEY (call->number));
   jl_config_drop (call->config);
   g_free (call);
@@ -176,6 +179,7 @@
   call->priority
       = kind->importance * JL_SAMPLE_COUNT + choose_sample (core, event);
   call->tokens = kind->retry_tokens;
+  call->tokens_begun = call->tokens;
   call->anchor = jl_once_mint (core);
 }
 
@@ -204,6 +208,7 @@
     {
       call->priority = event->priority % JL_PRIORITY_COUNT;
       call->tokens = event->tokens;
+      call->tokens_begun = event->tokens;
       call->invested_us = event->invested_us;
       call->anchor = event->ticket;
     }
@@ -513,6 +518,8 @@
   uint64_t due_us = core->now_us + CANCEL_WAIT_US;
 
   call->state = JL_CALL_CANCELLING;
+  g_hash_table_insert (core->cancelling, JL_HASH_KEY (call->attempt.number),
+                       call);
   send_cancel (core, call);
   jl_timer_start (core->timers, &call->timer, due_us, cancel_expired, core);
 }
@@ -520,25 +527,18 @@
 void
 jl_entry_cancelled (struct jl_core *core, const struct jl_message *message)
 {
-  GHashTableIter iterator;
-  gpointer value;
+  struct jl_call *call = g_hash_table_lookup (
+      core->cancelling, JL_HASH_KEY (message->attempt.number));
 
-  /* Few calls are cancelled at a time; all are few. */
-  g_hash_table_iter_init (&iterator, core->calls);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct jl_call *call = value;
-
-      if (call->state != JL_CALL_CANCELLING
-          || !jl_attempt_id_equal (call->attempt, message->attempt))
-        continue;
-      jl_timer_stop (core->timers, &call->timer);
-      if (message->type == JL_MESSAGE_CANCELLED)
-        try_again (core, call, JL_REASON_TARGET_LOST, false);
-      else
-        cancel_expired (core, &call->timer);
-      return;
-    }
+  if (call == NULL || !jl_attempt_id_equal (call->attempt, message->attempt))
+    return;
+  jl_timer_stop (core->timers, &call->timer);
+  g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
+  call->state = JL_CALL_NEW;
+  if (message->type == JL_MESSAGE_CANCELLED)
+    try_again (core, call, JL_REASON_TARGET_LOST, false);
+  else
+    cancel_expired (core, &call->timer);
 }
 
 static void
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -163,6 +163,7 @@
   work->deadline_us = core->now_us + event->budget_us;
   work->anchor = event->anchor;
   work->tokens = event->tokens;
+  work->tokens_begun = event->tokens;
   CDS_INIT_LIST_HEAD (&work->queue);
   CDS_INIT_LIST_HEAD (&work->children);
   g_hash_table_insert (core->works, JL_HASH_KEY (work->number), work);
@@ -194,6 +195,7 @@
       return;
     }
   jl_seen_set (core, event->attempt, JL_SEEN_ACCEPTED);
+  jl_seen_set_work (core, event->attempt, event->work);
   work = make_work (core, event);
   core->counts.works[work->priority / JL_SAMPLE_COUNT]++;
   jl_admit_arrive (core, work);
@@ -319,27 +321,12 @@
   core->counts.messages_sent++;
 }
 
-static struct jl_work *
-find_work (struct jl_core *core, struct jl_attempt_id attempt)
-{
-  GHashTableIter iterator;
-  gpointer value;
-
-  g_hash_table_iter_init (&iterator, core->works);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct jl_work *work = value;
-
-      if (jl_attempt_id_equal (work->attempt, attempt))
-        return work;
-    }
-  return NULL;
-}
-
 void
 jl_guard_cancel (struct jl_core *core, const struct jl_message *message)
 {
-  struct jl_work *work = find_work (core, message->attempt);
+  uint64_t number = jl_seen_work (core, message->attempt);
+  struct jl_work *work
+      = g_hash_table_lookup (core->works, JL_HASH_KEY (number));
 
   if (work != NULL && work->state == JL_WORK_WAITING)
     {
--- a/source/core/retry.c
+++ b/source/core/retry.c
@@ -8,6 +8,8 @@
 #define RATIO_COST 100
 /* Retries that a service may save up. */
 #define RATIO_BURST 10
+/* Sendings of a call in the baseline without tokens. */
+#define FORWARD_SENDS 3
 
 struct jl_retry
 {
@@ -30,11 +32,32 @@
   g_free (retry);
 }
 
-/* The tokens that a call draws on: its parent's, or its own. */
-static uint32_t *
+/**
+ * struct pool - the tokens that a call draws on: its parent's, or its own
+ */
+struct pool
+{
+  uint32_t *left;
+  uint32_t *lent;
+  uint32_t begun;
+};
+
+static struct pool
 pool_of (struct jl_call *call)
 {
-  return call->parent != NULL ? &call->parent->tokens : &call->tokens;
+  struct jl_work *parent = call->parent;
+
+  if (parent != NULL)
+    return (struct pool){ &parent->tokens, &parent->tokens_lent,
+                          parent->tokens_begun };
+  return (struct pool){ &call->tokens, &call->tokens_lent, call->tokens_begun };
+}
+
+static void
+check_pool (struct pool pool)
+{
+  JL_INVARIANT (*pool.left + *pool.lent <= pool.begun,
+                "no retry tokens are made");
 }
 
 uint32_t
@@ -46,11 +69,13 @@
 uint32_t
 jl_retry_lend (struct jl_core *core G_GNUC_UNUSED, struct jl_call *call)
 {
-  uint32_t *pool = pool_of (call);
-  uint32_t lent = (*pool + 1) / 2;
+  struct pool pool = pool_of (call);
+  uint32_t lent = (*pool.left + 1) / 2;
 
-  *pool -= lent;
+  *pool.left -= lent;
+  *pool.lent += lent;
   call->lent = lent;
+  check_pool (pool);
   return lent;
 }
 
@@ -59,8 +84,13 @@
                  struct jl_call *call,
                  uint32_t tokens)
 {
-  *pool_of (call) += MIN (tokens, call->lent);
+  struct pool pool = pool_of (call);
+
+  JL_INVARIANT (*pool.lent >= call->lent, "only lent tokens come back");
+  *pool.lent -= call->lent;
+  *pool.left += MIN (tokens, call->lent);
   call->lent = 0;
+  check_pool (pool);
 }
 
 void
@@ -79,13 +109,15 @@
 {
   uint32_t service = call->config->kinds[call->kind].service;
   uint32_t *earned = &core->retry->earned[service];
-  uint32_t *pool = pool_of (call);
+  struct pool pool = pool_of (call);
 
   if (core->options.mode == JL_CORE_FORWARD)
-    return call->sends < 3;
-  if (*pool == 0 || *earned < RATIO_COST)
+    return call->sends < FORWARD_SENDS;
+  if (JL_SWITCHED_OFF (core, JL_MECHANISM_TOKENS))
+    return true;
+  if (*pool.left == 0 || *earned < RATIO_COST)
     return false;
   *earned -= RATIO_COST;
-  (*pool)--;
+  (*pool.left)--;
   return true;
 }
--- a/source/core/retry.h
+++ b/source/core/retry.h
@@ -20,7 +20,8 @@
 
 /**
  * jl_retry_return - gives unspent tokens back to the call's pool
- * @tokens: more than were lent is cut to what was lent
+ * @tokens: more than were lent is cut to what was lent; 0 when the sending's
+ *          answer is lost
  */
 void
 jl_retry_return (struct jl_core *core, struct jl_call *call, uint32_t tokens);
--- a/source/core/seen.c
+++ b/source/core/seen.c
@@ -9,12 +9,14 @@
 
 /**
  * struct seen_entry - one sending
+ * @work: number of the work item that it became, 0 for none
  * @order: place in the order of arrival, for expiry
  */
 struct seen_entry
 {
   struct jl_attempt_id attempt;
   enum jl_seen seen;
+  uint64_t work;
   uint64_t arrived_us;
   struct cds_list_head order;
 };
@@ -111,3 +113,24 @@
   cds_list_add_tail (&entry->order, &table->order);
   g_hash_table_insert (table->entries, &entry->attempt, entry);
 }
+
+void
+jl_seen_set_work (struct jl_core *core,
+                  struct jl_attempt_id attempt,
+                  uint64_t work)
+{
+  struct seen_entry *entry
+      = g_hash_table_lookup (core->seen->entries, &attempt);
+
+  if (entry != NULL)
+    entry->work = work;
+}
+
+uint64_t
+jl_seen_work (struct jl_core *core, struct jl_attempt_id attempt)
+{
+  const struct seen_entry *entry
+      = g_hash_table_lookup (core->seen->entries, &attempt);
+
+  return entry == NULL ? 0 : entry->work;
+}
--- a/source/core/seen.h
+++ b/source/core/seen.h
@@ -28,4 +28,16 @@
                   struct jl_attempt_id attempt,
                   enum jl_seen seen);
 
+/**
+ * jl_seen_set_work - the work item that a sending became
+ */
+void jl_seen_set_work (struct jl_core *core,
+                       struct jl_attempt_id attempt,
+                       uint64_t work);
+
+/**
+ * jl_seen_work - number of that work item, 0 when there never was one
+ */
+uint64_t jl_seen_work (struct jl_core *core, struct jl_attempt_id attempt);
+
 #endif
