Strike requests that crash targets, and bar them at two targets

A digest alone was struck before, at the first broken connection, for good. Now a strike names the target and holds five minutes. When a struck request is in progress at a crash, only this one is struck again; contents that were answered within the last minute are spared, since a popular request in progress at two crashes would else be barred everywhere. One struck request at a time runs at a target. An answer says by its reason whether its request was struck, so that an entry which re-sends stops at the second crash without waiting for news. The daemons of the own service are told at once, all others by the strikes that probes and news carry.

--- a/source/core/admit.h
+++ b/source/core/admit.h
@@ -57,6 +57,12 @@
 
 uint32_t jl_admit_running (struct jl_core *core);
 uint32_t jl_admit_waiting (struct jl_core *core);
+
+/**
+ * jl_admit_struck_running - running items whose content has a strike
+ */
+uint32_t jl_admit_struck_running (struct jl_core *core);
+
 void jl_admit_dump (struct jl_core *core, GString *out);
 
 #endif
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -546,9 +546,10 @@
           struct jl_call *call,
           const struct jl_event_call_result *event)
 {
-  struct jl_effect_answer *answer
-      = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
+  struct jl_effect_answer *answer;
 
+  jl_poison_done (core, call->digest);
+  answer = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
   answer->report = event->report;
 }
 
@@ -569,7 +570,11 @@
       return;
     case JL_OUTCOME_UNKNOWN:
       call->may_have_run = true;
-      if (!call->guarded && event->reason == JL_REASON_TARGET_LOST)
+      if (event->reason == JL_REASON_POISON)
+        jl_poison_strike (core, call->digest, call->member);
+      if (!call->guarded
+          && (event->reason == JL_REASON_TARGET_LOST
+              || event->reason == JL_REASON_POISON))
         try_again (core, call, event->reason, event->no_retry);
       else
         end_call (core, call, JL_OUTCOME_UNKNOWN, event->reason);
@@ -597,10 +602,6 @@
                     struct jl_call *call,
                     const struct jl_event_call_result *event)
 {
-  struct jl_member *member = jl_members_find (core, call->member);
-
-  if (member != NULL)
-    jl_place_result (core, member, event);
   switch (event->result)
     {
     case JL_SEND_ANSWERED:
@@ -697,7 +698,6 @@
 static void
 stop_call (struct jl_core *core, struct jl_call *call)
 {
-  struct jl_member *member = jl_members_find (core, call->member);
   struct jl_event_call_result ended = { .result = JL_SEND_TIMEOUT };
 
   if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -262,9 +262,11 @@
 static void
 handle_broken (struct jl_core *core, struct jl_work *work)
 {
-  if (!work->cancelled)
-    jl_poison_strike (core, work->digest, core->identity.member);
-  finish_work (core, work, JL_OUTCOME_UNKNOWN, JL_REASON_TARGET_LOST);
+  enum jl_reason reason = JL_REASON_TARGET_LOST;
+
+  if (!work->cancelled && jl_poison_target_died (core, work))
+    reason = JL_REASON_POISON;
+  finish_work (core, work, JL_OUTCOME_UNKNOWN, reason);
 }
 
 void
@@ -281,6 +283,7 @@
   switch (event->result)
     {
     case JL_RUN_ANSWERED:
+      jl_poison_done (core, work->digest);
       finish_work (core, work, JL_OUTCOME_DONE, JL_REASON_NONE);
       return;
     case JL_RUN_NOT_SENT:
--- a/source/core/poison.c
+++ b/source/core/poison.c
@@ -4,9 +4,81 @@
 
 #include "poison.h"
 
+#include <string.h>
+
+#include "admit.h"
+#include "member.h"
+
+/* Strikes on different targets from which a request is refused. */
+#define STRIKE_LIMIT 2
+/* A strike counts for this long. */
+#define STRIKE_KEEP_US (300 * JL_USEC_PER_SEC)
+/* Contents that are remembered, and targets for each. */
+#define RECORD_MAX 2048
+#define TARGET_MAX 4
+/* Messages that one strike is put into. */
+#define GOSSIP_COUNT 40
+/* Records that are looked at for one message. */
+#define GOSSIP_SEARCH 64
+/* Strikes are collected for this long, then the own service's daemons told. */
+#define TELL_DELAY_US (1 * JL_USEC_PER_MSEC)
+/* A strike that is heard of again counts anew if it is younger by this. */
+#define REPEAT_US (5 * JL_USEC_PER_SEC)
+/* Contents that were answered are spared for this long. */
+#define ANSWERED_KEEP_US (60 * JL_USEC_PER_SEC)
+#define ANSWERED_COUNT 1024
+
+/**
+ * struct strike - a target that died
+ * @gossip_left: messages that it is still put into
+ */
+struct strike
+{
+  uint64_t target;
+  uint64_t struck_us;
+  uint32_t gossip_left;
+};
+
+/**
+ * struct record - the strikes of one content
+ * @done_us: when it was last answered here; older strikes do not count
+ * @changed_us: time of the newest strike or answer, for expiry
+ * @untold: the daemons of the own service are still to be told
+ * @order: place in the order of @changed_us
+ */
+struct record
+{
+  uint64_t digest;
+  uint64_t done_us;
+  uint64_t changed_us;
+  bool untold;
+  uint32_t count;
+  struct strike strikes[TARGET_MAX];
+  struct cds_list_head order;
+};
+
+/**
+ * struct answered - a content that was answered by the own target
+ */
+struct answered
+{
+  uint64_t digest;
+  uint64_t answered_us;
+};
+
+/**
+ * struct jl_poison - all strikes
+ * @blamed: a request that ran alone got the strike for the death of @life
+ */
 struct jl_poison
 {
-  GHashTable *strikes;
+  GHashTable *records;
+  struct cds_list_head order;
+  bool blamed;
+  uint64_t life;
+  struct answered answered[ANSWERED_COUNT];
+  struct jl_timer expiry;
+  struct jl_timer tell;
 };
 
 struct jl_poison *
@@ -14,59 +86,373 @@
 {
   struct jl_poison *poison = g_new0 (struct jl_poison, 1);
 
-  poison->strikes = g_hash_table_new (g_direct_hash, g_direct_equal);
+  poison->records
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  CDS_INIT_LIST_HEAD (&poison->order);
   return poison;
 }
 
 void
 jl_poison_drop (struct jl_poison *poison)
 {
-  g_hash_table_destroy (poison->strikes);
+  g_hash_table_destroy (poison->records);
   g_free (poison);
 }
 
+static struct record *
+find_record (const struct jl_core *core, uint64_t digest)
+{
+  if (g_hash_table_size (core->poison->records) == 0)
+    return NULL;
+  return g_hash_table_lookup (core->poison->records, JL_HASH_KEY (digest));
+}
+
+static void
+drop_oldest (struct jl_core *core)
+{
+  struct record *oldest
+      = cds_list_first_entry (&core->poison->order, struct record, order);
+
+  cds_list_del (&oldest->order);
+  g_hash_table_remove (core->poison->records, JL_HASH_KEY (oldest->digest));
+}
+
+static void
+expire (void *context, struct jl_timer *timer)
+{
+  struct jl_core *core = context;
+
+  while (!cds_list_empty (&core->poison->order))
+    {
+      const struct record *oldest
+          = cds_list_first_entry (&core->poison->order, struct record, order);
+      uint64_t due_us = oldest->changed_us + STRIKE_KEEP_US;
+
+      if (due_us > core->now_us)
+        {
+          jl_timer_start (core->timers, timer, due_us, expire, core);
+          return;
+        }
+      drop_oldest (core);
+    }
+}
+
+/* Moves a record to the end of the order of expiry. */
+static void
+touch (struct jl_core *core, struct record *record)
+{
+  struct jl_poison *poison = core->poison;
+
+  record->changed_us = core->now_us;
+  cds_list_del (&record->order);
+  cds_list_add_tail (&record->order, &poison->order);
+  if (poison->expiry.index == 0)
+    jl_timer_start (core->timers, &poison->expiry,
+                    core->now_us + STRIKE_KEEP_US, expire, core);
+}
+
+static struct record *
+add_record (struct jl_core *core, uint64_t digest)
+{
+  struct record *record = g_new0 (struct record, 1);
+
+  if (g_hash_table_size (core->poison->records) >= RECORD_MAX)
+    drop_oldest (core);
+  record->digest = digest;
+  cds_list_add_tail (&record->order, &core->poison->order);
+  g_hash_table_insert (core->poison->records, JL_HASH_KEY (digest), record);
+  return record;
+}
+
+/* Whether a strike is young enough, and no answer came since. */
+static bool
+counts (const struct jl_core *core,
+        const struct record *record,
+        const struct strike *strike)
+{
+  return strike->struck_us > record->done_us
+         && strike->struck_us + STRIKE_KEEP_US > core->now_us;
+}
+
+/* The place for a strike by @target: its own, a free one, or the oldest's. */
+static struct strike *
+find_place (struct record *record, uint64_t target)
+{
+  struct strike *oldest = &record->strikes[0];
+
+  for (uint32_t i = 0; i < record->count; i++)
+    {
+      if (record->strikes[i].target == target)
+        return &record->strikes[i];
+      if (record->strikes[i].struck_us < oldest->struck_us)
+        oldest = &record->strikes[i];
+    }
+  if (record->count < TARGET_MAX)
+    return &record->strikes[record->count++];
+  return oldest;
+}
+
+/* Logs strikes of the own target, and the one from which it is refused. */
+static void
+log_strike (struct jl_core *core, const struct record *record, uint64_t target)
+{
+  uint32_t strikes = jl_poison_strikes (core, record->digest);
+
+  if (target == core->identity.member || strikes == STRIKE_LIMIT)
+    jl_log_event (core, JL_LOG_STRIKE, record->digest, strikes);
+}
+
+/* Return: whether that is news. */
+static bool
+add_strike (struct jl_core *core,
+            uint64_t digest,
+            uint64_t target,
+            uint64_t struck_us)
+{
+  struct record *record = find_record (core, digest);
+  struct strike *strike;
+
+  if (record == NULL)
+    record = add_record (core, digest);
+  if (struck_us <= record->done_us)
+    return false;
+  strike = find_place (record, target);
+  if (strike->target == target && strike->struck_us + REPEAT_US > struck_us)
+    return false;
+  strike->target = target;
+  strike->struck_us = struck_us;
+  strike->gossip_left = GOSSIP_COUNT;
+  touch (core, record);
+  log_strike (core, record, target);
+  return true;
+}
+
 void
-jl_poison_strike (struct jl_core *core,
-                  uint64_t digest,
-                  uint64_t target G_GNUC_UNUSED)
+jl_poison_strike (struct jl_core *core, uint64_t digest, uint64_t target)
+{
+  if (digest != 0 && core->options.mode == JL_CORE_FULL)
+    add_strike (core, digest, target, core->now_us);
+}
+
+/* Sends the strikes of some records to one daemon of the own service. */
+static void
+tell_member (struct jl_core *core, const struct jl_member *member)
+{
+  struct jl_message *message = NULL;
+  struct record *record;
+
+  cds_list_for_each_entry_reverse (record, &core->poison->order, order)
+  {
+    if (!record->untold)
+      continue;
+    if (message == NULL)
+      {
+        struct jl_effect_message *effect
+            = jl_emit (core, JL_EFFECT_MESSAGE)->message;
+
+        effect->to = jl_member_endpoint (member->info.identity.member);
+        message = &effect->message;
+        message->type = JL_MESSAGE_SYNC;
+        message->from = core->identity;
+        message->to = member->info.identity;
+        core->counts.messages_sent++;
+      }
+    for (uint32_t i = 0; i < record->count; i++)
+      if (record->strikes[i].target == core->identity.member)
+        {
+          struct jl_strike *strike = &message->strikes[message->strike_count++];
+
+          strike->digest = record->digest;
+          strike->target = record->strikes[i].target;
+          strike->age_ms
+              = (uint32_t)((core->now_us - record->strikes[i].struck_us)
+                           / JL_USEC_PER_MSEC);
+        }
+    if (message->strike_count == JL_MESSAGE_STRIKE_MAX)
+      message = NULL;
+  }
+}
+
+/* Tells the daemons that could run the struck requests next. */
+static void
+tell (void *context, struct jl_timer *timer G_GNUC_UNUSED)
+{
+  struct jl_core *core = context;
+  struct cds_list_head *members
+      = jl_members_of_service (core, core->target.service);
+  struct jl_member *member;
+  struct record *record;
+
+  if (members != NULL)
+    cds_list_for_each_entry (member, members, by_service)
+    {
+      if (member->info.identity.member != core->identity.member
+          && member->info.state == JL_MEMBER_ALIVE)
+        tell_member (core, member);
+    }
+  cds_list_for_each_entry (record, &core->poison->order, order)
+  {
+    record->untold = false;
+  }
+}
+
+static void
+strike_own (struct jl_core *core, uint64_t digest)
 {
-  g_hash_table_add (core->poison->strikes, JL_HASH_KEY (digest));
+  struct record *record;
+
+  if (!add_strike (core, digest, core->identity.member, core->now_us))
+    return;
+  record = find_record (core, digest);
+  record->untold = true;
+  if (core->poison->tell.index == 0)
+    jl_timer_start (core->timers, &core->poison->tell,
+                    core->now_us + TELL_DELAY_US, tell, core);
+}
+
+static struct answered *
+answered_of (struct jl_core *core, uint64_t digest)
+{
+  return &core->poison->answered[digest % ANSWERED_COUNT];
+}
+
+static bool
+was_answered (struct jl_core *core, uint64_t digest)
+{
+  const struct answered *answered = answered_of (core, digest);
+
+  return answered->digest == digest && answered->answered_us > 0
+         && answered->answered_us + ANSWERED_KEEP_US > core->now_us;
+}
+
+bool
+jl_poison_target_died (struct jl_core *core, const struct jl_work *work)
+{
+  struct jl_poison *poison = core->poison;
+
+  if (work->digest == 0 || core->options.mode != JL_CORE_FULL)
+    return false;
+  if (poison->blamed && poison->life == work->target_started)
+    return false;
+  if (work->struck)
+    {
+      poison->blamed = true;
+      poison->life = work->target_started;
+    }
+  else if (jl_admit_struck_running (core) > 0
+           || was_answered (core, work->digest))
+    return false;
+  strike_own (core, work->digest);
+  return true;
+}
+
+void
+jl_poison_done (struct jl_core *core, uint64_t digest)
+{
+  struct answered *answered = answered_of (core, digest);
+  struct record *record = find_record (core, digest);
+
+  if (digest == 0 || core->options.mode != JL_CORE_FULL)
+    return;
+  answered->digest = digest;
+  answered->answered_us = core->now_us;
+  if (record == NULL)
+    return;
+  record->done_us = core->now_us;
+  touch (core, record);
 }
 
 uint32_t
 jl_poison_strikes (struct jl_core *core, uint64_t digest)
 {
-  return g_hash_table_contains (core->poison->strikes, JL_HASH_KEY (digest));
+  const struct record *record = find_record (core, digest);
+  uint32_t strikes = 0;
+
+  if (record == NULL)
+    return 0;
+  for (uint32_t i = 0; i < record->count; i++)
+    strikes += counts (core, record, &record->strikes[i]);
+  return strikes;
 }
 
 bool
 jl_poison_refuses (struct jl_core *core, uint64_t digest)
 {
-  return jl_poison_strikes (core, digest) >= 2;
+  return jl_poison_strikes (core, digest) >= STRIKE_LIMIT;
 }
 
 bool
 jl_poison_runs_alone (struct jl_core *core, uint64_t digest)
 {
-  return jl_poison_strikes (core, digest) == 1;
+  return jl_poison_strikes (core, digest) > 0;
+}
+
+static void
+fill_from (const struct jl_core *core,
+           struct record *record,
+           struct jl_message *message)
+{
+  for (uint32_t i = 0; i < record->count; i++)
+    {
+      struct strike *strike = &record->strikes[i];
+      struct jl_strike *out;
+
+      if (message->strike_count == JL_MESSAGE_STRIKE_MAX)
+        return;
+      if (strike->gossip_left == 0 || !counts (core, record, strike))
+        continue;
+      strike->gossip_left--;
+      out = &message->strikes[message->strike_count++];
+      out->digest = record->digest;
+      out->target = strike->target;
+      out->age_ms
+          = (uint32_t)((core->now_us - strike->struck_us) / JL_USEC_PER_MSEC);
+    }
 }
 
 void
-jl_poison_fill (struct jl_core *core G_GNUC_UNUSED, struct jl_message *message)
+jl_poison_fill (struct jl_core *core, struct jl_message *message)
 {
-  message->strike_count = 0;
+  struct record *record;
+  uint32_t searched = 0;
+
+  cds_list_for_each_entry_reverse (record, &core->poison->order, order)
+  {
+    if (message->strike_count == JL_MESSAGE_STRIKE_MAX
+        || ++searched > GOSSIP_SEARCH)
+      return;
+    fill_from (core, record, message);
+  }
 }
 
 void
 jl_poison_message (struct jl_core *core, const struct jl_message *message)
 {
+  if (core->options.mode != JL_CORE_FULL)
+    return;
   for (uint32_t i = 0; i < message->strike_count; i++)
-    jl_poison_strike (core, message->strikes[i].digest,
-                      message->strikes[i].target);
+    {
+      const struct jl_strike *strike = &message->strikes[i];
+      uint64_t age_us = strike->age_ms * JL_USEC_PER_MSEC;
+      uint64_t struck_us = core->now_us > age_us ? core->now_us - age_us : 1;
+
+      if (strike->digest != 0 && age_us < STRIKE_KEEP_US)
+        add_strike (core, strike->digest, strike->target, struck_us);
+    }
 }
 
 void
 jl_poison_dump (struct jl_core *core, GString *out)
 {
-  g_string_append_printf (out, "%u", g_hash_table_size (core->poison->strikes));
+  struct record *record;
+  uint32_t struck = 0;
+  uint32_t refused = 0;
+
+  cds_list_for_each_entry (record, &core->poison->order, order)
+  {
+    struck += jl_poison_runs_alone (core, record->digest);
+    refused += jl_poison_refuses (core, record->digest);
+  }
+  g_string_append_printf (out, "{\"struck\":%u,\"refused\":%u}", struck,
+                          refused);
 }
--- a/source/core/poison.h
+++ b/source/core/poison.h
@@ -5,8 +5,12 @@
  * DOC: Requests that crash the targets that run them.
  *
  * A request in progress when its target died gets a strike, by the digest of
- * its content. One that has a strike runs alone; at two strikes on different
- * targets it is refused everywhere for a while. Strikes travel with messages.
+ * its content. Of requests that have a strike, one at a time runs at a
+ * target; when that target dies, only this one gets another. At two strikes
+ * on different targets it is refused everywhere for a while. Strikes travel
+ * with messages, and a request that was answered loses them here.
+ *
+ * Content without a digest (0) is never struck.
  */
 
 #include "core-impl.h"
@@ -14,11 +18,23 @@
 struct jl_poison *jl_poison_new (struct jl_core *core);
 void jl_poison_drop (struct jl_poison *poison);
 
+/**
+ * jl_poison_target_died - the own target died with @work in progress
+ *
+ * Return: true when @work got a strike for it.
+ */
+bool jl_poison_target_died (struct jl_core *core, const struct jl_work *work);
+
 /**
  * jl_poison_strike - @digest was in progress when @target died
  */
 void jl_poison_strike (struct jl_core *core, uint64_t digest, uint64_t target);
 
+/**
+ * jl_poison_done - a request of this content was answered
+ */
+void jl_poison_done (struct jl_core *core, uint64_t digest);
+
 /**
  * jl_poison_strikes - different targets that died with @digest in progress
  */
@@ -30,7 +46,8 @@
 bool jl_poison_refuses (struct jl_core *core, uint64_t digest);
 
 /**
- * jl_poison_runs_alone - whether it may run only while nothing else does
+ * jl_poison_runs_alone - whether it may run only while no other request that
+ * has a strike does
  */
 bool jl_poison_runs_alone (struct jl_core *core, uint64_t digest);
 
