--- a/tests/support/print.c
+++ b/tests/support/print.c
@@ -418,6 +418,10 @@
       g_string_append (out, "publish");
       print_member_info (out, &effect->publish);
       break;
+    case JL_EFFECT_CONFIG:
+      g_string_append_printf (out, "config version=%" PRIu64,
+                              effect->config->version);
+      break;
     case JL_EFFECT_FETCH_CONFIG:
       g_string_append_printf (out, "fetch-config version=%" PRIu64,
                               effect->fetch_config.version);
