--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -66,6 +66,8 @@
  * @keyed: its caller named it, and may have sent it before
  * @may_have_run: some sending may have run
  * @tokens: retry tokens of a call without @parent; else the parent's are used
+ * @tokens_begun: what @tokens began with
+ * @tokens_lent: what is out of @tokens with the sending in progress
  * @lent: tokens that went out with the sending in progress
  * @attempt: the sending in progress
  * @member: where it went
@@ -93,6 +95,8 @@
   uint64_t invested_us;
   uint64_t deadline_us;
   uint32_t tokens;
+  uint32_t tokens_begun;
+  uint32_t tokens_lent;
   uint32_t lent;
   uint32_t sends;
   struct jl_attempt_id attempt;
@@ -119,6 +123,9 @@
  * struct jl_work - one sending of a call at its guard
  * @queue: place in the admission queue while it waits
  * @children: calls that the target makes meanwhile, by jl_call.siblings
+ * @tokens: retry tokens that its children draw on
+ * @tokens_begun: what @tokens began with
+ * @tokens_lent: what is out of @tokens with sendings of its children
  * @cancelled: its result is wanted by nobody
  * @struck: its content had a strike when it began to run
  * @report: what its children's answers said of the services below
@@ -139,6 +146,8 @@
   uint64_t target_started;
   struct jl_ticket anchor;
   uint32_t tokens;
+  uint32_t tokens_begun;
+  uint32_t tokens_lent;
   bool cancelled;
   bool struck;
   struct cds_list_head queue;
@@ -181,9 +190,10 @@
   bool left;
   struct jl_timer drain_linger;
   uint64_t next_attempt;
-  uint32_t caller_calls; /* calls of callers in progress */
-  GHashTable *calls;     /* number to struct jl_call */
-  GHashTable *works;     /* number to struct jl_work */
+  uint32_t caller_calls;  /* calls of callers in progress */
+  GHashTable *calls;      /* number to struct jl_call */
+  GHashTable *works;      /* number to struct jl_work */
+  GHashTable *cancelling; /* attempt number to struct jl_call */
   struct jl_members *members;
   struct jl_admit *admit;
   struct jl_place *place;
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -71,10 +71,13 @@
 free_call (struct jl_core *core, struct jl_call *call)
 {
   jl_timer_stop (core->timers, &call->timer);
+  jl_retry_return (core, call, 0);
   if (call->parent != NULL)
     cds_list_del (&call->siblings);
   else
     core->caller_calls--;
+  if (call->state == JL_CALL_CANCELLING)
+    g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
   g_hash_table_remove (core->calls, JL_HASH_KEY (call->number));
   jl_config_drop (call->config);
   g_free (call);
@@ -184,6 +187,7 @@
   call->priority
       = kind->importance * JL_SAMPLE_COUNT + choose_sample (core, event);
   call->tokens = kind->retry_tokens;
+  call->tokens_begun = call->tokens;
   call->anchor
       = event->key_type == JL_KEY_TICKET ? event->ticket : jl_once_mint (core);
 }
@@ -215,6 +219,7 @@
     {
       call->priority = event->priority % JL_PRIORITY_COUNT;
       call->tokens = event->tokens;
+      call->tokens_begun = event->tokens;
       call->invested_us = event->invested_us;
     }
   g_hash_table_insert (core->calls, JL_HASH_KEY (call->number), call);
@@ -449,6 +454,43 @@
   send->digest = call->digest;
 }
 
+/* Tells the parent's entry the level of the service that @call is for. */
+static void
+report_service (struct jl_core *core, struct jl_call *call)
+{
+  uint32_t service = jl_place_service (core, call);
+
+  if (call->parent != NULL && service != JL_NONE)
+    jl_report_add (&call->parent->report, service,
+                   jl_place_level (core, service));
+}
+
+/* Answers a call that would be refused further down, before anything ran. */
+static void
+refuse_below (struct jl_core *core, struct jl_call *call, uint32_t service)
+{
+  if (call->parent != NULL)
+    jl_report_add (&call->parent->report, service,
+                   jl_graph_level (core, service));
+  end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+}
+
+/* Answers a call for which no target was found. */
+static void
+end_unplaced (struct jl_core *core,
+              struct jl_call *call,
+              enum jl_place_verdict verdict)
+{
+  enum jl_reason reason = call->last_reason;
+
+  if (verdict == JL_PLACE_REFUSED)
+    report_service (core, call);
+  if (reason == JL_REASON_NONE)
+    reason = verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
+                                         : JL_REASON_NO_TARGET;
+  end_call (core, call, JL_OUTCOME_NOT_RUN, reason);
+}
+
 void
 jl_entry_proceed (struct jl_core *core, struct jl_call *call)
 {
@@ -466,21 +508,17 @@
       end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_POISON);
       return;
     }
-  if (call->sends == 0
+  if (call->sends == 0 && call->config == core->config
       && jl_graph_refuses (core, call->kind, call->priority, &service))
     {
-      end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+      refuse_below (core, call, service);
       return;
     }
   verdict = jl_place_choose (core, call, &member);
   if (verdict == JL_PLACE_CHOSEN)
     send_call (core, call, member);
-  else if (call->last_reason != JL_REASON_NONE)
-    end_call (core, call, JL_OUTCOME_NOT_RUN, call->last_reason);
   else
-    end_call (core, call, JL_OUTCOME_NOT_RUN,
-              verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
-                                          : JL_REASON_NO_TARGET);
+    end_unplaced (core, call, verdict);
 }
 
 /* Sends the call to another target if that is allowed, or ends it. */
@@ -534,6 +572,8 @@
   uint64_t due_us = core->now_us + CANCEL_WAIT_US;
 
   call->state = JL_CALL_CANCELLING;
+  g_hash_table_insert (core->cancelling, JL_HASH_KEY (call->attempt.number),
+                       call);
   send_cancel (core, call);
   jl_timer_start (core->timers, &call->timer, due_us, cancel_expired, core);
 }
@@ -541,25 +581,18 @@
 void
 jl_entry_cancelled (struct jl_core *core, const struct jl_message *message)
 {
-  GHashTableIter iterator;
-  gpointer value;
+  struct jl_call *call = g_hash_table_lookup (
+      core->cancelling, JL_HASH_KEY (message->attempt.number));
 
-  /* Few calls are cancelled at a time; all are few. */
-  g_hash_table_iter_init (&iterator, core->calls);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct jl_call *call = value;
-
-      if (call->state != JL_CALL_CANCELLING
-          || !jl_attempt_id_equal (call->attempt, message->attempt))
-        continue;
-      jl_timer_stop (core->timers, &call->timer);
-      if (message->type == JL_MESSAGE_CANCELLED)
-        try_again (core, call, JL_REASON_TARGET_LOST, false);
-      else
-        cancel_expired (core, &call->timer);
-      return;
-    }
+  if (call == NULL || !jl_attempt_id_equal (call->attempt, message->attempt))
+    return;
+  jl_timer_stop (core->timers, &call->timer);
+  g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
+  call->state = JL_CALL_NEW;
+  if (message->type == JL_MESSAGE_CANCELLED)
+    try_again (core, call, JL_REASON_TARGET_LOST, false);
+  else
+    cancel_expired (core, &call->timer);
 }
 
 static void
@@ -567,9 +600,10 @@
           struct jl_call *call,
           const struct jl_event_call_result *event)
 {
-  struct jl_effect_answer *answer
-      = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
+  struct jl_effect_answer *answer;
 
+  jl_poison_done (core, call->digest);
+  answer = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
   answer->report = event->report;
 }
 
@@ -590,7 +624,11 @@
       return;
     case JL_OUTCOME_UNKNOWN:
       call->may_have_run = true;
-      if (!call->guarded && event->reason == JL_REASON_TARGET_LOST)
+      if (event->reason == JL_REASON_POISON)
+        jl_poison_strike (core, call->digest, call->member);
+      if (!call->guarded
+          && (event->reason == JL_REASON_TARGET_LOST
+              || event->reason == JL_REASON_POISON))
         try_again (core, call, event->reason, event->no_retry);
       else
         end_call (core, call, JL_OUTCOME_UNKNOWN, event->reason);
@@ -618,10 +656,6 @@
                     struct jl_call *call,
                     const struct jl_event_call_result *event)
 {
-  struct jl_member *member = jl_members_find (core, call->member);
-
-  if (member != NULL)
-    jl_place_result (core, member, event);
   switch (event->result)
     {
     case JL_SEND_ANSWERED:
@@ -663,6 +697,29 @@
     answer->sending = JL_OUTCOME_NOT_RUN;
 }
 
+static void
+note_place_result (struct jl_core *core,
+                   const struct jl_call *call,
+                   const struct jl_event_call_result *event)
+{
+  struct jl_member *member = jl_members_find (core, call->member);
+
+  if (member != NULL)
+    jl_place_result (core, member, event);
+}
+
+/* Tells the parent's entry what an answer said of the services below. */
+static void
+report_answer (struct jl_core *core,
+               struct jl_call *call,
+               const struct jl_report *report)
+{
+  if (call->parent == NULL)
+    return;
+  jl_report_merge (&call->parent->report, report);
+  report_service (core, call);
+}
+
 void
 jl_entry_result (struct jl_core *core, const struct jl_event_call_result *event)
 {
@@ -676,15 +733,18 @@
     return;
   if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
     return;
+  if (call->state == JL_CALL_SENT)
+    note_place_result (core, call, event);
   if (event->result == JL_SEND_ANSWERED)
     {
       jl_retry_return (core, call, event->tokens);
-      jl_graph_learn (core, call->kind, &event->report);
-      if (call->parent != NULL)
-        jl_report_merge (&call->parent->report, &event->report);
+      report_answer (core, call, &event->report);
+      if (call->config == core->config)
+        jl_graph_learn (core, call->kind, event->outcome, &event->report);
     }
-  else if (event->result == JL_SEND_NOT_SENT)
-    jl_retry_return (core, call, call->lent);
+  else
+    jl_retry_return (core, call,
+                     event->result == JL_SEND_NOT_SENT ? call->lent : 0);
   if (call->state == JL_CALL_FORWARDED)
     handle_forward_result (core, call, event);
   else
@@ -695,7 +755,6 @@
 static void
 stop_call (struct jl_core *core, struct jl_call *call)
 {
-  struct jl_member *member = jl_members_find (core, call->member);
   struct jl_event_call_result ended = { .result = JL_SEND_TIMEOUT };
 
   if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
@@ -709,8 +768,7 @@
   if (call->state == JL_CALL_SENT)
     {
       send_cancel (core, call);
-      if (member != NULL)
-        jl_place_result (core, member, &ended);
+      note_place_result (core, call, &ended);
     }
   if (call->state == JL_CALL_SENT || call->state == JL_CALL_CANCELLING)
     end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_CANCELLED);
