--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -63,6 +63,7 @@
  * @parent: the work that makes it, NULL for a caller's
  * @siblings: place in @parent's list of children
  * @guarded: its runs are granted under @ticket, at most one of them
+ * @keyed: its caller named it, and may have sent it before
  * @may_have_run: some sending may have run
  * @tokens: retry tokens of a call without @parent; else the parent's are used
  * @tokens_begun: what @tokens began with
@@ -70,6 +71,7 @@
  * @lent: tokens that went out with the sending in progress
  * @attempt: the sending in progress
  * @member: where it went
+ * @member_epoch: the life of that daemon
  * @tried: members that are not to be tried again
  */
 struct jl_call
@@ -81,6 +83,7 @@
   struct jl_work *parent;
   struct cds_list_head siblings;
   bool guarded;
+  bool keyed;
   bool forwarded;
   bool may_have_run;
   struct jl_ticket ticket;
@@ -98,6 +101,7 @@
   uint32_t sends;
   struct jl_attempt_id attempt;
   uint64_t member;
+  uint64_t member_epoch;
 #define JL_TRIED_MAX 8
   uint32_t tried_count;
   uint64_t tried[JL_TRIED_MAX];
@@ -184,7 +188,9 @@
   struct jl_target target;
   bool draining;
   bool left;
+  struct jl_timer drain_linger;
   uint64_t next_attempt;
+  uint32_t caller_calls;  /* calls of callers in progress */
   GHashTable *calls;      /* number to struct jl_call */
   GHashTable *works;      /* number to struct jl_work */
   GHashTable *cancelling; /* attempt number to struct jl_call */
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -121,7 +121,8 @@
 static void
 install_config (struct jl_core *core, struct jl_config *config)
 {
-  if (core->config != NULL && config->version <= core->config->version)
+  if (core->config != NULL && config->version <= core->config->version
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_CONFIG_ORDER))
     return;
   if (core->config != NULL)
     jl_config_drop (core->config);
@@ -216,6 +217,12 @@
   core->effects = NULL;
 }
 
+struct jl_ticket
+jl_core_mint_ticket (struct jl_core *core)
+{
+  return jl_once_mint (core);
+}
+
 uint32_t
 jl_core_member_count (struct jl_core *core)
 {
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -47,7 +47,8 @@
             ? 0
             : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
   answer->tokens = event->forwarded ? event->tokens : 0;
-  if (event->key_type != JL_KEY_NONE)
+  /* An earlier sending, or the same call of a repeated parent, may have run. */
+  if (event->key_type != JL_KEY_NONE || event->parent != 0)
     answer->outcome = JL_OUTCOME_UNKNOWN;
 }
 
@@ -73,6 +74,8 @@
   jl_retry_return (core, call, 0);
   if (call->parent != NULL)
     cds_list_del (&call->siblings);
+  else
+    core->caller_calls--;
   if (call->state == JL_CALL_CANCELLING)
     g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
   g_hash_table_remove (core->calls, JL_HASH_KEY (call->number));
@@ -112,21 +115,25 @@
 {
   struct jl_effect_answer *answer;
   bool guarded = call->guarded;
+  bool keyed = call->keyed;
   uint32_t retry_after_ms = call->last_retry_after_ms;
 
   if (outcome == JL_OUTCOME_NOT_RUN && call->may_have_run)
     outcome = JL_OUTCOME_UNKNOWN;
   JL_INVARIANT (outcome != JL_OUTCOME_NOT_RUN || !call->may_have_run,
                 "not run is said only when no sending may have run");
+  if (retry_after_ms == 0)
+    retry_after_ms = RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
   if (guarded)
-    jl_once_answered (core, call, outcome);
+    retry_after_ms
+        = jl_once_answered (core, call, outcome, reason, retry_after_ms);
   answer = jl_entry_answer (core, call, outcome, reason);
   answer->keep = guarded && outcome == JL_OUTCOME_DONE;
   if (outcome != JL_OUTCOME_DONE)
-    answer->retry_after_ms
-        = retry_after_ms > 0
-              ? retry_after_ms
-              : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+    answer->retry_after_ms = retry_after_ms;
+  /* Nobody keeps account of other sendings of an idempotent request. */
+  if (!guarded && keyed && outcome == JL_OUTCOME_NOT_RUN)
+    answer->outcome = JL_OUTCOME_UNKNOWN;
   return answer;
 }
 
@@ -161,13 +168,14 @@
 static void
 inherit_from_parent (struct jl_core *core,
                      struct jl_call *call,
-                     struct jl_work *parent)
+                     struct jl_work *parent,
+                     uint32_t ordinal)
 {
   call->parent = parent;
   cds_list_add_tail (&call->siblings, &parent->children);
   call->priority = parent->priority;
   call->invested_us = parent->invested_us + (core->now_us - parent->started_us);
-  call->anchor = parent->anchor;
+  call->anchor = jl_once_derive (parent->anchor, kind_of (call)->name, ordinal);
 }
 
 static void
@@ -180,7 +188,8 @@
       = kind->importance * JL_SAMPLE_COUNT + choose_sample (core, event);
   call->tokens = kind->retry_tokens;
   call->tokens_begun = call->tokens;
-  call->anchor = jl_once_mint (core);
+  call->anchor
+      = event->key_type == JL_KEY_TICKET ? event->ticket : jl_once_mint (core);
 }
 
 static struct jl_call *
@@ -195,22 +204,23 @@
   call->config = jl_config_keep (core->config);
   call->kind = event->kind;
   call->forwarded = event->forwarded;
+  call->keyed = event->key_type != JL_KEY_NONE;
   call->key_hash = event->key_hash;
   call->digest = event->digest;
   call->arrived_us = core->now_us;
   call->deadline_us = choose_deadline (core, event, kind, parent);
   call->guarded = !kind->idempotent && core->options.mode != JL_CORE_FORWARD;
   if (parent != NULL)
-    inherit_from_parent (core, call, parent);
+    inherit_from_parent (core, call, parent, event->ordinal);
   else
     begin_tree (core, call, event, kind);
+  core->caller_calls += parent == NULL;
   if (event->forwarded)
     {
       call->priority = event->priority % JL_PRIORITY_COUNT;
       call->tokens = event->tokens;
       call->tokens_begun = event->tokens;
       call->invested_us = event->invested_us;
-      call->anchor = event->ticket;
     }
   g_hash_table_insert (core->calls, JL_HASH_KEY (call->number), call);
   core->counts.calls[class_of (call)]++;
@@ -261,11 +271,7 @@
                struct jl_call *call,
                const struct jl_event_call *event)
 {
-  if (call->parent != NULL)
-    call->ticket = jl_once_derive (call->anchor, event->kind, event->ordinal);
-  else if (event->key_type == JL_KEY_TICKET)
-    call->ticket = event->ticket;
-  else if (event->key_type == JL_KEY_NONE)
+  if (event->key_type != JL_KEY_CALLER)
     call->ticket = call->anchor;
   else if (!jl_once_key_ticket (core, event->key_hash, &call->ticket))
     {
@@ -275,9 +281,42 @@
   proceed_guarded (core, call);
 }
 
+/*
+ * Whether calls in progress leave no room for one of this importance. Of
+ * @call_max the most important class may use all and the least important
+ * half, so that a class is refused only while all below it are.
+ */
+static bool
+is_full (const struct jl_core *core, const struct jl_event_call *event)
+{
+  uint32_t importance = core->config->kinds[event->kind].importance;
+  uint32_t count = core->config->class_count;
+  uint32_t max = core->options.call_max;
+
+  if (max == 0 || core->options.mode != JL_CORE_FULL || event->forwarded)
+    return false;
+  return core->caller_calls >= max - max * importance / (2 * count);
+}
+
+/*
+ * Why a call of a caller is refused at once. While it drains, the daemon
+ * goes on as an entry until its guard has nothing left to do.
+ */
+static enum jl_reason
+check_caller (const struct jl_core *core, const struct jl_event_call *event)
+{
+  if (core->draining && !event->forwarded && core->drain_linger.index == 0
+      && g_hash_table_size (core->works) == 0)
+    return JL_REASON_DRAINING;
+  if (is_full (core, event))
+    return JL_REASON_OVERLOAD;
+  return JL_REASON_NONE;
+}
+
 void
 jl_entry_call (struct jl_core *core, const struct jl_event_call *event)
 {
+  enum jl_reason reason;
   struct jl_work *parent = NULL;
   struct jl_call *call;
 
@@ -302,9 +341,9 @@
           return;
         }
     }
-  else if (core->draining && !event->forwarded)
+  else if ((reason = check_caller (core, event)) != JL_REASON_NONE)
     {
-      answer_event (core, event, JL_REASON_DRAINING);
+      answer_event (core, event, reason);
       return;
     }
   call = make_call (core, event, parent);
@@ -345,6 +384,16 @@
   core->counts.sends++;
 }
 
+/* Other sendings of the request may have run; this one did not leave. */
+static void
+answer_unforwarded (struct jl_core *core,
+                    struct jl_call *call,
+                    enum jl_reason reason)
+{
+  jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, reason)->sending
+      = JL_OUTCOME_NOT_RUN;
+}
+
 void
 jl_entry_forward (struct jl_core *core, struct jl_call *call)
 {
@@ -354,9 +403,12 @@
   if (call->forwarded || minter == NULL
       || minter->info.identity.epoch != call->ticket.minter.epoch)
     {
-      jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST)
-          ->sending
-          = JL_OUTCOME_NOT_RUN;
+      answer_unforwarded (core, call, JL_REASON_HOME_LOST);
+      return;
+    }
+  if (core->now_us >= call->deadline_us)
+    {
+      answer_unforwarded (core, call, JL_REASON_DEADLINE);
       return;
     }
   call->state = JL_CALL_FORWARDED;
@@ -384,6 +436,7 @@
     jl_retry_first (core, kind_of (call)->service);
   call->state = JL_CALL_SENT;
   call->member = member->info.identity.member;
+  call->member_epoch = member->info.identity.epoch;
   jl_place_sent (core, member);
   send = &jl_emit (core, JL_EFFECT_SEND)->send;
   send->call = call->number;
@@ -497,6 +550,7 @@
   effect->message.type = JL_MESSAGE_CANCEL;
   effect->message.from = core->identity;
   effect->message.to.member = call->member;
+  effect->message.to.epoch = call->member_epoch;
   effect->message.attempt = call->attempt;
   core->counts.messages_sent++;
 }
@@ -672,7 +726,10 @@
   struct jl_call *call
       = g_hash_table_lookup (core->calls, JL_HASH_KEY (event->call));
 
-  if (call == NULL || !jl_attempt_id_equal (call->attempt, event->attempt))
+  if (call == NULL)
+    return;
+  if (!jl_attempt_id_equal (call->attempt, event->attempt)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_ATTEMPT_MATCH))
     return;
   if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
     return;
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -16,6 +16,8 @@
 
 /* An announcement holds this long. */
 #define ANNOUNCE_LEASE_US (3 * JL_USEC_PER_SEC)
+/* A drained daemon refuses for this long, until its peers have heard of it. */
+#define DRAIN_LINGER_US (2 * JL_USEC_PER_SEC)
 /* When to come back after a refusal that is no matter of load. */
 #define RETRY_AFTER_MS 500
 
@@ -177,6 +179,9 @@
   enum jl_reason reason;
   struct jl_work *work;
 
+  if (seen == JL_SEEN_TOMBSTONE
+      && JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
+    seen = JL_SEEN_NEVER;
   if (seen == JL_SEEN_TOMBSTONE)
     {
       refuse_event (core, event, JL_OUTCOME_NOT_RUN, JL_REASON_CANCELLED);
@@ -331,6 +336,12 @@
   struct jl_work *work
       = g_hash_table_lookup (core->works, JL_HASH_KEY (number));
 
+  /* What an earlier life of this daemon ran is not known any more. */
+  if (message->to.epoch != core->identity.epoch)
+    {
+      answer_cancel (core, message, JL_MESSAGE_CANCEL_LATE);
+      return;
+    }
   if (work != NULL && work->state == JL_WORK_WAITING)
     {
       jl_admit_remove (core, work);
@@ -350,12 +361,20 @@
                      : JL_MESSAGE_CANCEL_LATE);
 }
 
+/* Only wakes the reducer up; jl_guard_check_drained() does the rest. */
+static void
+linger_ended (void *context G_GNUC_UNUSED, struct jl_timer *timer G_GNUC_UNUSED)
+{
+}
+
 void
 jl_guard_drain (struct jl_core *core)
 {
   if (core->draining)
     return;
   core->draining = true;
+  jl_timer_start (core->timers, &core->drain_linger,
+                  core->now_us + DRAIN_LINGER_US, linger_ended, core);
   jl_members_leave (core);
   jl_log_event (core, JL_LOG_DRAIN_BEGUN, 0, 0);
 }
@@ -363,10 +382,11 @@
 void
 jl_guard_check_drained (struct jl_core *core)
 {
-  if (!core->draining || core->left)
+  if (!core->draining || core->left || core->drain_linger.index != 0)
     return;
-  if (g_hash_table_size (core->works) > 0
-      || g_hash_table_size (core->calls) > 0)
+  if ((g_hash_table_size (core->works) > 0
+       || g_hash_table_size (core->calls) > 0)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_DRAIN))
     return;
   core->left = true;
   jl_emit (core, JL_EFFECT_EXIT);
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -27,6 +27,7 @@
  * @calls: number to struct jl_waiter
  * @works: number to struct jl_waiter
  * @outgoing: effects to be carried out after the step's lock is given back
+ * @draining: callers' connections are closed after each answer
  * @tick_at_us: when the timer thread will wake up
  * @background: struct jl_effect of the background thread
  */
@@ -44,6 +45,7 @@
   GArray *outgoing;
   uint64_t tick_at_us;
   GCond tick;
+  int draining;
   bool exiting;
   bool stopping;
   GCond exit;
@@ -73,8 +75,7 @@
   GHashTable *ordinals;
 };
 
-struct jl_daemon *jl_daemon_open (struct jl_settings *settings,
-                                  GError **error);
+struct jl_daemon *jl_daemon_open (struct jl_settings *settings, GError **error);
 
 /**
  * jl_daemon_drain - begins a planned stop
@@ -129,8 +130,11 @@
 /**
  * jl_daemon_install - checks a document and hands it to the reducer
  */
-bool jl_daemon_install (struct jl_daemon *daemon, const char *text,
-                        size_t size, uint64_t version, GError **error);
+bool jl_daemon_install (struct jl_daemon *daemon,
+                        const char *text,
+                        size_t size,
+                        uint64_t version,
+                        GError **error);
 
 /* Handlers of the three HTTP servers. */
 void jl_entry_handle (void *context, struct jl_http_exchange *exchange);
