--- a/tests/scripted/commands.c
+++ b/tests/scripted/commands.c
@@ -302,6 +302,7 @@
 
   message.from
       = member_identity (script_number (command, "from", SENDER_MEMBER));
+  message.to = member_identity (SELF_MEMBER);
   message.attempt.origin = message.from;
   message.attempt.number = first_number (command);
   run_step (run, &event, true);
