--- a/tests/bench/reducer.c
+++ b/tests/bench/reducer.c
@@ -102,10 +102,9 @@
 static void
 open_bench (struct bench *bench, bool with_target)
 {
-  struct jl_core_options options = { .identity = identity_of (1),
-                                     .zone = "zone-a",
-                                     .seed = 1,
-                                     .now_us = 1 };
+  struct jl_core_options options = {
+    .identity = identity_of (1), .zone = "zone-a", .seed = 1, .now_us = 1
+  };
   struct jl_event event = { .type = JL_EVENT_CONFIG };
 
   memset (bench, 0, sizeof *bench);
