--- a/tests/unit/feedback.c
+++ b/tests/unit/feedback.c
@@ -1,7 +1,8 @@
 /**
- * DOC: Entry and guard together: what the level does to the traffic that it
- * holds back. Two reducers in virtual time, with one target that is a count of
- * slots and a service time.
+ * DOC: Entry and guards together: what the levels do to the traffic that they
+ * hold back. Three reducers in virtual time: an entry, the guard of a front
+ * service, and the guard of a deep service that the front may call. Targets are
+ * a count of slots and a service time.
  */
 
 #include <criterion/criterion.h>
@@ -10,7 +11,11 @@
 #include "jackdawladder/core.h"
 
 #define HOP_US (1 * JL_USEC_PER_MSEC)
-#define SLOTS 10
+#define FRONT_SLOTS 10
+#define DEEP_SLOTS 4
+/* Statuses of answers that are whole, and of those that failed further down. */
+#define STATUS_OK 200
+#define STATUS_FAILED 503
 #define CLASS_COUNT 3
 #define CALLER_COUNT 3
 #define ANNOUNCE_US (1 * JL_USEC_PER_SEC)
@@ -19,6 +24,8 @@
     = "{ \"classes\": [\"reserve\", \"browse\", \"upload\"],"
       "  \"zones\": [{ \"name\": \"zone-a\", \"region\": \"r\" }],"
       "  \"services\": [{ \"name\": \"front\", \"retry_percent\": 10,"
+      "    \"queue_wait_ms\": 50, \"cold_start_ms\": 0 },"
+      "   { \"name\": \"deep\", \"retry_percent\": 10,"
       "    \"queue_wait_ms\": 50, \"cold_start_ms\": 0 }],"
       "  \"kinds\": ["
       "   { \"name\": \"reserve\", \"service\": \"front\", \"path\": \"/r\","
@@ -29,15 +36,21 @@
       "     \"deadline_ms\": 1000, \"retry_tokens\": 2 },"
       "   { \"name\": \"upload\", \"service\": \"front\", \"path\": \"/u\","
       "     \"class\": \"upload\", \"idempotent\": true,"
+      "     \"deadline_ms\": 1000, \"retry_tokens\": 2 },"
+      "   { \"name\": \"deep\", \"service\": \"deep\", \"path\": \"/d\","
+      "     \"class\": \"upload\", \"idempotent\": true,"
       "     \"deadline_ms\": 1000, \"retry_tokens\": 2 }] }";
 
+#define DEEP_KIND 3
+
 /**
- * enum place - the two daemons
+ * enum place - the daemons
  */
 enum place
 {
   ENTRY,
-  GUARD,
+  FRONT,
+  DEEP,
   PLACE_COUNT,
 };
 
@@ -65,18 +78,41 @@
 
 /**
  * struct counts - answers to the calls of one class
+ * @done: whole requests
+ * @wasted: ran, and failed further down
  */
 struct counts
 {
   uint32_t done;
+  uint32_t wasted;
   uint32_t refused;
   uint32_t other;
 };
 
 /**
- * struct world - both reducers, and what is on its way
- * @kinds: kind of each call by number
- * @service_us: how long a run takes
+ * struct call_note - a call of the entry, by number
+ */
+struct call_note
+{
+  uint32_t kind;
+  uint32_t status;
+};
+
+/**
+ * struct work_note - a work item on its way
+ */
+struct work_note
+{
+  enum place sender;
+  uint64_t call;
+  struct jl_attempt_id attempt;
+  uint32_t status;
+};
+
+/**
+ * struct world - the reducers, and what is on its way
+ * @service_us: how long a run takes at the target of each daemon
+ * @calls_deep: the front makes a call to the deep service in each run
  */
 struct world
 {
@@ -84,12 +120,13 @@
   struct jl_config *config;
   struct jl_effects *effects;
   GSequence *pending;
-  GArray *kinds;
+  GArray *calls;     /* struct call_note */
+  GHashTable *works; /* number to struct work_note */
   uint64_t now_us;
   uint64_t next_order;
   uint64_t next_work;
-  uint64_t service_us;
-  GHashTable *sends; /* work to struct jl_effect_send */
+  uint64_t service_us[PLACE_COUNT];
+  bool calls_deep;
   struct counts counts[CLASS_COUNT];
 };
 
@@ -129,102 +166,164 @@
   return (struct jl_identity){ .member = jl_member_id (control), .epoch = 1 };
 }
 
+static enum place
+place_of (uint64_t member)
+{
+  int place = ENTRY;
+
+  while (place < PLACE_COUNT - 1 && identity_of (place).member != member)
+    place++;
+  return place;
+}
+
+static struct work_note *
+find_work (struct world *world, uint64_t work)
+{
+  return g_hash_table_lookup (world->works, GSIZE_TO_POINTER (work));
+}
+
 static void
-carry_send (struct world *world, const struct jl_effect_send *send)
+carry_send (struct world *world,
+            enum place sender,
+            const struct jl_effect_send *send)
 {
   struct jl_event event = { .type = JL_EVENT_WORK };
-  struct jl_effect_send *kept = g_new (struct jl_effect_send, 1);
+  struct work_note *note = g_new0 (struct work_note, 1);
 
-  *kept = *send;
+  note->sender = sender;
+  note->call = send->call;
+  note->attempt = send->attempt;
   event.work.work = ++world->next_work;
   event.work.attempt = send->attempt;
   event.work.kind = send->kind;
   event.work.config_version = send->config_version;
   event.work.priority = send->priority;
-  event.work.budget_us = send->budget_us - HOP_US;
+  event.work.invested_us = send->invested_us;
+  event.work.budget_us
+      = send->budget_us > HOP_US ? send->budget_us - HOP_US : 0;
   event.work.tokens = send->tokens;
-  g_hash_table_insert (world->sends, GSIZE_TO_POINTER (event.work.work), kept);
-  schedule (world, GUARD, &event, world->now_us + HOP_US);
+  g_hash_table_insert (world->works, GSIZE_TO_POINTER (event.work.work), note);
+  schedule (world, place_of (send->member), &event, world->now_us + HOP_US);
 }
 
 static void
 carry_finish (struct world *world, const struct jl_effect_finish *finish)
 {
   struct jl_event event = { .type = JL_EVENT_CALL_RESULT };
-  const struct jl_effect_send *send
-      = g_hash_table_lookup (world->sends, GSIZE_TO_POINTER (finish->work));
+  const struct work_note *note = find_work (world, finish->work);
 
-  event.call_result.call = send->call;
-  event.call_result.attempt = send->attempt;
+  event.call_result.call = note->call;
+  event.call_result.attempt = note->attempt;
   event.call_result.result = JL_SEND_ANSWERED;
   event.call_result.outcome = finish->outcome;
   event.call_result.reason = finish->reason;
   event.call_result.no_retry = finish->no_retry;
   event.call_result.tokens = finish->tokens;
   event.call_result.report = finish->report;
-  schedule (world, ENTRY, &event, world->now_us + HOP_US);
-  g_hash_table_remove (world->sends, GSIZE_TO_POINTER (finish->work));
+  event.call_result.status = note->status;
+  if (note->sender == ENTRY)
+    g_array_index (world->calls, struct call_note, note->call).status
+        = note->status;
+  schedule (world, note->sender, &event, world->now_us + HOP_US);
+  g_hash_table_remove (world->works, GSIZE_TO_POINTER (finish->work));
 }
 
+/* Ends a run at the target of @place after @delay_us. */
 static void
-carry_run (struct world *world, uint64_t work)
+end_run (struct world *world,
+         enum place place,
+         uint64_t work,
+         uint32_t status,
+         uint64_t delay_us)
 {
   struct jl_event event = { .type = JL_EVENT_WORK_RESULT };
 
+  find_work (world, work)->status = status;
   event.work_result.work = work;
   event.work_result.result = JL_RUN_ANSWERED;
-  event.work_result.status = 200;
-  schedule (world, GUARD, &event, world->now_us + world->service_us);
+  event.work_result.status = status;
+  schedule (world, place, &event, world->now_us + delay_us);
+}
+
+static void
+carry_run (struct world *world, enum place place, uint64_t work)
+{
+  struct jl_event call = { .type = JL_EVENT_CALL };
+
+  if (place == DEEP || !world->calls_deep)
+    {
+      end_run (world, place, work, STATUS_OK, world->service_us[place]);
+      return;
+    }
+  call.call.call = work;
+  call.call.kind = DEEP_KIND;
+  call.call.config_version = 1;
+  call.call.parent = work;
+  schedule (world, place, &call, world->now_us + world->service_us[place]);
 }
 
 static void
 carry_message (struct world *world, const struct jl_effect_message *effect)
 {
   struct jl_event event = { .type = JL_EVENT_MESSAGE };
-  struct pending *pending;
+  enum place place = place_of (jl_member_id (effect->to));
+  struct pending *pending
+      = schedule (world, place, &event, world->now_us + HOP_US);
 
-  for (int place = ENTRY; place < PLACE_COUNT; place++)
-    if (jl_member_id (effect->to) == identity_of (place).member)
-      {
-        pending = schedule (world, place, &event, world->now_us + HOP_US);
-        pending->message = effect->message;
-        pending->event.message = &pending->message;
-      }
+  pending->message = effect->message;
+  pending->event.message = &pending->message;
 }
 
 static void
 count_answer (struct world *world, const struct jl_effect_answer *answer)
 {
-  uint32_t kind = g_array_index (world->kinds, uint32_t, answer->call);
-  struct counts *counts = &world->counts[kind];
+  struct call_note note
+      = g_array_index (world->calls, struct call_note, answer->call);
+  struct counts *counts = &world->counts[note.kind];
 
-  if (answer->outcome == JL_OUTCOME_DONE)
+  if (answer->outcome == JL_OUTCOME_DONE && note.status == STATUS_OK)
     counts->done++;
-  else if (answer->reason == JL_REASON_OVERLOAD)
+  else if (answer->outcome == JL_OUTCOME_DONE)
+    counts->wasted++;
+  else if (answer->outcome == JL_OUTCOME_NOT_RUN)
     counts->refused++;
   else
     counts->other++;
 }
 
 static void
-carry (struct world *world, const struct jl_effect *effect)
+carry_answer (struct world *world,
+              enum place place,
+              const struct jl_effect_answer *answer)
+{
+  uint32_t status
+      = answer->outcome == JL_OUTCOME_DONE ? STATUS_OK : STATUS_FAILED;
+
+  if (place == ENTRY)
+    count_answer (world, answer);
+  else if (find_work (world, answer->call) != NULL)
+    end_run (world, place, answer->call, status, 0);
+}
+
+static void
+carry (struct world *world, enum place place, const struct jl_effect *effect)
 {
   switch (effect->type)
     {
     case JL_EFFECT_SEND:
-      carry_send (world, &effect->send);
+      carry_send (world, place, &effect->send);
       break;
     case JL_EFFECT_FINISH:
       carry_finish (world, &effect->finish);
       break;
     case JL_EFFECT_RUN:
-      carry_run (world, effect->run.work);
+      carry_run (world, place, effect->run.work);
       break;
     case JL_EFFECT_MESSAGE:
       carry_message (world, effect->message);
       break;
     case JL_EFFECT_ANSWER:
-      count_answer (world, &effect->answer);
+      carry_answer (world, place, &effect->answer);
       break;
     default:
       break;
@@ -238,7 +337,20 @@
   jl_effects_clear (world->effects);
   jl_core_step (world->cores[place], event, world->effects);
   for (size_t i = 0; i < jl_effects_count (world->effects); i++)
-    carry (world, jl_effects_get (world->effects, i));
+    carry (world, place, jl_effects_get (world->effects, i));
+}
+
+/* The daemon whose timer is next. */
+static enum place
+next_timer (struct world *world)
+{
+  enum place next = ENTRY;
+
+  for (int place = ENTRY; place < PLACE_COUNT; place++)
+    if (jl_core_next_timer (world->cores[place])
+        < jl_core_next_timer (world->cores[next]))
+      next = place;
+  return next;
 }
 
 /* Lets one event or timer happen. Return: false when none is due. */
@@ -248,16 +360,15 @@
   GSequenceIter *first = g_sequence_get_begin_iter (world->pending);
   struct pending *pending = g_sequence_get (first);
   struct jl_event tick = { .type = JL_EVENT_TICK };
-  uint64_t entry_us = jl_core_next_timer (world->cores[ENTRY]);
-  uint64_t guard_us = jl_core_next_timer (world->cores[GUARD]);
-  uint64_t timer_us = MIN (entry_us, guard_us);
+  enum place timer = next_timer (world);
+  uint64_t timer_us = jl_core_next_timer (world->cores[timer]);
 
   if (MIN (timer_us, pending->event.now_us) > end_us)
     return false;
   if (timer_us <= pending->event.now_us)
     {
       world->now_us = MAX (world->now_us, timer_us);
-      step (world, entry_us <= guard_us ? ENTRY : GUARD, &tick);
+      step (world, timer, &tick);
       return true;
     }
   world->now_us = pending->event.now_us;
@@ -279,12 +390,13 @@
   memset (world, 0, sizeof *world);
   world->effects = jl_effects_new ();
   world->pending = g_sequence_new (g_free);
-  world->kinds = g_array_new (FALSE, TRUE, sizeof (uint32_t));
-  world->sends = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  world->service_us = 20 * JL_USEC_PER_MSEC;
+  world->calls = g_array_new (FALSE, TRUE, sizeof (struct call_note));
+  world->works = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  world->service_us[FRONT] = 20 * JL_USEC_PER_MSEC;
+  world->service_us[DEEP] = 20 * JL_USEC_PER_MSEC;
   world->config = jl_config_new (document, strlen (document), 1, NULL);
   cr_assert_not_null (world->config);
-  g_array_set_size (world->kinds, 1);
+  g_array_set_size (world->calls, 1);
   for (int place = ENTRY; place < PLACE_COUNT; place++)
     {
       struct jl_core_options options
@@ -295,8 +407,11 @@
       event.config = world->config;
       step (world, place, &event);
       event.type = JL_EVENT_SEED;
-      event.seed.control = jl_member_endpoint (identity_of (1 - place).member);
-      step (world, place, &event);
+      for (int other = ENTRY; other < place; other++)
+        {
+          event.seed.control = jl_member_endpoint (identity_of (other).member);
+          step (world, place, &event);
+        }
     }
 }
 
@@ -308,33 +423,47 @@
   jl_effects_drop (world->effects);
   jl_config_drop (world->config);
   g_sequence_free (world->pending);
-  g_hash_table_destroy (world->sends);
-  g_array_free (world->kinds, TRUE);
+  g_hash_table_destroy (world->works);
+  g_array_free (world->calls, TRUE);
+}
+
+static void
+plan_target (struct world *world,
+             enum place place,
+             const char *service,
+             uint32_t slots,
+             uint64_t end_us)
+{
+  struct jl_event event = { .type = JL_EVENT_ANNOUNCE };
+
+  g_strlcpy (event.announce.service, service, JL_NAME_SIZE);
+  event.announce.slots = slots;
+  event.announce.connections = 100;
+  for (uint64_t at_us = 0; at_us <= end_us; at_us += ANNOUNCE_US)
+    schedule (world, place, &event, at_us);
 }
 
-/* Announces the target once a second, and makes the calls. */
+/* Announces the targets once a second, and makes the calls. */
 static void
 plan (struct world *world,
       const struct caller *callers,
       uint32_t count,
       uint64_t end_us)
 {
-  struct jl_event announce = { .type = JL_EVENT_ANNOUNCE };
   struct jl_event call = { .type = JL_EVENT_CALL };
 
-  g_strlcpy (announce.announce.service, "front", JL_NAME_SIZE);
-  announce.announce.slots = SLOTS;
-  announce.announce.connections = 100;
-  for (uint64_t at_us = 0; at_us <= end_us; at_us += ANNOUNCE_US)
-    schedule (world, GUARD, &announce, at_us);
+  plan_target (world, FRONT, "front", FRONT_SLOTS, end_us);
+  plan_target (world, DEEP, "deep", DEEP_SLOTS, end_us);
   for (uint32_t i = 0; i < count; i++)
     for (uint64_t at_us = callers[i].from_us; at_us < callers[i].until_us;
          at_us += callers[i].every_us)
       {
-        call.call.call = world->kinds->len;
-        call.call.kind = callers[i].kind;
+        struct call_note note = { .kind = callers[i].kind };
+
+        call.call.call = world->calls->len;
+        call.call.kind = note.kind;
         call.call.config_version = 1;
-        g_array_append_val (world->kinds, callers[i].kind);
+        g_array_append_val (world->calls, note);
         schedule (world, ENTRY, &call, at_us);
       }
 }
@@ -347,9 +476,9 @@
   run_until (world, end_us);
   memcpy (counts, world->counts, sizeof world->counts);
   for (int i = 0; i < CLASS_COUNT; i++)
-    cr_log_info ("until %u ms class %d: done %u refused %u other %u",
+    cr_log_info ("until %u ms class %d: done %u wasted %u refused %u other %u",
                  (unsigned)(end_us / JL_USEC_PER_MSEC), i, counts[i].done,
-                 counts[i].refused, counts[i].other);
+                 counts[i].wasted, counts[i].refused, counts[i].other);
 }
 
 /* 500 runs a second fit; 250 of the upper classes and 900 uploads arrive. */
@@ -414,7 +543,7 @@
   open_world (&world);
   plan (&world, callers, G_N_ELEMENTS (callers), 20 * JL_USEC_PER_SEC);
   run_until (&world, 4 * JL_USEC_PER_SEC);
-  world.service_us = 100 * JL_USEC_PER_MSEC;
+  world.service_us[FRONT] = 100 * JL_USEC_PER_MSEC;
   take_counts (&world, 5 * JL_USEC_PER_SEC, counts);
   for (uint64_t second = 6; second <= 10; second++)
     {
@@ -422,10 +551,44 @@
       cr_expect_eq (counts[0].refused + counts[0].other, 0);
       cr_expect_geq (counts[0].done + counts[2].done, 90);
     }
-  world.service_us = 20 * JL_USEC_PER_MSEC;
+  world.service_us[FRONT] = 20 * JL_USEC_PER_MSEC;
   run_until (&world, 12 * JL_USEC_PER_SEC);
   take_counts (&world, 14 * JL_USEC_PER_SEC, counts);
   cr_expect_eq (counts[2].refused, 0);
   cr_expect_geq (counts[2].done, 660);
   close_world (&world);
 }
+
+/*
+ * The deep service takes 200 calls a second, the front 1,000. Of the upper
+ * class 50 a second arrive, of the lowest 400.
+ */
+Test (feedback, what_the_deep_service_refuses_does_not_run_at_the_front)
+{
+  struct world world;
+  struct counts counts[CLASS_COUNT];
+  const struct caller callers[] = {
+    { 0, 20000, 2 * JL_USEC_PER_SEC, 16 * JL_USEC_PER_SEC },
+    { 2, 2500, 4 * JL_USEC_PER_SEC, 10 * JL_USEC_PER_SEC },
+    { 2, 10000, 10 * JL_USEC_PER_SEC, 16 * JL_USEC_PER_SEC },
+  };
+
+  open_world (&world);
+  world.calls_deep = true;
+  world.service_us[FRONT] = 5 * JL_USEC_PER_MSEC;
+  plan (&world, callers, G_N_ELEMENTS (callers), 16 * JL_USEC_PER_SEC);
+  run_until (&world, 4 * JL_USEC_PER_SEC);
+  take_counts (&world, 5 * JL_USEC_PER_SEC, counts);
+  for (uint64_t second = 6; second <= 10; second++)
+    {
+      take_counts (&world, second * JL_USEC_PER_SEC, counts);
+      cr_expect_eq (counts[0].wasted + counts[0].refused + counts[0].other, 0);
+      cr_expect_geq (counts[0].done + counts[2].done, 180);
+      cr_expect_leq (counts[2].wasted, 40);
+    }
+  run_until (&world, 12 * JL_USEC_PER_SEC);
+  take_counts (&world, 14 * JL_USEC_PER_SEC, counts);
+  cr_expect_eq (counts[2].wasted + counts[2].refused, 0);
+  cr_expect_geq (counts[2].done, 195);
+  close_world (&world);
+}
