--- a/tests/unit/once.c
+++ b/tests/unit/once.c
@@ -323,7 +323,7 @@
       end_send (rig, refused);
     }
   cr_assert_eq (dumped (rig, "used"), 50);
-  tick_after (rig, 3600 * 1000);
+  tick_after (rig, 3600000);
   announce (rig);
   for (uint32_t i = 0; i < G_N_ELEMENTS (tickets); i++)
     expect_refused_as_unknown (rig, tickets[i]);
@@ -342,7 +342,7 @@
       call_ticket (rig, mint (rig));
       end_send (rig, done);
     }
-  tick_after (rig, 700 * 1000);
+  tick_after (rig, 700000);
   announce (rig);
   call_ticket (rig, mint (rig));
   cr_assert_eq (dumped (rig, "used"), 2);
@@ -379,7 +379,7 @@
   call_key (rig, 1, none);
   cr_assert (answer_of (rig)->stored);
   cr_assert_eq (dumped (rig, "keys"), 1);
-  tick_after (rig, 3600 * 1000);
+  tick_after (rig, 3600000);
   announce (rig);
   call_key (rig, 2, none);
   cr_assert_eq (dumped (rig, "keys"), 1);
