Let idempotent calls leave a member that went silent

Cause: calls that were out when a member froze waited for their deadline, since a frozen process keeps its connections open. A member that is suspected gives them back, as far as tokens allow; without a token a call stays, since its answer may still come. The edge tells a stop of one sending from the next one's.

--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -751,25 +751,58 @@
     handle_sent_result (core, call, event);
 }
 
-/* Stops a call that nobody waits for any more. */
+/* Stops the sending in progress; it may have run, or may still run. */
 static void
-stop_call (struct jl_core *core, struct jl_call *call)
+stop_send (struct jl_core *core, struct jl_call *call)
 {
   struct jl_event_call_result ended = { .result = JL_SEND_TIMEOUT };
+  struct jl_effect *stop = jl_emit (core, JL_EFFECT_STOP_SEND);
 
-  if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
-    {
-      struct jl_effect *stop = jl_emit (core, JL_EFFECT_STOP_SEND);
+  stop->stop_send.call = call->number;
+  stop->stop_send.attempt = call->attempt;
+  call->may_have_run = true;
+  if (call->state != JL_CALL_SENT)
+    return;
+  send_cancel (core, call);
+  note_place_result (core, call, &ended);
+}
 
-      stop->stop_send.call = call->number;
-      stop->stop_send.attempt = call->attempt;
-      call->may_have_run = true;
-    }
-  if (call->state == JL_CALL_SENT)
+/* Sends an idempotent call elsewhere, if a token allows. */
+static void
+leave_member (struct jl_core *core, struct jl_call *call)
+{
+  if (!jl_retry_spend (core, call))
+    return;
+  stop_send (core, call);
+  call->last_reason = JL_REASON_TARGET_LOST;
+  if (call->tried_count < JL_TRIED_MAX)
+    call->tried[call->tried_count++] = call->member;
+  core->counts.retries++;
+  jl_entry_proceed (core, call);
+}
+
+void
+jl_entry_member_lost (struct jl_core *core, uint64_t member)
+{
+  GList *calls = g_hash_table_get_values (core->calls);
+
+  for (GList *item = calls; item != NULL; item = item->next)
     {
-      send_cancel (core, call);
-      note_place_result (core, call, &ended);
+      struct jl_call *call = item->data;
+
+      if (call->state == JL_CALL_SENT && call->member == member
+          && !call->guarded && core->options.mode == JL_CORE_FULL)
+        leave_member (core, call);
     }
+  g_list_free (calls);
+}
+
+/* Stops a call that nobody waits for any more. */
+static void
+stop_call (struct jl_core *core, struct jl_call *call)
+{
+  if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
+    stop_send (core, call);
   if (call->state == JL_CALL_SENT || call->state == JL_CALL_CANCELLING)
     end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_CANCELLED);
   else
--- a/source/core/entry.h
+++ b/source/core/entry.h
@@ -26,6 +26,12 @@
  */
 void jl_entry_work_ended (struct jl_core *core, struct jl_work *work);
 
+/**
+ * jl_entry_member_lost - @member is silent; idempotent calls that were sent
+ * there go elsewhere, as far as their tokens allow
+ */
+void jl_entry_member_lost (struct jl_core *core, uint64_t member);
+
 /**
  * jl_entry_proceed - chooses a target for @call and sends it there, or answers
  *
--- a/source/daemon/call.c
+++ b/source/daemon/call.c
@@ -47,9 +47,15 @@
   return call->config->kinds[call->kind].name;
 }
 
+/* Begins a sending; it may have been stopped before it began. */
 static void
-reset_answer (struct call *call)
+begin_attempt (struct call *call, struct jl_attempt_id attempt)
 {
+  struct jl_waiter *waiter = &call->waiter;
+
+  g_mutex_lock (&call->daemon->lock);
+  waiter->transfer.aborted = waiter->stopped_attempt == attempt.number;
+  g_mutex_unlock (&call->daemon->lock);
   g_ptr_array_set_size (call->answer.headers, 0);
   g_string_truncate (call->answer.body, 0);
 }
@@ -188,7 +194,7 @@
 {
   struct jl_event event = { .type = JL_EVENT_CALL_RESULT };
 
-  reset_answer (call);
+  begin_attempt (call, send->attempt);
   event.call_result.call = send->call;
   event.call_result.attempt = send->attempt;
   if (send->local)
@@ -212,7 +218,7 @@
                                     .digest = call->digest };
   struct jl_http_message extra;
 
-  reset_answer (call);
+  begin_attempt (call, forward->attempt);
   g_strlcpy (header.kind, kind_name (call), JL_NAME_SIZE);
   event.call_result.call = forward->call;
   event.call_result.attempt = forward->attempt;
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -59,14 +59,25 @@
 }
 
 static void
-abort_transfer (GHashTable *waiters, uint64_t number)
+abort_run (struct jl_daemon *daemon, uint64_t number)
 {
-  struct jl_waiter *waiter = g_hash_table_lookup (waiters, &number);
+  struct jl_waiter *waiter = g_hash_table_lookup (daemon->works, &number);
 
   if (waiter != NULL)
     jl_http_transfer_abort (&waiter->transfer);
 }
 
+static void
+stop_send (struct jl_daemon *daemon, const struct jl_effect_stop_send *stop)
+{
+  struct jl_waiter *waiter = g_hash_table_lookup (daemon->calls, &stop->call);
+
+  if (waiter == NULL)
+    return;
+  waiter->stopped_attempt = stop->attempt.number;
+  jl_http_transfer_abort (&waiter->transfer);
+}
+
 /* Keeps an effect until the lock is given back. */
 static void
 put_off (struct jl_daemon *daemon, const struct jl_effect *effect)
@@ -111,10 +122,10 @@
       deliver (daemon->works, effect->finish.work, effect);
       break;
     case JL_EFFECT_ABORT:
-      abort_transfer (daemon->works, effect->abort_work);
+      abort_run (daemon, effect->abort_work);
       break;
     case JL_EFFECT_STOP_SEND:
-      abort_transfer (daemon->calls, effect->stop_send.call);
+      stop_send (daemon, &effect->stop_send);
       break;
     case JL_EFFECT_CONFIG:
       replace_config (daemon, effect->config);
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -64,6 +64,7 @@
 /**
  * struct jl_waiter - a thread that waits for effects of its request
  * @inbox: struct jl_effect, in order
+ * @stopped_attempt: of a call, number of the sending stopped last
  * @ordinals: of a work item, calls made so far by kind
  */
 struct jl_waiter
@@ -72,6 +73,7 @@
   GCond cond;
   GQueue inbox;
   struct jl_http_transfer transfer;
+  uint64_t stopped_attempt;
   GHashTable *ordinals;
 };
 
