Wake threads by POSIX conditions

Cause: GLib's condition makes a futex call at each signal, also when nobody waits, and an effect that a thread gives itself is such a signal. The timer thread is also woken once for an earlier timer, not at each step until it runs.

--- a/include/jackdawladder/http.h
+++ b/include/jackdawladder/http.h
@@ -9,6 +9,8 @@
  * the caller's back.
  */
 
+#include <pthread.h>
+
 #include "jackdawladder/base.h"
 
 /* Headers of one message that are kept. */
@@ -125,7 +127,7 @@
   uint64_t timeout_us;
   uint64_t answer_max;
   struct jl_http_transfer *transfer;
-  GMutex *lock;
+  pthread_mutex_t *lock;
 };
 
 /**
--- a/source/daemon/answers.c
+++ b/source/daemon/answers.c
@@ -27,7 +27,7 @@
 
 struct jl_answer_store
 {
-  GMutex lock;
+  pthread_mutex_t lock;
   GHashTable *by_ticket;
   struct cds_list_head order;
   size_t bytes;
@@ -47,7 +47,7 @@
 {
   struct jl_answer_store *store = g_new0 (struct jl_answer_store, 1);
 
-  g_mutex_init (&store->lock);
+  pthread_mutex_init (&store->lock, NULL);
   store->by_ticket
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kept);
   CDS_INIT_LIST_HEAD (&store->order);
@@ -58,7 +58,7 @@
 jl_answer_store_drop (struct jl_answer_store *store)
 {
   g_hash_table_destroy (store->by_ticket);
-  g_mutex_clear (&store->lock);
+  pthread_mutex_destroy (&store->lock);
   g_free (store);
 }
 
@@ -110,7 +110,7 @@
   copy_message (&kept->answer, answer);
   kept->bytes = sizeof *kept + kept->answer.body->len;
   kept->kept_us = jl_now ();
-  g_mutex_lock (&store->lock);
+  pthread_mutex_lock (&store->lock);
   if (g_hash_table_contains (store->by_ticket, kept->key))
     free_kept (kept);
   else
@@ -120,7 +120,7 @@
       g_hash_table_insert (store->by_ticket, kept->key, kept);
       make_room (store);
     }
-  g_mutex_unlock (&store->lock);
+  pthread_mutex_unlock (&store->lock);
 }
 
 bool
@@ -133,13 +133,13 @@
   const struct kept *kept;
 
   jl_ticket_format (ticket, key);
-  g_mutex_lock (&store->lock);
+  pthread_mutex_lock (&store->lock);
   kept = g_hash_table_lookup (store->by_ticket, key);
   if (kept != NULL)
     {
       *status = kept->status;
       copy_message (answer, &kept->answer);
     }
-  g_mutex_unlock (&store->lock);
+  pthread_mutex_unlock (&store->lock);
   return kept != NULL;
 }
--- a/source/daemon/background.c
+++ b/source/daemon/background.c
@@ -222,8 +222,8 @@
     }
 }
 
-gpointer
-jl_background_run (gpointer context)
+void *
+jl_background_run (void *context)
 {
   struct background background = { .daemon = context };
   struct jl_daemon *daemon = context;
--- a/source/daemon/call.c
+++ b/source/daemon/call.c
@@ -53,9 +53,9 @@
 {
   struct jl_waiter *waiter = &call->waiter;
 
-  g_mutex_lock (&call->daemon->lock);
+  pthread_mutex_lock (&call->daemon->lock);
   waiter->transfer.aborted = waiter->stopped_attempt == attempt.number;
-  g_mutex_unlock (&call->daemon->lock);
+  pthread_mutex_unlock (&call->daemon->lock);
   g_ptr_array_set_size (call->answer.headers, 0);
   g_string_truncate (call->answer.body, 0);
 }
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -15,18 +15,43 @@
 #define IDLE_CONNECTION_MAX 16
 #define PLATFORM_TIMEOUT_MS 1000
 
+/* Conditions wait by the clock that jl_now() reads. */
+static void
+init_condition (pthread_cond_t *condition)
+{
+  pthread_condattr_t attributes;
+
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (condition, &attributes);
+  pthread_condattr_destroy (&attributes);
+}
+
+/* Return: false when @until_us passed. */
+static bool
+wait_until (struct jl_daemon *daemon,
+            pthread_cond_t *condition,
+            uint64_t until_us)
+{
+  struct timespec until
+      = { .tv_sec = (time_t)(until_us / JL_USEC_PER_SEC),
+          .tv_nsec = (long)(until_us % JL_USEC_PER_SEC) * 1000 };
+
+  return pthread_cond_timedwait (condition, &daemon->lock, &until) == 0;
+}
+
 void
 jl_waiter_init (struct jl_waiter *waiter)
 {
   memset (waiter, 0, sizeof *waiter);
-  g_cond_init (&waiter->cond);
+  init_condition (&waiter->cond);
   g_queue_init (&waiter->inbox);
 }
 
 void
 jl_waiter_clear (struct jl_waiter *waiter)
 {
-  g_cond_clear (&waiter->cond);
+  pthread_cond_destroy (&waiter->cond);
   g_queue_clear_full (&waiter->inbox, g_free);
   if (waiter->ordinals != NULL)
     g_hash_table_destroy (waiter->ordinals);
@@ -39,7 +64,7 @@
   struct jl_effect effect;
 
   while (g_queue_is_empty (&waiter->inbox))
-    g_cond_wait (&waiter->cond, &daemon->lock);
+    pthread_cond_wait (&waiter->cond, &daemon->lock);
   queued = g_queue_pop_head (&waiter->inbox);
   effect = *queued;
   g_free (queued);
@@ -55,7 +80,7 @@
   if (waiter == NULL)
     return;
   g_queue_push_tail (&waiter->inbox, g_memdup2 (effect, sizeof *effect));
-  g_cond_signal (&waiter->cond);
+  pthread_cond_signal (&waiter->cond);
 }
 
 static void
@@ -141,7 +166,7 @@
       break;
     case JL_EFFECT_EXIT:
       daemon->exiting = true;
-      g_cond_broadcast (&daemon->exit);
+      pthread_cond_broadcast (&daemon->exit);
       break;
     }
 }
@@ -149,7 +174,7 @@
 void
 jl_daemon_begin (struct jl_daemon *daemon)
 {
-  g_mutex_lock (&daemon->lock);
+  pthread_mutex_lock (&daemon->lock);
 }
 
 void
@@ -163,8 +188,10 @@
   for (size_t i = 0; i < jl_effects_count (daemon->effects); i++)
     dispatch (daemon, jl_effects_get (daemon->effects, i));
   next_us = jl_core_next_timer (daemon->core);
-  if (next_us < daemon->tick_at_us)
-    g_cond_signal (&daemon->tick);
+  if (next_us >= daemon->tick_at_us)
+    return;
+  daemon->tick_at_us = next_us;
+  pthread_cond_signal (&daemon->tick);
 }
 
 static void
@@ -193,7 +220,7 @@
       daemon->outgoing = g_array_new (FALSE, FALSE, sizeof (struct jl_effect));
     }
   daemon->retired = NULL;
-  g_mutex_unlock (&daemon->lock);
+  pthread_mutex_unlock (&daemon->lock);
   if (outgoing != NULL)
     {
       for (guint i = 0; i < outgoing->len; i++)
@@ -258,8 +285,8 @@
 }
 
 /* Sends ticks when timers of the reducer are due. */
-static gpointer
-run_timers (gpointer context)
+static void *
+run_timers (void *context)
 {
   struct jl_daemon *daemon = context;
   struct jl_event event = { .type = JL_EVENT_TICK };
@@ -273,10 +300,8 @@
       daemon->tick_at_us = jl_core_next_timer (daemon->core);
       if (daemon->tick_at_us > now_us)
         {
-          uint64_t wait_us = MIN (daemon->tick_at_us - now_us, JL_USEC_PER_SEC);
-
-          g_cond_wait_until (&daemon->tick, &daemon->lock,
-                             g_get_monotonic_time () + (gint64)wait_us);
+          wait_until (daemon, &daemon->tick,
+                      MIN (daemon->tick_at_us, now_us + JL_USEC_PER_SEC));
           continue;
         }
       daemon->tick_at_us = 0;
@@ -353,15 +378,26 @@
     }
 }
 
+static void
+start_threads (struct jl_daemon *daemon)
+{
+  if (pthread_create (&daemon->timer_thread, NULL, run_timers, daemon) != 0
+      || pthread_create (&daemon->background_thread, NULL, jl_background_run,
+                         daemon)
+             != 0)
+    g_error ("cannot start the daemon's threads");
+  daemon->has_threads = true;
+}
+
 struct jl_daemon *
 jl_daemon_open (struct jl_settings *settings, GError **error)
 {
   struct jl_daemon *daemon = g_new0 (struct jl_daemon, 1);
 
   daemon->settings = settings;
-  g_mutex_init (&daemon->lock);
-  g_cond_init (&daemon->tick);
-  g_cond_init (&daemon->exit);
+  pthread_mutex_init (&daemon->lock, NULL);
+  init_condition (&daemon->tick);
+  init_condition (&daemon->exit);
   daemon->core = make_core (settings);
   daemon->effects = jl_effects_new ();
   daemon->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -379,9 +415,7 @@
       return NULL;
     }
   post_seeds (daemon);
-  daemon->timer_thread = g_thread_new ("timers", run_timers, daemon);
-  daemon->background_thread
-      = g_thread_new ("background", jl_background_run, daemon);
+  start_threads (daemon);
   jl_log_text (JL_LOG_STARTED, settings->name);
   return daemon;
 }
@@ -398,35 +432,34 @@
 bool
 jl_daemon_wait_exit (struct jl_daemon *daemon, uint64_t timeout_us)
 {
-  gint64 until = g_get_monotonic_time () + (gint64)timeout_us;
+  uint64_t until_us = jl_now () + timeout_us;
   bool exiting;
 
-  g_mutex_lock (&daemon->lock);
+  pthread_mutex_lock (&daemon->lock);
   while (!daemon->exiting)
-    if (!g_cond_wait_until (&daemon->exit, &daemon->lock, until))
+    if (!wait_until (daemon, &daemon->exit, until_us))
       break;
   exiting = daemon->exiting;
-  g_mutex_unlock (&daemon->lock);
+  pthread_mutex_unlock (&daemon->lock);
   return exiting;
 }
 
 static void
 join_threads (struct jl_daemon *daemon)
 {
+  struct jl_effect *wake;
+
+  if (!daemon->has_threads)
+    return;
   jl_daemon_begin (daemon);
   daemon->stopping = true;
-  g_cond_signal (&daemon->tick);
+  pthread_cond_signal (&daemon->tick);
   jl_daemon_end (daemon);
-  if (daemon->background_thread != NULL)
-    {
-      struct jl_effect *wake = g_new0 (struct jl_effect, 1);
-
-      wake->type = JL_EFFECT_EXIT;
-      g_async_queue_push (daemon->background, wake);
-      g_thread_join (daemon->background_thread);
-    }
-  if (daemon->timer_thread != NULL)
-    g_thread_join (daemon->timer_thread);
+  wake = g_new0 (struct jl_effect, 1);
+  wake->type = JL_EFFECT_EXIT;
+  g_async_queue_push (daemon->background, wake);
+  pthread_join (daemon->background_thread, NULL);
+  pthread_join (daemon->timer_thread, NULL);
 }
 
 void
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -34,7 +34,7 @@
 struct jl_daemon
 {
   struct jl_settings *settings;
-  GMutex lock;
+  pthread_mutex_t lock;
   struct jl_core *core;
   struct jl_effects *effects;
   struct jl_config *config;
@@ -44,11 +44,11 @@
   uint64_t next_number;
   GArray *outgoing;
   uint64_t tick_at_us;
-  GCond tick;
+  pthread_cond_t tick;
   int draining;
   bool exiting;
   bool stopping;
-  GCond exit;
+  pthread_cond_t exit;
   struct jl_answer_store *answers;
   struct jl_http_pool *pool;
   struct jl_control *control;
@@ -57,8 +57,9 @@
   struct jl_http_server *peer_server;
   struct jl_http_server *local_server;
   GAsyncQueue *background;
-  GThread *timer_thread;
-  GThread *background_thread;
+  bool has_threads;
+  pthread_t timer_thread;
+  pthread_t background_thread;
 };
 
 /**
@@ -70,7 +71,7 @@
 struct jl_waiter
 {
   uint64_t number;
-  GCond cond;
+  pthread_cond_t cond;
   GQueue inbox;
   struct jl_http_transfer transfer;
   uint64_t stopped_attempt;
@@ -152,6 +153,6 @@
 /**
  * jl_background_run - the background thread: platform and configuration
  */
-gpointer jl_background_run (gpointer daemon);
+void *jl_background_run (void *daemon);
 
 #endif
--- a/source/daemon/hooks.c
+++ b/source/daemon/hooks.c
@@ -13,7 +13,7 @@
 #  define PREFIX_MAX 8
 #  define PREFIX_SIZE 16
 
-static GMutex lock;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static uint32_t prefix_count;
 static char prefixes[PREFIX_MAX][PREFIX_SIZE];
 
@@ -39,10 +39,10 @@
   bool cut = false;
 
   jl_endpoint_format ((struct jl_endpoint){ .ip = ip }, text);
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   for (uint32_t i = 0; i < prefix_count; i++)
     cut = cut || g_str_has_prefix (text, prefixes[i]);
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
   return cut;
 }
 
@@ -65,17 +65,17 @@
 
   if (strcmp (exchange->path, "/test/join") == 0)
     {
-      g_mutex_lock (&lock);
+      pthread_mutex_lock (&lock);
       prefix_count = 0;
-      g_mutex_unlock (&lock);
+      pthread_mutex_unlock (&lock);
     }
   else if (strcmp (exchange->path, "/test/cut") == 0 && prefix != NULL)
     {
-      g_mutex_lock (&lock);
+      pthread_mutex_lock (&lock);
       if (prefix_count < PREFIX_MAX)
         g_strlcpy (prefixes[prefix_count++], prefix + strlen ("?prefix="),
                    PREFIX_SIZE);
-      g_mutex_unlock (&lock);
+      pthread_mutex_unlock (&lock);
     }
   else
     return false;
--- a/source/daemon/main.c
+++ b/source/daemon/main.c
@@ -51,8 +51,8 @@
     = { options, parse_option, NULL, doc, NULL, NULL, NULL };
 
 /* A thread of its own waits for signals; all others have them blocked. */
-static gpointer
-wait_signals (gpointer context)
+static void *
+wait_signals (void *context)
 {
   struct jl_daemon *daemon = context;
   sigset_t set;
@@ -87,6 +87,7 @@
   struct jl_settings *settings;
   struct jl_daemon *daemon;
   GError *error = NULL;
+  pthread_t signals;
 
   argp_parse (&parser, argc, argv, 0, NULL, &path);
   settings = jl_settings_load (path, &error);
@@ -103,7 +104,9 @@
       fprintf (stderr, "jackdawladderd: %s\n", error->message);
       return EXIT_SOCKETS;
     }
-  g_thread_unref (g_thread_new ("signals", wait_signals, daemon));
+  if (pthread_create (&signals, NULL, wait_signals, daemon) != 0)
+    g_error ("cannot start the thread for signals");
+  pthread_detach (signals);
   while (!jl_daemon_wait_exit (daemon, UINT32_MAX))
     continue;
   jl_daemon_close (daemon);
--- a/source/http/client.c
+++ b/source/http/client.c
@@ -47,7 +47,7 @@
 
 struct jl_http_pool
 {
-  GMutex lock;
+  pthread_mutex_t lock;
   GHashTable *endpoints;
   uint32_t idle_max;
 };
@@ -58,7 +58,7 @@
   struct jl_http_pool *pool = g_new0 (struct jl_http_pool, 1);
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  g_mutex_init (&pool->lock);
+  pthread_mutex_init (&pool->lock, NULL);
   pool->endpoints
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   pool->idle_max = idle_max;
@@ -101,11 +101,11 @@
   struct handle *handle;
   struct handle *next;
 
-  g_mutex_lock (&pool->lock);
+  pthread_mutex_lock (&pool->lock);
   g_hash_table_iter_init (&iterator, pool->endpoints);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     take_expired (value, limit_us, &expired);
-  g_mutex_unlock (&pool->lock);
+  pthread_mutex_unlock (&pool->lock);
   cds_list_for_each_entry_safe (handle, next, &expired, idle)
       free_handle (handle);
 }
@@ -121,7 +121,7 @@
 {
   expire_before (pool, UINT64_MAX);
   g_hash_table_destroy (pool->endpoints);
-  g_mutex_clear (&pool->lock);
+  pthread_mutex_destroy (&pool->lock);
   g_free (pool);
 }
 
@@ -223,7 +223,7 @@
   struct handle *handle = NULL;
   struct idle_list *list;
 
-  g_mutex_lock (&pool->lock);
+  pthread_mutex_lock (&pool->lock);
   list = find_list (pool, key);
   if (list->count > 0)
     {
@@ -231,7 +231,7 @@
       cds_list_del (&handle->idle);
       list->count--;
     }
-  g_mutex_unlock (&pool->lock);
+  pthread_mutex_unlock (&pool->lock);
   if (handle != NULL)
     return handle;
   handle = g_new0 (struct handle, 1);
@@ -249,7 +249,7 @@
   struct idle_list *list;
 
   handle->idle_since_us = jl_now ();
-  g_mutex_lock (&pool->lock);
+  pthread_mutex_lock (&pool->lock);
   list = find_list (pool, handle->endpoint);
   keep = keep && list->count < pool->idle_max;
   if (keep)
@@ -257,7 +257,7 @@
       cds_list_add (&handle->idle, &list->handles);
       list->count++;
     }
-  g_mutex_unlock (&pool->lock);
+  pthread_mutex_unlock (&pool->lock);
   if (!keep)
     free_handle (handle);
 }
@@ -326,10 +326,10 @@
 
   if (call->transfer == NULL)
     return false;
-  g_mutex_lock (call->lock);
+  pthread_mutex_lock (call->lock);
   call->transfer->multi = multi;
   aborted = call->transfer->aborted != 0;
-  g_mutex_unlock (call->lock);
+  pthread_mutex_unlock (call->lock);
   return aborted;
 }
 
