--- a/include/jackdawladder/http.h
+++ b/include/jackdawladder/http.h
@@ -9,6 +9,8 @@
  * the caller's back.
  */
 
+#include <pthread.h>
+
 #include "jackdawladder/base.h"
 
 /* Headers of one message that are kept. */
@@ -125,7 +127,7 @@
   uint64_t timeout_us;
   uint64_t answer_max;
   struct jl_http_transfer *transfer;
-  GMutex *lock;
+  pthread_mutex_t *lock;
 };
 
 /**
@@ -156,7 +158,7 @@
  * @path: path alone, decoded
  * @status: set by the handler
  * @answer: filled by the handler
- * @read_body: reads the body into @request, see jl_http_read_body()
+ * @close: set by the handler to close the connection after the answer
  */
 struct jl_http_exchange
 {
@@ -166,6 +168,7 @@
   struct jl_http_message request;
   uint32_t status;
   struct jl_http_message answer;
+  bool close;
   void *connection;
 };
 
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -63,11 +63,15 @@
  * @parent: the work that makes it, NULL for a caller's
  * @siblings: place in @parent's list of children
  * @guarded: its runs are granted under @ticket, at most one of them
+ * @keyed: its caller named it, and may have sent it before
  * @may_have_run: some sending may have run
  * @tokens: retry tokens of a call without @parent; else the parent's are used
+ * @tokens_begun: what @tokens began with
+ * @tokens_lent: what is out of @tokens with the sending in progress
  * @lent: tokens that went out with the sending in progress
  * @attempt: the sending in progress
  * @member: where it went
+ * @member_epoch: the life of that daemon
  * @tried: members that are not to be tried again
  */
 struct jl_call
@@ -79,6 +83,7 @@
   struct jl_work *parent;
   struct cds_list_head siblings;
   bool guarded;
+  bool keyed;
   bool forwarded;
   bool may_have_run;
   struct jl_ticket ticket;
@@ -90,10 +95,13 @@
   uint64_t invested_us;
   uint64_t deadline_us;
   uint32_t tokens;
+  uint32_t tokens_begun;
+  uint32_t tokens_lent;
   uint32_t lent;
   uint32_t sends;
   struct jl_attempt_id attempt;
   uint64_t member;
+  uint64_t member_epoch;
 #define JL_TRIED_MAX 8
   uint32_t tried_count;
   uint64_t tried[JL_TRIED_MAX];
@@ -115,7 +123,11 @@
  * struct jl_work - one sending of a call at its guard
  * @queue: place in the admission queue while it waits
  * @children: calls that the target makes meanwhile, by jl_call.siblings
+ * @tokens: retry tokens that its children draw on
+ * @tokens_begun: what @tokens began with
+ * @tokens_lent: what is out of @tokens with sendings of its children
  * @cancelled: its result is wanted by nobody
+ * @struck: its content had a strike when it began to run
  * @report: what its children's answers said of the services below
  */
 struct jl_work
@@ -134,7 +146,10 @@
   uint64_t target_started;
   struct jl_ticket anchor;
   uint32_t tokens;
+  uint32_t tokens_begun;
+  uint32_t tokens_lent;
   bool cancelled;
+  bool struck;
   struct cds_list_head queue;
   struct cds_list_head children;
   struct jl_report report;
@@ -175,8 +190,10 @@
   bool left;
   struct jl_timer drain_linger;
   uint64_t next_attempt;
-  GHashTable *calls; /* number to struct jl_call */
-  GHashTable *works; /* number to struct jl_work */
+  uint32_t caller_calls;  /* calls of callers in progress */
+  GHashTable *calls;      /* number to struct jl_call */
+  GHashTable *works;      /* number to struct jl_work */
+  GHashTable *cancelling; /* attempt number to struct jl_call */
   struct jl_members *members;
   struct jl_admit *admit;
   struct jl_place *place;
