Give each running site addresses of its own

Two checkouts that ran the process tests at the same time mixed their targets; the checker reported it as requests that ran twice. A site now takes the first free slot of addresses under a file lock, and fails at its start if one of its processes has ended. Watchers are ended with their site.

--- a/tests/site.sh
+++ b/tests/site.sh
@@ -1,7 +1,9 @@
 # A small site of stand-ins and daemons on loopback addresses; to be sourced.
 #
-# Each member is a daemon and its target at one address 127.30.ZONE.N:
-# entry port 8000, peers 8001, local 8002, control 8003, target 8080.
+# Each member is a daemon and its target at one address, given as 127.30.Z.N:
+# entry port 8000, peers 8001, local 8002, control 8003, target 8080. Sites
+# that run at the same time each take a slot of addresses: Z is moved up by 20
+# for each slot. A script that uses addresses itself sets SITE_SLOT=0 first.
 # Everything started is stopped by its process number. Needs bash.
 #
 #   site_begin DIRECTORY          starts with an empty directory
@@ -16,7 +18,10 @@
 SITE_ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BUILD=${BUILD:-build}
 case "$BUILD" in /*) ;; *) BUILD=$SITE_ROOT/$BUILD ;; esac
-SITE_PLATFORM=127.30.0.1:9000
+SITE_SLOTS=10
+SITE_SLOT_ZONES=20
+SITE_SLOT_WAIT_S=300
+SITE_THREADS_DEFAULT='"entry": 200, "peer": 200, "local": 100'
 SITE_DEADLINE_S=${SITE_DEADLINE_S:-20}
 
 declare -A SITE_ZONE SITE_SERVICE SITE_ADDRESS SITE_OPTIONS
@@ -32,9 +37,34 @@
   exit 1
 }
 
+# Holds a lock until this shell and all that it starts have ended.
+site_take_slot ()
+{
+  local wanted=${SITE_SLOT:-}
+  if [ -n "$wanted" ]; then
+    exec 9> "${TMPDIR:-/tmp}/jackdawladder-site-$wanted.lock"
+    flock -w "$SITE_SLOT_WAIT_S" 9 || site_fail "slot $wanted is taken"
+    return
+  fi
+  for ((SITE_SLOT = 0; SITE_SLOT < SITE_SLOTS; SITE_SLOT++)); do
+    exec 9> "${TMPDIR:-/tmp}/jackdawladder-site-$SITE_SLOT.lock"
+    flock -n 9 && return
+  done
+  site_fail "all slots of addresses are taken"
+}
+
+# The address 127.30.Z.N, or a prefix such as 127.30.Z., in the own slot.
+site_address ()
+{
+  local rest=${1#127.30.}
+  echo "127.30.$((${rest%%.*} + SITE_SLOT * SITE_SLOT_ZONES)).${rest#*.}"
+}
+
 site_begin ()
 {
   SITE_DIR=$1
+  site_take_slot
+  SITE_PLATFORM=$(site_address 127.30.0.1):9000
   rm -rf "$SITE_DIR"
   mkdir -p "$SITE_DIR"
   trap site_end EXIT
@@ -52,7 +82,8 @@
 
 site_member ()
 {
-  local name=$1 zone=$2 service=$3 address=$4
+  local name=$1 zone=$2 service=$3 address
+  address=$(site_address "$4")
   shift 4
   SITE_MEMBERS+=("$name")
   SITE_ZONE[$name]=$zone
@@ -79,7 +110,7 @@
   "target": "${SITE_ADDRESS[$name]}:8080",
   "platform": "$SITE_PLATFORM",
   "seeds": [$seeds],
-  "threads": {${SITE_THREADS:-"entry": 200, "peer": 200, "local": 100}},
+  "threads": {${SITE_THREADS:-$SITE_THREADS_DEFAULT}},
   "mode": "${SITE_MODE:-full}",
   "drain_ms": 60000
 }
@@ -146,6 +177,27 @@
   for name in "${SITE_MEMBERS[@]}"; do
     start_target "$name"
   done
+  site_alive
+}
+
+# Whether a process runs; one that has ended stays as a zombie.
+is_running ()
+{
+  grep -q '^State:[[:space:]]*[^Z[:space:]]' "/proc/$1/status" 2> /dev/null
+}
+
+# Fails if a process has ended, for instance since its address is taken.
+site_alive ()
+{
+  local name
+  sleep 0.5
+  is_running "$PLATFORM_PID" || site_fail "the platform has ended"
+  for name in "${SITE_MEMBERS[@]}"; do
+    is_running "${DAEMON_PID[$name]}" \
+      || site_fail "daemon $name: $(tail -n 1 "$SITE_DIR/$name.daemon.log")"
+    is_running "${TARGET_PID[$name]}" \
+      || site_fail "target $name: $(tail -n 1 "$SITE_DIR/$name.target.log")"
+  done
 }
 
 site_status ()
@@ -175,18 +227,22 @@
   done
 }
 
+# The operators' tool against the platform.
 site_tool ()
 {
-  "$BUILD/jackdawladder" "$@"
+  "$BUILD/jackdawladder" --platform "$SITE_PLATFORM" "$@"
 }
 
-# TEMP fallback
+# Repeats itself, since the platform may not listen yet.
 site_apply ()
 {
+  local until=$((SECONDS + SITE_DEADLINE_S))
   SITE_CONFIG=$1
-  SITE_VERSION=$((${SITE_VERSION:-0} + 1))
-  sleep 1
-  for m in "${SITE_MEMBERS[@]}"; do curl -s -X POST -H "Jl-Config-Version: $SITE_VERSION" --data-binary "@$1" "http://${SITE_ADDRESS[$m]}:8002/jl/config" >/dev/null; done
+  until site_tool apply "$1" >> "$SITE_DIR/apply.log" 2>&1; do
+    [ "$SECONDS" -lt "$until" ] \
+      || site_fail "cannot apply $1: $(tail -n 3 "$SITE_DIR/apply.log")"
+    sleep 0.2
+  done
 }
 
 platform_control ()
@@ -207,20 +263,24 @@
     --csv "$SITE_DIR/$name.csv" "$@"
 }
 
-# Samples all daemons' configurations until the end, or once with --once.
+# Samples all daemons' configurations: site_sample [exec] [--once].
 site_sample ()
 {
-  local name daemons=()
+  local name daemons=() how=
+  if [ "${1:-}" = exec ]; then
+    how=exec
+    shift
+  fi
   for name in "${SITE_MEMBERS[@]}"; do
     daemons+=("$name=${SITE_ADDRESS[$name]}:8002")
   done
-  python3 -B "$SITE_ROOT/tests/history/watch.py" "$@" \
+  $how python3 -B "$SITE_ROOT/tests/history/watch.py" "$@" \
     --history "$SITE_DIR/versions.jsonl" "${daemons[@]}"
 }
 
 site_watch ()
 {
-  site_sample &
+  site_sample exec &
   SITE_OTHERS+=($!)
 }
 
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -196,28 +196,30 @@
   return server_reply (connection, 200, header, "", 0);
 }
 
+/* A copy of a row's value, NULL when there is no such row. */
+static GString *
+copy_row (const char *path, uint64_t *tag)
+{
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&platform.lock);
+  const struct row *row = g_hash_table_lookup (platform.rows, path);
+
+  if (row == NULL)
+    return NULL;
+  *tag = row->tag;
+  return g_string_new_len (row->value->str, (gssize)row->value->len);
+}
+
 static int
 handle_get (struct mg_connection *connection, const char *path)
 {
-  g_autofree char *header = NULL;
-  g_autofree char *value = NULL;
-  size_t size = 0;
-  struct row *row;
+  uint64_t tag = 0;
+  g_autoptr (GString) value = copy_row (path, &tag);
+  g_autofree char *header = g_strdup_printf ("ETag: \"%" PRIu64 "\"\r\n", tag);
 
   platform.reads++;
-  g_mutex_lock (&platform.lock);
-  row = g_hash_table_lookup (platform.rows, path);
-  if (row != NULL)
-    {
-      header = g_strdup_printf ("ETag: \"%" PRIu64 "\"\r\n", row->tag);
-      size = row->value->len;
-      value = g_malloc (size + 1);
-      memcpy (value, row->value->str, size + 1);
-    }
-  g_mutex_unlock (&platform.lock);
   if (value == NULL)
     return reply_text (connection, 404, "no such row\n");
-  return server_reply (connection, 200, header, value, size);
+  return server_reply (connection, 200, header, value->str, value->len);
 }
 
 static int
