--- /dev/null
+++ b/tests/support/table.c
@@ -0,0 +1,268 @@
+/**
+ * DOC: Fake of the platform's table.
+ */
+
+#include "support/table.h"
+
+#include <string.h>
+
+#include <civetweb.h>
+
+#include "jackdawladder/platform.h"
+#include "platform/row.h"
+
+struct table_row
+{
+  char tag[24];
+  char *value;
+};
+
+static void
+drop_row (gpointer data)
+{
+  struct table_row *row = data;
+
+  g_free (row->value);
+  g_free (row);
+}
+
+static char
+next_letter (const char **letters)
+{
+  return *letters == NULL || **letters == '\0' ? 'o' : *(*letters)++;
+}
+
+static uint64_t
+version_of (const char *value)
+{
+  struct jl_row row;
+
+  if (value == NULL || !jl_row_parse (&row, value, NULL))
+    return 0;
+  g_free (row.applied.text);
+  return row.applied.version;
+}
+
+void
+table_store (struct table *table, const char *key, const char *value)
+{
+  struct table_row *old = g_hash_table_lookup (table->rows, key);
+  struct table_row *row = g_new0 (struct table_row, 1);
+
+  if (strcmp (key, JL_PLATFORM_CONFIG_KEY) == 0
+      && version_of (value) != version_of (old == NULL ? NULL : old->value) + 1)
+    table->went_back = true;
+  g_snprintf (row->tag, sizeof row->tag, "\"%" G_GUINT64_FORMAT "\"",
+              ++table->last_tag);
+  row->value = g_strdup (value);
+  g_hash_table_replace (table->rows, g_strdup (key), row);
+}
+
+/* Stores under a condition: a tag, "*" for absent, NULL for none. */
+static bool
+store_if (struct table *table,
+          const char *key,
+          const char *tag,
+          const char *value)
+{
+  struct table_row *old = g_hash_table_lookup (table->rows, key);
+
+  if (tag != NULL && strcmp (tag, "*") == 0 && old != NULL)
+    return false;
+  if (tag != NULL && strcmp (tag, "*") != 0
+      && (old == NULL || strcmp (old->tag, tag) != 0))
+    return false;
+  table_store (table, key, value);
+  return true;
+}
+
+void
+table_follow (struct table *table, uint32_t count)
+{
+  char document[] = "other";
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct table_row *old
+          = g_hash_table_lookup (table->rows, JL_PLATFORM_CONFIG_KEY);
+      struct jl_row row = { .applied.version = 0 };
+      struct jl_row next;
+      char *value;
+
+      if (old != NULL)
+        g_assert_true (jl_row_parse (&row, old->value, NULL));
+      jl_row_follow (&next, old == NULL ? NULL : &row, document);
+      value = jl_row_format (&next);
+      table_store (table, JL_PLATFORM_CONFIG_KEY, value);
+      g_free (value);
+      g_free (row.applied.text);
+    }
+}
+
+static int
+hang_up (struct mg_connection *connection)
+{
+  mg_disable_connection_keep_alive (connection);
+  return 1;
+}
+
+static int
+reply (struct mg_connection *connection,
+       int status,
+       const char *tag,
+       const char *body)
+{
+  mg_printf (connection,
+             "HTTP/1.1 %d x\r\nETag: %s\r\nContent-Length: %zu\r\n\r\n%s",
+             status, tag, strlen (body), body);
+  return status;
+}
+
+static void
+keep_pending (struct table *table,
+              const char *key,
+              const char *tag,
+              const char *value)
+{
+  table->pending_key = g_strdup (key);
+  table->pending_tag = g_strdup (tag);
+  table->pending_value = g_strdup (value);
+}
+
+static void
+obey_pending (struct table *table)
+{
+  if (table->pending_key != NULL)
+    store_if (table, table->pending_key, table->pending_tag,
+              table->pending_value);
+  g_clear_pointer (&table->pending_key, g_free);
+  g_clear_pointer (&table->pending_tag, g_free);
+  g_clear_pointer (&table->pending_value, g_free);
+}
+
+static int
+serve_write (struct table *table,
+             struct mg_connection *connection,
+             const char *key,
+             const char *value)
+{
+  const char *tag = mg_get_header (connection, "If-Match");
+  char letter = next_letter (&table->writes);
+  bool stored;
+
+  table->write_count++;
+  if (tag == NULL)
+    tag = mg_get_header (connection, "If-None-Match");
+  if (letter == 'e' || letter == 'b')
+    return reply (connection, letter == 'e' ? 503 : 400, "\"\"", "");
+  if (letter == 'p')
+    keep_pending (table, key, tag, value);
+  if (letter == 'r')
+    table_follow (table, 1);
+  if (strchr ("dpr", letter) != NULL)
+    return hang_up (connection);
+  stored = store_if (table, key, tag, value);
+  if (letter == 'f')
+    table_follow (table, table->followers);
+  if (letter != 'o')
+    return hang_up (connection);
+  return reply (connection, stored ? 200 : 412, "\"\"", "");
+}
+
+static int
+serve_read (struct table *table,
+            struct mg_connection *connection,
+            const char *key)
+{
+  struct table_row *row = g_hash_table_lookup (table->rows, key);
+  int status;
+
+  table->read_count++;
+  if (next_letter (&table->reads) == 'd')
+    return hang_up (connection);
+  status = row == NULL ? reply (connection, 404, "\"\"", "")
+                       : reply (connection, 200, row->tag, row->value);
+  obey_pending (table);
+  return status;
+}
+
+static int
+serve_list (struct table *table, struct mg_connection *connection)
+{
+  struct table_row *row = g_hash_table_lookup (table->rows, "list");
+
+  return reply (connection, 200, "\"\"", row->value);
+}
+
+static char *
+read_value (struct mg_connection *connection)
+{
+  GString *value = g_string_new (NULL);
+  char bytes[4096];
+  int count;
+
+  while ((count = mg_read (connection, bytes, sizeof bytes)) > 0)
+    g_string_append_len (value, bytes, count);
+  return g_string_free (value, FALSE);
+}
+
+static int
+serve (struct mg_connection *connection, void *context)
+{
+  struct table *table = context;
+  const struct mg_request_info *request = mg_get_request_info (connection);
+  const char *key = request->local_uri + strlen ("/table/");
+  g_autofree char *value = read_value (connection);
+  int status;
+
+  g_mutex_lock (&table->lock);
+  if (strcmp (request->local_uri, "/table") == 0)
+    status = serve_list (table, connection);
+  else if (strcmp (request->request_method, "PUT") == 0)
+    status = serve_write (table, connection, key, value);
+  else
+    status = serve_read (table, connection, key);
+  g_mutex_unlock (&table->lock);
+  return status;
+}
+
+struct table *
+table_open (void)
+{
+  const char *options[] = { "listening_ports",
+                            "127.20.0.1:0",
+                            "num_threads",
+                            "16",
+                            "enable_keep_alive",
+                            "yes",
+                            "keep_alive_timeout_ms",
+                            "2000",
+                            NULL };
+  struct table *table = g_new0 (struct table, 1);
+  struct mg_server_port port;
+
+  g_mutex_init (&table->lock);
+  table->rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, drop_row);
+  table->server = mg_start (NULL, NULL, options);
+  g_assert_nonnull (table->server);
+  mg_set_request_handler (table->server, "/", serve, table);
+  g_assert_cmpint (mg_get_server_ports (table->server, 1, &port), ==, 1);
+  table->endpoint.ip = 0x7f140001;
+  table->endpoint.port = (uint16_t)port.port;
+  return table;
+}
+
+void
+table_close (struct table *table)
+{
+  mg_stop (table->server);
+  g_hash_table_unref (table->rows);
+  g_free (table);
+}
+
+bool
+table_has (struct table *table, const char *key)
+{
+  return g_hash_table_contains (table->rows, key);
+}
