--- /dev/null
+++ b/tests/fuzz/row.c
@@ -0,0 +1,46 @@
+/**
+ * DOC: Arbitrary bytes as the configuration's row in the platform's table.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/row.h"
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+/* A row that was taken comes back the same from its own text. */
+static void
+check (const struct jl_row *row)
+{
+  char *value = jl_row_format (row);
+  struct jl_row again;
+
+  if (!jl_row_parse (&again, value, NULL)
+      || again.applied.version != row->applied.version
+      || strcmp (again.applied.apply_id, row->applied.apply_id) != 0
+      || strcmp (again.applied.text, row->applied.text) != 0
+      || again.earlier_count != row->earlier_count)
+    abort ();
+  g_free (again.applied.text);
+  g_free (value);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  char *value = g_strndup ((const char *)data, size);
+  GError *error = NULL;
+  struct jl_row row;
+
+  if (jl_row_parse (&row, value, &error))
+    {
+      check (&row);
+      g_free (row.applied.text);
+    }
+  else if (error == NULL)
+    abort ();
+  g_clear_error (&error);
+  g_free (value);
+  return 0;
+}
