--- a/include/jackdawladder/config.h
+++ b/include/jackdawladder/config.h
@@ -11,7 +11,7 @@
 #include "jackdawladder/base.h"
 
 /* Largest document in bytes. */
-#define JL_CONFIG_SIZE_MAX (256 * 1024)
+#define JL_CONFIG_SIZE_MAX (UINT32_C (256) << 10)
 #define JL_ZONE_MAX 32
 
 #define JL_CONFIG_ERROR jl_config_error_quark ()
--- a/source/config/reader.c
+++ b/source/config/reader.c
@@ -67,10 +67,10 @@
   g_autofree char *blanked = NULL;
   struct json_object *document;
 
-  if (size == 0 || size > (size_t)JL_CONFIG_SIZE_MAX)
+  if (size == 0 || size > JL_CONFIG_SIZE_MAX)
     {
       jl_reader_fail (reader, "document", JL_CONFIG_ERROR_RANGE,
-                      "must have 1 to %d bytes", JL_CONFIG_SIZE_MAX);
+                      "must have 1 to %u bytes", JL_CONFIG_SIZE_MAX);
       return NULL;
     }
   blanked = jl_strict_scan (text, size, &reader->error);
