--- a/tests/support/table.c
+++ b/tests/support/table.c
@@ -43,8 +43,8 @@
   return row.applied.version;
 }
 
-void
-table_store (struct table *table, const char *key, const char *value)
+static void
+store (struct table *table, const char *key, const char *value)
 {
   struct table_row *old = g_hash_table_lookup (table->rows, key);
   struct table_row *row = g_new0 (struct table_row, 1);
@@ -72,12 +72,12 @@
   if (tag != NULL && strcmp (tag, "*") != 0
       && (old == NULL || strcmp (old->tag, tag) != 0))
     return false;
-  table_store (table, key, value);
+  store (table, key, value);
   return true;
 }
 
-void
-table_follow (struct table *table, uint32_t count)
+static void
+follow (struct table *table, uint32_t count)
 {
   char document[] = "other";
 
@@ -93,7 +93,7 @@
         g_assert_true (jl_row_parse (&row, old->value, NULL));
       jl_row_follow (&next, old == NULL ? NULL : &row, document);
       value = jl_row_format (&next);
-      table_store (table, JL_PLATFORM_CONFIG_KEY, value);
+      store (table, JL_PLATFORM_CONFIG_KEY, value);
       g_free (value);
       g_free (row.applied.text);
     }
@@ -158,12 +158,12 @@
   if (letter == 'p')
     keep_pending (table, key, tag, value);
   if (letter == 'r')
-    table_follow (table, 1);
+    follow (table, 1);
   if (strchr ("dpr", letter) != NULL)
     return hang_up (connection);
   stored = store_if (table, key, tag, value);
   if (letter == 'f')
-    table_follow (table, table->followers);
+    follow (table, table->followers);
   if (letter != 'o')
     return hang_up (connection);
   return reply (connection, stored ? 200 : 412, "\"\"", "");
@@ -177,7 +177,6 @@
   struct table_row *row = g_hash_table_lookup (table->rows, key);
   int status;
 
-  table->read_count++;
   if (next_letter (&table->reads) == 'd')
     return hang_up (connection);
   status = row == NULL ? reply (connection, 404, "\"\"", "")
@@ -215,14 +214,14 @@
   g_autofree char *value = read_value (connection);
   int status;
 
-  g_mutex_lock (&table->lock);
+  pthread_mutex_lock (&table->lock);
   if (strcmp (request->local_uri, "/table") == 0)
     status = serve_list (table, connection);
   else if (strcmp (request->request_method, "PUT") == 0)
     status = serve_write (table, connection, key, value);
   else
     status = serve_read (table, connection, key);
-  g_mutex_unlock (&table->lock);
+  pthread_mutex_unlock (&table->lock);
   return status;
 }
 
@@ -241,7 +240,7 @@
   struct table *table = g_new0 (struct table, 1);
   struct mg_server_port port;
 
-  g_mutex_init (&table->lock);
+  pthread_mutex_init (&table->lock, NULL);
   table->rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, drop_row);
   table->server = mg_start (NULL, NULL, options);
@@ -264,5 +263,53 @@
 bool
 table_has (struct table *table, const char *key)
 {
-  return g_hash_table_contains (table->rows, key);
+  bool has;
+
+  pthread_mutex_lock (&table->lock);
+  has = g_hash_table_contains (table->rows, key);
+  pthread_mutex_unlock (&table->lock);
+  return has;
+}
+
+void
+table_store (struct table *table, const char *key, const char *value)
+{
+  pthread_mutex_lock (&table->lock);
+  store (table, key, value);
+  pthread_mutex_unlock (&table->lock);
+}
+
+void
+table_follow (struct table *table, uint32_t count)
+{
+  pthread_mutex_lock (&table->lock);
+  follow (table, count);
+  pthread_mutex_unlock (&table->lock);
+}
+
+void
+table_script_writes (struct table *table, const char *letters)
+{
+  pthread_mutex_lock (&table->lock);
+  table->writes = letters;
+  pthread_mutex_unlock (&table->lock);
+}
+
+void
+table_script_reads (struct table *table, const char *letters)
+{
+  pthread_mutex_lock (&table->lock);
+  table->reads = letters;
+  pthread_mutex_unlock (&table->lock);
+}
+
+uint32_t
+table_write_count (struct table *table)
+{
+  uint32_t count;
+
+  pthread_mutex_lock (&table->lock);
+  count = table->write_count;
+  pthread_mutex_unlock (&table->lock);
+  return count;
 }
--- a/tests/support/table.h
+++ b/tests/support/table.h
@@ -6,6 +6,7 @@
  * write and read.
  */
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -27,14 +28,13 @@
 {
   struct mg_context *server;
   struct jl_endpoint endpoint;
-  GMutex lock;
+  pthread_mutex_t lock;
   GHashTable *rows;
   uint64_t last_tag;
   const char *writes;
   const char *reads;
   uint32_t followers;
   uint32_t write_count;
-  uint32_t read_count;
   bool went_back;
   char *pending_key;
   char *pending_tag;
@@ -46,6 +46,17 @@
  */
 struct table *table_open (void);
 
+/**
+ * table_script_writes - what becomes of the next writes
+ */
+void table_script_writes (struct table *table, const char *letters);
+void table_script_reads (struct table *table, const char *letters);
+
+/**
+ * table_write_count - writes that have arrived
+ */
+uint32_t table_write_count (struct table *table);
+
 /**
  * table_close - stops the fake
  */
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -67,7 +67,7 @@
 {
   struct jl_applied applied;
 
-  table->reads = NULL;
+  table_script_reads (table, NULL);
   assert_done (jl_platform_read_config (platform, &applied, NULL, &error));
   cr_assert_eq (applied.version, version);
   cr_assert_str_eq (applied.text, text);
@@ -122,7 +122,7 @@
   assert_failed (jl_platform_insert (lost, "a", "1", &error),
                  JL_PLATFORM_ERROR_UNREACHABLE);
   jl_platform_drop (lost);
-  table->writes = "deb";
+  table_script_writes (table, "deb");
   assert_failed (jl_platform_insert (platform, "a", "1", &error),
                  JL_PLATFORM_ERROR_UNKNOWN);
   assert_failed (jl_platform_insert (platform, "a", "1", &error),
@@ -134,10 +134,10 @@
 Test (platform, never_repeats_a_write_on_a_dead_connection)
 {
   assert_done (jl_platform_insert (platform, "a", "1", &error));
-  table->writes = "d";
+  table_script_writes (table, "d");
   assert_failed (jl_platform_replace (platform, "a", "2", NULL, &error),
                  JL_PLATFORM_ERROR_UNKNOWN);
-  cr_assert_eq (table->write_count, 2);
+  cr_assert_eq (table_write_count (table), 2);
 }
 
 Test (platform, repeats_a_read_on_a_dead_connection)
@@ -145,7 +145,7 @@
   char *value;
 
   assert_done (jl_platform_insert (platform, "a", "1", &error));
-  table->reads = "d";
+  table_script_reads (table, "d");
   value = jl_platform_read (platform, "a", NULL, &error);
   assert_done (value != NULL);
   g_free (value);
@@ -172,7 +172,7 @@
   assert_failed (false, JL_PLATFORM_ERROR_CONFLICT);
   assert_failed (apply ("mine", 0), JL_PLATFORM_ERROR_CONFLICT);
   assert_failed (apply ("mine", 4), JL_PLATFORM_ERROR_CONFLICT);
-  cr_assert_eq (table->write_count, 0);
+  cr_assert_eq (table_write_count (table), 0);
   assert_in_force (3, "other");
 }
 
@@ -203,42 +203,42 @@
 
 Test (platform, learns_that_its_lost_apply_won)
 {
-  table->writes = "l";
+  table_script_writes (table, "l");
   assert_done (apply ("mine", 0));
-  table->writes = "l";
+  table_script_writes (table, "l");
   assert_done (apply ("next", 1));
-  cr_assert_eq (table->write_count, 2);
+  cr_assert_eq (table_write_count (table), 2);
   assert_in_force (2, "next");
 }
 
 Test (platform, learns_that_its_lost_apply_lost)
 {
-  table->writes = "r";
+  table_script_writes (table, "r");
   assert_failed (apply ("mine", 0), JL_PLATFORM_ERROR_CONFLICT);
   assert_in_force (1, "other");
 }
 
 Test (platform, sends_a_dropped_apply_again)
 {
-  table->writes = "dde";
+  table_script_writes (table, "dde");
   cr_assert_not (apply ("mine", 0));
   assert_failed (false, JL_PLATFORM_ERROR_UNKNOWN);
-  table->writes = "de";
+  table_script_writes (table, "de");
   assert_done (apply ("mine", 0));
   assert_in_force (1, "mine");
 }
 
 Test (platform, knows_its_apply_that_came_late)
 {
-  table->writes = "p";
+  table_script_writes (table, "p");
   assert_done (apply ("mine", 0));
-  cr_assert_eq (table->write_count, 2);
+  cr_assert_eq (table_write_count (table), 2);
   assert_in_force (1, "mine");
 }
 
 Test (platform, knows_its_apply_below_others)
 {
-  table->writes = "f";
+  table_script_writes (table, "f");
   table->followers = JL_ROW_EARLIER_MAX;
   assert_done (apply ("mine", 0));
   assert_in_force (1 + JL_ROW_EARLIER_MAX, "other");
@@ -246,24 +246,24 @@
 
 Test (platform, admits_that_too_many_others_have_followed)
 {
-  table->writes = "f";
+  table_script_writes (table, "f");
   table->followers = JL_ROW_EARLIER_MAX + 1;
   assert_failed (apply ("mine", 0), JL_PLATFORM_ERROR_UNKNOWN);
 }
 
 Test (platform, admits_that_an_outage_hides_the_outcome)
 {
-  table->writes = "lll";
-  table->reads = "odddddd";
+  table_script_writes (table, "lll");
+  table_script_reads (table, "odddddd");
   assert_failed (apply ("mine", 0), JL_PLATFORM_ERROR_UNKNOWN);
   assert_in_force (1, "mine");
 }
 
 Test (platform, says_that_nothing_was_written_when_it_could_not_read)
 {
-  table->reads = "dd";
+  table_script_reads (table, "dd");
   assert_failed (apply ("mine", 0), JL_PLATFORM_ERROR_UNREACHABLE);
-  cr_assert_eq (table->write_count, 0);
+  cr_assert_eq (table_write_count (table), 0);
 }
 
 /**
@@ -364,7 +364,7 @@
 {
   for (uint64_t base = 0; base < 20; base++)
     {
-      table->writes = base % 2 == 0 ? "lolllold" : "plopdlo";
+      table_script_writes (table, base % 2 == 0 ? "lolllold" : "plopdlo");
       check_race (base);
     }
 }
@@ -390,21 +390,21 @@
 
 Test (platform, finds_out_about_a_claim_whose_answer_was_lost)
 {
-  table->writes = "l";
+  table_script_writes (table, "l");
   cr_assert_eq (claim (5).number, 5);
-  table->writes = "l";
+  table_script_writes (table, "l");
   cr_assert_eq (claim (6).number, 5);
 }
 
 Test (platform, sends_a_dropped_claim_again)
 {
-  table->writes = "de";
+  table_script_writes (table, "de");
   cr_assert_eq (claim (5).number, 5);
 }
 
 Test (platform, knows_its_claim_that_came_late)
 {
-  table->writes = "p";
+  table_script_writes (table, "p");
   cr_assert_eq (claim (5).number, 5);
 }
 
@@ -413,8 +413,8 @@
   struct jl_ticket ticket = { .number = 5 };
   struct jl_ticket owner;
 
-  table->writes = "l";
-  table->reads = "dd";
+  table_script_writes (table, "l");
+  table_script_reads (table, "dd");
   assert_failed (jl_platform_claim (platform, 7, ticket, &owner, &error),
                  JL_PLATFORM_ERROR_UNKNOWN);
   table_store (table, "jackdawladder/claim/0000000000000008", "not a ticket");
@@ -426,7 +426,7 @@
 {
   struct racer racers[RACERS];
 
-  table->writes = "ldpolld";
+  table_script_writes (table, "ldpolld");
   race (racers, race_claim, 0);
   for (uint32_t i = 0; i < RACERS; i++)
     {
