Find out who is there by probes, gossip and compared lists

The member list only took over what it was told; nobody noticed a crash. Now each daemon probes up to four members in each 500 ms, in a random order that each member comes up in once, directly and then through three others. One that answers neither is suspected, gets no new work, and is dead after 4 s unless it raises its incarnation. A probe tells a suspect or dead member how it is held, so one that was frozen or cut off refutes at once. Dead members are kept for hours and each probed about twice a second by all together, so that halves join again without seed or platform.

News is pushed to four members at once, which push it on, and rides on 3 log2 n probes and acknowledgements.

One probe in each period was ruled out: at 470 members the time until someone probes a given member has a tail of e^-k after k periods, too long for a bound of 3 s; watching the next members on a ring was ruled out since members that fail together leave gaps in it.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 CC ?= gcc
 BUILD ?= build
 PACKAGES = glib-2.0 json-c libcurl libtirpc liburcu-memb liburcu-cds libxxhash
-CPPFLAGS += -Iinclude -Isource -D_GNU_SOURCE
+CPPFLAGS += -Iinclude -Isource -Itests -D_GNU_SOURCE
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -pthread
 ifdef SANITIZE
@@ -34,6 +34,7 @@
 SCRIPTED_SOURCES = $(wildcard tests/scripted/*.c)
 SUPPORT_SOURCES = $(wildcard tests/support/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
+BENCH_SOURCES = $(wildcard tests/bench/*.c)
 
 OBJECT = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libjackdawladder.a
@@ -41,12 +42,15 @@
 UNITS = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(TEST_SOURCES))
 RANDOM = $(if $(RANDOM_SOURCES),$(BUILD)/random-run)
 SCRIPTED = $(if $(SCRIPTED_SOURCES),$(BUILD)/scripted-run)
+BENCHES = $(patsubst tests/bench/%.c,$(BUILD)/bench/%,$(BENCH_SOURCES))
 FUZZ = $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(FUZZ_SOURCES))
 
 all: $(BUILD)/jackdawladderd $(BUILD)/jackdawladder
 
 tests: all $(STANDINS) $(UNITS) $(RANDOM) $(SCRIPTED)
 
+benches: $(BENCHES)
+
 # Needs CC=clang SANITIZE=fuzzer,address and a BUILD of its own.
 fuzzers: $(FUZZ)
 
@@ -71,10 +75,14 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(LIBRARY)
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(call OBJECT,$(SUPPORT_SOURCES)) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -lcriterion $(LIBS) -o $@
 
+$(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(call OBJECT,$(SUPPORT_SOURCES)) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
+
 $(BUILD)/random-run: $(call OBJECT,$(RANDOM_SOURCES) $(SUPPORT_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
@@ -106,7 +114,7 @@
 clean:
 	rm -rf $(BUILD) out
 
-.PHONY: all tests fuzzers install-packages check demo bench format lint clean
+.PHONY: all tests benches fuzzers install-packages check demo bench format lint clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/include/jackdawladder/http.h
+++ b/include/jackdawladder/http.h
@@ -36,13 +36,15 @@
 /**
  * jl_http_add_header - appends "@name: @value"
  */
-void jl_http_add_header (struct jl_http_message *message, const char *name,
+void jl_http_add_header (struct jl_http_message *message,
+                         const char *name,
                          const char *value);
 
 /**
  * jl_http_add_number - appends "@name: @value"
  */
-void jl_http_add_number (struct jl_http_message *message, const char *name,
+void jl_http_add_number (struct jl_http_message *message,
+                         const char *name,
                          uint64_t value);
 
 /**
@@ -187,7 +189,7 @@
 /**
  * JL_HTTP_HANDLER - answers one request, in a thread of the server
  */
-#define JL_HTTP_HANDLER(name)                                                 \
+#define JL_HTTP_HANDLER(name)                                                  \
   void (*name) (void *context, struct jl_http_exchange *exchange)
 
 struct jl_http_server;
@@ -199,7 +201,8 @@
 struct jl_http_server *jl_http_server_open (struct jl_endpoint endpoint,
                                             uint32_t threads,
                                             JL_HTTP_HANDLER (handle),
-                                            void *context, GError **error);
+                                            void *context,
+                                            GError **error);
 
 /**
  * jl_http_server_close - takes no more requests; waits for those in progress
--- a/include/jackdawladder/message.h
+++ b/include/jackdawladder/message.h
@@ -21,7 +21,8 @@
  * @JL_MESSAGE_ACK: answers a probe
  * @JL_MESSAGE_PROBE_RELAY: asks to probe @subject on behalf of the sender
  * @JL_MESSAGE_RELAY_ACK: @subject has answered the relayed probe
- * @JL_MESSAGE_JOIN: asks for the whole member list
+ * @JL_MESSAGE_JOIN: asks for the whole member list; with a digest of the own
+ *                   list as @sequence, for it only when it differs
  * @JL_MESSAGE_SYNC: a part of the member list, or news
  * @JL_MESSAGE_CANCEL: asks to cancel @attempt
  * @JL_MESSAGE_CANCELLED: @attempt did not start and will not
@@ -102,7 +103,8 @@
  * @from: the sending life
  * @to: the life it is meant for; epoch 0 when that is not known
  * @sequence: pairs probes with acknowledgements
- * @subject: member that a relayed probe is about
+ * @subject: member that a relayed probe is about; in a probe on behalf of
+ *           another, and in its acknowledgement, who asked for it
  * @attempt: sending that a cancellation is about
  * @config_version: highest version installed at the sender, 0 for none
  * @config_digest: digest of that document
--- a/source/core/member.h
+++ b/source/core/member.h
@@ -4,7 +4,10 @@
 /**
  * DOC: Membership: who is there, by probes, gossip and a leave message.
  *
- * Every daemon keeps the whole list. No platform is needed for it.
+ * Every daemon keeps the whole list. No platform is needed for it. The list
+ * is in member.c; member-probe.c finds out who is gone, member-gossip.c
+ * spreads news, member-join.c gets and compares whole lists, and
+ * member-fetch.c gets newer configurations.
  */
 
 #include "core-impl.h"
@@ -21,6 +24,16 @@
  * @level: lowest priority that it refuses, by its last answer
  * @level_us: when that answer came; 0 for never
  * @first_seen_us: when this life of it was first heard of
+ * @hearsay: a tombstone of a member never known alive here; not passed on
+ * @config_version: configuration that it last said to have
+ * @news: place in a list of what is to be gossiped
+ * @news_us: when @info became news
+ * @gossip_left: messages that still carry @info
+ * @push_due: @info has not been pushed yet
+ * @probe: the probe in progress runs out
+ * @probe_sequence: of the probe in progress, 0 when there is none
+ * @probe_relayed: others have been asked to probe it too
+ * @suspicion: it is taken for dead then
  */
 struct jl_member
 {
@@ -35,7 +48,15 @@
   uint32_t load_permille;
   uint32_t level;
   uint64_t level_us;
+  bool hearsay;
+  uint64_t config_version;
+  struct cds_list_head news;
+  uint64_t news_us;
   uint32_t gossip_left;
+  bool push_due;
+  struct jl_timer probe;
+  uint64_t probe_sequence;
+  bool probe_relayed;
   struct jl_timer suspicion;
 };
 
--- a/source/daemon/answers.c
+++ b/source/daemon/answers.c
@@ -80,8 +80,7 @@
       struct kept *oldest
           = cds_list_first_entry (&store->order, struct kept, order);
 
-      if (store->bytes <= STORE_BYTES_MAX
-          && oldest->kept_us + KEEP_US > now_us)
+      if (store->bytes <= STORE_BYTES_MAX && oldest->kept_us + KEEP_US > now_us)
         return;
       remove_kept (store, oldest);
     }
@@ -91,12 +90,14 @@
 copy_message (struct jl_http_message *to, const struct jl_http_message *from)
 {
   jl_http_copy_headers (to, from);
-  g_string_append_len (to->body, from->body->str, (gssize) from->body->len);
+  g_string_append_len (to->body, from->body->str, (gssize)from->body->len);
 }
 
 void
-jl_answer_store_put (struct jl_answer_store *store, struct jl_ticket ticket,
-                     uint32_t status, const struct jl_http_message *answer)
+jl_answer_store_put (struct jl_answer_store *store,
+                     struct jl_ticket ticket,
+                     uint32_t status,
+                     const struct jl_http_message *answer)
 {
   struct kept *kept;
 
@@ -123,8 +124,10 @@
 }
 
 bool
-jl_answer_store_get (struct jl_answer_store *store, struct jl_ticket ticket,
-                     uint32_t *status, struct jl_http_message *answer)
+jl_answer_store_get (struct jl_answer_store *store,
+                     struct jl_ticket ticket,
+                     uint32_t *status,
+                     struct jl_http_message *answer)
 {
   char key[JL_ID_TEXT_SIZE];
   const struct kept *kept;
--- a/source/daemon/answers.h
+++ b/source/daemon/answers.h
@@ -18,7 +18,8 @@
  * jl_answer_store_put - keeps a copy, unless it is too large
  */
 void jl_answer_store_put (struct jl_answer_store *store,
-                          struct jl_ticket ticket, uint32_t status,
+                          struct jl_ticket ticket,
+                          uint32_t status,
                           const struct jl_http_message *answer);
 
 /**
@@ -27,7 +28,8 @@
  * Return: false when it was not kept, or not for so long.
  */
 bool jl_answer_store_get (struct jl_answer_store *store,
-                          struct jl_ticket ticket, uint32_t *status,
+                          struct jl_ticket ticket,
+                          uint32_t *status,
                           struct jl_http_message *answer);
 
 #endif
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -218,8 +218,11 @@
 }
 
 bool
-jl_daemon_install (struct jl_daemon *daemon, const char *text, size_t size,
-                   uint64_t version, GError **error)
+jl_daemon_install (struct jl_daemon *daemon,
+                   const char *text,
+                   size_t size,
+                   uint64_t version,
+                   GError **error)
 {
   struct jl_config *config = jl_config_new (text, size, version, error);
   struct jl_event event = { .type = JL_EVENT_CONFIG, .config = config };
@@ -259,11 +262,10 @@
       daemon->tick_at_us = jl_core_next_timer (daemon->core);
       if (daemon->tick_at_us > now_us)
         {
-          uint64_t wait_us
-              = MIN (daemon->tick_at_us - now_us, JL_USEC_PER_SEC);
+          uint64_t wait_us = MIN (daemon->tick_at_us - now_us, JL_USEC_PER_SEC);
 
           g_cond_wait_until (&daemon->tick, &daemon->lock,
-                             g_get_monotonic_time () + (gint64) wait_us);
+                             g_get_monotonic_time () + (gint64)wait_us);
           continue;
         }
       daemon->tick_at_us = 0;
@@ -288,13 +290,13 @@
   struct jl_core_options options = {
     .identity = { .member = jl_member_id (
                       own_endpoint (settings, settings->control_port)),
-                  .epoch = (uint64_t) g_get_real_time () },
+                  .epoch = (uint64_t)g_get_real_time () },
     .peer = own_endpoint (settings, settings->peer_port),
     .now_us = jl_now (),
     .mode = settings->mode,
   };
 
-  options.seed = (uint32_t) (options.identity.epoch ^ options.identity.member);
+  options.seed = (uint32_t)(options.identity.epoch ^ options.identity.member);
   options.switched_off = jl_hooks_switched_off ();
   g_strlcpy (options.zone, settings->zone, JL_NAME_SIZE);
   return jl_core_new (&options);
@@ -310,22 +312,19 @@
                          receive_message, daemon, error);
   if (daemon->control == NULL)
     return false;
-  daemon->peer_server
-      = jl_http_server_open (own_endpoint (settings, settings->peer_port),
-                             settings->peer_threads, jl_peer_handle, daemon,
-                             error);
+  daemon->peer_server = jl_http_server_open (
+      own_endpoint (settings, settings->peer_port), settings->peer_threads,
+      jl_peer_handle, daemon, error);
   if (daemon->peer_server == NULL)
     return false;
-  daemon->local_server
-      = jl_http_server_open (own_endpoint (settings, settings->local_port),
-                             settings->local_threads, jl_local_handle, daemon,
-                             error);
+  daemon->local_server = jl_http_server_open (
+      own_endpoint (settings, settings->local_port), settings->local_threads,
+      jl_local_handle, daemon, error);
   if (daemon->local_server == NULL)
     return false;
-  daemon->entry_server
-      = jl_http_server_open (own_endpoint (settings, settings->entry_port),
-                             settings->entry_threads, jl_entry_handle, daemon,
-                             error);
+  daemon->entry_server = jl_http_server_open (
+      own_endpoint (settings, settings->entry_port), settings->entry_threads,
+      jl_entry_handle, daemon, error);
   return daemon->entry_server != NULL;
 }
 
@@ -334,9 +333,8 @@
 {
   for (uint32_t i = 0; i < daemon->settings->seed_count; i++)
     {
-      struct jl_event event
-          = { .type = JL_EVENT_SEED,
-              .seed.control = daemon->settings->seeds[i] };
+      struct jl_event event = { .type = JL_EVENT_SEED,
+                                .seed.control = daemon->settings->seeds[i] };
 
       jl_daemon_post (daemon, &event);
     }
@@ -386,7 +384,7 @@
 bool
 jl_daemon_wait_exit (struct jl_daemon *daemon, uint64_t timeout_us)
 {
-  gint64 until = g_get_monotonic_time () + (gint64) timeout_us;
+  gint64 until = g_get_monotonic_time () + (gint64)timeout_us;
   bool exiting;
 
   g_mutex_lock (&daemon->lock);
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -73,8 +73,7 @@
   GHashTable *ordinals;
 };
 
-struct jl_daemon *jl_daemon_open (struct jl_settings *settings,
-                                  GError **error);
+struct jl_daemon *jl_daemon_open (struct jl_settings *settings, GError **error);
 
 /**
  * jl_daemon_drain - begins a planned stop
@@ -129,8 +128,11 @@
 /**
  * jl_daemon_install - checks a document and hands it to the reducer
  */
-bool jl_daemon_install (struct jl_daemon *daemon, const char *text,
-                        size_t size, uint64_t version, GError **error);
+bool jl_daemon_install (struct jl_daemon *daemon,
+                        const char *text,
+                        size_t size,
+                        uint64_t version,
+                        GError **error);
 
 /* Handlers of the three HTTP servers. */
 void jl_entry_handle (void *context, struct jl_http_exchange *exchange);
--- a/source/daemon/hooks.c
+++ b/source/daemon/hooks.c
@@ -10,8 +10,8 @@
 
 #ifdef JL_TEST_HOOKS
 
-# define PREFIX_MAX 8
-# define PREFIX_SIZE 16
+#  define PREFIX_MAX 8
+#  define PREFIX_SIZE 16
 
 static GMutex lock;
 static uint32_t prefix_count;
--- a/source/http/client.c
+++ b/source/http/client.c
@@ -59,8 +59,8 @@
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
   g_mutex_init (&pool->lock);
-  pool->endpoints = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
-                                           g_free);
+  pool->endpoints
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   pool->idle_max = idle_max;
   return pool;
 }
@@ -75,7 +75,8 @@
 
 /* Takes handles that were idle since before @limit_us out of @list. */
 static void
-take_expired (struct idle_list *list, uint64_t limit_us,
+take_expired (struct idle_list *list,
+              uint64_t limit_us,
               struct cds_list_head *expired)
 {
   while (!cds_list_empty (&list->handles))
@@ -106,7 +107,7 @@
     take_expired (value, limit_us, &expired);
   g_mutex_unlock (&pool->lock);
   cds_list_for_each_entry_safe (handle, next, &expired, idle)
-    free_handle (handle);
+      free_handle (handle);
 }
 
 void
@@ -136,7 +137,7 @@
       handle->too_large = true;
       return 0;
     }
-  g_string_append_len (handle->answer->body, data, (gssize) size);
+  g_string_append_len (handle->answer->body, data, (gssize)size);
   return size;
 }
 
@@ -163,8 +164,10 @@
  * have been taken all the same, so the second is not allowed.
  */
 static int
-before_request (void *context, char *remote_ip G_GNUC_UNUSED,
-                char *local_ip G_GNUC_UNUSED, int remote_port G_GNUC_UNUSED,
+before_request (void *context,
+                char *remote_ip G_GNUC_UNUSED,
+                char *local_ip G_GNUC_UNUSED,
+                int remote_port G_GNUC_UNUSED,
                 int local_port G_GNUC_UNUSED)
 {
   struct handle *handle = context;
@@ -181,7 +184,7 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, receive_body);
@@ -195,20 +198,20 @@
 static uint64_t
 endpoint_key (struct jl_endpoint endpoint)
 {
-  return (uint64_t) endpoint.ip << 16 | endpoint.port;
+  return (uint64_t)endpoint.ip << 16 | endpoint.port;
 }
 
 static struct idle_list *
 find_list (struct jl_http_pool *pool, uint64_t key)
 {
   struct idle_list *list
-      = g_hash_table_lookup (pool->endpoints, (gpointer) (uintptr_t) key);
+      = g_hash_table_lookup (pool->endpoints, (gpointer)(uintptr_t)key);
 
   if (list == NULL)
     {
       list = g_new0 (struct idle_list, 1);
       CDS_INIT_LIST_HEAD (&list->handles);
-      g_hash_table_insert (pool->endpoints, (gpointer) (uintptr_t) key, list);
+      g_hash_table_insert (pool->endpoints, (gpointer)(uintptr_t)key, list);
     }
   return list;
 }
@@ -269,7 +272,7 @@
   if (body->len > 0 || (!is_get && strcmp (call->method, "HEAD") != 0))
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t) body->len);
+                        (curl_off_t)body->len);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body->str);
     }
   else if (!is_get)
@@ -309,9 +312,9 @@
   set_method (easy, call);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
-                    (long) (call->timeout_us / JL_USEC_PER_MSEC + 1));
+                    (long)(call->timeout_us / JL_USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long) (connect_us / JL_USEC_PER_MSEC + 1));
+                    (long)(connect_us / JL_USEC_PER_MSEC + 1));
   return headers;
 }
 
@@ -370,7 +373,8 @@
 }
 
 static enum jl_http_result
-judge (const struct handle *handle, const struct jl_http_call *call,
+judge (const struct handle *handle,
+       const struct jl_http_call *call,
        CURLcode code)
 {
   if (code == CURLE_OK)
@@ -387,8 +391,10 @@
 }
 
 enum jl_http_result
-jl_http_perform (struct jl_http_pool *pool, const struct jl_http_call *call,
-                 uint32_t *status, struct jl_http_message *answer)
+jl_http_perform (struct jl_http_pool *pool,
+                 const struct jl_http_call *call,
+                 uint32_t *status,
+                 struct jl_http_message *answer)
 {
   struct handle *handle = take_handle (pool, call->endpoint);
   struct curl_slist *headers = set_call_options (handle, call);
@@ -406,7 +412,7 @@
   attach (call, NULL);
   result = judge (handle, call, code);
   curl_easy_getinfo (handle->easy, CURLINFO_RESPONSE_CODE, &number);
-  *status = (uint32_t) number;
+  *status = (uint32_t)number;
   curl_multi_remove_handle (handle->multi, handle->easy);
   curl_easy_setopt (handle->easy, CURLOPT_HTTPHEADER, NULL);
   curl_slist_free_all (headers);
--- a/source/http/message.c
+++ b/source/http/message.c
@@ -8,8 +8,16 @@
 #include <string.h>
 
 static const char *const not_copied[] = {
-  "Connection",  "Keep-Alive", "Transfer-Encoding", "Upgrade", "TE",
-  "Trailer",     "Host",       "Content-Length",    "Expect",  "Proxy-Connection",
+  "Connection",
+  "Keep-Alive",
+  "Transfer-Encoding",
+  "Upgrade",
+  "TE",
+  "Trailer",
+  "Host",
+  "Content-Length",
+  "Expect",
+  "Proxy-Connection",
 };
 
 void
@@ -55,16 +63,17 @@
 }
 
 void
-jl_http_add_header (struct jl_http_message *message, const char *name,
+jl_http_add_header (struct jl_http_message *message,
+                    const char *name,
                     const char *value)
 {
   if (message->headers->len < JL_HTTP_HEADER_MAX)
-    g_ptr_array_add (message->headers,
-                     g_strconcat (name, ": ", value, NULL));
+    g_ptr_array_add (message->headers, g_strconcat (name, ": ", value, NULL));
 }
 
 void
-jl_http_add_number (struct jl_http_message *message, const char *name,
+jl_http_add_number (struct jl_http_message *message,
+                    const char *name,
                     uint64_t value)
 {
   char text[24];
--- a/source/http/peer.c
+++ b/source/http/peer.c
@@ -14,7 +14,8 @@
 
 /* Takes the words of a header apart; NULL unless there are @count of them. */
 static char **
-split_words (const struct jl_http_message *message, const char *header,
+split_words (const struct jl_http_message *message,
+             const char *header,
              size_t count)
 {
   const char *line = jl_http_header (message, header);
@@ -22,7 +23,7 @@
 
   if (line == NULL || strlen (line) >= LINE_SIZE)
     return NULL;
-  words = g_strsplit (line, " ", (int) count + 1);
+  words = g_strsplit (line, " ", (int)count + 1);
   if (g_strv_length (words) == count && strcmp (words[0], PEER_VERSION) == 0)
     return words;
   g_strfreev (words);
@@ -42,7 +43,7 @@
 
   if (!parse_number (word, max, &wide))
     return false;
-  *number = (uint32_t) wide;
+  *number = (uint32_t)wide;
   return true;
 }
 
@@ -63,10 +64,9 @@
   jl_attempt_id_format (call->attempt, attempt);
   jl_ticket_format (call->anchor, anchor);
   snprintf (line, sizeof line,
-            PEER_VERSION " %s %u %" PRIu64 " %" PRIu64 " %s %u %" PRIu64
-                         " %s",
-            attempt, call->priority, call->invested_us, call->budget_us,
-            anchor, call->tokens, call->digest, call->kind);
+            PEER_VERSION " %s %u %" PRIu64 " %" PRIu64 " %s %u %" PRIu64 " %s",
+            attempt, call->priority, call->invested_us, call->budget_us, anchor,
+            call->tokens, call->digest, call->kind);
   jl_http_add_header (message, JL_PEER_CALL_HEADER, line);
 }
 
@@ -102,8 +102,7 @@
   jl_attempt_id_format (forward->attempt, attempt);
   jl_ticket_format (forward->ticket, ticket);
   snprintf (line, sizeof line,
-            PEER_VERSION " %s %s %u %" PRIu64 " %" PRIu64 " %u %" PRIu64
-                         " %s",
+            PEER_VERSION " %s %s %u %" PRIu64 " %" PRIu64 " %u %" PRIu64 " %s",
             attempt, ticket, forward->priority, forward->invested_us,
             forward->budget_us, forward->tokens, forward->digest,
             forward->kind);
@@ -119,21 +118,22 @@
 
   if (words == NULL)
     return false;
-  good = jl_attempt_id_parse (words[1], &forward->attempt)
-         && jl_ticket_parse (words[2], &forward->ticket)
-         && parse_number_32 (words[3], JL_PRIORITY_COUNT - 1,
-                             &forward->priority)
-         && parse_number (words[4], INT64_MAX, &forward->invested_us)
-         && parse_number (words[5], INT64_MAX, &forward->budget_us)
-         && parse_number_32 (words[6], UINT16_MAX, &forward->tokens)
-         && parse_number (words[7], UINT64_MAX, &forward->digest)
-         && parse_name (words[8], forward->kind);
+  good
+      = jl_attempt_id_parse (words[1], &forward->attempt)
+        && jl_ticket_parse (words[2], &forward->ticket)
+        && parse_number_32 (words[3], JL_PRIORITY_COUNT - 1, &forward->priority)
+        && parse_number (words[4], INT64_MAX, &forward->invested_us)
+        && parse_number (words[5], INT64_MAX, &forward->budget_us)
+        && parse_number_32 (words[6], UINT16_MAX, &forward->tokens)
+        && parse_number (words[7], UINT64_MAX, &forward->digest)
+        && parse_name (words[8], forward->kind);
   g_strfreev (words);
   return good;
 }
 
 static void
-add_report (struct jl_http_message *message, const struct jl_report *report,
+add_report (struct jl_http_message *message,
+            const struct jl_report *report,
             const struct jl_config *config)
 {
   GString *line = g_string_new (NULL);
@@ -162,9 +162,8 @@
 
   jl_attempt_id_format (answer->attempt, attempt);
   snprintf (line, sizeof line, PEER_VERSION " %s %s %s %d %u %u %u", attempt,
-            jl_outcome_name (answer->outcome),
-            jl_reason_name (answer->reason), answer->no_retry,
-            answer->retry_after_ms, answer->tokens,
+            jl_outcome_name (answer->outcome), jl_reason_name (answer->reason),
+            answer->no_retry, answer->retry_after_ms, answer->tokens,
             answer->report.load_permille);
   jl_http_add_header (message, JL_PEER_ANSWER_HEADER, line);
   if (config != NULL)
@@ -173,7 +172,8 @@
 
 /* Adds one "service=level"; services that are not known here are left out. */
 static void
-parse_item (const char *text, struct jl_report *report,
+parse_item (const char *text,
+            struct jl_report *report,
             const struct jl_config *config)
 {
   const char *equals = strchr (text, '=');
@@ -181,10 +181,10 @@
   uint32_t level;
   uint32_t service;
 
-  if (equals == NULL || (size_t) (equals - text) >= sizeof name
+  if (equals == NULL || (size_t)(equals - text) >= sizeof name
       || report->count == JL_REPORT_MAX)
     return;
-  memcpy (name, text, (size_t) (equals - text));
+  memcpy (name, text, (size_t)(equals - text));
   name[equals - text] = '\0';
   service = jl_config_service (config, name);
   if (service == JL_NONE
@@ -196,7 +196,8 @@
 }
 
 static void
-get_report (const struct jl_http_message *message, struct jl_report *report,
+get_report (const struct jl_http_message *message,
+            struct jl_report *report,
             const struct jl_config *config)
 {
   const char *line = jl_http_header (message, JL_PEER_REPORT_HEADER);
--- a/source/http/server.c
+++ b/source/http/server.c
@@ -44,7 +44,7 @@
   GString *body = exchange->request.body;
   char buffer[READ_SIZE];
 
-  if (info->content_length > 0 && (uint64_t) info->content_length > max)
+  if (info->content_length > 0 && (uint64_t)info->content_length > max)
     return JL_HTTP_BODY_TOO_LARGE;
   for (;;)
     {
@@ -54,11 +54,11 @@
         return JL_HTTP_BODY_BROKEN;
       if (count == 0)
         break;
-      if (body->len + (size_t) count > max)
+      if (body->len + (size_t)count > max)
         return JL_HTTP_BODY_TOO_LARGE;
       g_string_append_len (body, buffer, count);
     }
-  if (info->content_length > 0 && body->len != (size_t) info->content_length)
+  if (info->content_length > 0 && body->len != (size_t)info->content_length)
     return JL_HTTP_BODY_BROKEN;
   return JL_HTTP_BODY_WHOLE;
 }
@@ -66,7 +66,7 @@
 static const char *
 status_text (uint32_t status)
 {
-  return mg_get_response_code_text (NULL, (int) status);
+  return mg_get_response_code_text (NULL, (int)status);
 }
 
 /* Writes head and body at once, so that a small answer is one packet. */
@@ -87,7 +87,7 @@
   g_string_append_printf (out, "Content-Length: %zu\r\nConnection: %s\r\n\r\n",
                           answer->body->len, keep ? "keep-alive" : "close");
   if (has_body)
-    g_string_append_len (out, answer->body->str, (gssize) answer->body->len);
+    g_string_append_len (out, answer->body->str, (gssize)answer->body->len);
   mg_write (exchange->connection, out->str, out->len);
   g_string_free (out, TRUE);
 }
@@ -130,7 +130,7 @@
   take_headers (&exchange, info);
   server->handle (server->handler_context, &exchange);
   keep = g_atomic_int_get (&server->connections) * 100
-             <= (int) server->threads * KEEP_SHARE
+             <= (int)server->threads * KEEP_SHARE
          && exchange.status != 400 && exchange.status != 413;
   if (!keep)
     mg_disable_connection_keep_alive (connection);
@@ -138,15 +138,15 @@
   jl_http_message_clear (&exchange.request);
   jl_http_message_clear (&exchange.answer);
   g_free (target);
-  return (int) exchange.status;
+  return (int)exchange.status;
 }
 
 static int
 connection_opened (const struct mg_connection *connection,
                    void **connection_data G_GNUC_UNUSED)
 {
-  struct jl_http_server *server = mg_get_user_data (
-      mg_get_context (connection));
+  struct jl_http_server *server
+      = mg_get_user_data (mg_get_context (connection));
 
   g_atomic_int_inc (&server->connections);
   return 0;
@@ -155,8 +155,8 @@
 static void
 connection_closed (const struct mg_connection *connection)
 {
-  struct jl_http_server *server = mg_get_user_data (
-      mg_get_context (connection));
+  struct jl_http_server *server
+      = mg_get_user_data (mg_get_context (connection));
 
   g_atomic_int_add (&server->connections, -1);
 }
@@ -171,7 +171,8 @@
 
 static void
 thread_ended (const struct mg_context *context G_GNUC_UNUSED,
-              int type G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
+              int type G_GNUC_UNUSED,
+              void *data G_GNUC_UNUSED)
 {
   rcu_unregister_thread ();
 }
@@ -185,8 +186,11 @@
 }
 
 struct jl_http_server *
-jl_http_server_open (struct jl_endpoint endpoint, uint32_t threads,
-                     JL_HTTP_HANDLER (handle), void *context, GError **error)
+jl_http_server_open (struct jl_endpoint endpoint,
+                     uint32_t threads,
+                     JL_HTTP_HANDLER (handle),
+                     void *context,
+                     GError **error)
 {
   struct jl_http_server *server = g_new0 (struct jl_http_server, 1);
   struct mg_callbacks callbacks = { .begin_request = begin_request,
@@ -198,12 +202,23 @@
   char port[JL_ENDPOINT_TEXT_SIZE];
   char count[16];
   const char *options[] = {
-    "listening_ports",    port,              "num_threads",
-    count,                "enable_keep_alive", "yes",
-    "keep_alive_timeout_ms", KEEP_ALIVE_MS,  "request_timeout_ms",
-    SENDER_TIMEOUT_MS,    "max_request_size", HEAD_SIZE_MAX,
-    "tcp_nodelay",        "1",               "connection_queue",
-    "256",                NULL,
+    "listening_ports",
+    port,
+    "num_threads",
+    count,
+    "enable_keep_alive",
+    "yes",
+    "keep_alive_timeout_ms",
+    KEEP_ALIVE_MS,
+    "request_timeout_ms",
+    SENDER_TIMEOUT_MS,
+    "max_request_size",
+    HEAD_SIZE_MAX,
+    "tcp_nodelay",
+    "1",
+    "connection_queue",
+    "256",
+    NULL,
   };
 
   jl_endpoint_format (endpoint, port);
--- /dev/null
+++ b/tests/unit/member.c
@@ -0,0 +1,402 @@
+/**
+ * DOC: Membership of several reducers over a queue in virtual time.
+ *
+ * Throughout every run, no member that left more than NEWS_US ago is given
+ * new work by anyone.
+ */
+
+#include <criterion/criterion.h>
+
+#include "core/member.h"
+#include "support/network.h"
+
+#define SEC JL_USEC_PER_SEC
+#define SLICE_US (100 * JL_USEC_PER_MSEC)
+/* By then everyone must know. */
+#define NEWS_US (3 * SEC)
+#define JOIN_US (20 * SEC)
+#define SETTLE_US (15 * SEC)
+
+static const uint32_t sizes[] = { 3, 30, 470 };
+
+static bool
+may_be_late (const struct network *network, uint32_t index)
+{
+  const struct network_node *node = &network->nodes[index];
+
+  return node->core == NULL || node->frozen
+         || network->now_us < node->resumed_us + NEWS_US;
+}
+
+/* No usable member that left. */
+static void
+check_left (struct network *network)
+{
+  for (uint32_t left = 0; left < network->count; left++)
+    {
+      uint64_t left_us = network->nodes[left].left_us;
+
+      if (left_us == 0 || network->now_us < left_us + NEWS_US)
+        continue;
+      for (uint32_t i = 0; i < network->count; i++)
+        cr_assert (may_be_late (network, i)
+                       || !network_usable (network, i, left),
+                   "node %u gives work to node %u, which left", i, left);
+    }
+}
+
+static void
+run (struct network *network, uint64_t duration_us)
+{
+  for (uint64_t done_us = 0; done_us < duration_us; done_us += SLICE_US)
+    {
+      network_run (network, SLICE_US);
+      check_left (network);
+    }
+}
+
+/* Starts all nodes, each seeded with node 0 alone, and their targets. */
+static struct network *
+start_all (uint32_t count, uint32_t seed, uint32_t switched_off)
+{
+  struct network *network = network_new (count, seed);
+
+  network->switched_off = switched_off;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      network_start (network, i, 0);
+      network_announce (network, i);
+    }
+  run (network, JOIN_US);
+  cr_assert_eq (network_joined (network), count);
+  return network;
+}
+
+/* All that run give work to @subject, or none does. */
+static void
+check_usable (struct network *network, uint32_t subject, bool usable)
+{
+  uint32_t running = 0;
+
+  for (uint32_t i = 0; i < network->count; i++)
+    running += i != subject && network->nodes[i].core != NULL;
+  cr_assert_eq (network_usable_by (network, subject), usable ? running : 0,
+                "node %u is usable to %u of %u", subject,
+                network_usable_by (network, subject), running);
+}
+
+static struct jl_member *
+seen_by (struct network *network, uint32_t observer, uint32_t subject)
+{
+  return jl_members_find (network->nodes[observer].core,
+                          network_member (subject));
+}
+
+Test (member, one_seed_is_enough_to_join)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct network *network = start_all (sizes[i], 1, 0);
+
+      for (uint32_t j = 0; j < sizes[i]; j++)
+        check_usable (network, j, true);
+      network_drop (network);
+    }
+}
+
+Test (member, a_crash_is_known_everywhere_in_time)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct network *network = start_all (sizes[i], 2, 0);
+
+      run (network, SETTLE_US);
+      check_usable (network, 1, true);
+      network_stop (network, 1);
+      run (network, NEWS_US);
+      check_usable (network, 1, false);
+      network_drop (network);
+    }
+}
+
+Test (member, a_rack_that_crashes_is_known_everywhere_in_time)
+{
+  struct network *network = start_all (470, 3, 0);
+
+  run (network, SETTLE_US);
+  for (uint32_t i = 100; i < 120; i++)
+    network_stop (network, i);
+  run (network, NEWS_US);
+  for (uint32_t i = 100; i < 120; i++)
+    check_usable (network, i, false);
+  for (uint32_t i = 0; i < 100; i++)
+    check_usable (network, i, true);
+  network_drop (network);
+}
+
+#ifdef JL_TEST_HOOKS
+Test (member, without_probes_a_crash_goes_unnoticed)
+{
+  struct network *network = start_all (30, 4, JL_MECHANISM_PROBES);
+
+  network_stop (network, 1);
+  run (network, NEWS_US);
+  cr_assert_gt (network_usable_by (network, 1), 0);
+  network_drop (network);
+}
+#endif
+
+Test (member, a_target_that_goes_down_is_known_everywhere_in_time)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct network *network = start_all (sizes[i], 5, 0);
+
+      run (network, SETTLE_US);
+      network_target_leave (network, 2);
+      run (network, NEWS_US);
+      check_usable (network, 2, false);
+      cr_assert_eq (network_joined (network), sizes[i]);
+      network_announce (network, 2);
+      run (network, NEWS_US);
+      check_usable (network, 2, true);
+      network_drop (network);
+    }
+}
+
+Test (member, a_false_suspicion_is_refuted)
+{
+  struct network *network = start_all (30, 6, 0);
+  uint32_t incarnation = seen_by (network, 0, 7)->info.incarnation;
+
+  network->nodes[7].group = 1;
+  run (network, 2 * SEC);
+  check_usable (network, 7, false);
+  cr_assert_eq (seen_by (network, 0, 7)->info.state, JL_MEMBER_SUSPECT);
+  network->nodes[7].group = 0;
+  run (network, NEWS_US);
+  check_usable (network, 7, true);
+  cr_assert_gt (seen_by (network, 0, 7)->info.incarnation, incarnation);
+  for (uint32_t i = 0; i < 30; i++)
+    check_usable (network, i, true);
+  network_drop (network);
+}
+
+Test (member, lost_messages_end_no_life)
+{
+  struct network *network = start_all (30, 7, 0);
+
+  network->loss_permille = 100;
+  for (int i = 0; i < 60; i++)
+    {
+      run (network, SEC);
+      for (uint32_t j = 1; j < 30; j++)
+        cr_assert_neq (seen_by (network, 0, j)->info.state, JL_MEMBER_DEAD);
+    }
+  network->loss_permille = 0;
+  run (network, NEWS_US);
+  cr_assert_eq (network_joined (network), 30);
+  network_drop (network);
+}
+
+Test (member, one_that_leaves_gets_no_work_again)
+{
+  struct network *network = start_all (30, 8, 0);
+
+  network_drain (network, 3);
+  run (network, SEC);
+  check_usable (network, 3, false);
+  network_stop (network, 3);
+  run (network, 60 * SEC);
+  check_usable (network, 3, false);
+  cr_assert_eq (seen_by (network, 0, 3)->info.state, JL_MEMBER_LEFT);
+  network_start (network, 3, 0);
+  network_announce (network, 3);
+  run (network, NEWS_US);
+  check_usable (network, 3, true);
+  network_drop (network);
+}
+
+Test (member, old_news_does_not_bring_back_one_that_left)
+{
+  struct network *network = start_all (30, 9, 0);
+
+  network_freeze (network, 9);
+  run (network, SEC);
+  network_drain (network, 3);
+  run (network, SEC);
+  network_stop (network, 3);
+  run (network, 60 * SEC);
+  network_resume (network, 9);
+  run (network, 60 * SEC);
+  check_usable (network, 3, false);
+  check_usable (network, 9, true);
+  network_drop (network);
+}
+
+Test (member, a_frozen_process_is_taken_back)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct network *network = start_all (sizes[i], 10, 0);
+      uint32_t incarnation;
+
+      run (network, SETTLE_US);
+      incarnation = seen_by (network, 0, 1)->info.incarnation;
+      network_freeze (network, 1);
+      run (network, 5 * SEC);
+      cr_assert_eq (network_usable_by (network, 1), 0);
+      network_resume (network, 1);
+      run (network, NEWS_US);
+      check_usable (network, 1, true);
+      cr_assert_gt (seen_by (network, 0, 1)->info.incarnation, incarnation);
+      /* It must not take the others for dead because it was late itself. */
+      for (uint32_t j = 0; j < sizes[i]; j++)
+        check_usable (network, j, true);
+      network_drop (network);
+    }
+}
+
+/* Cuts the network in two after the seed is gone for good. */
+static void
+cut_and_rejoin (uint32_t count, uint32_t seed)
+{
+  struct network *network = start_all (count, seed, 0);
+
+  network_stop (network, 0);
+  run (network, SETTLE_US);
+  for (uint32_t i = 0; i < count / 2; i++)
+    network->nodes[i].group = 1;
+  run (network, 60 * SEC);
+  cr_assert_eq (network_usable_by (network, 1), count / 2 - 2);
+  cr_assert_eq (seen_by (network, 1, count - 1)->info.state, JL_MEMBER_DEAD);
+  for (uint32_t i = 0; i < count / 2; i++)
+    network->nodes[i].group = 0;
+  run (network, 5 * SEC);
+  cr_assert_eq (network_joined (network), count - 1);
+  for (uint32_t i = 1; i < count; i++)
+    check_usable (network, i, true);
+  network_drop (network);
+}
+
+Test (member, halves_join_again_without_seeds)
+{
+  cut_and_rejoin (30, 11);
+  cut_and_rejoin (5, 12);
+}
+
+Test (member, large_halves_join_again_without_seeds)
+{
+  cut_and_rejoin (470, 13);
+}
+
+Test (member, a_later_life_replaces_the_earlier_one)
+{
+  struct network *network = start_all (30, 14, 0);
+
+  for (int i = 0; i < 5; i++)
+    {
+      /* The earlier life has the higher incarnation. */
+      network_target_leave (network, 4);
+      network_announce (network, 4);
+      run (network, SEC);
+      network_stop (network, 4);
+      network_start (network, 4, 5);
+      run (network, NEWS_US);
+      cr_assert_eq (network_joined (network), 30);
+      check_usable (network, 4, false);
+      network_announce (network, 4);
+      run (network, NEWS_US);
+      check_usable (network, 4, true);
+    }
+  network_drop (network);
+}
+
+Test (member, load_hints_survive_news_of_the_same_life_only)
+{
+  struct network *network = start_all (3, 15, 0);
+  struct jl_member *member = seen_by (network, 0, 1);
+
+  member->in_flight = 5;
+  member->load_permille = 700;
+  member->level = 3;
+  network_target_leave (network, 1);
+  network_announce (network, 1);
+  run (network, SEC);
+  cr_assert_eq (member->in_flight, 5);
+  cr_assert_eq (member->load_permille, 700);
+  cr_assert_eq (member->level, 3);
+  network_stop (network, 1);
+  network_start (network, 1, 2);
+  run (network, SEC);
+  cr_assert_eq (member->in_flight, 5);
+  cr_assert_eq (member->load_permille, 0);
+  cr_assert_eq (member->level, JL_PRIORITY_COUNT);
+  network_drop (network);
+}
+
+static uint32_t
+nodes_with_version (const struct network *network, uint64_t version)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < network->count; i++)
+    count += network->nodes[i].config != NULL
+             && network->nodes[i].config->version == version;
+  return count;
+}
+
+Test (member, a_configuration_reaches_everyone)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct network *network = start_all (sizes[i], 16, 0);
+
+      for (uint64_t version = 1; version <= 3; version++)
+        {
+          uint64_t fetches = network->fetches;
+
+          network_config (network, sizes[i] - 1, version);
+          run (network, NEWS_US);
+          cr_assert_eq (nodes_with_version (network, version), sizes[i]);
+          cr_assert_leq (network->fetches - fetches, UINT64_C (2) * sizes[i]);
+        }
+      network_drop (network);
+    }
+}
+
+Test (member, a_configuration_is_asked_of_another_peer)
+{
+  struct network *network = start_all (3, 17, 0);
+
+  network_config (network, 1, 1);
+  /* Node 2 has been told, but can no longer get it from node 1. */
+  network_run (network, 4 * JL_USEC_PER_MSEC);
+  network_stop (network, 1);
+  run (network, NEWS_US);
+  cr_assert_eq (nodes_with_version (network, 1), 0);
+  network_config (network, 0, 1);
+  run (network, NEWS_US);
+  cr_assert_eq (nodes_with_version (network, 1), 2);
+  network_drop (network);
+}
+
+static uint64_t
+digest_of_run (uint32_t seed)
+{
+  struct network *network = start_all (30, seed, 0);
+  uint64_t digest;
+
+  network->loss_permille = 50;
+  network_stop (network, 4);
+  run (network, 10 * SEC);
+  digest = network->digest;
+  network_drop (network);
+  return digest;
+}
+
+Test (member, the_same_seed_gives_the_same_run)
+{
+  cr_assert_eq (digest_of_run (18), digest_of_run (18));
+  cr_assert_neq (digest_of_run (18), digest_of_run (19));
+}
