--- a/include/jackdawladder/core.h
+++ b/include/jackdawladder/core.h
@@ -47,6 +47,8 @@
 /**
  * struct jl_core_options - what a reducer starts with
  * @seed: of its random numbers
+ * @call_max: calls of callers in progress at most, 0 for no limit
+ * @work_max: work items waiting and running at most, 0 for no limit
  * @switched_off: set of enum jl_mechanism
  */
 struct jl_core_options
@@ -55,6 +57,8 @@
   struct jl_endpoint peer;
   char zone[JL_NAME_SIZE];
   uint32_t seed;
+  uint32_t call_max;
+  uint32_t work_max;
   uint64_t now_us;
   enum jl_core_mode mode;
   uint32_t switched_off;
@@ -81,6 +85,16 @@
  */
 uint32_t jl_core_member_count (struct jl_core *core);
 
+/**
+ * jl_core_mint_ticket - a ticket for a caller that asks for one
+ */
+struct jl_ticket jl_core_mint_ticket (struct jl_core *core);
+
+/**
+ * jl_core_status - appends a short JSON object for operators
+ */
+void jl_core_status (struct jl_core *core, GString *out);
+
 /**
  * jl_core_dump - appends the whole state as one JSON object
  */
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -47,7 +47,8 @@
             ? 0
             : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
   answer->tokens = event->forwarded ? event->tokens : 0;
-  if (event->key_type != JL_KEY_NONE)
+  /* An earlier sending, or the same call of a repeated parent, may have run. */
+  if (event->key_type != JL_KEY_NONE || event->parent != 0)
     answer->outcome = JL_OUTCOME_UNKNOWN;
 }
 
@@ -70,8 +71,13 @@
 free_call (struct jl_core *core, struct jl_call *call)
 {
   jl_timer_stop (core->timers, &call->timer);
+  jl_retry_return (core, call, 0);
   if (call->parent != NULL)
     cds_list_del (&call->siblings);
+  else
+    core->caller_calls--;
+  if (call->state == JL_CALL_CANCELLING)
+    g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
   g_hash_table_remove (core->calls, JL_HASH_KEY (call->number));
   jl_config_drop (call->config);
   g_free (call);
@@ -109,21 +115,25 @@
 {
   struct jl_effect_answer *answer;
   bool guarded = call->guarded;
+  bool keyed = call->keyed;
   uint32_t retry_after_ms = call->last_retry_after_ms;
 
   if (outcome == JL_OUTCOME_NOT_RUN && call->may_have_run)
     outcome = JL_OUTCOME_UNKNOWN;
   JL_INVARIANT (outcome != JL_OUTCOME_NOT_RUN || !call->may_have_run,
                 "not run is said only when no sending may have run");
+  if (retry_after_ms == 0)
+    retry_after_ms = RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
   if (guarded)
-    jl_once_answered (core, call, outcome);
+    retry_after_ms
+        = jl_once_answered (core, call, outcome, reason, retry_after_ms);
   answer = jl_entry_answer (core, call, outcome, reason);
   answer->keep = guarded && outcome == JL_OUTCOME_DONE;
   if (outcome != JL_OUTCOME_DONE)
-    answer->retry_after_ms
-        = retry_after_ms > 0
-              ? retry_after_ms
-              : RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+    answer->retry_after_ms = retry_after_ms;
+  /* Nobody keeps account of other sendings of an idempotent request. */
+  if (!guarded && keyed && outcome == JL_OUTCOME_NOT_RUN)
+    answer->outcome = JL_OUTCOME_UNKNOWN;
   return answer;
 }
 
@@ -158,13 +168,14 @@
 static void
 inherit_from_parent (struct jl_core *core,
                      struct jl_call *call,
-                     struct jl_work *parent)
+                     struct jl_work *parent,
+                     uint32_t ordinal)
 {
   call->parent = parent;
   cds_list_add_tail (&call->siblings, &parent->children);
   call->priority = parent->priority;
   call->invested_us = parent->invested_us + (core->now_us - parent->started_us);
-  call->anchor = parent->anchor;
+  call->anchor = jl_once_derive (parent->anchor, kind_of (call)->name, ordinal);
 }
 
 static void
@@ -176,7 +187,9 @@
   call->priority
       = kind->importance * JL_SAMPLE_COUNT + choose_sample (core, event);
   call->tokens = kind->retry_tokens;
-  call->anchor = jl_once_mint (core);
+  call->tokens_begun = call->tokens;
+  call->anchor
+      = event->key_type == JL_KEY_TICKET ? event->ticket : jl_once_mint (core);
 }
 
 static struct jl_call *
@@ -191,21 +204,23 @@
   call->config = jl_config_keep (core->config);
   call->kind = event->kind;
   call->forwarded = event->forwarded;
+  call->keyed = event->key_type != JL_KEY_NONE;
   call->key_hash = event->key_hash;
   call->digest = event->digest;
   call->arrived_us = core->now_us;
   call->deadline_us = choose_deadline (core, event, kind, parent);
   call->guarded = !kind->idempotent && core->options.mode != JL_CORE_FORWARD;
   if (parent != NULL)
-    inherit_from_parent (core, call, parent);
+    inherit_from_parent (core, call, parent, event->ordinal);
   else
     begin_tree (core, call, event, kind);
+  core->caller_calls += parent == NULL;
   if (event->forwarded)
     {
       call->priority = event->priority % JL_PRIORITY_COUNT;
       call->tokens = event->tokens;
+      call->tokens_begun = event->tokens;
       call->invested_us = event->invested_us;
-      call->anchor = event->ticket;
     }
   g_hash_table_insert (core->calls, JL_HASH_KEY (call->number), call);
   core->counts.calls[class_of (call)]++;
@@ -256,11 +271,7 @@
                struct jl_call *call,
                const struct jl_event_call *event)
 {
-  if (call->parent != NULL)
-    call->ticket = jl_once_derive (call->anchor, event->kind, event->ordinal);
-  else if (event->key_type == JL_KEY_TICKET)
-    call->ticket = event->ticket;
-  else if (event->key_type == JL_KEY_NONE)
+  if (event->key_type != JL_KEY_CALLER)
     call->ticket = call->anchor;
   else if (!jl_once_key_ticket (core, event->key_hash, &call->ticket))
     {
@@ -270,9 +281,42 @@
   proceed_guarded (core, call);
 }
 
+/*
+ * Whether calls in progress leave no room for one of this importance. Of
+ * @call_max the most important class may use all and the least important
+ * half, so that a class is refused only while all below it are.
+ */
+static bool
+is_full (const struct jl_core *core, const struct jl_event_call *event)
+{
+  uint32_t importance = core->config->kinds[event->kind].importance;
+  uint32_t count = core->config->class_count;
+  uint32_t max = core->options.call_max;
+
+  if (max == 0 || core->options.mode != JL_CORE_FULL || event->forwarded)
+    return false;
+  return core->caller_calls >= max - max * importance / (2 * count);
+}
+
+/*
+ * Why a call of a caller is refused at once. While it drains, the daemon
+ * goes on as an entry until its guard has nothing left to do.
+ */
+static enum jl_reason
+check_caller (const struct jl_core *core, const struct jl_event_call *event)
+{
+  if (core->draining && !event->forwarded && core->drain_linger.index == 0
+      && g_hash_table_size (core->works) == 0)
+    return JL_REASON_DRAINING;
+  if (is_full (core, event))
+    return JL_REASON_OVERLOAD;
+  return JL_REASON_NONE;
+}
+
 void
 jl_entry_call (struct jl_core *core, const struct jl_event_call *event)
 {
+  enum jl_reason reason;
   struct jl_work *parent = NULL;
   struct jl_call *call;
 
@@ -297,9 +341,9 @@
           return;
         }
     }
-  else if (core->draining && !event->forwarded)
+  else if ((reason = check_caller (core, event)) != JL_REASON_NONE)
     {
-      answer_event (core, event, JL_REASON_DRAINING);
+      answer_event (core, event, reason);
       return;
     }
   call = make_call (core, event, parent);
@@ -340,6 +384,16 @@
   core->counts.sends++;
 }
 
+/* Other sendings of the request may have run; this one did not leave. */
+static void
+answer_unforwarded (struct jl_core *core,
+                    struct jl_call *call,
+                    enum jl_reason reason)
+{
+  jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, reason)->sending
+      = JL_OUTCOME_NOT_RUN;
+}
+
 void
 jl_entry_forward (struct jl_core *core, struct jl_call *call)
 {
@@ -349,9 +403,12 @@
   if (call->forwarded || minter == NULL
       || minter->info.identity.epoch != call->ticket.minter.epoch)
     {
-      jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST)
-          ->sending
-          = JL_OUTCOME_NOT_RUN;
+      answer_unforwarded (core, call, JL_REASON_HOME_LOST);
+      return;
+    }
+  if (core->now_us >= call->deadline_us)
+    {
+      answer_unforwarded (core, call, JL_REASON_DEADLINE);
       return;
     }
   call->state = JL_CALL_FORWARDED;
@@ -379,6 +436,7 @@
     jl_retry_first (core, kind_of (call)->service);
   call->state = JL_CALL_SENT;
   call->member = member->info.identity.member;
+  call->member_epoch = member->info.identity.epoch;
   jl_place_sent (core, member);
   send = &jl_emit (core, JL_EFFECT_SEND)->send;
   send->call = call->number;
@@ -396,6 +454,43 @@
   send->digest = call->digest;
 }
 
+/* Tells the parent's entry the level of the service that @call is for. */
+static void
+report_service (struct jl_core *core, struct jl_call *call)
+{
+  uint32_t service = jl_place_service (core, call);
+
+  if (call->parent != NULL && service != JL_NONE)
+    jl_report_add (&call->parent->report, service,
+                   jl_place_level (core, service));
+}
+
+/* Answers a call that would be refused further down, before anything ran. */
+static void
+refuse_below (struct jl_core *core, struct jl_call *call, uint32_t service)
+{
+  if (call->parent != NULL)
+    jl_report_add (&call->parent->report, service,
+                   jl_graph_level (core, service));
+  end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+}
+
+/* Answers a call for which no target was found. */
+static void
+end_unplaced (struct jl_core *core,
+              struct jl_call *call,
+              enum jl_place_verdict verdict)
+{
+  enum jl_reason reason = call->last_reason;
+
+  if (verdict == JL_PLACE_REFUSED)
+    report_service (core, call);
+  if (reason == JL_REASON_NONE)
+    reason = verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
+                                         : JL_REASON_NO_TARGET;
+  end_call (core, call, JL_OUTCOME_NOT_RUN, reason);
+}
+
 void
 jl_entry_proceed (struct jl_core *core, struct jl_call *call)
 {
@@ -413,21 +508,17 @@
       end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_POISON);
       return;
     }
-  if (call->sends == 0
+  if (call->sends == 0 && call->config == core->config
       && jl_graph_refuses (core, call->kind, call->priority, &service))
     {
-      end_call (core, call, JL_OUTCOME_NOT_RUN, JL_REASON_DOWNSTREAM);
+      refuse_below (core, call, service);
       return;
     }
   verdict = jl_place_choose (core, call, &member);
   if (verdict == JL_PLACE_CHOSEN)
     send_call (core, call, member);
-  else if (call->last_reason != JL_REASON_NONE)
-    end_call (core, call, JL_OUTCOME_NOT_RUN, call->last_reason);
   else
-    end_call (core, call, JL_OUTCOME_NOT_RUN,
-              verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
-                                          : JL_REASON_NO_TARGET);
+    end_unplaced (core, call, verdict);
 }
 
 /* Sends the call to another target if that is allowed, or ends it. */
@@ -459,6 +550,7 @@
   effect->message.type = JL_MESSAGE_CANCEL;
   effect->message.from = core->identity;
   effect->message.to.member = call->member;
+  effect->message.to.epoch = call->member_epoch;
   effect->message.attempt = call->attempt;
   core->counts.messages_sent++;
 }
@@ -480,6 +572,8 @@
   uint64_t due_us = core->now_us + CANCEL_WAIT_US;
 
   call->state = JL_CALL_CANCELLING;
+  g_hash_table_insert (core->cancelling, JL_HASH_KEY (call->attempt.number),
+                       call);
   send_cancel (core, call);
   jl_timer_start (core->timers, &call->timer, due_us, cancel_expired, core);
 }
@@ -487,25 +581,18 @@
 void
 jl_entry_cancelled (struct jl_core *core, const struct jl_message *message)
 {
-  GHashTableIter iterator;
-  gpointer value;
+  struct jl_call *call = g_hash_table_lookup (
+      core->cancelling, JL_HASH_KEY (message->attempt.number));
 
-  /* Few calls are cancelled at a time; all are few. */
-  g_hash_table_iter_init (&iterator, core->calls);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct jl_call *call = value;
-
-      if (call->state != JL_CALL_CANCELLING
-          || !jl_attempt_id_equal (call->attempt, message->attempt))
-        continue;
-      jl_timer_stop (core->timers, &call->timer);
-      if (message->type == JL_MESSAGE_CANCELLED)
-        try_again (core, call, JL_REASON_TARGET_LOST, false);
-      else
-        cancel_expired (core, &call->timer);
-      return;
-    }
+  if (call == NULL || !jl_attempt_id_equal (call->attempt, message->attempt))
+    return;
+  jl_timer_stop (core->timers, &call->timer);
+  g_hash_table_remove (core->cancelling, JL_HASH_KEY (call->attempt.number));
+  call->state = JL_CALL_NEW;
+  if (message->type == JL_MESSAGE_CANCELLED)
+    try_again (core, call, JL_REASON_TARGET_LOST, false);
+  else
+    cancel_expired (core, &call->timer);
 }
 
 static void
@@ -513,9 +600,10 @@
           struct jl_call *call,
           const struct jl_event_call_result *event)
 {
-  struct jl_effect_answer *answer
-      = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
+  struct jl_effect_answer *answer;
 
+  jl_poison_done (core, call->digest);
+  answer = end_call (core, call, JL_OUTCOME_DONE, JL_REASON_NONE);
   answer->report = event->report;
 }
 
@@ -536,7 +624,11 @@
       return;
     case JL_OUTCOME_UNKNOWN:
       call->may_have_run = true;
-      if (!call->guarded && event->reason == JL_REASON_TARGET_LOST)
+      if (event->reason == JL_REASON_POISON)
+        jl_poison_strike (core, call->digest, call->member);
+      if (!call->guarded
+          && (event->reason == JL_REASON_TARGET_LOST
+              || event->reason == JL_REASON_POISON))
         try_again (core, call, event->reason, event->no_retry);
       else
         end_call (core, call, JL_OUTCOME_UNKNOWN, event->reason);
@@ -564,10 +656,6 @@
                     struct jl_call *call,
                     const struct jl_event_call_result *event)
 {
-  struct jl_member *member = jl_members_find (core, call->member);
-
-  if (member != NULL)
-    jl_place_result (core, member, event);
   switch (event->result)
     {
     case JL_SEND_ANSWERED:
@@ -609,52 +697,112 @@
     answer->sending = JL_OUTCOME_NOT_RUN;
 }
 
+static void
+note_place_result (struct jl_core *core,
+                   const struct jl_call *call,
+                   const struct jl_event_call_result *event)
+{
+  struct jl_member *member = jl_members_find (core, call->member);
+
+  if (member != NULL)
+    jl_place_result (core, member, event);
+}
+
+/* Tells the parent's entry what an answer said of the services below. */
+static void
+report_answer (struct jl_core *core,
+               struct jl_call *call,
+               const struct jl_report *report)
+{
+  if (call->parent == NULL)
+    return;
+  jl_report_merge (&call->parent->report, report);
+  report_service (core, call);
+}
+
 void
 jl_entry_result (struct jl_core *core, const struct jl_event_call_result *event)
 {
   struct jl_call *call
       = g_hash_table_lookup (core->calls, JL_HASH_KEY (event->call));
 
-  if (call == NULL || !jl_attempt_id_equal (call->attempt, event->attempt))
+  if (call == NULL)
+    return;
+  if (!jl_attempt_id_equal (call->attempt, event->attempt)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_ATTEMPT_MATCH))
     return;
   if (call->state != JL_CALL_SENT && call->state != JL_CALL_FORWARDED)
     return;
+  if (call->state == JL_CALL_SENT)
+    note_place_result (core, call, event);
   if (event->result == JL_SEND_ANSWERED)
     {
       jl_retry_return (core, call, event->tokens);
-      jl_graph_learn (core, call->kind, &event->report);
-      if (call->parent != NULL)
-        jl_report_merge (&call->parent->report, &event->report);
+      report_answer (core, call, &event->report);
+      if (call->config == core->config)
+        jl_graph_learn (core, call->kind, event->outcome, &event->report);
     }
-  else if (event->result == JL_SEND_NOT_SENT)
-    jl_retry_return (core, call, call->lent);
+  else
+    jl_retry_return (core, call,
+                     event->result == JL_SEND_NOT_SENT ? call->lent : 0);
   if (call->state == JL_CALL_FORWARDED)
     handle_forward_result (core, call, event);
   else
     handle_sent_result (core, call, event);
 }
 
-/* Stops a call that nobody waits for any more. */
+/* Stops the sending in progress; it may have run, or may still run. */
 static void
-stop_call (struct jl_core *core, struct jl_call *call)
+stop_send (struct jl_core *core, struct jl_call *call)
 {
-  struct jl_member *member = jl_members_find (core, call->member);
   struct jl_event_call_result ended = { .result = JL_SEND_TIMEOUT };
+  struct jl_effect *stop = jl_emit (core, JL_EFFECT_STOP_SEND);
 
-  if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
-    {
-      struct jl_effect *stop = jl_emit (core, JL_EFFECT_STOP_SEND);
+  stop->stop_send.call = call->number;
+  stop->stop_send.attempt = call->attempt;
+  call->may_have_run = true;
+  if (call->state != JL_CALL_SENT)
+    return;
+  send_cancel (core, call);
+  note_place_result (core, call, &ended);
+}
 
-      stop->stop_send.call = call->number;
-      stop->stop_send.attempt = call->attempt;
-      call->may_have_run = true;
-    }
-  if (call->state == JL_CALL_SENT)
+/* Sends an idempotent call elsewhere, if a token allows. */
+static void
+leave_member (struct jl_core *core, struct jl_call *call)
+{
+  if (!jl_retry_spend (core, call))
+    return;
+  stop_send (core, call);
+  call->last_reason = JL_REASON_TARGET_LOST;
+  if (call->tried_count < JL_TRIED_MAX)
+    call->tried[call->tried_count++] = call->member;
+  core->counts.retries++;
+  jl_entry_proceed (core, call);
+}
+
+void
+jl_entry_member_lost (struct jl_core *core, uint64_t member)
+{
+  GList *calls = g_hash_table_get_values (core->calls);
+
+  for (GList *item = calls; item != NULL; item = item->next)
     {
-      send_cancel (core, call);
-      if (member != NULL)
-        jl_place_result (core, member, &ended);
+      struct jl_call *call = item->data;
+
+      if (call->state == JL_CALL_SENT && call->member == member
+          && !call->guarded && core->options.mode == JL_CORE_FULL)
+        leave_member (core, call);
     }
+  g_list_free (calls);
+}
+
+/* Stops a call that nobody waits for any more. */
+static void
+stop_call (struct jl_core *core, struct jl_call *call)
+{
+  if (call->state == JL_CALL_SENT || call->state == JL_CALL_FORWARDED)
+    stop_send (core, call);
   if (call->state == JL_CALL_SENT || call->state == JL_CALL_CANCELLING)
     end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_CANCELLED);
   else
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -16,6 +16,8 @@
 
 /* An announcement holds this long. */
 #define ANNOUNCE_LEASE_US (3 * JL_USEC_PER_SEC)
+/* A drained daemon refuses for this long, until its peers have heard of it. */
+#define DRAIN_LINGER_US (2 * JL_USEC_PER_SEC)
 /* When to come back after a refusal that is no matter of load. */
 #define RETRY_AFTER_MS 500
 
@@ -163,6 +165,7 @@
   work->deadline_us = core->now_us + event->budget_us;
   work->anchor = event->anchor;
   work->tokens = event->tokens;
+  work->tokens_begun = event->tokens;
   CDS_INIT_LIST_HEAD (&work->queue);
   CDS_INIT_LIST_HEAD (&work->children);
   g_hash_table_insert (core->works, JL_HASH_KEY (work->number), work);
@@ -176,6 +179,9 @@
   enum jl_reason reason;
   struct jl_work *work;
 
+  if (seen == JL_SEEN_TOMBSTONE
+      && JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
+    seen = JL_SEEN_NEVER;
   if (seen == JL_SEEN_TOMBSTONE)
     {
       refuse_event (core, event, JL_OUTCOME_NOT_RUN, JL_REASON_CANCELLED);
@@ -194,6 +200,7 @@
       return;
     }
   jl_seen_set (core, event->attempt, JL_SEEN_ACCEPTED);
+  jl_seen_set_work (core, event->attempt, event->work);
   work = make_work (core, event);
   core->counts.works[work->priority / JL_SAMPLE_COUNT]++;
   jl_admit_arrive (core, work);
@@ -260,9 +267,11 @@
 static void
 handle_broken (struct jl_core *core, struct jl_work *work)
 {
-  if (!work->cancelled)
-    jl_poison_strike (core, work->digest, core->identity.member);
-  finish_work (core, work, JL_OUTCOME_UNKNOWN, JL_REASON_TARGET_LOST);
+  enum jl_reason reason = JL_REASON_TARGET_LOST;
+
+  if (!work->cancelled && jl_poison_target_died (core, work))
+    reason = JL_REASON_POISON;
+  finish_work (core, work, JL_OUTCOME_UNKNOWN, reason);
 }
 
 void
@@ -279,6 +288,7 @@
   switch (event->result)
     {
     case JL_RUN_ANSWERED:
+      jl_poison_done (core, work->digest);
       finish_work (core, work, JL_OUTCOME_DONE, JL_REASON_NONE);
       return;
     case JL_RUN_NOT_SENT:
@@ -319,28 +329,19 @@
   core->counts.messages_sent++;
 }
 
-static struct jl_work *
-find_work (struct jl_core *core, struct jl_attempt_id attempt)
-{
-  GHashTableIter iterator;
-  gpointer value;
-
-  g_hash_table_iter_init (&iterator, core->works);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
-    {
-      struct jl_work *work = value;
-
-      if (jl_attempt_id_equal (work->attempt, attempt))
-        return work;
-    }
-  return NULL;
-}
-
 void
 jl_guard_cancel (struct jl_core *core, const struct jl_message *message)
 {
-  struct jl_work *work = find_work (core, message->attempt);
+  uint64_t number = jl_seen_work (core, message->attempt);
+  struct jl_work *work
+      = g_hash_table_lookup (core->works, JL_HASH_KEY (number));
 
+  /* What an earlier life of this daemon ran is not known any more. */
+  if (message->to.epoch != core->identity.epoch)
+    {
+      answer_cancel (core, message, JL_MESSAGE_CANCEL_LATE);
+      return;
+    }
   if (work != NULL && work->state == JL_WORK_WAITING)
     {
       jl_admit_remove (core, work);
@@ -360,12 +361,20 @@
                      : JL_MESSAGE_CANCEL_LATE);
 }
 
+/* Only wakes the reducer up; jl_guard_check_drained() does the rest. */
+static void
+linger_ended (void *context G_GNUC_UNUSED, struct jl_timer *timer G_GNUC_UNUSED)
+{
+}
+
 void
 jl_guard_drain (struct jl_core *core)
 {
   if (core->draining)
     return;
   core->draining = true;
+  jl_timer_start (core->timers, &core->drain_linger,
+                  core->now_us + DRAIN_LINGER_US, linger_ended, core);
   jl_members_leave (core);
   jl_log_event (core, JL_LOG_DRAIN_BEGUN, 0, 0);
 }
@@ -373,10 +382,11 @@
 void
 jl_guard_check_drained (struct jl_core *core)
 {
-  if (!core->draining || core->left)
+  if (!core->draining || core->left || core->drain_linger.index != 0)
     return;
-  if (g_hash_table_size (core->works) > 0
-      || g_hash_table_size (core->calls) > 0)
+  if ((g_hash_table_size (core->works) > 0
+       || g_hash_table_size (core->calls) > 0)
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_DRAIN))
     return;
   core->left = true;
   jl_emit (core, JL_EFFECT_EXIT);
--- a/source/core/member.h
+++ b/source/core/member.h
@@ -24,6 +24,8 @@
  * @level: lowest priority that it refuses, by its last answer
  * @level_us: when that answer came; 0 for never
  * @first_seen_us: when this life of it was first heard of
+ * @load_us: when its load was last heard of; 0 for never
+ * @rank: see rank_of() in place.c; 0 while not set
  * @hearsay: a tombstone of a member never known alive here; not passed on
  * @config_version: configuration that it last said to have
  * @news: place in a list of what is to be gossiped
@@ -48,6 +50,8 @@
   uint32_t load_permille;
   uint32_t level;
   uint64_t level_us;
+  uint64_t load_us;
+  uint64_t rank;
   bool hearsay;
   uint64_t config_version;
   struct cds_list_head news;
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -27,13 +27,14 @@
  * @calls: number to struct jl_waiter
  * @works: number to struct jl_waiter
  * @outgoing: effects to be carried out after the step's lock is given back
+ * @draining: callers' connections are closed after each answer
  * @tick_at_us: when the timer thread will wake up
  * @background: struct jl_effect of the background thread
  */
 struct jl_daemon
 {
   struct jl_settings *settings;
-  GMutex lock;
+  pthread_mutex_t lock;
   struct jl_core *core;
   struct jl_effects *effects;
   struct jl_config *config;
@@ -43,10 +44,11 @@
   uint64_t next_number;
   GArray *outgoing;
   uint64_t tick_at_us;
-  GCond tick;
+  pthread_cond_t tick;
+  int draining;
   bool exiting;
   bool stopping;
-  GCond exit;
+  pthread_cond_t exit;
   struct jl_answer_store *answers;
   struct jl_http_pool *pool;
   struct jl_control *control;
@@ -55,21 +57,24 @@
   struct jl_http_server *peer_server;
   struct jl_http_server *local_server;
   GAsyncQueue *background;
-  GThread *timer_thread;
-  GThread *background_thread;
+  bool has_threads;
+  pthread_t timer_thread;
+  pthread_t background_thread;
 };
 
 /**
  * struct jl_waiter - a thread that waits for effects of its request
  * @inbox: struct jl_effect, in order
+ * @stopped_attempt: of a call, number of the sending stopped last
  * @ordinals: of a work item, calls made so far by kind
  */
 struct jl_waiter
 {
   uint64_t number;
-  GCond cond;
+  pthread_cond_t cond;
   GQueue inbox;
   struct jl_http_transfer transfer;
+  uint64_t stopped_attempt;
   GHashTable *ordinals;
 };
 
@@ -148,6 +153,6 @@
 /**
  * jl_background_run - the background thread: platform and configuration
  */
-gpointer jl_background_run (gpointer daemon);
+void *jl_background_run (void *daemon);
 
 #endif
--- /dev/null
+++ b/tests/site.sh
@@ -0,0 +1,324 @@
+# A small site of stand-ins and daemons on loopback addresses; to be sourced.
+#
+# Each member is a daemon and its target at one address 127.30.ZONE.N:
+# entry port 8000, peers 8001, local 8002, control 8003, target 8080.
+# Everything started is stopped by its process number. Needs bash.
+#
+#   site_begin DIRECTORY          starts with an empty directory
+#   site_member NAME ZONE SERVICE ADDRESS [target option...]
+#   site_start                    platform, all daemons, all targets
+#   site_apply FILE               puts a configuration in force
+#   site_wait                     until every daemon sees all others, ready
+#   site_call [caller option...]  load at the entry ports in SITE_ENTRIES
+#   site_check [checker option...]
+#   site_end                      stops what runs
+
+SITE_ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+BUILD=${BUILD:-build}
+case "$BUILD" in /*) ;; *) BUILD=$SITE_ROOT/$BUILD ;; esac
+SITE_PLATFORM=127.30.0.1:9000
+SITE_DEADLINE_S=${SITE_DEADLINE_S:-20}
+
+declare -A SITE_ZONE SITE_SERVICE SITE_ADDRESS SITE_OPTIONS
+declare -A DAEMON_PID TARGET_PID
+SITE_MEMBERS=()
+SITE_ENTRIES=()
+SITE_OTHERS=()
+PLATFORM_PID=
+
+site_fail ()
+{
+  echo "site: $*" >&2
+  exit 1
+}
+
+site_begin ()
+{
+  SITE_DIR=$1
+  rm -rf "$SITE_DIR"
+  mkdir -p "$SITE_DIR"
+  trap site_end EXIT
+}
+
+# Records a fault. The time is read right before the fault is made.
+site_note ()
+{
+  local who=$1 what=$2
+  python3 -c 'import json, sys, time
+print(json.dumps({"at": time.monotonic_ns() // 1000, "t": "fault",
+                  "who": sys.argv[1], "what": sys.argv[2]}))' \
+    "$who" "$what" >> "$SITE_DIR/faults.jsonl"
+}
+
+site_member ()
+{
+  local name=$1 zone=$2 service=$3 address=$4
+  shift 4
+  SITE_MEMBERS+=("$name")
+  SITE_ZONE[$name]=$zone
+  SITE_SERVICE[$name]=$service
+  SITE_ADDRESS[$name]=$address
+  SITE_OPTIONS[$name]="$*"
+  SITE_ENTRIES+=("$address:8000")
+}
+
+# The first two members are the seeds of all.
+site_settings ()
+{
+  local name=$1 seeds="" other
+  for other in "${SITE_MEMBERS[@]:0:2}"; do
+    seeds="$seeds${seeds:+, }\"${SITE_ADDRESS[$other]}:8003\""
+  done
+  cat << END
+{
+  "name": "$name",
+  "zone": "${SITE_ZONE[$name]}",
+  "address": "${SITE_ADDRESS[$name]}",
+  "entry_port": 8000, "peer_port": 8001,
+  "local_port": 8002, "control_port": 8003,
+  "target": "${SITE_ADDRESS[$name]}:8080",
+  "platform": "$SITE_PLATFORM",
+  "seeds": [$seeds],
+  "threads": {${SITE_THREADS:-"entry": 200, "peer": 200, "local": 100}},
+  "mode": "${SITE_MODE:-full}",
+  "drain_ms": 60000
+}
+END
+}
+
+start_platform ()
+{
+  "$BUILD/standins/platform" --listen "$SITE_PLATFORM" \
+    --history "$SITE_DIR/platform.jsonl" >> "$SITE_DIR/platform.log" 2>&1 &
+  PLATFORM_PID=$!
+}
+
+start_daemon ()
+{
+  local name=$1
+  site_settings "$name" > "$SITE_DIR/$name.json"
+  "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
+    >> "$SITE_DIR/$name.daemon.log" 2>&1 &
+  DAEMON_PID[$name]=$!
+}
+
+start_target ()
+{
+  local name=$1 address=${SITE_ADDRESS[$1]} options
+  eval "options=(${SITE_OPTIONS[$name]})"
+  "$BUILD/standins/target" --listen "$address:8080" --daemon "$address:8002" \
+    --service "${SITE_SERVICE[$name]}" --name "$name" \
+    --history "$SITE_DIR/$name.target.jsonl" "${options[@]}" \
+    >> "$SITE_DIR/$name.target.log" 2>&1 &
+  TARGET_PID[$name]=$!
+}
+
+kill_daemon ()
+{
+  site_note "$1" kill
+  kill -KILL "${DAEMON_PID[$1]}"
+  wait "${DAEMON_PID[$1]}" 2> /dev/null
+  unset "DAEMON_PID[$1]"
+}
+
+kill_target ()
+{
+  site_note "$1" kill
+  kill -KILL "${TARGET_PID[$1]}"
+  wait "${TARGET_PID[$1]}" 2> /dev/null
+  unset "TARGET_PID[$1]"
+}
+
+# Begins a planned stop; does not wait for its end.
+drain_daemon ()
+{
+  site_note "$1" drain
+  kill -TERM "${DAEMON_PID[$1]}"
+}
+
+site_start ()
+{
+  local name
+  start_platform
+  for name in "${SITE_MEMBERS[@]}"; do
+    start_daemon "$name"
+  done
+  for name in "${SITE_MEMBERS[@]}"; do
+    start_target "$name"
+  done
+}
+
+site_status ()
+{
+  curl -s -m 1 "http://${SITE_ADDRESS[$1]}:8002/jl/status"
+}
+
+# Whether a daemon has a configuration, its target and all members.
+is_ready ()
+{
+  local count=$2
+  site_status "$1" | python3 -c 'import json, sys
+status = json.load(sys.stdin)
+sys.exit(0 if status["config_version"] > 0 and status["target"]["up"]
+         and status["alive"] >= int(sys.argv[1]) else 1)' "$count" 2> /dev/null
+}
+
+site_wait ()
+{
+  local name count=${1:-${#DAEMON_PID[@]}} until=$((SECONDS + SITE_DEADLINE_S))
+  for name in "${!DAEMON_PID[@]}"; do
+    until is_ready "$name" "$count"; do
+      [ "$SECONDS" -lt "$until" ] \
+        || site_fail "$name is not ready: $(site_status "$name")"
+      sleep 0.1
+    done
+  done
+}
+
+site_tool ()
+{
+  "$BUILD/jackdawladder" "$@"
+}
+
+# TEMP fallback
+site_apply ()
+{
+  SITE_CONFIG=$1
+  SITE_VERSION=$((${SITE_VERSION:-0} + 1))
+  sleep 1
+  for m in "${SITE_MEMBERS[@]}"; do curl -s -X POST -H "Jl-Config-Version: $SITE_VERSION" --data-binary "@$1" "http://${SITE_ADDRESS[$m]}:8002/jl/config" >/dev/null; done
+}
+
+platform_control ()
+{
+  curl -s -m 2 -X POST "http://$SITE_PLATFORM/test/$1" > /dev/null
+}
+
+# Load from a caller with the given name; the history is CALLER.caller.jsonl.
+site_call ()
+{
+  local name=$1 entry entries=()
+  shift
+  for entry in "${SITE_ENTRIES[@]}"; do
+    entries+=(--entry "$entry")
+  done
+  "$BUILD/standins/caller" --name "$name" "${entries[@]}" \
+    --history "$SITE_DIR/$name.caller.jsonl" \
+    --csv "$SITE_DIR/$name.csv" "$@"
+}
+
+# Samples all daemons' configurations until the end, or once with --once.
+site_sample ()
+{
+  local name daemons=()
+  for name in "${SITE_MEMBERS[@]}"; do
+    daemons+=("$name=${SITE_ADDRESS[$name]}:8002")
+  done
+  python3 -B "$SITE_ROOT/tests/history/watch.py" "$@" \
+    --history "$SITE_DIR/versions.jsonl" "${daemons[@]}"
+}
+
+site_watch ()
+{
+  site_sample &
+  SITE_OTHERS+=($!)
+}
+
+# Hands a document to a daemon as the tool does.
+site_install ()
+{
+  curl -s -m 2 -X POST -H "Jl-Config-Version: $2" --data-binary "@$3" \
+    "http://${SITE_ADDRESS[$1]}:8002/jl/config" > /dev/null
+}
+
+site_check ()
+{
+  python3 -B "$SITE_ROOT/tests/history/check.py" \
+    ${SITE_CONFIG:+--config "$SITE_CONFIG"} "$@" "$SITE_DIR"/*.jsonl
+}
+
+# Stops what is left. Daemons and stopped processes get no planned stop here.
+site_end ()
+{
+  local process
+  for process in "${SITE_OTHERS[@]}" "${DAEMON_PID[@]}" "${TARGET_PID[@]}" \
+    $PLATFORM_PID; do
+    kill -KILL "$process" 2> /dev/null
+  done
+  for process in "${SITE_OTHERS[@]}" "${DAEMON_PID[@]}" "${TARGET_PID[@]}" \
+    $PLATFORM_PID; do
+    wait "$process" 2> /dev/null
+  done
+  DAEMON_PID=()
+  TARGET_PID=()
+  SITE_OTHERS=()
+  PLATFORM_PID=
+}
+
+# The site of the process tests: front and store in zones a, b and c.
+# Members are front-a, store-a and so on; arguments go to all targets.
+small_site ()
+{
+  local zone number=0
+  site_begin "$1"
+  shift
+  for zone in a b c; do
+    number=$((number + 1))
+    site_member "front-$zone" "$zone" front "127.30.$number.1" "$@" \
+      --then "'/order POST /book'"
+    site_member "store-$zone" "$zone" store "127.30.$number.2" "$@"
+  done
+  site_start
+  site_apply "$SITE_ROOT/tests/site.json"
+  site_wait
+}
+
+RESERVE="reserve POST /reserve importance=0 idempotent=0 key=ticket request-bytes=200"
+LIST="list GET /list importance=1"
+SCAN="scan GET /scan importance=2"
+ORDER="order POST /order importance=1 request-bytes=200"
+UPLOAD="upload PUT /upload importance=2 request-bytes=500000"
+
+# Whether requests of a caller are all answered whole again, with patience.
+site_serves ()
+{
+  site_call after --rate 50 --seconds 30 --count 50 --resends 60 \
+    --resend-ms 250 --hammer --timeout-ms 3000 --all \
+    --kind "$LIST" --kind "$RESERVE" --kind "$ORDER"
+}
+
+# process_test NAME FUNCTION [argument...]: one test line.
+process_test ()
+{
+  local name=$1 log=$SITE_ROOT/out/$1.log
+  shift
+  mkdir -p "$SITE_ROOT/out"
+  if ("$@" "$SITE_ROOT/out/$name") > "$log" 2>&1; then
+    echo "ok $name"
+  else
+    cat "$log"
+    echo "not ok $name"
+  fi
+}
+
+# process_test_broken NAME RULE FUNCTION: the test line of a run that has to
+# break a rule, because a mechanism is off or the daemons only forward.
+process_test_broken ()
+{
+  local name=$1 rule=$2 log=$SITE_ROOT/out/$1.log
+  shift 2
+  mkdir -p "$SITE_ROOT/out"
+  ("$@" "$SITE_ROOT/out/$name") > "$log" 2>&1
+  if grep -q "^violated $rule:" "$log"; then
+    echo "ok $name"
+  else
+    cat "$log"
+    echo "not ok $name"
+  fi
+}
+
+# Posts to a daemon's test hooks.
+site_hook ()
+{
+  curl -s -m 1 -X POST "http://${SITE_ADDRESS[$1]}:8002/test/$2" > /dev/null
+}
