Draw membership's random numbers apart from other decisions

Probes took numbers from the generator that placement and Retry-After use, so a probe changed which member a call went to.

--- a/source/core/member-fetch.c
+++ b/source/core/member-fetch.c
@@ -42,7 +42,7 @@
 
   if (order->len == 0)
     return NULL;
-  start = jl_random_below (core, order->len);
+  start = jl_members_random (core->members, order->len);
   for (guint i = 0; i < order->len; i++)
     {
       struct jl_member *member
--- a/source/core/member-gossip.c
+++ b/source/core/member-gossip.c
@@ -203,7 +203,8 @@
 jl_gossip_queue (struct jl_core *core, struct jl_member *member)
 {
   struct jl_members *members = core->members;
-  uint64_t due_us = core->now_us + jl_random_below (core, PUSH_DELAY_US);
+  uint64_t due_us
+      = core->now_us + jl_members_random (core->members, PUSH_DELAY_US);
   uint32_t bits = g_bit_storage (members->count[JL_MEMBER_ALIVE]);
 
   member->push_due = true;
--- a/source/core/member-impl.h
+++ b/source/core/member-impl.h
@@ -16,6 +16,7 @@
 
 /**
  * struct jl_members - the member list and the timers that keep it
+ * @random: of its own, so that other decisions do not hang on probes
  * @order: all members but the own one, in the order of probing
  * @next: place in @order
  * @count: members by state, without hearsay
@@ -29,6 +30,7 @@
  */
 struct jl_members
 {
+  GRand *random;
   struct cds_list_head all;
   struct cds_list_head by_service[JL_SERVICE_MAX];
   GHashTable *by_id;
@@ -68,6 +70,11 @@
                            struct jl_member *member,
                            enum jl_member_state state);
 
+/**
+ * jl_members_random - a number from 0 to @bound - 1
+ */
+uint32_t jl_members_random (struct jl_members *members, uint32_t bound);
+
 /**
  * jl_members_pick - draws different alive members, never the own one
  * @except: identifier that is not drawn, 0 for none
--- a/source/core/member-join.c
+++ b/source/core/member-join.c
@@ -74,7 +74,7 @@
   for (uint32_t i = 0; i < members->seed_count; i++)
     if (is_known (core, members->seeds[i]))
       return i;
-  return jl_random_below (core, members->seed_count);
+  return jl_members_random (core->members, members->seed_count);
 }
 
 void
@@ -123,7 +123,7 @@
     send_join (core, member->info.identity.member, list_digest (core));
   jl_timer_start (core->timers, timer,
                   core->now_us + COMPARE_INTERVAL_US
-                      + jl_random_below (core, COMPARE_JITTER_US),
+                      + jl_members_random (core->members, COMPARE_JITTER_US),
                   compare, core);
 }
 
@@ -133,7 +133,7 @@
   jl_timer_start (core->timers, &members->join, core->now_us, join_seeds, core);
   jl_timer_start (core->timers, &members->sync,
                   core->now_us + COMPARE_FIRST_US
-                      + jl_random_below (core, COMPARE_JITTER_US),
+                      + jl_members_random (members, COMPARE_JITTER_US),
                   compare, core);
 }
 
@@ -188,6 +188,6 @@
     return;
   jl_timer_start (core->timers, timer,
                   core->now_us + COMPARE_SOON_US / 2
-                      + jl_random_below (core, COMPARE_SOON_US / 2),
+                      + jl_members_random (core->members, COMPARE_SOON_US / 2),
                   compare, core);
 }
--- a/source/core/member-probe.c
+++ b/source/core/member-probe.c
@@ -121,7 +121,7 @@
 {
   for (guint i = order->len; i > 1; i--)
     {
-      guint j = jl_random_below (core, i);
+      guint j = jl_members_random (core->members, i);
       gpointer swapped = order->pdata[i - 1];
 
       order->pdata[i - 1] = order->pdata[j];
@@ -180,7 +180,7 @@
 draw_dead (struct jl_core *core)
 {
   GPtrArray *order = core->members->order;
-  guint start = jl_random_below (core, order->len);
+  guint start = jl_members_random (core->members, order->len);
 
   for (guint i = 0; i < order->len; i++)
     {
@@ -205,7 +205,7 @@
   const uint32_t *count = core->members->count;
   struct jl_member *member = NULL;
 
-  if (jl_random_below (core, MAX (count[JL_MEMBER_ALIVE], 1))
+  if (jl_members_random (core->members, MAX (count[JL_MEMBER_ALIVE], 1))
           < count[JL_MEMBER_DEAD]
       && !JL_SWITCHED_OFF (core, JL_MECHANISM_PROBES))
     member = draw_dead (core);
@@ -219,11 +219,11 @@
 jl_probe_start (struct jl_core *core, struct jl_members *members)
 {
   jl_timer_start (core->timers, &members->probe,
-                  core->now_us + jl_random_below (core, PERIOD_US), probe_next,
-                  core);
+                  core->now_us + jl_members_random (members, PERIOD_US),
+                  probe_next, core);
   jl_timer_start (core->timers, &members->slow_probe,
-                  core->now_us + jl_random_below (core, PERIOD_US), probe_dead,
-                  core);
+                  core->now_us + jl_members_random (members, PERIOD_US),
+                  probe_dead, core);
 }
 
 static void
--- a/source/core/member.c
+++ b/source/core/member.c
@@ -106,6 +106,12 @@
                   core);
 }
 
+uint32_t
+jl_members_random (struct jl_members *members, uint32_t bound)
+{
+  return g_rand_int (members->random) % bound;
+}
+
 struct jl_members *
 jl_members_new (struct jl_core *core)
 {
@@ -121,6 +127,7 @@
     CDS_INIT_LIST_HEAD (&members->by_service[i]);
   members->by_id = g_hash_table_new (g_direct_hash, g_direct_equal);
   members->order = g_ptr_array_new ();
+  members->random = g_rand_new_with_seed (core->options.seed);
   g_strlcpy (self.zone, core->options.zone, JL_NAME_SIZE);
   members->self = add_member (core, members, &self);
   members->count[JL_MEMBER_ALIVE] = 1;
@@ -141,6 +148,7 @@
       g_free (member);
   g_hash_table_destroy (members->by_id);
   g_ptr_array_free (members->order, TRUE);
+  g_rand_free (members->random);
   g_free (members);
 }
 
@@ -200,6 +208,7 @@
   member->load_permille = 0;
   member->level = JL_PRIORITY_COUNT;
   member->level_us = 0;
+  member->load_us = 0;
   member->config_version = 0;
   member->probe_sequence = 0;
   jl_timer_stop (core->timers, &member->probe);
@@ -239,7 +248,7 @@
 {
   struct jl_members *members = core->members;
   struct jl_member *member = add_member (core, members, info);
-  guint place = jl_random_below (core, members->order->len + 1);
+  guint place = jl_members_random (core->members, members->order->len + 1);
 
   g_ptr_array_insert (members->order, (gint)place, member);
   member->hearsay = info->state >= JL_MEMBER_DEAD;
@@ -317,10 +326,10 @@
   if (length == 0)
     return 0;
   for (uint32_t i = 0; i < DRAWS_PER_PICK * max && count < max; i++)
-    count = pick_one (core, jl_random_below (core, length), except, picked,
-                      count);
+    count = pick_one (core, jl_members_random (core->members, length), except,
+                      picked, count);
   /* Few are alive, or the list is short: take whoever there is. */
-  start = jl_random_below (core, length);
+  start = jl_members_random (core->members, length);
   for (guint i = 0; i < length && count < max; i++)
     count = pick_one (core, (start + i) % length, except, picked, count);
   return count;
@@ -332,8 +341,7 @@
   struct jl_members *members = core->members;
   struct jl_member *from = jl_members_find (core, message->from.member);
 
-  if (message->from.member == core->identity.member
-      || message->to.member != core->identity.member)
+  if (message->from.member == core->identity.member)
     return;
   /* A late message of a life that has ended. */
   if (from != NULL && message->from.epoch < from->info.identity.epoch)
