Keep the demand that a level holds back for longer

With the memory of refused arrivals fading in 0.8 s, the level came up over them in doubling steps and then fell again: in the feedback test of a deep service up to 58 requests in a second ran at the front in vain.

The reducers that the feedback test connects now stand under tests/support, and unit tests link it.

--- a/source/core/level.c
+++ b/source/core/level.c
@@ -4,12 +4,13 @@
 
 #include "level.h"
 
-/* Arrivals are kept in thousandths of an item for each window. */
+/* Arrivals for each window are kept in parts of an item. */
+#define ITEM_PARTS (1 << 16)
 #define ITEM_MILLI 1000
 /* Weight of the newest window, below the level: 1 in 4. */
 #define ADMITTED_SHIFT 2
-/* Above the level arrivals are kept longer, since they stay away: 1 in 16. */
-#define REFUSED_SHIFT 4
+/* Above the level arrivals are kept longer, since they stay away: 1 in 64. */
+#define REFUSED_SHIFT 6
 /* Share of the capacity that is let in after an overloaded window. */
 #define OVERLOADED_PERCENT 95
 /* First step up, in priorities; each next one is twice as large. */
@@ -22,7 +23,7 @@
  * @lowest_refused: most important priority refused in this window
  * @step: how far it comes up at most after the next good window
  * @arrived: arrivals in this window, by priority
- * @demand_milli: arrivals for each window, smoothed, by priority
+ * @demand: arrivals for each window, smoothed, by priority; in parts
  * @arrivals: arrivals in this window
  * @refusals: refusals in this window
  */
@@ -35,7 +36,7 @@
   uint32_t refusals;
   uint32_t refused_permille;
   uint32_t arrived[JL_PRIORITY_COUNT];
-  uint32_t demand_milli[JL_PRIORITY_COUNT];
+  uint32_t demand[JL_PRIORITY_COUNT];
 };
 
 struct jl_level *
@@ -95,28 +96,26 @@
   for (uint32_t i = 0; i < JL_PRIORITY_COUNT; i++)
     {
       uint32_t shift = i < level->value ? ADMITTED_SHIFT : REFUSED_SHIFT;
-      uint32_t old = level->demand_milli[i];
-      uint32_t new = level->arrived[i] * ITEM_MILLI;
+      uint32_t old = level->demand[i];
+      uint32_t new = level->arrived[i] * ITEM_PARTS;
 
-      if (new > old)
-        shift = ADMITTED_SHIFT;
       old -= (old + (1U << shift) - 1) >> shift;
-      level->demand_milli[i] = old + (new >> shift);
+      level->demand[i] = old + (new >> shift);
       level->arrived[i] = 0;
     }
 }
 
-/* The highest level below which no more than @room_milli items arrive. */
+/* The highest level below which no more than @room parts arrive. */
 static uint32_t
-find_cursor (const struct jl_level *level, uint64_t room_milli)
+find_cursor (const struct jl_level *level, uint64_t room)
 {
-  uint64_t sum_milli = 0;
+  uint64_t sum = 0;
   uint32_t cursor = 0;
 
   for (; cursor < JL_PRIORITY_COUNT; cursor++)
     {
-      sum_milli += level->demand_milli[cursor];
-      if (sum_milli > room_milli)
+      sum += level->demand[cursor];
+      if (sum > room)
         break;
     }
   return cursor;
@@ -125,11 +124,11 @@
 static uint64_t
 sum_below (const struct jl_level *level, uint32_t end)
 {
-  uint64_t sum_milli = 0;
+  uint64_t sum = 0;
 
   for (uint32_t i = 0; i < end; i++)
-    sum_milli += level->demand_milli[i];
-  return sum_milli;
+    sum += level->demand[i];
+  return sum;
 }
 
 /* The most important priority that arrives is never refused by the level. */
@@ -137,20 +136,26 @@
 lowest_level (const struct jl_level *level)
 {
   for (uint32_t i = 0; i < JL_PRIORITY_COUNT; i++)
-    if (level->demand_milli[i] > 0)
+    if (level->demand[i] > 0)
       return i + 1;
   return JL_PRIORITY_COUNT;
 }
 
+static uint64_t
+capacity_parts (const struct jl_level_window *window)
+{
+  return window->capacity_milli * ITEM_PARTS / ITEM_MILLI;
+}
+
 static void
 lower (struct jl_level *level, const struct jl_level_window *window)
 {
-  uint64_t room_milli = sum_below (level, level->value);
+  uint64_t room = sum_below (level, level->value);
   uint32_t cursor;
 
   if (window->capacity_milli > 0)
-    room_milli = MIN (room_milli, window->capacity_milli);
-  cursor = find_cursor (level, room_milli * OVERLOADED_PERCENT / 100);
+    room = MIN (room, capacity_parts (window));
+  cursor = find_cursor (level, room * OVERLOADED_PERCENT / 100);
   cursor = MAX (cursor, lowest_level (level));
   level->value = MIN (level->value, cursor);
   level->step = FIRST_STEP;
@@ -163,7 +168,7 @@
   uint32_t cursor = highest;
 
   if (window->capacity_milli > 0)
-    cursor = find_cursor (level, window->capacity_milli);
+    cursor = find_cursor (level, capacity_parts (window));
   level->step = MIN (level->step * 2, LAST_STEP);
   level->value = MAX (level->value, MIN (cursor, highest));
 }
--- a/tests/unit/feedback.c
+++ b/tests/unit/feedback.c
@@ -1,16 +1,15 @@
 /**
  * DOC: Entry and guards together: what the levels do to the traffic that they
- * hold back. Three reducers in virtual time: an entry, the guard of a front
- * service, and the guard of a deep service that the front may call. Targets are
- * a count of slots and a service time.
+ * hold back. An entry, the guard of a front service, and the guard of a deep
+ * service that the front may call. Targets are a count of slots and a service
+ * time.
  */
 
 #include <criterion/criterion.h>
 #include <string.h>
 
-#include "jackdawladder/core.h"
+#include "../support/site.h"
 
-#define HOP_US (1 * JL_USEC_PER_MSEC)
 #define FRONT_SLOTS 10
 #define DEEP_SLOTS 4
 /* Statuses of answers that are whole, and of those that failed further down. */
@@ -18,7 +17,6 @@
 #define STATUS_FAILED 503
 #define CLASS_COUNT 3
 #define CALLER_COUNT 3
-#define ANNOUNCE_US (1 * JL_USEC_PER_SEC)
 
 static const char document[]
     = "{ \"classes\": [\"reserve\", \"browse\", \"upload\"],"
@@ -54,17 +52,6 @@
   PLACE_COUNT,
 };
 
-/**
- * struct pending - an event on its way to one of them
- */
-struct pending
-{
-  enum place place;
-  uint64_t order;
-  struct jl_event event;
-  struct jl_message message;
-};
-
 /**
  * struct caller - calls of one kind at regular times
  */
@@ -90,198 +77,56 @@
 };
 
 /**
- * struct call_note - a call of the entry, by number
- */
-struct call_note
-{
-  uint32_t kind;
-  uint32_t status;
-};
-
-/**
- * struct work_note - a work item on its way
- */
-struct work_note
-{
-  enum place sender;
-  uint64_t call;
-  struct jl_attempt_id attempt;
-  uint32_t status;
-};
-
-/**
- * struct world - the reducers, and what is on its way
+ * struct world - the daemons, their targets and the callers
+ * @kinds: kind of each call by number
  * @service_us: how long a run takes at the target of each daemon
  * @calls_deep: the front makes a call to the deep service in each run
  */
 struct world
 {
-  struct jl_core *cores[PLACE_COUNT];
-  struct jl_config *config;
-  struct jl_effects *effects;
-  GSequence *pending;
-  GArray *calls;     /* struct call_note */
-  GHashTable *works; /* number to struct work_note */
-  uint64_t now_us;
-  uint64_t next_order;
-  uint64_t next_work;
+  struct jl_site site;
+  GArray *kinds;
   uint64_t service_us[PLACE_COUNT];
   bool calls_deep;
   struct counts counts[CLASS_COUNT];
 };
 
-static gint
-compare_pending (gconstpointer a, gconstpointer b, gpointer data G_GNUC_UNUSED)
-{
-  const struct pending *first = a;
-  const struct pending *second = b;
-
-  if (first->event.now_us != second->event.now_us)
-    return first->event.now_us < second->event.now_us ? -1 : 1;
-  return first->order < second->order ? -1 : 1;
-}
-
-static struct pending *
-schedule (struct world *world,
-          enum place place,
-          const struct jl_event *event,
-          uint64_t at_us)
-{
-  struct pending *pending = g_new0 (struct pending, 1);
-
-  pending->place = place;
-  pending->order = world->next_order++;
-  pending->event = *event;
-  pending->event.now_us = at_us;
-  g_sequence_insert_sorted (world->pending, pending, compare_pending, NULL);
-  return pending;
-}
-
-static struct jl_identity
-identity_of (enum place place)
-{
-  struct jl_endpoint control
-      = { .ip = 127U << 24 | 40U << 16 | (1 + place), .port = 7000 };
-
-  return (struct jl_identity){ .member = jl_member_id (control), .epoch = 1 };
-}
-
-static enum place
-place_of (uint64_t member)
-{
-  int place = ENTRY;
-
-  while (place < PLACE_COUNT - 1 && identity_of (place).member != member)
-    place++;
-  return place;
-}
-
-static struct work_note *
-find_work (struct world *world, uint64_t work)
-{
-  return g_hash_table_lookup (world->works, GSIZE_TO_POINTER (work));
-}
-
-static void
-carry_send (struct world *world,
-            enum place sender,
-            const struct jl_effect_send *send)
-{
-  struct jl_event event = { .type = JL_EVENT_WORK };
-  struct work_note *note = g_new0 (struct work_note, 1);
-
-  note->sender = sender;
-  note->call = send->call;
-  note->attempt = send->attempt;
-  event.work.work = ++world->next_work;
-  event.work.attempt = send->attempt;
-  event.work.kind = send->kind;
-  event.work.config_version = send->config_version;
-  event.work.priority = send->priority;
-  event.work.invested_us = send->invested_us;
-  event.work.budget_us
-      = send->budget_us > HOP_US ? send->budget_us - HOP_US : 0;
-  event.work.tokens = send->tokens;
-  g_hash_table_insert (world->works, GSIZE_TO_POINTER (event.work.work), note);
-  schedule (world, place_of (send->member), &event, world->now_us + HOP_US);
-}
-
 static void
-carry_finish (struct world *world, const struct jl_effect_finish *finish)
-{
-  struct jl_event event = { .type = JL_EVENT_CALL_RESULT };
-  const struct work_note *note = find_work (world, finish->work);
-
-  event.call_result.call = note->call;
-  event.call_result.attempt = note->attempt;
-  event.call_result.result = JL_SEND_ANSWERED;
-  event.call_result.outcome = finish->outcome;
-  event.call_result.reason = finish->reason;
-  event.call_result.no_retry = finish->no_retry;
-  event.call_result.tokens = finish->tokens;
-  event.call_result.report = finish->report;
-  event.call_result.status = note->status;
-  if (note->sender == ENTRY)
-    g_array_index (world->calls, struct call_note, note->call).status
-        = note->status;
-  schedule (world, note->sender, &event, world->now_us + HOP_US);
-  g_hash_table_remove (world->works, GSIZE_TO_POINTER (finish->work));
-}
-
-/* Ends a run at the target of @place after @delay_us. */
-static void
-end_run (struct world *world,
-         enum place place,
-         uint64_t work,
-         uint32_t status,
-         uint64_t delay_us)
-{
-  struct jl_event event = { .type = JL_EVENT_WORK_RESULT };
-
-  find_work (world, work)->status = status;
-  event.work_result.work = work;
-  event.work_result.result = JL_RUN_ANSWERED;
-  event.work_result.status = status;
-  schedule (world, place, &event, world->now_us + delay_us);
-}
-
-static void
-carry_run (struct world *world, enum place place, uint64_t work)
+handle_run (struct jl_site *site, const struct jl_site_work *work)
 {
+  const struct world *world = site->context;
+  uint64_t service_us = world->service_us[work->node];
   struct jl_event call = { .type = JL_EVENT_CALL };
 
-  if (place == DEEP || !world->calls_deep)
+  if (work->node == DEEP || !world->calls_deep)
     {
-      end_run (world, place, work, STATUS_OK, world->service_us[place]);
+      jl_site_end (site, work->number, JL_RUN_ANSWERED, STATUS_OK, service_us);
       return;
     }
-  call.call.call = work;
+  call.call.call = work->number;
   call.call.kind = DEEP_KIND;
   call.call.config_version = 1;
-  call.call.parent = work;
-  schedule (world, place, &call, world->now_us + world->service_us[place]);
+  call.call.parent = work->number;
+  jl_site_schedule (site, FRONT, &call, site->now_us + service_us);
 }
 
 static void
-carry_message (struct world *world, const struct jl_effect_message *effect)
+handle_answer (struct jl_site *site,
+               uint32_t node,
+               const struct jl_effect_answer *answer,
+               uint32_t status)
 {
-  struct jl_event event = { .type = JL_EVENT_MESSAGE };
-  enum place place = place_of (jl_member_id (effect->to));
-  struct pending *pending
-      = schedule (world, place, &event, world->now_us + HOP_US);
-
-  pending->message = effect->message;
-  pending->event.message = &pending->message;
-}
+  struct world *world = site->context;
+  struct counts *counts;
 
-static void
-count_answer (struct world *world, const struct jl_effect_answer *answer)
-{
-  struct call_note note
-      = g_array_index (world->calls, struct call_note, answer->call);
-  struct counts *counts = &world->counts[note.kind];
-
-  if (answer->outcome == JL_OUTCOME_DONE && note.status == STATUS_OK)
+  if (node != ENTRY)
+    {
+      jl_site_end (site, answer->call, JL_RUN_ANSWERED,
+                   status == STATUS_OK ? STATUS_OK : STATUS_FAILED, 0);
+      return;
+    }
+  counts = &world->counts[g_array_index (world->kinds, uint32_t, answer->call)];
+  if (status == STATUS_OK)
     counts->done++;
   else if (answer->outcome == JL_OUTCOME_DONE)
     counts->wasted++;
@@ -291,159 +136,27 @@
     counts->other++;
 }
 
-static void
-carry_answer (struct world *world,
-              enum place place,
-              const struct jl_effect_answer *answer)
-{
-  uint32_t status
-      = answer->outcome == JL_OUTCOME_DONE ? STATUS_OK : STATUS_FAILED;
-
-  if (place == ENTRY)
-    count_answer (world, answer);
-  else if (find_work (world, answer->call) != NULL)
-    end_run (world, place, answer->call, status, 0);
-}
-
-static void
-carry (struct world *world, enum place place, const struct jl_effect *effect)
-{
-  switch (effect->type)
-    {
-    case JL_EFFECT_SEND:
-      carry_send (world, place, &effect->send);
-      break;
-    case JL_EFFECT_FINISH:
-      carry_finish (world, &effect->finish);
-      break;
-    case JL_EFFECT_RUN:
-      carry_run (world, place, effect->run.work);
-      break;
-    case JL_EFFECT_MESSAGE:
-      carry_message (world, effect->message);
-      break;
-    case JL_EFFECT_ANSWER:
-      carry_answer (world, place, &effect->answer);
-      break;
-    default:
-      break;
-    }
-}
-
-static void
-step (struct world *world, enum place place, struct jl_event *event)
-{
-  event->now_us = world->now_us;
-  jl_effects_clear (world->effects);
-  jl_core_step (world->cores[place], event, world->effects);
-  for (size_t i = 0; i < jl_effects_count (world->effects); i++)
-    carry (world, place, jl_effects_get (world->effects, i));
-}
-
-/* The daemon whose timer is next. */
-static enum place
-next_timer (struct world *world)
-{
-  enum place next = ENTRY;
-
-  for (int place = ENTRY; place < PLACE_COUNT; place++)
-    if (jl_core_next_timer (world->cores[place])
-        < jl_core_next_timer (world->cores[next]))
-      next = place;
-  return next;
-}
-
-/* Lets one event or timer happen. Return: false when none is due. */
-static bool
-advance (struct world *world, uint64_t end_us)
-{
-  GSequenceIter *first = g_sequence_get_begin_iter (world->pending);
-  struct pending *pending = g_sequence_get (first);
-  struct jl_event tick = { .type = JL_EVENT_TICK };
-  enum place timer = next_timer (world);
-  uint64_t timer_us = jl_core_next_timer (world->cores[timer]);
-
-  if (MIN (timer_us, pending->event.now_us) > end_us)
-    return false;
-  if (timer_us <= pending->event.now_us)
-    {
-      world->now_us = MAX (world->now_us, timer_us);
-      step (world, timer, &tick);
-      return true;
-    }
-  world->now_us = pending->event.now_us;
-  step (world, pending->place, &pending->event);
-  g_sequence_remove (first);
-  return true;
-}
-
-static void
-run_until (struct world *world, uint64_t end_us)
-{
-  while (advance (world, end_us))
-    continue;
-}
-
 static void
 open_world (struct world *world)
 {
+  const struct jl_site_hooks hooks = { handle_run, handle_answer };
+
   memset (world, 0, sizeof *world);
-  world->effects = jl_effects_new ();
-  world->pending = g_sequence_new (g_free);
-  world->calls = g_array_new (FALSE, TRUE, sizeof (struct call_note));
-  world->works = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  world->kinds = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  g_array_set_size (world->kinds, 1);
   world->service_us[FRONT] = 20 * JL_USEC_PER_MSEC;
   world->service_us[DEEP] = 20 * JL_USEC_PER_MSEC;
-  world->config = jl_config_new (document, strlen (document), 1, NULL);
-  cr_assert_not_null (world->config);
-  g_array_set_size (world->calls, 1);
-  for (int place = ENTRY; place < PLACE_COUNT; place++)
-    {
-      struct jl_core_options options
-          = { .identity = identity_of (place), .zone = "zone-a", .seed = 7 };
-      struct jl_event event = { .type = JL_EVENT_CONFIG };
-
-      world->cores[place] = jl_core_new (&options);
-      event.config = world->config;
-      step (world, place, &event);
-      event.type = JL_EVENT_SEED;
-      for (int other = ENTRY; other < place; other++)
-        {
-          event.seed.control = jl_member_endpoint (identity_of (other).member);
-          step (world, place, &event);
-        }
-    }
+  jl_site_open (&world->site, PLACE_COUNT, document, hooks, world);
 }
 
 static void
 close_world (struct world *world)
 {
-  for (int place = ENTRY; place < PLACE_COUNT; place++)
-    jl_core_drop (world->cores[place]);
-  jl_effects_drop (world->effects);
-  jl_config_drop (world->config);
-  g_sequence_free (world->pending);
-  g_hash_table_destroy (world->works);
-  g_array_free (world->calls, TRUE);
-}
-
-static void
-plan_target (struct world *world,
-             enum place place,
-             const char *service,
-             uint32_t slots,
-             uint64_t end_us)
-{
-  struct jl_event event = { .type = JL_EVENT_ANNOUNCE };
-
-  g_strlcpy (event.announce.service, service, JL_NAME_SIZE);
-  event.announce.slots = slots;
-  event.announce.connections = 100;
-  for (uint64_t at_us = 0; at_us <= end_us; at_us += ANNOUNCE_US)
-    schedule (world, place, &event, at_us);
+  jl_site_close (&world->site);
+  g_array_free (world->kinds, TRUE);
 }
 
-/* Announces the targets once a second, and makes the calls. */
+/* Announces the targets, and makes the calls. */
 static void
 plan (struct world *world,
       const struct caller *callers,
@@ -452,22 +165,26 @@
 {
   struct jl_event call = { .type = JL_EVENT_CALL };
 
-  plan_target (world, FRONT, "front", FRONT_SLOTS, end_us);
-  plan_target (world, DEEP, "deep", DEEP_SLOTS, end_us);
+  jl_site_announce (&world->site, FRONT, "front", FRONT_SLOTS, 1, 0, end_us);
+  jl_site_announce (&world->site, DEEP, "deep", DEEP_SLOTS, 1, 0, end_us);
   for (uint32_t i = 0; i < count; i++)
     for (uint64_t at_us = callers[i].from_us; at_us < callers[i].until_us;
          at_us += callers[i].every_us)
       {
-        struct call_note note = { .kind = callers[i].kind };
-
-        call.call.call = world->calls->len;
-        call.call.kind = note.kind;
+        call.call.call = world->kinds->len;
+        call.call.kind = callers[i].kind;
         call.call.config_version = 1;
-        g_array_append_val (world->calls, note);
-        schedule (world, ENTRY, &call, at_us);
+        g_array_append_val (world->kinds, callers[i].kind);
+        jl_site_schedule (&world->site, ENTRY, &call, at_us);
       }
 }
 
+static void
+run_until (struct world *world, uint64_t end_us)
+{
+  jl_site_run_until (&world->site, end_us);
+}
+
 /* Goes on to @end_us and returns the answers since the last time. */
 static void
 take_counts (struct world *world, uint64_t end_us, struct counts *counts)
