Let struck requests wait for each other, and re-send them after the news

A test sends one poisonous request twenty times through three entries to five targets, beside 3,000 others, a third of them of one popular content. Two targets died, as wanted, but 2 of the others ended as poison: all that were in progress at the first crash were sent again at once, before the guards knew of their strikes, and where one struck request ran the others were refused until their tokens were spent. An entry now waits 5 ms before it sends a struck request again, and a guard holds struck requests in a queue of their own instead of refusing them; that queue takes part in evictions and in the order of importance. A request that is barred while it waits is refused.

Ruled out: striking only what had no strike before, which would let the request kill a third target.

--- a/source/core/admit.c
+++ b/source/core/admit.c
@@ -36,7 +36,9 @@
 /**
  * struct jl_admit - admission at the own target
  * @started: life of the target that @slots are of
- * @struck_running: a request with a strike is running
+ * @struck_running: requests with a strike that are running
+ * @queue: items that wait for a slot
+ * @held: items with a strike that wait until no other one runs
  * @window_started: items that began to run in this window
  * @window_waited_us: time for which these waited, in sum
  * @window_full: no slot was free so far in this window
@@ -54,6 +56,7 @@
   uint32_t struck_running;
   bool plain;
   struct jl_queue *queue;
+  struct jl_queue *held;
   struct jl_level *level;
   struct jl_limit *limit;
   uint32_t window_started;
@@ -76,6 +79,7 @@
   admit->plain = core->options.mode != JL_CORE_FULL
                  || JL_SWITCHED_OFF (core, JL_MECHANISM_IMPORTANCE);
   admit->queue = jl_queue_new (admit->plain);
+  admit->held = jl_queue_new (admit->plain);
   admit->level = jl_level_new ();
   admit->limit = jl_limit_new ();
   return admit;
@@ -85,6 +89,7 @@
 jl_admit_drop (struct jl_admit *admit)
 {
   jl_queue_drop (admit->queue);
+  jl_queue_drop (admit->held);
   jl_level_drop (admit->level);
   jl_limit_drop (admit->limit);
   g_free (admit);
@@ -199,12 +204,24 @@
                   core->now_us + JL_LEVEL_WINDOW_US, end_window, core);
 }
 
+/* The item to give up first of all that wait. */
+static struct jl_work *
+last_waiting (struct jl_core *core)
+{
+  struct jl_work *queued = jl_queue_last (core->admit->queue);
+  struct jl_work *held = jl_queue_last (core->admit->held);
+
+  if (held == NULL || queued == NULL)
+    return held == NULL ? queued : held;
+  return held->priority > queued->priority ? held : queued;
+}
+
 /* Refuses an item, waiting or just arrived, in favour of others. */
 static void
 refuse_for_overload (struct jl_core *core, struct jl_work *work)
 {
   struct jl_admit *admit = core->admit;
-  const struct jl_work *last = jl_queue_last (admit->queue);
+  const struct jl_work *last = last_waiting (core);
 
   if (!admit->plain)
     {
@@ -226,14 +243,14 @@
 
   for (;;)
     {
-      struct jl_work *last = jl_queue_last (admit->queue);
+      struct jl_work *last = last_waiting (core);
 
       if (last == NULL)
         return;
-      if (jl_queue_count (admit->queue) <= bound
+      if (jl_admit_waiting (core) <= bound
           && (admit->plain || last->priority < jl_level_get (admit->level)))
         return;
-      jl_queue_remove (admit->queue, last);
+      jl_admit_remove (core, last);
       admit->window_refused = true;
       refuse_for_overload (core, last);
     }
@@ -242,7 +259,34 @@
 void
 jl_admit_remove (struct jl_core *core, struct jl_work *work)
 {
-  jl_queue_remove (core->admit->queue, work);
+  struct jl_admit *admit = core->admit;
+
+  jl_queue_remove (work->held ? admit->held : admit->queue, work);
+  work->held = false;
+}
+
+/* Lets an item with a strike wait until the one that runs has ended. */
+static void
+hold (struct jl_core *core, struct jl_work *work)
+{
+  work->held = true;
+  jl_queue_add (core->admit->held, work);
+}
+
+/* Puts held items back into the queue, up to one that still has a strike. */
+static void
+release_held (struct jl_core *core)
+{
+  struct jl_admit *admit = core->admit;
+  struct jl_work *work;
+
+  while ((work = jl_queue_first (admit->held)) != NULL)
+    {
+      jl_admit_remove (core, work);
+      jl_queue_add (admit->queue, work);
+      if (jl_poison_runs_alone (core, work->digest))
+        return;
+    }
 }
 
 static void
@@ -279,8 +323,10 @@
   jl_queue_remove (admit->queue, work);
   if (core->now_us >= work->deadline_us)
     jl_guard_refuse (core, work, JL_REASON_DEADLINE, 0);
-  else if (waits_for_struck (core, work))
+  else if (jl_poison_refuses (core, work->digest))
     jl_guard_refuse (core, work, JL_REASON_POISON, jl_admit_retry_after (core));
+  else if (waits_for_struck (core, work))
+    hold (core, work);
   else
     start (core, work);
 }
@@ -340,7 +386,7 @@
   struct jl_core *core = context;
   struct jl_work *work = caa_container_of (timer, struct jl_work, timer);
 
-  jl_queue_remove (core->admit->queue, work);
+  jl_admit_remove (core, work);
   refuse_for_deadline (core, work, core->now_us - work->arrived_us, 0);
 }
 
@@ -357,7 +403,10 @@
       refuse_for_deadline (core, work, wait_us, jl_admit_retry_after (core));
       return;
     }
-  jl_queue_add (admit->queue, work);
+  if (waits_for_struck (core, work))
+    hold (core, work);
+  else
+    jl_queue_add (admit->queue, work);
   jl_timer_start (core->timers, &work->timer, work->deadline_us - quick_us,
                   deadline_passed, core);
   evict (core);
@@ -373,9 +422,7 @@
     jl_level_arrive (admit->level, work->priority);
   if (work->priority >= jl_level_get (admit->level))
     refuse_for_overload (core, work);
-  else if (waits_for_struck (core, work))
-    jl_guard_refuse (core, work, JL_REASON_POISON, jl_admit_retry_after (core));
-  else if (admit->running < limit_of (core))
+  else if (admit->running < limit_of (core) && !waits_for_struck (core, work))
     start (core, work);
   else
     wait_for_slot (core, work);
@@ -391,6 +438,8 @@
   learn_quick (core, work, held_us);
   admit->running--;
   admit->struck_running -= work->struck;
+  if (admit->struck_running == 0)
+    release_held (core);
   run_waiting (core);
 }
 
@@ -399,9 +448,9 @@
 {
   struct jl_work *work;
 
-  while ((work = jl_queue_last (core->admit->queue)) != NULL)
+  while ((work = last_waiting (core)) != NULL)
     {
-      jl_queue_remove (core->admit->queue, work);
+      jl_admit_remove (core, work);
       jl_guard_refuse (core, work, reason, jl_admit_retry_after (core));
     }
 }
@@ -511,7 +560,8 @@
 uint32_t
 jl_admit_waiting (struct jl_core *core)
 {
-  return jl_queue_count (core->admit->queue);
+  return jl_queue_count (core->admit->queue)
+         + jl_queue_count (core->admit->held);
 }
 
 uint32_t
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -127,6 +127,7 @@
  * @tokens_begun: what @tokens began with
  * @tokens_lent: what is out of @tokens with sendings of its children
  * @cancelled: its result is wanted by nobody
+ * @held: it waits for another request that has a strike to end
  * @struck: its content had a strike when it began to run
  * @report: what its children's answers said of the services below
  */
@@ -149,6 +150,7 @@
   uint32_t tokens_begun;
   uint32_t tokens_lent;
   bool cancelled;
+  bool held;
   bool struck;
   struct cds_list_head queue;
   struct cds_list_head children;
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -15,6 +15,8 @@
 
 /* How long a guard has to answer a cancellation. */
 #define CANCEL_WAIT_US (150 * JL_USEC_PER_MSEC)
+/* A struck request is sent again once the guards have heard of its strike. */
+#define STRIKE_WAIT_US (5 * JL_USEC_PER_MSEC)
 /* When to come back after an answer that has no better hint. */
 #define RETRY_AFTER_MS 1000
 
@@ -607,6 +609,31 @@
   answer->report = event->report;
 }
 
+static void
+struck_wait_ended (void *context, struct jl_timer *timer)
+{
+  struct jl_core *core = context;
+  struct jl_call *call = caa_container_of (timer, struct jl_call, timer);
+
+  try_again (core, call, JL_REASON_POISON, false);
+}
+
+/* The target died, and the call is one of those that may be the cause. */
+static void
+handle_struck (struct jl_core *core, struct jl_call *call)
+{
+  uint64_t due_us = core->now_us + STRIKE_WAIT_US;
+
+  jl_poison_strike (core, call->digest, call->member);
+  if (call->guarded || jl_poison_refuses (core, call->digest))
+    {
+      end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_POISON);
+      return;
+    }
+  call->state = JL_CALL_NEW;
+  jl_timer_start (core->timers, &call->timer, due_us, struck_wait_ended, core);
+}
+
 /* The guard has answered. */
 static void
 handle_answer (struct jl_core *core,
@@ -625,10 +652,8 @@
     case JL_OUTCOME_UNKNOWN:
       call->may_have_run = true;
       if (event->reason == JL_REASON_POISON)
-        jl_poison_strike (core, call->digest, call->member);
-      if (!call->guarded
-          && (event->reason == JL_REASON_TARGET_LOST
-              || event->reason == JL_REASON_POISON))
+        handle_struck (core, call);
+      else if (!call->guarded && event->reason == JL_REASON_TARGET_LOST)
         try_again (core, call, event->reason, event->no_retry);
       else
         end_call (core, call, JL_OUTCOME_UNKNOWN, event->reason);
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -239,7 +239,7 @@
 }
 
 void
-jl_site_crash (struct jl_site *site, uint32_t node)
+jl_site_crash (struct jl_site *site, uint32_t node, uint64_t delay_us)
 {
   GHashTableIter iterator;
   gpointer value;
@@ -250,7 +250,7 @@
       struct jl_site_work *work = value;
 
       if (work->node == node && work->running)
-        jl_site_end (site, work->number, JL_RUN_BROKEN, 0, 0);
+        jl_site_end (site, work->number, JL_RUN_BROKEN, 0, delay_us);
     }
 }
 
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -113,8 +113,8 @@
                   uint64_t delay_us);
 
 /**
- * jl_site_crash - breaks all runs at the target of @node
+ * jl_site_crash - breaks all runs at the target of @node after @delay_us
  */
-void jl_site_crash (struct jl_site *site, uint32_t node);
+void jl_site_crash (struct jl_site *site, uint32_t node, uint64_t delay_us);
 
 #endif
