Let the limit follow the measured rate, down and up

The first adaptive limit never acted: it wanted ten windows in a row in which requests waited, and the level keeps the queue short. A trial now counts requests that began at the new limit, over the time that they took, and only if at least 85% of the slots were in use; the estimate limit / time held says too much when they are not (153 where 112 fit).

Ruled out: a limit by latency over baseline alone, which would take three quarters of the slots from the second target.

--- a/source/core/admit.c
+++ b/source/core/admit.c
@@ -41,7 +41,6 @@
  * @held: items with a strike that wait until no other one runs
  * @window_started: items that began to run in this window
  * @window_waited_us: time for which these waited, in sum
- * @window_full: no slot was free so far in this window
  * @window_refused: an item was refused from the queue in this window
  * @config_version: configuration that @quick_us speaks of
  * @quick_us: time that the quicker runs of a kind take
@@ -61,7 +60,6 @@
   struct jl_limit *limit;
   uint32_t window_started;
   uint64_t window_waited_us;
-  bool window_full;
   bool window_refused;
   uint64_t config_version;
   uint64_t quick_us[JL_KIND_MAX];
@@ -300,7 +298,7 @@
   jl_timer_stop (core->timers, &work->timer);
   admit->window_started++;
   admit->window_waited_us += core->now_us - work->arrived_us;
-  admit->running++;
+  jl_limit_running (admit->limit, core->now_us, ++admit->running);
   work->struck = jl_poison_runs_alone (core, work->digest);
   admit->struck_running += work->struck;
   jl_guard_run (core, work);
@@ -342,10 +340,7 @@
       struct jl_work *work = jl_queue_first (admit->queue);
 
       if (work == NULL)
-        {
-          admit->window_full = false;
-          return;
-        }
+        return;
       take_first (core, work);
     }
 }
@@ -435,8 +430,8 @@
   uint64_t held_us = core->now_us - work->started_us;
 
   jl_limit_done (admit->limit, held_us, latency_us, admit->running);
+  jl_limit_running (admit->limit, core->now_us, --admit->running);
   learn_quick (core, work, held_us);
-  admit->running--;
   admit->struck_running -= work->struck;
   if (admit->struck_running == 0)
     release_held (core);
@@ -506,14 +501,15 @@
   struct jl_admit *admit = core->admit;
   struct jl_level_window window;
 
-  jl_limit_window (admit->limit, core->now_us, admit->window_full);
   window.capacity_milli = capacity_milli (core, JL_LEVEL_WINDOW_US);
   window.overloaded = is_overloaded (core);
   window.waiting = is_backlogged (core);
+  jl_limit_window (admit->limit, core->now_us,
+                   window.overloaded || window.waiting
+                       || jl_admit_level (core) < JL_PRIORITY_COUNT);
   admit->window_started = 0;
   admit->window_waited_us = 0;
   admit->window_refused = false;
-  admit->window_full = true;
   if (!admit->plain)
     {
       jl_level_end_window (admit->level, &window);
--- a/source/core/limit.c
+++ b/source/core/limit.c
@@ -14,13 +14,33 @@
 #define MEAN_SHIFT 4
 /* Latency above the unloaded one from which a lower limit is tried. */
 #define SLOW_PERCENT 200
-/* Windows over which the throughput at one limit is measured. */
-#define TRIAL_WINDOWS 10
-/* Size of a step down or up, and the throughput it may cost. */
+/* Requests over which the rate at one limit is measured. */
+#define TRIAL_COUNT 100
+/* Use of the limit from which the rate says something of it. */
+#define USED_PERCENT 85
+/* Size of a step. */
 #define STEP_PERCENT 10
-#define LOSS_PERCENT 3
-/* Windows to wait after a lower limit did not help. */
+/* A step down may cost this much of the rate, a step up has to gain it. */
+#define TOLERANCE_PERCENT 4
+/* Windows to wait after a lower limit did not help, at first and at most. */
 #define REST_WINDOWS 200
+#define REST_WINDOWS_MAX 6400
+/* Windows without overload after which the limit goes up by a step. */
+#define CALM_WINDOWS 20
+
+/**
+ * struct trial - what is measured at one limit
+ * @skip: requests that began at the limit before; then the others are counted
+ * @begun_us: when their count began
+ * @used_us: time for which all slots together were in use since then
+ */
+struct trial
+{
+  uint32_t skip;
+  uint32_t count;
+  uint64_t begun_us;
+  uint64_t used_us;
+};
 
 /**
  * struct jl_limit - the limit and what it is set from
@@ -29,10 +49,12 @@
  * @held_us: mean time for which a request holds its slot
  * @latency_us: mean latency of answers
  * @baseline_us: mean latency of answers of the unloaded target
- * @windows: full windows in the trial in progress
- * @done: requests that ended in them
- * @last_done: the same in the trial before, 0 without one
+ * @running: requests in progress since @running_us
+ * @last_rate: requests for each second at the limit before, 0 without one
+ * @upwards: the last step was one up
+ * @calm: windows without overload so far
  * @rest: windows left in which nothing is tried
+ * @next_rest: the same after the next trial in vain
  */
 struct jl_limit
 {
@@ -44,16 +66,23 @@
   uint64_t held_us;
   uint64_t latency_us;
   uint64_t baseline_us;
-  uint32_t windows;
-  uint64_t done;
-  uint64_t last_done;
+  struct trial trial;
+  uint32_t running;
+  uint64_t running_us;
+  uint64_t last_rate;
+  bool upwards;
+  uint32_t calm;
   uint32_t rest;
+  uint32_t next_rest;
 };
 
 struct jl_limit *
 jl_limit_new (void)
 {
-  return g_new0 (struct jl_limit, 1);
+  struct jl_limit *limit = g_new0 (struct jl_limit, 1);
+
+  limit->next_rest = REST_WINDOWS;
+  return limit;
 }
 
 void
@@ -94,10 +123,9 @@
 }
 
 static void
-end_trial (struct jl_limit *limit)
+begin_trial (struct jl_limit *limit)
 {
-  limit->windows = 0;
-  limit->done = 0;
+  limit->trial = (struct trial){ .skip = limit->slots };
 }
 
 void
@@ -109,8 +137,8 @@
 {
   limit->slots = slots;
   limit->adaptive = slots;
-  limit->last_done = 0;
-  end_trial (limit);
+  limit->last_rate = 0;
+  begin_trial (limit);
   if (new_life)
     {
       limit->begun_us = now_us;
@@ -127,6 +155,29 @@
   return mean_us - (mean_us >> MEAN_SHIFT) + (value_us >> MEAN_SHIFT);
 }
 
+void
+jl_limit_running (struct jl_limit *limit, uint64_t now_us, uint32_t running)
+{
+  limit->trial.used_us += limit->running * (now_us - limit->running_us);
+  limit->running = running;
+  limit->running_us = now_us;
+}
+
+static void
+count_done (struct jl_limit *limit)
+{
+  struct trial *trial = &limit->trial;
+
+  if (trial->skip == 0)
+    {
+      trial->count++;
+      return;
+    }
+  trial->skip--;
+  trial->begun_us = limit->running_us;
+  trial->used_us = 0;
+}
+
 void
 jl_limit_done (struct jl_limit *limit,
                uint64_t held_us,
@@ -134,7 +185,7 @@
                uint32_t running)
 {
   limit->held_us = update_mean (limit->held_us, MAX (held_us, 1));
-  limit->done++;
+  count_done (limit);
   if (latency_us == 0)
     return;
   limit->latency_us = update_mean (limit->latency_us, latency_us);
@@ -142,67 +193,108 @@
     limit->baseline_us = update_mean (limit->baseline_us, latency_us);
 }
 
-static uint32_t
-step_of (const struct jl_limit *limit)
+static void
+step (struct jl_limit *limit, bool upwards)
+{
+  uint32_t size = MAX (limit->adaptive * STEP_PERCENT / 100, 1);
+  uint32_t lowest = share_of (limit->slots, FLOOR_SHARE);
+
+  limit->upwards = upwards;
+  if (upwards)
+    limit->adaptive = MIN (limit->adaptive + size, limit->slots);
+  else
+    limit->adaptive
+        = MAX (limit->adaptive - MIN (size, limit->adaptive), lowest);
+}
+
+static bool
+is_slow (const struct jl_limit *limit)
 {
-  return MAX (limit->adaptive * STEP_PERCENT / 100, 1);
+  return limit->baseline_us > 0
+         && limit->latency_us * 100 > limit->baseline_us * SLOW_PERCENT;
 }
 
+/* Tries a lower limit if the target is slow at all its slots. */
 static void
-step_up (struct jl_limit *limit)
+judge_at_slots (struct jl_limit *limit, uint64_t rate)
 {
-  limit->adaptive = MIN (limit->adaptive + step_of (limit), limit->slots);
-  limit->last_done = 0;
+  bool in_vain = limit->last_rate > 0;
+
+  limit->last_rate = 0;
+  if (in_vain)
+    {
+      limit->rest = limit->next_rest;
+      limit->next_rest = MIN (2 * limit->next_rest, REST_WINDOWS_MAX);
+    }
+  else if (is_slow (limit))
+    {
+      limit->last_rate = rate;
+      step (limit, false);
+    }
 }
 
+/* Goes on in the same direction while that pays, or turns back. */
 static void
-step_down (struct jl_limit *limit)
+judge_below_slots (struct jl_limit *limit, uint64_t rate)
 {
-  uint32_t lowest = share_of (limit->slots, FLOOR_SHARE);
-  uint32_t step = step_of (limit);
+  uint32_t percent
+      = limit->upwards ? 100 + TOLERANCE_PERCENT : 100 - TOLERANCE_PERCENT;
+  bool pays = rate * 100 >= limit->last_rate * percent;
 
-  limit->last_done = limit->done;
-  if (limit->adaptive > lowest + step)
-    limit->adaptive -= step;
-  else
-    limit->adaptive = lowest;
+  limit->last_rate = rate;
+  step (limit, pays ? limit->upwards : !limit->upwards);
 }
 
-/* Sets the limit after a trial: further down, or back up. */
 static void
 judge_trial (struct jl_limit *limit)
 {
-  uint64_t wanted = limit->last_done * (100 - LOSS_PERCENT) / 100;
+  const struct trial *trial = &limit->trial;
+  uint64_t span_us = MAX (limit->running_us - trial->begun_us, 1);
+  uint64_t rate = trial->count * JL_USEC_PER_SEC / span_us;
+  bool used = trial->used_us * 100 >= USED_PERCENT * limit->adaptive * span_us;
 
-  if (limit->baseline_us == 0
-      || limit->latency_us * 100 <= limit->baseline_us * SLOW_PERCENT)
-    step_up (limit);
-  else if (limit->last_done > 0 && limit->done < wanted)
+  if (!used)
     {
-      step_up (limit);
-      limit->rest = REST_WINDOWS;
+      begin_trial (limit);
+      return;
     }
+  if (limit->adaptive == limit->slots)
+    judge_at_slots (limit, rate);
   else
-    step_down (limit);
-  end_trial (limit);
+    judge_below_slots (limit, rate);
+  begin_trial (limit);
+}
+
+/* Without overload the limit comes back up. */
+static void
+note_calm (struct jl_limit *limit)
+{
+  begin_trial (limit);
+  if (++limit->calm < CALM_WINDOWS)
+    return;
+  limit->calm = 0;
+  limit->last_rate = 0;
+  limit->next_rest = REST_WINDOWS;
+  step (limit, true);
 }
 
 void
-jl_limit_window (struct jl_limit *limit, uint64_t now_us, bool full)
+jl_limit_window (struct jl_limit *limit, uint64_t now_us, bool overloaded)
 {
   if (limit->cold < limit->slots)
     grow_cold (limit, now_us);
-  if (limit->rest > 0)
+  if (!overloaded)
     {
-      limit->rest--;
-      end_trial (limit);
+      note_calm (limit);
+      return;
     }
-  else if (!full)
+  limit->calm = 0;
+  if (limit->rest > 0)
     {
-      step_up (limit);
-      end_trial (limit);
+      limit->rest--;
+      begin_trial (limit);
     }
-  else if (++limit->windows == TRIAL_WINDOWS)
+  else if (limit->trial.count >= TRIAL_COUNT)
     judge_trial (limit);
 }
 
--- a/source/core/limit.h
+++ b/source/core/limit.h
@@ -5,9 +5,10 @@
  * DOC: The limit on requests in progress at the own target.
  *
  * It grows from a share to all slots while the target is new. Later it goes
- * below the slots only where that helps: when the latency is far above the
- * one of the unloaded target, a lower limit is tried, and kept as long as the
- * throughput does not fall with it.
+ * below the slots only where that helps: when the target is overloaded and its
+ * latency far above the one without load, lower limits are tried. The limit
+ * follows the rate of requests that is measured at each, down while it does
+ * not fall, up while it grows.
  */
 
 #include "core-impl.h"
@@ -33,6 +34,12 @@
  */
 uint32_t jl_limit_get (const struct jl_limit *limit);
 
+/**
+ * jl_limit_running - @running requests are in progress from now on
+ */
+void
+jl_limit_running (struct jl_limit *limit, uint64_t now_us, uint32_t running);
+
 /**
  * jl_limit_done - a request has run for @held_us
  * @latency_us: 0 when it was not answered
@@ -51,9 +58,9 @@
 
 /**
  * jl_limit_window - a control window has ended
- * @full: requests waited for a slot through all of it
+ * @overloaded: in it requests waited, or were refused
  */
-void jl_limit_window (struct jl_limit *limit, uint64_t now_us, bool full);
+void jl_limit_window (struct jl_limit *limit, uint64_t now_us, bool overloaded);
 
 /**
  * jl_limit_settled - whether the limit stays as it is without traffic
--- a/tests/support/site.c
+++ b/tests/support/site.c
@@ -193,6 +193,12 @@
 static void
 step (struct jl_site *site, uint32_t node, struct jl_event *event)
 {
+  struct jl_site_work *ended = NULL;
+
+  if (event->type == JL_EVENT_WORK_RESULT)
+    ended = find_work (site, event->work_result.work);
+  if (ended != NULL)
+    ended->running = false;
   event->now_us = site->now_us;
   jl_effects_clear (site->effects);
   jl_core_step (site->cores[node], event, site->effects);
--- a/tests/unit/feedback.c
+++ b/tests/unit/feedback.c
@@ -81,6 +81,8 @@
  * @kinds: kind of each call by number
  * @service_us: how long a run takes at the target of each daemon
  * @calls_deep: the front makes a call to the deep service in each run
+ * @knee: requests in progress above which the front's runs take longer, all
+ *        together longer than one after the other; 0 for none
  */
 struct world
 {
@@ -88,14 +90,45 @@
   GArray *kinds;
   uint64_t service_us[PLACE_COUNT];
   bool calls_deep;
+  uint32_t knee;
   struct counts counts[CLASS_COUNT];
 };
 
+static uint32_t
+count_running (struct jl_site *site, uint32_t node)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iterator, site->works);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct jl_site_work *work = value;
+
+      count += work->node == node && work->running;
+    }
+  return count;
+}
+
+/* How long a run takes beside those in progress. */
+static uint64_t
+choose_service (struct jl_site *site, uint32_t node)
+{
+  const struct world *world = site->context;
+  uint64_t service_us = world->service_us[node];
+  uint64_t running = count_running (site, node);
+
+  if (node == DEEP || world->knee == 0 || running <= world->knee)
+    return service_us;
+  return service_us * running * running / (world->knee * world->knee);
+}
+
 static void
 handle_run (struct jl_site *site, const struct jl_site_work *work)
 {
   const struct world *world = site->context;
-  uint64_t service_us = world->service_us[work->node];
+  uint64_t service_us = choose_service (site, work->node);
   struct jl_event call = { .type = JL_EVENT_CALL };
 
   if (work->node == DEEP || !world->calls_deep)
@@ -309,3 +342,30 @@
   cr_expect_geq (counts[2].done, 195);
   close_world (&world);
 }
+
+/*
+ * With its ten slots in use the target takes 125 requests a second, with five
+ * of them 250.
+ */
+Test (feedback, a_target_that_thrashes_gets_fewer_at_a_time)
+{
+  struct world world;
+  struct counts counts[CLASS_COUNT];
+  const struct caller callers[] = {
+    { 0, 20000, 2 * JL_USEC_PER_SEC, 20 * JL_USEC_PER_SEC },
+    { 2, 2000, 4 * JL_USEC_PER_SEC, 20 * JL_USEC_PER_SEC },
+  };
+
+  open_world (&world);
+  world.knee = 5;
+  plan (&world, callers, G_N_ELEMENTS (callers), 20 * JL_USEC_PER_SEC);
+  run_until (&world, 4 * JL_USEC_PER_SEC);
+  for (uint64_t second = 5; second <= 19; second++)
+    {
+      take_counts (&world, second * JL_USEC_PER_SEC, counts);
+      cr_expect_eq (counts[0].refused + counts[0].other, 0);
+      if (second > 10)
+        cr_expect_geq (counts[0].done + counts[2].done, 190);
+    }
+  close_world (&world);
+}
