--- a/source/core/place.c
+++ b/source/core/place.c
@@ -23,6 +23,8 @@
 #define SPILL_LOAD_PERMILLE 1000
 /* How much less loaded these have to be. */
 #define SPILL_MARGIN_PERMILLE 250
+/* Share of a service's connections that all entries together may take. */
+#define SUBSET_PERCENT 80
 /* Members of a service that each entry uses at least. */
 #define SUBSET_MIN 4
 /* A new member counts as having one part in this many of its slots. */
@@ -155,7 +157,7 @@
 static uint32_t
 subset_size (struct jl_core *core, uint32_t members, uint64_t connections)
 {
-  uint64_t size = connections / count_daemons (core);
+  uint64_t size = connections * SUBSET_PERCENT / 100 / count_daemons (core);
 
   return (uint32_t)CLAMP (size, MIN (SUBSET_MIN, members), members);
 }
@@ -286,7 +288,7 @@
     return JL_PLACE_CHOSEN;
   count = subset_size (core, count, connections);
   cut_to_subset (core, place->near, count);
-  cut_to_subset (core, place->far, count);
+  cut_to_subset (core, place->far, MAX (count - place->near->len, 1));
   *member = choose (core);
   return JL_PLACE_CHOSEN;
 }
