Spend a retry token only once a target is chosen

A retry for which every target refuses the priority cost a token and its service's ratio, and was never sent.

--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -436,6 +436,8 @@
   begin_attempt (core, call);
   if (call->sends++ == 0)
     jl_retry_first (core, kind_of (call)->service);
+  else
+    core->counts.retries++;
   call->state = JL_CALL_SENT;
   call->member = member->info.identity.member;
   call->member_epoch = member->info.identity.epoch;
@@ -517,10 +519,12 @@
       return;
     }
   verdict = jl_place_choose (core, call, &member);
-  if (verdict == JL_PLACE_CHOSEN)
-    send_call (core, call, member);
-  else
+  if (verdict != JL_PLACE_CHOSEN)
     end_unplaced (core, call, verdict);
+  else if (call->sends > 0 && !jl_retry_spend (core, call))
+    end_call (core, call, JL_OUTCOME_NOT_RUN, call->last_reason);
+  else
+    send_call (core, call, member);
 }
 
 /* Sends the call to another target if that is allowed, or ends it. */
@@ -533,13 +537,10 @@
   call->last_reason = reason;
   if (call->tried_count < JL_TRIED_MAX)
     call->tried[call->tried_count++] = call->member;
-  if (no_retry || !jl_retry_spend (core, call))
-    {
-      end_call (core, call, JL_OUTCOME_NOT_RUN, reason);
-      return;
-    }
-  core->counts.retries++;
-  jl_entry_proceed (core, call);
+  if (no_retry)
+    end_call (core, call, JL_OUTCOME_NOT_RUN, reason);
+  else
+    jl_entry_proceed (core, call);
 }
 
 static void
