--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -15,7 +15,7 @@
 #include "seen.h"
 
 /* An announcement holds this long. */
-#define ANNOUNCE_LEASE_US (3 * JL_USEC_PER_SEC)
+#define ANNOUNCE_LEASE_US (2500 * JL_USEC_PER_MSEC)
 /* A drained daemon refuses for this long, until its peers have heard of it. */
 #define DRAIN_LINGER_US (2 * JL_USEC_PER_SEC)
 /* When to come back after a refusal that is no matter of load. */
