--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check      install what is missing, build, run all tests
 #   make demo       a small three-zone site under load
 #   make bench      figures, never a verdict
+#   make soak       random runs with fresh seeds for SECONDS=60
 #   make lint       formatter and linter
 #
 # SANITIZE=address,undefined or thread, TEST_HOOKS=1, BUILD=directory.
@@ -105,6 +106,10 @@
 bench: install-packages
 	scripts/bench
 
+# Needs TEST_HOOKS=1 like all tests.
+soak: $(RANDOM)
+	BUILD=$(BUILD) scripts/soak $(or $(SECONDS),60)
+
 format:
 	scripts/lint --fix
 
@@ -114,7 +119,7 @@
 clean:
 	rm -rf $(BUILD) out
 
-.PHONY: all tests benches fuzzers install-packages check demo bench format lint clean
+.PHONY: all tests benches fuzzers install-packages check demo bench soak format lint clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/tests/random/main.c
+++ b/tests/random/main.c
@@ -102,18 +102,26 @@
   siglongjmp (broken_invariant, 1);
 }
 
-/* Return: what failed, NULL if nothing did; free with g_free(). */
-static char *
+/* Return: the kind of failure, NULL if there was none. */
+static const char *
 run_plan (const struct plan *plan, bool trace, bool print)
 {
   struct world *volatile world = NULL;
-  char *failure;
+  const char *kind;
+  const char *failure;
 
   if (sigsetjmp (broken_invariant, 1) != 0)
-    return g_strdup ("an invariant of the reducer"); /* the world is lost */
+    {
+      /* What the world has allocated is lost. */
+      if (print)
+        g_print ("seed %" PRIu64 " FAILED: an invariant of the reducer\n",
+                 plan->seed);
+      return "an invariant of the reducer";
+    }
   world = world_new (plan, trace);
   world_run (world);
-  failure = g_strdup (world->failure);
+  failure = world->failure;
+  kind = world->failure_kind;
   if (print)
     g_print ("seed %" PRIu64 ": digest %016" PRIx64 " steps %" PRIu64
              " done %" PRIu64 " not-run %" PRIu64 " unknown %" PRIu64 "%s%s\n",
@@ -121,27 +129,24 @@
              world->not_run, world->unknown, failure == NULL ? "" : " FAILED: ",
              failure == NULL ? "" : failure);
   world_drop (world);
-  return failure;
+  return kind;
 }
 
 static bool
-still_fails (struct plan *plan, GArray *inputs)
+still_fails (struct plan *plan, GArray *inputs, const char *kind)
 {
   GArray *before = plan->inputs;
-  char *failure;
-  bool fails;
+  const char *failure;
 
   plan->inputs = inputs;
   failure = run_plan (plan, false, false);
   plan->inputs = before;
-  fails = failure != NULL;
-  g_free (failure);
-  return fails;
+  return g_strcmp0 (failure, kind) == 0;
 }
 
 /* Drops runs of inputs, first long then short ones, while it still fails. */
 static void
-shrink_plan (struct plan *plan)
+shrink_plan (struct plan *plan, const char *kind)
 {
   for (uint32_t size = plan->inputs->len / 2; size > 0; size /= 2)
     for (uint32_t at = 0; at + size <= plan->inputs->len;)
@@ -149,7 +154,7 @@
         GArray *fewer = g_array_copy (plan->inputs);
 
         g_array_remove_range (fewer, at, size);
-        if (still_fails (plan, fewer))
+        if (still_fails (plan, fewer, kind))
           {
             g_array_free (plan->inputs, TRUE);
             plan->inputs = fewer;
@@ -164,26 +169,21 @@
 static bool
 run_one (const struct arguments *arguments, struct plan *plan)
 {
-  char *failure;
-  bool failed;
+  const char *kind;
 
   plan->switched_off |= arguments->off;
-  failure = run_plan (plan, arguments->trace, true);
-  failed = failure != NULL;
-  if (failed)
-    g_print ("seed %" PRIu64 " failed: %s\n", plan->seed, failure);
-  g_free (failure);
-  if (failed && arguments->shrink)
+  kind = run_plan (plan, arguments->trace, true);
+  if (kind != NULL && arguments->shrink)
     {
       GString *text = g_string_new ("");
 
-      shrink_plan (plan);
+      shrink_plan (plan, kind);
       plan_print (plan, text);
       g_print ("%s", text->str);
       g_string_free (text, TRUE);
     }
   plan_drop (plan);
-  return failed;
+  return kind != NULL;
 }
 
 int
--- a/tests/random/observer.c
+++ b/tests/random/observer.c
@@ -15,6 +15,7 @@
 
   if (world->failure != NULL)
     return;
+  world->failure_kind = format;
   va_start (arguments, format);
   world->failure = g_strdup_vprintf (format, arguments);
   va_end (arguments);
--- a/tests/random/world.h
+++ b/tests/random/world.h
@@ -230,6 +230,7 @@
 /**
  * struct world - one run
  * @failure: what invariant was broken first, NULL while none was
+ * @failure_kind: the same without its particulars
  */
 struct world
 {
@@ -259,6 +260,7 @@
   uint64_t steps;
   bool trace;
   char *failure;
+  const char *failure_kind;
   uint64_t done;
   uint64_t not_run;
   uint64_t unknown;
