--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check      install what is missing, build, run all tests
 #   make demo       a small three-zone site under load
 #   make bench      figures, never a verdict
+#   make soak       random runs with fresh seeds for SECONDS=60
 #   make lint       formatter and linter
 #
 # SANITIZE=address,undefined or thread, TEST_HOOKS=1, BUILD=directory.
@@ -29,6 +30,7 @@
 LIB_SOURCES = $(filter-out source/daemon/main.c source/tool/%,$(wildcard source/*/*.c source/rpc/gen/*.c))
 TOOL_SOURCES = $(wildcard source/tool/*.c)
 STANDIN_SOURCES = $(wildcard tests/standins/*.c)
+STANDIN_PARTS = $(wildcard tests/standins/parts/*.c)
 TEST_SOURCES = $(wildcard tests/unit/*.c)
 RANDOM_SOURCES = $(wildcard tests/random/*.c)
 SCRIPTED_SOURCES = $(wildcard tests/scripted/*.c)
@@ -71,7 +73,7 @@
 $(BUILD)/jackdawladder: $(call OBJECT,$(TOOL_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(call OBJECT,$(filter %/common.c,$(STANDIN_SOURCES))) $(LIBRARY)
+$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(call OBJECT,$(filter %/common.c,$(STANDIN_SOURCES)) $(STANDIN_PARTS)) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
@@ -105,6 +107,10 @@
 bench: install-packages
 	scripts/bench
 
+# Needs TEST_HOOKS=1 like all tests.
+soak: $(RANDOM)
+	BUILD=$(BUILD) scripts/soak $(or $(SECONDS),60)
+
 format:
 	scripts/lint --fix
 
@@ -114,7 +120,7 @@
 clean:
 	rm -rf $(BUILD) out
 
-.PHONY: all tests benches fuzzers install-packages check demo bench format lint clean
+.PHONY: all tests benches fuzzers install-packages check demo bench soak format lint clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
