Say when a daemon keeps a newer configuration than the one it is handed

It answered "installed" to any valid document, also to one that it dropped because a higher version was in force.

--- a/source/daemon/local.c
+++ b/source/daemon/local.c
@@ -141,6 +141,17 @@
   jl_daemon_end (daemon);
 }
 
+/* Whether a configuration newer than @version is in force here. */
+static bool
+has_newer_config (struct jl_daemon *daemon, uint64_t version)
+{
+  struct jl_config *config = jl_daemon_get_config (daemon);
+  bool newer = config != NULL && config->version > version;
+
+  jl_config_drop (config);
+  return newer;
+}
+
 /* Takes a configuration from the tool, which has put it in the table. */
 static void
 serve_new_config (struct jl_daemon *daemon, struct jl_http_exchange *exchange)
@@ -161,6 +172,8 @@
       jl_answer_plain (exchange, 422, error->message);
       g_error_free (error);
     }
+  else if (has_newer_config (daemon, version))
+    jl_answer_plain (exchange, 409, "a newer version is in force");
   else
     jl_answer_plain (exchange, 200, "installed");
 }
