--- a/source/core/member.c
+++ b/source/core/member.c
@@ -7,6 +7,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "entry.h"
+
 /* No work goes to a member for this long after a sending to it failed. */
 #define EJECT_US (1 * JL_USEC_PER_SEC)
 /* Dead members are kept and probed for this long. */
@@ -280,6 +282,9 @@
   jl_probe_changed (core, member);
   if (!member->hearsay)
     jl_gossip_queue (core, member);
+  if (member->in_flight > 0 && member->info.state != JL_MEMBER_ALIVE
+      && member->info.state != JL_MEMBER_LEFT)
+    jl_entry_member_lost (core, member->info.identity.member);
 }
 
 void
