--- a/source/config/config.c
+++ b/source/config/config.c
@@ -24,6 +24,22 @@
 
 static const char any_method[] = "*";
 
+/* Refuses an item that has the name of an earlier one; items begin with it. */
+static void
+check_unique (struct jl_reader *reader,
+              const char *key,
+              const void *items,
+              size_t size,
+              uint32_t index)
+{
+  const char *name = (const char *)items + index * size;
+
+  for (uint32_t i = 0; i < index; i++)
+    if (strcmp ((const char *)items + i * size, name) == 0)
+      jl_reader_fail (reader, key, JL_CONFIG_ERROR_KEY, "\"%s\" is given twice",
+                      name);
+}
+
 static void
 read_classes (struct jl_reader *reader,
               struct json_object *document,
@@ -37,10 +53,8 @@
       jl_reader_enter (reader, "classes", i);
       jl_read_name (reader, json_object_array_get_idx (list, i), NULL,
                     config->classes[i]);
-      for (uint32_t j = 0; j < i; j++)
-        if (strcmp (config->classes[j], config->classes[i]) == 0)
-          jl_reader_fail (reader, NULL, JL_CONFIG_ERROR_KEY,
-                          "\"%s\" is given twice", config->classes[i]);
+      check_unique (reader, NULL, config->classes, sizeof config->classes[0],
+                    i);
       jl_reader_leave (reader);
     }
 }
@@ -71,10 +85,7 @@
       jl_reader_enter (reader, "zones", i);
       read_zone (reader, json_object_array_get_idx (list, i),
                  &config->zones[i]);
-      for (uint32_t j = 0; j < i; j++)
-        if (strcmp (config->zones[j].name, config->zones[i].name) == 0)
-          jl_reader_fail (reader, "name", JL_CONFIG_ERROR_KEY,
-                          "\"%s\" is given twice", config->zones[i].name);
+      check_unique (reader, "name", config->zones, sizeof config->zones[0], i);
       jl_reader_leave (reader);
     }
 }
@@ -116,9 +127,8 @@
       jl_reader_enter (reader, "services", i);
       read_service (reader, json_object_array_get_idx (list, i),
                     &config->services[i]);
-      if (jl_config_service (config, config->services[i].name) != i)
-        jl_reader_fail (reader, "name", JL_CONFIG_ERROR_KEY,
-                        "\"%s\" is given twice", config->services[i].name);
+      check_unique (reader, "name", config->services,
+                    sizeof config->services[0], i);
       jl_reader_leave (reader);
     }
 }
@@ -221,11 +231,11 @@
          || strcmp (kind->method, method) == 0;
 }
 
-/* Refuses kind @index where an earlier one has its name or its requests. */
+/* Refuses kind @index where an earlier one takes all its requests. */
 static void
-check_earlier_kinds (struct jl_reader *reader,
-                     const struct jl_config *config,
-                     uint32_t index)
+check_matches (struct jl_reader *reader,
+               const struct jl_config *config,
+               uint32_t index)
 {
   const struct jl_kind *kind = &config->kinds[index];
 
@@ -233,9 +243,6 @@
     {
       const struct jl_kind *earlier = &config->kinds[i];
 
-      if (strcmp (earlier->name, kind->name) == 0)
-        jl_reader_fail (reader, "name", JL_CONFIG_ERROR_KEY,
-                        "\"%s\" is given twice", kind->name);
       if (method_covers (earlier, kind->method)
           && g_str_has_prefix (kind->path, earlier->path))
         jl_reader_fail (reader, "path", JL_CONFIG_ERROR_REFERENCE,
@@ -256,7 +263,8 @@
       jl_reader_enter (reader, "kinds", i);
       read_kind (reader, json_object_array_get_idx (list, i), config,
                  &config->kinds[i]);
-      check_earlier_kinds (reader, config, i);
+      check_unique (reader, "name", config->kinds, sizeof config->kinds[0], i);
+      check_matches (reader, config, i);
       jl_reader_leave (reader);
     }
 }
