Try lower limits on firmer grounds

With few slots and widely spread run times, a first answer or two made a low baseline, and a trial with a tenth less could not be told from noise. A lower limit is tried at three times the latency of at least 64 unloaded answers, in steps of a fifth, measured over 200 requests, of which it may cost 8%.

--- a/source/core/limit.c
+++ b/source/core/limit.c
@@ -13,15 +13,17 @@
 /* Weight of the newest latency in the means: 1 in 16. */
 #define MEAN_SHIFT 4
 /* Latency above the unloaded one from which a lower limit is tried. */
-#define SLOW_PERCENT 200
+#define SLOW_PERCENT 300
+/* Answers of the unloaded target from which its latency is known. */
+#define BASELINE_COUNT 64
 /* Requests over which the rate at one limit is measured. */
-#define TRIAL_COUNT 100
+#define TRIAL_COUNT 200
 /* Use of the limit from which the rate says something of it. */
 #define USED_PERCENT 85
 /* Size of a step. */
-#define STEP_PERCENT 10
+#define STEP_PERCENT 20
 /* A step down may cost this much of the rate, a step up has to gain it. */
-#define TOLERANCE_PERCENT 4
+#define TOLERANCE_PERCENT 8
 /* Windows to wait after a lower limit did not help, at first and at most. */
 #define REST_WINDOWS 200
 #define REST_WINDOWS_MAX 6400
@@ -66,6 +68,7 @@
   uint64_t held_us;
   uint64_t latency_us;
   uint64_t baseline_us;
+  uint32_t baseline_count;
   struct trial trial;
   uint32_t running;
   uint64_t running_us;
@@ -190,7 +193,10 @@
     return;
   limit->latency_us = update_mean (limit->latency_us, latency_us);
   if (running <= share_of (limit->slots, UNLOADED_SHARE))
-    limit->baseline_us = update_mean (limit->baseline_us, latency_us);
+    {
+      limit->baseline_us = update_mean (limit->baseline_us, latency_us);
+      limit->baseline_count++;
+    }
 }
 
 static void
@@ -210,7 +216,7 @@
 static bool
 is_slow (const struct jl_limit *limit)
 {
-  return limit->baseline_us > 0
+  return limit->baseline_count >= BASELINE_COUNT
          && limit->latency_us * 100 > limit->baseline_us * SLOW_PERCENT;
 }
 
