Lower the level no further while the queue drains

A window whose items had waited long lowered the level by another 5% although the queue was already getting shorter. Means of latency take 1 in 32, since the capacity that the level is set from swung by a third with widely spread run times.

--- a/source/core/admit.c
+++ b/source/core/admit.c
@@ -41,6 +41,7 @@
  * @held: items with a strike that wait until no other one runs
  * @window_started: items that began to run in this window
  * @window_waited_us: time for which these waited, in sum
+ * @window_waiting: items that waited when this window began
  * @window_refused: an item was refused from the queue in this window
  * @config_version: configuration that @quick_us speaks of
  * @quick_us: time that the quicker runs of a kind take
@@ -60,6 +61,7 @@
   struct jl_limit *limit;
   uint32_t window_started;
   uint64_t window_waited_us;
+  uint32_t window_waiting;
   bool window_refused;
   uint64_t config_version;
   uint64_t quick_us[JL_KIND_MAX];
@@ -462,6 +464,16 @@
                 > allowed_wait (core);
 }
 
+/* Whether the queue has become shorter, and refused nothing. */
+static bool
+is_draining (struct jl_core *core)
+{
+  const struct jl_admit *admit = core->admit;
+
+  return !admit->window_refused
+         && jl_admit_waiting (core) < admit->window_waiting;
+}
+
 /* Whether more waits than can start in a small part of the allowed wait. */
 static bool
 is_backlogged (const struct jl_core *core)
@@ -502,11 +514,11 @@
   struct jl_level_window window;
 
   window.capacity_milli = capacity_milli (core, JL_LEVEL_WINDOW_US);
-  window.overloaded = is_overloaded (core);
-  window.waiting = is_backlogged (core);
+  window.waiting = is_overloaded (core) || is_backlogged (core);
+  window.overloaded = is_overloaded (core) && !is_draining (core);
   jl_limit_window (admit->limit, core->now_us,
-                   window.overloaded || window.waiting
-                       || jl_admit_level (core) < JL_PRIORITY_COUNT);
+                   window.waiting || jl_admit_level (core) < JL_PRIORITY_COUNT);
+  admit->window_waiting = jl_admit_waiting (core);
   admit->window_started = 0;
   admit->window_waited_us = 0;
   admit->window_refused = false;
--- a/source/core/limit.c
+++ b/source/core/limit.c
@@ -10,8 +10,8 @@
 #define FLOOR_SHARE 4
 /* Up to this share of its slots a target counts as unloaded. */
 #define UNLOADED_SHARE 4
-/* Weight of the newest latency in the means: 1 in 16. */
-#define MEAN_SHIFT 4
+/* Weight of the newest latency in the means: 1 in 32. */
+#define MEAN_SHIFT 5
 /* Latency above the unloaded one from which a lower limit is tried. */
 #define SLOW_PERCENT 300
 /* Answers of the unloaded target from which its latency is known. */
