--- a/source/core/member.h
+++ b/source/core/member.h
@@ -4,7 +4,10 @@
 /**
  * DOC: Membership: who is there, by probes, gossip and a leave message.
  *
- * Every daemon keeps the whole list. No platform is needed for it.
+ * Every daemon keeps the whole list. No platform is needed for it. The list
+ * is in member.c; member-probe.c finds out who is gone, member-gossip.c
+ * spreads news, member-join.c gets and compares whole lists, and
+ * member-fetch.c gets newer configurations.
  */
 
 #include "core-impl.h"
@@ -23,6 +26,16 @@
  * @first_seen_us: when this life of it was first heard of
  * @load_us: when its load was last heard of; 0 for never
  * @rank: see rank_of() in place.c; 0 while not set
+ * @hearsay: a tombstone of a member never known alive here; not passed on
+ * @config_version: configuration that it last said to have
+ * @news: place in a list of what is to be gossiped
+ * @news_us: when @info became news
+ * @gossip_left: messages that still carry @info
+ * @push_due: @info has not been pushed yet
+ * @probe: the probe in progress runs out
+ * @probe_sequence: of the probe in progress, 0 when there is none
+ * @probe_relayed: others have been asked to probe it too
+ * @suspicion: it is taken for dead then
  */
 struct jl_member
 {
@@ -39,7 +52,15 @@
   uint64_t level_us;
   uint64_t load_us;
   uint64_t rank;
+  bool hearsay;
+  uint64_t config_version;
+  struct cds_list_head news;
+  uint64_t news_us;
   uint32_t gossip_left;
+  bool push_due;
+  struct jl_timer probe;
+  uint64_t probe_sequence;
+  bool probe_relayed;
   struct jl_timer suspicion;
 };
 
