Shrink failing runs to the fewest inputs that fail alike

Each input and each life of a daemon has its own stream of random numbers, so that a run with fewer inputs differs in little else.

--- a/tests/random/faults.c
+++ b/tests/random/faults.c
@@ -81,6 +81,7 @@
   uint64_t member = jl_print_member (node->index + 1);
   struct jl_core_options options = { .mode = JL_CORE_FULL };
 
+  begin_stream (world, node->index, world->now_us);
   options.identity.member = member;
   options.identity.epoch = 1000000 + world->now_us;
   options.peer = jl_member_endpoint (member);
--- a/tests/random/main.c
+++ b/tests/random/main.c
@@ -102,11 +102,15 @@
   siglongjmp (broken_invariant, 1);
 }
 
+/* When the last run failed. */
+static uint64_t failed_us;
+
 /* Return: the kind of failure, NULL if there was none. */
 static const char *
 run_plan (const struct plan *plan, bool trace, bool print)
 {
-  struct world *volatile world = NULL;
+  /* A static one outlives a jump out of the reducer. */
+  static struct world *world;
   const char *kind;
   const char *failure;
 
@@ -116,12 +120,14 @@
       if (print)
         g_print ("seed %" PRIu64 " FAILED: an invariant of the reducer\n",
                  plan->seed);
+      failed_us = world->now_us;
       return "an invariant of the reducer";
     }
   world = world_new (plan, trace);
   world_run (world);
   failure = world->failure;
   kind = world->failure_kind;
+  failed_us = world->now_us;
   if (print)
     g_print ("seed %" PRIu64 ": digest %016" PRIx64 " steps %" PRIu64
              " done %" PRIu64 " not-run %" PRIu64 " unknown %" PRIu64 "%s%s\n",
@@ -144,9 +150,28 @@
   return g_strcmp0 (failure, kind) == 0;
 }
 
+/* Drops the inputs after the failure. */
+static void
+drop_later (struct plan *plan, const char *kind)
+{
+  GArray *fewer = g_array_copy (plan->inputs);
+
+  while (fewer->len > 0
+         && g_array_index (fewer, struct input, fewer->len - 1).at_us
+                > failed_us)
+    g_array_set_size (fewer, fewer->len - 1);
+  if (still_fails (plan, fewer, kind))
+    {
+      g_array_free (plan->inputs, TRUE);
+      plan->inputs = fewer;
+      return;
+    }
+  g_array_free (fewer, TRUE);
+}
+
 /* Drops runs of inputs, first long then short ones, while it still fails. */
 static void
-shrink_plan (struct plan *plan, const char *kind)
+drop_runs (struct plan *plan, const char *kind)
 {
   for (uint32_t size = plan->inputs->len / 2; size > 0; size /= 2)
     for (uint32_t at = 0; at + size <= plan->inputs->len;)
@@ -165,6 +190,20 @@
       }
 }
 
+static void
+shrink_plan (struct plan *plan, const char *kind)
+{
+  uint32_t before;
+
+  drop_later (plan, kind);
+  do
+    {
+      before = plan->inputs->len;
+      drop_runs (plan, kind);
+    }
+  while (plan->inputs->len < before);
+}
+
 /* Return: whether the run has failed. */
 static bool
 run_one (const struct arguments *arguments, struct plan *plan)
--- a/tests/random/world.c
+++ b/tests/random/world.c
@@ -14,6 +14,7 @@
  * struct item - something on its way
  * @node: where it happens, NULL for the world
  * @life: it is lost when the daemon has another life by then
+ * @random: stream of what caused it
  */
 struct item
 {
@@ -21,10 +22,21 @@
   uint64_t order;
   struct node *node;
   uint64_t life;
+  GRand *random;
   ITEM_FN (fire);
   void *argument;
 };
 
+void
+begin_stream (struct world *world, uint64_t first, uint64_t second)
+{
+  uint64_t numbers[3] = { world->plan->seed, first, second };
+  uint64_t hash = XXH3_64bits (numbers, sizeof numbers);
+
+  world->random = g_rand_new_with_seed ((uint32_t)hash);
+  g_ptr_array_add (world->streams, world->random);
+}
+
 uint32_t
 pick (struct world *world, uint32_t bound)
 {
@@ -80,6 +92,7 @@
   item->order = world->next_order++;
   item->node = node;
   item->life = life;
+  item->random = world->random;
   item->fire = fire;
   item->argument = argument;
   g_sequence_insert_sorted (world->queue, item, compare_items, NULL);
@@ -240,6 +253,7 @@
       struct item *item
           = g_ptr_array_remove_index (backlog, pick (world, backlog->len));
 
+      world->random = item->random;
       if (is_up (node, item->life) && world->failure == NULL)
         item->fire (world, node, item->argument);
       free_item (item);
@@ -252,6 +266,7 @@
 {
   struct node *node = item->node;
 
+  world->random = item->random;
   if (node == NULL)
     item->fire (world, NULL, item->argument);
   else if (is_up (node, item->life))
@@ -263,6 +278,7 @@
         }
       if (node->backlog->len > 0)
         thaw (world, node);
+      world->random = item->random;
       if (is_up (node, item->life))
         item->fire (world, node, item->argument);
     }
@@ -297,7 +313,10 @@
             struct node *node G_GNUC_UNUSED,
             void *argument)
 {
-  begin_input (world, argument);
+  const struct input *input = argument;
+
+  begin_stream (world, input->at_us, input->type);
+  begin_input (world, input);
 }
 
 static void
@@ -327,7 +346,8 @@
 
   world->plan = plan;
   world->trace = trace;
-  world->random = g_rand_new_with_seed ((uint32_t)plan->seed);
+  world->streams = g_ptr_array_new_with_free_func ((GDestroyNotify)g_rand_free);
+  begin_stream (world, 0, 0);
   world->now_us = 1;
   world->queue = g_sequence_new (NULL);
   world->claims
@@ -385,7 +405,7 @@
   g_ptr_array_free (world->callers, TRUE);
   jl_effects_drop (world->effects);
   g_string_free (world->line, TRUE);
-  g_rand_free (world->random);
+  g_ptr_array_free (world->streams, TRUE);
   g_free (world->failure);
   g_free (world);
 }
--- a/tests/random/world.h
+++ b/tests/random/world.h
@@ -229,6 +229,9 @@
 
 /**
  * struct world - one run
+ * @random: the stream of random numbers of the item that happens now; each
+ *          input and each life of a daemon has one, so that a run with fewer
+ *          inputs differs in little else
  * @failure: what invariant was broken first, NULL while none was
  * @failure_kind: the same without its particulars
  */
@@ -236,6 +239,7 @@
 {
   const struct plan *plan;
   GRand *random;
+  GPtrArray *streams;
   uint64_t now_us;
   uint64_t next_order;
   uint64_t next_serial;
@@ -271,6 +275,7 @@
 void world_drop (struct world *world);
 
 /* world.c, for the other files. */
+void begin_stream (struct world *world, uint64_t first, uint64_t second);
 uint32_t pick (struct world *world, uint32_t bound);
 bool chance (struct world *world, uint32_t permille);
 uint64_t between (struct world *world, uint64_t from, uint64_t to);
