--- a/tests/random/world.h
+++ b/tests/random/world.h
@@ -229,12 +229,17 @@
 
 /**
  * struct world - one run
+ * @random: the stream of random numbers of the item that happens now; each
+ *          input and each life of a daemon has one, so that a run with fewer
+ *          inputs differs in little else
  * @failure: what invariant was broken first, NULL while none was
+ * @failure_kind: the same without its particulars
  */
 struct world
 {
   const struct plan *plan;
   GRand *random;
+  GPtrArray *streams;
   uint64_t now_us;
   uint64_t next_order;
   uint64_t next_serial;
@@ -259,6 +264,7 @@
   uint64_t steps;
   bool trace;
   char *failure;
+  const char *failure_kind;
   uint64_t done;
   uint64_t not_run;
   uint64_t unknown;
@@ -269,6 +275,7 @@
 void world_drop (struct world *world);
 
 /* world.c, for the other files. */
+void begin_stream (struct world *world, uint64_t first, uint64_t second);
 uint32_t pick (struct world *world, uint32_t bound);
 bool chance (struct world *world, uint32_t permille);
 uint64_t between (struct world *world, uint64_t from, uint64_t to);
