--- a/tests/history/rules.py
+++ b/tests/history/rules.py
@@ -284,6 +284,8 @@
             if version < highest:
                 yield f"{who} went from version {highest} to {version}", [sample]
             highest = max(highest, version)
+            if sample["digest"] == "":
+                continue
             digest = digests.setdefault(version, sample["digest"])
             if version > 0 and sample["digest"] != digest:
                 yield f"{who} has another text as version {version}", [sample]
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -30,6 +30,7 @@
 SITE_ENTRIES=()
 SITE_OTHERS=()
 PLATFORM_PID=
+SITE_LIFE=0
 
 site_fail ()
 {
@@ -130,7 +131,7 @@
   local name=$1
   site_settings "$name" > "$SITE_DIR/$name.json"
   "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
-    >> "$SITE_DIR/$name.daemon.log" 2>&1 &
+    > "$SITE_DIR/$name.$((++SITE_LIFE)).daemon.log" 2>&1 &
   DAEMON_PID[$name]=$!
 }
 
@@ -195,7 +196,7 @@
   is_running "$PLATFORM_PID" || site_fail "the platform has ended"
   for name in "${SITE_MEMBERS[@]}"; do
     is_running "${DAEMON_PID[$name]}" \
-      || site_fail "daemon $name: $(tail -n 1 "$SITE_DIR/$name.daemon.log")"
+      || site_fail "daemon $name: $(tail -n 1 "$SITE_DIR/$name".*.daemon.log)"
     is_running "${TARGET_PID[$name]}" \
       || site_fail "target $name: $(tail -n 1 "$SITE_DIR/$name.target.log")"
   done
@@ -246,6 +247,21 @@
   done
 }
 
+# Until each daemon that runs has a version or a higher one.
+site_wait_version ()
+{
+  local name version=$1 until=$((SECONDS + SITE_DEADLINE_S))
+  for name in "${!DAEMON_PID[@]}"; do
+    until site_status "$name" | python3 -c 'import json, sys
+sys.exit(json.load(sys.stdin)["config_version"] < int(sys.argv[1]))' \
+      "$version" 2> /dev/null; do
+      [ "$SECONDS" -lt "$until" ] \
+        || site_fail "$name has no version $version: $(site_status "$name")"
+      sleep 0.1
+    done
+  done
+}
+
 platform_control ()
 {
   curl -s -m 2 -X POST "http://$SITE_PLATFORM/test/$1" > /dev/null
@@ -292,8 +308,23 @@
     "http://${SITE_ADDRESS[$1]}:8002/jl/config" > /dev/null
 }
 
+# The versions that daemons installed, in order, from the log of each life.
+site_installed ()
+{
+  local log name
+  for log in "$SITE_DIR"/*.daemon.log; do
+    name=$(basename "$log" .daemon.log)
+    sed -n 's/.*E101 .*version=\([0-9]*\).*/\1/p' "$log" \
+      | awk -v who="${name%.*}" -v life="log-${name##*.}" '{
+          printf "{\"at\":%d,\"t\":\"version\",\"who\":\"%s\",", NR, who
+          printf "\"life\":\"%s\",\"version\":%d,\"digest\":\"\"}\n", life, $1
+        }'
+  done > "$SITE_DIR/installed.jsonl"
+}
+
 site_check ()
 {
+  site_installed
   python3 -B "$SITE_ROOT/tests/history/check.py" \
     ${SITE_CONFIG:+--config "$SITE_CONFIG"} "$@" "$SITE_DIR"/*.jsonl
 }
