--- a/tests/site.sh
+++ b/tests/site.sh
@@ -245,6 +245,17 @@
       || site_fail "cannot apply $1: $(tail -n 3 "$SITE_DIR/apply.log")"
     sleep 0.2
   done
+  site_applied "$(sed -n 's/^version \([0-9]*\) is in force$/\1/p' \
+    "$SITE_DIR/apply.log" | tail -n 1)"
+}
+
+# Records that a version is in force.
+site_applied ()
+{
+  python3 -c 'import json, sys, time
+print(json.dumps({"at": time.monotonic_ns() // 1000, "t": "applied",
+                  "version": int(sys.argv[1])}))' \
+    "$1" >> "$SITE_DIR/faults.jsonl"
 }
 
 # Until each daemon that runs has a version or a higher one.
