--- a/source/daemon/answers.c
+++ b/source/daemon/answers.c
@@ -7,9 +7,9 @@
 #include <urcu/list.h>
 
 /* Bytes of all kept answers. */
-#define STORE_BYTES_MAX (16 * 1024 * 1024)
+#define STORE_BYTES_MAX (UINT64_C (16) << 20)
 /* Bytes of one kept answer. */
-#define ANSWER_BYTES_MAX (256 * 1024)
+#define ANSWER_BYTES_MAX (UINT64_C (256) << 10)
 #define KEEP_US (600 * JL_USEC_PER_SEC)
 
 /**
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -14,6 +14,8 @@
 /* Kept connections to one endpoint. */
 #define IDLE_CONNECTION_MAX 16
 #define PLATFORM_TIMEOUT_MS 1000
+/* How often it is looked whether a planned stop takes too long. */
+#define EXIT_POLL_US (200 * JL_USEC_PER_MSEC)
 
 /* Conditions wait by the clock that jl_now() reads. */
 static void
@@ -426,19 +428,31 @@
   struct jl_event event = { .type = JL_EVENT_DRAIN };
 
   g_atomic_int_set (&daemon->draining, 1);
-  jl_daemon_post (daemon, &event);
+  jl_daemon_begin (daemon);
+  if (daemon->drain_begun_us == 0)
+    daemon->drain_begun_us = jl_now ();
+  jl_daemon_step (daemon, &event);
+  jl_daemon_end (daemon);
+}
+
+/* Whether a planned stop takes longer than the settings allow; locked. */
+static bool
+is_overdue (const struct jl_daemon *daemon)
+{
+  uint64_t allowed_us = daemon->settings->drain_ms * JL_USEC_PER_MSEC;
+
+  return daemon->drain_begun_us > 0
+         && daemon->drain_begun_us + allowed_us <= jl_now ();
 }
 
 bool
-jl_daemon_wait_exit (struct jl_daemon *daemon, uint64_t timeout_us)
+jl_daemon_wait_exit (struct jl_daemon *daemon)
 {
-  uint64_t until_us = jl_now () + timeout_us;
   bool exiting;
 
   pthread_mutex_lock (&daemon->lock);
-  while (!daemon->exiting)
-    if (!wait_until (daemon, &daemon->exit, until_us))
-      break;
+  while (!daemon->exiting && !is_overdue (daemon))
+    wait_until (daemon, &daemon->exit, jl_now () + EXIT_POLL_US);
   exiting = daemon->exiting;
   pthread_mutex_unlock (&daemon->lock);
   return exiting;
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -46,6 +46,7 @@
   uint64_t tick_at_us;
   pthread_cond_t tick;
   int draining;
+  uint64_t drain_begun_us;
   bool exiting;
   bool stopping;
   pthread_cond_t exit;
@@ -88,9 +89,9 @@
 /**
  * jl_daemon_wait_exit - waits until the daemon has drained
  *
- * Return: false when that took longer than @timeout_us.
+ * Return: false when that took longer than the settings' drain_ms.
  */
-bool jl_daemon_wait_exit (struct jl_daemon *daemon, uint64_t timeout_us);
+bool jl_daemon_wait_exit (struct jl_daemon *daemon);
 
 void jl_daemon_close (struct jl_daemon *daemon);
 
--- a/source/daemon/main.c
+++ b/source/daemon/main.c
@@ -107,8 +107,8 @@
   if (pthread_create (&signals, NULL, wait_signals, daemon) != 0)
     g_error ("cannot start the thread for signals");
   pthread_detach (signals);
-  while (!jl_daemon_wait_exit (daemon, UINT32_MAX))
-    continue;
+  if (!jl_daemon_wait_exit (daemon))
+    _exit (EXIT_CUT_OFF);
   jl_daemon_close (daemon);
   g_free (settings);
   rcu_unregister_thread ();
