--- a/tests/site.sh
+++ b/tests/site.sh
@@ -31,6 +31,7 @@
 SITE_OTHERS=()
 PLATFORM_PID=
 SITE_LIFE=0
+SITE_WRAPPER=${SITE_WRAPPER:-}
 
 site_fail ()
 {
@@ -129,9 +130,10 @@
 start_daemon ()
 {
   local name=$1
+  SITE_LIFE=$((SITE_LIFE + 1))
   site_settings "$name" > "$SITE_DIR/$name.json"
-  "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
-    > "$SITE_DIR/$name.$((++SITE_LIFE)).daemon.log" 2>&1 &
+  $SITE_WRAPPER "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
+    > "$SITE_DIR/$name.$SITE_LIFE.daemon.log" 2>&1 &
   DAEMON_PID[$name]=$!
 }
 
