Keep the first control messages back until they can be answered

A daemon that got a control message while it started could crash: its receiving thread answers through daemon->control, which is set only after that thread has begun.

Opening the endpoint under the reducer's lock is enough: receive_message() takes that lock first. A change of source/daemon/daemon.c outside the tests.

--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -347,9 +347,12 @@
 {
   const struct jl_settings *settings = daemon->settings;
 
+  /* Messages arrive at once, and are answered through daemon->control. */
+  jl_daemon_begin (daemon);
   daemon->control
       = jl_control_open (own_endpoint (settings, settings->control_port),
                          receive_message, daemon, error);
+  jl_daemon_end (daemon);
   if (daemon->control == NULL)
     return false;
   daemon->peer_server = jl_http_server_open (
