Let refusals for overload be tried elsewhere without the retry ratio

An important request that one target refuses has to be tried at the others that may take it, also while the service's ratio is spent: the ratio is there for retries that cost something, and such a refusal has run nothing and tells the entry which priorities to keep away. The tokens of the tree still bound it.

--- a/source/core/retry.c
+++ b/source/core/retry.c
@@ -115,9 +115,14 @@
     return call->sends < FORWARD_SENDS;
   if (JL_SWITCHED_OFF (core, JL_MECHANISM_TOKENS))
     return true;
-  if (*pool.left == 0 || *earned < RATIO_COST)
+  if (*pool.left == 0)
     return false;
-  *earned -= RATIO_COST;
+  if (call->last_reason != JL_REASON_OVERLOAD)
+    {
+      if (*earned < RATIO_COST)
+        return false;
+      *earned -= RATIO_COST;
+    }
   (*pool.left)--;
   return true;
 }
--- a/source/core/retry.h
+++ b/source/core/retry.h
@@ -6,6 +6,9 @@
  *
  * Tokens are lent down with a sending, and the unspent ones come back with
  * its answer. A lost answer loses tokens; nothing makes them.
+ *
+ * The ratio does not count a sending after a refusal for overload: nothing ran,
+ * and the refusal has told which priorities to keep away from that target.
  */
 
 #include "core-impl.h"
