Spread callers by what the guards said when every target refuses

It now draws from the Retry-After of the guards' last refusal, which grows with the share that they refuse.

--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -488,7 +488,11 @@
   enum jl_reason reason = call->last_reason;
 
   if (verdict == JL_PLACE_REFUSED)
-    report_service (core, call);
+    {
+      report_service (core, call);
+      call->last_retry_after_ms
+          = jl_place_retry_after (core, jl_place_service (core, call));
+    }
   if (reason == JL_REASON_NONE)
     reason = verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
                                          : JL_REASON_NO_TARGET;
--- a/source/core/limit.c
+++ b/source/core/limit.c
@@ -257,7 +257,7 @@
   const struct trial *trial = &limit->trial;
   uint64_t span_us = MAX (limit->running_us - trial->begun_us, 1);
   uint64_t rate = trial->count * JL_USEC_PER_SEC / span_us;
-  bool used = trial->used_us * 100 >= USED_PERCENT * limit->adaptive * span_us;
+  bool used = trial->used_us * 100 >= span_us * USED_PERCENT * limit->adaptive;
 
   if (!used)
     {
--- a/source/core/place.c
+++ b/source/core/place.c
@@ -32,16 +32,27 @@
 /* How often the members are counted. */
 #define COUNT_INTERVAL_US (1 * JL_USEC_PER_SEC)
 
+/**
+ * struct hint - when callers of a service are to come back
+ */
+struct hint
+{
+  uint32_t retry_after_ms;
+  uint64_t heard_us;
+};
+
 /**
  * struct jl_place - lists for one choice
  * @near: members of the own zone that take the call
  * @far: those of other zones
+ * @hints: the last refusal for overload by each service
  * @daemons: number of members, counted at @counted_us
  */
 struct jl_place
 {
   GPtrArray *near;
   GPtrArray *far;
+  struct hint hints[JL_SERVICE_MAX];
   uint32_t daemons;
   uint64_t counted_us;
 };
@@ -319,6 +330,21 @@
   return found ? level : JL_PRIORITY_COUNT;
 }
 
+uint32_t
+jl_place_retry_after (struct jl_core *core, uint32_t service)
+{
+  const struct hint *hint;
+
+  if (service >= JL_SERVICE_MAX)
+    return 0;
+  hint = &core->place->hints[service];
+  if (hint->retry_after_ms == 0
+      || hint->heard_us + LEVEL_KEEP_US < core->now_us)
+    return 0;
+  return hint->retry_after_ms / 2
+         + jl_random_below (core, hint->retry_after_ms);
+}
+
 void
 jl_place_sent (struct jl_core *core G_GNUC_UNUSED, struct jl_member *member)
 {
@@ -334,6 +360,10 @@
     member->in_flight--;
   if (event->result != JL_SEND_ANSWERED)
     return;
+  if (event->outcome == JL_OUTCOME_NOT_RUN
+      && event->reason == JL_REASON_OVERLOAD && member->service != JL_NONE)
+    core->place->hints[member->service]
+        = (struct hint){ event->retry_after_ms, core->now_us };
   member->load_permille = event->report.load_permille;
   member->load_us = core->now_us;
   for (uint32_t i = 0; i < event->report.count; i++)
--- a/source/core/place.h
+++ b/source/core/place.h
@@ -58,6 +58,12 @@
  */
 uint32_t jl_place_level (struct jl_core *core, uint32_t service);
 
+/**
+ * jl_place_retry_after - when a caller is to come back whose call every member
+ * of a service refuses, with jitter; 0 while no member has said so lately
+ */
+uint32_t jl_place_retry_after (struct jl_core *core, uint32_t service);
+
 /**
  * jl_place_sent - a call was sent to @member
  */
--- a/tests/unit/feedback.c
+++ b/tests/unit/feedback.c
@@ -121,7 +121,7 @@
 
   if (node == DEEP || world->knee == 0 || running <= world->knee)
     return service_us;
-  return service_us * running * running / (world->knee * world->knee);
+  return service_us * running * running / world->knee / world->knee;
 }
 
 static void
--- a/tests/unit/place.c
+++ b/tests/unit/place.c
@@ -217,7 +217,7 @@
   uint32_t used = 0;
 
   open_entry (&entry, config, 100, 1);
-  for (uint64_t i = 1; i <= 3 * CALLS; i++)
+  for (uint64_t i = 1; i <= UINT64_C (3) * CALLS; i++)
     entry.used[make_call (&entry, i, 0, false)] = true;
   for (uint32_t target = 1; target <= TARGETS; target++)
     {
--- a/tests/unit/queue.c
+++ b/tests/unit/queue.c
@@ -75,7 +75,7 @@
 static void
 add_random (struct model *model, GRand *random)
 {
-  static const uint64_t invested_us[] = { 0, 500, 70 * 1000 };
+  static const uint64_t invested_us[] = { 0, 500, 70000 };
   struct jl_work *work
       = &model->works[g_rand_int_range (random, 0, ITEM_COUNT)];
 
