--- a/tests/random/caller.c
+++ b/tests/random/caller.c
@@ -96,7 +96,9 @@
   if (caller->call != 0)
     post_event (caller->entry, caller->entry_life, between (world, 300, 3000),
                 &event);
-  send_again (world, caller, between (world, 1, 1000000));
+  send_again (world, caller,
+              chance (world, 500) ? between (world, 1, 20000)
+                                  : between (world, 20000, 2000000));
 }
 
 static void
@@ -116,7 +118,10 @@
   caller->call = 0;
   post_to (caller->entry, caller->entry_life, between (world, 300, 3000),
            arrive, sending);
-  post (world, between (world, 100000, 5000000), give_up, sending);
+  post (world,
+        chance (world, 300) ? between (world, 3000, 200000)
+                            : between (world, 200000, 5000000),
+        give_up, sending);
 }
 
 /**
--- a/tests/random/observer.c
+++ b/tests/random/observer.c
@@ -118,6 +118,8 @@
     fail (world, "a forwarded call returns more tokens than it got");
   if (call->sending->parent == NULL && answer->tokens > RETRY_TOKENS)
     fail (world, "a call ends with more tokens than it had");
+  if (answer->reason == JL_REASON_KEY_REUSED)
+    fail (world, "two requests have one ticket");
   if (answer->outcome != JL_OUTCOME_DONE)
     return;
   if (body == NULL)
--- a/tests/random/plan.c
+++ b/tests/random/plan.c
@@ -43,7 +43,7 @@
           = (uint32_t)g_rand_int_range (random, 0, (int)plan->zone_count);
     }
   if (type == INPUT_FREEZE || type == INPUT_CRASH)
-    input.duration_us /= 3;
+    input.duration_us /= g_rand_int_range (random, 0, 3) == 0 ? 100 : 3;
   g_array_append_val (plan->inputs, input);
 }
 
