--- a/tests/random/plan.c
+++ b/tests/random/plan.c
@@ -44,6 +44,8 @@
     }
   if (type == INPUT_FREEZE || type == INPUT_CRASH)
     input.duration_us /= g_rand_int_range (random, 0, 3) == 0 ? 100 : 3;
+  if (type == INPUT_CRASH && g_rand_int_range (random, 0, 3) == 0)
+    input.duration_us += 6 * JL_USEC_PER_SEC;
   g_array_append_val (plan->inputs, input);
 }
 
