--- a/tests/cases/report.py
+++ b/tests/cases/report.py
@@ -30,7 +30,7 @@
         self.directory = directory
         self.sends = []
         self.answers = []
-        self.runs = 0
+        self.runs = []
         self.marks = {}
         for path in sorted(glob.glob(os.path.join(directory, "*.jsonl"))):
             for record in read_lines(path):
@@ -44,7 +44,7 @@
         elif kind == "answer":
             self.answers.append(record)
         elif kind == "run":
-            self.runs += 1
+            self.runs.append(record)
         elif kind == "fault" and record["who"] == "case":
             self.marks[record["what"]] = record["at"]
 
@@ -67,6 +67,12 @@
         }
         return len(names), len(names & whole) / max(len(names), 1)
 
+    def wasted_share(self):
+        """Share of the runs that belong to a request not answered whole."""
+        whole = {a["id"] for a in self.answers if is_whole(a)}
+        wasted = sum(run["id"] not in whole for run in self.runs)
+        return wasted / max(len(self.runs), 1)
+
     def recovery_s(self):
         """Time from the end of the fault until goodput is back for good."""
         begin_us, end_us = self.marks["begin"], self.marks["end"]
@@ -119,7 +125,8 @@
         f"goodput {run.goodput(begin_us, end_us):.0f}/s",
         f"asked {len(first)}",
         f"caller sends {len(loads)}",
-        f"target runs {run.runs}",
+        f"target runs {len(run.runs)}",
+        f"wasted runs {100 * run.wasted_share():.1f}%",
     ]
     for kind in ("reserve", "amend", "tours", "browse", "upload"):
         count, share = run.share_done(kind, begin_us, end_us)
