Give up sendings to a life that another one has replaced

A daemon that restarts before anyone suspects it was alive all along to its peers, so that idempotent calls waited for sendings that its earlier life had taken.

--- a/source/core/member.c
+++ b/source/core/member.c
@@ -267,12 +267,16 @@
 jl_members_merge (struct jl_core *core, const struct jl_member_info *info)
 {
   struct jl_member *member = jl_members_find (core, info->identity.member);
+  bool lost = info->state == JL_MEMBER_SUSPECT || info->state == JL_MEMBER_DEAD;
 
   if (info->identity.member == core->identity.member)
     {
       refute (core, info);
       return;
     }
+  /* What an earlier life was sent is lost with it. */
+  if (member != NULL && member->info.identity.epoch < info->identity.epoch)
+    lost = true;
   if (member == NULL)
     member = add_other (core, info);
   else if (is_newer (info, &member->info))
@@ -282,8 +286,7 @@
   jl_probe_changed (core, member);
   if (!member->hearsay)
     jl_gossip_queue (core, member);
-  if (member->in_flight > 0 && member->info.state != JL_MEMBER_ALIVE
-      && member->info.state != JL_MEMBER_LEFT)
+  if (member->in_flight > 0 && lost)
     jl_entry_member_lost (core, member->info.identity.member);
 }
 
--- a/tests/support/network.c
+++ b/tests/support/network.c
@@ -388,6 +388,16 @@
   jl_config_drop (config);
 }
 
+void
+network_give (struct network *network,
+              uint32_t index,
+              const struct jl_message *message)
+{
+  struct jl_event event = { .type = JL_EVENT_MESSAGE, .message = message };
+
+  step (&network->nodes[index], &event);
+}
+
 void
 network_run (struct network *network, uint64_t duration_us)
 {
--- a/tests/support/network.h
+++ b/tests/support/network.h
@@ -97,6 +97,13 @@
  */
 void network_config (struct network *network, uint32_t index, uint64_t version);
 
+/**
+ * network_give - gives a message to a node, whoever sent it
+ */
+void network_give (struct network *network,
+                   uint32_t index,
+                   const struct jl_message *message);
+
 void network_run (struct network *network, uint64_t duration_us);
 
 uint64_t network_member (uint32_t index);
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -312,6 +312,85 @@
   network_drop (network);
 }
 
+/* A message to a life that has ended proves nothing about the present one. */
+Test (member, acknowledgements_of_another_life_do_not_count)
+{
+  struct network *network = start_all (3, 20, 0);
+  struct jl_member *member = seen_by (network, 0, 1);
+  struct jl_message ack = { .type = JL_MESSAGE_ACK };
+
+  network->nodes[1].group = 1;
+  while (member->probe_sequence == 0)
+    network_run (network, JL_USEC_PER_MSEC);
+  ack.from = member->info.identity;
+  ack.to.member = network_member (0);
+  ack.to.epoch = network->nodes[0].epoch - 1;
+  ack.sequence = member->probe_sequence;
+  network_give (network, 0, &ack);
+  cr_assert_neq (member->probe_sequence, 0, "taken for an earlier life");
+  ack.to.epoch++;
+  ack.from.epoch--;
+  network_give (network, 0, &ack);
+  cr_assert_neq (member->probe_sequence, 0, "taken from an earlier life");
+  ack.from.epoch++;
+  network_give (network, 0, &ack);
+  cr_assert_eq (member->probe_sequence, 0);
+  network_drop (network);
+}
+
+Test (member, hearsay_of_the_dead_is_not_passed_on)
+{
+  struct network *network = start_all (3, 21, 0);
+  struct jl_message news = { .type = JL_MESSAGE_SYNC, .update_count = 1 };
+
+  news.from = seen_by (network, 0, 1)->info.identity;
+  news.to.member = network_member (0);
+  news.updates[0] = seen_by (network, 0, 1)->info;
+  news.updates[0].identity.member = network_member (200);
+  news.updates[0].state = JL_MEMBER_DEAD;
+  network_give (network, 0, &news);
+  cr_assert (seen_by (network, 0, 200)->hearsay);
+  run (network, 30 * SEC);
+  cr_assert_null (seen_by (network, 1, 200));
+  /* Older news does not bring it to life. */
+  news.updates[0].state = JL_MEMBER_ALIVE;
+  network_give (network, 0, &news);
+  cr_assert_eq (seen_by (network, 0, 200)->info.state, JL_MEMBER_DEAD);
+  run (network, 400 * SEC);
+  cr_assert_null (seen_by (network, 0, 200));
+  network_drop (network);
+}
+
+Test (member, messages_are_short_while_there_is_no_news)
+{
+  struct network *network = start_all (30, 22, 0);
+
+  run (network, 60 * SEC);
+  network->sent = 0;
+  network->sent_bytes = 0;
+  run (network, 30 * SEC);
+  cr_assert_leq (network->sent, UINT64_C (30) * 30 * 17);
+  cr_assert_leq (network->sent_bytes, network->sent * 124);
+  network_drop (network);
+}
+
+Test (member, the_dead_are_probed_slowly)
+{
+  struct network *network = start_all (30, 23, 0);
+  uint64_t alive_sent;
+
+  run (network, 60 * SEC);
+  network->sent = 0;
+  run (network, 30 * SEC);
+  alive_sent = network->sent;
+  network_stop (network, 5);
+  run (network, 60 * SEC);
+  network->sent = 0;
+  run (network, 30 * SEC);
+  cr_assert_leq (network->sent, alive_sent + UINT64_C (30) * 4);
+  network_drop (network);
+}
+
 Test (member, load_hints_survive_news_of_the_same_life_only)
 {
   struct network *network = start_all (3, 15, 0);
