Refuse a sending whose body is beyond the guard's limit

The guard went on with the part of the body that it had read, so that a target ran a request without its body. It happens while a configuration that allows larger bodies spreads. tests/checks/process-body-limit sends as another daemon would: 5 of 5 such requests ran before, none now, and a small one still runs. Another guard may have the newer version, so a retry is of use.

--- a/source/daemon/entry.c
+++ b/source/daemon/entry.c
@@ -103,10 +103,11 @@
                         .method = exchange->method,
                         .target = exchange->target,
                         .request = &exchange->request };
+  enum jl_http_body body = JL_HTTP_BODY_BROKEN;
 
-  if (!jl_peer_get_call (&exchange->request, &header)
-      || jl_http_read_body (exchange, body_limit (daemon, header.kind))
-             == JL_HTTP_BODY_BROKEN)
+  if (jl_peer_get_call (&exchange->request, &header))
+    body = jl_http_read_body (exchange, body_limit (daemon, header.kind));
+  if (body == JL_HTTP_BODY_BROKEN)
     {
       jl_log_text (JL_LOG_MALFORMED_REQUEST, JL_PEER_CALL_HEADER);
       jl_answer_plain (exchange, 400, "malformed");
@@ -120,7 +121,12 @@
   run.event.tokens = header.tokens;
   run.event.digest = header.digest;
   jl_http_message_init (&run.answer);
-  jl_run_work (daemon, &run);
+  if (body == JL_HTTP_BODY_TOO_LARGE)
+    run.finish = (struct jl_effect_finish){ .outcome = JL_OUTCOME_NOT_RUN,
+                                            .reason = JL_REASON_TOO_LARGE,
+                                            .tokens = header.tokens };
+  else
+    jl_run_work (daemon, &run);
   answer_guarded (exchange, &run);
   jl_http_message_clear (&run.answer);
   if (run.config != NULL)
