--- a/tests/unit/place.c
+++ b/tests/unit/place.c
@@ -18,7 +18,7 @@
     = "{ \"classes\": [\"browse\"],"
       "  \"zones\": [{ \"name\": \"zone-0\", \"region\": \"r\" }],"
       "  \"services\": [{ \"name\": \"front\", \"retry_percent\": 10,"
-      "    \"queue_wait_ms\": 50, \"cold_start_ms\": 0 },"
+      "    \"queue_wait_ms\": 50, \"cold_start_ms\": 1000 },"
       "   { \"name\": \"other\", \"retry_percent\": 10,"
       "    \"queue_wait_ms\": 50, \"cold_start_ms\": 0 }],"
       "  \"kinds\": [{ \"name\": \"browse\", \"service\": \"front\","
@@ -63,34 +63,32 @@
 
 /* Targets are numbered from 1; all other daemons serve something else. */
 static void
-add_members (struct entry *entry, uint32_t zones)
+add_member (struct entry *entry, uint32_t number, uint32_t zones)
 {
-  for (uint32_t number = 1; number <= DAEMONS; number++)
-    {
-      struct jl_message message = { .type = JL_MESSAGE_SYNC };
-      struct jl_event event = { .type = JL_EVENT_MESSAGE };
-      struct jl_member_info *info = &message.updates[0];
-
-      info->identity = identity_of (number);
-      info->incarnation = 1;
-      info->peer = jl_member_endpoint (info->identity.member);
-      info->slots = SLOTS;
-      info->connections = CONNECTIONS;
-      info->target_up = true;
-      name_zone (info->zone, number, zones);
-      g_strlcpy (info->service, number <= TARGETS ? "front" : "other",
-                 JL_NAME_SIZE);
-      message.from = info->identity;
-      message.update_count = 1;
-      event.message = &message;
-      step (entry, &event);
-    }
+  struct jl_message message = { .type = JL_MESSAGE_SYNC };
+  struct jl_event event = { .type = JL_EVENT_MESSAGE };
+  struct jl_member_info *info = &message.updates[0];
+
+  info->identity = identity_of (number);
+  info->incarnation = 1;
+  info->peer = jl_member_endpoint (info->identity.member);
+  info->slots = SLOTS;
+  info->connections = CONNECTIONS;
+  info->target_up = true;
+  name_zone (info->zone, number, zones);
+  g_strlcpy (info->service, number <= TARGETS ? "front" : "other",
+             JL_NAME_SIZE);
+  message.from = info->identity;
+  message.update_count = 1;
+  event.message = &message;
+  step (entry, &event);
 }
 
 static void
 open_entry (struct entry *entry,
             struct jl_config *config,
             uint32_t number,
+            uint32_t members,
             uint32_t zones)
 {
   struct jl_core_options options = { .identity = identity_of (number) };
@@ -102,7 +100,8 @@
   entry->core = jl_core_new (&options);
   entry->effects = jl_effects_new ();
   step (entry, &event);
-  add_members (entry, zones);
+  for (uint32_t member = 1; member <= members; member++)
+    add_member (entry, member, zones);
 }
 
 static void
@@ -166,7 +165,7 @@
     {
       struct entry entry;
 
-      open_entry (&entry, config, number, 1);
+      open_entry (&entry, config, number, DAEMONS, 1);
       for (uint64_t i = 1; i <= CALLS; i++)
         entry.used[make_call (&entry, i, 0, true)] = true;
       for (uint32_t target = 1; target <= TARGETS; target++)
@@ -190,7 +189,7 @@
   uint32_t own = 0;
   uint32_t other = 0;
 
-  open_entry (&entry, config, 100, ZONES);
+  open_entry (&entry, config, 100, DAEMONS, ZONES);
   for (uint64_t i = 1; i <= CALLS; i++)
     {
       cr_expect_eq (make_call (&entry, i, 500, true) % ZONES, 100 % ZONES);
@@ -216,7 +215,7 @@
   struct entry entry;
   uint32_t used = 0;
 
-  open_entry (&entry, config, 100, 1);
+  open_entry (&entry, config, 100, DAEMONS, 1);
   for (uint64_t i = 1; i <= UINT64_C (3) * CALLS; i++)
     entry.used[make_call (&entry, i, 0, false)] = true;
   for (uint32_t target = 1; target <= TARGETS; target++)
@@ -247,3 +246,34 @@
   close_entry (&entry);
   jl_config_drop (config);
 }
+
+/* Calls to the second of two targets, without answers. */
+static uint32_t
+count_second (struct entry *entry, uint64_t first_number)
+{
+  uint32_t second = 0;
+
+  for (uint64_t i = 0; i < CALLS / 4; i++)
+    second += make_call (entry, first_number + i, 0, false) == 2;
+  return second;
+}
+
+/* A target that has just come gets a share that grows to a half. */
+Test (place, a_new_member_gets_a_growing_share)
+{
+  struct jl_config *config = open_config ();
+  struct entry entry;
+  uint32_t at_first;
+
+  open_entry (&entry, config, 100, 1, 1);
+  entry.now_us += 2 * JL_USEC_PER_SEC;
+  add_member (&entry, 2, 1);
+  at_first = count_second (&entry, 1);
+  close_entry (&entry);
+  open_entry (&entry, config, 100, 2, 1);
+  entry.now_us += 2 * JL_USEC_PER_SEC;
+  cr_expect_lt (at_first, count_second (&entry, 1));
+  cr_log_info ("%u of %u calls to a new target", at_first, CALLS / 4);
+  close_entry (&entry);
+  jl_config_drop (config);
+}
