--- a/source/core/admit.c
+++ b/source/core/admit.c
@@ -6,13 +6,13 @@
 
 #include <inttypes.h>
 #include <math.h>
-#include <string.h>
 
 #include "guard.h"
 #include "level.h"
 #include "limit.h"
 #include "poison.h"
 #include "queue.h"
+#include "quick.h"
 
 /* Waiting items for each slot at most. */
 #define QUEUE_PER_SLOT 8
@@ -27,9 +27,6 @@
 #define QUEUE_WAIT_US (100 * JL_USEC_PER_MSEC)
 /* The level comes up while the queue is shorter than this part of the wait. */
 #define QUEUE_SHORT_SHARE 4
-/* How fast the estimate of the quickest runs of a kind goes down and up. */
-#define QUICK_DOWN_SHIFT 2
-#define QUICK_UP_SHIFT 6
 /* A caller comes back after this long, and after up to as much again. */
 #define RETRY_AFTER_MS 500
 #define RETRY_AFTER_MAX_MS 8000
@@ -46,8 +43,6 @@
  * @window_waited_us: time for which these waited, in sum
  * @window_waiting: items that waited when this window began
  * @window_refused: an item was refused from the queue in this window
- * @config_version: configuration that @quick_us speaks of
- * @quick_us: time that the quicker runs of a kind take
  * @lowered_us: when the level was last below its highest; 0 if that has been
  *              logged as over
  */
@@ -62,12 +57,11 @@
   struct jl_queue *held;
   struct jl_level *level;
   struct jl_limit *limit;
+  struct jl_quick *quick;
   uint32_t window_started;
   uint64_t window_waited_us;
   uint32_t window_waiting;
   bool window_refused;
-  uint64_t config_version;
-  uint64_t quick_us[JL_KIND_MAX];
   uint64_t lowered_us;
   struct jl_timer window;
 };
@@ -85,6 +79,7 @@
   admit->held = jl_queue_new (admit->plain);
   admit->level = jl_level_new ();
   admit->limit = jl_limit_new ();
+  admit->quick = jl_quick_new ();
   return admit;
 }
 
@@ -95,6 +90,7 @@
   jl_queue_drop (admit->held);
   jl_level_drop (admit->level);
   jl_limit_drop (admit->limit);
+  jl_quick_drop (admit->quick);
   g_free (admit);
 }
 
@@ -170,40 +166,6 @@
   return ahead * jl_limit_held (admit->limit) / MAX (limit_of (core), 1);
 }
 
-/* Estimates by kind belong to one configuration; 0 while not known. */
-static uint64_t
-quick_of (const struct jl_core *core, const struct jl_work *work)
-{
-  const struct jl_admit *admit = core->admit;
-
-  if (admit->plain || admit->config_version != work->config->version)
-    return 0;
-  return admit->quick_us[work->kind];
-}
-
-static void
-learn_quick (struct jl_core *core,
-             const struct jl_work *work,
-             uint64_t duration_us)
-{
-  struct jl_admit *admit = core->admit;
-  uint64_t *quick_us = &admit->quick_us[work->kind];
-
-  if (work->config->version < admit->config_version)
-    return;
-  if (work->config->version > admit->config_version)
-    {
-      memset (admit->quick_us, 0, sizeof admit->quick_us);
-      admit->config_version = work->config->version;
-    }
-  if (*quick_us == 0)
-    *quick_us = duration_us;
-  else if (duration_us < *quick_us)
-    *quick_us -= (*quick_us - duration_us) >> QUICK_DOWN_SHIFT;
-  else
-    *quick_us += (duration_us - *quick_us) >> QUICK_UP_SHIFT;
-}
-
 static void
 start_window (struct jl_core *core)
 {
@@ -403,7 +365,7 @@
 wait_for_slot (struct jl_core *core, struct jl_work *work)
 {
   struct jl_admit *admit = core->admit;
-  uint64_t quick_us = quick_of (core, work);
+  uint64_t quick_us = admit->plain ? 0 : jl_quick_get (admit->quick, work);
   uint64_t wait_us = admit->plain ? 0 : expected_wait (core, work->priority);
 
   if (core->now_us + wait_us + quick_us >= work->deadline_us)
@@ -444,7 +406,7 @@
 
   jl_limit_done (admit->limit, held_us, latency_us, admit->running);
   jl_limit_running (admit->limit, core->now_us, --admit->running);
-  learn_quick (core, work, held_us);
+  jl_quick_learn (admit->quick, work, held_us);
   admit->struck_running -= work->struck;
   if (admit->struck_running == 0)
     release_held (core);
