--- a/tests/site.sh
+++ b/tests/site.sh
@@ -30,6 +30,8 @@
 SITE_ENTRIES=()
 SITE_OTHERS=()
 PLATFORM_PID=
+SITE_LIFE=0
+SITE_WRAPPER=${SITE_WRAPPER:-}
 
 site_fail ()
 {
@@ -76,8 +78,9 @@
   local who=$1 what=$2
   python3 -c 'import json, sys, time
 print(json.dumps({"at": time.monotonic_ns() // 1000, "t": "fault",
-                  "who": sys.argv[1], "what": sys.argv[2]}))' \
-    "$who" "$what" >> "$SITE_DIR/faults.jsonl"
+                  "who": sys.argv[1], "what": sys.argv[2],
+                  "entry": sys.argv[3]}))' \
+    "$who" "$what" "${SITE_ADDRESS[$who]:+${SITE_ADDRESS[$who]}:8000}" >> "$SITE_DIR/faults.jsonl"
 }
 
 site_member ()
@@ -127,9 +130,10 @@
 start_daemon ()
 {
   local name=$1
+  SITE_LIFE=$((SITE_LIFE + 1))
   site_settings "$name" > "$SITE_DIR/$name.json"
-  "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
-    >> "$SITE_DIR/$name.daemon.log" 2>&1 &
+  $SITE_WRAPPER "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
+    > "$SITE_DIR/$name.$SITE_LIFE.daemon.log" 2>&1 &
   DAEMON_PID[$name]=$!
 }
 
@@ -194,7 +198,7 @@
   is_running "$PLATFORM_PID" || site_fail "the platform has ended"
   for name in "${SITE_MEMBERS[@]}"; do
     is_running "${DAEMON_PID[$name]}" \
-      || site_fail "daemon $name: $(tail -n 1 "$SITE_DIR/$name.daemon.log")"
+      || site_fail "daemon $name: $(tail -n 1 "$SITE_DIR/$name".*.daemon.log)"
     is_running "${TARGET_PID[$name]}" \
       || site_fail "target $name: $(tail -n 1 "$SITE_DIR/$name.target.log")"
   done
@@ -243,6 +247,32 @@
       || site_fail "cannot apply $1: $(tail -n 3 "$SITE_DIR/apply.log")"
     sleep 0.2
   done
+  site_applied "$(sed -n 's/^version \([0-9]*\) is in force$/\1/p' \
+    "$SITE_DIR/apply.log" | tail -n 1)"
+}
+
+# Records that a version is in force.
+site_applied ()
+{
+  python3 -c 'import json, sys, time
+print(json.dumps({"at": time.monotonic_ns() // 1000, "t": "applied",
+                  "version": int(sys.argv[1])}))' \
+    "$1" >> "$SITE_DIR/faults.jsonl"
+}
+
+# Until each daemon that runs has a version or a higher one.
+site_wait_version ()
+{
+  local name version=$1 until=$((SECONDS + SITE_DEADLINE_S))
+  for name in "${!DAEMON_PID[@]}"; do
+    until site_status "$name" | python3 -c 'import json, sys
+sys.exit(json.load(sys.stdin)["config_version"] < int(sys.argv[1]))' \
+      "$version" 2> /dev/null; do
+      [ "$SECONDS" -lt "$until" ] \
+        || site_fail "$name has no version $version: $(site_status "$name")"
+      sleep 0.1
+    done
+  done
 }
 
 platform_control ()
@@ -291,8 +321,23 @@
     "http://${SITE_ADDRESS[$1]}:8002/jl/config" > /dev/null
 }
 
+# The versions that daemons installed, in order, from the log of each life.
+site_installed ()
+{
+  local log name
+  for log in "$SITE_DIR"/*.daemon.log; do
+    name=$(basename "$log" .daemon.log)
+    sed -n 's/.*E101 .*version=\([0-9]*\).*/\1/p' "$log" \
+      | awk -v who="${name%.*}" -v life="log-${name##*.}" '{
+          printf "{\"at\":%d,\"t\":\"version\",\"who\":\"%s\",", NR, who
+          printf "\"life\":\"%s\",\"version\":%d,\"digest\":\"\"}\n", life, $1
+        }'
+  done > "$SITE_DIR/installed.jsonl"
+}
+
 site_check ()
 {
+  site_installed
   python3 -B "$SITE_ROOT/tests/history/check.py" \
     ${SITE_CONFIG:+--config "$SITE_CONFIG"} "$@" "$SITE_DIR"/*.jsonl
 }
