Open the control endpoint under the daemon's lock

Its thread begins to receive before jl_control_open() has returned. A message that came at once (from daemons that still list this one) was answered through daemon->control while that was not yet set: a data race, and a null pointer when the answer was first.

Read of size 8 by thread T1: carry_out daemon.c:208 Previous write by main thread: open_sockets daemon.c:351

--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -342,15 +342,26 @@
   return jl_core_new (&options);
 }
 
+/* Messages that come at once wait for the lock: their answers need control. */
 static bool
-open_sockets (struct jl_daemon *daemon, GError **error)
+open_control (struct jl_daemon *daemon, GError **error)
 {
   const struct jl_settings *settings = daemon->settings;
 
+  pthread_mutex_lock (&daemon->lock);
   daemon->control
       = jl_control_open (own_endpoint (settings, settings->control_port),
                          receive_message, daemon, error);
-  if (daemon->control == NULL)
+  pthread_mutex_unlock (&daemon->lock);
+  return daemon->control != NULL;
+}
+
+static bool
+open_sockets (struct jl_daemon *daemon, GError **error)
+{
+  const struct jl_settings *settings = daemon->settings;
+
+  if (!open_control (daemon, error))
     return false;
   daemon->peer_server = jl_http_server_open (
       own_endpoint (settings, settings->peer_port), settings->peer_threads,
