Join the daemon's threads before the control endpoint closes

jl_daemon_close() freed the control endpoint while the timer thread and the background thread still ran steps, whose messages go out through it: a use after free when a timer was due between the two. The servers still close first, since requests that wait for a deadline need the timer thread.

--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -496,9 +496,9 @@
     jl_http_server_close (daemon->peer_server);
   if (daemon->local_server != NULL)
     jl_http_server_close (daemon->local_server);
+  join_threads (daemon);
   if (daemon->control != NULL)
     jl_control_close (daemon->control);
-  join_threads (daemon);
   if (daemon->platform != NULL)
     jl_platform_drop (daemon->platform);
   jl_http_pool_drop (daemon->pool);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -5,6 +5,7 @@
 # that run at the same time each take a slot of addresses: Z is moved up by 20
 # for each slot. A script that uses addresses itself sets SITE_SLOT=0 first.
 # Everything started is stopped by its process number. Needs bash.
+# SITE_DAEMON_BUILD takes daemons and tool from a build of their own.
 #
 #   site_begin DIRECTORY          starts with an empty directory
 #   site_member NAME ZONE SERVICE ADDRESS [target option...]
@@ -128,7 +129,8 @@
 {
   local name=$1
   site_settings "$name" > "$SITE_DIR/$name.json"
-  "$BUILD/jackdawladderd" --settings "$SITE_DIR/$name.json" \
+  "${SITE_DAEMON_BUILD:-$BUILD}/jackdawladderd" \
+    --settings "$SITE_DIR/$name.json" \
     >> "$SITE_DIR/$name.daemon.log" 2>&1 &
   DAEMON_PID[$name]=$!
 }
@@ -230,7 +232,7 @@
 # The operators' tool against the platform.
 site_tool ()
 {
-  "$BUILD/jackdawladder" --platform "$SITE_PLATFORM" "$@"
+  "${SITE_DAEMON_BUILD:-$BUILD}/jackdawladder" --platform "$SITE_PLATFORM" "$@"
 }
 
 # Repeats itself, since the platform may not listen yet.
