Queue the background thread's effects under the daemon's lock

They went through a GAsyncQueue, whose lock ThreadSanitizer cannot see: it reported 56 races in background.c in one run of a four-daemon site, none of them real. Steps hold the daemon's lock when they queue an effect, so a GQueue and a condition are enough, and the wake-up effect with which the thread was ended goes. Suppressions would have had to name own functions.

--- a/source/daemon/background.c
+++ b/source/daemon/background.c
@@ -227,27 +227,20 @@
 {
   struct background background = { .daemon = context };
   struct jl_daemon *daemon = context;
-  bool stopping = false;
+  struct jl_effect *effect;
 
   rcu_register_thread ();
   background.random = g_rand_new_with_seed ((uint32_t)daemon->settings->ip
                                             ^ daemon->settings->control_port);
-  while (!stopping)
+  while (jl_daemon_await_background (daemon, EXPIRE_INTERVAL_US, &effect))
     {
-      struct jl_effect *effect
-          = g_async_queue_timeout_pop (daemon->background, EXPIRE_INTERVAL_US);
-
       if (effect != NULL)
-        {
-          stopping = effect->type == JL_EFFECT_EXIT;
-          if (!stopping)
-            handle_effect (&background, effect);
-          g_free (effect);
-        }
-      if (!stopping)
-        run_due (&background);
+        handle_effect (&background, effect);
+      g_free (effect);
+      run_due (&background);
       jl_http_pool_expire (daemon->pool);
     }
+  g_free (effect);
   g_rand_free (background.random);
   rcu_unregister_thread ();
   return NULL;
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -159,8 +159,9 @@
       break;
     case JL_EFFECT_PUBLISH:
     case JL_EFFECT_FETCH_CONFIG:
-      g_async_queue_push (daemon->background,
-                          g_memdup2 (effect, sizeof *effect));
+      g_queue_push_tail (&daemon->background,
+                         g_memdup2 (effect, sizeof *effect));
+      pthread_cond_signal (&daemon->has_background);
       break;
     case JL_EFFECT_MESSAGE:
     case JL_EFFECT_LOG:
@@ -244,6 +245,22 @@
   jl_daemon_end (daemon);
 }
 
+bool
+jl_daemon_await_background (struct jl_daemon *daemon,
+                            uint64_t wait_us,
+                            struct jl_effect **effect)
+{
+  bool stopping;
+
+  jl_daemon_begin (daemon);
+  if (!daemon->stopping && g_queue_is_empty (&daemon->background))
+    wait_until (daemon, &daemon->has_background, jl_now () + wait_us);
+  *effect = g_queue_pop_head (&daemon->background);
+  stopping = daemon->stopping;
+  jl_daemon_end (daemon);
+  return !stopping;
+}
+
 struct jl_config *
 jl_daemon_get_config (struct jl_daemon *daemon)
 {
@@ -411,6 +428,7 @@
   pthread_mutex_init (&daemon->lock, NULL);
   init_condition (&daemon->tick);
   init_condition (&daemon->exit);
+  init_condition (&daemon->has_background);
   daemon->core = make_core (settings);
   daemon->effects = jl_effects_new ();
   daemon->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -418,7 +436,7 @@
   daemon->outgoing = g_array_new (FALSE, FALSE, sizeof (struct jl_effect));
   daemon->answers = jl_answer_store_new ();
   daemon->pool = jl_http_pool_new (IDLE_CONNECTION_MAX);
-  daemon->background = g_async_queue_new_full (g_free);
+  g_queue_init (&daemon->background);
   if (settings->has_platform)
     daemon->platform
         = jl_platform_new (settings->platform, PLATFORM_TIMEOUT_MS);
@@ -472,17 +490,13 @@
 static void
 join_threads (struct jl_daemon *daemon)
 {
-  struct jl_effect *wake;
-
   if (!daemon->has_threads)
     return;
   jl_daemon_begin (daemon);
   daemon->stopping = true;
   pthread_cond_signal (&daemon->tick);
+  pthread_cond_signal (&daemon->has_background);
   jl_daemon_end (daemon);
-  wake = g_new0 (struct jl_effect, 1);
-  wake->type = JL_EFFECT_EXIT;
-  g_async_queue_push (daemon->background, wake);
   pthread_join (daemon->background_thread, NULL);
   pthread_join (daemon->timer_thread, NULL);
 }
@@ -508,7 +522,7 @@
   if (daemon->config != NULL)
     jl_config_drop (daemon->config);
   g_array_free (daemon->outgoing, TRUE);
-  g_async_queue_unref (daemon->background);
+  g_queue_clear_full (&daemon->background, g_free);
   g_hash_table_destroy (daemon->calls);
   g_hash_table_destroy (daemon->works);
   jl_log_text (JL_LOG_STOPPED, daemon->settings->name);
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -28,8 +28,8 @@
  * @works: number to struct jl_waiter
  * @outgoing: effects to be carried out after the step's lock is given back
  * @draining: callers' connections are closed after each answer
- * @tick_at_us: when the timer thread will wake up
  * @background: struct jl_effect of the background thread
+ * @tick_at_us: when the timer thread will wake up
  */
 struct jl_daemon
 {
@@ -43,6 +43,8 @@
   GHashTable *works;
   uint64_t next_number;
   GArray *outgoing;
+  GQueue background;
+  pthread_cond_t has_background;
   uint64_t tick_at_us;
   pthread_cond_t tick;
   int draining;
@@ -57,7 +59,6 @@
   struct jl_http_server *entry_server;
   struct jl_http_server *peer_server;
   struct jl_http_server *local_server;
-  GAsyncQueue *background;
   bool has_threads;
   pthread_t timer_thread;
   pthread_t background_thread;
@@ -126,6 +127,16 @@
 struct jl_effect jl_waiter_next (struct jl_daemon *daemon,
                                  struct jl_waiter *waiter);
 
+/**
+ * jl_daemon_await_background - waits for an effect of the background thread
+ * @effect: receives it, to be freed, or NULL when there was none in time
+ *
+ * Return: false when the daemon stops.
+ */
+bool jl_daemon_await_background (struct jl_daemon *daemon,
+                                 uint64_t wait_us,
+                                 struct jl_effect **effect);
+
 /**
  * jl_daemon_get_config - a reference to the configuration in force, or NULL
  */
