Begin no planned stop of a daemon that has closed

The thread that waits for signals is never joined. After a stop by POST /jl/drain, SIGTERM while the daemon closed or the process ended began another on freed memory. A lock now orders the two; a second signal still ends the process at once.

--- a/source/daemon/main.c
+++ b/source/daemon/main.c
@@ -50,11 +50,31 @@
 static const struct argp parser
     = { options, parse_option, NULL, doc, NULL, NULL, NULL };
 
+/* Guards the daemon against a signal that comes while it closes. */
+static pthread_mutex_t signals_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct jl_daemon *signals_daemon;
+
+static void
+set_signals_daemon (struct jl_daemon *daemon)
+{
+  pthread_mutex_lock (&signals_lock);
+  signals_daemon = daemon;
+  pthread_mutex_unlock (&signals_lock);
+}
+
+static void
+begin_stop (void)
+{
+  pthread_mutex_lock (&signals_lock);
+  if (signals_daemon != NULL)
+    jl_daemon_drain (signals_daemon);
+  pthread_mutex_unlock (&signals_lock);
+}
+
 /* A thread of its own waits for signals; all others have them blocked. */
 static void *
-wait_signals (void *context)
+wait_signals (void *context G_GNUC_UNUSED)
 {
-  struct jl_daemon *daemon = context;
   sigset_t set;
   int number;
 
@@ -63,7 +83,7 @@
   sigaddset (&set, SIGINT);
   rcu_register_thread ();
   sigwait (&set, &number);
-  jl_daemon_drain (daemon);
+  begin_stop ();
   sigwait (&set, &number);
   _exit (EXIT_CUT_OFF);
 }
@@ -104,11 +124,13 @@
       fprintf (stderr, "jackdawladderd: %s\n", error->message);
       return EXIT_SOCKETS;
     }
-  if (pthread_create (&signals, NULL, wait_signals, daemon) != 0)
+  set_signals_daemon (daemon);
+  if (pthread_create (&signals, NULL, wait_signals, NULL) != 0)
     g_error ("cannot start the thread for signals");
   pthread_detach (signals);
   if (!jl_daemon_wait_exit (daemon))
     _exit (EXIT_CUT_OFF);
+  set_signals_daemon (NULL);
   jl_daemon_close (daemon);
   g_free (settings);
   rcu_unregister_thread ();
