Free settings and error when the daemon does not start

LeakSanitizer reported them (33 to 160 bytes at exit, with no other effect) and changed the exit status. sanitized-memory-refused failed before, and passes now: four starts that are refused keep their exit statuses 1 and 3.

--- a/source/daemon/main.c
+++ b/source/daemon/main.c
@@ -104,9 +104,9 @@
 main (int argc, char **argv)
 {
   const char *path = NULL;
-  struct jl_settings *settings;
+  g_autofree struct jl_settings *settings = NULL;
   struct jl_daemon *daemon;
-  GError *error = NULL;
+  g_autoptr (GError) error = NULL;
   pthread_t signals;
 
   argp_parse (&parser, argc, argv, 0, NULL, &path);
@@ -132,7 +132,6 @@
     _exit (EXIT_CUT_OFF);
   set_signals_daemon (NULL);
   jl_daemon_close (daemon);
-  g_free (settings);
   rcu_unregister_thread ();
   return EXIT_SUCCESS;
 }
