--- a/include/jackdawladder/http.h
+++ b/include/jackdawladder/http.h
@@ -208,7 +208,10 @@
                                             GError **error);
 
 /**
- * jl_http_server_close - takes no more requests; waits for those in progress
+ * jl_http_server_close - answers what still comes, then closes
+ *
+ * Each connection is closed after its next answer or when it was idle. What is
+ * then still open is cut off after some seconds.
  */
 void jl_http_server_close (struct jl_http_server *server);
 
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -191,6 +191,7 @@
   bool draining;
   bool left;
   struct jl_timer drain_linger;
+  uint64_t drain_refuse_us; /* from then on callers are refused */
   uint64_t next_attempt;
   uint32_t caller_calls;  /* calls of callers in progress */
   GHashTable *calls;      /* number to struct jl_call */
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -302,13 +302,13 @@
 
 /*
  * Why a call of a caller is refused at once. While it drains, the daemon
- * goes on as an entry until its guard has nothing left to do.
+ * goes on as an entry, so that callers have time to turn to another one.
  */
 static enum jl_reason
 check_caller (const struct jl_core *core, const struct jl_event_call *event)
 {
-  if (core->draining && !event->forwarded && core->drain_linger.index == 0
-      && g_hash_table_size (core->works) == 0)
+  if (core->draining && !event->forwarded
+      && core->now_us >= core->drain_refuse_us)
     return JL_REASON_DRAINING;
   if (is_full (core, event))
     return JL_REASON_OVERLOAD;
--- a/source/core/guard.c
+++ b/source/core/guard.c
@@ -18,6 +18,8 @@
 #define ANNOUNCE_LEASE_US (2500 * JL_USEC_PER_MSEC)
 /* A drained daemon refuses for this long, until its peers have heard of it. */
 #define DRAIN_LINGER_US (2 * JL_USEC_PER_SEC)
+/* It goes on as an entry for this long, if calls never come to an end. */
+#define DRAIN_REFUSE_US (30 * JL_USEC_PER_SEC)
 /* When to come back after a refusal that is no matter of load. */
 #define RETRY_AFTER_MS 500
 
@@ -373,6 +375,7 @@
   if (core->draining)
     return;
   core->draining = true;
+  core->drain_refuse_us = core->now_us + DRAIN_REFUSE_US;
   jl_timer_start (core->timers, &core->drain_linger,
                   core->now_us + DRAIN_LINGER_US, linger_ended, core);
   jl_members_leave (core);
--- a/source/http/server.c
+++ b/source/http/server.c
@@ -20,8 +20,9 @@
 /* Connections kept when this share of the threads is taken, in percent. */
 #define KEEP_SHARE 75
 #define READ_SIZE 16384
-/* How long requests in progress have to be answered when a server closes. */
-#define CLOSE_WAIT_US (5 * JL_USEC_PER_SEC)
+/* How long connections have to end by themselves when a server closes; longer
+   than idle ones are kept. */
+#define CLOSE_WAIT_US (7 * JL_USEC_PER_SEC)
 #define CLOSE_POLL_US (2 * JL_USEC_PER_MSEC)
 
 struct jl_http_server
@@ -31,7 +32,7 @@
   void *handler_context;
   uint32_t threads;
   int connections;
-  int in_progress;
+  int closing;
 };
 
 GQuark
@@ -128,7 +129,6 @@
   char *target = make_target (info);
   bool keep;
 
-  g_atomic_int_inc (&server->in_progress);
   exchange.target = target;
   jl_http_message_init (&exchange.request);
   jl_http_message_init (&exchange.answer);
@@ -143,7 +143,6 @@
   jl_http_message_clear (&exchange.request);
   jl_http_message_clear (&exchange.answer);
   g_free (target);
-  g_atomic_int_add (&server->in_progress, -1);
   return (int)exchange.status;
 }
 
@@ -248,7 +247,8 @@
 {
   uint64_t until_us = jl_now () + CLOSE_WAIT_US;
 
-  while (g_atomic_int_get (&server->in_progress) > 0 && jl_now () < until_us)
+  g_atomic_int_set (&server->closing, 1);
+  while (g_atomic_int_get (&server->connections) > 0 && jl_now () < until_us)
     g_usleep (CLOSE_POLL_US);
   mg_stop (server->context);
   g_free (server);
