--- a/source/http/server.c
+++ b/source/http/server.c
@@ -5,8 +5,12 @@
 #include "jackdawladder/http.h"
 
 #include <civetweb.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "jackdawladder/log.h"
@@ -23,11 +27,14 @@
 /* How long connections have to end by themselves when a server closes; longer
    than idle ones are kept. */
 #define CLOSE_WAIT_US (7 * JL_USEC_PER_SEC)
+/* Connections that were accepted, but no thread has taken up yet, do within. */
+#define CLOSE_QUIET_US (200 * JL_USEC_PER_MSEC)
 #define CLOSE_POLL_US (2 * JL_USEC_PER_MSEC)
 
 struct jl_http_server
 {
   struct mg_context *context;
+  struct jl_endpoint endpoint;
   JL_HTTP_HANDLER (handle);
   void *handler_context;
   uint32_t threads;
@@ -228,6 +235,7 @@
 
   jl_endpoint_format (endpoint, port);
   snprintf (count, sizeof count, "%u", threads);
+  server->endpoint = endpoint;
   server->handle = handle;
   server->handler_context = context;
   server->threads = threads;
@@ -242,14 +250,60 @@
   return server;
 }
 
+static bool
+listens_at (int fd, struct jl_endpoint endpoint)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+  int listening = 0;
+  socklen_t listening_size = sizeof listening;
+
+  if (getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &listening_size)
+          != 0
+      || listening == 0)
+    return false;
+  return getsockname (fd, (struct sockaddr *)&address, &size) == 0
+         && ntohl (address.sin_addr.s_addr) == endpoint.ip
+         && ntohs (address.sin_port) == endpoint.port;
+}
+
+/*
+ * CivetWeb goes on accepting until it stops, and then drops what it has just
+ * accepted. Its listening socket is replaced by a descriptor that is never
+ * readable, so that new connections are refused from here on.
+ */
+static void
+stop_listening (const struct jl_http_server *server)
+{
+  long fd_max = sysconf (_SC_OPEN_MAX);
+  int quiet = eventfd (0, EFD_CLOEXEC);
+
+  for (int fd = 0; fd < fd_max && quiet >= 0; fd++)
+    if (listens_at (fd, server->endpoint))
+      {
+        dup2 (quiet, fd);
+        break;
+      }
+  if (quiet >= 0)
+    close (quiet);
+}
+
 void
 jl_http_server_close (struct jl_http_server *server)
 {
-  uint64_t until_us = jl_now () + CLOSE_WAIT_US;
+  uint64_t now_us = jl_now ();
+  uint64_t until_us = now_us + CLOSE_WAIT_US;
+  uint64_t busy_us = now_us;
 
+  stop_listening (server);
   g_atomic_int_set (&server->closing, 1);
-  while (g_atomic_int_get (&server->connections) > 0 && jl_now () < until_us)
-    g_usleep (CLOSE_POLL_US);
+  while (now_us < until_us && now_us < busy_us + CLOSE_QUIET_US)
+    {
+      g_usleep (CLOSE_POLL_US);
+      now_us = jl_now ();
+      if (g_atomic_int_get (&server->connections) > 0)
+        busy_us = now_us;
+    }
   mg_stop (server->context);
   g_free (server);
 }
