--- a/tests/bench/member.c
+++ b/tests/bench/member.c
@@ -20,6 +20,7 @@
 #define SETTLE_US (5 * JL_USEC_PER_SEC)
 #define IDLE_US (30 * JL_USEC_PER_SEC)
 #define SLICE_US (10 * JL_USEC_PER_MSEC)
+#define CUT_US (60 * JL_USEC_PER_SEC)
 #define PATIENCE_US (300 * JL_USEC_PER_SEC)
 /* Events of each kind; the slowest one is shown. */
 #define REPEAT_COUNT 8
@@ -204,6 +205,23 @@
   return slowest_us;
 }
 
+/* Two halves that were apart for CUT_US find each other again. */
+static void
+measure_rejoin (struct network *network)
+{
+  uint64_t rejoin_us;
+
+  for (uint32_t i = 0; i < network->count / 2; i++)
+    network->nodes[i].group = 1;
+  network_run (network, CUT_US);
+  clear_counters (network);
+  for (uint32_t i = 0; i < network->count / 2; i++)
+    network->nodes[i].group = 0;
+  rejoin_us = run_until (network, is_joined);
+  printf (" %9" PRIu64 " %7.0f\n", rejoin_us / 1000,
+          per_daemon_second (network, bytes_sent (network), rejoin_us));
+}
+
 static void
 measure_size (uint32_t count, uint32_t seed)
 {
@@ -216,7 +234,8 @@
   measure_idle (network);
   printf (" %9" PRIu64, measure_config (network) / 1000);
   printf (" %9" PRIu64, measure_target (network) / 1000);
-  printf (" %8" PRIu64 "\n", measure_crash (network) / 1000);
+  printf (" %8" PRIu64, measure_crash (network) / 1000);
+  measure_rejoin (network);
   network_drop (network);
 }
 
@@ -264,12 +283,14 @@
 
   printf ("seed %u; virtual time; bytes with IP and UDP headers\n", seed);
   printf ("        whole site starts  idle, each daemon and second         "
-          "  until all know, slowest of %d\n",
+          "  until all know, slowest of %d  after a cut, each\n",
           REPEAT_COUNT);
   printf ("daemons join_ms bytes_sent messages   bytes core_us code_us "
-          "config_ms target_ms crash_ms\n");
+          "config_ms target_ms crash_ms rejoin_ms bytes/s\n");
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     measure_size (sizes[i], seed);
+  printf ("one member takes %zu bytes at each daemon\n",
+          sizeof (struct jl_member));
   measure_sockets ();
   return 0;
 }
