--- a/source/rpc/wire.c
+++ b/source/rpc/wire.c
@@ -12,6 +12,8 @@
 /* No target announces more than this. */
 #define SLOTS_MAX 1000000
 #define CONNECTIONS_MAX 10000000
+/* A member can still raise its own above what is said of it. */
+#define INCARNATION_MAX 1000000000
 
 G_STATIC_ASSERT (WIRE_NAME_MAX == JL_NAME_SIZE - 1);
 G_STATIC_ASSERT (WIRE_MEMBER_MAX == JL_MESSAGE_UPDATE_MAX);
@@ -46,7 +48,8 @@
 check_member (const struct jl_member_info *info)
 {
   return is_life (info->identity) && info->state < JL_MEMBER_STATE_COUNT
-         && info->peer.ip != 0 && info->peer.port != 0 && is_name (info->zone)
+         && info->incarnation <= INCARNATION_MAX && info->peer.ip != 0
+         && info->peer.port != 0 && is_name (info->zone)
          && is_name (info->service) && info->slots <= SLOTS_MAX
          && info->connections <= CONNECTIONS_MAX;
 }
--- a/tests/support/network.c
+++ b/tests/support/network.c
@@ -56,11 +56,22 @@
   return jl_member_id (control_of (index));
 }
 
+static bool
+is_blocked (const struct network *network, uint32_t from, uint32_t to)
+{
+  const uint32_t *blocked = network->blocked;
+
+  return network->blocks
+         && ((from == blocked[0] && to == blocked[1])
+             || (from == blocked[1] && to == blocked[0]));
+}
+
 static bool
 can_reach (const struct network *network, uint32_t from, uint32_t to)
 {
   return to < network->count && network->nodes[to].core != NULL
-         && network->nodes[from].group == network->nodes[to].group;
+         && network->nodes[from].group == network->nodes[to].group
+         && !is_blocked (network, from, to);
 }
 
 static uint64_t
--- a/tests/support/network.h
+++ b/tests/support/network.h
@@ -42,6 +42,7 @@
 /**
  * struct network - all reducers and what is under way between them
  * @loss_permille: messages lost
+ * @blocked: while @blocks, these two do not reach each other
  * @digest: of all messages sent, in order
  * @cpu_ns: processor time in reducers, while @measure is set
  * @coding_ns: the same in encoding and decoding messages
@@ -53,6 +54,8 @@
   uint64_t now_us;
   uint32_t switched_off;
   uint32_t loss_permille;
+  bool blocks;
+  uint32_t blocked[2];
   GRand *random;
   struct jl_timers *timers;
   struct jl_effects *effects;
--- a/tests/unit/control.c
+++ b/tests/unit/control.c
@@ -224,6 +224,7 @@
   CHECK_REFUSED (message.updates[3].state = JL_MEMBER_STATE_COUNT);
   CHECK_REFUSED (message.updates[3].identity.epoch = 0);
   CHECK_REFUSED (message.updates[3].identity.member = 0);
+  CHECK_REFUSED (message.updates[3].incarnation = UINT32_MAX);
   CHECK_REFUSED (message.updates[3].peer.port = 0);
   CHECK_REFUSED (message.updates[3].peer.ip = 0);
   CHECK_REFUSED (message.updates[3].zone[1] = '"');
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -182,6 +182,24 @@
   network_drop (network);
 }
 
+Test (member, others_reach_a_member_that_one_cannot_reach)
+{
+  struct network *network = start_all (5, 24, 0);
+  uint32_t incarnation = seen_by (network, 0, 1)->info.incarnation;
+
+  network->blocks = true;
+  network->blocked[0] = 0;
+  network->blocked[1] = 1;
+  for (int i = 0; i < 300; i++)
+    {
+      run (network, SLICE_US);
+      cr_assert_eq (seen_by (network, 0, 1)->info.state, JL_MEMBER_ALIVE);
+      cr_assert_eq (seen_by (network, 2, 1)->info.state, JL_MEMBER_ALIVE);
+    }
+  cr_assert_eq (seen_by (network, 2, 1)->info.incarnation, incarnation);
+  network_drop (network);
+}
+
 Test (member, lost_messages_end_no_life)
 {
   struct network *network = start_all (30, 7, 0);
@@ -391,6 +409,32 @@
   network_drop (network);
 }
 
+Test (member, the_dead_are_forgotten_in_the_end)
+{
+  struct network *network = start_all (3, 25, 0);
+
+  network_stop (network, 2);
+  network_run (network, 5 * 3600 * SEC);
+  cr_assert_eq (seen_by (network, 0, 2)->info.state, JL_MEMBER_DEAD);
+  network_run (network, 2 * 3600 * SEC);
+  cr_assert_null (seen_by (network, 0, 2));
+  cr_assert_null (seen_by (network, 1, 2));
+  cr_assert_eq (network_joined (network), 2);
+  network_drop (network);
+}
+
+Test (member, a_failed_sending_keeps_work_away_for_a_while)
+{
+  struct network *network = start_all (3, 26, 0);
+
+  jl_members_eject (network->nodes[0].core, network_member (1));
+  cr_assert_not (network_usable (network, 0, 1));
+  cr_assert (network_usable (network, 2, 1));
+  run (network, 2 * SEC);
+  cr_assert (network_usable (network, 0, 1));
+  network_drop (network);
+}
+
 Test (member, load_hints_survive_news_of_the_same_life_only)
 {
   struct network *network = start_all (3, 15, 0);
