--- a/tests/site.sh
+++ b/tests/site.sh
@@ -376,6 +376,30 @@
   site_wait
 }
 
+# Cuts zone c of the small site off from a and b, for daemons.
+cut_zone_c ()
+{
+  local name
+  site_note zone-c cut
+  for name in "${SITE_MEMBERS[@]}"; do
+    if [ "${SITE_ZONE[$name]}" = c ]; then
+      site_hook "$name" "cut?prefix=$(site_address 127.30.1.)"
+      site_hook "$name" "cut?prefix=$(site_address 127.30.2.)"
+    else
+      site_hook "$name" "cut?prefix=$(site_address 127.30.3.)"
+    fi
+  done
+}
+
+join_zones ()
+{
+  local name
+  site_note zone-c join
+  for name in "${SITE_MEMBERS[@]}"; do
+    site_hook "$name" join
+  done
+}
+
 RESERVE="reserve POST /reserve importance=0 idempotent=0 key=ticket request-bytes=200"
 LIST="list GET /list importance=1"
 SCAN="scan GET /scan importance=2"
