--- a/tests/history/table.py
+++ b/tests/history/table.py
@@ -84,6 +84,14 @@
     return kinds
 
 
+def wasted_runs(history):
+    """Runs for sendings that got no whole answer, at any depth."""
+    good = {sending.request for sending in history.sendings if sending.good}
+    sent = {sending.request for sending in history.sendings}
+    failed = sent - good
+    return sum(run.request in failed for run in history.runs)
+
+
 def print_table(history):
     """Prints the figures."""
     if not any(sending.answer for sending in history.sendings):
@@ -94,6 +102,9 @@
     for kind, counts in sorted(count_kinds(history).items()):
         numbers = "".join(f"{counts[name]:>9}" for name in COLUMNS)
         print(f"{kind:<18}{numbers}{counts['whole'] / seconds:>11.1f}")
+    wasted = wasted_runs(history)
+    share = wasted / max(1, len(history.runs))
+    print(f"runs at targets: {len(history.runs)}, wasted: {wasted} ({share:.1%})")
     sent = [sending.send["at"] for sending in history.sendings]
     faults = [fault for fault in history.faults if sent[0] < fault["at"] < sent[-1]]
     ends = [fault["at"] for fault in faults[1:]] + [sent[-1]]
