--- a/tests/history/history.py
+++ b/tests/history/history.py
@@ -3,6 +3,11 @@
 Callers write "send" and "answer", targets "start", "run", "end", "leave" and
 "stop", tests and the platform's stand-in "fault", the watcher "version" and
 "applied". All files are read together, whoever wrote which line.
+
+A request's "id" is the same for all its sendings under one key, and for all
+calls further down; without a key each sending has an id of its own. "hop" is
+the place of a call in its tree: "0" for the request, "0.1" for the second
+call that it makes, and so on. A target writes "run" before it does any work.
 """
 
 import json
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -296,9 +296,9 @@
 # Samples all daemons' configurations: site_sample [exec] [--once].
 site_sample ()
 {
-  local name daemons=() how=
+  local name daemons=() how=""
   if [ "${1:-}" = exec ]; then
-    how=exec
+    how="exec"
     shift
   fi
   for name in "${SITE_MEMBERS[@]}"; do
