Grant nothing that was given up: after a pause, and for late forwards

A process that was paused reads requests that lay in its sockets meanwhile; their callers may have gone, sent again elsewhere and been told "not run". A timer that fires 500 ms late tells of the pause; for a second after it no request with a key is granted or sent on (sending: not-run). A forward that ended without an answer is cancelled at the minter, which leaves a tombstone for it.

--- a/include/jackdawladder/event.h
+++ b/include/jackdawladder/event.h
@@ -89,6 +89,7 @@
  * @parent: work during which the own target makes this call, 0 for a caller
  * @ordinal: how many calls of @kind @parent made before, or given by it
  * @forwarded: sent on by another daemon to the minter of its ticket
+ * @attempt: with @forwarded only, that daemon's sending
  * @key_hash: hash of a caller's key, with JL_KEY_CALLER
  * @digest: digest of method, path and body
  * @budget_us: how long the caller waits, 0 for as long as the kind allows
@@ -104,6 +105,7 @@
   uint64_t parent;
   uint32_t ordinal;
   bool forwarded;
+  struct jl_attempt_id attempt;
   enum jl_key_type key_type;
   struct jl_ticket ticket;
   uint64_t key_hash;
--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -183,6 +183,7 @@
   struct jl_core_options options;
   struct jl_identity identity;
   uint64_t now_us;
+  uint64_t stale_until_us; /* what arrives before may have lain for long */
   GRand *random;
   struct jl_timers *timers;
   struct jl_effects *effects;
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -17,6 +17,11 @@
 #include "retry.h"
 #include "seen.h"
 
+/* A timer is this late only after a pause of the process. */
+#define PAUSE_US (500 * JL_USEC_PER_MSEC)
+/* Time in which all that arrived during a pause has been read. */
+#define STALE_US (1 * JL_USEC_PER_SEC)
+
 struct jl_effect *
 jl_emit (struct jl_core *core, enum jl_effect_type type)
 {
@@ -202,6 +207,16 @@
     }
 }
 
+/* A timer that fires late tells that the process was paused. */
+static void
+notice_pause (struct jl_core *core)
+{
+  uint64_t next_us = jl_timers_next (core->timers);
+
+  if (next_us < core->now_us && core->now_us - next_us > PAUSE_US)
+    core->stale_until_us = core->now_us + STALE_US;
+}
+
 void
 jl_core_step (struct jl_core *core,
               const struct jl_event *event,
@@ -210,6 +225,7 @@
   core->effects = effects;
   if (event->now_us > core->now_us)
     core->now_us = event->now_us;
+  notice_pause (core);
   core->counts.events++;
   jl_timers_run (core->timers, core->now_us);
   handle_event (core, event);
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -12,6 +12,7 @@
 #include "place.h"
 #include "poison.h"
 #include "retry.h"
+#include "seen.h"
 
 /* How long a guard has to answer a cancellation. */
 #define CANCEL_WAIT_US (150 * JL_USEC_PER_MSEC)
@@ -268,11 +269,41 @@
                   core);
 }
 
+/* Its caller may have given it up and been told of a later sending since. */
+static void
+answer_stale (struct jl_core *core, struct jl_call *call)
+{
+  struct jl_effect_answer *answer
+      = jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_TIMEOUT);
+
+  answer->sending = JL_OUTCOME_NOT_RUN;
+  answer->retry_after_ms
+      = RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+}
+
+/* Whether the daemon that forwarded a call has given it up already. */
+static bool
+is_given_up (struct jl_core *core, const struct jl_event_call *event)
+{
+  if (!event->forwarded)
+    return false;
+  if (jl_seen_find (core, event->attempt) == JL_SEEN_TOMBSTONE
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
+    return true;
+  jl_seen_set (core, event->attempt, JL_SEEN_ACCEPTED);
+  return false;
+}
+
 static void
 begin_guarded (struct jl_core *core,
                struct jl_call *call,
                const struct jl_event_call *event)
 {
+  if (call->keyed && core->now_us < core->stale_until_us)
+    {
+      answer_stale (core, call);
+      return;
+    }
   if (event->key_type != JL_KEY_CALLER)
     call->ticket = call->anchor;
   else if (!jl_once_key_ticket (core, event->key_hash, &call->ticket))
@@ -348,6 +379,11 @@
       answer_event (core, event, reason);
       return;
     }
+  if (is_given_up (core, event))
+    {
+      answer_event (core, event, JL_REASON_CANCELLED);
+      return;
+    }
   call = make_call (core, event, parent);
   if (call->guarded)
     begin_guarded (core, call, event);
@@ -414,6 +450,8 @@
       return;
     }
   call->state = JL_CALL_FORWARDED;
+  call->member = call->ticket.minter.member;
+  call->member_epoch = call->ticket.minter.epoch;
   begin_attempt (core, call);
   forward = &jl_emit (core, JL_EFFECT_FORWARD)->forward;
   forward->call = call->number;
@@ -717,6 +755,8 @@
       answer->report = event->report;
       return;
     }
+  if (event->result != JL_SEND_NOT_SENT)
+    send_cancel (core, call);
   answer
       = jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST);
   if (event->result == JL_SEND_NOT_SENT)
@@ -787,9 +827,9 @@
   stop->stop_send.call = call->number;
   stop->stop_send.attempt = call->attempt;
   call->may_have_run = true;
+  send_cancel (core, call);
   if (call->state != JL_CALL_SENT)
     return;
-  send_cancel (core, call);
   note_place_result (core, call, &ended);
 }
 
--- a/source/daemon/call.c
+++ b/source/daemon/call.c
@@ -405,6 +405,7 @@
                 const struct jl_peer_forward *forward)
 {
   event->forwarded = true;
+  event->attempt = forward->attempt;
   event->key_type = JL_KEY_TICKET;
   event->ticket = forward->ticket;
   event->budget_us = forward->budget_us;
--- a/tests/random/http.c
+++ b/tests/random/http.c
@@ -171,6 +171,7 @@
   struct jl_event_call event = { .kind = kind_index (node, kind),
                                  .config_version = version_of (node),
                                  .forwarded = true,
+                                 .attempt = forward->attempt,
                                  .key_type = JL_KEY_TICKET,
                                  .ticket = forward->ticket,
                                  .digest = exchange->sending->path,
--- a/tests/unit/once.c
+++ b/tests/unit/once.c
@@ -60,8 +60,11 @@
 {
   struct jl_event event = { .type = JL_EVENT_TICK };
 
-  rig->now_us += ms * JL_USEC_PER_MSEC;
-  step (rig, &event);
+  for (uint64_t i = 0; i < ms; i += 100)
+    {
+      rig->now_us += MIN (ms - i, 100) * JL_USEC_PER_MSEC;
+      step (rig, &event);
+    }
 }
 
 static void
@@ -648,3 +651,52 @@
   cr_assert_eq (message_of (rig, JL_MESSAGE_CANCEL)->to.epoch, EPOCH);
   rig_drop (rig);
 }
+
+/* What lay in the socket meanwhile may have been given up by its caller. */
+Test (once, nothing_with_a_key_is_granted_right_after_a_pause)
+{
+  struct rig *rig = rig_new ();
+  struct jl_ticket ticket = mint (rig);
+
+  tick_after (rig, 1000);
+  announce (rig);
+  rig->now_us += 2 * JL_USEC_PER_SEC;
+  call_ticket (rig, ticket);
+  cr_assert_null (find (rig, JL_EFFECT_SEND));
+  cr_assert_eq (answer_of (rig)->outcome, JL_OUTCOME_UNKNOWN);
+  cr_assert_eq (answer_of (rig)->sending, JL_OUTCOME_NOT_RUN);
+  tick_after (rig, 1100);
+  announce (rig);
+  call_ticket (rig, ticket);
+  cr_assert_not_null (find (rig, JL_EFFECT_SEND));
+  rig_drop (rig);
+}
+
+Test (once, forwarded_call_that_was_given_up_is_not_granted)
+{
+  struct rig *rig = rig_new ();
+  struct jl_message message = { .type = JL_MESSAGE_CANCEL };
+  struct jl_event cancel = { .type = JL_EVENT_MESSAGE, .message = &message };
+  struct jl_event event = { .call = { .kind = PUT,
+                                      .forwarded = true,
+                                      .key_type = JL_KEY_TICKET,
+                                      .ticket = mint (rig),
+                                      .budget_us = JL_USEC_PER_SEC } };
+
+  message.from.member = OTHER;
+  message.from.epoch = OTHER_EPOCH;
+  message.to.member = SELF;
+  message.to.epoch = EPOCH;
+  message.attempt.origin = message.from;
+  message.attempt.number = 5;
+  event.call.attempt = message.attempt;
+  step (rig, &cancel);
+  call_event (rig, &event);
+  cr_assert_null (find (rig, JL_EFFECT_SEND));
+  cr_assert_eq (answer_of (rig)->outcome, JL_OUTCOME_UNKNOWN);
+  cr_assert_eq (answer_of (rig)->sending, JL_OUTCOME_NOT_RUN);
+  event.call.attempt.number = 6;
+  call_event (rig, &event);
+  cr_assert_not_null (find (rig, JL_EFFECT_SEND));
+  rig_drop (rig);
+}
