--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -333,13 +333,13 @@
 
 /*
  * Why a call of a caller is refused at once. While it drains, the daemon
- * goes on as an entry until its guard has nothing left to do.
+ * goes on as an entry, so that callers have time to turn to another one.
  */
 static enum jl_reason
 check_caller (const struct jl_core *core, const struct jl_event_call *event)
 {
-  if (core->draining && !event->forwarded && core->drain_linger.index == 0
-      && g_hash_table_size (core->works) == 0)
+  if (core->draining && !event->forwarded
+      && core->now_us >= core->drain_refuse_us)
     return JL_REASON_DRAINING;
   if (is_full (core, event))
     return JL_REASON_OVERLOAD;
@@ -526,7 +526,11 @@
   enum jl_reason reason = call->last_reason;
 
   if (verdict == JL_PLACE_REFUSED)
-    report_service (core, call);
+    {
+      report_service (core, call);
+      call->last_retry_after_ms
+          = jl_place_retry_after (core, jl_place_service (core, call));
+    }
   if (reason == JL_REASON_NONE)
     reason = verdict == JL_PLACE_REFUSED ? JL_REASON_OVERLOAD
                                          : JL_REASON_NO_TARGET;
