--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -22,6 +22,7 @@
 struct jl_once;
 struct jl_poison;
 struct jl_seen_table;
+struct jl_withdraw;
 
 /**
  * struct jl_target - what is known of the own target
@@ -206,6 +207,7 @@
   struct jl_once *once;
   struct jl_poison *poison;
   struct jl_seen_table *seen;
+  struct jl_withdraw *withdraw;
   struct jl_counts counts;
 };
 
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -16,6 +16,7 @@
 #include "poison.h"
 #include "retry.h"
 #include "seen.h"
+#include "withdraw.h"
 
 /* A timer is this late only after a pause of the process. */
 #define PAUSE_US (500 * JL_USEC_PER_MSEC)
@@ -66,6 +67,7 @@
   core->once = jl_once_new (core);
   core->poison = jl_poison_new (core);
   core->seen = jl_seen_new (core);
+  core->withdraw = jl_withdraw_new (core);
   core->graph = jl_graph_new (core);
   core->place = jl_place_new (core);
   core->admit = jl_admit_new (core);
@@ -110,6 +112,7 @@
   jl_graph_drop (core->graph);
   jl_poison_drop (core->poison);
   jl_seen_drop (core->seen);
+  jl_withdraw_drop (core->withdraw);
   jl_once_drop (core->once);
   jl_retry_drop (core->retry);
   g_hash_table_destroy (core->calls);
@@ -153,6 +156,7 @@
     case JL_MESSAGE_CANCELLED:
     case JL_MESSAGE_CANCEL_LATE:
       jl_entry_cancelled (core, message);
+      jl_withdraw_answered (core, message->attempt);
       break;
     default:
       break;
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -13,6 +13,7 @@
 #include "poison.h"
 #include "retry.h"
 #include "seen.h"
+#include "withdraw.h"
 
 /* How long a guard has to answer a cancellation. */
 #define CANCEL_WAIT_US (150 * JL_USEC_PER_MSEC)
@@ -585,19 +586,16 @@
     jl_entry_proceed (core, call);
 }
 
+static struct jl_identity
+receiver_of (const struct jl_call *call)
+{
+  return (struct jl_identity){ call->member, call->member_epoch };
+}
+
 static void
 send_cancel (struct jl_core *core, const struct jl_call *call)
 {
-  struct jl_effect_message *effect;
-
-  effect = jl_emit (core, JL_EFFECT_MESSAGE)->message;
-  effect->to = jl_member_endpoint (call->member);
-  effect->message.type = JL_MESSAGE_CANCEL;
-  effect->message.from = core->identity;
-  effect->message.to.member = call->member;
-  effect->message.to.epoch = call->member_epoch;
-  effect->message.attempt = call->attempt;
-  core->counts.messages_sent++;
+  jl_withdraw_send (core, receiver_of (call), call->attempt);
 }
 
 static void
@@ -760,7 +758,7 @@
       return;
     }
   if (event->result != JL_SEND_NOT_SENT)
-    send_cancel (core, call);
+    jl_withdraw_begin (core, receiver_of (call), call->attempt);
   answer
       = jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST);
   if (event->result == JL_SEND_NOT_SENT)
@@ -831,9 +829,12 @@
   stop->stop_send.call = call->number;
   stop->stop_send.attempt = call->attempt;
   call->may_have_run = true;
-  send_cancel (core, call);
   if (call->state != JL_CALL_SENT)
-    return;
+    {
+      jl_withdraw_begin (core, receiver_of (call), call->attempt);
+      return;
+    }
+  send_cancel (core, call);
   note_place_result (core, call, &ended);
 }
 
--- a/tests/unit/once.c
+++ b/tests/unit/once.c
@@ -700,3 +700,45 @@
   cr_assert_not_null (find (rig, JL_EFFECT_SEND));
   rig_drop (rig);
 }
+
+/* Whether a cancellation of @attempt goes out within the time given. */
+static bool
+cancels_within (struct rig *rig, struct jl_attempt_id attempt, uint64_t ms)
+{
+  const struct jl_message *message;
+
+  for (uint64_t i = 0; i < ms; i += 10)
+    {
+      tick_after (rig, 10);
+      message = message_of (rig, JL_MESSAGE_CANCEL);
+      if (message != NULL && jl_attempt_id_equal (message->attempt, attempt))
+        return true;
+    }
+  return false;
+}
+
+Test (once, forward_without_an_answer_is_cancelled_until_that_is_answered)
+{
+  struct rig *rig = rig_new ();
+  struct jl_ticket ticket = { .minter = { OTHER, OTHER_EPOCH }, .number = 4 };
+  struct jl_message message = { .type = JL_MESSAGE_CANCEL_LATE };
+  struct jl_event late = { .type = JL_EVENT_MESSAGE, .message = &message };
+  struct jl_event event = { .type = JL_EVENT_CALL_RESULT };
+
+  join_other (rig);
+  event.call_result.call = call_ticket (rig, ticket);
+  event.call_result.attempt = find (rig, JL_EFFECT_FORWARD)->forward.attempt;
+  event.call_result.result = JL_SEND_BROKEN;
+  step (rig, &event);
+  cr_assert_eq (message_of (rig, JL_MESSAGE_CANCEL)->to.epoch, OTHER_EPOCH);
+  cr_assert (cancels_within (rig, event.call_result.attempt, 100));
+  cr_assert (cancels_within (rig, event.call_result.attempt, 200));
+  message.from.member = OTHER;
+  message.from.epoch = OTHER_EPOCH;
+  message.to.member = SELF;
+  message.to.epoch = EPOCH;
+  message.attempt = event.call_result.attempt;
+  step (rig, &late);
+  cr_assert_not (cancels_within (rig, event.call_result.attempt, 5000));
+  rig_drop (rig);
+}
