Run no call whose body was not taken

The size limit of a body goes by the path's kind in the configuration at that moment. Where there was none, the body was left, and the call went on in the belief that it would be refused for its kind. But the kind is looked up again later: a configuration may have come meanwhile, and a call that another daemon sent on names its kind itself, which may differ from that of the path while two configurations are in use. The target then got the request without its body. Such a call is refused now as of no kind.

The outcome of the call stays unknown, as for each refusal of one with a ticket, of which an earlier sending may have run.

--- a/source/daemon/call.c
+++ b/source/daemon/call.c
@@ -15,6 +15,7 @@
 
 /**
  * struct call - one call at the edge
+ * @has_body: whether the request's body was taken whole
  * @status: of the last answer that was done
  * @answer: likewise
  */
@@ -26,6 +27,7 @@
   struct jl_waiter waiter;
   struct jl_config *config;
   uint32_t kind;
+  bool has_body;
   uint64_t digest;
   uint32_t status;
   struct jl_http_message answer;
@@ -413,9 +415,12 @@
   event->invested_us = forward->invested_us;
 }
 
+/* A configuration may have come after the body was found too large. */
 static uint32_t
 find_kind (const struct call *call)
 {
+  if (!call->has_body)
+    return JL_NONE;
   if (call->incoming->forward != NULL)
     return jl_config_kind (call->config, call->incoming->forward->kind);
   return jl_config_match (call->config, call->exchange->method,
@@ -530,6 +535,7 @@
       refuse_body (exchange, body);
       return;
     }
+  call.has_body = body == JL_HTTP_BODY_WHOLE;
   call.digest = digest_request (exchange);
   jl_http_message_init (&call.answer);
   jl_waiter_init (&call.waiter);
