Let no request be dropped when a server closes

Cause: CivetWeb goes on accepting after it was told to stop, and drops what it has accepted; a thread that waits in poll() also keeps a listening socket alive for up to 2 s after its descriptor is gone. Ruled out: requests in progress (none were cut), and idle connections (they end by time).

--- a/source/http/server.c
+++ b/source/http/server.c
@@ -281,6 +281,8 @@
   for (int fd = 0; fd < fd_max && quiet >= 0; fd++)
     if (listens_at (fd, server->endpoint))
       {
+        /* The thread that waits at the socket has to let go of it. */
+        shutdown (fd, SHUT_RD);
         dup2 (quiet, fd);
         break;
       }
