--- a/source/core/member-probe.c
+++ b/source/core/member-probe.c
@@ -64,6 +64,14 @@
                   core);
 }
 
+static void
+suspect (struct jl_core *core, struct jl_member *member)
+{
+  jl_members_set_state (core, member, JL_MEMBER_SUSPECT);
+  member->suspected_here = true;
+  send_probe (core, member);
+}
+
 static void
 probe_expired (void *context, struct jl_timer *timer)
 {
@@ -76,18 +84,18 @@
       send_probe (core, member);
       return;
     }
-  if (member->info.state != JL_MEMBER_ALIVE)
-    {
-      member->probe_sequence = 0;
-      return;
-    }
-  if (!member->probe_relayed)
-    {
-      send_relays (core, member);
-      return;
-    }
-  jl_members_set_state (core, member, JL_MEMBER_SUSPECT);
-  send_probe (core, member);
+  /*
+   * Whoever was cut off alone must tell each of its suspects directly, since
+   * nobody heard its news.
+   */
+  if (member->info.state == JL_MEMBER_SUSPECT && member->suspected_here)
+    send_probe (core, member);
+  else if (member->info.state != JL_MEMBER_ALIVE)
+    member->probe_sequence = 0;
+  else if (!member->probe_relayed)
+    send_relays (core, member);
+  else
+    suspect (core, member);
 }
 
 static void
--- a/source/core/member.c
+++ b/source/core/member.c
@@ -235,6 +235,7 @@
   if (new_life)
     start_life (core, member);
   member->info = *info;
+  member->suspected_here = false;
   if (new_service)
     place_by_service (core, member);
   if (!new_state)
--- a/source/core/member.h
+++ b/source/core/member.h
@@ -35,6 +35,7 @@
  * @probe: the probe in progress runs out
  * @probe_sequence: of the probe in progress, 0 when there is none
  * @probe_relayed: others have been asked to probe it too
+ * @suspected_here: a probe of this daemon found it silent
  * @suspicion: it is taken for dead then
  */
 struct jl_member
@@ -61,6 +62,7 @@
   struct jl_timer probe;
   uint64_t probe_sequence;
   bool probe_relayed;
+  bool suspected_here;
   struct jl_timer suspicion;
 };
 
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -200,6 +200,44 @@
   network_drop (network);
 }
 
+Test (member, one_that_was_cut_off_alone_soon_works_with_all)
+{
+  for (uint32_t seed = 30; seed < 40; seed++)
+    {
+      struct network *network = start_all (30, seed, 0);
+
+      network->nodes[7].group = 1;
+      run (network, 2 * SEC);
+      network->nodes[7].group = 0;
+      run (network, 2 * SEC);
+      for (uint32_t i = 0; i < 30; i++)
+        check_usable (network, i, true);
+      network_drop (network);
+    }
+}
+
+/* The answer lay in the socket while the process was frozen. */
+Test (member, a_frozen_process_suspects_nobody)
+{
+  struct network *network = start_all (5, 27, 0);
+  struct jl_member *member = seen_by (network, 1, 0);
+
+  network->blocks = true;
+  network->blocked[0] = 0;
+  network->blocked[1] = 1;
+  while (member->probe_sequence == 0 || !member->probe_relayed)
+    network_run (network, JL_USEC_PER_MSEC / 10);
+  network_freeze (network, 1);
+  run (network, 2 * SEC);
+  network_resume (network, 1);
+  for (int i = 0; i < 100; i++)
+    {
+      network_run (network, 10 * JL_USEC_PER_MSEC);
+      cr_assert_eq (member->info.state, JL_MEMBER_ALIVE);
+    }
+  network_drop (network);
+}
+
 Test (member, lost_messages_end_no_life)
 {
   struct network *network = start_all (30, 7, 0);
@@ -414,9 +452,9 @@
   struct network *network = start_all (3, 25, 0);
 
   network_stop (network, 2);
-  network_run (network, 5 * 3600 * SEC);
+  network_run (network, UINT64_C (5) * 3600 * SEC);
   cr_assert_eq (seen_by (network, 0, 2)->info.state, JL_MEMBER_DEAD);
-  network_run (network, 2 * 3600 * SEC);
+  network_run (network, UINT64_C (2) * 3600 * SEC);
   cr_assert_null (seen_by (network, 0, 2));
   cr_assert_null (seen_by (network, 1, 2));
   cr_assert_eq (network_joined (network), 2);
