--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -12,6 +12,8 @@
 #include "place.h"
 #include "poison.h"
 #include "retry.h"
+#include "seen.h"
+#include "withdraw.h"
 
 /* How long a guard has to answer a cancellation. */
 #define CANCEL_WAIT_US (150 * JL_USEC_PER_MSEC)
@@ -268,11 +270,41 @@
                   core);
 }
 
+/* Its caller may have given it up and been told of a later sending since. */
+static void
+answer_stale (struct jl_core *core, struct jl_call *call)
+{
+  struct jl_effect_answer *answer
+      = jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_TIMEOUT);
+
+  answer->sending = JL_OUTCOME_NOT_RUN;
+  answer->retry_after_ms
+      = RETRY_AFTER_MS + jl_random_below (core, RETRY_AFTER_MS);
+}
+
+/* Whether the daemon that forwarded a call has given it up already. */
+static bool
+is_given_up (struct jl_core *core, const struct jl_event_call *event)
+{
+  if (!event->forwarded)
+    return false;
+  if (jl_seen_find (core, event->attempt) == JL_SEEN_TOMBSTONE
+      && !JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
+    return true;
+  jl_seen_set (core, event->attempt, JL_SEEN_ACCEPTED);
+  return false;
+}
+
 static void
 begin_guarded (struct jl_core *core,
                struct jl_call *call,
                const struct jl_event_call *event)
 {
+  if (call->keyed && core->now_us < core->stale_until_us)
+    {
+      answer_stale (core, call);
+      return;
+    }
   if (event->key_type != JL_KEY_CALLER)
     call->ticket = call->anchor;
   else if (!jl_once_key_ticket (core, event->key_hash, &call->ticket))
@@ -302,13 +334,13 @@
 
 /*
  * Why a call of a caller is refused at once. While it drains, the daemon
- * goes on as an entry until its guard has nothing left to do.
+ * goes on as an entry, so that callers have time to turn to another one.
  */
 static enum jl_reason
 check_caller (const struct jl_core *core, const struct jl_event_call *event)
 {
-  if (core->draining && !event->forwarded && core->drain_linger.index == 0
-      && g_hash_table_size (core->works) == 0)
+  if (core->draining && !event->forwarded
+      && core->now_us >= core->drain_refuse_us)
     return JL_REASON_DRAINING;
   if (is_full (core, event))
     return JL_REASON_OVERLOAD;
@@ -348,6 +380,11 @@
       answer_event (core, event, reason);
       return;
     }
+  if (is_given_up (core, event))
+    {
+      answer_event (core, event, JL_REASON_CANCELLED);
+      return;
+    }
   call = make_call (core, event, parent);
   if (call->guarded)
     begin_guarded (core, call, event);
@@ -414,6 +451,8 @@
       return;
     }
   call->state = JL_CALL_FORWARDED;
+  call->member = call->ticket.minter.member;
+  call->member_epoch = call->ticket.minter.epoch;
   begin_attempt (core, call);
   forward = &jl_emit (core, JL_EFFECT_FORWARD)->forward;
   forward->call = call->number;
@@ -547,19 +586,16 @@
     jl_entry_proceed (core, call);
 }
 
+static struct jl_identity
+receiver_of (const struct jl_call *call)
+{
+  return (struct jl_identity){ call->member, call->member_epoch };
+}
+
 static void
 send_cancel (struct jl_core *core, const struct jl_call *call)
 {
-  struct jl_effect_message *effect;
-
-  effect = jl_emit (core, JL_EFFECT_MESSAGE)->message;
-  effect->to = jl_member_endpoint (call->member);
-  effect->message.type = JL_MESSAGE_CANCEL;
-  effect->message.from = core->identity;
-  effect->message.to.member = call->member;
-  effect->message.to.epoch = call->member_epoch;
-  effect->message.attempt = call->attempt;
-  core->counts.messages_sent++;
+  jl_withdraw_send (core, receiver_of (call), call->attempt);
 }
 
 static void
@@ -721,6 +757,8 @@
       answer->report = event->report;
       return;
     }
+  if (event->result != JL_SEND_NOT_SENT)
+    jl_withdraw_begin (core, receiver_of (call), call->attempt);
   answer
       = jl_entry_answer (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_HOME_LOST);
   if (event->result == JL_SEND_NOT_SENT)
@@ -792,7 +830,10 @@
   stop->stop_send.attempt = call->attempt;
   call->may_have_run = true;
   if (call->state != JL_CALL_SENT)
-    return;
+    {
+      jl_withdraw_begin (core, receiver_of (call), call->attempt);
+      return;
+    }
   send_cancel (core, call);
   note_place_result (core, call, &ended);
 }
--- a/source/http/server.c
+++ b/source/http/server.c
@@ -5,8 +5,12 @@
 #include "jackdawladder/http.h"
 
 #include <civetweb.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "jackdawladder/log.h"
@@ -20,18 +24,22 @@
 /* Connections kept when this share of the threads is taken, in percent. */
 #define KEEP_SHARE 75
 #define READ_SIZE 16384
-/* How long requests in progress have to be answered when a server closes. */
-#define CLOSE_WAIT_US (5 * JL_USEC_PER_SEC)
+/* How long connections have to end by themselves when a server closes; longer
+   than idle ones are kept. */
+#define CLOSE_WAIT_US (7 * JL_USEC_PER_SEC)
+/* Connections that were accepted, but no thread has taken up yet, do within. */
+#define CLOSE_QUIET_US (200 * JL_USEC_PER_MSEC)
 #define CLOSE_POLL_US (2 * JL_USEC_PER_MSEC)
 
 struct jl_http_server
 {
   struct mg_context *context;
+  struct jl_endpoint endpoint;
   JL_HTTP_HANDLER (handle);
   void *handler_context;
   uint32_t threads;
   int connections;
-  int in_progress;
+  int closing;
 };
 
 GQuark
@@ -128,7 +136,6 @@
   char *target = make_target (info);
   bool keep;
 
-  g_atomic_int_inc (&server->in_progress);
   exchange.target = target;
   jl_http_message_init (&exchange.request);
   jl_http_message_init (&exchange.answer);
@@ -143,7 +150,6 @@
   jl_http_message_clear (&exchange.request);
   jl_http_message_clear (&exchange.answer);
   g_free (target);
-  g_atomic_int_add (&server->in_progress, -1);
   return (int)exchange.status;
 }
 
@@ -229,6 +235,7 @@
 
   jl_endpoint_format (endpoint, port);
   snprintf (count, sizeof count, "%u", threads);
+  server->endpoint = endpoint;
   server->handle = handle;
   server->handler_context = context;
   server->threads = threads;
@@ -243,13 +250,60 @@
   return server;
 }
 
+static bool
+listens_at (int fd, struct jl_endpoint endpoint)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t size = sizeof address;
+  int listening = 0;
+  socklen_t listening_size = sizeof listening;
+
+  if (getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &listening_size)
+          != 0
+      || listening == 0)
+    return false;
+  return getsockname (fd, (struct sockaddr *)&address, &size) == 0
+         && ntohl (address.sin_addr.s_addr) == endpoint.ip
+         && ntohs (address.sin_port) == endpoint.port;
+}
+
+/*
+ * CivetWeb goes on accepting until it stops, and then drops what it has just
+ * accepted. Its listening socket is replaced by a descriptor that is never
+ * readable, so that new connections are refused from here on.
+ */
+static void
+stop_listening (const struct jl_http_server *server)
+{
+  long fd_max = sysconf (_SC_OPEN_MAX);
+  int quiet = eventfd (0, EFD_CLOEXEC);
+
+  for (int fd = 0; fd < fd_max && quiet >= 0; fd++)
+    if (listens_at (fd, server->endpoint))
+      {
+        dup2 (quiet, fd);
+        break;
+      }
+  if (quiet >= 0)
+    close (quiet);
+}
+
 void
 jl_http_server_close (struct jl_http_server *server)
 {
-  uint64_t until_us = jl_now () + CLOSE_WAIT_US;
+  uint64_t now_us = jl_now ();
+  uint64_t until_us = now_us + CLOSE_WAIT_US;
+  uint64_t busy_us = now_us;
 
-  while (g_atomic_int_get (&server->in_progress) > 0 && jl_now () < until_us)
-    g_usleep (CLOSE_POLL_US);
+  stop_listening (server);
+  g_atomic_int_set (&server->closing, 1);
+  while (now_us < until_us && now_us < busy_us + CLOSE_QUIET_US)
+    {
+      g_usleep (CLOSE_POLL_US);
+      now_us = jl_now ();
+      if (g_atomic_int_get (&server->connections) > 0)
+        busy_us = now_us;
+    }
   mg_stop (server->context);
   g_free (server);
 }
