Trust no guard's word on a sending older than it remembers

A guard forgets sendings after 120 s, while deadlines go up to 600 s: one that broke after that was confirmed as not started, though it had run, and sent again. A guarded sending that breaks after 100 s is unknown at once; sendings whose item is still in progress are not forgotten. Found by reading; test: once long_sending_that_breaks_is_unknown (failed before on the answer: a cancellation was begun).

--- a/source/core/core-impl.h
+++ b/source/core/core-impl.h
@@ -71,6 +71,7 @@
  * @tokens_lent: what is out of @tokens with the sending in progress
  * @lent: tokens that went out with the sending in progress
  * @attempt: the sending in progress
+ * @sent_us: when that began
  * @member: where it went
  * @member_epoch: the life of that daemon
  * @tried: members that are not to be tried again
@@ -101,6 +102,7 @@
   uint32_t lent;
   uint32_t sends;
   struct jl_attempt_id attempt;
+  uint64_t sent_us;
   uint64_t member;
   uint64_t member_epoch;
 #define JL_TRIED_MAX 8
--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -17,6 +17,8 @@
 
 /* How long a guard has to answer a cancellation. */
 #define CANCEL_WAIT_US (150 * JL_USEC_PER_MSEC)
+/* A guard knows a sending for at least this long, see seen.c. */
+#define CANCEL_TRUST_US (100 * JL_USEC_PER_SEC)
 /* A struck request is sent again once the guards have heard of its strike. */
 #define STRIKE_WAIT_US (5 * JL_USEC_PER_MSEC)
 /* When to come back after an answer that has no better hint. */
@@ -417,6 +419,7 @@
 static void
 begin_attempt (struct jl_core *core, struct jl_call *call)
 {
+  call->sent_us = core->now_us;
   call->attempt.origin = core->identity;
   call->attempt.number = ++core->next_attempt;
   call->lent = jl_retry_lend (core, call);
@@ -707,14 +710,17 @@
 handle_broken (struct jl_core *core, struct jl_call *call)
 {
   jl_members_eject (core, call->member);
-  if (call->guarded)
+  if (call->guarded && core->now_us < call->sent_us + CANCEL_TRUST_US)
     {
       begin_cancel (core, call);
       return;
     }
   call->may_have_run = true;
   send_cancel (core, call);
-  try_again (core, call, JL_REASON_TARGET_LOST, false);
+  if (call->guarded)
+    end_call (core, call, JL_OUTCOME_UNKNOWN, JL_REASON_TARGET_LOST);
+  else
+    try_again (core, call, JL_REASON_TARGET_LOST, false);
 }
 
 static void
--- a/source/core/seen.c
+++ b/source/core/seen.c
@@ -74,7 +74,7 @@
   return entry == NULL ? JL_SEEN_NEVER : entry->seen;
 }
 
-/* Forgets sendings that can no longer arrive. */
+/* Forgets sendings that can no longer arrive and have ended. */
 static void
 expire (struct jl_core *core)
 {
@@ -88,6 +88,12 @@
       if (oldest->arrived_us + SEEN_KEEP_US > core->now_us)
         return;
       cds_list_del (&oldest->order);
+      if (g_hash_table_contains (core->works, JL_HASH_KEY (oldest->work)))
+        {
+          oldest->arrived_us = core->now_us;
+          cds_list_add_tail (&oldest->order, &table->order);
+          continue;
+        }
       g_hash_table_remove (table->entries, &oldest->attempt);
     }
 }
--- a/tests/unit/once.c
+++ b/tests/unit/once.c
@@ -34,16 +34,16 @@
   "{\"classes\":[\"all\"],\"zones\":[{\"name\":\"z\",\"region\":\"r\"}],"
   "\"services\":[{\"name\":\"s\",\"retry_percent\":100,\"cold_start_ms\":0}],"
   "\"kinds\":[{\"name\":\"put\",\"service\":\"s\",\"path\":\"/put\","
-  "\"class\":\"all\",\"idempotent\":false,\"deadline_ms\":5000,"
+  "\"class\":\"all\",\"idempotent\":false,\"deadline_ms\":300000,"
   "\"retry_tokens\":2},{\"name\":\"get\",\"service\":\"s\",\"path\":"
-  "\"/get\",\"class\":\"all\",\"idempotent\":true,\"deadline_ms\":5000,"
+  "\"/get\",\"class\":\"all\",\"idempotent\":true,\"deadline_ms\":300000,"
   "\"retry_tokens\":2}]}",
   "{\"classes\":[\"all\"],\"zones\":[{\"name\":\"z\",\"region\":\"r\"}],"
   "\"services\":[{\"name\":\"s\",\"retry_percent\":100,\"cold_start_ms\":0}],"
   "\"kinds\":[{\"name\":\"get\",\"service\":\"s\",\"path\":\"/get\","
-  "\"class\":\"all\",\"idempotent\":true,\"deadline_ms\":5000,"
+  "\"class\":\"all\",\"idempotent\":true,\"deadline_ms\":300000,"
   "\"retry_tokens\":2},{\"name\":\"put\",\"service\":\"s\",\"path\":"
-  "\"/put\",\"class\":\"all\",\"idempotent\":false,\"deadline_ms\":5000,"
+  "\"/put\",\"class\":\"all\",\"idempotent\":false,\"deadline_ms\":300000,"
   "\"retry_tokens\":2}]}"
 };
 
@@ -742,3 +742,18 @@
   cr_assert_not (cancels_within (rig, event.call_result.attempt, 5000));
   rig_drop (rig);
 }
+
+/* The guard would have forgotten it, and confirm that it has not started. */
+Test (once, long_sending_that_breaks_is_unknown)
+{
+  struct rig *rig = rig_new ();
+  struct jl_event event = { .type = JL_EVENT_CALL_RESULT };
+
+  event.call_result.call = call_ticket (rig, mint (rig));
+  event.call_result.attempt = find (rig, JL_EFFECT_SEND)->send.attempt;
+  event.call_result.result = JL_SEND_BROKEN;
+  tick_after (rig, 150000);
+  step (rig, &event);
+  cr_assert_eq (answer_of (rig)->outcome, JL_OUTCOME_UNKNOWN);
+  rig_drop (rig);
+}
