Grant no forward of a life that is over

A forward was on its way for 3.5 s while its sender crashed and came back, so nobody cancelled it; it ran after a repeated parent's call was told "not run" (random, found by soak). The minter knows the sender's newer life by then.

--- a/source/core/entry.c
+++ b/source/core/entry.c
@@ -288,8 +288,14 @@
 static bool
 is_given_up (struct jl_core *core, const struct jl_event_call *event)
 {
+  const struct jl_member *from
+      = jl_members_find (core, event->attempt.origin.member);
+
   if (!event->forwarded)
     return false;
+  /* The life that sent it is over. */
+  if (from != NULL && from->info.identity.epoch > event->attempt.origin.epoch)
+    return true;
   if (jl_seen_find (core, event->attempt) == JL_SEEN_TOMBSTONE
       && !JL_SWITCHED_OFF (core, JL_MECHANISM_TOMBSTONE))
     return true;
--- a/tests/unit/once.c
+++ b/tests/unit/once.c
@@ -757,3 +757,22 @@
   cr_assert_eq (answer_of (rig)->outcome, JL_OUTCOME_UNKNOWN);
   rig_drop (rig);
 }
+
+Test (once, forwarded_call_of_an_earlier_life_is_not_granted)
+{
+  struct rig *rig = rig_new ();
+  struct jl_event event = { .call = { .kind = PUT,
+                                      .forwarded = true,
+                                      .key_type = JL_KEY_TICKET,
+                                      .budget_us = JL_USEC_PER_SEC } };
+
+  join_other (rig);
+  event.call.ticket = mint (rig);
+  event.call.attempt.origin.member = OTHER;
+  event.call.attempt.origin.epoch = OTHER_EPOCH - 1;
+  event.call.attempt.number = 5;
+  call_event (rig, &event);
+  cr_assert_null (find (rig, JL_EFFECT_SEND));
+  cr_assert_eq (answer_of (rig)->sending, JL_OUTCOME_NOT_RUN);
+  rig_drop (rig);
+}
