--- a/source/core/core.c
+++ b/source/core/core.c
@@ -16,6 +16,12 @@
 #include "poison.h"
 #include "retry.h"
 #include "seen.h"
+#include "withdraw.h"
+
+/* A timer is this late only after a pause of the process. */
+#define PAUSE_US (500 * JL_USEC_PER_MSEC)
+/* Time in which all that arrived during a pause has been read. */
+#define STALE_US (1 * JL_USEC_PER_SEC)
 
 struct jl_effect *
 jl_emit (struct jl_core *core, enum jl_effect_type type)
@@ -61,6 +67,7 @@
   core->once = jl_once_new (core);
   core->poison = jl_poison_new (core);
   core->seen = jl_seen_new (core);
+  core->withdraw = jl_withdraw_new (core);
   core->graph = jl_graph_new (core);
   core->place = jl_place_new (core);
   core->admit = jl_admit_new (core);
@@ -105,6 +112,7 @@
   jl_graph_drop (core->graph);
   jl_poison_drop (core->poison);
   jl_seen_drop (core->seen);
+  jl_withdraw_drop (core->withdraw);
   jl_once_drop (core->once);
   jl_retry_drop (core->retry);
   g_hash_table_destroy (core->calls);
@@ -148,6 +156,7 @@
     case JL_MESSAGE_CANCELLED:
     case JL_MESSAGE_CANCEL_LATE:
       jl_entry_cancelled (core, message);
+      jl_withdraw_answered (core, message->attempt);
       break;
     default:
       break;
@@ -202,6 +211,16 @@
     }
 }
 
+/* A timer that fires late tells that the process was paused. */
+static void
+notice_pause (struct jl_core *core)
+{
+  uint64_t next_us = jl_timers_next (core->timers);
+
+  if (next_us < core->now_us && core->now_us - next_us > PAUSE_US)
+    core->stale_until_us = core->now_us + STALE_US;
+}
+
 void
 jl_core_step (struct jl_core *core,
               const struct jl_event *event,
@@ -210,6 +229,7 @@
   core->effects = effects;
   if (event->now_us > core->now_us)
     core->now_us = event->now_us;
+  notice_pause (core);
   core->counts.events++;
   jl_timers_run (core->timers, core->now_us);
   handle_event (core, event);
