--- a/tests/random/main.c
+++ b/tests/random/main.c
@@ -120,7 +120,7 @@
       if (print)
         g_print ("seed %" PRIu64 " FAILED: an invariant of the reducer\n",
                  plan->seed);
-      failed_us = world->now_us;
+      failed_us = world == NULL ? 0 : world->now_us;
       return "an invariant of the reducer";
     }
   world = world_new (plan, trace);
