Use a member that a sending failed to rather than none

The queue of a guard is also bounded by the threads of its peer port, since what finds none waits in no order.

--- a/source/core/admit.c
+++ b/source/core/admit.c
@@ -140,9 +140,9 @@
                       : UINT64_C (1000) * limit_of (core) * span_us / held_us;
 }
 
-/* How many items may wait. */
+/* How many items may wait, as far as the queue's own bounds go. */
 static uint64_t
-queue_bound (const struct jl_core *core)
+queue_room (const struct jl_core *core)
 {
   const struct jl_admit *admit = core->admit;
   uint64_t highest = (uint64_t)admit->slots * QUEUE_PER_SLOT;
@@ -156,6 +156,22 @@
   return CLAMP (bound, QUEUE_MIN, MAX (highest, QUEUE_MIN));
 }
 
+/*
+ * How many items may wait. Each holds a thread of the peer port; what found
+ * none would wait in front of the daemon, in no order.
+ */
+static uint64_t
+queue_bound (const struct jl_core *core)
+{
+  uint64_t room = queue_room (core);
+  uint64_t max = core->options.work_max;
+  uint64_t running = core->admit->running;
+
+  if (max == 0 || core->options.mode != JL_CORE_FULL)
+    return room;
+  return MIN (room, max > running ? max - running : 0);
+}
+
 /* Expected time until an item of @priority would start, if it has to wait. */
 static uint64_t
 expected_wait (const struct jl_core *core, uint32_t priority)
--- a/source/core/member.c
+++ b/source/core/member.c
@@ -414,11 +414,16 @@
   return &core->members->by_service[service];
 }
 
+bool
+jl_member_serves (const struct jl_member *member)
+{
+  return member->info.state == JL_MEMBER_ALIVE && member->info.target_up;
+}
+
 bool
 jl_member_usable (struct jl_core *core, const struct jl_member *member)
 {
-  return member->info.state == JL_MEMBER_ALIVE && member->info.target_up
-         && member->ejected_until_us <= core->now_us;
+  return jl_member_serves (member) && member->ejected_until_us <= core->now_us;
 }
 
 void
--- a/source/core/member.h
+++ b/source/core/member.h
@@ -109,6 +109,11 @@
 struct cds_list_head *jl_members_of_service (struct jl_core *core,
                                              uint32_t service);
 
+/**
+ * jl_member_serves - whether @member is alive and its target takes work
+ */
+bool jl_member_serves (const struct jl_member *member);
+
 /**
  * jl_member_usable - whether @member takes new work now, as far as is known
  */
--- a/source/core/place.c
+++ b/source/core/place.c
@@ -263,28 +263,26 @@
   return jl_config_service (core->config, call->config->services[service].name);
 }
 
-enum jl_place_verdict
-jl_place_choose (struct jl_core *core,
-                 const struct jl_call *call,
-                 struct jl_member **member)
+/*
+ * Fills the lists with members that take the call; @ejected says whether
+ * those count to which a sending of ours has just failed.
+ *
+ * Return: true when some member was left out because it refuses the call.
+ */
+static bool
+gather (struct jl_core *core,
+        const struct jl_call *call,
+        struct cds_list_head *members,
+        bool ejected)
 {
-  struct jl_place *place = core->place;
-  struct cds_list_head *members
-      = jl_members_of_service (core, jl_place_service (core, call));
   struct jl_member *each;
-  uint64_t connections = 0;
-  uint32_t count = 0;
   bool refused = false;
 
-  if (members == NULL)
-    return JL_PLACE_NO_TARGET;
-  g_ptr_array_set_size (place->near, 0);
-  g_ptr_array_set_size (place->far, 0);
+  g_ptr_array_set_size (core->place->near, 0);
+  g_ptr_array_set_size (core->place->far, 0);
   cds_list_for_each_entry (each, members, by_service)
   {
-    connections += each->info.connections;
-    count++;
-    if (!jl_member_usable (core, each)
+    if (!jl_member_serves (each) || (!ejected && !jl_member_usable (core, each))
         || was_tried (call, each->info.identity.member))
       continue;
     if (refuses (core, each, call->priority))
@@ -292,12 +290,54 @@
     else
       add_candidate (core, each);
   }
-  if (place->near->len + place->far->len == 0)
-    return refused ? JL_PLACE_REFUSED : JL_PLACE_NO_TARGET;
+  return refused;
+}
+
+static uint32_t
+subset_of (struct jl_core *core, struct cds_list_head *members)
+{
+  struct jl_member *each;
+  uint64_t connections = 0;
+  uint32_t count = 0;
+
+  cds_list_for_each_entry (each, members, by_service)
+  {
+    connections += each->info.connections;
+    count++;
+  }
+  return subset_size (core, count, connections);
+}
+
+static bool
+has_candidates (const struct jl_place *place)
+{
+  return place->near->len + place->far->len > 0;
+}
+
+enum jl_place_verdict
+jl_place_choose (struct jl_core *core,
+                 const struct jl_call *call,
+                 struct jl_member **member)
+{
+  struct jl_place *place = core->place;
+  struct cds_list_head *members
+      = jl_members_of_service (core, jl_place_service (core, call));
+  uint32_t count;
+
+  if (members == NULL)
+    return JL_PLACE_NO_TARGET;
+  if (gather (core, call, members, false) && !has_candidates (place))
+    return JL_PLACE_REFUSED;
+  /* One broken connection does not bar the last target of a service. */
+  if (!has_candidates (place) && gather (core, call, members, true)
+      && !has_candidates (place))
+    return JL_PLACE_REFUSED;
+  if (!has_candidates (place))
+    return JL_PLACE_NO_TARGET;
   *member = find_own (core);
   if (*member != NULL)
     return JL_PLACE_CHOSEN;
-  count = subset_size (core, count, connections);
+  count = subset_of (core, members);
   cut_to_subset (core, place->near, count);
   cut_to_subset (core, place->far, MAX (count - place->near->len, 1));
   *member = choose (core);
