Wait for requests in progress however long they take when a server closes

The wait ended after 7 s, also for a request that had arrived on an open connection after the drain; it now ends only for idle connections. With the mechanism "drain" off a daemon closes at once: the wait alone kept process-drain-without-drain from failing, since its uploads last 6 s.

--- a/include/jackdawladder/http.h
+++ b/include/jackdawladder/http.h
@@ -209,10 +209,11 @@
 
 /**
  * jl_http_server_close - answers what still comes, then closes
+ * @waits: false closes at once
  *
  * Each connection is closed after its next answer or when it was idle. What is
  * then still open is cut off after some seconds.
  */
-void jl_http_server_close (struct jl_http_server *server);
+void jl_http_server_close (struct jl_http_server *server, bool waits);
 
 #endif
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -504,12 +504,14 @@
 void
 jl_daemon_close (struct jl_daemon *daemon)
 {
+  bool waits = (jl_hooks_switched_off () & JL_MECHANISM_DRAIN) == 0;
+
   if (daemon->entry_server != NULL)
-    jl_http_server_close (daemon->entry_server);
+    jl_http_server_close (daemon->entry_server, waits);
   if (daemon->peer_server != NULL)
-    jl_http_server_close (daemon->peer_server);
+    jl_http_server_close (daemon->peer_server, waits);
   if (daemon->local_server != NULL)
-    jl_http_server_close (daemon->local_server);
+    jl_http_server_close (daemon->local_server, waits);
   join_threads (daemon);
   if (daemon->control != NULL)
     jl_control_close (daemon->control);
--- a/source/http/server.c
+++ b/source/http/server.c
@@ -39,6 +39,7 @@
   void *handler_context;
   uint32_t threads;
   int connections;
+  int in_progress;
   int closing;
 };
 
@@ -136,6 +137,7 @@
   char *target = make_target (info);
   bool keep;
 
+  g_atomic_int_inc (&server->in_progress);
   exchange.target = target;
   jl_http_message_init (&exchange.request);
   jl_http_message_init (&exchange.answer);
@@ -150,6 +152,7 @@
   jl_http_message_clear (&exchange.request);
   jl_http_message_clear (&exchange.answer);
   g_free (target);
+  g_atomic_int_add (&server->in_progress, -1);
   return (int)exchange.status;
 }
 
@@ -290,22 +293,34 @@
     close (quiet);
 }
 
-void
-jl_http_server_close (struct jl_http_server *server)
+/*
+ * Waits for all requests in progress, and until no connection has been open
+ * for a while, or those that are were idle for too long.
+ */
+static void
+wait_quiet (struct jl_http_server *server)
 {
   uint64_t now_us = jl_now ();
   uint64_t until_us = now_us + CLOSE_WAIT_US;
   uint64_t busy_us = now_us;
 
-  stop_listening (server);
-  g_atomic_int_set (&server->closing, 1);
-  while (now_us < until_us && now_us < busy_us + CLOSE_QUIET_US)
+  while (g_atomic_int_get (&server->in_progress) > 0
+         || (now_us < until_us && now_us < busy_us + CLOSE_QUIET_US))
     {
       g_usleep (CLOSE_POLL_US);
       now_us = jl_now ();
       if (g_atomic_int_get (&server->connections) > 0)
         busy_us = now_us;
     }
+}
+
+void
+jl_http_server_close (struct jl_http_server *server, bool waits)
+{
+  stop_listening (server);
+  g_atomic_int_set (&server->closing, 1);
+  if (waits)
+    wait_quiet (server);
   mg_stop (server->context);
   g_free (server);
 }
