Publish the configuration by an atomic store that sanitizers see

Cause: liburcu's rcu_assign_pointer() orders by a fence in inline assembly, which ThreadSanitizer cannot see; it reported one race in one of four runs of tests/checks/sanitized, between the making of a configuration and the first reference of a reader.

--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -121,7 +121,8 @@
 {
   struct jl_config *old = daemon->config;
 
-  rcu_assign_pointer (daemon->config, jl_config_keep (config));
+  /* Releases as rcu_assign_pointer() does, and where sanitizers see it. */
+  g_atomic_pointer_set (&daemon->config, jl_config_keep (config));
   daemon->retired = old;
 }
 
@@ -267,7 +268,7 @@
   struct jl_config *config;
 
   rcu_read_lock ();
-  config = rcu_dereference (daemon->config);
+  config = g_atomic_pointer_get (&daemon->config);
   if (config != NULL)
     jl_config_keep (config);
   rcu_read_unlock ();
