--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -122,7 +122,7 @@
   struct jl_config *old = daemon->config;
 
   /* Releases as rcu_assign_pointer() does, and where sanitizers see it. */
-  g_atomic_pointer_set (&daemon->config, jl_config_keep (config));
+  __atomic_store_n (&daemon->config, jl_config_keep (config), __ATOMIC_RELEASE);
   daemon->retired = old;
 }
 
@@ -268,7 +268,7 @@
   struct jl_config *config;
 
   rcu_read_lock ();
-  config = g_atomic_pointer_get (&daemon->config);
+  config = __atomic_load_n (&daemon->config, __ATOMIC_ACQUIRE);
   if (config != NULL)
     jl_config_keep (config);
   rcu_read_unlock ();
