Make error quarks without a shared static variable

GLib finds the quark by its string under a lock of its own. Unit tests of the platform and the configuration pass.

--- a/source/config/reader.c
+++ b/source/config/reader.c
@@ -9,7 +9,11 @@
 #include <inttypes.h>
 #include <string.h>
 
-G_DEFINE_QUARK (jl - config - error - quark, jl_config_error)
+GQuark
+jl_config_error_quark (void)
+{
+  return g_quark_from_static_string ("jl-config-error");
+}
 
 void
 jl_reader_fail (struct jl_reader *reader,
--- a/source/platform/platform.c
+++ b/source/platform/platform.c
@@ -20,7 +20,11 @@
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONDITION_FAILED 412
 
-G_DEFINE_QUARK (jl - platform - error - quark, jl_platform_error)
+GQuark
+jl_platform_error_quark (void)
+{
+  return g_quark_from_static_string ("jl-platform-error");
+}
 
 struct jl_platform
 {
--- a/source/rpc/control.c
+++ b/source/rpc/control.c
@@ -19,7 +19,11 @@
 /* Room for the parts of a whole member list, bytes. */
 #define RECEIVE_BUFFER_SIZE (1024 * 1024)
 
-G_DEFINE_QUARK (jl - control - error - quark, jl_control_error)
+GQuark
+jl_control_error_quark (void)
+{
+  return g_quark_from_static_string ("jl-control-error");
+}
 
 /**
  * struct jl_control - a control endpoint
