Serve the users' platform by a proxy on one event loop

A new program, one thread on libuv and http-parser: entry, guard, lane, refused share by integral control, learned call graph, retry budget, beacons between daemons, rows in the platform's store. platform/ decodes what the platform says. Ruled out: CivetWeb with a pool (a trial lost kept connections).

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,8 @@
 
 CC ?= gcc
 BUILD ?= build
-PACKAGES = glib-2.0 json-c libcurl libtirpc liburcu-memb liburcu-cds libxxhash
-CPPFLAGS += -Iinclude -Isource -Itests -D_GNU_SOURCE
+PACKAGES = glib-2.0 json-c libcurl libuv libtirpc liburcu-memb liburcu-cds libxxhash
+CPPFLAGS += -Iinclude -Isource -Iplatform -Itests -D_GNU_SOURCE
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes -pthread
 ifdef SANITIZE
@@ -27,7 +27,16 @@
 PKG_LIBS = $(eval PKG_LIBS := $$(shell pkg-config --libs $(PACKAGES)))$(PKG_LIBS)
 LIBS = -lcivetweb $(PKG_LIBS) -pthread -lm
 
-LIB_SOURCES = $(filter-out source/daemon/main.c source/tool/%,$(wildcard source/*/*.c source/rpc/gen/*.c))
+# The proxy links only what it uses; it must be small.
+PROXY_PACKAGES = glib-2.0 json-c libuv libtirpc libxxhash
+PROXY_CFLAGS = $(eval PROXY_CFLAGS := $$(shell pkg-config --cflags $(PROXY_PACKAGES)))$(PROXY_CFLAGS)
+PROXY_LIBS = $(eval PROXY_LIBS := $$(shell pkg-config --libs $(PROXY_PACKAGES)))$(PROXY_LIBS)
+PROXY_AREAS = net proxy policy
+PROXY_SHARED = source/base/base.c source/base/record.c source/core/timer.c \
+  source/config/reader.c source/config/strict.c source/rpc/gen/beacon_xdr.c
+PROXY_SOURCES = $(filter-out source/proxy/main.c,$(foreach area,$(PROXY_AREAS),$(wildcard source/$(area)/*.c))) \
+  $(wildcard platform/*.c) $(PROXY_SHARED)
+LIB_SOURCES = $(filter-out %/main.c source/tool/%,$(filter-out $(PROXY_AREAS:%=source/%/%),$(wildcard source/*/*.c source/rpc/gen/*.c)))
 TOOL_SOURCES = $(wildcard source/tool/*.c)
 STANDIN_SOURCES = $(wildcard tests/standins/*.c)
 STANDIN_PARTS = $(wildcard tests/standins/parts/*.c)
@@ -47,7 +56,9 @@
 BENCHES = $(patsubst tests/bench/%.c,$(BUILD)/bench/%,$(BENCH_SOURCES))
 FUZZ = $(patsubst tests/fuzz/%.c,$(BUILD)/fuzz/%,$(FUZZ_SOURCES))
 
-all: $(BUILD)/jackdawladderd $(BUILD)/jackdawladder
+all: $(BUILD)/jackdawladderd $(BUILD)/jackdawladder proxy
+
+proxy: $(BUILD)/jackdawladder-proxy
 
 tests: all $(STANDINS) $(UNITS) $(RANDOM) $(SCRIPTED)
 
@@ -72,6 +83,13 @@
 $(BUILD)/jackdawladderd: $(BUILD)/source/daemon/main.o $(LIBRARY)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
+PROXY_OBJECTS = $(call OBJECT,$(PROXY_SOURCES))
+
+$(PROXY_OBJECTS) $(BUILD)/source/proxy/main.o: PKG_CFLAGS = $(PROXY_CFLAGS)
+
+$(BUILD)/jackdawladder-proxy: $(BUILD)/source/proxy/main.o $(PROXY_OBJECTS)
+	$(CC) $(LDFLAGS) $^ -lhttp_parser $(PROXY_LIBS) -pthread -lm -o $@
+
 $(BUILD)/jackdawladder: $(call OBJECT,$(TOOL_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
@@ -122,7 +140,8 @@
 clean:
 	rm -rf $(BUILD) out
 
-.PHONY: all tests standins benches fuzzers install-packages check demo bench soak format lint clean
+
+.PHONY: all proxy tests standins benches fuzzers install-packages check demo bench soak format lint clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/include/jackdawladder/base.h
+++ b/include/jackdawladder/base.h
@@ -8,6 +8,7 @@
  * process. No time of another process is ever compared with them.
  */
 
+#include <inttypes.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
--- /dev/null
+++ b/source/net/request.c
@@ -0,0 +1,299 @@
+/**
+ * DOC: The server's side of HTTP/1.1.
+ */
+
+#include "jackdawladder/request.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+struct jl_server
+{
+  struct jl_net *net;
+  const struct jl_handler *handler;
+  void *context;
+  uint64_t idle_timeout_us;
+  bool close_after;
+};
+
+/**
+ * struct jl_request - one request, or a connection waiting for the next one
+ * @active: the handler knows the request
+ * @ended: the whole request was read
+ * @answered: the answer is complete; the rest of the request is dropped
+ * @in_chunks: the answer's body goes in chunks
+ * @no_body: the answer has no body, as with HEAD
+ * @begun: the answer's head was written
+ */
+struct jl_request
+{
+  struct jl_server *server;
+  struct jl_conn *conn;
+  void *data;
+  bool active;
+  bool ended;
+  bool answered;
+  bool in_chunks;
+  bool no_body;
+  bool begun;
+};
+
+static void
+next_request (struct jl_request *request)
+{
+  struct jl_conn *conn = request->conn;
+
+  if (!jl_conn_head (conn)->keep_alive || request->server->close_after)
+    {
+      jl_conn_finish (conn);
+      g_free (request);
+      return;
+    }
+  request->active = false;
+  request->ended = false;
+  request->answered = false;
+  request->begun = false;
+  jl_conn_next (conn);
+}
+
+static void
+on_head (void *context, struct jl_conn *conn)
+{
+  struct jl_request *request = context;
+  struct jl_server *server = request->server;
+  const struct jl_head *head = jl_conn_head (conn);
+  const char *expect = jl_head_get (head, "Expect");
+
+  request->active = true;
+  request->data = NULL;
+  request->no_body = strcmp (head->method, "HEAD") == 0;
+  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
+    jl_conn_print (conn, "HTTP/1.1 100 Continue\r\n\r\n");
+  server->handler->begin (server->context, request);
+}
+
+static void
+on_body (void *context, struct jl_conn *conn, const char *data, size_t size)
+{
+  struct jl_request *request = context;
+  struct jl_server *server = request->server;
+
+  (void)conn;
+  if (!request->answered && server->handler->body != NULL)
+    server->handler->body (server->context, request, data, size);
+}
+
+static void
+on_end (void *context, struct jl_conn *conn)
+{
+  struct jl_request *request = context;
+  struct jl_server *server = request->server;
+
+  (void)conn;
+  request->ended = true;
+  if (request->answered)
+    next_request (request);
+  else if (server->handler->end != NULL)
+    server->handler->end (server->context, request);
+}
+
+static void
+on_drained (void *context, struct jl_conn *conn)
+{
+  struct jl_request *request = context;
+  struct jl_server *server = request->server;
+
+  (void)conn;
+  if (request->active && !request->answered && server->handler->drained != NULL)
+    server->handler->drained (server->context, request);
+}
+
+static void
+refuse_malformed (struct jl_conn *conn, unsigned status)
+{
+  jl_conn_print (conn,
+                 "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n"
+                 "Connection: close\r\n\r\n",
+                 status, http_status_str ((enum http_status)status));
+  jl_conn_finish (conn);
+}
+
+static void
+on_closed (void *context, struct jl_conn *conn, enum jl_conn_error error)
+{
+  struct jl_request *request = context;
+  struct jl_server *server = request->server;
+  bool known = request->active && !request->answered;
+
+  if (!request->begun && error == JL_CONN_MALFORMED)
+    refuse_malformed (conn, 400);
+  else if (!request->begun && error == JL_CONN_TOO_LARGE)
+    refuse_malformed (conn, 431);
+  if (known && server->handler->gone != NULL)
+    server->handler->gone (server->context, request);
+  g_free (request);
+}
+
+static const struct jl_conn_ops conn_ops = {
+  .head = on_head,
+  .body = on_body,
+  .end = on_end,
+  .drained = on_drained,
+  .closed = on_closed,
+};
+
+static void
+on_accept (void *context, struct jl_conn *conn)
+{
+  struct jl_request *request = g_new0 (struct jl_request, 1);
+
+  request->server = context;
+  request->conn = conn;
+  jl_conn_set_idle_timeout (conn, request->server->idle_timeout_us);
+  jl_conn_own (conn, &conn_ops, request);
+}
+
+struct jl_server *
+jl_server_open (struct jl_net *net,
+                struct jl_endpoint endpoint,
+                const struct jl_handler *handler,
+                void *context,
+                const char **why)
+{
+  struct jl_server *server = g_new0 (struct jl_server, 1);
+
+  server->net = net;
+  server->handler = handler;
+  server->context = context;
+  if (jl_net_listen (net, endpoint, on_accept, server, why))
+    return server;
+  g_free (server);
+  return NULL;
+}
+
+void
+jl_server_idle_timeout (struct jl_server *server, uint64_t idle_timeout_us)
+{
+  server->idle_timeout_us = idle_timeout_us;
+}
+
+void
+jl_server_close_after (struct jl_server *server)
+{
+  server->close_after = true;
+}
+
+const struct jl_head *
+jl_request_head (const struct jl_request *request)
+{
+  return jl_conn_head (request->conn);
+}
+
+struct jl_endpoint
+jl_request_peer (const struct jl_request *request)
+{
+  return jl_conn_peer (request->conn);
+}
+
+void
+jl_request_set_data (struct jl_request *request, void *data)
+{
+  request->data = data;
+}
+
+void *
+jl_request_data (const struct jl_request *request)
+{
+  return request->data;
+}
+
+bool
+jl_request_ended (const struct jl_request *request)
+{
+  return request->ended;
+}
+
+void
+jl_request_hold (struct jl_request *request, bool hold)
+{
+  jl_conn_hold (request->conn, hold);
+}
+
+void
+jl_request_start (struct jl_request *request,
+                  unsigned status,
+                  const char *fields,
+                  bool has_length,
+                  uint64_t length)
+{
+  bool close = request->server->close_after
+               || !jl_conn_head (request->conn)->keep_alive;
+
+  request->begun = true;
+  request->in_chunks = !has_length;
+  jl_conn_print (request->conn, "HTTP/1.1 %u %s\r\n%s", status,
+                 http_status_str ((enum http_status)status), fields);
+  if (close)
+    jl_conn_print (request->conn, "Connection: close\r\n");
+  if (status == 204 || status == 304)
+    {
+      request->no_body = true;
+      jl_conn_print (request->conn, "\r\n");
+    }
+  else if (has_length)
+    jl_conn_print (request->conn,
+                   "Content-Length: %" G_GUINT64_FORMAT "\r\n\r\n",
+                   (guint64)length);
+  else
+    jl_conn_print (request->conn, "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void
+jl_request_piece (struct jl_request *request, const char *data, size_t size)
+{
+  if (request->no_body || size == 0)
+    return;
+  if (request->in_chunks)
+    jl_conn_chunk (request->conn, data, size);
+  else
+    jl_conn_write (request->conn, data, size);
+}
+
+size_t
+jl_request_backlog (const struct jl_request *request)
+{
+  return jl_conn_backlog (request->conn);
+}
+
+void
+jl_request_finish (struct jl_request *request)
+{
+  if (request->in_chunks && !request->no_body)
+    jl_conn_chunk (request->conn, NULL, 0);
+  request->answered = true;
+  if (request->ended)
+    next_request (request);
+  else
+    jl_conn_hold (request->conn, false);
+}
+
+void
+jl_request_reply (struct jl_request *request,
+                  unsigned status,
+                  const char *fields,
+                  const char *body,
+                  size_t size)
+{
+  jl_request_start (request, status, fields, true, size);
+  jl_request_piece (request, body, size);
+  jl_request_finish (request);
+}
+
+void
+jl_request_break (struct jl_request *request)
+{
+  jl_conn_abort (request->conn);
+  g_free (request);
+}
--- /dev/null
+++ b/source/policy/site.c
@@ -0,0 +1,119 @@
+/**
+ * DOC: A site's configuration as the proxy uses it.
+ */
+
+#include "jackdawladder/site.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint32_t
+jl_name_key (const char *name)
+{
+  return XXH32 (name, strlen (name), 0);
+}
+
+static void
+free_host (gpointer routes)
+{
+  g_ptr_array_free (routes, TRUE);
+}
+
+struct jl_site *
+jl_site_new (uint64_t version)
+{
+  struct jl_site *site = g_new0 (struct jl_site, 1);
+
+  site->references = 1;
+  site->version = version;
+  site->routes = g_ptr_array_new_with_free_func (g_free);
+  site->by_host
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host);
+  return site;
+}
+
+struct jl_site *
+jl_site_keep (struct jl_site *site)
+{
+  site->references++;
+  return site;
+}
+
+void
+jl_site_drop (struct jl_site *site)
+{
+  if (site == NULL || --site->references > 0)
+    return;
+  g_hash_table_destroy (site->by_host);
+  g_ptr_array_free (site->routes, TRUE);
+  g_free (site);
+}
+
+static GPtrArray *
+host_routes (struct jl_site *site, const char *host)
+{
+  GPtrArray *routes = g_hash_table_lookup (site->by_host, host);
+
+  if (routes != NULL)
+    return routes;
+  routes = g_ptr_array_new ();
+  g_hash_table_insert (site->by_host, g_strdup (host), routes);
+  return routes;
+}
+
+void
+jl_site_add (struct jl_site *site, const struct jl_route *route)
+{
+  struct jl_route *copy = g_memdup2 (route, sizeof *route);
+  char *host = g_ascii_strdown (route->host, -1);
+
+  copy->key = jl_name_key (route->name);
+  g_ptr_array_add (site->routes, copy);
+  g_ptr_array_add (host_routes (site, host), copy);
+  g_free (host);
+}
+
+static gint
+longer_first (gconstpointer a, gconstpointer b)
+{
+  const struct jl_route *first = *(const struct jl_route *const *)a;
+  const struct jl_route *second = *(const struct jl_route *const *)b;
+  size_t first_length = strlen (first->prefix);
+  size_t second_length = strlen (second->prefix);
+
+  return (first_length < second_length) - (first_length > second_length);
+}
+
+void
+jl_site_seal (struct jl_site *site)
+{
+  GHashTableIter iter;
+  gpointer routes;
+
+  g_hash_table_iter_init (&iter, site->by_host);
+  while (g_hash_table_iter_next (&iter, NULL, &routes))
+    g_ptr_array_sort (routes, longer_first);
+}
+
+const struct jl_route *
+jl_site_find (const struct jl_site *site, const char *host, const char *target)
+{
+  char name[JL_TEXT_SIZE];
+  const GPtrArray *routes;
+  size_t length = strcspn (host, ":");
+
+  if (length >= sizeof name)
+    return NULL;
+  for (size_t i = 0; i < length; i++)
+    name[i] = g_ascii_tolower (host[i]);
+  name[length] = '\0';
+  routes = g_hash_table_lookup (site->by_host, name);
+  for (guint i = 0; routes != NULL && i < routes->len; i++)
+    {
+      const struct jl_route *route = g_ptr_array_index (routes, i);
+
+      if (g_str_has_prefix (target, route->prefix))
+        return route;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/source/proxy/beacon.c
@@ -0,0 +1,312 @@
+/**
+ * DOC: Beacons: what each daemon tells all others of itself, by datagrams.
+ *
+ * One goes out each second, at once when the own target's state changes, and
+ * several times a second while the target has too much or too little room for
+ * its demand. A lost one is made good by the next.
+ */
+
+#include "proxy/proxy.h"
+
+#include "rpc/gen/beacon.h"
+
+#include <arpa/inet.h>
+#include <math.h>
+#include <string.h>
+
+/* Format of the datagrams; others are dropped. */
+#define FORMAT 1
+#define DATAGRAM_MAX 1400
+#define PERIOD_US (1000 * JL_USEC_PER_MSEC)
+/* Period while the refused share matters to the entries. */
+#define BUSY_PERIOD_US (200 * JL_USEC_PER_MSEC)
+/* Least time between two rounds. */
+#define GAP_US (20 * JL_USEC_PER_MSEC)
+/* Change of the refused share or the room that others should hear of. */
+#define CHANGE_MIN 0.03
+
+struct jl_beacon
+{
+  struct jl_proxy *proxy;
+  uv_udp_t socket;
+  struct jl_timer timer;
+  uint64_t sequence;
+  uint64_t sent_us;
+  double told_shed;
+  double told_room;
+  char buffer[DATAGRAM_MAX];
+};
+
+static void
+copy_text (char *to, const char *from)
+{
+  g_strlcpy (to, from != NULL ? from : "", JL_TEXT_SIZE);
+}
+
+static void
+read_fanout (struct jl_member *member, const struct beacon_message *message)
+{
+  member->fanout_count = MIN (message->fanout.fanout_len, JL_MEMBER_FANOUT_MAX);
+  for (unsigned i = 0; i < member->fanout_count; i++)
+    {
+      const struct beacon_fanout *from = &message->fanout.fanout_val[i];
+
+      member->fanout[i].run = from->run;
+      member->fanout[i].call = from->call;
+      member->fanout[i].calls = from->calls_milli / 1000.0;
+    }
+}
+
+static void
+note_change (const struct jl_member *member,
+             const struct beacon_message *message,
+             uint64_t now_us)
+{
+  bool was_heard = jl_member_is_heard (member, now_us);
+
+  if (was_heard && member->epoch == message->epoch
+      && member->state == (enum jl_target_state)message->state
+      && strcmp (member->target, message->target) == 0)
+    return;
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_MEMBER,
+             "name=%s zone=%s service=%s target=%s state=%s heard_before=%d "
+             "sequence=%" PRIu64,
+             member->name, message->zone, message->service, message->target,
+             jl_target_state_name (message->state), was_heard,
+             (uint64_t)message->sequence);
+}
+
+static bool
+is_newer (const struct jl_member *member, const struct beacon_message *message)
+{
+  if (message->epoch != member->epoch)
+    return message->epoch > member->epoch;
+  return message->sequence > member->sequence;
+}
+
+static void
+take_state (struct jl_member *member,
+            const struct beacon_message *message,
+            uint64_t now_us)
+{
+  copy_text (member->zone, message->zone);
+  copy_text (member->service, message->service);
+  copy_text (member->target, message->target);
+  member->peer.ip = message->ip;
+  member->peer.port = (uint16_t)message->port;
+  member->epoch = message->epoch;
+  member->sequence = message->sequence;
+  member->state = (enum jl_target_state)message->state;
+  member->limit = message->limit;
+  member->shed = message->shed_milli / 1000.0;
+  member->room = message->room_milli / 1000.0;
+  member->capacity
+      = message->hold_us > 0 ? member->limit * 1e6 / message->hold_us : 0;
+  member->site_version = message->site_version;
+  member->heard_us = now_us;
+  read_fanout (member, message);
+}
+
+static void
+take_message (struct jl_proxy *proxy, const struct beacon_message *message)
+{
+  struct jl_member *member;
+  uint64_t now_us = jl_now ();
+
+  if (message->format != FORMAT || message->state > JL_TARGET_DOWN
+      || strcmp (message->name, proxy->options->name) == 0)
+    return;
+  member = jl_roster_member (&proxy->roster, message->name);
+  if (!is_newer (member, message))
+    return;
+  note_change (member, message, now_us);
+  if (member->epoch != message->epoch)
+    {
+      /* A new life: its old connections are dead, and it knows nobody. */
+      jl_pool_forget (proxy->peers, member->peer);
+      jl_beacon_soon (proxy->beacon);
+    }
+  take_state (member, message, now_us);
+  if (proxy->site == NULL || message->site_version > proxy->site->version)
+    jl_proxy_site_behind (proxy, member);
+}
+
+static void
+on_datagram (uv_udp_t *socket,
+             ssize_t size,
+             const uv_buf_t *buffer,
+             const struct sockaddr *address,
+             unsigned flags)
+{
+  struct jl_beacon *beacon = socket->data;
+  struct beacon_message message = { 0 };
+  XDR xdr;
+
+  (void)flags;
+  if (size <= 0 || address == NULL)
+    return;
+  beacon->proxy->counters.beacons_in++;
+  xdrmem_create (&xdr, buffer->base, (u_int)size, XDR_DECODE);
+  if (xdr_beacon_message (&xdr, &message))
+    take_message (beacon->proxy, &message);
+  xdr_free ((xdrproc_t)xdr_beacon_message, &message);
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buffer)
+{
+  struct jl_beacon *beacon = handle->data;
+
+  (void)size;
+  *buffer = uv_buf_init (beacon->buffer, sizeof beacon->buffer);
+}
+
+static unsigned
+fill_fanout (const struct jl_proxy *proxy, struct beacon_fanout *list)
+{
+  struct jl_fanout_entry entries[BEACON_FANOUT_MAX];
+  unsigned count = jl_fanout_list (&proxy->fanout, entries, BEACON_FANOUT_MAX);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      list[i].run = entries[i].run;
+      list[i].call = entries[i].call;
+      list[i].calls_milli = (u_int)lround (entries[i].calls * 1000);
+    }
+  return count;
+}
+
+static size_t
+encode (struct jl_beacon *beacon, char *datagram)
+{
+  struct jl_proxy *proxy = beacon->proxy;
+  struct beacon_fanout fanout[BEACON_FANOUT_MAX];
+  struct beacon_message message = {
+    .format = FORMAT,
+    .name = proxy->options->name,
+    .zone = proxy->options->zone,
+    .service = (char *)jl_proxy_service (proxy),
+    .target = proxy->target.last.id,
+    .ip = proxy->options->ip,
+    .port = proxy->options->peer_port,
+    .epoch = proxy->epoch,
+    .sequence = ++beacon->sequence,
+    .state = proxy->self->state,
+    .limit = proxy->lane.limit,
+    .shed_milli = (u_int)lround (proxy->pressure.shed * 1000),
+    .room_milli = (u_int)lround (proxy->pressure.room * 1000),
+    .hold_us = (u_int)proxy->pressure.hold_us,
+    .site_version = proxy->site != NULL ? proxy->site->version : 0,
+  };
+  XDR xdr;
+  size_t size = 0;
+
+  message.fanout.fanout_len = fill_fanout (proxy, fanout);
+  message.fanout.fanout_val = fanout;
+  xdrmem_create (&xdr, datagram, DATAGRAM_MAX, XDR_ENCODE);
+  if (xdr_beacon_message (&xdr, &message))
+    size = xdr_getpos (&xdr);
+  return size;
+}
+
+static void
+send_to (struct jl_beacon *beacon,
+         struct jl_endpoint peer,
+         char *datagram,
+         size_t size)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  uv_buf_t buffer = uv_buf_init (datagram, (unsigned)size);
+
+  address.sin_addr.s_addr = htonl (peer.ip);
+  address.sin_port = htons (peer.port);
+  if (uv_udp_try_send (&beacon->socket, &buffer, 1,
+                       (const struct sockaddr *)&address)
+      >= 0)
+    beacon->proxy->counters.beacons_out++;
+}
+
+static void
+send_round (struct jl_beacon *beacon)
+{
+  struct jl_proxy *proxy = beacon->proxy;
+  char datagram[DATAGRAM_MAX];
+  size_t size = encode (beacon, datagram);
+
+  beacon->sent_us = jl_now ();
+  beacon->told_shed = proxy->pressure.shed;
+  beacon->told_room = proxy->pressure.room;
+  for (guint i = 0; i < proxy->roster.members->len; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (proxy->roster.members, i);
+
+      if (member != proxy->self && member->peer.port != 0)
+        send_to (beacon, member->peer, datagram, size);
+    }
+}
+
+static bool
+is_change_due (const struct jl_beacon *beacon)
+{
+  const struct jl_pressure *pressure = &beacon->proxy->pressure;
+
+  return fabs (pressure->shed - beacon->told_shed) > CHANGE_MIN
+         || fabs (pressure->room - beacon->told_room) > CHANGE_MIN * 3
+         || (pressure->shed > 0) != (beacon->told_shed > 0);
+}
+
+static void
+on_timer (void *context, struct jl_timer *timer)
+{
+  struct jl_beacon *beacon = context;
+  uint64_t age_us = jl_now () - beacon->sent_us;
+
+  if (age_us + GAP_US >= PERIOD_US || is_change_due (beacon))
+    send_round (beacon);
+  jl_loop_after (beacon->proxy->loop, timer, BUSY_PERIOD_US, on_timer, beacon);
+}
+
+static void
+on_soon (void *context, struct jl_timer *timer)
+{
+  struct jl_beacon *beacon = context;
+
+  send_round (beacon);
+  jl_loop_after (beacon->proxy->loop, timer, BUSY_PERIOD_US, on_timer, beacon);
+}
+
+void
+jl_beacon_soon (struct jl_beacon *beacon)
+{
+  uint64_t now_us = jl_now ();
+  uint64_t due_us = MAX (now_us, beacon->sent_us + GAP_US);
+
+  jl_timer_start (beacon->proxy->loop->timers, &beacon->timer, due_us, on_soon,
+                  beacon);
+}
+
+struct jl_beacon *
+jl_beacon_new (struct jl_proxy *proxy, const char **why)
+{
+  struct jl_beacon *beacon = g_new0 (struct jl_beacon, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int status;
+
+  beacon->proxy = proxy;
+  beacon->socket.data = beacon;
+  address.sin_addr.s_addr = htonl (proxy->options->ip);
+  address.sin_port = htons (proxy->options->peer_port);
+  uv_udp_init (&proxy->loop->uv, &beacon->socket);
+  status = uv_udp_bind (&beacon->socket, (const struct sockaddr *)&address, 0);
+  if (status == 0)
+    status = uv_udp_recv_start (&beacon->socket, on_alloc, on_datagram);
+  if (status != 0)
+    {
+      *why = uv_strerror (status);
+      g_free (beacon);
+      return NULL;
+    }
+  jl_loop_after (proxy->loop, &beacon->timer, GAP_US, on_soon, beacon);
+  return beacon;
+}
--- /dev/null
+++ b/source/proxy/headers.c
@@ -0,0 +1,116 @@
+/**
+ * DOC: Heads of messages as they are passed on.
+ */
+
+#include "proxy/proxy.h"
+
+#include "names.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Fields that this product sets itself, whatever was sent. */
+static bool
+is_own_field (const char *name)
+{
+  return g_ascii_strncasecmp (name, "Jl-", 3) == 0;
+}
+
+static bool
+is_set_by_entry (const char *name)
+{
+  return is_own_field (name) || g_ascii_strcasecmp (name, JL_WIRE_CALLER) == 0
+         || g_ascii_strcasecmp (name, JL_WIRE_DEADLINE) == 0
+         || g_ascii_strcasecmp (name, JL_WIRE_TARGET) == 0;
+}
+
+static void
+append_field (GString *text, const struct jl_head *head, size_t index)
+{
+  g_string_append (text, jl_head_name (head, index));
+  g_string_append (text, ": ");
+  g_string_append (text, jl_head_value (head, index));
+  g_string_append (text, "\r\n");
+}
+
+static void
+append_first_line (GString *text, const struct jl_head *head)
+{
+  g_string_append (text, head->method);
+  g_string_append_c (text, ' ');
+  g_string_append (text, jl_head_target (head));
+  g_string_append (text, " HTTP/1.1\r\n");
+}
+
+static void
+append_framing (GString *text, const struct jl_head *head)
+{
+  if (head->chunked)
+    g_string_append (text, "Transfer-Encoding: chunked\r\n");
+  else if (head->has_length)
+    g_string_append_printf (text, "Content-Length: %" G_GUINT64_FORMAT "\r\n",
+                            (guint64)head->length);
+  g_string_append (text, "\r\n");
+}
+
+GString *
+jl_headers_to_guard (const struct jl_head *head,
+                     const struct jl_work_line *work,
+                     const char *caller)
+{
+  GString *text = g_string_sized_new (512);
+
+  append_first_line (text, head);
+  for (size_t i = 0; i < head->fields->len; i++)
+    if (!is_set_by_entry (jl_head_name (head, i)) && !jl_head_is_hop (head, i))
+      append_field (text, head, i);
+  g_string_append_printf (text, "%s: %s\r\n", JL_WIRE_CALLER, caller);
+  g_string_append_printf (text, "%s: %s %u %u %08x %d\r\n", JL_WORK_FIELD,
+                          work->service, work->rank, work->left_ms, work->route,
+                          work->repeatable);
+  append_framing (text, head);
+  return text;
+}
+
+GString *
+jl_headers_to_target (const struct jl_head *head,
+                      unsigned left_ms,
+                      const char *target)
+{
+  GString *text = g_string_sized_new (512);
+
+  append_first_line (text, head);
+  for (size_t i = 0; i < head->fields->len; i++)
+    if (!is_own_field (jl_head_name (head, i)) && !jl_head_is_hop (head, i))
+      append_field (text, head, i);
+  g_string_append_printf (text, "%s: %u\r\n%s: %s\r\n", JL_WIRE_DEADLINE,
+                          left_ms, JL_WIRE_TARGET, target);
+  append_framing (text, head);
+  return text;
+}
+
+bool
+jl_headers_work (const struct jl_head *head, struct jl_work_line *work)
+{
+  const char *value = jl_head_get (head, JL_WORK_FIELD);
+  int repeatable;
+
+  if (value == NULL
+      || sscanf (value, "%207s %u %u %8x %d", work->service, &work->rank,
+                 &work->left_ms, &work->route, &repeatable)
+             != 5)
+    return false;
+  work->repeatable = repeatable != 0;
+  return true;
+}
+
+GString *
+jl_headers_back (const struct jl_head *head)
+{
+  GString *text = g_string_sized_new (256);
+
+  for (size_t i = 0; i < head->fields->len; i++)
+    if (!is_own_field (jl_head_name (head, i)) && !jl_head_is_hop (head, i))
+      append_field (text, head, i);
+  return text;
+}
--- /dev/null
+++ b/source/proxy/options.c
@@ -0,0 +1,133 @@
+/**
+ * DOC: Settings of one proxy process.
+ */
+
+#include "proxy/options.h"
+
+#include "config/reader.h"
+
+#include <arpa/inet.h>
+#include <math.h>
+
+#define SECONDS_MAX 86400.0
+#define RATIO_MAX 100.0
+#define SLACK_MAX 1e9
+
+static const char *const keys[]
+    = { "name",      "zone",         "address",     "service",
+        "target",    "entry",        "ready",       "announce",
+        "peer_port", "metrics_port", "store",       "heartbeat_s",
+        "grace_s",   "retry_ratio",  "retry_slack", "retry_window_s",
+        NULL };
+
+static double
+read_fraction (struct jl_reader *reader,
+               struct json_object *document,
+               const char *key,
+               double most)
+{
+  struct json_object *value = NULL;
+  double number;
+
+  json_object_object_get_ex (document, key, &value);
+  if (!json_object_is_type (value, json_type_int)
+      && !json_object_is_type (value, json_type_double))
+    {
+      jl_reader_fail (reader, key, JL_CONFIG_ERROR_TYPE, "must be a number");
+      return 0;
+    }
+  number = json_object_get_double (value);
+  if (!(number >= 0) || number > most)
+    jl_reader_fail (reader, key, JL_CONFIG_ERROR_RANGE, "must be from 0 to %g",
+                    most);
+  return number;
+}
+
+static uint64_t
+read_seconds (struct jl_reader *reader,
+              struct json_object *document,
+              const char *key)
+{
+  double seconds = read_fraction (reader, document, key, SECONDS_MAX);
+
+  return (uint64_t)llround (seconds * (double)JL_USEC_PER_SEC);
+}
+
+static uint32_t
+read_address (struct jl_reader *reader, struct json_object *document)
+{
+  char text[INET_ADDRSTRLEN];
+  struct in_addr address = { 0 };
+
+  jl_read_text (reader, document, "address", text, sizeof text);
+  if (inet_pton (AF_INET, text, &address) != 1)
+    jl_reader_fail (reader, "address", JL_CONFIG_ERROR_RANGE,
+                    "must be an IPv4 address");
+  return ntohl (address.s_addr);
+}
+
+static void
+read_fields (struct jl_reader *reader,
+             struct json_object *document,
+             struct jl_options *options)
+{
+  jl_read_text (reader, document, "name", options->name, JL_TEXT_SIZE);
+  jl_read_text (reader, document, "zone", options->zone, JL_TEXT_SIZE);
+  jl_read_text (reader, document, "service", options->service, JL_TEXT_SIZE);
+  options->ip = read_address (reader, document);
+  jl_read_endpoint (reader, document, "target", &options->target);
+  jl_read_endpoint (reader, document, "entry", &options->entry);
+  jl_read_endpoint (reader, document, "ready", &options->ready);
+  jl_read_endpoint (reader, document, "announce", &options->announce);
+  options->peer_port
+      = (uint16_t)jl_read_number (reader, document, "peer_port", 1, UINT16_MAX);
+  options->metrics_port = (uint16_t)jl_read_number (
+      reader, document, "metrics_port", 1, UINT16_MAX);
+  jl_read_endpoint (reader, document, "store", &options->store);
+  options->heartbeat_us = read_seconds (reader, document, "heartbeat_s");
+  options->grace_us = read_seconds (reader, document, "grace_s");
+  options->retry_ratio
+      = read_fraction (reader, document, "retry_ratio", RATIO_MAX);
+  options->retry_slack
+      = read_fraction (reader, document, "retry_slack", SLACK_MAX);
+  options->retry_window_us = read_seconds (reader, document, "retry_window_s");
+  if (options->retry_window_us < JL_USEC_PER_SEC)
+    jl_reader_fail (reader, "retry_window_s", JL_CONFIG_ERROR_RANGE,
+                    "must be at least 1");
+}
+
+struct jl_options *
+jl_options_parse (const char *text, size_t size, GError **error)
+{
+  struct jl_reader reader = { .prefix = "", .error = NULL };
+  struct json_object *document = jl_reader_parse (&reader, text, size);
+  struct jl_options *options = g_new0 (struct jl_options, 1);
+
+  if (document != NULL && jl_read_keys (&reader, document, keys))
+    read_fields (&reader, document, options);
+  json_object_put (document);
+  if (jl_reader_finish (&reader, error))
+    return options;
+  g_free (options);
+  return NULL;
+}
+
+struct jl_options *
+jl_options_load (const char *path, GError **error)
+{
+  struct jl_options *options;
+  GError *cause = NULL;
+  char *text;
+  gsize size;
+
+  if (!g_file_get_contents (path, &text, &size, &cause))
+    {
+      g_set_error (error, JL_CONFIG_ERROR, JL_CONFIG_ERROR_FILE, "%s",
+                   cause->message);
+      g_error_free (cause);
+      return NULL;
+    }
+  options = jl_options_parse (text, size, error);
+  g_free (text);
+  return options;
+}
--- /dev/null
+++ b/source/proxy/place.c
@@ -0,0 +1,381 @@
+/**
+ * DOC: Which daemon a request is sent to, and whether it is sent at all.
+ */
+
+#include "proxy/place.h"
+
+#include <string.h>
+
+/* Depth to which calls are followed. */
+#define DEPTH_MAX 10
+/* Runs for a request below which a service is left out. */
+#define RUNS_MIN 0.02
+/* Room at which another zone takes all that is offered to it. */
+#define ROOM_FULL 0.25
+
+static void
+add_need (struct jl_needs *needs, const char *service, double runs)
+{
+  for (unsigned i = 0; i < needs->count; i++)
+    if (strcmp (needs->list[i].service, service) == 0)
+      {
+        needs->list[i].runs += runs;
+        return;
+      }
+  if (needs->count == JL_NEED_MAX)
+    return;
+  needs->list[needs->count].service = service;
+  needs->list[needs->count].runs = runs;
+  needs->count++;
+}
+
+static const struct jl_route *
+find_route (const struct jl_site *site, uint32_t key)
+{
+  for (guint i = 0; i < site->routes->len; i++)
+    {
+      const struct jl_route *route = g_ptr_array_index (site->routes, i);
+
+      if (route->key == key)
+        return route;
+    }
+  return NULL;
+}
+
+/* Mean calls of kind @call by a run of @run, over the service's daemons. */
+struct mean
+{
+  uint32_t call;
+  double sum;
+};
+
+static unsigned
+mean_fanout (const struct jl_roster *roster,
+             const char *service,
+             uint32_t run,
+             struct mean *means,
+             unsigned *daemons)
+{
+  unsigned count = 0;
+
+  *daemons = 0;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      bool knows = false;
+
+      if (strcmp (member->service, service) != 0)
+        continue;
+      for (unsigned j = 0; j < member->fanout_count; j++)
+        {
+          const struct jl_fanout_entry *entry = &member->fanout[j];
+          unsigned k = 0;
+
+          if (entry->run != run)
+            continue;
+          knows = true;
+          while (k < count && means[k].call != entry->call)
+            k++;
+          if (k == JL_FANOUT_MAX)
+            continue;
+          if (k == count)
+            means[count++] = (struct mean){ entry->call, 0 };
+          means[k].sum += entry->calls;
+        }
+      if (knows)
+        (*daemons)++;
+    }
+  return count;
+}
+
+static void
+follow (const struct jl_roster *roster,
+        const struct jl_site *site,
+        const struct jl_route *route,
+        double runs,
+        unsigned depth,
+        struct jl_needs *needs)
+{
+  uint64_t weights = 0;
+
+  for (unsigned i = 0; i < route->split_count; i++)
+    weights += route->split[i].weight;
+  for (unsigned i = 0; i < route->split_count && weights > 0; i++)
+    {
+      const struct jl_split *split = &route->split[i];
+      double part = runs * split->weight / (double)weights;
+      struct mean means[JL_FANOUT_MAX];
+      unsigned daemons;
+      unsigned count;
+
+      if (part < RUNS_MIN)
+        continue;
+      add_need (needs, split->service, part);
+      count = mean_fanout (roster, split->service, route->key, means, &daemons);
+      for (unsigned j = 0; j < count && depth < DEPTH_MAX; j++)
+        {
+          const struct jl_route *call = find_route (site, means[j].call);
+
+          if (call != NULL)
+            follow (roster, site, call, part * means[j].sum / daemons,
+                    depth + 1, needs);
+        }
+    }
+}
+
+void
+jl_place_needs (const struct jl_roster *roster,
+                const struct jl_site *site,
+                const struct jl_route *route,
+                struct jl_needs *needs)
+{
+  needs->count = 0;
+  follow (roster, site, route, 1, 0, needs);
+}
+
+/* What the targets of a service say in one zone. */
+struct supply
+{
+  double capacity;
+  double shed;
+  double room;
+  unsigned targets;
+};
+
+static struct supply
+zone_supply (const struct jl_roster *roster,
+             const char *service,
+             const char *zone,
+             uint64_t now_us)
+{
+  struct supply supply = { 0 };
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      double weight = MAX (member->limit, 1);
+
+      if (strcmp (member->zone, zone) != 0
+          || !jl_member_takes_work (member, service, now_us))
+        continue;
+      if (member->capacity > 0)
+        weight = member->capacity;
+      supply.targets++;
+      supply.capacity += weight;
+      supply.shed += weight * member->shed;
+      supply.room += weight * member->room;
+    }
+  if (supply.targets == 0)
+    return supply;
+  supply.shed /= supply.capacity;
+  supply.room /= supply.capacity;
+  return supply;
+}
+
+static double
+runs_at (const struct jl_needs *needs, const char *service)
+{
+  for (unsigned i = 0; i < needs->count; i++)
+    if (strcmp (needs->list[i].service, service) == 0)
+      return needs->list[i].runs;
+  return 0;
+}
+
+/* Whether @a is refused after @b. */
+static bool
+goes_before (const struct jl_demand *a,
+             const struct jl_demand *b,
+             const char *service)
+{
+  double a_runs = runs_at (&a->needs, service);
+  double b_runs = runs_at (&b->needs, service);
+
+  if (a->rank != b->rank)
+    return a->rank < b->rank;
+  if (a_runs != b_runs)
+    return a_runs < b_runs;
+  return a->route < b->route;
+}
+
+/*
+ * Share of @demand that is let in when @service refuses the share @shed of
+ * all: what is more important is let in first.
+ */
+static double
+share_kept (const struct jl_demand *demands,
+            unsigned demand_count,
+            const struct jl_demand *demand,
+            const char *service,
+            double shed)
+{
+  double own = demand->rate * runs_at (&demand->needs, service);
+  double before = 0;
+  double total = 0;
+
+  for (unsigned i = 0; i < demand_count; i++)
+    {
+      double load = demands[i].rate * runs_at (&demands[i].needs, service);
+
+      total += load;
+      if (&demands[i] != demand && goes_before (&demands[i], demand, service))
+        before += load;
+    }
+  if (own <= 0)
+    return 1 - shed;
+  return CLAMP (((1 - shed) * total - before) / own, 0, 1);
+}
+
+static void
+plan_own_zone (struct jl_plan *plan,
+               const struct jl_roster *roster,
+               const struct jl_demand *demands,
+               unsigned demand_count,
+               const struct jl_demand *demand,
+               uint64_t now_us)
+{
+  for (unsigned i = 0; i < demand->needs.count; i++)
+    {
+      const char *service = demand->needs.list[i].service;
+      struct supply supply
+          = zone_supply (roster, service, roster->own_zone, now_us);
+      double keep;
+
+      if (supply.targets == 0 || supply.shed <= 0)
+        continue;
+      keep = share_kept (demands, demand_count, demand, service, supply.shed);
+      if (keep >= plan->keep)
+        continue;
+      plan->keep = keep;
+      plan->service = service;
+      plan->shed = supply.shed;
+    }
+}
+
+/* Share of other zones' requests that @zone takes. */
+static double
+zone_room (const struct jl_roster *roster,
+           const struct jl_demand *demand,
+           const char *zone,
+           uint64_t now_us)
+{
+  double room = 1;
+
+  for (unsigned i = 0; i < demand->needs.count; i++)
+    {
+      struct supply supply
+          = zone_supply (roster, demand->needs.list[i].service, zone, now_us);
+
+      if (supply.targets == 0)
+        return 0;
+      if (supply.shed > 0)
+        return 0;
+      room = MIN (room, supply.room / ROOM_FULL);
+    }
+  return room;
+}
+
+static const char *
+roomiest_zone (const struct jl_roster *roster,
+               const struct jl_demand *demand,
+               uint64_t now_us,
+               double *room)
+{
+  const char *best = NULL;
+
+  *room = 0;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      double other;
+
+      if (strcmp (member->zone, roster->own_zone) == 0
+          || (best != NULL && strcmp (member->zone, best) == 0)
+          || !jl_member_is_heard (member, now_us))
+        continue;
+      other = zone_room (roster, demand, member->zone, now_us);
+      if (other <= *room)
+        continue;
+      *room = other;
+      best = member->zone;
+    }
+  return best;
+}
+
+struct jl_plan
+jl_place_plan (const struct jl_roster *roster,
+               const struct jl_demand *demands,
+               unsigned demand_count,
+               const struct jl_demand *demand,
+               uint64_t now_us)
+{
+  struct jl_plan plan = { .keep = 1, .service = "" };
+
+  plan_own_zone (&plan, roster, demands, demand_count, demand, now_us);
+  if (plan.keep < 1)
+    plan.other_zone = roomiest_zone (roster, demand, now_us, &plan.room);
+  return plan;
+}
+
+const char *
+jl_plan_zone (const struct jl_plan *plan, const char *own_zone, double draw)
+{
+  if (draw < plan->keep)
+    return own_zone;
+  if (plan->other_zone == NULL)
+    return NULL;
+  /* Uniform between the share that was kept and 1. */
+  draw = (draw - plan->keep) / (1 - plan->keep);
+  return draw < plan->room ? plan->other_zone : NULL;
+}
+
+static bool
+was_tried (const struct jl_member *member,
+           struct jl_member *const *tried,
+           unsigned tried_count)
+{
+  for (unsigned i = 0; i < tried_count; i++)
+    if (tried[i] == member)
+      return true;
+  return false;
+}
+
+/* Load that one more request would find there. */
+static double
+member_load (const struct jl_member *member)
+{
+  double capacity
+      = member->capacity > 0 ? member->capacity : MAX (member->limit, 1);
+
+  return (member->outstanding + 1) / capacity + member->shed / capacity;
+}
+
+struct jl_member *
+jl_place_pick (const struct jl_roster *roster,
+               const char *service,
+               const char *zone,
+               struct jl_member *const *tried,
+               unsigned tried_count,
+               uint64_t now_us)
+{
+  struct jl_member *best = NULL;
+  bool best_near = false;
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (roster->members, i);
+      bool near;
+
+      if (!jl_member_takes_work (member, service, now_us)
+          || was_tried (member, tried, tried_count))
+        continue;
+      near = strcmp (member->zone, zone) == 0;
+      if (best != NULL
+          && (best_near > near
+              || (best_near == near
+                  && member_load (best) <= member_load (member))))
+        continue;
+      best = member;
+      best_near = near;
+    }
+  return best;
+}
--- /dev/null
+++ b/source/proxy/place.h
@@ -0,0 +1,118 @@
+#ifndef JACKDAWLADDER_PROXY_PLACE_H
+#define JACKDAWLADDER_PROXY_PLACE_H
+
+/**
+ * DOC: Which daemon a request is sent to, and whether it is sent at all.
+ *
+ * Answers overload deep in the call graph. A client's request is judged as a
+ * whole, before anything ran: the services that its calls will reach are known
+ * from learned fan-outs, and each says what share of its demand is too much.
+ * That share is taken from what is least important and, among equals, from
+ * what costs the service most. When the own zone has no room and another one
+ * has, the whole request goes there, so that only its first message crosses
+ * zones. Calls of a request that has begun are never refused here, and stay in
+ * their zone while it has a target.
+ */
+
+#include "proxy/roster.h"
+
+/* Services that one request's calls can reach. */
+#define JL_NEED_MAX 16
+
+/**
+ * struct jl_need - runs at one service that a request leads to
+ */
+struct jl_need
+{
+  const char *service;
+  double runs;
+};
+
+/**
+ * struct jl_needs - all runs that a request leads to
+ */
+struct jl_needs
+{
+  unsigned count;
+  struct jl_need list[JL_NEED_MAX];
+};
+
+/**
+ * struct jl_plan - what becomes of a route's requests until the next window
+ * @keep: share that is let into the own zone
+ * @service: the service that has no room for the others, "" for none
+ * @shed: the share of its demand that it refuses
+ * @other_zone: zone that has room, NULL for none
+ * @room: share of the others that goes to @other_zone
+ */
+struct jl_plan
+{
+  double keep;
+  const char *service;
+  double shed;
+  const char *other_zone;
+  double room;
+};
+
+/**
+ * struct jl_demand - what this daemon's clients ask for by one route
+ * @route: the route's key
+ * @rank: its importance
+ * @counted: requests in this window
+ * @rate: requests a second, smoothed
+ * @needs: runs that one request leads to
+ * @plan: what becomes of its requests
+ */
+struct jl_demand
+{
+  uint32_t route;
+  unsigned rank;
+  unsigned counted;
+  double rate;
+  struct jl_needs needs;
+  struct jl_plan plan;
+};
+
+/**
+ * jl_place_needs - runs that a request to @service by route @route leads to
+ */
+void jl_place_needs (const struct jl_roster *roster,
+                     const struct jl_site *site,
+                     const struct jl_route *route,
+                     struct jl_needs *needs);
+
+/**
+ * jl_place_plan - what becomes of the requests of @demand
+ * @demands: of all routes that this daemon's clients use, @demand among them
+ */
+struct jl_plan jl_place_plan (const struct jl_roster *roster,
+                              const struct jl_demand *demands,
+                              unsigned demand_count,
+                              const struct jl_demand *demand,
+                              uint64_t now_us);
+
+/**
+ * jl_plan_zone - where one request goes
+ * @own_zone: this daemon's
+ * @draw: uniform, 0 to 1
+ *
+ * Return: a zone, or NULL when the request is refused.
+ */
+const char *
+jl_plan_zone (const struct jl_plan *plan, const char *own_zone, double draw);
+
+/**
+ * jl_place_pick - the daemon that a request is sent to
+ * @zone: the zone to prefer
+ * @tried: daemons that refused it already
+ *
+ * Return: NULL when none takes work.
+ */
+struct jl_member *jl_place_pick (const struct jl_roster *roster,
+                                 const char *service,
+                                 const char *zone,
+                                 struct jl_member *const *tried,
+                                 unsigned tried_count,
+                                 uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/source/proxy/target.h
@@ -0,0 +1,91 @@
+#ifndef JACKDAWLADDER_PROXY_TARGET_H
+#define JACKDAWLADDER_PROXY_TARGET_H
+
+/**
+ * DOC: What a daemon believes of its own target.
+ *
+ * The target's heartbeats are the source. They may be late and out of order:
+ * one of an earlier life or with a lower sequence changes nothing. Leaving is
+ * final for a life.
+ */
+
+#include "jackdawladder/site.h"
+
+/**
+ * struct jl_heartbeat - one announcement
+ * @id: identifier of the target's life
+ * @service: its service
+ * @address: where it takes requests
+ * @slots: requests that it runs at once
+ * @draining: it is about to leave
+ * @cold_us: how much longer it is slow after its start
+ * @born_ms: wall clock of its start, 0 if not given
+ * @sequence: rises with each announcement of a life
+ */
+struct jl_heartbeat
+{
+  char id[JL_TEXT_SIZE];
+  char service[JL_TEXT_SIZE];
+  struct jl_endpoint address;
+  unsigned slots;
+  bool draining;
+  uint64_t cold_us;
+  uint64_t born_ms;
+  uint64_t sequence;
+};
+
+/**
+ * enum jl_target_state - whether the own target takes work
+ * @JL_TARGET_NONE: none is known
+ * @JL_TARGET_UP: it does
+ * @JL_TARGET_LEAVING: it finishes what it has
+ * @JL_TARGET_DOWN: it does not answer; a heartbeat brings it back
+ */
+enum jl_target_state
+{
+  JL_TARGET_NONE,
+  JL_TARGET_UP,
+  JL_TARGET_LEAVING,
+  JL_TARGET_DOWN,
+};
+
+/**
+ * struct jl_target - the belief
+ * @heard_us: time of the last heartbeat that counted
+ * @left: identifiers of lives that have left, a ring
+ */
+struct jl_target
+{
+  enum jl_target_state state;
+  struct jl_heartbeat last;
+  uint64_t heard_us;
+  uint64_t up_since_us;
+  char left[8][JL_TEXT_SIZE];
+  uint64_t left_born_ms[8];
+  unsigned left_next;
+};
+
+/**
+ * jl_target_heartbeat - takes an announcement in
+ *
+ * Return: whether the state, the life or the slots have changed.
+ */
+bool jl_target_heartbeat (struct jl_target *target,
+                          const struct jl_heartbeat *heartbeat,
+                          uint64_t now_us);
+
+/**
+ * jl_target_leave - the target with identifier @id says that it ends
+ *
+ * Return: whether it was the current one.
+ */
+bool jl_target_leave (struct jl_target *target, const char *id);
+
+/**
+ * jl_target_down - the target refuses connections
+ */
+void jl_target_down (struct jl_target *target);
+
+const char *jl_target_state_name (enum jl_target_state state);
+
+#endif
--- /dev/null
+++ b/source/rpc/beacon.x
@@ -0,0 +1,33 @@
+/*
+ * What daemons tell each other of themselves, one datagram each.
+ */
+
+const BEACON_TEXT_MAX = 200;
+const BEACON_FANOUT_MAX = 32;
+
+struct beacon_fanout
+{
+  unsigned int run;
+  unsigned int call;
+  unsigned int calls_milli;
+};
+
+struct beacon_message
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  string zone<BEACON_TEXT_MAX>;
+  string service<BEACON_TEXT_MAX>;
+  string target<BEACON_TEXT_MAX>;
+  unsigned int ip;
+  unsigned int port;
+  unsigned hyper epoch;
+  unsigned hyper sequence;
+  unsigned int state;
+  unsigned int limit;
+  unsigned int shed_milli;
+  unsigned int room_milli;
+  unsigned int hold_us;
+  unsigned hyper site_version;
+  beacon_fanout fanout<BEACON_FANOUT_MAX>;
+};
