Tell calls of targets from clients' requests by where they arrive

Cause: clients and the own target share an address, so every request was taken for a call and none was refused at its entry; the slow zone's deepest target had 140 waiting. Daemons now tell each other what arrives at them; a route that the daemons of one service never see carries calls. A target that joined is taken as average until it is known.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -57,6 +57,15 @@
     }
 }
 
+static void
+read_arrivals (struct jl_member *member, const struct beacon_message *message)
+{
+  member->arrivals.count = 0;
+  for (unsigned i = 0; i < message->arrivals.arrivals_len; i++)
+    jl_arrivals_add (&member->arrivals, message->arrivals.arrivals_val[i].route,
+                     message->arrivals.arrivals_val[i].count_centi / 100.0);
+}
+
 static void
 note_change (const struct jl_member *member,
              const struct beacon_message *message,
@@ -105,6 +114,7 @@
   member->site_version = message->site_version;
   member->heard_us = now_us;
   read_fanout (member, message);
+  read_arrivals (member, message);
 }
 
 static void
@@ -176,11 +186,25 @@
   return count;
 }
 
+static unsigned
+fill_arrivals (const struct jl_proxy *proxy, struct beacon_arrival *list)
+{
+  const struct jl_arrivals *arrivals = &proxy->self->arrivals;
+
+  for (unsigned i = 0; i < arrivals->count; i++)
+    {
+      list[i].route = arrivals->list[i].route;
+      list[i].count_centi = (u_int)lround (arrivals->list[i].count * 100);
+    }
+  return arrivals->count;
+}
+
 static size_t
 encode (struct jl_beacon *beacon, char *datagram)
 {
   struct jl_proxy *proxy = beacon->proxy;
   struct beacon_fanout fanout[BEACON_FANOUT_MAX];
+  struct beacon_arrival arrivals[BEACON_ARRIVALS_MAX];
   struct beacon_message message = {
     .format = FORMAT,
     .name = proxy->options->name,
@@ -203,6 +227,8 @@
 
   message.fanout.fanout_len = fill_fanout (proxy, fanout);
   message.fanout.fanout_val = fanout;
+  message.arrivals.arrivals_len = fill_arrivals (proxy, arrivals);
+  message.arrivals.arrivals_val = arrivals;
   xdrmem_create (&xdr, datagram, DATAGRAM_MAX, XDR_ENCODE);
   if (xdr_beacon_message (&xdr, &message))
     size = xdr_getpos (&xdr);
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -27,6 +27,9 @@
 /* Weight of a window in the smoothed demand. */
 #define DEMAND_WEIGHT 0.15
 
+/* Windows between two classifications of routes. */
+#define CLASSIFY_WINDOWS 3
+
 /**
  * struct jl_call - a request in progress at its entry
  * @link: in the proxy's list
@@ -35,7 +38,7 @@
  * @route: in @site
  * @service: service that is to run it
  * @zone: zone that it was placed in
- * @from_target: the own target sent it
+ * @from_target: the own target sent it, as far as is known
  * @begun_us: when it came
  * @expires_us: when the client or the route waits no longer
  * @kept: body as far as it came
@@ -544,6 +547,19 @@
   return demand;
 }
 
+/* Classifies each route that came lately; that holds until the next window. */
+static void
+classify_routes (struct jl_proxy *proxy)
+{
+  const struct jl_arrivals *arrivals = &proxy->self->arrivals;
+  uint64_t now_us = jl_now ();
+
+  proxy->call_route_count = 0;
+  for (unsigned i = 0; i < arrivals->count; i++)
+    if (jl_roster_is_call (&proxy->roster, arrivals->list[i].route, now_us))
+      proxy->call_routes[proxy->call_route_count++] = arrivals->list[i].route;
+}
+
 void
 jl_entry_windows (struct jl_proxy *proxy)
 {
@@ -557,6 +573,11 @@
           += DEMAND_WEIGHT * (demand->counted / window_s - demand->rate);
       demand->counted = 0;
     }
+  if (proxy->ticks % CLASSIFY_WINDOWS == 0)
+    {
+      jl_arrivals_fade (&proxy->self->arrivals);
+      classify_routes (proxy);
+    }
   for (guint i = 0; proxy->site != NULL && i < proxy->site->routes->len; i++)
     {
       const struct jl_route *route = g_ptr_array_index (proxy->site->routes, i);
@@ -610,6 +631,15 @@
   call->expires_us = call->begun_us + wait_us;
 }
 
+static bool
+is_call_route (const struct jl_proxy *proxy, uint32_t route)
+{
+  for (unsigned i = 0; i < proxy->call_route_count; i++)
+    if (proxy->call_routes[i] == route)
+      return true;
+  return false;
+}
+
 static void
 begin_from_target (struct jl_call *call)
 {
@@ -655,7 +685,6 @@
   call->zone = proxy->roster.own_zone;
   call->kept = g_byte_array_new ();
   call->in_chunks = jl_request_head (request)->chunked;
-  call->from_target = jl_request_peer (request).ip == proxy->options->ip;
   cds_list_add_tail (&call->link, &proxy->calls);
   jl_request_set_data (request, call);
   return call;
@@ -693,6 +722,8 @@
     }
   call->service = choose_service (call->route);
   set_deadline (call);
+  jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
+  call->from_target = is_call_route (proxy, call->route->key);
   if (call->from_target)
     begin_from_target (call);
   else
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -339,14 +339,33 @@
   return false;
 }
 
-/* Load that one more request would find there. */
+/* Requests a second for each slot, over the targets of a service. */
 static double
-member_load (const struct jl_member *member)
+mean_slot_rate (const struct jl_roster *roster, const char *service)
 {
-  double capacity
-      = member->capacity > 0 ? member->capacity : MAX (member->limit, 1);
+  double capacity = 0;
+  double slots = 0;
 
-  return (member->outstanding + 1) / capacity + member->shed / capacity;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+
+      if (member->capacity <= 0 || strcmp (member->service, service) != 0)
+        continue;
+      capacity += member->capacity;
+      slots += member->limit;
+    }
+  return slots > 0 ? capacity / slots : 1;
+}
+
+/* Load that one more request would find; a target not known yet is average. */
+static double
+member_load (const struct jl_member *member, double slot_rate)
+{
+  double capacity = member->capacity > 0 ? member->capacity
+                                         : slot_rate * MAX (member->limit, 1);
+
+  return (member->outstanding + 1) / capacity;
 }
 
 struct jl_member *
@@ -359,6 +378,7 @@
 {
   struct jl_member *best = NULL;
   bool best_near = false;
+  double slot_rate = mean_slot_rate (roster, service);
 
   for (guint i = 0; i < roster->members->len; i++)
     {
@@ -372,7 +392,8 @@
       if (best != NULL
           && (best_near > near
               || (best_near == near
-                  && member_load (best) <= member_load (member))))
+                  && member_load (best, slot_rate)
+                         <= member_load (member, slot_rate))))
         continue;
       best = member;
       best_near = near;
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -77,6 +77,7 @@
  * struct jl_proxy - the process
  * @site: configuration in force, NULL before there is one
  * @site_text: the text that it was read from
+ * @call_routes: keys of the routes that carry calls of the own target
  * @calls: requests in progress here as an entry
  * @works: requests in progress here as a guard
  * @ticks: control windows so far
@@ -104,6 +105,8 @@
   struct jl_fanout fanout;
   unsigned demand_count;
   struct jl_demand demands[JL_DEMAND_MAX];
+  unsigned call_route_count;
+  uint32_t call_routes[JL_ARRIVALS_MAX];
   unsigned budget_count;
   struct jl_service_budget budgets[JL_BUDGET_MAX];
   struct cds_list_head calls;
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -63,6 +63,62 @@
   member->avoid_until_us = now_us + AVOID_US;
 }
 
+/* Arrivals at all daemons beside targets of @service. */
+static struct jl_arrivals
+service_arrivals (const struct jl_roster *roster,
+                  const char *service,
+                  uint64_t now_us)
+{
+  struct jl_arrivals sum = { 0 };
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+
+      if (strcmp (member->service, service) != 0
+          || !jl_member_is_heard (member, now_us))
+        continue;
+      for (unsigned j = 0; j < member->arrivals.count; j++)
+        jl_arrivals_add (&sum, member->arrivals.list[j].route,
+                         member->arrivals.list[j].count);
+    }
+  return sum;
+}
+
+static bool
+is_first_of_service (const struct jl_roster *roster, guint index)
+{
+  const struct jl_member *member = g_ptr_array_index (roster->members, index);
+
+  for (guint i = 0; i < index; i++)
+    {
+      const struct jl_member *other = g_ptr_array_index (roster->members, i);
+
+      if (strcmp (other->service, member->service) == 0)
+        return false;
+    }
+  return true;
+}
+
+bool
+jl_roster_is_call (const struct jl_roster *roster,
+                   uint32_t route,
+                   uint64_t now_us)
+{
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      struct jl_arrivals arrivals;
+
+      if (!is_first_of_service (roster, i))
+        continue;
+      arrivals = service_arrivals (roster, member->service, now_us);
+      if (jl_arrivals_lack (&arrivals, route))
+        return true;
+    }
+  return false;
+}
+
 unsigned
 jl_roster_heard (const struct jl_roster *roster, uint64_t now_us)
 {
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -11,6 +11,7 @@
  */
 
 #include "policy/fanout.h"
+#include "policy/origin.h"
 #include "proxy/target.h"
 
 /* Fitted fan-outs that one daemon tells. */
@@ -33,6 +34,8 @@
  * @shed_us: time at which @shed was above 0 last
  * @avoid_until_us: a sending to it failed; nothing is sent before
  * @outstanding: requests of this daemon that are there
+ * @fanout: calls that runs at its target make
+ * @arrivals: requests that came to it as an entry
  */
 struct jl_member
 {
@@ -54,6 +57,7 @@
   unsigned outstanding;
   unsigned fanout_count;
   struct jl_fanout_entry fanout[JL_MEMBER_FANOUT_MAX];
+  struct jl_arrivals arrivals;
 };
 
 /**
@@ -93,6 +97,14 @@
  */
 void jl_member_avoid (struct jl_member *member, uint64_t now_us);
 
+/**
+ * jl_roster_is_call - whether requests of a route are calls of targets
+ * @route: the route's key
+ */
+bool jl_roster_is_call (const struct jl_roster *roster,
+                        uint32_t route,
+                        uint64_t now_us);
+
 /**
  * jl_roster_heard - number of daemons that are heard
  */
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -4,6 +4,7 @@
 
 const BEACON_TEXT_MAX = 200;
 const BEACON_FANOUT_MAX = 32;
+const BEACON_ARRIVALS_MAX = 32;
 
 struct beacon_fanout
 {
@@ -12,6 +13,12 @@
   unsigned int calls_milli;
 };
 
+struct beacon_arrival
+{
+  unsigned int route;
+  unsigned int count_centi;
+};
+
 struct beacon_message
 {
   unsigned int format;
@@ -30,4 +37,5 @@
   unsigned int hold_us;
   unsigned hyper site_version;
   beacon_fanout fanout<BEACON_FANOUT_MAX>;
+  beacon_arrival arrivals<BEACON_ARRIVALS_MAX>;
 };
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -15,6 +15,7 @@
 
 #define BEACON_TEXT_MAX 200
 #define BEACON_FANOUT_MAX 32
+#define BEACON_ARRIVALS_MAX 32
 
 struct beacon_fanout {
 	u_int run;
@@ -23,6 +24,12 @@
 };
 typedef struct beacon_fanout beacon_fanout;
 
+struct beacon_arrival {
+	u_int route;
+	u_int count_centi;
+};
+typedef struct beacon_arrival beacon_arrival;
+
 struct beacon_message {
 	u_int format;
 	char *name;
@@ -43,6 +50,10 @@
 		u_int fanout_len;
 		beacon_fanout *fanout_val;
 	} fanout;
+	struct {
+		u_int arrivals_len;
+		beacon_arrival *arrivals_val;
+	} arrivals;
 };
 typedef struct beacon_message beacon_message;
 
@@ -50,10 +61,12 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_beacon_fanout (XDR *, beacon_fanout*);
+extern  bool_t xdr_beacon_arrival (XDR *, beacon_arrival*);
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
+extern bool_t xdr_beacon_arrival ();
 extern bool_t xdr_beacon_message ();
 
 #endif /* K&R C */
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -19,6 +19,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_arrival (XDR *xdrs, beacon_arrival *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count_centi))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_message (XDR *xdrs, beacon_message *objp)
 {
@@ -69,6 +81,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->fanout.fanout_val, (u_int *) &objp->fanout.fanout_len, BEACON_FANOUT_MAX,
 			sizeof (beacon_fanout), (xdrproc_t) xdr_beacon_fanout))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->arrivals.arrivals_val, (u_int *) &objp->arrivals.arrivals_len, BEACON_ARRIVALS_MAX,
+			sizeof (beacon_arrival), (xdrproc_t) xdr_beacon_arrival))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_int (xdrs, &objp->format))
@@ -114,6 +129,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->fanout.fanout_val, (u_int *) &objp->fanout.fanout_len, BEACON_FANOUT_MAX,
 			sizeof (beacon_fanout), (xdrproc_t) xdr_beacon_fanout))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->arrivals.arrivals_val, (u_int *) &objp->arrivals.arrivals_len, BEACON_ARRIVALS_MAX,
+			sizeof (beacon_arrival), (xdrproc_t) xdr_beacon_arrival))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -150,5 +168,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->fanout.fanout_val, (u_int *) &objp->fanout.fanout_len, BEACON_FANOUT_MAX,
 		sizeof (beacon_fanout), (xdrproc_t) xdr_beacon_fanout))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->arrivals.arrivals_val, (u_int *) &objp->arrivals.arrivals_len, BEACON_ARRIVALS_MAX,
+		sizeof (beacon_arrival), (xdrproc_t) xdr_beacon_arrival))
+		 return FALSE;
 	return TRUE;
 }
