See a reset behind a partial read, and take no request at the end of a stop

The socket is asked once more (recv, MSG_PEEK). Ruled out: a FIN by the target (recv gave ECONNRESET).

--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -5,6 +5,7 @@
 #include "conn-impl.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -311,9 +312,27 @@
   *buffer = uv_buf_init (conn->net->buffer, READ_SIZE);
 }
 
+/*
+ * libuv takes a hang-up after a partial read for the end of the input, also
+ * when the peer has reset the connection.
+ */
+static bool
+was_reset (const struct jl_conn *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    return true;
+  return recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno != EAGAIN;
+}
+
 static void
 on_end_of_input (struct jl_conn *conn, ssize_t status)
 {
+  if (status == UV_EOF && conn->in_body && was_reset (conn))
+    status = UV_ECONNRESET;
   if (conn->finishing)
     {
       close_now (conn);
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -659,6 +659,11 @@
   struct jl_budget *budget = budget_of (proxy, call->service);
 
   proxy->counters.requests++;
+  if (jl_proxy_is_ending (proxy))
+    {
+      refuse_call (call, "stopping");
+      return;
+    }
   if (budget != NULL)
     jl_budget_request (budget, &terms, jl_now ());
   if (demand != NULL)
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -71,6 +71,12 @@
              || (uint64_t)g_get_real_time () > proxy->epoch + ALONE_US);
 }
 
+bool
+jl_proxy_is_ending (const struct jl_proxy *proxy)
+{
+  return proxy->stopping && jl_now () > proxy->stop_since_us + STAY_US;
+}
+
 static unsigned
 lane_limit (unsigned slots)
 {
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -171,6 +171,12 @@
  */
 bool jl_proxy_ready (const struct jl_proxy *proxy);
 
+/**
+ * jl_proxy_is_ending - whether a request taken now could be cut off by the end
+ * of a planned stop
+ */
+bool jl_proxy_is_ending (const struct jl_proxy *proxy);
+
 void jl_histogram_add (struct jl_histogram *histogram, uint64_t time_us);
 
 /* entry.c */
