--- a/Makefile
+++ b/Makefile
@@ -45,12 +45,14 @@
 SCRIPTED_SOURCES = $(wildcard tests/scripted/*.c)
 SUPPORT_SOURCES = $(wildcard tests/support/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
+PROXY_TESTS = $(wildcard tests/proxy/*.c)
 BENCH_SOURCES = $(wildcard tests/bench/*.c)
 
 OBJECT = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIBRARY = $(BUILD)/libjackdawladder.a
 STANDINS = $(patsubst tests/standins/%.c,$(BUILD)/standins/%,$(filter-out %/common.c,$(STANDIN_SOURCES)))
-UNITS = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(TEST_SOURCES))
+UNITS = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(TEST_SOURCES)) \
+  $(patsubst tests/proxy/%.c,$(BUILD)/unit/proxy-%,$(PROXY_TESTS))
 RANDOM = $(if $(RANDOM_SOURCES),$(BUILD)/random-run)
 SCRIPTED = $(if $(SCRIPTED_SOURCES),$(BUILD)/scripted-run)
 BENCHES = $(patsubst tests/bench/%.c,$(BUILD)/bench/%,$(BENCH_SOURCES))
@@ -97,6 +99,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
+$(BUILD)/unit/proxy-%: $(BUILD)/tests/proxy/%.o $(PROXY_OBJECTS)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ -lcriterion -lhttp_parser $(PROXY_LIBS) -pthread -lm -o $@
+
 $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(call OBJECT,$(SUPPORT_SOURCES)) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -lcriterion $(LIBS) -o $@
--- /dev/null
+++ b/tests/proxy/decode.c
@@ -0,0 +1,112 @@
+/**
+ * DOC: Tests of the platform's documents and of the settings.
+ */
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "decode.h"
+#include "proxy/options.h"
+
+static const char site_text[]
+    = "{\"version\":\"0000001c\",\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"prefix\",\"kind\",\"timeoutS\",\"targetLatencyS\",\"priority\","
+      "\"split\",\"maxAttempts\",\"service\"],\"rows\":["
+      "[\"r1\",\"a.example\",\"/x/\",\"idempotent\",5,1.2,2,"
+      "[{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"
+      "2,null],"
+      "[\"r2\",\"a.example\",\"/x/y/\",\"non_idempotent\",5,1.2,0,null,2,"
+      "\"s3\"],"
+      "[\"r3\",\"b.example\",\"/\",\"upload\",1.5,0.3,1,null,1,\"s4\"]]},"
+      "\"services\":{\"columns\":[],\"rows\":[]},"
+      "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
+      "\"headerTimeoutS\":3,\"idleTimeoutS\":15}}";
+
+Test (decode, a_configuration)
+{
+  struct jl_site *site = jl_platform_site (site_text, strlen (site_text), NULL);
+  const struct jl_route *route;
+
+  cr_assert_not_null (site);
+  cr_assert_eq (site->version, 0x1c);
+  cr_assert_eq (site->idle_timeout_us, 15 * JL_USEC_PER_SEC);
+  route = jl_site_find (site, "A.example:80", "/x/z?q=/x/y/");
+  cr_assert_str_eq (route->name, "r1");
+  cr_assert_eq (route->split_count, 2);
+  cr_assert_eq (route->split[1].weight, 10);
+  cr_assert_eq (route->repeat, JL_REPEAT_ANY);
+  route = jl_site_find (site, "a.example", "/x/y/1");
+  cr_assert_str_eq (route->name, "r2");
+  cr_assert_eq (route->repeat, JL_REPEAT_NONE);
+  cr_assert_eq (route->rank, 0);
+  route = jl_site_find (site, "b.example", "/anything");
+  cr_assert_eq (route->repeat, JL_REPEAT_UPLOAD);
+  cr_assert_eq (route->timeout_us, 1500 * JL_USEC_PER_MSEC);
+  cr_assert_null (jl_site_find (site, "a.example", "/other"));
+  cr_assert_null (jl_site_find (site, "c.example", "/x/"));
+  jl_site_drop (site);
+}
+
+Test (decode, a_configuration_that_is_cut_short_is_refused)
+{
+  for (size_t size = 0; size < strlen (site_text); size++)
+    cr_assert_null (jl_platform_site (site_text, size, NULL), "%zu bytes",
+                    size);
+}
+
+static bool
+reads (const char *text)
+{
+  struct jl_heartbeat heartbeat;
+  GError *error = NULL;
+  bool read = jl_platform_heartbeat (text, strlen (text), &heartbeat, &error);
+
+  cr_assert_eq (read, error == NULL);
+  g_clear_error (&error);
+  return read;
+}
+
+Test (decode, heartbeats)
+{
+  cr_assert (reads (
+      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"slots\":12,\"state\":\"ready\",\"coldLeftS\":0.5,"
+      "\"sequence\":4,\"born\":1700000000000}"));
+  cr_assert_not (reads (""));
+  cr_assert_not (reads ("[]"));
+  cr_assert_not (reads ("{\"service\":7}"));
+  cr_assert_not (
+      reads ("{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"slots\":12,"
+             "\"state\":\"resting\",\"sequence\":4}"));
+  cr_assert_not (reads (
+      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"slots\":\"many\","
+      "\"state\":\"ready\",\"sequence\":4}"));
+  cr_assert_not (
+      reads ("{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"slots\":12,"
+             "\"state\":\"ready\",\"sequence\":4,\"born\":1.5}"));
+}
+
+Test (decode, settings)
+{
+  static const char text[]
+      = "// comment\n{\"name\":\"a\",\"zone\":\"z\",\"address\":\"10.0.0.1\","
+        "\"service\":\"s\",\"target\":\"10.0.0.1:1\",\"entry\":\"10.0.0.1:2\","
+        "\"ready\":\"10.0.0.1:3\",\"announce\":\"10.0.0.1:4\",\"peer_port\":5,"
+        "\"metrics_port\":6,\"store\":\"10.0.0.2:9\",\"heartbeat_s\":1.5,"
+        "\"grace_s\":6,\"retry_ratio\":0.2,\"retry_slack\":47,"
+        "\"retry_window_s\":10}";
+  GError *error = NULL;
+  struct jl_options *options = jl_options_parse (text, strlen (text), &error);
+  char *wrong;
+
+  cr_assert_not_null (options);
+  cr_assert_eq (options->heartbeat_us, 1500 * JL_USEC_PER_MSEC);
+  cr_assert_eq (options->store.port, 9);
+  g_free (options);
+  wrong = g_strdup (text);
+  strstr (wrong, "47")[0] = '"';
+  cr_assert_null (jl_options_parse (wrong, strlen (wrong), &error));
+  cr_assert_not_null (error);
+  g_error_free (error);
+  g_free (wrong);
+}
--- /dev/null
+++ b/tests/proxy/lane.c
@@ -0,0 +1,76 @@
+/**
+ * DOC: Tests of the queue before the own target.
+ */
+
+#include <criterion/criterion.h>
+
+#include "policy/lane.h"
+
+static struct jl_lane_item
+item (unsigned rank, uint64_t since_us, uint64_t expires_us)
+{
+  struct jl_lane_item result
+      = { .rank = rank, .since_us = since_us, .expires_us = expires_us };
+
+  return result;
+}
+
+Test (lane, runs_up_to_its_limit_and_queues_the_rest)
+{
+  struct jl_lane lane;
+  struct jl_lane_item items[3]
+      = { item (1, 0, 1000), item (1, 0, 1000), item (1, 0, 1000) };
+
+  jl_lane_init (&lane);
+  lane.limit = 2;
+  cr_assert (jl_lane_arrive (&lane, &items[0]));
+  cr_assert (jl_lane_arrive (&lane, &items[1]));
+  cr_assert_not (jl_lane_arrive (&lane, &items[2]));
+  cr_assert_null (jl_lane_next (&lane));
+  jl_lane_done (&lane);
+  cr_assert_eq (jl_lane_next (&lane), &items[2]);
+  cr_assert_eq (lane.running, 2);
+  cr_assert_eq (lane.waiting, 0);
+}
+
+Test (lane, lets_the_most_important_go_first)
+{
+  struct jl_lane lane;
+  struct jl_lane_item late = item (0, 5, 1000);
+  struct jl_lane_item early = item (2, 1, 1000);
+
+  jl_lane_init (&lane);
+  cr_assert_not (jl_lane_arrive (&lane, &early));
+  cr_assert_not (jl_lane_arrive (&lane, &late));
+  cr_assert_eq (jl_lane_oldest_wait (&lane, 11), 10);
+  lane.limit = 1;
+  cr_assert_eq (jl_lane_next (&lane), &late);
+}
+
+Test (lane, hands_back_what_cannot_end_in_time)
+{
+  struct jl_lane lane;
+  struct jl_lane_item brief = item (1, 0, 100);
+  struct jl_lane_item patient = item (1, 0, 1000);
+
+  jl_lane_init (&lane);
+  jl_lane_arrive (&lane, &patient);
+  jl_lane_arrive (&lane, &brief);
+  cr_assert_null (jl_lane_expired (&lane, 50, 40));
+  cr_assert_eq (jl_lane_expired (&lane, 70, 40), &brief);
+  cr_assert_null (jl_lane_expired (&lane, 70, 40));
+  cr_assert_eq (lane.waiting, 1);
+}
+
+Test (lane, a_request_behind_waiting_ones_does_not_overtake_them)
+{
+  struct jl_lane lane;
+  struct jl_lane_item first = item (1, 0, 1000);
+  struct jl_lane_item second = item (1, 0, 1000);
+
+  jl_lane_init (&lane);
+  jl_lane_arrive (&lane, &first);
+  lane.limit = 1;
+  cr_assert_not (jl_lane_arrive (&lane, &second));
+  cr_assert_eq (jl_lane_next (&lane), &first);
+}
--- /dev/null
+++ b/tests/proxy/place.c
@@ -0,0 +1,156 @@
+/**
+ * DOC: Tests of placing, refusing and the retry budget.
+ */
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "policy/budget.h"
+#include "proxy/place.h"
+
+#define NOW (100 * JL_USEC_PER_SEC)
+
+static struct jl_member *
+add (struct jl_roster *roster,
+     const char *name,
+     const char *zone,
+     const char *service)
+{
+  struct jl_member *member = jl_roster_member (roster, name);
+
+  g_strlcpy (member->zone, zone, sizeof member->zone);
+  g_strlcpy (member->service, service, sizeof member->service);
+  member->state = JL_TARGET_UP;
+  member->limit = 10;
+  member->capacity = 100;
+  member->heard_us = NOW;
+  return member;
+}
+
+Test (place, the_own_zone_comes_first)
+{
+  struct jl_roster roster;
+  struct jl_member *near;
+  struct jl_member *far;
+
+  jl_roster_init (&roster, "z1");
+  far = add (&roster, "far", "z2", "s");
+  near = add (&roster, "near", "z1", "s");
+  near->outstanding = 50;
+  cr_assert_eq (jl_place_pick (&roster, "s", "z1", NULL, 0, NOW), near);
+  cr_assert_eq (jl_place_pick (&roster, "s", "z1", &near, 1, NOW), far);
+  jl_roster_clear (&roster);
+}
+
+Test (place, nothing_goes_to_one_that_leaves_fails_or_is_silent)
+{
+  struct jl_roster roster;
+  struct jl_member *member;
+
+  jl_roster_init (&roster, "z1");
+  member = add (&roster, "a", "z1", "s");
+  member->state = JL_TARGET_LEAVING;
+  cr_assert_null (jl_place_pick (&roster, "s", "z1", NULL, 0, NOW));
+  member->state = JL_TARGET_UP;
+  jl_member_avoid (member, NOW);
+  cr_assert_null (jl_place_pick (&roster, "s", "z1", NULL, 0, NOW));
+  member->avoid_until_us = 0;
+  member->heard_us = NOW - 5 * JL_USEC_PER_SEC;
+  cr_assert_null (jl_place_pick (&roster, "s", "z1", NULL, 0, NOW));
+  member->heard_us = NOW;
+  cr_assert_null (jl_place_pick (&roster, "t", "z1", NULL, 0, NOW));
+  jl_roster_clear (&roster);
+}
+
+Test (place, a_target_that_joins_gets_its_part)
+{
+  struct jl_roster roster;
+  struct jl_member *old;
+  struct jl_member *joined;
+  unsigned part = 0;
+
+  jl_roster_init (&roster, "z1");
+  old = add (&roster, "old", "z1", "s");
+  old->capacity = 900;
+  joined = add (&roster, "joined", "z1", "s");
+  joined->capacity = 0;
+  for (unsigned i = 0; i < 10; i++)
+    {
+      struct jl_member *member
+          = jl_place_pick (&roster, "s", "z1", NULL, 0, NOW);
+
+      member->outstanding++;
+      part += member == joined;
+    }
+  cr_assert_geq (part, 4, "%u of 10", part);
+  cr_assert_eq (old->outstanding + joined->outstanding, 10);
+  jl_roster_clear (&roster);
+}
+
+static struct jl_demand
+demand (uint32_t route, unsigned rank, double rate, double runs)
+{
+  struct jl_demand result = { .route = route, .rank = rank, .rate = rate };
+
+  result.needs.count = 1;
+  result.needs.list[0].service = "deep";
+  result.needs.list[0].runs = runs;
+  return result;
+}
+
+/* A deep service 30 % short: who is let in? */
+Test (place, what_is_least_important_and_dearest_gives_way_first)
+{
+  struct jl_roster roster;
+  struct jl_demand demands[3]
+      = { demand (1, 0, 10, 4), demand (2, 2, 10, 1), demand (3, 2, 10, 8) };
+
+  jl_roster_init (&roster, "z1");
+  add (&roster, "a", "z1", "deep")->shed = 0.3;
+  cr_assert_eq (jl_place_plan (&roster, demands, 3, &demands[0], NOW).keep, 1);
+  cr_assert_eq (jl_place_plan (&roster, demands, 3, &demands[1], NOW).keep, 1);
+  cr_assert_float_eq (
+      jl_place_plan (&roster, demands, 3, &demands[2], NOW).keep,
+      (0.7 * 130 - 50) / 80, 1e-9);
+  jl_roster_clear (&roster);
+}
+
+Test (place, a_request_goes_to_a_zone_with_room_as_a_whole)
+{
+  struct jl_roster roster;
+  struct jl_demand demands[1] = { demand (1, 0, 10, 4) };
+  struct jl_plan plan;
+
+  jl_roster_init (&roster, "z1");
+  add (&roster, "a", "z1", "deep")->shed = 0.3;
+  add (&roster, "b", "z2", "deep")->room = 0.5;
+  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  cr_assert_str_eq (jl_plan_zone (&plan, "z1", 0.1), "z1");
+  cr_assert_str_eq (jl_plan_zone (&plan, "z1", 0.9), "z2");
+  jl_roster_member (&roster, "b")->room = 0;
+  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  cr_assert_null (jl_plan_zone (&plan, "z1", 0.9));
+  jl_roster_clear (&roster);
+}
+
+Test (place, the_retry_budget_slides)
+{
+  struct jl_budget budget = { 0 };
+  struct jl_budget_terms terms = {
+    .ratio = 0.2, .slack = 50, .window_us = 10 * JL_USEC_PER_SEC, .daemons = 10
+  };
+  double spent = 0;
+
+  for (unsigned i = 0; i < 100; i++)
+    jl_budget_request (&budget, &terms, NOW);
+  while (jl_budget_allows (&budget, &terms, NOW, 1))
+    {
+      jl_budget_spend (&budget, &terms, NOW, 1);
+      spent++;
+    }
+  cr_assert_leq (spent, 0.2 * 100 + 5);
+  cr_assert_geq (spent, 15);
+  cr_assert_not (
+      jl_budget_allows (&budget, &terms, NOW + 9 * JL_USEC_PER_SEC, 1));
+  cr_assert (jl_budget_allows (&budget, &terms, NOW + 13 * JL_USEC_PER_SEC, 1));
+}
--- /dev/null
+++ b/tests/proxy/target.c
@@ -0,0 +1,94 @@
+/**
+ * DOC: Tests of what a daemon believes of its own target.
+ */
+
+#include <criterion/criterion.h>
+
+#include "proxy/target.h"
+
+static struct jl_heartbeat
+heartbeat (const char *id, uint64_t born_ms, uint64_t sequence, bool draining)
+{
+  struct jl_heartbeat result = {
+    .slots = 10, .born_ms = born_ms, .sequence = sequence, .draining = draining
+  };
+
+  g_strlcpy (result.id, id, sizeof result.id);
+  return result;
+}
+
+static bool
+take (struct jl_target *target, struct jl_heartbeat beat)
+{
+  return jl_target_heartbeat (target, &beat, 1);
+}
+
+Test (target, draining_is_final_for_a_life)
+{
+  struct jl_target target = { 0 };
+
+  cr_assert (take (&target, heartbeat ("a", 5, 1, false)));
+  cr_assert (take (&target, heartbeat ("a", 5, 2, true)));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+  take (&target, heartbeat ("a", 5, 3, false));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+}
+
+Test (target, a_late_heartbeat_changes_nothing)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("a", 5, 2, true));
+  cr_assert_not (take (&target, heartbeat ("a", 5, 1, false)));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+}
+
+Test (target, one_that_left_does_not_come_back_by_a_late_heartbeat)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("a", 5, 1, false));
+  cr_assert (jl_target_leave (&target, "a"));
+  cr_assert_not (take (&target, heartbeat ("a", 5, 9, false)));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+}
+
+Test (target, a_new_life_replaces_the_old_one_and_not_the_reverse)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("a", 5, 7, false));
+  cr_assert (take (&target, heartbeat ("b", 9, 1, false)));
+  cr_assert_not (take (&target, heartbeat ("a", 5, 8, false)));
+  cr_assert_str_eq (target.last.id, "b");
+}
+
+Test (target, the_same_identifier_may_start_again)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("a", 5, 7, false));
+  jl_target_leave (&target, "a");
+  cr_assert (take (&target, heartbeat ("a", 9, 1, false)));
+  cr_assert_eq (target.state, JL_TARGET_UP);
+}
+
+Test (target, a_heartbeat_brings_back_one_that_refused_connections)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("a", 5, 1, false));
+  jl_target_down (&target);
+  cr_assert_eq (target.state, JL_TARGET_DOWN);
+  cr_assert (take (&target, heartbeat ("a", 5, 2, false)));
+  cr_assert_eq (target.state, JL_TARGET_UP);
+}
+
+Test (target, another_leaving_than_the_current_one_changes_nothing)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("b", 9, 1, false));
+  cr_assert_not (jl_target_leave (&target, "a"));
+  cr_assert_eq (target.state, JL_TARGET_UP);
+}
