Place requests where the fewest messages cross; docs of the proxy

Cause: a zone that had lost its only deep target sent every call of a request to other zones, eight for a listing, and its entries did not share in what those zones refused. The home zone is now the one with the fewest crossings. Not measured yet.

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -542,6 +542,7 @@
     return NULL;
   demand = &proxy->demands[proxy->demand_count++];
   demand->route = route->key;
+  demand->plan.zone = proxy->roster.own_zone;
   demand->plan.keep = 1;
   demand->plan.service = "";
   return demand;
@@ -669,8 +670,7 @@
   if (demand != NULL)
     {
       demand->counted++;
-      call->zone = jl_plan_zone (&demand->plan, proxy->roster.own_zone,
-                                 g_random_double ());
+      call->zone = jl_plan_zone (&demand->plan, g_random_double ());
     }
   if (call->zone == NULL)
     refuse_call (call, "overload");
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -133,7 +133,7 @@
   follow (roster, site, route, 1, 0, needs);
 }
 
-/* What the targets of a service say in one zone. */
+/* What the targets of a service say, in one zone or in all. */
 struct supply
 {
   double capacity;
@@ -155,7 +155,7 @@
       const struct jl_member *member = g_ptr_array_index (roster->members, i);
       double weight = MAX (member->limit, 1);
 
-      if (strcmp (member->zone, zone) != 0
+      if ((zone != NULL && strcmp (member->zone, zone) != 0)
           || !jl_member_takes_work (member, service, now_us))
         continue;
       if (member->capacity > 0)
@@ -225,19 +225,35 @@
   return CLAMP (((1 - shed) * total - before) / own, 0, 1);
 }
 
+/*
+ * What a service can do for requests placed in @zone: its targets there, or
+ * else those of all zones, which calls then cross to.
+ */
+static struct supply
+reachable_supply (const struct jl_roster *roster,
+                  const char *service,
+                  const char *zone,
+                  uint64_t now_us)
+{
+  struct supply supply = zone_supply (roster, service, zone, now_us);
+
+  return supply.targets > 0 ? supply
+                            : zone_supply (roster, service, NULL, now_us);
+}
+
 static void
-plan_own_zone (struct jl_plan *plan,
-               const struct jl_roster *roster,
-               const struct jl_demand *demands,
-               unsigned demand_count,
-               const struct jl_demand *demand,
-               uint64_t now_us)
+judge_zone (struct jl_plan *plan,
+            const struct jl_roster *roster,
+            const struct jl_demand *demands,
+            unsigned demand_count,
+            const struct jl_demand *demand,
+            uint64_t now_us)
 {
   for (unsigned i = 0; i < demand->needs.count; i++)
     {
       const char *service = demand->needs.list[i].service;
       struct supply supply
-          = zone_supply (roster, service, roster->own_zone, now_us);
+          = reachable_supply (roster, service, plan->zone, now_us);
       double keep;
 
       if (supply.targets == 0 || supply.shed <= 0)
@@ -251,6 +267,25 @@
     }
 }
 
+/* Messages of one request that cross zones if it is placed in @zone. */
+static double
+crossings (const struct jl_roster *roster,
+           const struct jl_demand *demand,
+           const char *zone,
+           uint64_t now_us)
+{
+  double count = strcmp (zone, roster->own_zone) != 0 ? 1 : 0;
+
+  for (unsigned i = 0; i < demand->needs.count; i++)
+    {
+      const struct jl_need *need = &demand->needs.list[i];
+
+      if (zone_supply (roster, need->service, zone, now_us).targets == 0)
+        count += need->runs;
+    }
+  return count;
+}
+
 /* Share of other zones' requests that @zone takes. */
 static double
 zone_room (const struct jl_roster *roster,
@@ -262,21 +297,66 @@
 
   for (unsigned i = 0; i < demand->needs.count; i++)
     {
-      struct supply supply
-          = zone_supply (roster, demand->needs.list[i].service, zone, now_us);
+      struct supply supply = zone_supply (
+          roster, demand->needs.list[i].service, zone, now_us);
 
-      if (supply.targets == 0)
-        return 0;
-      if (supply.shed > 0)
+      if (supply.targets == 0 || supply.shed > 0)
         return 0;
       room = MIN (room, supply.room / ROOM_FULL);
     }
   return room;
 }
 
+static bool
+is_first_of_zone (const struct jl_roster *roster, guint index)
+{
+  const struct jl_member *member = g_ptr_array_index (roster->members, index);
+
+  for (guint i = 0; i < index; i++)
+    {
+      const struct jl_member *other = g_ptr_array_index (roster->members, i);
+
+      if (strcmp (other->zone, member->zone) == 0)
+        return false;
+    }
+  return true;
+}
+
+/* The zone in which the fewest messages cross; the own one if it is as good. */
+static const char *
+home_zone (const struct jl_roster *roster,
+           const struct jl_demand *demand,
+           uint64_t now_us)
+{
+  const char *best = roster->own_zone;
+  double best_count = crossings (roster, demand, best, now_us);
+  double best_room = 0;
+
+  for (guint i = 0; i < roster->members->len && best_count > 0; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      double count;
+      double room;
+
+      if (!is_first_of_zone (roster, i))
+        continue;
+      count = crossings (roster, demand, member->zone, now_us);
+      if (count > best_count)
+        continue;
+      room = zone_room (roster, demand, member->zone, now_us);
+      if (count == best_count && room <= best_room)
+        continue;
+      best = member->zone;
+      best_count = count;
+      best_room = room;
+    }
+  return best;
+}
+
 static const char *
 roomiest_zone (const struct jl_roster *roster,
                const struct jl_demand *demand,
+               const char *home,
                uint64_t now_us,
                double *room)
 {
@@ -288,9 +368,7 @@
       const struct jl_member *member = g_ptr_array_index (roster->members, i);
       double other;
 
-      if (strcmp (member->zone, roster->own_zone) == 0
-          || (best != NULL && strcmp (member->zone, best) == 0)
-          || !jl_member_is_heard (member, now_us))
+      if (!is_first_of_zone (roster, i) || strcmp (member->zone, home) == 0)
         continue;
       other = zone_room (roster, demand, member->zone, now_us);
       if (other <= *room)
@@ -310,17 +388,19 @@
 {
   struct jl_plan plan = { .keep = 1, .service = "" };
 
-  plan_own_zone (&plan, roster, demands, demand_count, demand, now_us);
+  plan.zone = home_zone (roster, demand, now_us);
+  judge_zone (&plan, roster, demands, demand_count, demand, now_us);
   if (plan.keep < 1)
-    plan.other_zone = roomiest_zone (roster, demand, now_us, &plan.room);
+    plan.other_zone
+        = roomiest_zone (roster, demand, plan.zone, now_us, &plan.room);
   return plan;
 }
 
 const char *
-jl_plan_zone (const struct jl_plan *plan, const char *own_zone, double draw)
+jl_plan_zone (const struct jl_plan *plan, double draw)
 {
   if (draw < plan->keep)
-    return own_zone;
+    return plan->zone;
   if (plan->other_zone == NULL)
     return NULL;
   /* Uniform between the share that was kept and 1. */
--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -39,7 +39,8 @@
 
 /**
  * struct jl_plan - what becomes of a route's requests until the next window
- * @keep: share that is let into the own zone
+ * @zone: where they go
+ * @keep: share that is let in there
  * @service: the service that has no room for the others, "" for none
  * @shed: the share of its demand that it refuses
  * @other_zone: zone that has room, NULL for none
@@ -47,6 +48,7 @@
  */
 struct jl_plan
 {
+  const char *zone;
   double keep;
   const char *service;
   double shed;
@@ -93,13 +95,11 @@
 
 /**
  * jl_plan_zone - where one request goes
- * @own_zone: this daemon's
  * @draw: uniform, 0 to 1
  *
  * Return: a zone, or NULL when the request is refused.
  */
-const char *
-jl_plan_zone (const struct jl_plan *plan, const char *own_zone, double draw);
+const char *jl_plan_zone (const struct jl_plan *plan, double draw);
 
 /**
  * jl_place_pick - the daemon that a request is sent to
