Keep what was worked out from a configuration apart from it

Names are interned, and the needs of a dropped route are emptied. Ruled out: guard and transport (the crash came right after a change of the configuration, no work was running).

--- a/include/jackdawladder/site.h
+++ b/include/jackdawladder/site.h
@@ -78,6 +78,7 @@
   uint64_t idle_timeout_us;
   GPtrArray *routes;
   GHashTable *by_host;
+  GHashTable *by_key;
 };
 
 struct jl_site *jl_site_new (uint64_t version);
@@ -104,6 +105,15 @@
 const struct jl_route *
 jl_site_find (const struct jl_site *site, const char *host, const char *target);
 
+/**
+ * jl_site_route - the route with that key
+ * @site: NULL for none
+ *
+ * Return: NULL when there is none.
+ */
+const struct jl_route *
+jl_site_route (const struct jl_site *site, uint32_t key);
+
 /**
  * jl_name_key - 32-bit digest of a name
  */
--- a/source/policy/site.c
+++ b/source/policy/site.c
@@ -29,6 +29,7 @@
   site->routes = g_ptr_array_new_with_free_func (g_free);
   site->by_host
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host);
+  site->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
   return site;
 }
 
@@ -45,6 +46,7 @@
   if (site == NULL || --site->references > 0)
     return;
   g_hash_table_destroy (site->by_host);
+  g_hash_table_destroy (site->by_key);
   g_ptr_array_free (site->routes, TRUE);
   g_free (site);
 }
@@ -69,6 +71,7 @@
 
   copy->key = jl_name_key (route->name);
   g_ptr_array_add (site->routes, copy);
+  g_hash_table_insert (site->by_key, GUINT_TO_POINTER (copy->key), copy);
   g_ptr_array_add (host_routes (site, host), copy);
   g_free (host);
 }
@@ -117,3 +120,11 @@
     }
   return NULL;
 }
+
+const struct jl_route *
+jl_site_route (const struct jl_site *site, uint32_t key)
+{
+  if (site == NULL)
+    return NULL;
+  return g_hash_table_lookup (site->by_key, GUINT_TO_POINTER (key));
+}
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -605,6 +605,18 @@
       proxy->call_routes[proxy->call_route_count++] = arrivals->list[i].route;
 }
 
+static void
+update_needs (struct jl_proxy *proxy, struct jl_demand *demand)
+{
+  const struct jl_route *route = jl_site_route (proxy->site, demand->route);
+
+  demand->needs.count = 0;
+  if (route == NULL)
+    return;
+  demand->rank = route->rank;
+  jl_place_needs (&proxy->roster, proxy->site, route, &demand->needs);
+}
+
 void
 jl_entry_windows (struct jl_proxy *proxy)
 {
@@ -623,18 +635,8 @@
       jl_arrivals_fade (&proxy->self->arrivals);
       classify_routes (proxy);
     }
-  for (guint i = 0; proxy->site != NULL && i < proxy->site->routes->len; i++)
-    {
-      const struct jl_route *route = g_ptr_array_index (proxy->site->routes, i);
-
-      for (unsigned j = 0; j < proxy->demand_count; j++)
-        if (proxy->demands[j].route == route->key)
-          {
-            proxy->demands[j].rank = route->rank;
-            jl_place_needs (&proxy->roster, proxy->site, route,
-                            &proxy->demands[j].needs);
-          }
-    }
+  for (unsigned i = 0; i < proxy->demand_count; i++)
+    update_needs (proxy, &proxy->demands[i]);
   proxy->planned_us = jl_now ();
   for (unsigned i = 0; i < proxy->demand_count; i++)
     proxy->demands[i].plan
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -32,24 +32,11 @@
       }
   if (needs->count == JL_NEED_MAX)
     return;
-  needs->list[needs->count].service = service;
+  needs->list[needs->count].service = g_intern_string (service);
   needs->list[needs->count].runs = runs;
   needs->count++;
 }
 
-static const struct jl_route *
-find_route (const struct jl_site *site, uint32_t key)
-{
-  for (guint i = 0; i < site->routes->len; i++)
-    {
-      const struct jl_route *route = g_ptr_array_index (site->routes, i);
-
-      if (route->key == key)
-        return route;
-    }
-  return NULL;
-}
-
 /* Mean calls of kind @call by a run of @run, over the service's daemons. */
 struct mean
 {
@@ -122,7 +109,7 @@
       count = mean_fanout (roster, split->service, route->key, means, &daemons);
       for (unsigned j = 0; j < count && depth < DEPTH_MAX; j++)
         {
-          const struct jl_route *call = find_route (site, means[j].call);
+          const struct jl_route *call = jl_site_route (site, means[j].call);
 
           if (call != NULL)
             follow (roster, site, call, part * means[j].sum / daemons,
--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -21,6 +21,7 @@
 
 /**
  * struct jl_need - runs at one service that a request leads to
+ * @service: interned, so that it outlives the configuration
  */
 struct jl_need
 {
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -190,6 +190,28 @@
   jl_roster_clear (&roster);
 }
 
+/* A configuration goes while what was worked out from it is still in use. */
+Test (place, needs_outlive_their_configuration)
+{
+  struct jl_roster roster;
+  struct jl_site *site = jl_site_new (1);
+  struct jl_route route = { .name = "r", .host = "h", .prefix = "/" };
+  struct jl_needs needs;
+
+  jl_roster_init (&roster, "z1");
+  route.split_count = 1;
+  route.split[0].weight = 1;
+  g_strlcpy (route.split[0].service, "deep", JL_TEXT_SIZE);
+  jl_site_add (site, &route);
+  jl_site_seal (site);
+  jl_place_needs (&roster, site, jl_site_route (site, jl_name_key ("r")),
+                  &needs);
+  jl_site_drop (site);
+  cr_assert_eq (needs.count, 1);
+  cr_assert_eq (needs.list[0].service, g_intern_string ("deep"));
+  jl_roster_clear (&roster);
+}
+
 Test (place, the_retry_budget_slides)
 {
   struct jl_budget budget = { 0 };
