Send brief beacons to other zones, and watch the store from two of a zone

Far beacons are brief; two daemons a zone renew the configuration's call after 4 s, the others after 20 s, since they hear of a newer version by beacon.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -1,9 +1,11 @@
 /**
  * DOC: Beacons: what each daemon tells all others of itself, by datagrams.
  *
- * One goes out each second, at once when the own target's state changes, and
- * several times a second while the target has too much or too little room for
- * its demand. A lost one is made good by the next.
+ * One goes to the own zone each second. To other zones, where bytes are dear,
+ * goes a brief one with what changes all the time every other second, and a
+ * full one some times a minute. Both go more often while the target has too
+ * much or too little room for its demand, and at once when its state changes or
+ * a daemon starts. A lost one is made good by the next.
  */
 
 #include "proxy/proxy.h"
@@ -14,10 +16,17 @@
 #include <math.h>
 #include <string.h>
 
-/* Format of the datagrams; others are dropped. */
-#define FORMAT 1
+/* Formats of the datagrams; others are dropped. */
+#define FORMAT_FULL 1
+#define FORMAT_BRIEF 2
 #define DATAGRAM_MAX 1400
 #define PERIOD_US (1000 * JL_USEC_PER_MSEC)
+/* Period towards other zones. */
+#define FAR_PERIOD_US (2000 * JL_USEC_PER_MSEC)
+/* Period of the full ones towards other zones. */
+#define FULL_PERIOD_US (5 * JL_USEC_PER_SEC)
+/* Least time between two to other zones, unless the state has changed. */
+#define FAR_GAP_US (400 * JL_USEC_PER_MSEC)
 /* Period while the refused share matters to the entries. */
 #define BUSY_PERIOD_US (200 * JL_USEC_PER_MSEC)
 /* Least time between two rounds. */
@@ -32,6 +41,8 @@
   struct jl_timer timer;
   uint64_t sequence;
   uint64_t sent_us;
+  uint64_t sent_far_us;
+  uint64_t sent_full_us;
   double told_shed;
   double told_room;
   double told_failing;
@@ -74,6 +85,8 @@
 {
   bool was_heard = jl_member_is_heard (member, now_us);
 
+  if (message->format == FORMAT_BRIEF)
+    return;
   if (was_heard && member->epoch == message->epoch
       && member->state == (enum jl_target_state)message->state
       && strcmp (member->target, message->target) == 0)
@@ -94,16 +107,24 @@
   return message->sequence > member->sequence;
 }
 
+/* What only full beacons say. */
 static void
-take_state (struct jl_member *member,
-            const struct beacon_message *message,
-            uint64_t now_us)
+take_identity (struct jl_member *member, const struct beacon_message *message)
 {
   copy_text (member->zone, message->zone);
   copy_text (member->service, message->service);
   copy_text (member->target, message->target);
   member->peer.ip = message->ip;
   member->peer.port = (uint16_t)message->port;
+  read_fanout (member, message);
+  read_arrivals (member, message);
+}
+
+static void
+take_state (struct jl_member *member,
+            const struct beacon_message *message,
+            uint64_t now_us)
+{
   member->epoch = message->epoch;
   member->sequence = message->sequence;
   member->state = (enum jl_target_state)message->state;
@@ -115,8 +136,12 @@
   member->failing = message->failing_milli / 1000.0;
   member->site_version = message->site_version;
   member->heard_us = now_us;
-  read_fanout (member, message);
-  read_arrivals (member, message);
+}
+
+static bool
+is_near (const struct jl_proxy *proxy, const struct jl_member *member)
+{
+  return strcmp (member->zone, proxy->options->zone) == 0;
 }
 
 static void
@@ -125,12 +150,16 @@
   struct jl_member *member;
   uint64_t now_us = jl_now ();
 
-  if (message->format != FORMAT || message->state > JL_TARGET_DOWN
+  if ((message->format != FORMAT_FULL && message->format != FORMAT_BRIEF)
+      || message->state > JL_TARGET_DOWN
       || strcmp (message->name, proxy->options->name) == 0)
     return;
   member = jl_roster_member (&proxy->roster, message->name);
   if (!is_newer (member, message))
     return;
+  /* A brief one says nothing of a life that is not known yet. */
+  if (message->format == FORMAT_BRIEF && member->epoch != message->epoch)
+    return;
   note_change (member, message, now_us);
   if (member->epoch != message->epoch)
     {
@@ -138,6 +167,9 @@
       jl_pool_forget (proxy->peers, member->peer);
       jl_beacon_soon (proxy->beacon);
     }
+  if (message->format == FORMAT_FULL)
+    take_identity (member, message);
+  member->far = !is_near (proxy, member);
   take_state (member, message, now_us);
   if (proxy->site == NULL || message->site_version > proxy->site->version)
     jl_proxy_site_behind (proxy, member);
@@ -202,17 +234,18 @@
 }
 
 static size_t
-encode (struct jl_beacon *beacon, char *datagram)
+encode (struct jl_beacon *beacon, bool full, char *datagram)
 {
   struct jl_proxy *proxy = beacon->proxy;
+  static char none[] = "";
   struct beacon_fanout fanout[BEACON_FANOUT_MAX];
   struct beacon_arrival arrivals[BEACON_ARRIVALS_MAX];
   struct beacon_message message = {
-    .format = FORMAT,
+    .format = full ? FORMAT_FULL : FORMAT_BRIEF,
     .name = proxy->options->name,
-    .zone = proxy->options->zone,
-    .service = (char *)jl_proxy_service (proxy),
-    .target = proxy->target.last.id,
+    .zone = full ? proxy->options->zone : none,
+    .service = full ? (char *)jl_proxy_service (proxy) : none,
+    .target = full ? proxy->target.last.id : none,
     .ip = proxy->options->ip,
     .port = proxy->options->peer_port,
     .epoch = proxy->epoch,
@@ -228,10 +261,13 @@
   XDR xdr;
   size_t size = 0;
 
-  message.fanout.fanout_len = fill_fanout (proxy, fanout);
-  message.fanout.fanout_val = fanout;
-  message.arrivals.arrivals_len = fill_arrivals (proxy, arrivals);
-  message.arrivals.arrivals_val = arrivals;
+  if (full)
+    {
+      message.fanout.fanout_len = fill_fanout (proxy, fanout);
+      message.fanout.fanout_val = fanout;
+      message.arrivals.arrivals_len = fill_arrivals (proxy, arrivals);
+      message.arrivals.arrivals_val = arrivals;
+    }
   xdrmem_create (&xdr, datagram, DATAGRAM_MAX, XDR_ENCODE);
   if (xdr_beacon_message (&xdr, &message))
     size = xdr_getpos (&xdr);
@@ -256,26 +292,44 @@
 }
 
 static void
-send_round (struct jl_beacon *beacon)
+send_to_zone (struct jl_beacon *beacon, bool near, bool full)
 {
   struct jl_proxy *proxy = beacon->proxy;
   char datagram[DATAGRAM_MAX];
-  size_t size = encode (beacon, datagram);
+  size_t size = encode (beacon, full, datagram);
 
-  beacon->sent_us = jl_now ();
-  beacon->told_shed = proxy->pressure.shed;
-  beacon->told_room = proxy->pressure.room;
-  beacon->told_failing = proxy->self->failing;
   for (guint i = 0; i < proxy->roster.members->len; i++)
     {
       const struct jl_member *member
           = g_ptr_array_index (proxy->roster.members, i);
 
-      if (member != proxy->self && member->peer.port != 0)
+      if (member != proxy->self && member->peer.port != 0
+          && is_near (proxy, member) == near)
         send_to (beacon, member->peer, datagram, size);
     }
 }
 
+static void
+send_near (struct jl_beacon *beacon)
+{
+  const struct jl_proxy *proxy = beacon->proxy;
+
+  beacon->sent_us = jl_now ();
+  beacon->told_shed = proxy->pressure.shed;
+  beacon->told_room = proxy->pressure.room;
+  beacon->told_failing = proxy->self->failing;
+  send_to_zone (beacon, true, true);
+}
+
+static void
+send_far (struct jl_beacon *beacon, bool full)
+{
+  beacon->sent_far_us = jl_now ();
+  if (full)
+    beacon->sent_full_us = beacon->sent_far_us;
+  send_to_zone (beacon, false, full);
+}
+
 static bool
 is_change_due (const struct jl_beacon *beacon)
 {
@@ -292,10 +346,16 @@
 on_timer (void *context, struct jl_timer *timer)
 {
   struct jl_beacon *beacon = context;
-  uint64_t age_us = jl_now () - beacon->sent_us;
-
-  if (age_us + GAP_US >= PERIOD_US || is_change_due (beacon))
-    send_round (beacon);
+  uint64_t now_us = jl_now () + GAP_US;
+  uint64_t far_age_us = now_us - beacon->sent_far_us;
+  bool changed = is_change_due (beacon);
+
+  if (now_us - beacon->sent_full_us >= FULL_PERIOD_US)
+    send_far (beacon, true);
+  else if (far_age_us >= FAR_PERIOD_US || (changed && far_age_us >= FAR_GAP_US))
+    send_far (beacon, false);
+  if (changed || now_us - beacon->sent_us >= PERIOD_US)
+    send_near (beacon);
   jl_loop_after (beacon->proxy->loop, timer, BUSY_PERIOD_US, on_timer, beacon);
 }
 
@@ -304,7 +364,8 @@
 {
   struct jl_beacon *beacon = context;
 
-  send_round (beacon);
+  send_near (beacon);
+  send_far (beacon, true);
   jl_loop_after (beacon->proxy->loop, timer, BUSY_PERIOD_US, on_timer, beacon);
 }
 
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -16,8 +16,14 @@
 #define SITE_KEY "config"
 #define DAEMON_TABLE "daemons"
 /* How long a call to the store waits for a change. */
-#define SITE_WAIT_MS 4000
-#define DAEMON_WAIT_MS 20000
+#define SITE_WAIT_MS 20000
+#define DAEMON_WAIT_MS 25000
+/* Daemons that start together are read together. */
+#define DAEMON_GATHER_US (1 * JL_USEC_PER_SEC)
+/* The same for the daemons of each zone that watch the configuration closely:
+ * a call that the store has lost ends soon. The others hear of it from them. */
+#define SITE_WATCH_MS 4000
+#define WATCHERS 2
 /* Longest idle time of a connection that is used again. */
 #define PEER_IDLE_US (20 * JL_USEC_PER_SEC)
 #define TARGET_IDLE_US (5 * JL_USEC_PER_SEC)
@@ -157,6 +163,7 @@
   g_free (proxy->site_text);
   proxy->site_text = g_memdup2 (text, size);
   proxy->site_size = size;
+  jl_beacon_soon (proxy->beacon);
   jl_net_limits (proxy->net, site->head_bytes, site->head_timeout_us,
                  site->idle_timeout_us);
 }
@@ -272,6 +279,25 @@
              pressure->hold_us / 1000);
 }
 
+/* Whether this daemon is among the first of its zone, by name. */
+static bool
+is_watcher (const struct jl_proxy *proxy)
+{
+  unsigned before = 0;
+  uint64_t now_us = jl_now ();
+
+  for (guint i = 0; i < proxy->roster.members->len; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (proxy->roster.members, i);
+
+      if (!member->far && jl_member_is_heard (member, now_us)
+          && strcmp (member->name, proxy->self->name) < 0)
+        before++;
+    }
+  return before < WATCHERS;
+}
+
 static void
 on_control_timer (void *context, struct jl_timer *timer)
 {
@@ -288,6 +314,8 @@
           &proxy->fanout, proxy->self->fanout, JL_MEMBER_FANOUT_MAX);
     }
   note_shed (proxy, before);
+  jl_store_set_wait (proxy->store, SITE_TABLE,
+                     is_watcher (proxy) ? SITE_WATCH_MS : SITE_WAIT_MS);
   update_self (proxy);
   jl_entry_windows (proxy);
   jl_entry_check_members (proxy);
@@ -511,8 +539,8 @@
   proxy->store = jl_store_new (proxy->loop, proxy->net, options->store,
                                &store_ops, proxy);
   keep_own_row (proxy);
-  jl_store_watch (proxy->store, SITE_TABLE, SITE_WAIT_MS);
-  jl_store_watch (proxy->store, DAEMON_TABLE, DAEMON_WAIT_MS);
+  jl_store_watch (proxy->store, SITE_TABLE, SITE_WATCH_MS, 0);
+  jl_store_watch (proxy->store, DAEMON_TABLE, DAEMON_WAIT_MS, DAEMON_GATHER_US);
   return proxy;
 }
 
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -8,6 +8,7 @@
 
 /* Silence after which nothing is sent to a daemon: several beacons. */
 #define SILENCE_US (2500 * JL_USEC_PER_MSEC)
+#define FAR_SILENCE_US (5000 * JL_USEC_PER_MSEC)
 /* How long a daemon is left out after a sending to it failed. */
 #define AVOID_US (800 * JL_USEC_PER_MSEC)
 
@@ -44,7 +45,9 @@
 bool
 jl_member_is_heard (const struct jl_member *member, uint64_t now_us)
 {
-  return member->heard_us != 0 && now_us < member->heard_us + SILENCE_US;
+  uint64_t silence_us = member->far ? FAR_SILENCE_US : SILENCE_US;
+
+  return member->heard_us != 0 && now_us < member->heard_us + silence_us;
 }
 
 bool
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -31,6 +31,7 @@
  * @room: share of its capacity that is free for other zones
  * @failing: share of its requests that its target fails by itself
  * @site_version: configuration that it has in force
+ * @far: it is in another zone, and its beacons come more rarely
  * @heard_us: time of its last beacon, 0 for none
  * @shed_us: time at which @shed was above 0 last
  * @avoid_until_us: a sending to it failed; nothing is sent before
@@ -54,6 +55,7 @@
   double room;
   double failing;
   uint64_t site_version;
+  bool far;
   uint64_t heard_us;
   uint64_t avoid_until_us;
   unsigned outstanding;
