Work the refused share out from the demand, and outlive clock steps

The demand is now arrivals over the share that was let in some windows ago; the share goes half of the way to its aim each window. A daemon whose clock stepped back before its restart was ignored: a lower epoch now counts once the old life is silent. Readiness uses the monotonic clock.

--- a/source/policy/pressure.c
+++ b/source/policy/pressure.c
@@ -13,20 +13,25 @@
 /* Use of the capacity up to which other zones are let in. */
 #define ROOM_BELOW 0.85
 /* Time in which the queue should come to the wanted length, in seconds. */
-#define BACKLOG_S 0.8
+#define BACKLOG_S 0.5
 /* Queue that keeps the target busy through chance, in requests a slot. */
-#define QUEUE_WANTED 1.0
-/* Change of the refused share for each unit of error in a window. */
-#define GAIN_UP 0.16
-#define GAIN_DOWN 0.10
-/* Largest error that a window counts. */
-#define ERROR_MAX 0.6
+#define QUEUE_WANTED 0.6
+/* Part of the way to the wanted share that one window goes. */
+#define STEP_UP 0.5
+#define STEP_DOWN 0.2
+/* Largest share that is refused, so that something still shows the demand. */
+#define SHED_MAX 0.95
+/* A smaller share is none. */
+#define SHED_LEAST 0.01
 
 void
 jl_pressure_init (struct jl_pressure *pressure)
 {
   memset (pressure, 0, sizeof *pressure);
   pressure->room = 1;
+  pressure->passed = 1;
+  for (unsigned i = 0; i < JL_PRESSURE_DELAY; i++)
+    pressure->history[i] = 1;
 }
 
 void
@@ -63,17 +68,28 @@
   return MAX (capacity - backlog / BACKLOG_S, 0);
 }
 
+/* The share let in some windows ago is what shows in the arrivals now. */
+static void
+update_passed (struct jl_pressure *pressure)
+{
+  double *slot = &pressure->history[pressure->window % JL_PRESSURE_DELAY];
+
+  pressure->passed += RATE_WEIGHT * (*slot - pressure->passed);
+  *slot = 1 - pressure->shed;
+  pressure->window++;
+}
+
 static void
 control (struct jl_pressure *pressure, double wanted)
 {
-  double error = (pressure->rate - wanted) / MAX (pressure->rate, 1);
+  double demand = pressure->rate / pressure->passed;
+  double shed = demand > wanted ? 1 - wanted / demand : 0;
+  double step = shed > pressure->shed ? STEP_UP : STEP_DOWN;
 
-  error = CLAMP (error, -ERROR_MAX, ERROR_MAX);
-  if (error > 0)
-    pressure->shed += GAIN_UP * error * (1 - pressure->shed);
-  else
-    pressure->shed += GAIN_DOWN * error;
-  pressure->shed = CLAMP (pressure->shed, 0, 0.98);
+  pressure->shed += step * (shed - pressure->shed);
+  if (shed <= 0 && pressure->shed < SHED_LEAST)
+    pressure->shed = 0;
+  pressure->shed = MIN (pressure->shed, SHED_MAX);
 }
 
 void
@@ -87,6 +103,7 @@
 
   pressure->arrivals = 0;
   pressure->rate += RATE_WEIGHT * (rate - pressure->rate);
+  update_passed (pressure);
   if (capacity <= 0)
     return;
   control (pressure, wanted_rate (capacity, limit, waiting));
--- a/source/policy/pressure.h
+++ b/source/policy/pressure.h
@@ -4,12 +4,11 @@
 /**
  * DOC: How much of the demand for a target should be refused at its entries.
  *
- * Answers a demand that stays above what the target can do. In windows the
- * arrivals are compared with the target's capacity, which is its limit over
- * the time for which a request holds a slot. The refused share follows by
- * integral control: slow enough for the delay between an entry's refusal and
- * its effect deep in the call graph, fast enough for a queue that callers
- * still wait out.
+ * Answers a demand that is above what the target can do. The arrivals of a
+ * window are what the share let in a few windows ago has left of the demand;
+ * so the whole demand is known, and with the target's capacity (its limit over
+ * the time for which a request holds a slot) the share that has to be refused.
+ * A queue takes off the capacity until it is short.
  */
 
 #include "jackdawladder/base.h"
@@ -17,6 +16,9 @@
 /* Length of a control window. */
 #define JL_PRESSURE_WINDOW_US (100 * JL_USEC_PER_MSEC)
 
+/* Windows until a refusal at an entry shows deep in the call graph. */
+#define JL_PRESSURE_DELAY 3
+
 /**
  * struct jl_pressure - state for one target
  * @shed: share of the demand that entries should refuse, 0 to 1
@@ -24,6 +26,9 @@
  * @hold_us: time for which a request holds a slot, smoothed
  * @arrivals: in this window
  * @rate: arrivals a second, smoothed
+ * @passed: share of the demand that @rate is, smoothed like it
+ * @history: what was let in, by window, until it shows in @rate
+ * @window: counts the windows
  */
 struct jl_pressure
 {
@@ -31,6 +36,9 @@
   double room;
   double hold_us;
   double rate;
+  double passed;
+  double history[JL_PRESSURE_DELAY];
+  unsigned window;
   unsigned arrivals;
 };
 
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -99,14 +99,6 @@
              (uint64_t)message->sequence);
 }
 
-static bool
-is_newer (const struct jl_member *member, const struct beacon_message *message)
-{
-  if (message->epoch != member->epoch)
-    return message->epoch > member->epoch;
-  return message->sequence > member->sequence;
-}
-
 /* What only full beacons say. */
 static void
 take_identity (struct jl_member *member, const struct beacon_message *message)
@@ -155,7 +147,7 @@
       || strcmp (message->name, proxy->options->name) == 0)
     return;
   member = jl_roster_member (&proxy->roster, message->name);
-  if (!is_newer (member, message))
+  if (!jl_member_is_newer (member, message->epoch, message->sequence, now_us))
     return;
   /* A brief one says nothing of a life that is not known yet. */
   if (message->format == FORMAT_BRIEF && member->epoch != message->epoch)
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -74,7 +74,7 @@
 
   return proxy->site != NULL && !proxy->stopping
          && (jl_roster_heard (&proxy->roster, now_us) > 1
-             || (uint64_t)g_get_real_time () > proxy->epoch + ALONE_US);
+             || now_us > proxy->started_us + ALONE_US);
 }
 
 bool
@@ -523,6 +523,7 @@
   proxy->options = options;
   proxy->options_path = path;
   proxy->epoch = (uint64_t)g_get_real_time ();
+  proxy->started_us = jl_now ();
   init_parts (proxy);
   if (!open_sockets (proxy, &why))
     {
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -83,7 +83,8 @@
  * @calls: requests in progress here as an entry
  * @works: requests in progress here as a guard
  * @ticks: control windows so far
- * @epoch: wall clock at the start, in microseconds
+ * @epoch: wall clock at the start, in microseconds; tells lives apart
+ * @started_us: monotonic clock at the start
  * @stopping: a planned stop has begun
  */
 struct jl_proxy
@@ -129,6 +130,7 @@
   uv_signal_t signals[3];
   unsigned ticks;
   uint64_t epoch;
+  uint64_t started_us;
   uint64_t stop_since_us;
   bool stopping;
   int exit_status;
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -9,6 +9,9 @@
 /* Silence after which nothing is sent to a daemon: several beacons. */
 #define SILENCE_US (2500 * JL_USEC_PER_MSEC)
 #define FAR_SILENCE_US (5000 * JL_USEC_PER_MSEC)
+/* Silence of a life after which another one with a lower epoch counts. */
+#define QUIET_US (1500 * JL_USEC_PER_MSEC)
+#define FAR_QUIET_US (3000 * JL_USEC_PER_MSEC)
 /* How long a daemon is left out after a sending to it failed. */
 #define AVOID_US (800 * JL_USEC_PER_MSEC)
 
@@ -50,6 +53,19 @@
   return member->heard_us != 0 && now_us < member->heard_us + silence_us;
 }
 
+bool
+jl_member_is_newer (const struct jl_member *member,
+                    uint64_t epoch,
+                    uint64_t sequence,
+                    uint64_t now_us)
+{
+  uint64_t quiet_us = member->far ? FAR_QUIET_US : QUIET_US;
+
+  if (epoch == member->epoch)
+    return sequence > member->sequence;
+  return epoch > member->epoch || now_us > member->heard_us + quiet_us;
+}
+
 bool
 jl_member_takes_work (const struct jl_member *member,
                       const char *service,
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -89,6 +89,17 @@
  */
 bool jl_member_is_heard (const struct jl_member *member, uint64_t now_us);
 
+/**
+ * jl_member_is_newer - whether a beacon tells more than is known
+ *
+ * Epochs are wall clocks at the start of a life, and clocks may step back: a
+ * life with a lower epoch counts once the known one has been silent.
+ */
+bool jl_member_is_newer (const struct jl_member *member,
+                         uint64_t epoch,
+                         uint64_t sequence,
+                         uint64_t now_us);
+
 /**
  * jl_member_takes_work - whether a request can be sent to it now
  */
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -34,6 +34,7 @@
   uint64_t refused;
   uint64_t served;
   uint64_t late;
+  uint64_t waiting;
   unsigned step;
 };
 
@@ -118,6 +119,7 @@
         model->pending[(model->step + DELAY_STEPS - 1) % DELAY_STEPS]++;
     }
   model->step++;
+  model->waiting += model->lane.waiting;
   if (model->step % (JL_PRESSURE_WINDOW_US / STEP_US) == 0)
     jl_pressure_window (&model->pressure, model->lane.limit,
                         model->lane.waiting);
@@ -152,10 +154,15 @@
   model_init (&model, 14, 24000);
   play (&model, 0.8 * capacity, 5);
   model.served = model.offered = model.refused = model.late = 0;
+  model.waiting = 0;
   play (&model, 1.36 * capacity, 20);
   fitting = capacity * 20;
   cr_assert_gt (model.served, 0.95 * fitting, "%" PRIu64 " of %.0f served",
                 model.served, fitting);
+  /* Several calls in a row have to fit into the goal of their request. */
+  cr_assert_lt ((double)model.waiting / 20000 / capacity, 0.05,
+                "they wait for %.0f ms on average",
+                (double)model.waiting / 20 / capacity);
   /* What is begun and then given up was wasted above. */
   cr_assert_lt (model.late, 0.02 * (double)model.offered, "%" PRIu64 " late",
                 model.late);
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -212,6 +212,18 @@
   jl_roster_clear (&roster);
 }
 
+/* A clock that stepped back gives a new life a lower epoch than the old one. */
+Test (place, a_new_life_counts_although_its_clock_stepped_back)
+{
+  struct jl_member member = { .epoch = 100, .sequence = 7, .heard_us = NOW };
+
+  cr_assert_not (jl_member_is_newer (&member, 100, 7, NOW));
+  cr_assert (jl_member_is_newer (&member, 100, 8, NOW));
+  cr_assert (jl_member_is_newer (&member, 101, 1, NOW));
+  cr_assert_not (jl_member_is_newer (&member, 90, 1, NOW));
+  cr_assert (jl_member_is_newer (&member, 90, 1, NOW + 2 * JL_USEC_PER_SEC));
+}
+
 Test (place, the_retry_budget_slides)
 {
   struct jl_budget budget = { 0 };
