Add the fault soak; a replaced life of a target does not come back

The soak runs the real proxies as processes behind loopback relays, with a stand-in store and targets, and judges from what callers and targets see. It was seen to fail with match, not-run, once and deadline switched off. A heartbeat of a crashed life that comes late no longer replaces the new life when heartbeats do not say when a life began (a test that failed before).

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -10,6 +10,7 @@
 #include "proxy/proxy.h"
 
 #include "names.h"
+#include "proxy/hooks.h"
 
 #include <string.h>
 
@@ -308,7 +309,7 @@
 static void
 may_have_run (struct jl_call *call, const char *reason)
 {
-  bool repeatable = call->route->repeat == JL_REPEAT_ANY;
+  bool repeatable = call->route->repeat == JL_REPEAT_ANY || JL_OFF ("once");
 
   call->arrivals++;
   call->may_have_run = true;
@@ -499,7 +500,7 @@
 
   if (call->passing)
     return;
-  if (jl_now () >= call->expires_us)
+  if (jl_now () >= call->expires_us && !JL_OFF ("deadline"))
     {
       expire_call (call);
       return;
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -9,6 +9,7 @@
 #include "proxy/proxy.h"
 
 #include "names.h"
+#include "proxy/hooks.h"
 
 #include <string.h>
 
@@ -131,7 +132,7 @@
              attempt_of (work), reason, proxy->target.last.id,
              (jl_now () - work->started_us) / JL_USEC_PER_MSEC,
              proxy->lane.running);
-  reply (work, 502, "unknown", reason);
+  reply (work, 502, JL_OFF ("not-run") ? "not-run" : "unknown", reason);
   jl_guard_pump (proxy);
 }
 
@@ -177,7 +178,8 @@
       = jl_head_get (jl_request_head (work->request), JL_WIRE_ATTEMPT);
   const char *echoed = jl_head_get (head, JL_WIRE_ATTEMPT);
 
-  return asked == NULL || (echoed != NULL && strcmp (asked, echoed) == 0);
+  return JL_OFF ("match") || asked == NULL
+         || (echoed != NULL && strcmp (asked, echoed) == 0);
 }
 
 static bool
@@ -422,6 +424,8 @@
 static const char *
 refusal_reason (const struct jl_proxy *proxy, const struct jl_work_line *line)
 {
+  if (JL_OFF ("drain"))
+    return NULL;
   if (proxy->target.state == JL_TARGET_LEAVING)
     return "draining";
   if (proxy->target.state != JL_TARGET_UP)
--- a/source/proxy/options.c
+++ b/source/proxy/options.c
@@ -14,11 +14,11 @@
 #define SLACK_MAX 1e9
 
 static const char *const keys[]
-    = { "name",      "zone",         "address",     "service",
-        "target",    "entry",        "ready",       "announce",
-        "peer_port", "metrics_port", "store",       "heartbeat_s",
-        "grace_s",   "retry_ratio",  "retry_slack", "retry_window_s",
-        NULL };
+    = { "name",           "zone",      "address",     "service",
+        "target",         "entry",     "ready",       "announce",
+        "peer_port",      "advertise", "store",       "metrics_port",
+        "heartbeat_s",    "grace_s",   "retry_ratio", "retry_slack",
+        "retry_window_s", NULL };
 
 static double
 read_fraction (struct jl_reader *reader,
@@ -81,6 +81,10 @@
   jl_read_endpoint (reader, document, "announce", &options->announce);
   options->peer_port
       = (uint16_t)jl_read_number (reader, document, "peer_port", 1, UINT16_MAX);
+  options->advertise.ip = options->ip;
+  options->advertise.port = options->peer_port;
+  if (jl_read_has (document, "advertise"))
+    jl_read_endpoint (reader, document, "advertise", &options->advertise);
   options->metrics_port = (uint16_t)jl_read_number (
       reader, document, "metrics_port", 1, UINT16_MAX);
   jl_read_endpoint (reader, document, "store", &options->store);
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -17,6 +17,7 @@
  * @ready: asked by the platform whether clients should come
  * @announce: takes the own target's heartbeats
  * @peer_port: takes requests (TCP) and beacons (UDP) of other daemons
+ * @advertise: where other daemons reach @peer_port, if not at @ip
  * @metrics_port: serves counters and the state
  * @store: the platform's store
  * @heartbeat_us: time between two heartbeats of the target
@@ -36,6 +37,7 @@
   struct jl_endpoint ready;
   struct jl_endpoint announce;
   uint16_t peer_port;
+  struct jl_endpoint advertise;
   uint16_t metrics_port;
   struct jl_endpoint store;
   uint64_t heartbeat_us;
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -5,6 +5,7 @@
 #include "proxy/proxy.h"
 
 #include "decode.h"
+#include "proxy/hooks.h"
 
 #include <json-c/json.h>
 #include <math.h>
@@ -99,6 +100,8 @@
   g_strlcpy (self->service, jl_proxy_service (proxy), JL_TEXT_SIZE);
   g_strlcpy (self->target, proxy->target.last.id, JL_TEXT_SIZE);
   self->state = proxy->target.state;
+  if (JL_OFF ("drain") && self->state == JL_TARGET_LEAVING)
+    self->state = JL_TARGET_UP;
   if (proxy->stopping && self->state == JL_TARGET_UP)
     self->state = JL_TARGET_LEAVING;
   self->limit = proxy->lane.limit;
@@ -506,7 +509,7 @@
   jl_fanout_init (&proxy->fanout);
   jl_roster_init (&proxy->roster, options->zone);
   proxy->self = jl_roster_member (&proxy->roster, options->name);
-  proxy->self->peer = own_port (proxy, options->peer_port);
+  proxy->self->peer = options->advertise;
   g_strlcpy (proxy->self->zone, options->zone, JL_TEXT_SIZE);
   proxy->loop = jl_loop_new ();
   proxy->net = jl_net_new (proxy->loop);
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -60,6 +60,8 @@
     return false;
   new_life
       = before == JL_TARGET_NONE || !is_same_life (&target->last, heartbeat);
+  if (new_life && before != JL_TARGET_NONE)
+    remember_left (target);
   changed = new_life || heartbeat->slots != target->last.slots;
   if (heartbeat->draining || (!new_life && before == JL_TARGET_LEAVING))
     target->state = JL_TARGET_LEAVING;
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -63,6 +63,17 @@
   cr_assert_str_eq (target.last.id, "b");
 }
 
+/* Delayed by a partition; these heartbeats do not say when the life began. */
+Test (target, a_late_heartbeat_of_a_crashed_life_does_not_replace_the_new_one)
+{
+  struct jl_target target = { 0 };
+
+  take (&target, heartbeat ("a", 0, 7, false));
+  cr_assert (take (&target, heartbeat ("b", 0, 1, false)));
+  cr_assert_not (take (&target, heartbeat ("a", 0, 8, false)));
+  cr_assert_str_eq (target.last.id, "b");
+}
+
 Test (target, the_same_identifier_may_start_again)
 {
   struct jl_target target = { 0 };
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,95 @@
+"""Stand-in of the platform's store: rows, transactions, the feed."""
+
+import asyncio
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from wire import encode, read_message, reset
+
+
+class Store:
+    """mode: calm, busy (503), silent, lost (done and not answered), slow."""
+
+    def __init__(self):
+        self.rows = {}
+        self.history = []
+        self.version = 0
+        self.oldest = 0
+        self.mode = "calm"
+        self.changed = asyncio.Event()
+
+    async def start(self, host):
+        server = await asyncio.start_server(self.serve, host, 0)
+        return (host, server.sockets[0].getsockname()[1])
+
+    def put(self, table, key, value):
+        self.version += 1
+        row = {"table": table, "part": "", "key": key, "value": value, "ver": self.version}
+        self.rows[table, key] = row
+        self.history.append(row)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
+
+    def compact(self):
+        self.history = []
+        self.oldest = self.version
+
+    def transact(self, body):
+        for row in body["expectedRevision"]:
+            present = self.rows.get((row["table"], row["key"]))
+            if (present["ver"] if present else 0) != row["ver"]:
+                return 412, {"rows": [present] if present else []}
+        for row in body["puts"]:
+            self.put(row["table"], row["key"], row["value"])
+        return 200, {}
+
+    def get(self, query):
+        rows = [row for (table, _), row in sorted(self.rows.items()) if table == query["table"]]
+        return 200, {"rows": rows, "morePages": False}
+
+    async def feed(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            rows = [r for r in self.history if r["ver"] > after and r["table"] == query["table"]]
+            left = end - time.monotonic()
+            if rows or left <= 0:
+                return 200, {"rows": rows}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    async def answer(self, message):
+        method, target, _ = message.first.split(" ")
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if method == "POST":
+            return self.transact(json.loads(message.body))
+        if parts.path == "/api/rows-feed":
+            return await self.feed(query)
+        return self.get(query)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                message = await read_message(reader)
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                if self.mode == "slow":
+                    await asyncio.sleep(0.7)
+                if self.mode == "busy":
+                    writer.write(encode("HTTP/1.1 503 Busy", {}))
+                    continue
+                status, document = await self.answer(message)
+                if self.mode == "lost":
+                    reset(writer)
+                    return
+                document.update(ver=self.version, nowS=time.monotonic())
+                writer.write(encode(f"HTTP/1.1 {status} X", {}, json.dumps(document).encode()))
+        except (EOFError, OSError, asyncio.IncompleteReadError):
+            writer.close()
