--- a/include/jackdawladder/site.h
+++ b/include/jackdawladder/site.h
@@ -111,8 +111,7 @@
  *
  * Return: NULL when there is none.
  */
-const struct jl_route *
-jl_site_route (const struct jl_site *site, uint32_t key);
+const struct jl_route *jl_site_route (const struct jl_site *site, uint32_t key);
 
 /**
  * jl_name_key - 32-bit digest of a name
--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -109,12 +109,9 @@
 const GByteArray *jl_upstream_taken (const struct jl_upstream *upstream);
 
 /**
- * jl_upstream_gather - adds a piece of the body to what jl_upstream_taken()
- * gives
+ * jl_upstream_want_whole - @answer is called once the whole answer is in
  */
-void jl_upstream_gather (struct jl_upstream *upstream,
-                         const char *data,
-                         size_t size);
+void jl_upstream_want_whole (struct jl_upstream *upstream);
 
 /**
  * jl_upstream_complete - whether the whole answer is in
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -5,6 +5,7 @@
 #include "jackdawladder/record.h"
 
 #include <fcntl.h>
+#include <glib/gprintf.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -70,48 +71,34 @@
   return "unknown event";
 }
 
-static void
-append (enum jl_record_number number, const char *format, va_list arguments)
+/* Writes the number, the event and the time; the pairs follow. */
+static bool
+begin_line (enum jl_record_number number, size_t *size)
 {
-  gint64 now_us = g_get_real_time ();
   size_t room = sizeof buffer - used;
-  int size = snprintf (buffer + used, room, "E%03d %s t=%.3f ", (int)number,
-                       text_of (number), (double)now_us / 1e6);
-
-  if (size < 0 || (size_t)size >= room)
-    return;
-  room -= (size_t)size;
-  size += vsnprintf (buffer + used + size, room, format, arguments);
-  if ((size_t)size + 1 >= sizeof buffer - used)
-    return;
-  used += (size_t)size;
-  buffer[used++] = '\n';
-}
-
-static void
-append_line (enum jl_record_number number, const char *format, ...)
-{
-  va_list arguments;
+  int done = snprintf (buffer + used, room, "E%03d %s t=%.3f ", (int)number,
+                       text_of (number), (double)g_get_real_time () / 1e6);
 
-  va_start (arguments, format);
-  append (number, format, arguments);
-  va_end (arguments);
+  *size = (size_t)done;
+  return done >= 0 && *size < room;
 }
 
 static void
 begin_second (uint64_t now)
 {
   unsigned total = 0;
+  unsigned before[JL_RECORD_WEIGHTS];
 
-  for (unsigned i = 0; i < JL_RECORD_WEIGHTS; i++)
-    total += left_out[i];
-  if (total > 0)
-    append_line (JL_RECORD_LEFT_OUT, "changes=%u failures=%u successes=%u",
-                 left_out[JL_RECORD_CHANGE], left_out[JL_RECORD_FAILURE],
-                 left_out[JL_RECORD_SUCCESS]);
+  memcpy (before, left_out, sizeof before);
   memset (written, 0, sizeof written);
   memset (left_out, 0, sizeof left_out);
   second = now;
+  for (unsigned i = 0; i < JL_RECORD_WEIGHTS; i++)
+    total += before[i];
+  if (total > 0)
+    jl_record (JL_RECORD_CHANGE, JL_RECORD_LEFT_OUT,
+               "changes=%u failures=%u successes=%u", before[JL_RECORD_CHANGE],
+               before[JL_RECORD_FAILURE], before[JL_RECORD_SUCCESS]);
 }
 
 bool
@@ -134,13 +121,21 @@
            ...)
 {
   va_list arguments;
+  size_t size;
+  size_t room;
+  int more;
 
-  if (!jl_record_wanted (weight))
+  if (!jl_record_wanted (weight) || !begin_line (number, &size))
     return;
   written[weight]++;
+  room = sizeof buffer - used - size;
   va_start (arguments, format);
-  append (number, format, arguments);
+  more = g_vsnprintf (buffer + used + size, room, format, arguments);
   va_end (arguments);
+  if (more < 0 || (size_t)more >= room)
+    return;
+  used += size + (size_t)more;
+  buffer[used++] = '\n';
 }
 
 void
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -56,6 +56,7 @@
  * @told: the owner was told of the answer
  * @complete: the whole answer is in
  * @sent: the whole request was written
+ * @whole: its owner wants the answer as a whole
  * @kept: it went out on a kept connection, which had been idle for @idle_us
  * @begun_us: when it was begun
  */
@@ -72,6 +73,7 @@
   bool complete;
   bool sent;
   bool kept;
+  bool whole;
   uint64_t idle_us;
   uint64_t begun_us;
 };
@@ -186,9 +188,11 @@
 jl_pool_forget (struct jl_pool *pool, struct jl_endpoint endpoint)
 {
   struct shelf *shelf = find_shelf (pool, endpoint);
+  struct idle *idle;
+  struct idle *next;
 
-  while (!cds_list_empty (&shelf->idle))
-    close_idle (cds_list_first_entry (&shelf->idle, struct idle, link));
+  cds_list_for_each_entry_safe (idle, next, &shelf->idle, link)
+      close_idle (idle);
 }
 
 /* The idle time after which a connection may be used again now. */
@@ -218,21 +222,21 @@
 {
   struct shelf *shelf = find_shelf (pool, endpoint);
   uint64_t now_us = jl_now ();
-
-  while (!cds_list_empty (&shelf->idle))
-    {
-      struct idle *idle
-          = cds_list_first_entry (&shelf->idle, struct idle, link);
-      struct jl_conn *conn = idle->conn;
-
-      *idle_us = now_us - idle->since_us;
-      if (*idle_us <= usable_idle (pool, now_us))
-        {
-          remove_idle (idle);
-          return conn;
-        }
-      close_idle (idle);
-    }
+  struct idle *idle;
+  struct idle *next;
+
+  cds_list_for_each_entry_safe (idle, next, &shelf->idle, link)
+  {
+    struct jl_conn *conn = idle->conn;
+
+    *idle_us = now_us - idle->since_us;
+    if (*idle_us <= usable_idle (pool, now_us))
+      {
+        remove_idle (idle);
+        return conn;
+      }
+    close_idle (idle);
+  }
   return NULL;
 }
 
@@ -282,7 +286,7 @@
       return;
     }
   g_byte_array_append (upstream->taken, (const guint8 *)data, (guint)size);
-  if (upstream->taken->len > GATHER_MAX)
+  if (!upstream->whole && upstream->taken->len > GATHER_MAX)
     tell_answer (upstream);
 }
 
@@ -416,9 +420,9 @@
 }
 
 void
-jl_upstream_gather (struct jl_upstream *upstream, const char *data, size_t size)
+jl_upstream_want_whole (struct jl_upstream *upstream)
 {
-  g_byte_array_append (upstream->taken, (const guint8 *)data, (guint)size);
+  upstream->whole = true;
 }
 
 bool
--- /dev/null
+++ b/source/proxy/call.c
@@ -0,0 +1,136 @@
+/**
+ * DOC: The ways in which a request at its entry ends.
+ */
+
+#include "proxy/call.h"
+
+#include "names.h"
+
+#include <string.h>
+
+/* Time after which a refused client may come back, and what chance adds. */
+#define RETRY_AFTER_MS 250
+#define RETRY_AFTER_SPREAD_MS 500
+/* Share of the time left within which it is asked back. */
+#define RETRY_AFTER_PART 4
+
+const char *
+jl_call_attempt (const struct jl_call *call)
+{
+  const char *id
+      = jl_head_get (jl_request_head (call->request), JL_WIRE_ATTEMPT);
+
+  return id != NULL ? id : "-";
+}
+
+uint64_t
+jl_call_age_ms (const struct jl_call *call)
+{
+  return (jl_now () - call->begun_us) / JL_USEC_PER_MSEC;
+}
+
+void
+jl_call_drop_sending (struct jl_call *call)
+{
+  if (call->upstream != NULL)
+    jl_upstream_drop (call->upstream);
+  call->upstream = NULL;
+  if (call->member != NULL)
+    call->member->outstanding--;
+  call->member = NULL;
+}
+
+void
+jl_call_free (struct jl_call *call)
+{
+  jl_timer_stop (call->proxy->loop->timers, &call->timer);
+  jl_call_drop_sending (call);
+  cds_list_del (&call->link);
+  jl_site_drop (call->site);
+  g_byte_array_free (call->kept, TRUE);
+  g_free (call);
+}
+
+void
+jl_call_answer (struct jl_call *call,
+                unsigned status,
+                const char *fields,
+                const char *reason)
+{
+  struct jl_request *request = call->request;
+  const char *body = reason;
+  char *lines = g_strdup_printf ("Content-Type: text/plain\r\n%s", fields);
+
+  if (call->from_target)
+    jl_failing_call (&call->proxy->failing);
+  jl_request_set_data (request, NULL);
+  jl_call_drop_sending (call);
+  jl_request_reply (request, status, lines, body, strlen (body));
+  g_free (lines);
+  jl_call_free (call);
+}
+
+/* The plan that the request was judged by. */
+static const struct jl_plan *
+plan_of (const struct jl_call *call)
+{
+  static const struct jl_plan none = { .keep = 1, .service = "-" };
+  const struct jl_proxy *proxy = call->proxy;
+
+  for (unsigned i = 0; call->route != NULL && i < proxy->demand_count; i++)
+    if (proxy->demands[i].route == call->route->key)
+      return &proxy->demands[i].plan;
+  return &none;
+}
+
+void
+jl_call_refuse (struct jl_call *call, const char *reason)
+{
+  struct jl_proxy *proxy = call->proxy;
+  uint64_t now_us = jl_now ();
+  uint64_t left_ms = call->expires_us > now_us
+                         ? (call->expires_us - now_us) / JL_USEC_PER_MSEC
+                         : 0;
+  uint64_t after_ms = RETRY_AFTER_MS
+                      + (uint64_t)g_random_int_range (0, RETRY_AFTER_SPREAD_MS);
+  const struct jl_plan *plan = plan_of (call);
+  char fields[64];
+
+  after_ms = MIN (after_ms, left_ms / RETRY_AFTER_PART);
+  proxy->counters.refused++;
+  jl_record (
+      JL_RECORD_FAILURE, JL_RECORD_REQUEST_REFUSED,
+      "id=%s route=%s reason=%s placements=%u age_ms=%" PRIu64
+      " left_ms=%" PRIu64 " retry_after_ms=%" PRIu64 " site=%" PRIx64
+      " short_of=%s shed=%.2f keep=%.2f beliefs_age_ms=%" PRIu64,
+      jl_call_attempt (call), call->route != NULL ? call->route->name : "-",
+      reason, call->tried_count, jl_call_age_ms (call), left_ms, after_ms,
+      call->site != NULL ? call->site->version : 0, plan->service, plan->shed,
+      plan->keep, (now_us - proxy->planned_us) / JL_USEC_PER_MSEC);
+  g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
+              (double)after_ms / 1000);
+  jl_call_answer (call, 503, fields, reason);
+}
+
+void
+jl_call_fail (struct jl_call *call, unsigned status, const char *reason)
+{
+  call->proxy->counters.failed++;
+  jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_FAILED,
+             "id=%s route=%s status=%u reason=%s member=%s arrivals=%u "
+             "age_ms=%" PRIu64,
+             jl_call_attempt (call), call->route->name, status, reason,
+             call->tried_count > 0 ? call->tried[call->tried_count - 1]->name
+                                   : "-",
+             call->arrivals, jl_call_age_ms (call));
+  jl_call_answer (call, status, "", reason);
+}
+
+void
+jl_call_give_up (struct jl_call *call, const char *reason)
+{
+  if (call->may_have_run)
+    jl_call_fail (call, 502, reason);
+  else
+    jl_call_refuse (call, reason);
+}
--- /dev/null
+++ b/source/proxy/demand.c
@@ -0,0 +1,119 @@
+/**
+ * DOC: What clients ask for, and what follows from it for each route.
+ */
+
+#include "proxy/demand.h"
+
+#include <string.h>
+
+/* Weight of a window in the smoothed demand. */
+#define DEMAND_WEIGHT 0.15
+/* Windows between two classifications of routes. */
+#define CLASSIFY_WINDOWS 3
+
+struct jl_budget *
+jl_demand_budget (struct jl_proxy *proxy, const char *service)
+{
+  struct jl_service_budget *entry;
+
+  for (unsigned i = 0; i < proxy->budget_count; i++)
+    if (strcmp (proxy->budgets[i].service, service) == 0)
+      return &proxy->budgets[i].budget;
+  if (proxy->budget_count == JL_BUDGET_MAX)
+    return NULL;
+  entry = &proxy->budgets[proxy->budget_count++];
+  g_strlcpy (entry->service, service, sizeof entry->service);
+  return &entry->budget;
+}
+
+struct jl_budget_terms
+jl_demand_terms (struct jl_proxy *proxy)
+{
+  struct jl_budget_terms terms = {
+    .ratio = proxy->options->retry_ratio,
+    .slack = proxy->options->retry_slack,
+    .window_us = proxy->options->retry_window_us,
+    .daemons = MAX (proxy->roster.members->len, 1),
+  };
+
+  return terms;
+}
+
+struct jl_demand *
+jl_demand_of (struct jl_proxy *proxy, const struct jl_route *route)
+{
+  struct jl_demand *demand;
+
+  for (unsigned i = 0; i < proxy->demand_count; i++)
+    if (proxy->demands[i].route == route->key)
+      return &proxy->demands[i];
+  if (proxy->demand_count == JL_DEMAND_MAX)
+    return NULL;
+  demand = &proxy->demands[proxy->demand_count++];
+  demand->route = route->key;
+  demand->plan.zone = proxy->roster.own_zone;
+  demand->plan.keep = 1;
+  demand->plan.service = "";
+  return demand;
+}
+
+/* Classifies each route that came lately; that holds until the next window. */
+static void
+classify_routes (struct jl_proxy *proxy)
+{
+  const struct jl_arrivals *arrivals = &proxy->self->arrivals;
+  uint64_t now_us = jl_now ();
+
+  proxy->call_route_count = 0;
+  for (unsigned i = 0; i < arrivals->count; i++)
+    if (jl_roster_is_call (&proxy->roster, arrivals->list[i].route, now_us))
+      proxy->call_routes[proxy->call_route_count++] = arrivals->list[i].route;
+}
+
+static void
+update_needs (struct jl_proxy *proxy, struct jl_demand *demand)
+{
+  const struct jl_route *route = jl_site_route (proxy->site, demand->route);
+
+  demand->needs.count = 0;
+  if (route == NULL)
+    return;
+  demand->rank = route->rank;
+  jl_place_needs (&proxy->roster, proxy->site, route, &demand->needs);
+}
+
+void
+jl_demand_window (struct jl_proxy *proxy)
+{
+  double window_s = (double)JL_PRESSURE_WINDOW_US / (double)JL_USEC_PER_SEC;
+
+  for (unsigned i = 0; i < proxy->demand_count; i++)
+    {
+      struct jl_demand *demand = &proxy->demands[i];
+
+      demand->rate
+          += DEMAND_WEIGHT * (demand->counted / window_s - demand->rate);
+      demand->counted = 0;
+    }
+  if (proxy->ticks % CLASSIFY_WINDOWS == 0)
+    {
+      jl_arrivals_fade (&proxy->self->arrivals);
+      classify_routes (proxy);
+    }
+  for (unsigned i = 0; i < proxy->demand_count; i++)
+    update_needs (proxy, &proxy->demands[i]);
+  proxy->planned_us = jl_now ();
+  for (unsigned i = 0; i < proxy->demand_count; i++)
+    proxy->demands[i].plan
+        = jl_place_plan (&proxy->roster, proxy->demands, proxy->demand_count,
+                         &proxy->demands[i], jl_now ());
+}
+
+bool
+jl_demand_is_call (const struct jl_proxy *proxy, uint32_t route)
+{
+  for (unsigned i = 0; i < proxy->call_route_count; i++)
+    if (proxy->call_routes[i] == route)
+      return true;
+  return false;
+}
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -10,6 +10,7 @@
 
 #include "names.h"
 #include "proxy/hooks.h"
+#include "proxy/relay.h"
 
 #include <string.h>
 
@@ -219,19 +220,8 @@
 static void
 pass_answer (struct jl_work *work)
 {
-  struct jl_upstream *upstream = work->upstream;
-  const struct jl_head *head = jl_upstream_head (upstream);
-  const GByteArray *taken = jl_upstream_taken (upstream);
-  GString *fields = jl_headers_back (head);
-  bool complete = jl_upstream_complete (upstream);
-
   work->passing = true;
-  jl_request_start (work->request, head->status, fields->str,
-                    head->has_length || complete,
-                    head->has_length ? head->length : taken->len);
-  g_string_free (fields, TRUE);
-  jl_request_piece (work->request, (const char *)taken->data, taken->len);
-  if (complete)
+  if (jl_relay_answer (work->request, work->upstream))
     finish_answer (work);
 }
 
@@ -259,9 +249,7 @@
 {
   struct jl_work *work = context;
 
-  jl_request_piece (work->request, data, size);
-  if (jl_request_backlog (work->request) > JL_CONN_HIGH_BYTES)
-    jl_upstream_hold (upstream, true);
+  jl_relay_piece (work->request, upstream, data, size);
 }
 
 static void
@@ -384,11 +372,8 @@
       return;
     }
   jl_loop_after (proxy->loop, &work->timer, CONNECT_US, on_connect_timer, work);
-  jl_upstream_body (work->upstream, (const char *)work->kept->data,
-                    work->kept->len, work->in_chunks);
-  if (jl_request_ended (work->request))
-    jl_upstream_body_end (work->upstream, work->in_chunks);
-  else
+  jl_relay_kept (work->request, work->upstream, work->kept, work->in_chunks);
+  if (!jl_request_ended (work->request))
     jl_request_hold (work->request, false);
 }
 
@@ -503,9 +488,7 @@
       return;
     }
   work->body_flowed = true;
-  jl_upstream_body (work->upstream, data, size, work->in_chunks);
-  if (jl_upstream_backlog (work->upstream) > JL_CONN_HIGH_BYTES)
-    jl_request_hold (request, true);
+  jl_relay_body (request, work->upstream, data, size, work->in_chunks);
 }
 
 static void
--- a/source/proxy/options.c
+++ b/source/proxy/options.c
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <math.h>
+#include <xxhash.h>
 
 #define SECONDS_MAX 86400.0
 #define RATIO_MAX 100.0
@@ -109,6 +110,7 @@
 
   if (document != NULL && jl_read_keys (&reader, document, keys))
     read_fields (&reader, document, options);
+  options->digest = XXH3_64bits (text, size);
   json_object_put (document);
   if (jl_reader_finish (&reader, error))
     return options;
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -25,6 +25,7 @@
  * @retry_ratio: repeats allowed for each request to a service
  * @retry_slack: repeats allowed beside those, for all daemons
  * @retry_window_us: sliding window of both
+ * @digest: of the text, to see whether it has changed
  */
 struct jl_options
 {
@@ -45,6 +46,7 @@
   double retry_ratio;
   double retry_slack;
   uint64_t retry_window_us;
+  uint64_t digest;
 };
 
 /**
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -5,6 +5,7 @@
 #include "proxy/proxy.h"
 
 #include "decode.h"
+#include "proxy/demand.h"
 #include "proxy/hooks.h"
 
 #include <json-c/json.h>
@@ -320,7 +321,7 @@
   jl_store_set_wait (proxy->store, SITE_TABLE,
                      is_watcher (proxy) ? SITE_WATCH_MS : SITE_WAIT_MS);
   update_self (proxy);
-  jl_entry_windows (proxy);
+  jl_demand_window (proxy);
   jl_entry_check_members (proxy);
   jl_loop_after (proxy->loop, timer, JL_PRESSURE_WINDOW_US, on_control_timer,
                  proxy);
@@ -359,7 +360,7 @@
       g_error_free (error);
       return;
     }
-  if (memcmp (options, proxy->options, sizeof *options) == 0)
+  if (options->digest == proxy->options->digest)
     {
       if (asked)
         jl_record (JL_RECORD_CHANGE, JL_RECORD_RELOADED, "changed=0");
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -190,12 +190,7 @@
 extern const struct jl_handler jl_entry_handler;
 
 /**
- * jl_entry_windows - a control window has ended
- */
-void jl_entry_windows (struct jl_proxy *proxy);
-
-/**
- * jl_entry_member_silent - requests sent to a daemon that is not heard any
+ * jl_entry_check_members - requests sent to a daemon that is not heard any
  * more go elsewhere if they may be repeated
  */
 void jl_entry_check_members (struct jl_proxy *proxy);
--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -35,40 +35,17 @@
 }
 
 static void
-take_answer (struct jl_sync *sync)
+on_answer (void *context, struct jl_upstream *upstream)
 {
-  const GByteArray *taken = jl_upstream_taken (sync->upstream);
+  struct jl_sync *sync = context;
+  const GByteArray *taken = jl_upstream_taken (upstream);
 
-  if (jl_upstream_head (sync->upstream)->status == 200)
+  if (jl_upstream_head (upstream)->status == 200)
     jl_proxy_install (sync->proxy, (const char *)taken->data, taken->len,
                       sync->member->name);
   end_sync (sync);
 }
 
-static void
-on_answer (void *context, struct jl_upstream *upstream)
-{
-  if (jl_upstream_complete (upstream))
-    take_answer (context);
-}
-
-static void
-on_piece (void *context,
-          struct jl_upstream *upstream,
-          const char *data,
-          size_t size)
-{
-  (void)context;
-  jl_upstream_gather (upstream, data, size);
-}
-
-static void
-on_done (void *context, struct jl_upstream *upstream)
-{
-  (void)upstream;
-  take_answer (context);
-}
-
 static void
 on_failed (void *context,
            struct jl_upstream *upstream,
@@ -81,8 +58,6 @@
 
 static const struct jl_upstream_ops upstream_ops = {
   .answer = on_answer,
-  .piece = on_piece,
-  .done = on_done,
   .failed = on_failed,
 };
 
@@ -118,7 +93,10 @@
                                      head, false, &upstream_ops, sync);
   g_string_free (head, TRUE);
   if (sync->upstream != NULL)
-    jl_upstream_body_end (sync->upstream, false);
+    {
+      jl_upstream_want_whole (sync->upstream);
+      jl_upstream_body_end (sync->upstream, false);
+    }
   jl_loop_after (proxy->loop, timer, TIMEOUT_US, on_timeout, sync);
 }
 
--- a/tests/proxy/net.c
+++ b/tests/proxy/net.c
@@ -112,6 +112,7 @@
   socklen_t size = sizeof address;
   struct jl_endpoint endpoint;
 
+  memset (&address, 0, sizeof address);
   getsockname (fd, (struct sockaddr *)&address, &size);
   endpoint.ip = INADDR_LOOPBACK;
   endpoint.port = ntohs (address.sin_port);
