Count calls that have left a zone where they run

Needs now know which need makes them; the place of each is followed from the zone on. Ruled out: the refused share's control (the lane of the target that they reached was at 224 and told so).

--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -21,20 +21,27 @@
 /* Room at which another zone takes all that is offered to it. */
 #define ROOM_FULL 0.25
 
-static void
-add_need (struct jl_needs *needs, const char *service, double runs)
+/* Index of the need, JL_NONE when there are too many. */
+static unsigned
+add_need (struct jl_needs *needs,
+          const char *service,
+          double runs,
+          unsigned parent)
 {
-  for (unsigned i = 0; i < needs->count; i++)
-    if (strcmp (needs->list[i].service, service) == 0)
+  struct jl_need *need = needs->list;
+
+  for (unsigned i = 0; i < needs->count; i++, need++)
+    if (need->parent == parent && strcmp (need->service, service) == 0)
       {
-        needs->list[i].runs += runs;
-        return;
+        need->runs += runs;
+        return i;
       }
   if (needs->count == JL_NEED_MAX)
-    return;
-  needs->list[needs->count].service = g_intern_string (service);
-  needs->list[needs->count].runs = runs;
-  needs->count++;
+    return JL_NONE;
+  need->service = g_intern_string (service);
+  need->runs = runs;
+  need->parent = parent;
+  return needs->count++;
 }
 
 /* Mean calls of kind @call by a run of @run, over the service's daemons. */
@@ -88,6 +95,7 @@
         const struct jl_site *site,
         const struct jl_route *route,
         double runs,
+        unsigned parent,
         unsigned depth,
         struct jl_needs *needs)
 {
@@ -102,17 +110,20 @@
       struct mean means[JL_FANOUT_MAX];
       unsigned daemons;
       unsigned count;
+      unsigned need;
 
       if (part < RUNS_MIN)
         continue;
-      add_need (needs, split->service, part);
+      need = add_need (needs, split->service, part, parent);
+      if (need == JL_NONE)
+        return;
       count = mean_fanout (roster, split->service, route->key, means, &daemons);
       for (unsigned j = 0; j < count && depth < DEPTH_MAX; j++)
         {
           const struct jl_route *call = jl_site_route (site, means[j].call);
 
           if (call != NULL)
-            follow (roster, site, call, part * means[j].sum / daemons,
+            follow (roster, site, call, part * means[j].sum / daemons, need,
                     depth + 1, needs);
         }
     }
@@ -125,10 +136,10 @@
                 struct jl_needs *needs)
 {
   needs->count = 0;
-  follow (roster, site, route, 1, 0, needs);
+  follow (roster, site, route, 1, JL_NONE, 0, needs);
 }
 
-/* What the targets of a service say, in one zone or in all. */
+/* What some targets of a service say. */
 struct supply
 {
   double capacity;
@@ -138,11 +149,13 @@
   unsigned targets;
 };
 
+/* Of the targets in @zone, or else of all that are not there. */
 static struct supply
-zone_supply (const struct jl_roster *roster,
-             const char *service,
-             const char *zone,
-             uint64_t now_us)
+supply_of (const struct jl_roster *roster,
+           const char *service,
+           const char *zone,
+           bool inside,
+           uint64_t now_us)
 {
   struct supply supply = { 0 };
 
@@ -151,7 +164,7 @@
       const struct jl_member *member = g_ptr_array_index (roster->members, i);
       double weight = MAX (member->limit, 1);
 
-      if ((zone != NULL && strcmp (member->zone, zone) != 0)
+      if ((strcmp (member->zone, zone) == 0) != inside
           || !jl_member_takes_work (member, service, now_us))
         continue;
       if (member->capacity > 0)
@@ -170,13 +183,24 @@
   return supply;
 }
 
+static struct supply
+zone_supply (const struct jl_roster *roster,
+             const char *service,
+             const char *zone,
+             uint64_t now_us)
+{
+  return supply_of (roster, service, zone, true, now_us);
+}
+
 static double
 runs_at (const struct jl_needs *needs, const char *service)
 {
+  double runs = 0;
+
   for (unsigned i = 0; i < needs->count; i++)
     if (strcmp (needs->list[i].service, service) == 0)
-      return needs->list[i].runs;
-  return 0;
+      runs += needs->list[i].runs;
+  return runs;
 }
 
 /* Whether @a is refused after @b. */
@@ -223,20 +247,41 @@
   return CLAMP (((1 - shed) * total - before) / own, 0, 1);
 }
 
-/*
- * What a service can do for requests placed in @zone: its targets there, or
- * else those of all zones, which calls then cross to.
+/**
+ * struct spot - where the runs of a need are, if the request is placed in a
+ * zone
+ * @inside: in that zone; else in others, which its calls went to
+ * @crosses: the calls go from the zone to others here
  */
-static struct supply
-reachable_supply (const struct jl_roster *roster,
-                  const char *service,
-                  const char *zone,
-                  uint64_t now_us)
+struct spot
 {
-  struct supply supply = zone_supply (roster, service, zone, now_us);
+  bool inside;
+  bool crosses;
+  struct supply supply;
+};
 
-  return supply.targets > 0 ? supply
-                            : zone_supply (roster, service, NULL, now_us);
+/* Calls stay in their zone while it has a target; further ones stay out there.
+ */
+static void
+find_spots (const struct jl_roster *roster,
+            const struct jl_needs *needs,
+            const char *zone,
+            uint64_t now_us,
+            struct spot *spots)
+{
+  for (unsigned i = 0; i < needs->count; i++)
+    {
+      const struct jl_need *need = &needs->list[i];
+      bool from_inside = need->parent == JL_NONE || spots[need->parent].inside;
+      struct spot *spot = &spots[i];
+
+      spot->supply
+          = supply_of (roster, need->service, zone, from_inside, now_us);
+      spot->inside = from_inside && spot->supply.targets > 0;
+      spot->crosses = from_inside && !spot->inside;
+      if (spot->crosses)
+        spot->supply = supply_of (roster, need->service, zone, false, now_us);
+    }
 }
 
 static void
@@ -247,21 +292,23 @@
             const struct jl_demand *demand,
             uint64_t now_us)
 {
+  struct spot spots[JL_NEED_MAX];
+
+  find_spots (roster, &demand->needs, plan->zone, now_us, spots);
   for (unsigned i = 0; i < demand->needs.count; i++)
     {
       const char *service = demand->needs.list[i].service;
-      struct supply supply
-          = reachable_supply (roster, service, plan->zone, now_us);
+      const struct supply *supply = &spots[i].supply;
       double keep;
 
-      if (supply.targets == 0 || supply.shed <= 0)
+      if (supply->targets == 0 || supply->shed <= 0)
         continue;
-      keep = share_kept (demands, demand_count, demand, service, supply.shed);
+      keep = share_kept (demands, demand_count, demand, service, supply->shed);
       if (keep >= plan->keep)
         continue;
       plan->keep = keep;
       plan->service = service;
-      plan->shed = supply.shed;
+      plan->shed = supply->shed;
     }
 }
 
@@ -275,18 +322,19 @@
            const char *zone,
            uint64_t now_us)
 {
+  struct spot spots[JL_NEED_MAX];
   double count = strcmp (zone, roster->own_zone) != 0 ? 1 : 0;
   double success = 1;
 
+  find_spots (roster, &demand->needs, zone, now_us, spots);
   for (unsigned i = 0; i < demand->needs.count; i++)
     {
-      const struct jl_need *need = &demand->needs.list[i];
-      struct supply supply = zone_supply (roster, need->service, zone, now_us);
+      double runs = demand->needs.list[i].runs;
 
-      if (supply.targets == 0)
-        count += need->runs;
-      else if (supply.failing > FAILING_LITTLE)
-        success *= pow (1 - supply.failing, need->runs);
+      if (spots[i].crosses)
+        count += runs;
+      if (spots[i].supply.failing > FAILING_LITTLE)
+        success *= pow (1 - spots[i].supply.failing, runs);
     }
   return count + FAILING_WEIGHT * (1 - success);
 }
--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -22,11 +22,14 @@
 /**
  * struct jl_need - runs at one service that a request leads to
  * @service: interned, so that it outlives the configuration
+ * @parent: index of the need whose runs make these calls, JL_NONE for the
+ *          request itself
  */
 struct jl_need
 {
   const char *service;
   double runs;
+  unsigned parent;
 };
 
 /**
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -95,6 +95,7 @@
   result.needs.count = 1;
   result.needs.list[0].service = "deep";
   result.needs.list[0].runs = runs;
+  result.needs.list[0].parent = JL_NONE;
   return result;
 }
 
@@ -224,6 +225,30 @@
   cr_assert (jl_member_is_newer (&member, 90, 1, NOW + 2 * JL_USEC_PER_SEC));
 }
 
+/*
+ * The own zone has lost its middle service: calls go out, and what these call
+ * runs out there, so the room that the own deep target has is of no use.
+ */
+Test (place, calls_that_left_the_zone_count_where_they_run)
+{
+  struct jl_roster roster;
+  struct jl_demand demands[1] = { demand (1, 2, 10, 8) };
+  struct jl_needs *needs = &demands[0].needs;
+  struct jl_plan plan;
+
+  jl_roster_init (&roster, "z1");
+  needs->count = 2;
+  needs->list[0] = (struct jl_need){ "middle", 2, JL_NONE };
+  needs->list[1] = (struct jl_need){ "deep", 8, 0 };
+  add (&roster, "a", "z1", "deep");
+  add (&roster, "b", "z2", "middle");
+  add (&roster, "c", "z2", "deep")->shed = 0.5;
+  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  cr_assert_float_eq (plan.keep, 0.5, 1e-9);
+  cr_assert_str_eq (plan.zone, "z2", "one message crosses, and not two");
+  jl_roster_clear (&roster);
+}
+
 Test (place, the_retry_budget_slides)
 {
   struct jl_budget budget = { 0 };
