Begin no request that cannot be completed

An entry that knows no target of a service that a request cannot do without refuses it as not run. A test that failed before. Unused functions of the store's client are gone.

--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -80,7 +80,6 @@
   bool closing;
   bool dirty;
   bool touched;
-  bool parsing;
   uint64_t head_since;
   uint64_t read_at;
   uint64_t wrote_at;
--- a/source/net/parse.c
+++ b/source/net/parse.c
@@ -242,8 +242,6 @@
         stash_input (conn, data, size);
       return;
     }
-  conn->parsing = true;
   used = http_parser_execute (&conn->parser, &callbacks, data, size);
-  conn->parsing = false;
   parse_rest (conn, data, size, used);
 }
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -11,6 +11,8 @@
 #define DEPTH_MAX 10
 /* Runs for a request below which a service is left out. */
 #define RUNS_MIN 0.02
+/* Runs for a request from which on it cannot do without a service. */
+#define RUNS_CERTAIN 0.7
 /* Crossings that are as bad as a request that fails. */
 #define FAILING_WEIGHT 10.0
 /* Failing share that is no reason to cross. */
@@ -299,11 +301,13 @@
     {
       const char *service = demand->needs.list[i].service;
       const struct supply *supply = &spots[i].supply;
-      double keep;
+      double keep = 1;
 
-      if (supply->targets == 0 || supply->shed <= 0)
-        continue;
-      keep = share_kept (demands, demand_count, demand, service, supply->shed);
+      if (supply->targets == 0 && demand->needs.list[i].runs >= RUNS_CERTAIN)
+        keep = 0;
+      else if (supply->shed > 0)
+        keep
+            = share_kept (demands, demand_count, demand, service, supply->shed);
       if (keep >= plan->keep)
         continue;
       plan->keep = keep;
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -220,13 +220,6 @@
     jl_proxy_install (proxy, row->value, row->size, "store");
 }
 
-static void
-on_loaded (void *context, const char *table)
-{
-  (void)context;
-  (void)table;
-}
-
 static void
 on_reach (void *context, bool reached, const char *why)
 {
@@ -240,7 +233,6 @@
 
 static const struct jl_store_ops store_ops = {
   .row = on_row,
-  .loaded = on_loaded,
   .reach = on_reach,
 };
 
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -249,6 +249,26 @@
   jl_roster_clear (&roster);
 }
 
+/* A zone cut off without a target of every service. */
+Test (place, a_request_that_cannot_be_completed_does_not_begin)
+{
+  struct jl_roster roster;
+  struct jl_demand demands[1] = { demand (1, 0, 10, 4) };
+  struct jl_member *far;
+  struct jl_plan plan;
+
+  jl_roster_init (&roster, "z1");
+  add (&roster, "a", "z1", "front");
+  far = add (&roster, "b", "z2", "deep");
+  far->heard_us = NOW - 10 * JL_USEC_PER_SEC;
+  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  cr_assert_null (jl_plan_zone (&plan, 0));
+  far->heard_us = NOW;
+  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  cr_assert_not_null (jl_plan_zone (&plan, 0));
+  jl_roster_clear (&roster);
+}
+
 Test (place, the_retry_budget_slides)
 {
   struct jl_budget budget = { 0 };
