Remember a leaving that a daemon just started hears of

Ruled out: the longer service in planned stops (the stop had ended before), the row in the store. Open: a leaving that only an earlier life of the daemon acknowledged is not known to the next one if a late heartbeat reaches that.

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -21,9 +21,9 @@
 #define KEPT_BYTES_MAX 262144u
 /* Wait for a daemon to take a connection. */
 #define CONNECT_US (250 * JL_USEC_PER_MSEC)
-
 /* A target answers this when the time is over. */
 #define STATUS_GATEWAY_TIMEOUT 504
+
 static void place_call (struct jl_call *call);
 
 /* Takes a repeat of the call out of the budgets that it is charged to. */
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -56,7 +56,8 @@
 static void
 take_leave (struct jl_proxy *proxy, const char *id)
 {
-  if (jl_target_leave (&proxy->target, id))
+  if (jl_target_leave (&proxy->target, id,
+                       (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC))
     jl_proxy_target_changed (proxy, "left");
 }
 
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -38,12 +38,12 @@
 }
 
 static void
-remember_left (struct jl_target *target)
+remember_left (struct jl_target *target, const char *id, uint64_t born_ms)
 {
   unsigned slot = target->left_next;
 
-  g_strlcpy (target->left[slot], target->last.id, JL_TEXT_SIZE);
-  target->left_born_ms[slot] = target->last.born_ms;
+  g_strlcpy (target->left[slot], id, JL_TEXT_SIZE);
+  target->left_born_ms[slot] = born_ms;
   target->left_next = (slot + 1) % G_N_ELEMENTS (target->left);
 }
 
@@ -61,7 +61,7 @@
   new_life
       = before == JL_TARGET_NONE || !is_same_life (&target->last, heartbeat);
   if (new_life && before != JL_TARGET_NONE)
-    remember_left (target);
+    remember_left (target, target->last.id, target->last.born_ms);
   changed = new_life || heartbeat->slots != target->last.slots;
   if (heartbeat->draining || (!new_life && before == JL_TARGET_LEAVING))
     target->state = JL_TARGET_LEAVING;
@@ -75,11 +75,15 @@
 }
 
 bool
-jl_target_leave (struct jl_target *target, const char *id)
+jl_target_leave (struct jl_target *target, const char *id, uint64_t now_ms)
 {
   if (target->state == JL_TARGET_NONE || strcmp (target->last.id, id) != 0)
-    return false;
-  remember_left (target);
+    {
+      /* A life that this daemon has not heard of began before now. */
+      remember_left (target, id, now_ms);
+      return false;
+    }
+  remember_left (target, id, target->last.born_ms);
   target->state = JL_TARGET_LEAVING;
   return true;
 }
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -76,10 +76,15 @@
 
 /**
  * jl_target_leave - the target with identifier @id says that it ends
+ * @now_ms: wall clock
+ *
+ * That is final for the life, also when this daemon, just started, has not
+ * heard of it before.
  *
  * Return: whether it was the current one.
  */
-bool jl_target_leave (struct jl_target *target, const char *id);
+bool
+jl_target_leave (struct jl_target *target, const char *id, uint64_t now_ms);
 
 /**
  * jl_target_down - the target refuses connections
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -48,7 +48,7 @@
   struct jl_target target = { 0 };
 
   take (&target, heartbeat ("a", 5, 1, false));
-  cr_assert (jl_target_leave (&target, "a"));
+  cr_assert (jl_target_leave (&target, "a", 8));
   cr_assert_not (take (&target, heartbeat ("a", 5, 9, false)));
   cr_assert_eq (target.state, JL_TARGET_LEAVING);
 }
@@ -74,12 +74,25 @@
   cr_assert_str_eq (target.last.id, "b");
 }
 
+/* The daemon has just started when the target says that it ends. */
+Test (target, leaving_is_final_for_a_life_not_heard_of_before)
+{
+  struct jl_target target = { 0 };
+
+  cr_assert_not (jl_target_leave (&target, "a", 8));
+  cr_assert_not (take (&target, heartbeat ("a", 0, 21, false)));
+  cr_assert_not (take (&target, heartbeat ("a", 5, 21, false)));
+  cr_assert_eq (target.state, JL_TARGET_NONE);
+  cr_assert (take (&target, heartbeat ("a", 9, 1, false)));
+  cr_assert_eq (target.state, JL_TARGET_UP);
+}
+
 Test (target, the_same_identifier_may_start_again)
 {
   struct jl_target target = { 0 };
 
   take (&target, heartbeat ("a", 5, 7, false));
-  jl_target_leave (&target, "a");
+  jl_target_leave (&target, "a", 8);
   cr_assert (take (&target, heartbeat ("a", 9, 1, false)));
   cr_assert_eq (target.state, JL_TARGET_UP);
 }
@@ -100,6 +113,6 @@
   struct jl_target target = { 0 };
 
   take (&target, heartbeat ("b", 9, 1, false));
-  cr_assert_not (jl_target_leave (&target, "a"));
+  cr_assert_not (jl_target_leave (&target, "a", 8));
   cr_assert_eq (target.state, JL_TARGET_UP);
 }
