--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 STANDIN_SOURCES = $(wildcard tests/standins/*.c)
 STANDIN_PARTS = $(wildcard tests/standins/parts/*.c)
 TEST_SOURCES = $(wildcard tests/unit/*.c)
+UNIT_PARTS = $(wildcard tests/unit/parts/*.c)
 RANDOM_SOURCES = $(wildcard tests/random/*.c)
 SCRIPTED_SOURCES = $(wildcard tests/scripted/*.c)
 SUPPORT_SOURCES = $(wildcard tests/support/*.c)
@@ -103,7 +104,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -lcriterion -lhttp_parser $(PROXY_LIBS) -pthread -lm -o $@
 
-$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(call OBJECT,$(SUPPORT_SOURCES)) $(LIBRARY)
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(call OBJECT,$(SUPPORT_SOURCES) $(UNIT_PARTS)) $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -lcriterion $(LIBS) -o $@
 
