Let calls overflow to a zone whose targets are idle

Two of the three targets of a service leave; all its calls then go to the one deep target of its zone, whose queue fills, while the deep targets of the other zones are idle. Its refusals stay at their largest share, requests end late, and nothing recovers after all daemons were killed.

Now a window in which the own zone's targets refuse and another zone has room sends a part of the calls there. The largest refused share is 0.995: with 0.95 a target with a thirtieth of the demand kept a full queue.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 SUPPORT_SOURCES = $(wildcard tests/support/*.c)
 FUZZ_SOURCES = $(wildcard tests/fuzz/*.c)
 PROXY_TESTS = $(wildcard tests/proxy/*.c)
+PROXY_PARTS = $(wildcard tests/proxy/parts/*.c)
 BENCH_SOURCES = $(wildcard tests/bench/*.c)
 
 OBJECT = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -100,7 +101,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/unit/proxy-%: $(BUILD)/tests/proxy/%.o $(PROXY_OBJECTS)
+$(BUILD)/unit/proxy-%: $(BUILD)/tests/proxy/%.o $(call OBJECT,$(PROXY_PARTS)) $(PROXY_OBJECTS)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ -lcriterion -lhttp_parser $(PROXY_LIBS) -pthread -lm -o $@
 
--- a/source/policy/pressure.c
+++ b/source/policy/pressure.c
@@ -20,7 +20,7 @@
 #define STEP_UP 0.5
 #define STEP_DOWN 0.2
 /* Largest share that is refused, so that something still shows the demand. */
-#define SHED_MAX 0.95
+#define SHED_MAX 0.995
 /* A smaller share is none. */
 #define SHED_LEAST 0.01
 
--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -82,6 +82,21 @@
   jl_place_needs (&proxy->roster, proxy->site, route, &demand->needs);
 }
 
+const char *
+jl_demand_call_zone (struct jl_proxy *proxy, const char *service, double draw)
+{
+  struct jl_overflow *overflow;
+
+  for (unsigned i = 0; i < proxy->overflow_count; i++)
+    if (strcmp (proxy->overflows[i].service, service) == 0)
+      return jl_overflow_zone (&proxy->overflows[i], &proxy->roster, draw);
+  if (proxy->overflow_count == JL_OVERFLOW_MAX)
+    return proxy->roster.own_zone;
+  overflow = &proxy->overflows[proxy->overflow_count++];
+  *overflow = jl_place_overflow (&proxy->roster, service, jl_now ());
+  return jl_overflow_zone (overflow, &proxy->roster, draw);
+}
+
 void
 jl_demand_window (struct jl_proxy *proxy)
 {
@@ -102,6 +117,8 @@
     }
   for (unsigned i = 0; i < proxy->demand_count; i++)
     update_needs (proxy, &proxy->demands[i]);
+  /* Worked out anew with the next call to each service. */
+  proxy->overflow_count = 0;
   proxy->planned_us = jl_now ();
   for (unsigned i = 0; i < proxy->demand_count; i++)
     proxy->demands[i].plan
--- a/source/proxy/demand.h
+++ b/source/proxy/demand.h
@@ -20,6 +20,13 @@
  */
 bool jl_demand_is_call (const struct jl_proxy *proxy, uint32_t route);
 
+/**
+ * jl_demand_call_zone - where a call of the own target to @service goes
+ * @draw: uniform, 0 to 1
+ */
+const char *
+jl_demand_call_zone (struct jl_proxy *proxy, const char *service, double draw);
+
 /**
  * jl_demand_budget - the retry budget of a service, NULL when too many are
  * tracked
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -386,6 +386,7 @@
 
   proxy->counters.calls++;
   jl_fanout_call (&proxy->fanout, call->route->key);
+  call->zone = jl_demand_call_zone (proxy, call->service, g_random_double ());
   place_call (call);
 }
 
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -22,6 +22,9 @@
 #define FAILING_MUCH 0.2
 /* Room at which another zone takes all that is offered to it. */
 #define ROOM_FULL 0.25
+/* Calls that overflow for each request that entries refuse: a call that crosses
+ * costs less than a refusal. */
+#define OVERFLOW_GAIN 2.0
 
 /* Index of the need, JL_NONE when there are too many. */
 static unsigned
@@ -465,6 +468,61 @@
   return draw < plan->room ? plan->other_zone : NULL;
 }
 
+/* The zone, other than the own one, whose targets of @service have most room.
+ */
+static const char *
+roomiest_for (const struct jl_roster *roster,
+              const char *service,
+              uint64_t now_us,
+              double *room)
+{
+  const char *best = NULL;
+
+  *room = 0;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      struct supply supply;
+
+      if (!is_first_of_zone (roster, i)
+          || strcmp (member->zone, roster->own_zone) == 0)
+        continue;
+      supply = zone_supply (roster, service, member->zone, now_us);
+      if (supply.targets == 0 || supply.shed > 0 || supply.room <= *room)
+        continue;
+      best = member->zone;
+      *room = supply.room;
+    }
+  return best;
+}
+
+struct jl_overflow
+jl_place_overflow (const struct jl_roster *roster,
+                   const char *service,
+                   uint64_t now_us)
+{
+  struct jl_overflow overflow = { .service = g_intern_string (service) };
+  struct supply own = zone_supply (roster, service, roster->own_zone, now_us);
+  double room;
+
+  if (own.shed <= 0)
+    return overflow;
+  overflow.zone = roomiest_for (roster, service, now_us, &room);
+  overflow.share
+      = MIN (1, OVERFLOW_GAIN * own.shed) * MIN (1, room / ROOM_FULL);
+  return overflow;
+}
+
+const char *
+jl_overflow_zone (const struct jl_overflow *overflow,
+                  const struct jl_roster *roster,
+                  double draw)
+{
+  if (overflow->zone != NULL && draw < overflow->share)
+    return overflow->zone;
+  return roster->own_zone;
+}
+
 static bool
 was_tried (const struct jl_member *member,
            struct jl_member *const *tried,
--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -10,8 +10,8 @@
  * That share is taken from what is least important and, among equals, from
  * what costs the service most. When the own zone has no room and another one
  * has, the whole request goes there, so that only its first message crosses
- * zones. Calls of a request that has begun are never refused here, and stay in
- * their zone while it has a target.
+ * zones. Calls of a request that has begun are never refused here. They stay in
+ * their zone while it has a target with room for them.
  */
 
 #include "proxy/roster.h"
@@ -105,6 +105,39 @@
  */
 const char *jl_plan_zone (const struct jl_plan *plan, double draw);
 
+/**
+ * struct jl_overflow - where the own target's calls to one service go until the
+ * next window
+ * @service: interned
+ * @zone: another zone, which has room, NULL for none
+ * @share: share of the calls that goes there, 0 to 1
+ */
+struct jl_overflow
+{
+  const char *service;
+  const char *zone;
+  double share;
+};
+
+/**
+ * jl_place_overflow - what becomes of calls to @service
+ *
+ * Answers a zone whose targets of @service get the calls of other zones too,
+ * as when the service above is left in this one only: its own targets then
+ * refuse while those of other zones are idle.
+ */
+struct jl_overflow jl_place_overflow (const struct jl_roster *roster,
+                                      const char *service,
+                                      uint64_t now_us);
+
+/**
+ * jl_overflow_zone - the zone of one call
+ * @draw: uniform, 0 to 1
+ */
+const char *jl_overflow_zone (const struct jl_overflow *overflow,
+                              const struct jl_roster *roster,
+                              double draw);
+
 /**
  * jl_place_pick - the daemon that a request is sent to
  * @zone: the zone to prefer
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -25,6 +25,8 @@
 #define JL_DEMAND_MAX 32
 /* Services whose retry budget is tracked. */
 #define JL_BUDGET_MAX 32
+/* Services that the own target calls. */
+#define JL_OVERFLOW_MAX 16
 /* Buckets of a latency histogram; bucket i ends at 2^i ms. */
 #define JL_HISTOGRAM_BUCKETS 16
 
@@ -80,6 +82,7 @@
  * @site_text: the text that it was read from
  * @planned_us: when the plans of @demands were made
  * @call_routes: keys of the routes that carry calls of the own target
+ * @overflows: by service that the own target calls
  * @calls: requests in progress here as an entry
  * @works: requests in progress here as a guard
  * @ticks: control windows so far
@@ -113,6 +116,8 @@
   uint64_t planned_us;
   unsigned call_route_count;
   uint32_t call_routes[JL_ARRIVALS_MAX];
+  unsigned overflow_count;
+  struct jl_overflow overflows[JL_OVERFLOW_MAX];
   unsigned budget_count;
   struct jl_service_budget budgets[JL_BUDGET_MAX];
   struct cds_list_head calls;
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -1,8 +1,5 @@
 /**
  * DOC: Plays loads against the decisions and checks what callers get.
- *
- * A small model of one deep service: requests are admitted at entries, reach
- * the service some time later, wait in its lane and run. Time is virtual.
  */
 
 #include <criterion/criterion.h>
@@ -10,127 +7,10 @@
 
 #include "policy/failing.h"
 #include "policy/fanout.h"
-#include "policy/lane.h"
 #include "policy/origin.h"
-#include "policy/pressure.h"
+#include "proxy/place.h"
 
-#define STEP_US 1000
-#define DELAY_STEPS 200
-
-/**
- * struct model - one target, its lane and its entries
- * @hold_us: time for which a request holds a slot
- * @pending: admitted requests, by the step at which they arrive
- */
-struct model
-{
-  struct jl_lane lane;
-  struct jl_pressure pressure;
-  double hold_us;
-  unsigned pending[DELAY_STEPS];
-  unsigned finishing[4096];
-  double owed;
-  uint64_t offered;
-  uint64_t refused;
-  uint64_t served;
-  uint64_t late;
-  uint64_t waiting;
-  unsigned step;
-};
-
-static void
-model_init (struct model *model, unsigned limit, double hold_us)
-{
-  memset (model, 0, sizeof *model);
-  jl_lane_init (&model->lane);
-  jl_pressure_init (&model->pressure);
-  model->lane.limit = limit;
-  model->hold_us = hold_us;
-}
-
-static void
-run_one (struct model *model)
-{
-  unsigned hold = (unsigned)(model->hold_us / STEP_US);
-
-  model->finishing[(model->step + hold) % G_N_ELEMENTS (model->finishing)]++;
-}
-
-static void
-arrive_one (struct model *model)
-{
-  struct jl_lane_item *item = g_new0 (struct jl_lane_item, 1);
-  uint64_t now_us = (uint64_t)model->step * STEP_US;
-
-  item->rank = 1;
-  item->since_us = now_us;
-  item->expires_us = now_us + 700 * JL_USEC_PER_MSEC;
-  jl_pressure_arrive (&model->pressure);
-  if (jl_lane_arrive (&model->lane, item))
-    {
-      run_one (model);
-      g_free (item);
-    }
-}
-
-static void
-pump (struct model *model)
-{
-  uint64_t now_us = (uint64_t)model->step * STEP_US;
-  struct jl_lane_item *item;
-
-  while (
-      (item = jl_lane_expired (&model->lane, now_us, (uint64_t)model->hold_us))
-      != NULL)
-    {
-      model->late++;
-      g_free (item);
-    }
-  while ((item = jl_lane_next (&model->lane)) != NULL)
-    {
-      run_one (model);
-      g_free (item);
-    }
-}
-
-/* One step of 1 ms in which @rate requests a second are offered. */
-static void
-model_step (struct model *model, double rate)
-{
-  unsigned *slot
-      = &model->finishing[model->step % G_N_ELEMENTS (model->finishing)];
-  unsigned *pending = &model->pending[model->step % DELAY_STEPS];
-
-  for (; *slot > 0; (*slot)--)
-    {
-      jl_lane_done (&model->lane);
-      jl_pressure_done (&model->pressure, (uint64_t)model->hold_us);
-      model->served++;
-    }
-  for (; *pending > 0; (*pending)--)
-    arrive_one (model);
-  pump (model);
-  for (model->owed += rate * STEP_US / 1e6; model->owed >= 1; model->owed--)
-    {
-      model->offered++;
-      if (g_random_double () < model->pressure.shed)
-        model->refused++;
-      else
-        model->pending[(model->step + DELAY_STEPS - 1) % DELAY_STEPS]++;
-    }
-  model->step++;
-  model->waiting += model->lane.waiting;
-  if (model->step % (JL_PRESSURE_WINDOW_US / STEP_US) == 0)
-    jl_pressure_window (&model->pressure, model->lane.limit,
-                        model->lane.waiting);
-}
-
-static void
-play (struct model *model, double rate, double seconds)
-{
-  for (unsigned i = 0; i < seconds * 1e6 / STEP_US; i++)
-    model_step (model, rate);
-}
+#include "proxy/parts/model.h"
 
 Test (load, a_usual_load_is_not_refused)
 {
@@ -138,7 +18,7 @@
 
   g_random_set_seed (1);
   model_init (&model, 14, 24000);
-  play (&model, 400, 10);
+  model_play (&model, 400, 10);
   cr_assert_eq (model.refused, 0, "%" PRIu64 " refused", model.refused);
   cr_assert_eq (model.late, 0);
 }
@@ -152,10 +32,10 @@
 
   g_random_set_seed (1);
   model_init (&model, 14, 24000);
-  play (&model, 0.8 * capacity, 5);
+  model_play (&model, 0.8 * capacity, 5);
   model.served = model.offered = model.refused = model.late = 0;
   model.waiting = 0;
-  play (&model, 1.36 * capacity, 20);
+  model_play (&model, 1.36 * capacity, 20);
   fitting = capacity * 20;
   cr_assert_gt (model.served, 0.95 * fitting, "%" PRIu64 " of %.0f served",
                 model.served, fitting);
@@ -168,6 +48,25 @@
                 model.late);
 }
 
+/* All but one of the targets are gone: what is left gets 30 times its part. */
+Test (load, a_demand_far_above_the_capacity_leaves_a_short_queue)
+{
+  struct model model;
+  double capacity = 14 / 0.024;
+
+  g_random_set_seed (1);
+  model_init (&model, 14, 24000);
+  model_play (&model, 0.8 * capacity, 5);
+  model_play (&model, 30 * capacity, 5);
+  model.served = model.late = model.waiting = 0;
+  model_play (&model, 30 * capacity, 10);
+  cr_assert_gt (model.served, 0.9 * capacity * 10, "%" PRIu64 " served",
+                model.served);
+  cr_assert_lt ((double)model.waiting / 10000 / capacity, 0.05,
+                "they wait for %.0f ms on average",
+                (double)model.waiting / 10 / capacity);
+}
+
 Test (load, after_a_burst_all_are_let_in_again)
 {
   struct model model;
@@ -175,13 +74,89 @@
 
   g_random_set_seed (1);
   model_init (&model, 14, 24000);
-  play (&model, 1.7 * capacity, 10);
-  play (&model, 0.6 * capacity, 5);
+  model_play (&model, 1.7 * capacity, 10);
+  model_play (&model, 0.6 * capacity, 5);
   model.offered = model.refused = 0;
-  play (&model, 0.6 * capacity, 5);
+  model_play (&model, 0.6 * capacity, 5);
   cr_assert_lt (model.refused, 0.01 * (double)model.offered);
 }
 
+/**
+ * struct zones - two availability zones; all calls come from the first
+ */
+struct zones
+{
+  struct jl_roster roster;
+  struct model near;
+  struct model far;
+};
+
+static void
+tell_zone (struct zones *zones, const char *zone, const struct model *model)
+{
+  struct jl_member *member = jl_roster_member (&zones->roster, zone);
+
+  g_strlcpy (member->zone, zone, sizeof member->zone);
+  g_strlcpy (member->service, "deep", sizeof member->service);
+  member->state = JL_TARGET_UP;
+  member->limit = model->lane.limit;
+  member->capacity = jl_pressure_capacity (&model->pressure, model->lane.limit);
+  member->shed = model->pressure.shed;
+  member->room = model->pressure.room;
+  member->heard_us = JL_USEC_PER_SEC;
+}
+
+static void
+zones_step (struct zones *zones, double rate, struct jl_overflow *overflow)
+{
+  struct model *near = &zones->near;
+
+  if (near->step % (JL_PRESSURE_WINDOW_US / STEP_US) == 0)
+    {
+      tell_zone (zones, "z1", near);
+      tell_zone (zones, "z2", &zones->far);
+      *overflow = jl_place_overflow (&zones->roster, "deep", JL_USEC_PER_SEC);
+    }
+  for (near->owed += rate * STEP_US / 1e6; near->owed >= 1; near->owed--)
+    if (model_offer (near))
+      model_admit (strcmp (jl_overflow_zone (overflow, &zones->roster,
+                                             g_random_double ()),
+                           "z1")
+                           == 0
+                       ? near
+                       : &zones->far);
+  model_step (near, 0);
+  model_step (&zones->far, 0);
+}
+
+/*
+ * The service above has targets in one zone only: its calls are too many for
+ * the deep targets of that zone, and those of the other one are idle.
+ */
+Test (load, calls_overflow_to_a_zone_whose_targets_are_idle)
+{
+  struct zones zones;
+  struct jl_overflow overflow = { 0 };
+  double capacity = 14 / 0.024;
+
+  g_random_set_seed (1);
+  jl_roster_init (&zones.roster, "z1");
+  model_init (&zones.near, 14, 24000);
+  model_init (&zones.far, 14, 24000);
+  jl_pressure_done (&zones.far.pressure, 24000);
+  for (unsigned i = 0; i < 5000; i++)
+    zones_step (&zones, 1.5 * capacity, &overflow);
+  zones.near.served = zones.far.served = 0;
+  for (unsigned i = 0; i < 10000; i++)
+    zones_step (&zones, 1.5 * capacity, &overflow);
+  cr_assert_gt (zones.near.served + zones.far.served, 0.85 * 15 * capacity,
+                "%" PRIu64 " here and %" PRIu64 " there of %.0f",
+                zones.near.served, zones.far.served, 15 * capacity);
+  cr_assert_gt (zones.near.served, 0.9 * 10 * capacity,
+                "they stay in their zone while it has room");
+  jl_roster_clear (&zones.roster);
+}
+
 /* Runs of two kinds make calls of one kind: 2 and 1 each. */
 Test (load, fanout_is_learned_from_counts)
 {
