Keep in the store which lives of the target have left

Cause: a leaving was only in the memory of the daemon that acknowledged it. If that daemon was killed and a heartbeat sent before the leaving came late, the next life took the target for up and sent it requests beyond the drain time.

Now the lives that have left are a row of the daemon's own, written before the acknowledgement (at most 300 ms are waited, a leaving target asks another daemon after a second) and read at the start. The table is not watched by others, so it wakes nobody. A draining heartbeat counts as a leaving for good.

Ruled out: the daemon's row in the watched table (each leaving would wake each daemon's waiting call); peers' memory (does not reach the entry of the daemon itself).

Unit test in tests/proxy/target.c. The retry budget of a service reached by several ways is checked for their sum.

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -33,6 +33,7 @@
   { JL_RECORD_ANSWER_DROPPED, "answer dropped" },
   { JL_RECORD_TARGET, "own target" },
   { JL_RECORD_TARGET_HEARTBEAT_REFUSED, "heartbeat refused" },
+  { JL_RECORD_LEAVING_ACKNOWLEDGED, "leaving acknowledged" },
   { JL_RECORD_MEMBER, "member" },
   { JL_RECORD_SITE, "configuration installed" },
   { JL_RECORD_SITE_REFUSED, "configuration refused" },
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -38,11 +38,12 @@
   jl_place_needs (&proxy->roster, call->site, call->route, &needs);
   for (unsigned i = 0; i < needs.count; i++)
     {
-      struct jl_budget *budget
-          = jl_demand_budget (proxy, needs.list[i].service);
+      const char *service = needs.list[i].service;
+      struct jl_budget *budget = jl_demand_budget (proxy, service);
 
       if (budget == NULL
-          || !jl_budget_allows (budget, &terms, now_us, needs.list[i].runs))
+          || !jl_budget_allows (budget, &terms, now_us,
+                                jl_needs_runs (&needs, service)))
         return false;
     }
   for (unsigned i = 0; i < needs.count; i++)
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -7,11 +7,15 @@
 
 #include "decode.h"
 #include "names.h"
+#include "proxy/rows.h"
 
 #include <string.h>
 
 /* Largest heartbeat, in bytes. */
 #define HEARTBEAT_BYTES_MAX 65536
+/* Longest wait of a leaving target for the store: it is answered within a
+ * second, or asks another daemon. */
+#define LEFT_WAIT_US (300 * JL_USEC_PER_MSEC)
 
 static void
 answer_text (struct jl_request *request, unsigned status, const char *text)
@@ -53,12 +57,55 @@
   return target + strlen (JL_WIRE_ANNOUNCE_PATH);
 }
 
+/* The target's leaving binds later lives of this daemon only once written. */
 static void
-take_leave (struct jl_proxy *proxy, const char *id)
+acknowledge_left (struct jl_proxy *proxy)
+{
+  jl_timer_stop (proxy->loop->timers, &proxy->left_timer);
+  for (guint i = 0; i < proxy->left_waiting->len; i++)
+    answer_json (g_ptr_array_index (proxy->left_waiting, i), 200);
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_LEAVING_ACKNOWLEDGED,
+             "target=%s written=%d heartbeats=%u", proxy->target.last.id,
+             proxy->left_written, proxy->left_waiting->len);
+  g_ptr_array_set_size (proxy->left_waiting, 0);
+}
+
+void
+jl_pages_left_written (struct jl_proxy *proxy)
+{
+  if (proxy->left_waiting->len > 0)
+    acknowledge_left (proxy);
+}
+
+static void
+on_left_timer (void *context, struct jl_timer *timer)
+{
+  (void)timer;
+  acknowledge_left (context);
+}
+
+static void
+answer_leaving (struct jl_proxy *proxy, struct jl_request *request)
+{
+  jl_rows_keep_left (proxy);
+  if (proxy->left_written)
+    {
+      answer_json (request, 200);
+      return;
+    }
+  if (proxy->left_waiting->len == 0)
+    jl_loop_after (proxy->loop, &proxy->left_timer, LEFT_WAIT_US, on_left_timer,
+                   proxy);
+  g_ptr_array_add (proxy->left_waiting, request);
+}
+
+static void
+take_leave (struct jl_proxy *proxy, struct jl_request *request, const char *id)
 {
   if (jl_target_leave (&proxy->target, id,
                        (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC))
     jl_proxy_target_changed (proxy, "left");
+  answer_leaving (proxy, request);
 }
 
 static void
@@ -82,7 +129,10 @@
   g_strlcpy (heartbeat.id, id, sizeof heartbeat.id);
   if (jl_target_heartbeat (&proxy->target, &heartbeat, jl_now ()))
     jl_proxy_target_changed (proxy, "heartbeat");
-  answer_json (request, 200);
+  if (heartbeat.draining)
+    answer_leaving (proxy, request);
+  else
+    answer_json (request, 200);
 }
 
 static void
@@ -95,10 +145,7 @@
   if (id == NULL || *id == '\0' || strlen (id) >= JL_TEXT_SIZE)
     answer_json (request, 404);
   else if (strcmp (method, "DELETE") == 0)
-    {
-      take_leave (proxy, id);
-      answer_json (request, 200);
-    }
+    take_leave (proxy, request, id);
   else if (strcmp (method, "PUT") == 0)
     jl_request_set_data (request, g_byte_array_new ());
   else
@@ -133,9 +180,10 @@
 static void
 on_announce_gone (void *context, struct jl_request *request)
 {
+  struct jl_proxy *proxy = context;
   GByteArray *body = jl_request_data (request);
 
-  (void)context;
+  g_ptr_array_remove (proxy->left_waiting, request);
   if (body != NULL)
     g_byte_array_free (body, TRUE);
 }
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -197,8 +197,8 @@
   return supply_of (roster, service, zone, true, now_us);
 }
 
-static double
-runs_at (const struct jl_needs *needs, const char *service)
+double
+jl_needs_runs (const struct jl_needs *needs, const char *service)
 {
   double runs = 0;
 
@@ -214,8 +214,8 @@
              const struct jl_demand *b,
              const char *service)
 {
-  double a_runs = runs_at (&a->needs, service);
-  double b_runs = runs_at (&b->needs, service);
+  double a_runs = jl_needs_runs (&a->needs, service);
+  double b_runs = jl_needs_runs (&b->needs, service);
 
   if (a->rank != b->rank)
     return a->rank < b->rank;
@@ -235,13 +235,14 @@
             const char *service,
             double shed)
 {
-  double own = demand->rate * runs_at (&demand->needs, service);
+  double own = demand->rate * jl_needs_runs (&demand->needs, service);
   double before = 0;
   double total = 0;
 
   for (unsigned i = 0; i < demand_count; i++)
     {
-      double load = demands[i].rate * runs_at (&demands[i].needs, service);
+      double load
+          = demands[i].rate * jl_needs_runs (&demands[i].needs, service);
 
       total += load;
       if (&demands[i] != demand && goes_before (&demands[i], demand, service))
--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -41,6 +41,11 @@
   struct jl_need list[JL_NEED_MAX];
 };
 
+/**
+ * jl_needs_runs - all runs at @service, whichever calls lead to them
+ */
+double jl_needs_runs (const struct jl_needs *needs, const char *service);
+
 /**
  * struct jl_plan - what becomes of a route's requests until the next window
  * @zone: where they go
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -7,25 +7,12 @@
 #include "decode.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
+#include "proxy/rows.h"
 
-#include <json-c/json.h>
 #include <math.h>
 #include <signal.h>
 #include <string.h>
 
-/* Tables of the store: the operators' configuration, and the daemons. */
-#define SITE_TABLE "op"
-#define SITE_KEY "config"
-#define DAEMON_TABLE "daemons"
-/* How long a call to the store waits for a change. */
-#define SITE_WAIT_MS 20000
-#define DAEMON_WAIT_MS 25000
-/* Daemons that start together are read together. */
-#define DAEMON_GATHER_US (1 * JL_USEC_PER_SEC)
-/* The same for the daemons of each zone that watch the configuration closely:
- * a call that the store has lost ends soon. The others hear of it from them. */
-#define SITE_WATCH_MS 4000
-#define WATCHERS 2
 /* Longest idle time of a connection that is used again. */
 #define PEER_IDLE_US (20 * JL_USEC_PER_SEC)
 #define TARGET_IDLE_US (5 * JL_USEC_PER_SEC)
@@ -175,80 +162,6 @@
                  site->idle_timeout_us);
 }
 
-static void
-take_daemon_row (struct jl_proxy *proxy, const struct jl_row *row)
-{
-  struct json_tokener *tokener = json_tokener_new ();
-  struct json_object *document
-      = json_tokener_parse_ex (tokener, row->value, (int)row->size);
-  struct json_object *peer = NULL;
-  struct json_object *zone = NULL;
-  struct jl_endpoint endpoint;
-
-  json_tokener_free (tokener);
-  if (json_object_is_type (document, json_type_object))
-    {
-      json_object_object_get_ex (document, "peer", &peer);
-      json_object_object_get_ex (document, "zone", &zone);
-    }
-  if (peer != NULL && zone != NULL
-      && jl_endpoint_parse (json_object_get_string (peer), &endpoint))
-    {
-      struct jl_member *member = jl_roster_member (&proxy->roster, row->key);
-
-      if (member != proxy->self && member->heard_us == 0)
-        {
-          member->peer = endpoint;
-          g_strlcpy (member->zone, json_object_get_string (zone), JL_TEXT_SIZE);
-          jl_beacon_soon (proxy->beacon);
-        }
-    }
-  json_object_put (document);
-}
-
-static void
-on_row (void *context, const struct jl_row *row)
-{
-  struct jl_proxy *proxy = context;
-
-  if (row->removed || row->value == NULL)
-    return;
-  if (strcmp (row->table, DAEMON_TABLE) == 0)
-    take_daemon_row (proxy, row);
-  else if (strcmp (row->table, SITE_TABLE) == 0
-           && strcmp (row->key, SITE_KEY) == 0)
-    jl_proxy_install (proxy, row->value, row->size, "store");
-}
-
-static void
-on_reach (void *context, bool reached, const char *why)
-{
-  const struct jl_proxy *proxy = context;
-
-  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE,
-             "reached=%d cause=\"%s\" site=%" PRIx64, reached,
-             reached ? "answered" : why,
-             proxy->site != NULL ? proxy->site->version : 0);
-}
-
-static const struct jl_store_ops store_ops = {
-  .row = on_row,
-  .reach = on_reach,
-};
-
-static void
-keep_own_row (struct jl_proxy *proxy)
-{
-  char peer[JL_ENDPOINT_TEXT_SIZE];
-  char *value;
-
-  jl_endpoint_format (proxy->self->peer, peer);
-  value = g_strdup_printf ("{\"peer\":\"%s\",\"zone\":\"%s\"}", peer,
-                           proxy->options->zone);
-  jl_store_keep (proxy->store, DAEMON_TABLE, proxy->options->name, value);
-  g_free (value);
-}
-
 static void
 on_lane_timer (void *context, struct jl_timer *timer)
 {
@@ -278,25 +191,6 @@
              pressure->hold_us / 1000);
 }
 
-/* Whether this daemon is among the first of its zone, by name. */
-static bool
-is_watcher (const struct jl_proxy *proxy)
-{
-  unsigned before = 0;
-  uint64_t now_us = jl_now ();
-
-  for (guint i = 0; i < proxy->roster.members->len; i++)
-    {
-      const struct jl_member *member
-          = g_ptr_array_index (proxy->roster.members, i);
-
-      if (!member->far && jl_member_is_heard (member, now_us)
-          && strcmp (member->name, proxy->self->name) < 0)
-        before++;
-    }
-  return before < WATCHERS;
-}
-
 static void
 on_control_timer (void *context, struct jl_timer *timer)
 {
@@ -313,8 +207,7 @@
           &proxy->fanout, proxy->self->fanout, JL_MEMBER_FANOUT_MAX);
     }
   note_shed (proxy, before);
-  jl_store_set_wait (proxy->store, SITE_TABLE,
-                     is_watcher (proxy) ? SITE_WATCH_MS : SITE_WAIT_MS);
+  jl_rows_window (proxy);
   update_self (proxy);
   jl_demand_window (proxy);
   jl_entry_check_members (proxy);
@@ -520,6 +413,7 @@
   proxy->net = jl_net_new (proxy->loop);
   proxy->peers = jl_pool_new (proxy->net, PEER_IDLE_US, PEER_IDLE_MAX);
   proxy->own = jl_pool_new (proxy->net, TARGET_IDLE_US, G_MAXUINT);
+  proxy->left_waiting = g_ptr_array_new ();
 }
 
 struct jl_proxy *
@@ -545,11 +439,7 @@
   jl_record (JL_RECORD_CHANGE, JL_RECORD_STARTED,
              "name=%s zone=%s service=%s epoch=%" PRIu64, options->name,
              options->zone, options->service, proxy->epoch);
-  proxy->store = jl_store_new (proxy->loop, proxy->net, options->store,
-                               &store_ops, proxy);
-  keep_own_row (proxy);
-  jl_store_watch (proxy->store, SITE_TABLE, SITE_WATCH_MS, 0);
-  jl_store_watch (proxy->store, DAEMON_TABLE, DAEMON_WAIT_MS, DAEMON_GATHER_US);
+  jl_rows_open (proxy);
   return proxy;
 }
 
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -88,6 +88,9 @@
  * @ticks: control windows so far
  * @epoch: wall clock at the start, in microseconds; tells lives apart
  * @started_us: monotonic clock at the start
+ * @left_waiting: announcements of a leaving, unanswered until that is written
+ * @left_edition: of the lives that have left, as last given to the store
+ * @left_written: the store has them
  * @stopping: a planned stop has begun
  * @guard_closed: it has come so far that the own target gets no more work
  */
@@ -132,6 +135,10 @@
   struct jl_timer sweep_timer;
   struct jl_timer stop_timer;
   struct jl_timer reload_timer;
+  struct jl_timer left_timer;
+  GPtrArray *left_waiting;
+  unsigned left_edition;
+  bool left_written;
   struct jl_sync *sync;
   uv_signal_t signals[3];
   unsigned ticks;
@@ -222,6 +229,11 @@
 extern const struct jl_handler jl_announce_handler;
 extern const struct jl_handler jl_metrics_handler;
 
+/**
+ * jl_pages_left_written - the store has acknowledged that the target leaves
+ */
+void jl_pages_left_written (struct jl_proxy *proxy);
+
 /* sync.c */
 
 /**
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -7,11 +7,11 @@
 #include <string.h>
 
 static bool
-has_left (const struct jl_target *target, const struct jl_heartbeat *heartbeat)
+has_left (const struct jl_target *target, const char *id, uint64_t born_ms)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (target->left); i++)
-    if (strcmp (target->left[i], heartbeat->id) == 0
-        && target->left_born_ms[i] >= heartbeat->born_ms)
+  for (size_t i = 0; i < JL_TARGET_LEFT_MAX; i++)
+    if (strcmp (target->left[i].id, id) == 0
+        && target->left[i].born_ms >= born_ms)
       return true;
   return false;
 }
@@ -28,7 +28,7 @@
 {
   const struct jl_heartbeat *last = &target->last;
 
-  if (has_left (target, heartbeat))
+  if (has_left (target, heartbeat->id, heartbeat->born_ms))
     return true;
   if (target->state == JL_TARGET_NONE)
     return false;
@@ -40,11 +40,14 @@
 static void
 remember_left (struct jl_target *target, const char *id, uint64_t born_ms)
 {
-  unsigned slot = target->left_next;
+  struct jl_target_left *left = &target->left[target->left_next];
 
-  g_strlcpy (target->left[slot], id, JL_TEXT_SIZE);
-  target->left_born_ms[slot] = born_ms;
-  target->left_next = (slot + 1) % G_N_ELEMENTS (target->left);
+  if (has_left (target, id, born_ms))
+    return;
+  g_strlcpy (left->id, id, sizeof left->id);
+  left->born_ms = born_ms;
+  target->left_next = (target->left_next + 1) % JL_TARGET_LEFT_MAX;
+  target->left_edition++;
 }
 
 bool
@@ -69,6 +72,8 @@
     target->state = JL_TARGET_UP;
   if (target->state == JL_TARGET_UP && (new_life || before != JL_TARGET_UP))
     target->up_since_us = now_us;
+  if (target->state == JL_TARGET_LEAVING)
+    remember_left (target, heartbeat->id, heartbeat->born_ms);
   target->last = *heartbeat;
   target->heard_us = now_us;
   return changed || target->state != before;
@@ -88,6 +93,20 @@
   return true;
 }
 
+bool
+jl_target_restore_left (struct jl_target *target,
+                        const char *id,
+                        uint64_t born_ms)
+{
+  enum jl_target_state before = target->state;
+
+  remember_left (target, id, born_ms);
+  if (before != JL_TARGET_NONE && strcmp (target->last.id, id) == 0
+      && target->last.born_ms <= born_ms)
+    target->state = JL_TARGET_LEAVING;
+  return target->state != before;
+}
+
 void
 jl_target_down (struct jl_target *target)
 {
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -49,10 +49,25 @@
   JL_TARGET_DOWN,
 };
 
+/* Lives that have left and are remembered. */
+#define JL_TARGET_LEFT_MAX 8
+
+/**
+ * struct jl_target_left - a life that has left
+ * @id: "" for none
+ * @born_ms: no heartbeat of a life that began later is meant
+ */
+struct jl_target_left
+{
+  char id[JL_TEXT_SIZE];
+  uint64_t born_ms;
+};
+
 /**
  * struct jl_target - the belief
  * @heard_us: time of the last heartbeat that counted
- * @left: identifiers of lives that have left, a ring
+ * @left: a ring
+ * @left_edition: counts the lives that were added to it
  */
 struct jl_target
 {
@@ -60,9 +75,9 @@
   struct jl_heartbeat last;
   uint64_t heard_us;
   uint64_t up_since_us;
-  char left[8][JL_TEXT_SIZE];
-  uint64_t left_born_ms[8];
+  struct jl_target_left left[JL_TARGET_LEFT_MAX];
   unsigned left_next;
+  unsigned left_edition;
 };
 
 /**
@@ -86,6 +101,16 @@
 bool
 jl_target_leave (struct jl_target *target, const char *id, uint64_t now_ms);
 
+/**
+ * jl_target_restore_left - a life that left while an earlier life of this
+ * daemon ran
+ *
+ * Return: whether that changes the state.
+ */
+bool jl_target_restore_left (struct jl_target *target,
+                             const char *id,
+                             uint64_t born_ms);
+
 /**
  * jl_target_down - the target refuses connections
  */
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -249,6 +249,17 @@
   jl_roster_clear (&roster);
 }
 
+/* A repeat is charged for each way that leads to a service. */
+Test (place, runs_by_several_ways_add_up)
+{
+  struct jl_needs needs = { .count = 3 };
+
+  needs.list[0] = (struct jl_need){ "front", 1, JL_NONE };
+  needs.list[1] = (struct jl_need){ "deep", 2, 0 };
+  needs.list[2] = (struct jl_need){ "deep", 0.5, 0 };
+  cr_assert_float_eq (jl_needs_runs (&needs, "deep"), 2.5, 1e-9);
+}
+
 /* A zone cut off without a target of every service. */
 Test (place, a_request_that_cannot_be_completed_does_not_begin)
 {
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -116,3 +116,27 @@
   cr_assert_not (jl_target_leave (&target, "a", 8));
   cr_assert_eq (target.state, JL_TARGET_UP);
 }
+
+/* The daemon was killed after it had acknowledged the leaving. */
+Test (target, a_leaving_holds_for_the_next_life_of_the_daemon)
+{
+  struct jl_target before = { 0 };
+  struct jl_target early = { 0 };
+  struct jl_target late = { 0 };
+
+  take (&before, heartbeat ("a", 5, 1, false));
+  take (&before, heartbeat ("a", 5, 3, true));
+  cr_assert_eq (before.left_edition, 1);
+  take (&before, heartbeat ("a", 5, 4, true));
+  cr_assert_eq (before.left_edition, 1, "it is written once");
+  cr_assert_not (jl_target_restore_left (&early, before.left[0].id,
+                                         before.left[0].born_ms));
+  cr_assert_not (take (&early, heartbeat ("a", 5, 2, false)));
+  cr_assert_eq (early.state, JL_TARGET_NONE);
+  take (&late, heartbeat ("a", 5, 2, false));
+  cr_assert (jl_target_restore_left (&late, before.left[0].id,
+                                     before.left[0].born_ms));
+  cr_assert_eq (late.state, JL_TARGET_LEAVING);
+  cr_assert (take (&late, heartbeat ("a", 6, 1, false)), "a new life");
+  cr_assert_eq (late.state, JL_TARGET_UP);
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -247,6 +247,15 @@
             await asyncio.sleep(for_s / 2)
             await daemon.target.start(daemon.target.announce)
 
+    async def do_target_leave_kill(self, daemon, for_s):
+        """Needs the store: not one of the kinds that overlap at random."""
+        if daemon.target.lock.locked():
+            return
+        async with daemon.target.lock:
+            await daemon.target.leave_unannounced(lambda: daemon.signal(signal.SIGKILL))
+            await asyncio.sleep(for_s / 2)
+            await daemon.target.start(daemon.target.announce)
+
     async def do_lose(self, daemon, for_s):
         daemon.target.lose = 0.2
         await asyncio.sleep(for_s)
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -64,6 +64,23 @@
         await self.say("DELETE", {})
         self.crash()
 
+    async def leave_unannounced(self, killed):
+        """Says that it is gone, serves on, and an older heartbeat comes late.
+
+        killed: ends the daemon that has just acknowledged.
+        """
+        late = self.state("ready")
+        self.leaving_since = time.monotonic()
+        self.beating.cancel()
+        while not await self.say("DELETE", {}):
+            await asyncio.sleep(0.1)
+        self.history.acknowledged(self.id)
+        killed()
+        for _ in range(10):
+            await asyncio.sleep(0.3)
+            await self.say("PUT", late)
+        self.crash()
+
     def state(self, state):
         self.sequence += 1
         return {
