Tell few daemons of other zones at large sites; even out refusals

Ruled out: longer periods (the state of a target in another zone would be older where it matters, on small sites too).

Cause: a request moved to another zone only if nothing was refused there, so a zone with a slow target refused more of its callers than others, and capacity above 85 of 100 in the others stayed unused. Now what has no room goes to the zone that refuses least, by as much as that differs.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -5,7 +5,8 @@
  * goes a brief one with what changes all the time every other second, and a
  * full one some times a minute. Both go more often while the target has too
  * much or too little room for its demand, and at once when its state changes or
- * a daemon starts. A lost one is made good by the next.
+ * a daemon starts. A lost one is made good by the next. Where a zone has many
+ * targets of a service, only some tell a daemon of another zone of themselves.
  */
 
 #include "proxy/proxy.h"
@@ -289,14 +290,17 @@
   struct jl_proxy *proxy = beacon->proxy;
   char datagram[DATAGRAM_MAX];
   size_t size = encode (beacon, full, datagram);
+  double share = jl_roster_told_share (&proxy->roster, proxy->self, jl_now ());
 
   for (guint i = 0; i < proxy->roster.members->len; i++)
     {
       const struct jl_member *member
           = g_ptr_array_index (proxy->roster.members, i);
 
-      if (member != proxy->self && member->peer.port != 0
-          && is_near (proxy, member) == near)
+      if (member == proxy->self || member->peer.port == 0
+          || is_near (proxy, member) != near)
+        continue;
+      if (near || jl_member_tells (proxy->self, member, share))
         send_to (beacon, member->peer, datagram, size);
     }
 }
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -22,6 +22,8 @@
 #define FAILING_MUCH 0.2
 /* Room at which another zone takes all that is offered to it. */
 #define ROOM_FULL 0.25
+/* Difference of what two zones let in from which on they even out. */
+#define UNEVEN 0.1
 /* Calls that overflow for each request that entries refuse: a call that crosses
  * costs less than a refusal. */
 #define OVERFLOW_GAIN 2.0
@@ -440,6 +442,57 @@
   return best;
 }
 
+/* The zone, other than @home, that lets in most of what is placed there. */
+static const char *
+mildest_zone (const struct jl_roster *roster,
+              const struct jl_demand *demands,
+              unsigned demand_count,
+              const struct jl_demand *demand,
+              const char *home,
+              uint64_t now_us,
+              double *keep)
+{
+  const char *best = NULL;
+
+  *keep = 0;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      struct jl_plan plan = { .zone = member->zone, .keep = 1 };
+
+      if (!is_first_of_zone (roster, i) || strcmp (member->zone, home) == 0)
+        continue;
+      judge_zone (&plan, roster, demands, demand_count, demand, now_us);
+      if (plan.keep <= *keep)
+        continue;
+      *keep = plan.keep;
+      best = member->zone;
+    }
+  return best;
+}
+
+/* What the own zone has no room for: another one has, or refuses less. */
+static void
+plan_overflow (struct jl_plan *plan,
+               const struct jl_roster *roster,
+               const struct jl_demand *demands,
+               unsigned demand_count,
+               const struct jl_demand *demand,
+               uint64_t now_us)
+{
+  const char *mildest;
+  double keep;
+
+  plan->other_zone
+      = roomiest_zone (roster, demand, plan->zone, now_us, &plan->room);
+  mildest = mildest_zone (roster, demands, demand_count, demand, plan->zone,
+                          now_us, &keep);
+  if (keep - plan->keep < UNEVEN || keep - plan->keep < plan->room)
+    return;
+  plan->other_zone = mildest;
+  plan->room = keep - plan->keep;
+}
+
 struct jl_plan
 jl_place_plan (const struct jl_roster *roster,
                const struct jl_demand *demands,
@@ -452,8 +505,7 @@
   plan.zone = home_zone (roster, demand, now_us);
   judge_zone (&plan, roster, demands, demand_count, demand, now_us);
   if (plan.keep < 1)
-    plan.other_zone
-        = roomiest_zone (roster, demand, plan.zone, now_us, &plan.room);
+    plan_overflow (&plan, roster, demands, demand_count, demand, now_us);
   return plan;
 }
 
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -5,6 +5,7 @@
 #include "proxy/roster.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Silence after which nothing is sent to a daemon: several beacons. */
 #define SILENCE_US (2500 * JL_USEC_PER_MSEC)
@@ -14,6 +15,8 @@
 #define FAR_QUIET_US (3000 * JL_USEC_PER_MSEC)
 /* How long a daemon is left out after a sending to it failed. */
 #define AVOID_US (800 * JL_USEC_PER_MSEC)
+/* Targets of a service in another zone that a daemon knows on average. */
+#define FAR_KNOWN 6
 
 void
 jl_roster_init (struct jl_roster *roster, const char *own_zone)
@@ -148,3 +151,44 @@
       heard++;
   return heard;
 }
+
+/* Daemons in the zone of @self whose targets are of its service. */
+static unsigned
+near_of_service (const struct jl_roster *roster,
+                 const struct jl_member *self,
+                 uint64_t now_us)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+
+      if (strcmp (member->zone, self->zone) == 0
+          && strcmp (member->service, self->service) == 0
+          && jl_member_is_heard (member, now_us))
+        count++;
+    }
+  return count;
+}
+
+double
+jl_roster_told_share (const struct jl_roster *roster,
+                      const struct jl_member *self,
+                      uint64_t now_us)
+{
+  unsigned count = near_of_service (roster, self, now_us);
+
+  return count <= FAR_KNOWN ? 1 : (double)FAR_KNOWN / count;
+}
+
+bool
+jl_member_tells (const struct jl_member *self,
+                 const struct jl_member *peer,
+                 double share)
+{
+  uint32_t draw
+      = XXH32 (peer->name, strlen (peer->name), jl_name_key (self->name));
+
+  return draw <= share * UINT32_MAX;
+}
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -125,4 +125,25 @@
  */
 unsigned jl_roster_heard (const struct jl_roster *roster, uint64_t now_us);
 
+/**
+ * jl_roster_told_share - share of the daemons of other zones that the daemon
+ * @self tells of itself, 0 to 1
+ *
+ * Answers sites with many targets of a service in each zone: what daemons tell
+ * those of other zones would rise with the square of their number. A daemon
+ * needs to know only some targets of other zones.
+ */
+double jl_roster_told_share (const struct jl_roster *roster,
+                             const struct jl_member *self,
+                             uint64_t now_us);
+
+/**
+ * jl_member_tells - whether @peer is in that share
+ *
+ * Chance by names chooses, for each daemon others.
+ */
+bool jl_member_tells (const struct jl_member *self,
+                      const struct jl_member *peer,
+                      double share);
+
 #endif
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -157,6 +157,79 @@
   jl_roster_clear (&zones.roster);
 }
 
+/* One window of the clients of @zone: what is let in, and where it goes. */
+static struct jl_plan
+plan_zone (struct zones *zones, const char *zone, double rate)
+{
+  struct jl_demand demand = { .route = 1, .rate = rate };
+
+  demand.needs.count = 1;
+  demand.needs.list[0] = (struct jl_need){ "deep", 1, JL_NONE };
+  g_strlcpy (zones->roster.own_zone, zone, JL_TEXT_SIZE);
+  return jl_place_plan (&zones->roster, &demand, 1, &demand, JL_USEC_PER_SEC);
+}
+
+/* Clients of both zones ask as often; returns the share of z1's let in. */
+static double
+play_both_zones (struct zones *zones, double rate, double seconds)
+{
+  struct jl_plan plans[2] = { 0 };
+  unsigned asked = 0;
+  unsigned let_in = 0;
+
+  for (unsigned step = 0; step < seconds * 1000; step++)
+    {
+      if (step % (JL_PRESSURE_WINDOW_US / STEP_US) == 0)
+        {
+          tell_zone (zones, "z1", &zones->near);
+          tell_zone (zones, "z2", &zones->far);
+          plans[0] = plan_zone (zones, "z1", rate);
+          plans[1] = plan_zone (zones, "z2", rate);
+        }
+      for (zones->near.owed += rate / 1000; zones->near.owed >= 1;
+           zones->near.owed--)
+        for (unsigned i = 0; i < 2; i++)
+          {
+            const char *zone = jl_plan_zone (&plans[i], g_random_double ());
+
+            asked += i == 0;
+            let_in += i == 0 && zone != NULL;
+            if (zone != NULL)
+              model_admit (strcmp (zone, "z1") == 0 ? &zones->near
+                                                    : &zones->far);
+          }
+      model_step (&zones->near, 0);
+      model_step (&zones->far, 0);
+    }
+  return (double)let_in / asked;
+}
+
+/*
+ * The deep target of one zone is four times as slow; together the zones are
+ * asked for 1.3 times what they can do.
+ */
+Test (load, callers_of_a_weak_zone_are_not_the_only_ones_refused)
+{
+  struct zones zones;
+  double capacity = 14 / 0.024;
+  double asked = 1.3 * (capacity + capacity / 4) / 2;
+  double share;
+
+  g_random_set_seed (1);
+  jl_roster_init (&zones.roster, "z1");
+  model_init (&zones.near, 14, 96000);
+  model_init (&zones.far, 14, 24000);
+  play_both_zones (&zones, asked, 5);
+  zones.near.served = zones.far.served = 0;
+  share = play_both_zones (&zones, asked, 20);
+  cr_assert_gt (share, 0.62, "%.2f of the weak zone's", share);
+  cr_assert_gt (zones.near.served + zones.far.served,
+                0.93 * 20 * 1.25 * capacity,
+                "%" PRIu64 " served of %.0f that fit",
+                zones.near.served + zones.far.served, 25 * capacity);
+  jl_roster_clear (&zones.roster);
+}
+
 /* Runs of two kinds make calls of one kind: 2 and 1 each. */
 Test (load, fanout_is_learned_from_counts)
 {
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -280,6 +280,57 @@
   jl_roster_clear (&roster);
 }
 
+/* 30 targets of a service in each of two zones. */
+Test (place, some_targets_of_many_are_known_in_other_zones)
+{
+  struct jl_roster roster;
+  unsigned told = 0;
+  unsigned least = G_MAXUINT;
+
+  jl_roster_init (&roster, "z1");
+  for (unsigned i = 0; i < 60; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "d%u", i);
+      add (&roster, name, i < 30 ? "z1" : "z2", "s");
+    }
+  for (unsigned i = 30; i < 60; i++)
+    {
+      const struct jl_member *peer = g_ptr_array_index (roster.members, i);
+      unsigned known = 0;
+
+      for (unsigned j = 0; j < 30; j++)
+        {
+          const struct jl_member *self = g_ptr_array_index (roster.members, j);
+
+          known += jl_member_tells (self, peer,
+                                    jl_roster_told_share (&roster, self, NOW));
+        }
+      told += known;
+      least = MIN (least, known);
+    }
+  cr_assert_lt (told, 30 * 9, "%u told", told);
+  cr_assert_geq (least, 1, "each daemon must know some");
+  jl_roster_clear (&roster);
+}
+
+/* As in the sites that are served today. */
+Test (place, all_targets_of_few_are_known_in_other_zones)
+{
+  struct jl_roster roster;
+  struct jl_member *self;
+  struct jl_member *peer;
+
+  jl_roster_init (&roster, "z1");
+  peer = add (&roster, "far", "z2", "s");
+  self = add (&roster, "a", "z1", "s");
+  add (&roster, "b", "z1", "s");
+  cr_assert_eq (jl_roster_told_share (&roster, self, NOW), 1);
+  cr_assert (jl_member_tells (self, peer, 1));
+  jl_roster_clear (&roster);
+}
+
 Test (place, the_retry_budget_slides)
 {
   struct jl_budget budget = { 0 };
