Let calls overflow also to a zone that refuses less

Cause: calls overflowed only to zones that refuse nothing. In a burst after the loss of deep targets all zones refuse something: a target that has just joined and is cold got all calls of its zone (941 waiting at 1,021 a second), and refused 0.98, while others refused 0.3.

--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -521,32 +521,17 @@
   return draw < plan->room ? plan->other_zone : NULL;
 }
 
-/* The zone, other than the own one, whose targets of @service have most room.
- */
-static const char *
-roomiest_for (const struct jl_roster *roster,
-              const char *service,
-              uint64_t now_us,
-              double *room)
+/* Share of the own zone's calls that should go to a zone of this supply. */
+static double
+overflow_share (const struct supply *own, const struct supply *other)
 {
-  const char *best = NULL;
+  double room = MIN (1, other->room / ROOM_FULL);
 
-  *room = 0;
-  for (guint i = 0; i < roster->members->len; i++)
-    {
-      const struct jl_member *member = g_ptr_array_index (roster->members, i);
-      struct supply supply;
-
-      if (!is_first_of_zone (roster, i)
-          || strcmp (member->zone, roster->own_zone) == 0)
-        continue;
-      supply = zone_supply (roster, service, member->zone, now_us);
-      if (supply.targets == 0 || supply.shed > 0 || supply.room <= *room)
-        continue;
-      best = member->zone;
-      *room = supply.room;
-    }
-  return best;
+  if (other->targets == 0)
+    return 0;
+  if (other->shed <= 0)
+    return MIN (1, OVERFLOW_GAIN * own->shed) * room;
+  return own->shed - other->shed < UNEVEN ? 0 : own->shed - other->shed;
 }
 
 struct jl_overflow
@@ -556,13 +541,23 @@
 {
   struct jl_overflow overflow = { .service = g_intern_string (service) };
   struct supply own = zone_supply (roster, service, roster->own_zone, now_us);
-  double room;
 
-  if (own.shed <= 0)
-    return overflow;
-  overflow.zone = roomiest_for (roster, service, now_us, &room);
-  overflow.share
-      = MIN (1, OVERFLOW_GAIN * own.shed) * MIN (1, room / ROOM_FULL);
+  for (guint i = 0; i < roster->members->len && own.shed > 0; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+      struct supply other;
+      double share;
+
+      if (!is_first_of_zone (roster, i)
+          || strcmp (member->zone, roster->own_zone) == 0)
+        continue;
+      other = zone_supply (roster, service, member->zone, now_us);
+      share = overflow_share (&own, &other);
+      if (share <= overflow.share)
+        continue;
+      overflow.zone = member->zone;
+      overflow.share = share;
+    }
   return overflow;
 }
 
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -157,6 +157,37 @@
   jl_roster_clear (&zones.roster);
 }
 
+/*
+ * The same while the other zone has callers of its own and refuses a little.
+ */
+Test (load, calls_overflow_to_a_zone_that_refuses_less)
+{
+  struct zones zones;
+  struct jl_overflow overflow = { 0 };
+  double capacity = 14 / 0.024;
+  double asked = 0;
+
+  g_random_set_seed (1);
+  jl_roster_init (&zones.roster, "z1");
+  model_init (&zones.near, 14, 96000);
+  model_init (&zones.far, 14, 24000);
+  for (unsigned i = 0; i < 20000; i++)
+    {
+      if (i == 5000)
+        zones.near.refused = zones.near.offered = 0;
+      asked += capacity * 1.05 * STEP_US / 1e6;
+      for (; asked >= 1; asked--)
+        if (model_offer (&zones.far))
+          model_admit (&zones.far);
+      zones_step (&zones, 0.5 * capacity, &overflow);
+    }
+  cr_assert_lt ((double)zones.near.refused, 0.45 * (double)zones.near.offered,
+                "%" PRIu64 " of %" PRIu64 " refused where the zone alone has "
+                "room for half",
+                zones.near.refused, zones.near.offered);
+  jl_roster_clear (&zones.roster);
+}
+
 /* One window of the clients of @zone: what is let in, and where it goes. */
 static struct jl_plan
 plan_zone (struct zones *zones, const char *zone, double rate)
