Write a row that is there no second time; gather changes of configurations

A daemon that started wrote its row again with the same value, which woke the waiting call of each other daemon; and each change of a series of configurations woke all daemons, though those that do not watch closely hear of it from the others. Ruled out: no waiting call for these at all (a daemon cut off from the others but not from the store must apply changes in time).

Now a row that is there with the same value is taken as written, and daemons that do not watch closely pause 1.2 s between changes.

The row of lives that have left is merged with what an earlier life wrote. A configuration is taken from a near daemon if one has it.

--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -24,6 +24,9 @@
  * a call that the store has lost ends soon. The others hear of it from them. */
 #define SITE_WATCH_MS 4000
 #define WATCHERS 2
+/* Changes that the others gather: within the time in which one has to be in
+ * force, also for a daemon that hears nobody. */
+#define SITE_GATHER_US (1200 * JL_USEC_PER_MSEC)
 
 /* The object in a row, NULL if it holds none. */
 static struct json_object *
@@ -94,6 +97,10 @@
         take_left (proxy, left);
     }
   json_object_put (document);
+  if (proxy->left_written)
+    proxy->left_edition = proxy->target.left_edition;
+  else
+    jl_rows_keep_left (proxy);
 }
 
 static void
@@ -214,8 +221,10 @@
 void
 jl_rows_window (struct jl_proxy *proxy)
 {
-  jl_store_set_wait (proxy->store, SITE_TABLE,
-                     is_watcher (proxy) ? SITE_WATCH_MS : SITE_WAIT_MS);
+  if (is_watcher (proxy))
+    jl_store_set_pace (proxy->store, SITE_TABLE, SITE_WATCH_MS, 0);
+  else
+    jl_store_set_pace (proxy->store, SITE_TABLE, SITE_WAIT_MS, SITE_GATHER_US);
 }
 
 void
--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -111,6 +111,9 @@
       sync->proxy = proxy;
       proxy->sync = sync;
     }
+  /* Bytes between zones are dear: a near daemon goes before a far one. */
+  if (sync->active && sync->upstream == NULL && !member->far)
+    sync->member = member;
   if (sync->active)
     return;
   sync->active = true;
