Send on work that would spend half of its time in the queue

Ruled out: the lost targets alone (their connections time out after 250 ms and are placed again).

Now a guard refuses at once what would wait for half of its time ("queue-long", not run, no arrival at a target), and the entry places it at another target. Rank 0 goes first in the queue and is not concerned.

--- a/source/policy/lane.c
+++ b/source/policy/lane.c
@@ -4,6 +4,9 @@
 
 #include "policy/lane.h"
 
+/* Part of an item's time that it may spend in the queue. */
+#define WAIT_SHARE 0.5
+
 void
 jl_lane_init (struct jl_lane *lane)
 {
@@ -44,6 +47,20 @@
   return false;
 }
 
+bool
+jl_lane_is_long (const struct jl_lane *lane,
+                 const struct jl_lane_item *item,
+                 uint64_t held_us)
+{
+  double left_us = (double)(item->expires_us - item->since_us);
+  double wait_us;
+
+  if (item->rank == 0 || lane->limit == 0)
+    return false;
+  wait_us = (double)lane->waiting * (double)held_us / lane->limit;
+  return wait_us > WAIT_SHARE * left_us;
+}
+
 void
 jl_lane_done (struct jl_lane *lane)
 {
--- a/source/policy/lane.h
+++ b/source/policy/lane.h
@@ -9,7 +9,8 @@
  * all others go by the time at which they are due, so that a request with a
  * close goal is not kept waiting by a crowd with distant ones. What is too much
  * is refused at the entries; the queue evens out what remains. Work that cannot
- * end in time any more is handed back, so that its caller hears at once.
+ * end in time any more is handed back, so that its caller hears at once, and so
+ * is work that finds too long a queue.
  */
 
 #include "jackdawladder/site.h"
@@ -60,6 +61,17 @@
  */
 bool jl_lane_arrive (struct jl_lane *lane, struct jl_lane_item *item);
 
+/**
+ * jl_lane_is_long - whether @item would spend much of its time in the queue
+ * @held_us: time for which a run holds a slot
+ *
+ * Answers a target that has just joined, or turned slow, and gets more than it
+ * can do before its entries know: another target may still do that in time.
+ */
+bool jl_lane_is_long (const struct jl_lane *lane,
+                      const struct jl_lane_item *item,
+                      uint64_t held_us);
+
 /**
  * jl_lane_done - a running item has ended
  */
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -441,6 +441,12 @@
   work->item.due_us
       = work->item.since_us + work->line.goal_ms * JL_USEC_PER_MSEC;
   jl_pressure_arrive (&proxy->pressure);
+  if (jl_lane_is_long (&proxy->lane, &work->item,
+                       (uint64_t)proxy->pressure.hold_us))
+    {
+      refuse_work (work, "queue-long");
+      return;
+    }
   jl_fanout_run (&proxy->fanout, work->line.route);
   if (jl_lane_arrive (&proxy->lane, &work->item))
     start_work (work);
--- a/tests/proxy/lane.c
+++ b/tests/proxy/lane.c
@@ -61,6 +61,23 @@
   cr_assert_eq (lane.waiting, 1);
 }
 
+/* A cold target has just joined and gets all calls of its zone. */
+Test (lane, sends_on_what_would_spend_its_time_in_the_queue)
+{
+  struct jl_lane lane;
+  struct jl_lane_item call = item (1, 0, 700 * JL_USEC_PER_MSEC);
+  struct jl_lane_item urgent = item (0, 0, 700 * JL_USEC_PER_MSEC);
+
+  jl_lane_init (&lane);
+  lane.limit = 93;
+  lane.waiting = 300;
+  cr_assert_not (jl_lane_is_long (&lane, &call, 91 * JL_USEC_PER_MSEC));
+  lane.waiting = 400;
+  cr_assert (jl_lane_is_long (&lane, &call, 91 * JL_USEC_PER_MSEC));
+  cr_assert_not (jl_lane_is_long (&lane, &urgent, 91 * JL_USEC_PER_MSEC));
+  cr_assert_not (jl_lane_is_long (&lane, &call, 0), "nothing has ended yet");
+}
+
 Test (lane, a_request_behind_waiting_ones_does_not_overtake_them)
 {
   struct jl_lane lane;
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -176,9 +176,12 @@
       if (i == 5000)
         zones.near.refused = zones.near.offered = 0;
       asked += capacity * 1.05 * STEP_US / 1e6;
-      for (; asked >= 1; asked--)
-        if (model_offer (&zones.far))
-          model_admit (&zones.far);
+      while (asked >= 1)
+        {
+          asked--;
+          if (model_offer (&zones.far))
+            model_admit (&zones.far);
+        }
       zones_step (&zones, 0.5 * capacity, &overflow);
     }
   cr_assert_lt ((double)zones.near.refused, 0.45 * (double)zones.near.offered,
