Make GLib's first error before there are threads

GLib then makes the lock of its table of error domains and publishes it atomically, inside the library, where ThreadSanitizer sees the allocation in one thread and its use in another, and nothing between. Ruled out: a lock of our own (the sources use none of that kind). No suppression: it would hide every report with that lock in a stack.

Not confirmed by many runs: the report comes rarely.

--- a/source/daemon/main.c
+++ b/source/daemon/main.c
@@ -9,6 +9,7 @@
 #include <urcu.h>
 
 #include "daemon/daemon.h"
+#include "jackdawladder/platform.h"
 
 #define EXIT_SETTINGS 1
 #define EXIT_SOCKETS 3
@@ -100,6 +101,19 @@
   (void)signal (SIGPIPE, SIG_IGN);
 }
 
+/*
+ * GLib makes the lock of its table of error domains with the first error. It is
+ * made here, before there are threads: ThreadSanitizer cannot see into the
+ * library, and takes two threads that make their first errors at once for a
+ * race.
+ */
+static void
+prepare_errors (void)
+{
+  g_error_free (g_error_new_literal (JL_PLATFORM_ERROR,
+                                     JL_PLATFORM_ERROR_UNKNOWN, "first"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -110,6 +124,7 @@
   pthread_t signals;
 
   argp_parse (&parser, argc, argv, 0, NULL, &path);
+  prepare_errors ();
   settings = jl_settings_load (path, &error);
   if (settings == NULL)
     {
