--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -9,8 +9,8 @@
  * from learned fan-outs, and each says what share of its demand is too much.
  * That share is taken from what is least important and, among equals, from
  * what costs the service most. When the own zone has no room and another one
- * has, the whole request goes there, so that only its first message crosses
- * zones. Calls of a request that has begun are never refused here. They stay in
+ * has, or refuses less, the whole request goes there, so that only its first
+ * message crosses zones. Calls of a request that has begun are never refused here. They stay in
  * their zone while it has a target with room for them.
  */
 
@@ -52,7 +52,7 @@
  * @keep: share that is let in there
  * @service: the service that has no room for the others, "" for none
  * @shed: the share of its demand that it refuses
- * @other_zone: zone that has room, NULL for none
+ * @other_zone: zone that has room or refuses less, NULL for none
  * @room: share of the others that goes to @other_zone
  */
 struct jl_plan
@@ -129,7 +129,7 @@
  *
  * Answers a zone whose targets of @service get the calls of other zones too,
  * as when the service above is left in this one only: its own targets then
- * refuse while those of other zones are idle.
+ * refuse while those of other zones are idle or refuse less.
  */
 struct jl_overflow jl_place_overflow (const struct jl_roster *roster,
                                       const char *service,
