--- a/source/proxy/place.h
+++ b/source/proxy/place.h
@@ -10,8 +10,8 @@
  * That share is taken from what is least important and, among equals, from
  * what costs the service most. When the own zone has no room and another one
  * has, or refuses less, the whole request goes there, so that only its first
- * message crosses zones. Calls of a request that has begun are never refused here. They stay in
- * their zone while it has a target with room for them.
+ * message crosses zones. Calls of a request that has begun are never refused
+ * here. They stay in their zone while it has a target with room for them.
  */
 
 #include "proxy/roster.h"
