--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -18,7 +18,7 @@
 jl_call_attempt (const struct jl_call *call)
 {
   const char *id
-      = jl_head_get (jl_request_head (call->request), JL_WIRE_ATTEMPT);
+      = jl_head_get (jl_request_head (call->relay.request), JL_WIRE_ATTEMPT);
 
   return id != NULL ? id : "-";
 }
@@ -32,9 +32,7 @@
 void
 jl_call_drop_sending (struct jl_call *call)
 {
-  if (call->upstream != NULL)
-    jl_upstream_drop (call->upstream);
-  call->upstream = NULL;
+  jl_relay_drop_sending (&call->relay);
   if (call->member != NULL)
     call->member->outstanding--;
   call->member = NULL;
@@ -47,7 +45,7 @@
   jl_call_drop_sending (call);
   cds_list_del (&call->link);
   jl_site_drop (call->site);
-  g_byte_array_free (call->kept, TRUE);
+  jl_relay_clear (&call->relay);
   g_free (call);
 }
 
@@ -57,7 +55,7 @@
                 const char *fields,
                 const char *reason)
 {
-  struct jl_request *request = call->request;
+  struct jl_request *request = call->relay.request;
   const char *body = reason;
   char *lines = g_strdup_printf ("Content-Type: text/plain\r\n%s", fields);
 
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -6,6 +6,7 @@
  */
 
 #include "proxy/proxy.h"
+#include "proxy/relay.h"
 
 /* Daemons that one request is offered to. */
 #define JL_PLACEMENTS_MAX 5
@@ -13,7 +14,7 @@
 /**
  * struct jl_call - a request in progress at its entry
  * @link: in the proxy's list
- * @request: the client's side
+ * @relay: the client's request and its sending
  * @site: configuration that the request began with
  * @route: in @site
  * @service: service that is to run it
@@ -21,23 +22,19 @@
  * @from_target: the own target sent it, as far as is known
  * @begun_us: when it came
  * @expires_us: when the client or the route waits no longer
- * @kept: body as far as it came
  * @kept_lost: the body is too large to be sent again
- * @in_chunks: the body comes in chunks
  * @body_bytes: size of the body so far
- * @upstream: its sending, NULL between two
  * @member: where it was sent
  * @tried: daemons that it was offered to
  * @arrivals: targets that it has reached, as far as can be known
  * @may_have_run: a target may have run it
- * @passing: the answer is being passed on
  * @reason: why the last sending came to nothing
  */
 struct jl_call
 {
   struct cds_list_head link;
   struct jl_proxy *proxy;
-  struct jl_request *request;
+  struct jl_relay relay;
   struct jl_site *site;
   const struct jl_route *route;
   const char *service;
@@ -45,17 +42,13 @@
   bool from_target;
   uint64_t begun_us;
   uint64_t expires_us;
-  GByteArray *kept;
   bool kept_lost;
-  bool in_chunks;
   uint64_t body_bytes;
-  struct jl_upstream *upstream;
   struct jl_member *member;
   struct jl_member *tried[JL_PLACEMENTS_MAX];
   unsigned tried_count;
   unsigned arrivals;
   bool may_have_run;
-  bool passing;
   char reason[32];
   struct jl_timer timer;
 };
--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -82,6 +82,43 @@
   jl_place_needs (&proxy->roster, proxy->site, route, &demand->needs);
 }
 
+static bool
+allows_repeat (struct jl_proxy *proxy,
+               const struct jl_needs *needs,
+               const struct jl_budget_terms *terms,
+               uint64_t now_us)
+{
+  for (unsigned i = 0; i < needs->count; i++)
+    {
+      const char *service = needs->list[i].service;
+      struct jl_budget *budget = jl_demand_budget (proxy, service);
+
+      if (budget == NULL
+          || !jl_budget_allows (budget, terms, now_us,
+                                jl_needs_runs (needs, service)))
+        return false;
+    }
+  return true;
+}
+
+bool
+jl_demand_spend_repeat (struct jl_proxy *proxy,
+                        const struct jl_site *site,
+                        const struct jl_route *route)
+{
+  struct jl_budget_terms terms = jl_demand_terms (proxy);
+  uint64_t now_us = jl_now ();
+  struct jl_needs needs;
+
+  jl_place_needs (&proxy->roster, site, route, &needs);
+  if (!allows_repeat (proxy, &needs, &terms, now_us))
+    return false;
+  for (unsigned i = 0; i < needs.count; i++)
+    jl_budget_spend (jl_demand_budget (proxy, needs.list[i].service), &terms,
+                     now_us, needs.list[i].runs);
+  return true;
+}
+
 const char *
 jl_demand_call_zone (struct jl_proxy *proxy, const char *service, double draw)
 {
@@ -93,7 +130,7 @@
   if (proxy->overflow_count == JL_OVERFLOW_MAX)
     return proxy->roster.own_zone;
   overflow = &proxy->overflows[proxy->overflow_count++];
-  *overflow = jl_place_overflow (&proxy->roster, service, jl_now ());
+  *overflow = jl_overflow_of (&proxy->roster, service, jl_now ());
   return jl_overflow_zone (overflow, &proxy->roster, draw);
 }
 
@@ -122,8 +159,8 @@
   proxy->planned_us = jl_now ();
   for (unsigned i = 0; i < proxy->demand_count; i++)
     proxy->demands[i].plan
-        = jl_place_plan (&proxy->roster, proxy->demands, proxy->demand_count,
-                         &proxy->demands[i], jl_now ());
+        = jl_plan_of (&proxy->roster, proxy->demands, proxy->demand_count,
+                      &proxy->demands[i], jl_now ());
 }
 
 bool
--- a/source/proxy/demand.h
+++ b/source/proxy/demand.h
@@ -36,6 +36,16 @@
 
 struct jl_budget_terms jl_demand_terms (struct jl_proxy *proxy);
 
+/**
+ * jl_demand_spend_repeat - takes a repeat of a request by @route out of the
+ * budgets of all services that it runs at
+ *
+ * Return: whether they allow it; nothing is taken otherwise.
+ */
+bool jl_demand_spend_repeat (struct jl_proxy *proxy,
+                             const struct jl_site *site,
+                             const struct jl_route *route);
+
 /**
  * jl_demand_window - a control window has ended: new plans for all routes
  */
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -13,7 +13,6 @@
 #include "proxy/call.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
-#include "proxy/relay.h"
 
 #include <string.h>
 
@@ -26,30 +25,11 @@
 
 static void place_call (struct jl_call *call);
 
-/* Takes a repeat of the call out of the budgets that it is charged to. */
-static bool
-spend_repeat (struct jl_call *call)
+/* NULL for none, as a request's data is once it was answered. */
+static struct jl_call *
+call_of (struct jl_relay *relay)
 {
-  struct jl_proxy *proxy = call->proxy;
-  struct jl_budget_terms terms = jl_demand_terms (proxy);
-  uint64_t now_us = jl_now ();
-  struct jl_needs needs;
-
-  jl_place_needs (&proxy->roster, call->site, call->route, &needs);
-  for (unsigned i = 0; i < needs.count; i++)
-    {
-      const char *service = needs.list[i].service;
-      struct jl_budget *budget = jl_demand_budget (proxy, service);
-
-      if (budget == NULL
-          || !jl_budget_allows (budget, &terms, now_us,
-                                jl_needs_runs (&needs, service)))
-        return false;
-    }
-  for (unsigned i = 0; i < needs.count; i++)
-    jl_budget_spend (jl_demand_budget (proxy, needs.list[i].service), &terms,
-                     now_us, needs.list[i].runs);
-  return true;
+  return relay != NULL ? caa_container_of (relay, struct jl_call, relay) : NULL;
 }
 
 static bool
@@ -90,7 +70,7 @@
   call->arrivals++;
   jl_call_drop_sending (call);
   if (call->arrivals < call->route->attempts_max && can_place_again (call)
-      && spend_repeat (call))
+      && jl_demand_spend_repeat (call->proxy, call->site, call->route))
     place_again (call, reason);
   else
     jl_call_give_up (call, reason);
@@ -106,7 +86,8 @@
   call->may_have_run = true;
   jl_call_drop_sending (call);
   if (repeatable && call->arrivals < call->route->attempts_max
-      && can_place_again (call) && spend_repeat (call))
+      && can_place_again (call)
+      && jl_demand_spend_repeat (call->proxy, call->site, call->route))
     place_again (call, reason);
   else
     jl_call_fail (call, 502, reason);
@@ -132,9 +113,9 @@
 static void
 finish_answer (struct jl_call *call)
 {
-  struct jl_request *request = call->request;
+  struct jl_request *request = call->relay.request;
 
-  served (call, jl_upstream_head (call->upstream)->status);
+  served (call, jl_upstream_head (call->relay.upstream)->status);
   jl_request_set_data (request, NULL);
   jl_call_free (call);
   jl_request_finish (request);
@@ -143,8 +124,7 @@
 static void
 pass_answer (struct jl_call *call)
 {
-  call->passing = true;
-  if (jl_relay_answer (call->request, call->upstream))
+  if (jl_relay_answer (&call->relay))
     finish_answer (call);
 }
 
@@ -156,9 +136,11 @@
 can_repeat_failed (struct jl_call *call)
 {
   if (call->route->repeat != JL_REPEAT_ANY
-      || jl_upstream_head (call->upstream)->status == STATUS_GATEWAY_TIMEOUT
+      || jl_upstream_head (call->relay.upstream)->status
+             == STATUS_GATEWAY_TIMEOUT
       || call->arrivals + 1 >= call->route->attempts_max
-      || !can_place_again (call) || !spend_repeat (call))
+      || !can_place_again (call)
+      || !jl_demand_spend_repeat (call->proxy, call->site, call->route))
     return false;
   call->arrivals++;
   call->may_have_run = true;
@@ -169,7 +151,7 @@
 static void
 on_answer (void *context, struct jl_upstream *upstream)
 {
-  struct jl_call *call = context;
+  struct jl_call *call = call_of (context);
   const struct jl_head *head = jl_upstream_head (upstream);
   const char *outcome = jl_head_get (head, JL_OUTCOME_FIELD);
   const char *field = jl_head_get (head, JL_REASON_FIELD);
@@ -193,38 +175,18 @@
     not_arrived (call, reason);
 }
 
-static void
-on_piece (void *context,
-          struct jl_upstream *upstream,
-          const char *data,
-          size_t size)
-{
-  struct jl_call *call = context;
-
-  jl_relay_piece (call->request, upstream, data, size);
-}
-
 static void
 on_done (void *context, struct jl_upstream *upstream)
 {
   (void)upstream;
-  finish_answer (context);
-}
-
-static void
-on_drained (void *context, struct jl_upstream *upstream)
-{
-  struct jl_call *call = context;
-
-  (void)upstream;
-  jl_request_hold (call->request, false);
+  finish_answer (call_of (context));
 }
 
 /* The answer broke off on its way: the client must see that. */
 static void
 break_call (struct jl_call *call)
 {
-  struct jl_request *request = call->request;
+  struct jl_request *request = call->relay.request;
 
   call->proxy->counters.failed++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_FAILED,
@@ -241,10 +203,10 @@
            struct jl_upstream *upstream,
            enum jl_upstream_failure failure)
 {
-  struct jl_call *call = context;
+  struct jl_call *call = call_of (context);
 
   (void)upstream;
-  if (call->passing)
+  if (call->relay.passing)
     {
       break_call (call);
       return;
@@ -258,9 +220,9 @@
 
 static const struct jl_upstream_ops upstream_ops = {
   .answer = on_answer,
-  .piece = on_piece,
+  .piece = jl_relay_on_piece,
   .done = on_done,
-  .drained = on_drained,
+  .drained = jl_relay_on_drained,
   .failed = on_failed,
 };
 
@@ -276,7 +238,7 @@
 {
   struct jl_call *call = context;
 
-  if (call->passing)
+  if (call->relay.passing)
     return;
   if (jl_now () >= call->expires_us && !JL_OFF ("deadline"))
     {
@@ -285,7 +247,8 @@
     }
   jl_timer_start (call->proxy->loop->timers, timer, call->expires_us, on_timer,
                   call);
-  if (call->upstream == NULL || !jl_upstream_untouched (call->upstream))
+  if (call->relay.upstream == NULL
+      || !jl_upstream_untouched (call->relay.upstream))
     return;
   jl_member_avoid (call->member, jl_now ());
   not_arrived (call, "connect-timeout");
@@ -295,7 +258,7 @@
 open_upstream (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
-  const struct jl_head *head = jl_request_head (call->request);
+  const struct jl_head *head = jl_request_head (call->relay.request);
   struct jl_work_line work = {
     .rank = call->route->rank,
     .left_ms = (unsigned)((call->expires_us - jl_now ()) / JL_USEC_PER_MSEC),
@@ -307,11 +270,11 @@
 
   g_strlcpy (work.service, call->service, sizeof work.service);
   text = jl_headers_to_guard (head, &work, jl_proxy_service (proxy));
-  call->upstream = jl_upstream_open (proxy->peers, call->member->peer, false,
-                                     text, strcmp (head->method, "HEAD") == 0,
-                                     &upstream_ops, call);
+  call->relay.upstream = jl_upstream_open (
+      proxy->peers, call->member->peer, false, text,
+      strcmp (head->method, "HEAD") == 0, &upstream_ops, &call->relay);
   g_string_free (text, TRUE);
-  return call->upstream != NULL;
+  return call->relay.upstream != NULL;
 }
 
 static void
@@ -342,7 +305,7 @@
     }
   jl_timer_start (proxy->loop->timers, &call->timer,
                   MIN (call->expires_us, now_us + CONNECT_US), on_timer, call);
-  jl_relay_kept (call->request, call->upstream, call->kept, call->in_chunks);
+  jl_relay_kept (&call->relay);
 }
 
 /* The service of this request: each gets its part, request by request. */
@@ -374,7 +337,7 @@
   uint64_t wait_us = call->route->timeout_us;
   uint64_t deadline_ms;
 
-  if (jl_head_number (jl_request_head (call->request), JL_WIRE_DEADLINE,
+  if (jl_head_number (jl_request_head (call->relay.request), JL_WIRE_DEADLINE,
                       &deadline_ms))
     wait_us = MIN (wait_us, deadline_ms * JL_USEC_PER_MSEC);
   call->expires_us = call->begun_us + wait_us;
@@ -424,14 +387,11 @@
   struct jl_call *call = g_new0 (struct jl_call, 1);
 
   call->proxy = proxy;
-  call->request = request;
+  jl_relay_init (&call->relay, request);
   call->begun_us = jl_now ();
   call->expires_us = call->begun_us + JL_USEC_PER_SEC;
   call->zone = proxy->roster.own_zone;
-  call->kept = g_byte_array_new ();
-  call->in_chunks = jl_request_head (request)->chunked;
   cds_list_add_tail (&call->link, &proxy->calls);
-  jl_request_set_data (request, call);
   return call;
 }
 
@@ -481,10 +441,10 @@
          const char *data,
          size_t size)
 {
-  struct jl_call *call = jl_request_data (request);
+  struct jl_call *call = call_of (jl_request_data (request));
 
   (void)context;
-  if (call == NULL || call->passing)
+  if (call == NULL || call->relay.passing)
     return;
   call->body_bytes += size;
   if (call->body_bytes > call->site->body_bytes)
@@ -492,39 +452,19 @@
       jl_call_answer (call, 413, "", "too-large");
       return;
     }
-  if (call->kept->len + size <= KEPT_BYTES_MAX && !call->kept_lost)
-    g_byte_array_append (call->kept, (const guint8 *)data, (guint)size);
+  if (call->relay.kept->len + size <= KEPT_BYTES_MAX && !call->kept_lost)
+    g_byte_array_append (call->relay.kept, (const guint8 *)data, (guint)size);
   else
     call->kept_lost = true;
-  if (call->upstream == NULL)
+  if (call->relay.upstream == NULL)
     return;
-  jl_relay_body (request, call->upstream, data, size, call->in_chunks);
-}
-
-static void
-on_end (void *context, struct jl_request *request)
-{
-  struct jl_call *call = jl_request_data (request);
-
-  (void)context;
-  if (call != NULL && call->upstream != NULL && !call->passing)
-    jl_upstream_body_end (call->upstream, call->in_chunks);
-}
-
-static void
-on_client_drained (void *context, struct jl_request *request)
-{
-  struct jl_call *call = jl_request_data (request);
-
-  (void)context;
-  if (call != NULL && call->upstream != NULL)
-    jl_upstream_hold (call->upstream, false);
+  jl_relay_body (&call->relay, data, size);
 }
 
 static void
 on_gone (void *context, struct jl_request *request)
 {
-  struct jl_call *call = jl_request_data (request);
+  struct jl_call *call = call_of (jl_request_data (request));
 
   (void)context;
   if (call == NULL)
@@ -540,8 +480,8 @@
 const struct jl_handler jl_entry_handler = {
   .begin = on_begin,
   .body = on_body,
-  .end = on_end,
-  .drained = on_client_drained,
+  .end = jl_relay_on_end,
+  .drained = jl_relay_on_client_drained,
   .gone = on_gone,
 };
 
@@ -554,7 +494,7 @@
 
   cds_list_for_each_entry_safe (
       call, next, &proxy->calls,
-      link) if (call->member != NULL && !call->passing
+      link) if (call->member != NULL && !call->relay.passing
                 && call->route->repeat == JL_REPEAT_ANY
                 && !jl_member_is_heard (call->member, now_us))
       may_have_run (call, "member-silent");
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -28,35 +28,38 @@
  * @item: its place in the lane
  * @line: what the entry said
  * @running: it holds a slot of the target
+ * @relay: the entry's request and its sending to the target
  * @fresh: it was sent on a new connection
  * @started_us: when it was sent
- * @kept: body that came before it was sent
  */
 struct jl_work
 {
   struct cds_list_head link;
   struct jl_lane_item item;
   struct jl_proxy *proxy;
-  struct jl_request *request;
-  struct jl_upstream *upstream;
+  struct jl_relay relay;
   struct jl_work_line line;
   bool running;
   bool fresh;
-  bool in_chunks;
-  bool passing;
   bool body_flowed;
   uint64_t started_us;
-  GByteArray *kept;
   struct jl_timer timer;
 };
 
 static void start_work (struct jl_work *work);
 
+/* NULL for none, as a request's data is once it was answered. */
+static struct jl_work *
+work_of (struct jl_relay *relay)
+{
+  return relay != NULL ? caa_container_of (relay, struct jl_work, relay) : NULL;
+}
+
 static const char *
 attempt_of (const struct jl_work *work)
 {
   const char *id
-      = jl_head_get (jl_request_head (work->request), JL_WIRE_ATTEMPT);
+      = jl_head_get (jl_request_head (work->relay.request), JL_WIRE_ATTEMPT);
 
   return id != NULL ? id : "-";
 }
@@ -78,12 +81,10 @@
   struct jl_proxy *proxy = work->proxy;
 
   jl_timer_stop (proxy->loop->timers, &work->timer);
-  if (work->upstream != NULL)
-    jl_upstream_drop (work->upstream);
   jl_lane_remove (&proxy->lane, &work->item);
   release_slot (work);
   cds_list_del (&work->link);
-  g_byte_array_free (work->kept, TRUE);
+  jl_relay_clear (&work->relay);
   g_free (work);
 }
 
@@ -94,7 +95,7 @@
        const char *outcome,
        const char *reason)
 {
-  struct jl_request *request = work->request;
+  struct jl_request *request = work->relay.request;
   char fields[128];
 
   g_snprintf (fields, sizeof fields, "%s: %s\r\n%s: %s\r\n", JL_OUTCOME_FIELD,
@@ -162,9 +163,9 @@
 finish_answer (struct jl_work *work)
 {
   struct jl_proxy *proxy = work->proxy;
-  struct jl_request *request = work->request;
+  struct jl_request *request = work->relay.request;
 
-  note_served (work, jl_upstream_head (work->upstream)->status);
+  note_served (work, jl_upstream_head (work->relay.upstream)->status);
   jl_request_set_data (request, NULL);
   free_work (work);
   jl_request_finish (request);
@@ -176,7 +177,7 @@
 is_own_answer (const struct jl_work *work, const struct jl_head *head)
 {
   const char *asked
-      = jl_head_get (jl_request_head (work->request), JL_WIRE_ATTEMPT);
+      = jl_head_get (jl_request_head (work->relay.request), JL_WIRE_ATTEMPT);
   const char *echoed = jl_head_get (head, JL_WIRE_ATTEMPT);
 
   return JL_OFF ("match") || asked == NULL
@@ -194,14 +195,14 @@
 drop_foreign_answer (struct jl_work *work)
 {
   const char *echoed
-      = jl_head_get (jl_upstream_head (work->upstream), JL_WIRE_ATTEMPT);
+      = jl_head_get (jl_upstream_head (work->relay.upstream), JL_WIRE_ATTEMPT);
 
   work->proxy->counters.answers_dropped++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_ANSWER_DROPPED,
              "id=%s echoed=%s status=%u", attempt_of (work),
              echoed != NULL ? echoed : "-",
-             jl_upstream_head (work->upstream)->status);
-  if (!jl_upstream_skip (work->upstream))
+             jl_upstream_head (work->relay.upstream)->status);
+  if (!jl_upstream_skip (work->relay.upstream))
     lose_work (work, "foreign-answer");
 }
 
@@ -209,7 +210,7 @@
 target_refused (struct jl_work *work)
 {
   struct jl_proxy *proxy = work->proxy;
-  unsigned status = jl_upstream_head (work->upstream)->status;
+  unsigned status = jl_upstream_head (work->relay.upstream)->status;
 
   jl_failing_run (&proxy->failing, status != STATUS_MISDIRECTED);
   refuse_work (work, status == STATUS_MISDIRECTED ? "target-changed"
@@ -220,15 +221,14 @@
 static void
 pass_answer (struct jl_work *work)
 {
-  work->passing = true;
-  if (jl_relay_answer (work->request, work->upstream))
+  if (jl_relay_answer (&work->relay))
     finish_answer (work);
 }
 
 static void
 on_answer (void *context, struct jl_upstream *upstream)
 {
-  struct jl_work *work = context;
+  struct jl_work *work = work_of (context);
   const struct jl_head *head = jl_upstream_head (upstream);
 
   if (says_not_run (head) && jl_upstream_complete (upstream))
@@ -241,38 +241,18 @@
     pass_answer (work);
 }
 
-static void
-on_piece (void *context,
-          struct jl_upstream *upstream,
-          const char *data,
-          size_t size)
-{
-  struct jl_work *work = context;
-
-  jl_relay_piece (work->request, upstream, data, size);
-}
-
 static void
 on_done (void *context, struct jl_upstream *upstream)
 {
   (void)upstream;
-  finish_answer (context);
-}
-
-static void
-on_drained (void *context, struct jl_upstream *upstream)
-{
-  struct jl_work *work = context;
-
-  (void)upstream;
-  jl_request_hold (work->request, false);
+  finish_answer (work_of (context));
 }
 
 static void
 break_work (struct jl_work *work)
 {
   struct jl_proxy *proxy = work->proxy;
-  struct jl_request *request = work->request;
+  struct jl_request *request = work->relay.request;
 
   proxy->counters.work_lost++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_FAILED,
@@ -305,18 +285,18 @@
            struct jl_upstream *upstream,
            enum jl_upstream_failure failure)
 {
-  struct jl_work *work = context;
+  struct jl_work *work = work_of (context);
   struct jl_proxy *proxy = work->proxy;
 
-  if (work->passing)
+  (void)upstream;
+  if (work->relay.passing)
     break_work (work);
   else if (failure != JL_UPSTREAM_NOT_SENT)
     lose_work (work, failure == JL_UPSTREAM_SPOILED ? "answer-spoiled"
                                                     : "target-lost");
   else if (can_send_fresh (work))
     {
-      work->upstream = NULL;
-      jl_upstream_drop (upstream);
+      jl_relay_drop_sending (&work->relay);
       work->fresh = true;
       start_work (work);
     }
@@ -329,9 +309,9 @@
 
 static const struct jl_upstream_ops upstream_ops = {
   .answer = on_answer,
-  .piece = on_piece,
+  .piece = jl_relay_on_piece,
   .done = on_done,
-  .drained = on_drained,
+  .drained = jl_relay_on_drained,
   .failed = on_failed,
 };
 
@@ -342,7 +322,8 @@
   struct jl_proxy *proxy = work->proxy;
 
   (void)timer;
-  if (work->upstream == NULL || !jl_upstream_untouched (work->upstream))
+  if (work->relay.upstream == NULL
+      || !jl_upstream_untouched (work->relay.upstream))
     return;
   refuse_work (work, "target-silent");
   note_unreachable (proxy, "connection-timeout");
@@ -353,7 +334,7 @@
 start_work (struct jl_work *work)
 {
   struct jl_proxy *proxy = work->proxy;
-  const struct jl_head *head = jl_request_head (work->request);
+  const struct jl_head *head = jl_request_head (work->relay.request);
   uint64_t now_us = jl_now ();
   uint64_t left_us
       = work->item.expires_us > now_us ? work->item.expires_us - now_us : 0;
@@ -362,23 +343,23 @@
 
   work->running = true;
   work->started_us = now_us;
-  work->upstream = jl_upstream_open (
+  work->relay.upstream = jl_upstream_open (
       proxy->own, proxy->options->target, work->fresh, text,
-      strcmp (head->method, "HEAD") == 0, &upstream_ops, work);
+      strcmp (head->method, "HEAD") == 0, &upstream_ops, &work->relay);
   g_string_free (text, TRUE);
-  if (work->upstream == NULL)
+  if (work->relay.upstream == NULL)
     {
       refuse_work (work, "no-connection");
       return;
     }
   jl_loop_after (proxy->loop, &work->timer, CONNECT_US, on_connect_timer, work);
-  jl_relay_kept (work->request, work->upstream, work->kept, work->in_chunks);
-  if (!jl_request_ended (work->request))
-    jl_request_hold (work->request, false);
+  jl_relay_kept (&work->relay);
+  if (!jl_request_ended (work->relay.request))
+    jl_request_hold (work->relay.request, false);
 }
 
 static struct jl_work *
-work_of (struct jl_lane_item *item)
+work_of_item (struct jl_lane_item *item)
 {
   return caa_container_of (item, struct jl_work, item);
 }
@@ -390,9 +371,9 @@
   struct jl_lane_item *item;
 
   while ((item = jl_lane_expired (&proxy->lane, jl_now (), needed_us)) != NULL)
-    refuse_work (work_of (item), "expired");
+    refuse_work (work_of_item (item), "expired");
   while ((item = jl_lane_next (&proxy->lane)) != NULL)
-    start_work (work_of (item));
+    start_work (work_of_item (item));
 }
 
 void
@@ -466,11 +447,8 @@
     }
   work = g_new0 (struct jl_work, 1);
   work->proxy = proxy;
-  work->request = request;
-  work->in_chunks = head->chunked;
-  work->kept = g_byte_array_new ();
+  jl_relay_init (&work->relay, request);
   cds_list_add_tail (&work->link, &proxy->works);
-  jl_request_set_data (request, work);
   if (jl_headers_work (head, &work->line))
     arrive (work);
   else
@@ -483,47 +461,27 @@
          const char *data,
          size_t size)
 {
-  struct jl_work *work = jl_request_data (request);
+  struct jl_work *work = work_of (jl_request_data (request));
 
   (void)context;
-  if (work == NULL || work->passing)
+  if (work == NULL || work->relay.passing)
     return;
-  if (work->upstream == NULL)
+  if (work->relay.upstream == NULL)
     {
-      g_byte_array_append (work->kept, (const guint8 *)data, (guint)size);
-      if (work->kept->len > WAITING_BYTES_MAX)
+      g_byte_array_append (work->relay.kept, (const guint8 *)data, (guint)size);
+      if (work->relay.kept->len > WAITING_BYTES_MAX)
         jl_request_hold (request, true);
       return;
     }
   work->body_flowed = true;
-  jl_relay_body (request, work->upstream, data, size, work->in_chunks);
-}
-
-static void
-on_end (void *context, struct jl_request *request)
-{
-  struct jl_work *work = jl_request_data (request);
-
-  (void)context;
-  if (work != NULL && work->upstream != NULL && !work->passing)
-    jl_upstream_body_end (work->upstream, work->in_chunks);
-}
-
-static void
-on_client_drained (void *context, struct jl_request *request)
-{
-  struct jl_work *work = jl_request_data (request);
-
-  (void)context;
-  if (work != NULL && work->upstream != NULL)
-    jl_upstream_hold (work->upstream, false);
+  jl_relay_body (&work->relay, data, size);
 }
 
 static void
 on_gone (void *context, struct jl_request *request)
 {
   struct jl_proxy *proxy = context;
-  struct jl_work *work = jl_request_data (request);
+  struct jl_work *work = work_of (jl_request_data (request));
 
   if (work == NULL)
     return;
@@ -536,7 +494,7 @@
 const struct jl_handler jl_guard_handler = {
   .begin = on_begin,
   .body = on_body,
-  .end = on_end,
-  .drained = on_client_drained,
+  .end = jl_relay_on_end,
+  .drained = jl_relay_on_client_drained,
   .gone = on_gone,
 };
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -17,7 +17,7 @@
 #include "policy/lane.h"
 #include "policy/pressure.h"
 #include "proxy/options.h"
-#include "proxy/place.h"
+#include "proxy/plan.h"
 
 #include "store.h"
 
--- a/source/proxy/relay.c
+++ b/source/proxy/relay.c
@@ -6,52 +6,102 @@
 
 #include "proxy/proxy.h"
 
+void
+jl_relay_init (struct jl_relay *relay, struct jl_request *request)
+{
+  relay->request = request;
+  relay->kept = g_byte_array_new ();
+  relay->in_chunks = jl_request_head (request)->chunked;
+  jl_request_set_data (request, relay);
+}
+
+void
+jl_relay_clear (struct jl_relay *relay)
+{
+  jl_relay_drop_sending (relay);
+  g_byte_array_free (relay->kept, TRUE);
+}
+
+void
+jl_relay_drop_sending (struct jl_relay *relay)
+{
+  if (relay->upstream != NULL)
+    jl_upstream_drop (relay->upstream);
+  relay->upstream = NULL;
+}
+
 bool
-jl_relay_answer (struct jl_request *request, struct jl_upstream *upstream)
+jl_relay_answer (struct jl_relay *relay)
 {
-  const struct jl_head *head = jl_upstream_head (upstream);
-  const GByteArray *taken = jl_upstream_taken (upstream);
+  const struct jl_head *head = jl_upstream_head (relay->upstream);
+  const GByteArray *taken = jl_upstream_taken (relay->upstream);
   GString *fields = jl_headers_back (head);
-  bool complete = jl_upstream_complete (upstream);
+  bool complete = jl_upstream_complete (relay->upstream);
 
-  jl_request_start (request, head->status, fields->str,
+  relay->passing = true;
+  jl_request_start (relay->request, head->status, fields->str,
                     head->has_length || complete,
                     head->has_length ? head->length : taken->len);
   g_string_free (fields, TRUE);
-  jl_request_piece (request, (const char *)taken->data, taken->len);
+  jl_request_piece (relay->request, (const char *)taken->data, taken->len);
   return complete;
 }
 
 void
-jl_relay_piece (struct jl_request *request,
-                struct jl_upstream *upstream,
-                const char *data,
-                size_t size)
+jl_relay_body (struct jl_relay *relay, const char *data, size_t size)
+{
+  jl_upstream_body (relay->upstream, data, size, relay->in_chunks);
+  if (jl_upstream_backlog (relay->upstream) > JL_CONN_HIGH_BYTES)
+    jl_request_hold (relay->request, true);
+}
+
+void
+jl_relay_kept (struct jl_relay *relay)
 {
-  jl_request_piece (request, data, size);
-  if (jl_request_backlog (request) > JL_CONN_HIGH_BYTES)
+  jl_upstream_body (relay->upstream, (const char *)relay->kept->data,
+                    relay->kept->len, relay->in_chunks);
+  if (jl_request_ended (relay->request))
+    jl_upstream_body_end (relay->upstream, relay->in_chunks);
+}
+
+void
+jl_relay_on_piece (void *context,
+                   struct jl_upstream *upstream,
+                   const char *data,
+                   size_t size)
+{
+  struct jl_relay *relay = context;
+
+  jl_request_piece (relay->request, data, size);
+  if (jl_request_backlog (relay->request) > JL_CONN_HIGH_BYTES)
     jl_upstream_hold (upstream, true);
 }
 
 void
-jl_relay_body (struct jl_request *request,
-               struct jl_upstream *upstream,
-               const char *data,
-               size_t size,
-               bool in_chunks)
+jl_relay_on_drained (void *context, struct jl_upstream *upstream)
 {
-  jl_upstream_body (upstream, data, size, in_chunks);
-  if (jl_upstream_backlog (upstream) > JL_CONN_HIGH_BYTES)
-    jl_request_hold (request, true);
+  struct jl_relay *relay = context;
+
+  (void)upstream;
+  jl_request_hold (relay->request, false);
 }
 
 void
-jl_relay_kept (struct jl_request *request,
-               struct jl_upstream *upstream,
-               const GByteArray *kept,
-               bool in_chunks)
+jl_relay_on_end (void *context, struct jl_request *request)
 {
-  jl_upstream_body (upstream, (const char *)kept->data, kept->len, in_chunks);
-  if (jl_request_ended (request))
-    jl_upstream_body_end (upstream, in_chunks);
+  struct jl_relay *relay = jl_request_data (request);
+
+  (void)context;
+  if (relay != NULL && relay->upstream != NULL && !relay->passing)
+    jl_upstream_body_end (relay->upstream, relay->in_chunks);
+}
+
+void
+jl_relay_on_client_drained (void *context, struct jl_request *request)
+{
+  struct jl_relay *relay = jl_request_data (request);
+
+  (void)context;
+  if (relay != NULL && relay->upstream != NULL)
+    jl_upstream_hold (relay->upstream, false);
 }
--- /dev/null
+++ b/tests/proxy/daemon.c
@@ -0,0 +1,441 @@
+/**
+ * DOC: Tests of a whole proxy in the test's process.
+ *
+ * The store, a peer and the sender of requests are played; time is real.
+ */
+
+#include <criterion/criterion.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proxy/demand.h"
+#include "proxy/parts/played.h"
+#include "proxy/proxy.h"
+#include "proxy/rows.h"
+
+#define ENTRY_PORT 17001
+#define READY_PORT 17002
+#define ANNOUNCE_PORT 17003
+#define PEER_PORT 17004
+#define METRICS_PORT 17005
+#define TARGET_PORT 17006
+#define STORE_PORT 17007
+#define OTHER_PORT 17008
+
+/* Daemons of two zones. */
+#define MANY 60
+
+/**
+ * struct rig - a proxy called "d5" in zone z1 beside a target of service front
+ */
+struct rig
+{
+  struct jl_options options;
+  struct jl_proxy *proxy;
+  struct played played;
+};
+
+static struct jl_endpoint
+at (const struct rig *rig, uint16_t port)
+{
+  struct jl_endpoint endpoint = { rig->options.ip, port };
+
+  return endpoint;
+}
+
+/* Each test has an address of its own: they run beside each other. */
+static void
+rig_prepare (struct rig *rig, unsigned host)
+{
+  struct jl_options *options = &rig->options;
+
+  memset (rig, 0, sizeof *rig);
+  options->ip = INADDR_LOOPBACK + (90u << 16) + (host << 8);
+  g_strlcpy (options->name, "d5", sizeof options->name);
+  g_strlcpy (options->zone, "z1", sizeof options->zone);
+  g_strlcpy (options->service, "front", sizeof options->service);
+  options->target = at (rig, TARGET_PORT);
+  options->entry = at (rig, ENTRY_PORT);
+  options->ready = at (rig, READY_PORT);
+  options->announce = at (rig, ANNOUNCE_PORT);
+  options->peer_port = PEER_PORT;
+  options->advertise = at (rig, PEER_PORT);
+  options->metrics_port = METRICS_PORT;
+  options->store = at (rig, STORE_PORT);
+  options->heartbeat_us = JL_USEC_PER_SEC;
+  options->grace_us = 6 * JL_USEC_PER_SEC;
+  options->retry_window_us = 10 * JL_USEC_PER_SEC;
+  played_open (&rig->played, options->store);
+}
+
+static void
+rig_turn (struct rig *rig, unsigned ms)
+{
+  played_turn (&rig->played, rig->proxy->loop, ms);
+}
+
+static void
+rig_start (struct rig *rig)
+{
+  rig->proxy = jl_proxy_new (&rig->options, NULL);
+  cr_assert_not_null (rig->proxy);
+  rig_turn (rig, 100);
+}
+
+/* Sends a request and returns its connection. */
+static int
+ask (struct rig *rig, uint16_t port, const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (rig->options.ip);
+  address.sin_port = htons (port);
+  cr_assert_eq (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  cr_assert_eq (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                (ssize_t)strlen (text));
+  return fd;
+}
+
+/* What has come on a connection, "" for nothing. */
+static const char *
+heard (int fd)
+{
+  static char answer[4096];
+  ssize_t size = recv (fd, answer, sizeof answer - 1, MSG_DONTWAIT);
+
+  answer[size > 0 ? size : 0] = '\0';
+  return answer;
+}
+
+static void
+heartbeat (struct rig *rig, const char *id, unsigned born, unsigned sequence)
+{
+  char *body = g_strdup_printf (
+      "{\"service\":\"front\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+      "\"version\":\"v1\",\"slots\":10,\"state\":\"ready\",\"coldLeftS\":0,"
+      "\"sequence\":%u,\"born\":%u}",
+      TARGET_PORT, sequence, born);
+  char *text = g_strdup_printf ("PUT /api/instances/%s HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                id, strlen (body), body);
+  int fd = ask (rig, ANNOUNCE_PORT, text);
+
+  rig_turn (rig, 50);
+  cr_assert (g_str_has_prefix (heard (fd), "HTTP/1.1 200"));
+  close (fd);
+  g_free (text);
+  g_free (body);
+}
+
+static int
+leave (struct rig *rig, const char *id)
+{
+  char *text = g_strdup_printf (
+      "DELETE /api/instances/%s HTTP/1.1\r\nHost: a\r\n\r\n", id);
+  int fd = ask (rig, ANNOUNCE_PORT, text);
+
+  g_free (text);
+  return fd;
+}
+
+static struct jl_member *
+add (struct rig *rig, const char *name, const char *zone, const char *service)
+{
+  struct jl_member *member = jl_roster_member (&rig->proxy->roster, name);
+
+  g_strlcpy (member->zone, zone, sizeof member->zone);
+  g_strlcpy (member->service, service, sizeof member->service);
+  member->far = strcmp (zone, "z1") != 0;
+  member->peer = at (rig, OTHER_PORT);
+  member->state = JL_TARGET_UP;
+  member->limit = 10;
+  member->capacity = 100;
+  member->room = 1;
+  member->heard_us = jl_now ();
+  return member;
+}
+
+Test (daemon, a_leaving_is_acknowledged_when_it_is_written)
+{
+  struct rig rig;
+  int fd;
+
+  rig_prepare (&rig, 1);
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 5, 1);
+  rig.played.hold = true;
+  fd = leave (&rig, "i-1");
+  rig_turn (&rig, 100);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_LEAVING, "it binds at once");
+  cr_assert_str_eq (heard (fd), "");
+  played_release (&rig.played);
+  rig_turn (&rig, 50);
+  cr_assert (g_str_has_prefix (heard (fd), "HTTP/1.1 200"));
+  cr_assert_not_null (
+      strstr (played_get (&rig.played, "targets", "d5"), "\"i-1\""));
+}
+
+Test (daemon, a_leaving_is_acknowledged_although_the_store_is_away)
+{
+  struct rig rig;
+  int fd;
+
+  rig_prepare (&rig, 2);
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 5, 1);
+  rig.played.hold = true;
+  fd = leave (&rig, "i-1");
+  rig_turn (&rig, 600);
+  cr_assert (g_str_has_prefix (heard (fd), "HTTP/1.1 200"));
+}
+
+Test (daemon, a_life_that_left_before_does_not_come_back)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 3);
+  played_put (&rig.played, "targets", "d5",
+              "{\"left\":[{\"target\":\"i-1\",\"born_ms\":5}]}");
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 5, 7);
+  cr_assert_neq (rig.proxy->target.state, JL_TARGET_UP);
+  heartbeat (&rig, "i-1", 6, 1);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP, "a new life");
+  cr_assert_eq (rig.played.writes, 1, "only the daemon's own row");
+}
+
+/* The row could not be read before something had to be written to it. */
+Test (daemon, what_left_before_stays_in_the_row)
+{
+  struct rig rig;
+  const char *row;
+
+  rig_prepare (&rig, 4);
+  played_put (&rig.played, "targets", "d5",
+              "{\"left\":[{\"target\":\"i-1\",\"born_ms\":5}]}");
+  rig.played.silent = "targets";
+  rig_start (&rig);
+  heartbeat (&rig, "i-2", 6, 1);
+  close (leave (&rig, "i-2"));
+  rig_turn (&rig, 900);
+  row = played_get (&rig.played, "targets", "d5");
+  cr_assert_not_null (strstr (row, "\"i-1\""), "%s", row);
+  cr_assert_not_null (strstr (row, "\"i-2\""), "%s", row);
+}
+
+Test (daemon, a_guard_sends_on_what_would_wait_too_long)
+{
+  struct rig rig;
+  const char *answer;
+  int fd;
+
+  rig_prepare (&rig, 5);
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 5, 1);
+  rig.proxy->pressure.hold_us = 100.0 * JL_USEC_PER_MSEC;
+  rig.proxy->lane.running = rig.proxy->lane.limit;
+  rig.proxy->lane.waiting = 40;
+  fd = ask (&rig, PEER_PORT,
+            "GET /x HTTP/1.1\r\nHost: a\r\n" JL_WORK_FIELD
+            ": front 1 700 300 00000001 1\r\n\r\n");
+  rig_turn (&rig, 50);
+  answer = heard (fd);
+  cr_assert (g_str_has_prefix (answer, "HTTP/1.1 503"), "%s", answer);
+  cr_assert_not_null (strstr (answer, JL_OUTCOME_FIELD ": not-run"));
+  cr_assert_not_null (strstr (answer, JL_REASON_FIELD ": queue-long"));
+}
+
+/* A site with one route, which carries calls to the service deep. */
+static void
+install_call_route (struct rig *rig)
+{
+  struct jl_route route = {
+    .name = "inner",
+    .host = "a",
+    .prefix = "/",
+    .repeat = JL_REPEAT_ANY,
+    .timeout_us = JL_USEC_PER_SEC,
+    .attempts_max = 2,
+    .split_count = 1,
+  };
+  struct jl_site *site = jl_site_new (1);
+
+  g_strlcpy (route.split[0].service, "deep", sizeof route.split[0].service);
+  jl_site_add (site, &route);
+  jl_site_seal (site);
+  site->body_bytes = 1000;
+  rig->proxy->site = site;
+  rig->proxy->call_routes[0] = jl_name_key ("inner");
+  rig->proxy->call_route_count = 1;
+}
+
+/* A peer that counts who asks it, and answers that it has nothing. */
+static void
+on_begin (void *context, struct jl_request *request)
+{
+  unsigned *asked = context;
+
+  (*asked)++;
+  jl_request_reply (request, 404, "", "", 0);
+}
+
+static void
+open_peer (struct rig *rig, uint16_t port, unsigned *asked)
+{
+  static const struct jl_handler handler = { .begin = on_begin };
+  const char *why = NULL;
+
+  *asked = 0;
+  cr_assert_not_null (
+      jl_server_open (rig->played.net, at (rig, port), &handler, asked, &why),
+      "%s", why);
+}
+
+Test (daemon, calls_of_the_target_overflow_to_another_zone)
+{
+  struct rig rig;
+  unsigned near_asked;
+  unsigned far_asked;
+  struct jl_member *far;
+
+  rig_prepare (&rig, 6);
+  rig_start (&rig);
+  install_call_route (&rig);
+  open_peer (&rig, OTHER_PORT, &near_asked);
+  open_peer (&rig, OTHER_PORT + 1, &far_asked);
+  add (&rig, "d6", "z1", "deep")->shed = 0.9;
+  far = add (&rig, "d7", "z2", "deep");
+  far->peer.port = OTHER_PORT + 1;
+  ask (&rig, ENTRY_PORT, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  rig_turn (&rig, 30);
+  cr_assert_eq (rig.proxy->counters.calls, 1);
+  cr_assert_eq (far_asked, 1);
+  cr_assert_eq (near_asked, 0);
+}
+
+Test (daemon, few_of_many_tell_other_zones_of_themselves)
+{
+  struct rig rig;
+  uint64_t before;
+  uint64_t told;
+
+  rig_prepare (&rig, 7);
+  rig_start (&rig);
+  for (unsigned i = 0; i < MANY; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "m%u", i);
+      add (&rig, name, i < MANY / 2 ? "z1" : "z2", "front");
+    }
+  before = rig.proxy->counters.beacons_out;
+  jl_beacon_soon (rig.proxy->beacon);
+  rig_turn (&rig, 60);
+  told = rig.proxy->counters.beacons_out - before;
+  cr_assert_geq (told, MANY / 2, "all of the own zone: %" PRIu64, told);
+  cr_assert_leq (told, MANY * 3 / 4, "%" PRIu64 " told", told);
+}
+
+/* Ten changes in a second; the calls for them. */
+static unsigned
+feeds_in_a_storm (struct rig *rig)
+{
+  unsigned before = rig->played.feeds;
+
+  for (unsigned i = 0; i < 10; i++)
+    {
+      char text[32];
+
+      g_snprintf (text, sizeof text, "no configuration %u", i);
+      played_put (&rig->played, "op", "config", text);
+      rig_turn (rig, 100);
+    }
+  return rig->played.feeds - before;
+}
+
+Test (daemon, a_daemon_that_watches_closely_hears_of_each_change)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 8);
+  rig_start (&rig);
+  cr_assert_geq (feeds_in_a_storm (&rig), 8);
+}
+
+Test (daemon, the_others_gather_changes)
+{
+  struct rig rig;
+  unsigned feeds;
+
+  rig_prepare (&rig, 9);
+  rig_start (&rig);
+  add (&rig, "d1", "z1", "front");
+  add (&rig, "d2", "z1", "front");
+  rig_turn (&rig, 150);
+  feeds = feeds_in_a_storm (&rig);
+  cr_assert_leq (feeds, 2, "%u calls", feeds);
+}
+
+Test (daemon, a_configuration_is_taken_from_a_near_daemon)
+{
+  struct rig rig;
+  unsigned asked;
+  struct jl_member *near;
+  struct jl_member *far;
+
+  rig_prepare (&rig, 10);
+  rig_start (&rig);
+  open_peer (&rig, OTHER_PORT, &asked);
+  far = add (&rig, "d7", "z2", "deep");
+  far->peer.port = OTHER_PORT + 1;
+  far->site_version = 9;
+  near = add (&rig, "d6", "z1", "deep");
+  near->site_version = 9;
+  jl_proxy_site_behind (rig.proxy, far);
+  jl_proxy_site_behind (rig.proxy, near);
+  rig_turn (&rig, 300);
+  cr_assert_eq (asked, 1);
+}
+
+/* The service deep is reached twice, by calls of front and of middle. */
+Test (daemon, a_repeat_is_paid_for_at_each_service_as_a_whole)
+{
+  struct rig rig;
+  struct jl_site *site = jl_site_new (1);
+  const char *names[] = { "front", "middle", "deep" };
+  struct jl_member *members[3];
+  const struct jl_route *route;
+
+  rig_prepare (&rig, 11);
+  rig_start (&rig);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      struct jl_route added = { .split_count = 1, .split[0].weight = 1 };
+
+      g_strlcpy (added.name, names[i], sizeof added.name);
+      g_strlcpy (added.host, "a", sizeof added.host);
+      g_strlcpy (added.split[0].service, names[i],
+                 sizeof added.split[0].service);
+      jl_site_add (site, &added);
+      members[i] = add (&rig, names[i], "z1", names[i]);
+    }
+  members[0]->fanout_count = 2;
+  members[0]->fanout[0] = (struct jl_fanout_entry){ jl_name_key ("front"),
+                                                    jl_name_key ("middle"), 1 };
+  members[0]->fanout[1] = (struct jl_fanout_entry){ jl_name_key ("front"),
+                                                    jl_name_key ("deep"), 1 };
+  members[1]->fanout_count = 1;
+  members[1]->fanout[0] = (struct jl_fanout_entry){ jl_name_key ("middle"),
+                                                    jl_name_key ("deep"), 1 };
+  route = jl_site_route (site, jl_name_key ("front"));
+  /* Enough for one and a half repeats at each service, of four daemons. */
+  rig.options.retry_slack = 1.5 * 4 / 0.8;
+  cr_assert_not (jl_demand_spend_repeat (rig.proxy, site, route));
+  rig.options.retry_slack = 2.5 * 4 / 0.8;
+  cr_assert (jl_demand_spend_repeat (rig.proxy, site, route));
+  cr_assert_not (jl_demand_spend_repeat (rig.proxy, site, route), "spent");
+}
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -8,7 +8,7 @@
 #include "policy/failing.h"
 #include "policy/fanout.h"
 #include "policy/origin.h"
-#include "proxy/place.h"
+#include "proxy/plan.h"
 
 #include "proxy/parts/model.h"
 
@@ -115,7 +115,7 @@
     {
       tell_zone (zones, "z1", near);
       tell_zone (zones, "z2", &zones->far);
-      *overflow = jl_place_overflow (&zones->roster, "deep", JL_USEC_PER_SEC);
+      *overflow = jl_overflow_of (&zones->roster, "deep", JL_USEC_PER_SEC);
     }
   for (near->owed += rate * STEP_US / 1e6; near->owed >= 1; near->owed--)
     if (model_offer (near))
@@ -200,7 +200,7 @@
   demand.needs.count = 1;
   demand.needs.list[0] = (struct jl_need){ "deep", 1, JL_NONE };
   g_strlcpy (zones->roster.own_zone, zone, JL_TEXT_SIZE);
-  return jl_place_plan (&zones->roster, &demand, 1, &demand, JL_USEC_PER_SEC);
+  return jl_plan_of (&zones->roster, &demand, 1, &demand, JL_USEC_PER_SEC);
 }
 
 /* Clients of both zones ask as often; returns the share of z1's let in. */
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "policy/budget.h"
-#include "proxy/place.h"
+#include "proxy/plan.h"
 
 #define NOW (100 * JL_USEC_PER_SEC)
 
@@ -108,11 +108,10 @@
 
   jl_roster_init (&roster, "z1");
   add (&roster, "a", "z1", "deep")->shed = 0.3;
-  cr_assert_eq (jl_place_plan (&roster, demands, 3, &demands[0], NOW).keep, 1);
-  cr_assert_eq (jl_place_plan (&roster, demands, 3, &demands[1], NOW).keep, 1);
-  cr_assert_float_eq (
-      jl_place_plan (&roster, demands, 3, &demands[2], NOW).keep,
-      (0.7 * 130 - 50) / 80, 1e-9);
+  cr_assert_eq (jl_plan_of (&roster, demands, 3, &demands[0], NOW).keep, 1);
+  cr_assert_eq (jl_plan_of (&roster, demands, 3, &demands[1], NOW).keep, 1);
+  cr_assert_float_eq (jl_plan_of (&roster, demands, 3, &demands[2], NOW).keep,
+                      (0.7 * 130 - 50) / 80, 1e-9);
   jl_roster_clear (&roster);
 }
 
@@ -125,11 +124,11 @@
   jl_roster_init (&roster, "z1");
   add (&roster, "a", "z1", "deep")->shed = 0.3;
   add (&roster, "b", "z2", "deep")->room = 0.5;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_str_eq (jl_plan_zone (&plan, 0.1), "z1");
   cr_assert_str_eq (jl_plan_zone (&plan, 0.9), "z2");
   jl_roster_member (&roster, "b")->room = 0;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_null (jl_plan_zone (&plan, 0.9));
   jl_roster_clear (&roster);
 }
@@ -146,9 +145,9 @@
   jl_roster_init (&roster, "z1");
   add (&roster, "a", "z1", "deep")->state = JL_TARGET_DOWN;
   add (&roster, "b", "z2", "deep");
-  plan = jl_place_plan (&roster, demands, 2, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 2, &demands[0], NOW);
   cr_assert_str_eq (plan.zone, "z2");
-  plan = jl_place_plan (&roster, demands, 2, &demands[1], NOW);
+  plan = jl_plan_of (&roster, demands, 2, &demands[1], NOW);
   cr_assert_str_eq (plan.zone, "z1");
   jl_roster_clear (&roster);
 }
@@ -162,7 +161,7 @@
 
   jl_roster_init (&roster, "z1");
   add (&roster, "b", "z2", "deep")->shed = 0.4;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_float_eq (plan.keep, 0.6, 1e-9);
   jl_roster_clear (&roster);
 }
@@ -181,11 +180,11 @@
   bad = add (&roster, "a", "z1", "deep");
   good = add (&roster, "b", "z2", "deep");
   bad->failing = 0.5;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_str_eq (plan.zone, "z2");
   cr_assert_eq (jl_place_pick (&roster, "deep", "z1", NULL, 0, NOW), good);
   bad->failing = 0.01;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_str_eq (plan.zone, "z1");
   cr_assert_eq (jl_place_pick (&roster, "deep", "z1", NULL, 0, NOW), bad);
   jl_roster_clear (&roster);
@@ -243,7 +242,7 @@
   add (&roster, "a", "z1", "deep");
   add (&roster, "b", "z2", "middle");
   add (&roster, "c", "z2", "deep")->shed = 0.5;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_float_eq (plan.keep, 0.5, 1e-9);
   cr_assert_str_eq (plan.zone, "z2", "one message crosses, and not two");
   jl_roster_clear (&roster);
@@ -272,10 +271,10 @@
   add (&roster, "a", "z1", "front");
   far = add (&roster, "b", "z2", "deep");
   far->heard_us = NOW - 10 * JL_USEC_PER_SEC;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_null (jl_plan_zone (&plan, 0));
   far->heard_us = NOW;
-  plan = jl_place_plan (&roster, demands, 1, &demands[0], NOW);
+  plan = jl_plan_of (&roster, demands, 1, &demands[0], NOW);
   cr_assert_not_null (jl_plan_zone (&plan, 0));
   jl_roster_clear (&roster);
 }
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -128,6 +128,7 @@
   take (&before, heartbeat ("a", 5, 3, true));
   cr_assert_eq (before.left_edition, 1);
   take (&before, heartbeat ("a", 5, 4, true));
+  cr_assert (jl_target_leave (&before, "a", 9));
   cr_assert_eq (before.left_edition, 1, "it is written once");
   cr_assert_not (jl_target_restore_left (&early, before.left[0].id,
                                          before.left[0].born_ms));
