Log the content of failed requests and the end of the own target

Hypotheses: the same content is sent again and again; the entry's own second sending multiplies it; requests go to targets that ended before.

E702, E704 and E712 now name the content by a digest (policy/content), and E724 the end of the own target with the contents in progress. Whether it has ended is decided by policy/liveness: a lost connection only begins a doubt, a probe decides. Nothing else changes: no request is refused or placed differently.

--- a/include/jackdawladder/conn.h
+++ b/include/jackdawladder/conn.h
@@ -146,6 +146,11 @@
                                  const struct jl_conn_ops *ops,
                                  void *context);
 
+/**
+ * jl_conn_is_connected - whether the connection is established
+ */
+bool jl_conn_is_connected (const struct jl_conn *conn);
+
 /**
  * jl_conn_set_owner - sets the callbacks of a connection and their context
  */
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -36,6 +36,7 @@
   { JL_RECORD_TARGET_CHANGED, "own target" },
   { JL_RECORD_TARGET_HEARTBEAT_REFUSED, "heartbeat refused" },
   { JL_RECORD_LEAVING_ACKNOWLEDGED, "leaving acknowledged" },
+  { JL_RECORD_TARGET_ENDED, "target ended" },
   { JL_RECORD_MEMBER_CHANGED, "member" },
   { JL_RECORD_SITE_INSTALLED, "configuration installed" },
   { JL_RECORD_SITE_REFUSED, "configuration refused" },
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -553,6 +553,12 @@
   return conn;
 }
 
+bool
+jl_conn_is_connected (const struct jl_conn *conn)
+{
+  return !conn->connecting;
+}
+
 void
 jl_conn_set_owner (struct jl_conn *conn,
                    const struct jl_conn_ops *ops,
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -119,11 +119,12 @@
   call->proxy->counters.failed++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_FAILED,
              "id=%s route=%s status=%u reason=%s member=%s arrivals=%u "
-             "age_ms=%" PRIu64,
+             "age_ms=%" PRIu64 " content=%016" PRIx64,
              jl_call_attempt_id (call), call->route->name, status, reason,
              call->tried_count > 0 ? call->tried[call->tried_count - 1]->name
                                    : "-",
-             call->targets_reached, jl_call_age_ms (call));
+             call->targets_reached, jl_call_age_ms (call),
+             jl_content_id (&call->content));
   jl_call_respond (call, status, "", reason);
 }
 
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -5,6 +5,7 @@
  * DOC: A request in progress at the entry, and the functions that end it.
  */
 
+#include "policy/content.h"
 #include "proxy/proxy.h"
 #include "proxy/relay.h"
 
@@ -17,6 +18,7 @@
  * @relay: the client's request and the current upstream request
  * @site: configuration in force when the request arrived; holds a reference
  * @route: route of @site
+ * @content: digest of the request's content
  * @service: service that the request is sent to
  * @zone: preferred zone
  * @from_target: the request's route identifies it as a call of the local target
@@ -41,6 +43,7 @@
   struct jl_relay relay;
   struct jl_site *site;
   const struct jl_route *route;
+  struct jl_content content;
   const char *service;
   const char *zone;
   bool from_target;
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -44,10 +44,11 @@
 {
   call->proxy->counters.placed_again++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_PLACED_AGAIN,
-             "id=%s route=%s reason=%s member=%s arrivals=%u age_ms=%" PRIu64,
+             "id=%s route=%s reason=%s member=%s arrivals=%u age_ms=%" PRIu64
+             " content=%016" PRIx64,
              jl_call_attempt_id (call), call->route->name, reason,
              call->tried[call->tried_count - 1]->name, call->targets_reached,
-             jl_call_age_ms (call));
+             jl_call_age_ms (call), jl_content_id (&call->content));
   g_strlcpy (call->reason, reason, sizeof call->reason);
   place_call (call);
 }
@@ -198,9 +199,10 @@
 
   call->proxy->counters.failed++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_FAILED,
-             "id=%s route=%s reason=answer-broken member=%s age_ms=%" PRIu64,
+             "id=%s route=%s reason=answer-broken member=%s age_ms=%" PRIu64
+             " content=%016" PRIx64,
              jl_call_attempt_id (call), call->route->name, call->member->name,
-             jl_call_age_ms (call));
+             jl_call_age_ms (call), jl_content_id (&call->content));
   jl_request_set_data (request, NULL);
   jl_call_free (call);
   jl_request_abort (request);
@@ -401,6 +403,7 @@
 
   call->proxy = proxy;
   jl_relay_init (&call->relay, request);
+  jl_content_begin (&call->content, jl_request_head (request));
   call->begun_us = jl_now ();
   call->expires_us = call->begun_us + JL_USEC_PER_SEC;
   call->zone = proxy->roster.local_zone;
@@ -459,6 +462,7 @@
   (void)context;
   if (call == NULL || call->relay.response_started)
     return;
+  jl_content_add_body (&call->content, data, size);
   call->body_bytes += size;
   if (call->body_bytes > call->site->body_bytes_max)
     {
@@ -476,6 +480,16 @@
   jl_relay_send_body (&call->relay, data, size);
 }
 
+static void
+on_end (void *context, struct jl_request *request)
+{
+  struct jl_call *call = call_from_relay (jl_request_data (request));
+
+  if (call != NULL)
+    jl_content_end_body (&call->content);
+  jl_relay_on_end (context, request);
+}
+
 static void
 on_disconnected (void *context, struct jl_request *request)
 {
@@ -496,7 +510,7 @@
 const struct jl_handler jl_entry_handler = {
   .begin = on_begin,
   .body = on_body,
-  .end = jl_relay_on_end,
+  .end = on_end,
   .drained = jl_relay_on_client_drained,
   .disconnected = on_disconnected,
 };
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -6,11 +6,11 @@
  * response is passed on only if it belongs to the request.
  */
 
-#include "proxy/proxy.h"
+#include "proxy/guard.h"
 
 #include "names.h"
 #include "proxy/hooks.h"
-#include "proxy/relay.h"
+#include "proxy/watch.h"
 
 #include <string.h>
 
@@ -27,34 +27,6 @@
  * of the target. */
 #define STATUS_GATEWAY_TIMEOUT 504
 
-/**
- * struct jl_work - a request in progress at the guard
- * @link: in the proxy's list of work items
- * @item: entry of the queue
- * @relay: the entry's request and the upstream request to the target
- * @header: parsed header field of the entry
- * @running: the request holds a slot of the target
- * @fresh_connection: the request is sent on a new connection, not on one that
- *                    was kept open
- * @body_streamed: a part of the body was passed on without being buffered, so
- *                 the request cannot be resent
- * @started_us: time at which the request was sent to the target
- * @timer: connection timeout
- */
-struct jl_work
-{
-  struct cds_list_head link;
-  struct jl_lane_item item;
-  struct jl_proxy *proxy;
-  struct jl_relay relay;
-  struct jl_work_header header;
-  bool running;
-  bool fresh_connection;
-  bool body_streamed;
-  uint64_t started_us;
-  struct jl_timer timer;
-};
-
 static void start_work (struct jl_work *work);
 
 /* Returns NULL if @relay is NULL: a request has no data once it is answered. */
@@ -139,10 +111,11 @@
   proxy->counters.work_lost++;
   jl_failure_rate_count_run (&proxy->failure_rate, true);
   jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_FAILED,
-             "id=%s reason=%s target=%s ran_ms=%" PRIu64 " running=%u",
+             "id=%s reason=%s target=%s ran_ms=%" PRIu64
+             " running=%u content=%016" PRIx64,
              attempt_id_of (work), reason, proxy->target.last.id,
              (jl_now () - work->started_us) / JL_USEC_PER_MSEC,
-             proxy->lane.running);
+             proxy->lane.running, jl_content_id (&work->content));
   reply (work, 502, JL_TEST_DISABLED ("not-run") ? "not-run" : "unknown",
          reason);
   jl_guard_run_queue (proxy);
@@ -246,6 +219,7 @@
   struct jl_work *work = work_from_relay (context);
   const struct jl_head *head = jl_upstream_head (upstream);
 
+  jl_watch_count_response (work->proxy->watch, work->started_us);
   if (target_did_not_run (head) && jl_upstream_is_complete (upstream))
     handle_target_refused (work);
   else if (!belongs_to_request (work, head))
@@ -274,8 +248,9 @@
 
   proxy->counters.work_lost++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_FAILED,
-             "id=%s reason=answer-broken target=%s", attempt_id_of (work),
-             proxy->target.last.id);
+             "id=%s reason=answer-broken target=%s content=%016" PRIx64,
+             attempt_id_of (work), proxy->target.last.id,
+             jl_content_id (&work->content));
   jl_request_set_data (request, NULL);
   free_work (work);
   jl_request_abort (request);
@@ -283,10 +258,13 @@
 }
 
 static void
-set_target_down (struct jl_proxy *proxy, const char *cause)
+set_target_down (struct jl_proxy *proxy,
+                 const char *cause,
+                 enum jl_target_end end)
 {
   if (proxy->target.state != JL_TARGET_UP)
     return;
+  jl_watch_target_ended (proxy->watch, end);
   jl_target_mark_down (&proxy->target);
   jl_proxy_target_changed (proxy, cause);
 }
@@ -306,13 +284,21 @@
 {
   struct jl_work *work = work_from_relay (context);
   struct jl_proxy *proxy = work->proxy;
+  uint64_t content = jl_content_id (&work->content);
 
   (void)upstream;
   if (work->relay.response_started)
-    abort_work (work);
-  else if (failure != JL_UPSTREAM_NOT_SENT)
-    fail_work (work, failure == JL_UPSTREAM_MALFORMED ? "answer-spoiled"
-                                                      : "target-lost");
+    {
+      abort_work (work);
+      jl_watch_run_lost (proxy->watch, content);
+    }
+  else if (failure == JL_UPSTREAM_MALFORMED)
+    fail_work (work, "answer-spoiled");
+  else if (failure == JL_UPSTREAM_LOST)
+    {
+      fail_work (work, "target-lost");
+      jl_watch_run_lost (proxy->watch, content);
+    }
   else if (can_reconnect (work))
     {
       jl_relay_cancel_upstream (&work->relay);
@@ -322,7 +308,7 @@
   else
     {
       refuse_work (work, "target-unreachable");
-      set_target_down (proxy, "connection-refused");
+      set_target_down (proxy, "connection-refused", JL_TARGET_END_REFUSED);
     }
 }
 
@@ -345,7 +331,7 @@
       || !jl_upstream_is_unsent (work->relay.upstream))
     return;
   refuse_work (work, "target-silent");
-  set_target_down (proxy, "connection-timeout");
+  set_target_down (proxy, "connection-timeout", JL_TARGET_END_UNREACHABLE);
 }
 
 /* Sends work to the target; the caller has taken a slot for it. */
@@ -473,6 +459,7 @@
   work = g_new0 (struct jl_work, 1);
   work->proxy = proxy;
   jl_relay_init (&work->relay, request);
+  jl_content_begin (&work->content, head);
   cds_list_add_tail (&work->link, &proxy->work_items);
   if (jl_headers_read_work (head, &work->header))
     admit_work (work);
@@ -491,6 +478,7 @@
   (void)context;
   if (work == NULL || work->relay.response_started)
     return;
+  jl_content_add_body (&work->content, data, size);
   if (work->relay.upstream == NULL)
     {
       g_byte_array_append (work->relay.buffered_body, (const guint8 *)data,
@@ -503,6 +491,16 @@
   jl_relay_send_body (&work->relay, data, size);
 }
 
+static void
+on_end (void *context, struct jl_request *request)
+{
+  struct jl_work *work = work_from_relay (jl_request_data (request));
+
+  if (work != NULL)
+    jl_content_end_body (&work->content);
+  jl_relay_on_end (context, request);
+}
+
 static void
 on_disconnected (void *context, struct jl_request *request)
 {
@@ -511,6 +509,8 @@
 
   if (work == NULL)
     return;
+  if (work->running)
+    jl_watch_run_cancelled (proxy->watch, jl_content_id (&work->content));
   jl_record (JL_RECORD_FAILURE, JL_RECORD_CLIENT_LEFT,
              "id=%s at=guard running=%d", attempt_id_of (work), work->running);
   free_work (work);
@@ -520,7 +520,7 @@
 const struct jl_handler jl_guard_handler = {
   .begin = on_begin,
   .body = on_body,
-  .end = jl_relay_on_end,
+  .end = on_end,
   .drained = jl_relay_on_client_drained,
   .disconnected = on_disconnected,
 };
--- /dev/null
+++ b/source/proxy/guard.h
@@ -0,0 +1,42 @@
+#ifndef JACKDAWLADDER_PROXY_GUARD_H
+#define JACKDAWLADDER_PROXY_GUARD_H
+
+/**
+ * DOC: A request in progress at the guard.
+ */
+
+#include "policy/content.h"
+#include "proxy/proxy.h"
+#include "proxy/relay.h"
+
+/**
+ * struct jl_work - a request in progress at the guard
+ * @link: in the proxy's list of work items
+ * @item: entry of the queue
+ * @relay: the entry's request and the upstream request to the target
+ * @header: parsed header field of the entry
+ * @content: digest of the request's content
+ * @running: the request holds a slot of the target
+ * @fresh_connection: the request is sent on a new connection, not on one that
+ *                    was kept open
+ * @body_streamed: a part of the body was passed on without being buffered, so
+ *                 the request cannot be resent
+ * @started_us: time at which the request was sent to the target
+ * @timer: connection timeout
+ */
+struct jl_work
+{
+  struct cds_list_head link;
+  struct jl_lane_item item;
+  struct jl_proxy *proxy;
+  struct jl_relay relay;
+  struct jl_work_header header;
+  struct jl_content content;
+  bool running;
+  bool fresh_connection;
+  bool body_streamed;
+  uint64_t started_us;
+  struct jl_timer timer;
+};
+
+#endif
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -8,6 +8,7 @@
 #include "decode.h"
 #include "names.h"
 #include "proxy/rows.h"
+#include "proxy/watch.h"
 
 #include <string.h>
 
@@ -117,6 +118,19 @@
   respond_to_leave (proxy, request);
 }
 
+static void
+apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  uint64_t up_since_us = proxy->target.up_since_us;
+
+  if (jl_target_is_replaced_by (&proxy->target, heartbeat))
+    jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
+  if (jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ()))
+    jl_proxy_target_changed (proxy, "heartbeat");
+  if (proxy->target.up_since_us != up_since_us)
+    jl_watch_begin (proxy->watch);
+}
+
 static void
 handle_heartbeat (struct jl_proxy *proxy,
                   struct jl_request *request,
@@ -136,8 +150,7 @@
       return;
     }
   g_strlcpy (heartbeat.id, id, sizeof heartbeat.id);
-  if (jl_target_apply_heartbeat (&proxy->target, &heartbeat, jl_now ()))
-    jl_proxy_target_changed (proxy, "heartbeat");
+  apply_heartbeat (proxy, &heartbeat);
   if (heartbeat.draining)
     respond_to_leave (proxy, request);
   else
@@ -251,6 +264,8 @@
   append_counter (text, "work_refused_total", counters->work_refused);
   append_counter (text, "work_lost_total", counters->work_lost);
   append_counter (text, "answers_dropped_total", counters->responses_dropped);
+  append_counter (text, "targets_ended_total", counters->targets_ended);
+  append_counter (text, "target_probes_total", counters->target_probes);
   append_counter (text, "beacons_received_total", counters->beacons_received);
   append_counter (text, "beacons_sent_total", counters->beacons_sent);
   append_counter (text, "store_reads_total", store->reads);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -8,6 +8,7 @@
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
 #include "proxy/rows.h"
+#include "proxy/watch.h"
 
 #include <math.h>
 #include <signal.h>
@@ -27,7 +28,8 @@
 /* Share of a target's slots that is left unused, as a target slows down when
  * nearly all slots are in use. */
 #define SLOTS_RESERVED_RATIO 0.06
-/* Period of checks for expired work in the queue, and of writes of the log. */
+/* Period of checks for expired work in the queue and for the end of the target,
+ * and of writes of the log. */
 #define QUEUE_PERIOD_US (20 * JL_USEC_PER_MSEC)
 /* Period of checks for idle connections. */
 #define SWEEP_PERIOD_US (500 * JL_USEC_PER_MSEC)
@@ -187,6 +189,7 @@
 
   if (proxy->lane.waiting > 0)
     jl_guard_run_queue (proxy);
+  jl_watch_check (proxy->watch);
   jl_record_flush ();
   jl_loop_start_timer (proxy->loop, timer, QUEUE_PERIOD_US, on_queue_timer,
                        proxy);
@@ -449,6 +452,7 @@
       = jl_pool_new (proxy->net, PEER_IDLE_MAX_US, PEER_IDLE_CONNECTIONS_MAX);
   proxy->target_pool = jl_pool_new (proxy->net, TARGET_IDLE_MAX_US, G_MAXUINT);
   proxy->leave_requests = g_ptr_array_new ();
+  proxy->watch = jl_watch_new (proxy);
 }
 
 struct jl_proxy *
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -63,6 +63,8 @@
  *             pass on a complete response
  * @responses_dropped: responses of the local target that belong to another
  *                     request
+ * @targets_ended: ends of the local target that it had not announced
+ * @target_probes: connections opened to find whether the local target has ended
  * @beacons_received: datagrams received, including malformed ones
  * @beacons_sent: datagrams sent
  * @request_time: time from a request's arrival at the entry to the end of its
@@ -84,6 +86,8 @@
   uint64_t work_refused;
   uint64_t work_lost;
   uint64_t responses_dropped;
+  uint64_t targets_ended;
+  uint64_t target_probes;
   uint64_t beacons_received;
   uint64_t beacons_sent;
   struct jl_histogram request_time;
@@ -102,6 +106,7 @@
 
 struct jl_beacon;
 struct jl_sync;
+struct jl_watch;
 
 /**
  * struct jl_proxy - state of the process
@@ -112,6 +117,7 @@
  * @site_text: text from which @site was parsed
  * @site_size: size of @site_text in bytes
  * @self: this daemon in @roster
+ * @watch: whether the local target has ended
  * @lane: queue in front of the local target
  * @demands: demand and admission plan of each route used by clients
  * @plans_computed_us: monotonic time at which the plans of @demands were
@@ -150,6 +156,7 @@
   struct jl_roster roster;
   struct jl_member *self;
   struct jl_target target;
+  struct jl_watch *watch;
   struct jl_lane lane;
   struct jl_load_shedder load_shedder;
   struct jl_failure_rate failure_rate;
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -87,6 +87,14 @@
   return changed || target->state != before;
 }
 
+bool
+jl_target_is_replaced_by (const struct jl_target *target,
+                          const struct jl_heartbeat *heartbeat)
+{
+  return target->state == JL_TARGET_UP && !is_stale (target, heartbeat)
+         && !is_same_incarnation (&target->last, heartbeat);
+}
+
 bool
 jl_target_mark_departed (struct jl_target *target,
                          const char *id,
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -97,6 +97,13 @@
                                 const struct jl_heartbeat *heartbeat,
                                 uint64_t now_us);
 
+/**
+ * jl_target_is_replaced_by - whether @heartbeat is of a new incarnation while
+ * the current one takes work and has not announced its leave
+ */
+bool jl_target_is_replaced_by (const struct jl_target *target,
+                               const struct jl_heartbeat *heartbeat);
+
 /**
  * jl_target_mark_departed - records that the target with identifier @id leaves
  * @now_ms: wall clock
--- /dev/null
+++ b/source/proxy/watch.h
@@ -0,0 +1,53 @@
+#ifndef JACKDAWLADDER_PROXY_WATCH_H
+#define JACKDAWLADDER_PROXY_WATCH_H
+
+/**
+ * DOC: Watches whether the local target has ended, and which requests were in
+ * progress there at that time.
+ *
+ * policy/liveness.h decides; this module opens the probes and remembers the
+ * requests whose connections were lost or that were cancelled shortly before.
+ */
+
+#include "policy/liveness.h"
+#include "proxy/proxy.h"
+
+struct jl_watch *jl_watch_new (struct jl_proxy *proxy);
+
+/**
+ * jl_watch_begin - begins to watch a target that takes work from now on
+ */
+void jl_watch_begin (struct jl_watch *watch);
+
+/**
+ * jl_watch_count_response - records that the target responded to a request
+ * @sent_us: time at which the request was sent
+ */
+void jl_watch_count_response (struct jl_watch *watch, uint64_t sent_us);
+
+/**
+ * jl_watch_run_lost - records that the connection to the target was lost while
+ * a request with content @content was in progress there; the request is not in
+ * the proxy's list of work items any more
+ */
+void jl_watch_run_lost (struct jl_watch *watch, uint64_t content);
+
+/**
+ * jl_watch_run_cancelled - records that a request was cancelled while it was in
+ * progress at the target, which may end because of it nevertheless
+ */
+void jl_watch_run_cancelled (struct jl_watch *watch, uint64_t content);
+
+/**
+ * jl_watch_check - checks whether the target has ended
+ */
+void jl_watch_check (struct jl_watch *watch);
+
+/**
+ * jl_watch_target_ended - handles the end of the target
+ * @end: how it was found; JL_TARGET_END_REPLACED if the heartbeat of the new
+ *       incarnation was not applied yet
+ */
+void jl_watch_target_ended (struct jl_watch *watch, enum jl_target_end end);
+
+#endif
