--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -10,13 +10,17 @@
 
     delay: seconds by which each chunk of TCP data is delayed; silent: no data
     passes in either direction; one_way: no TCP data passes from `to` back to
-    the client; refuse: new TCP connections are reset.
+    the client; refuse: new TCP connections are reset. cut: a function that says
+    whether nothing passes from and to a source address; find_source: a function
+    that returns the source address of a TCP connection by its port.
     """
 
     def __init__(self, host, to):
         self.host = host
         self.to = to
         self.clear_faults()
+        self.cut = None
+        self.find_source = None
         self.writers = set()
 
     def clear_faults(self):
@@ -50,18 +54,22 @@
             reset(writer)
             return
         self.writers |= {writer, back_writer}
+        source = self.find_source(writer.get_extra_info("peername")[1]) if self.find_source else ""
         await asyncio.gather(
-            self.copy_stream(reader, back_writer, False),
-            self.copy_stream(back_reader, writer, True),
+            self.copy_stream(reader, back_writer, False, source),
+            self.copy_stream(back_reader, writer, True, source),
         )
         self.writers -= {writer, back_writer}
 
-    async def copy_stream(self, reader, writer, is_response):
+    def is_cut(self, source):
+        return self.cut is not None and self.cut(source)
+
+    async def copy_stream(self, reader, writer, is_response, source):
         try:
             while data := await reader.read(65536):
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                while self.silent or (is_response and self.one_way):
+                while self.silent or (is_response and self.one_way) or self.is_cut(source):
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
@@ -82,5 +90,5 @@
         self.transport = transport
 
     def datagram_received(self, data, addr):
-        if not self.relay.silent:
+        if not self.relay.silent and not self.relay.is_cut(addr[0]):
             self.transport.sendto(data, self.relay.to)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,7 +55,10 @@
         self.target = Target(site.history, self.host, self.service, 12, site.seed * 1000 + number)
         self.process = None
         self.run = 0
-        self.clients = set()
+        # Time before which an ended process is not started again.
+        self.hold_until = 0.0
+        self.target.entry = (self.host, self.ports["entry"])
+        self.target.entry_name = self.name
 
     async def prepare(self):
         self.peer_relay = Relay(self.host, (self.host, self.ports["peer"]))
@@ -97,7 +100,9 @@
                 return
             if status not in EXPECTED_EXITS:
                 self.site.history.fail("ends", f"{self.name} exited with status {status}")
-            await asyncio.sleep(RESTART_S)
+            await asyncio.sleep(max(RESTART_S, self.hold_until - time.monotonic()))
+            if self.site.ending:
+                return
 
     async def start(self):
         self.run += 1
@@ -136,17 +141,22 @@
         self.kinds = arguments.faults.split(",") if arguments.faults else []
         self.number = 0
 
+    def routes(self, moving_service):
+        """Returns the routes of a configuration, without the columns that all have in common."""
+        return [
+            ["read", "idempotent", 2, "front"],
+            ["write", "non_idempotent", 0, "deep"],
+            ["moving", "idempotent", 1, moving_service],
+        ]
+
     def configure(self):
         """Writes a new configuration, in which the moving route has a random service."""
         self.version += self.random.randint(1, 3)
         service = self.random.choice(SERVICES)
         columns = ["name", "host", "prefix", "kind", "timeoutS", "targetLatencyS",
                    "priority", "split", "maxAttempts", "service"]
-        rows = [
-            ["read", "a.example", "/read/", "idempotent", 2, 0.5, 2, None, 2, "front"],
-            ["write", "a.example", "/write/", "non_idempotent", 2, 0.5, 0, None, 2, "deep"],
-            ["moving", "a.example", "/moving/", "idempotent", 2, 0.5, 1, None, 2, service],
-        ]
+        rows = [[name, "a.example", f"/{name}/", kind, 2, 0.5, priority, None, 2, to]
+                for name, kind, priority, to in self.routes(service)]
         document = {
             "version": f"{self.version:08x}",
             "routes": {"columns": columns, "rows": rows},
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -35,10 +35,17 @@
         self.draining_since = None
         self.tasks = set()
         self.lock = asyncio.Lock()
-
-    async def start(self, announce):
-        self.id = f"i-{next(INSTANCE_NUMBERS)}"
+        # Called for each request that arrives, and for each that begins to run; the
+        # latter returns whether the request is never answered.
+        self.on_arrival = lambda target, path: None
+        self.on_run = lambda target, path: False
+
+    async def start(self, announce, instance=None):
+        """Starts the target, under the given instance id or a new one."""
+        self.id = instance or f"i-{next(INSTANCE_NUMBERS)}"
         self.announce = announce
+        self.dark = False
+        self.ended = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.draining_since = None
@@ -57,6 +64,12 @@
             reset(writer)
         self.running = 0
 
+    def go_dark(self, relay):
+        """Stops without closing connections: nothing is answered and no heartbeat sent."""
+        self.dark = True
+        relay.silent = True
+        self.heartbeat_task.cancel()
+
     async def leave(self):
         """Drains and stops; the history records the time of the acknowledgement."""
         self.draining_since = time.monotonic()
@@ -112,7 +125,8 @@
             return False
 
     async def send_heartbeats(self):
-        while True:
+        born = self.born
+        while born == self.born and not self.dark:
             await self.announce_state("PUT", self.state("draining" if self.draining_since else "ready"))
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -127,6 +141,23 @@
         finally:
             self.writers.discard(writer)
 
+    async def call(self, path, number):
+        """Sends the call that a request makes through the daemon; returns its status."""
+        call = f"{number}.call"
+        path = path.replace("/call/", "/deep/")
+        self.history.begin(call, True, path, b"", self.entry_name, 0, 2.0)
+        fields = {"Host": "a.example", "X-Jackdawladder-Attempt-Id": call, "X-Jackdawladder-Deadline-Ms": 1500}
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.entry), 1)
+            writer.write(encode(f"GET {path} HTTP/1.1", fields))
+            answer = await asyncio.wait_for(read_message(reader), 2)
+            await close(writer)
+        except (OSError, EOFError, asyncio.TimeoutError):
+            self.history.end(call, 0, {}, b"")
+            return 500
+        self.history.end(call, answer.status, answer.fields, answer.body)
+        return 200 if answer.status == 200 else 500
+
     async def run(self, message, writer):
         fields = message.fields
         number = fields["x-jackdawladder-attempt-id"]
@@ -134,21 +165,28 @@
         if fields.get("x-jackdawladder-target-instance") not in (None, self.id):
             writer.write(encode("HTTP/1.1 421 Other", echo))
             return
+        path = message.first.split(" ")[1]
         self.history.arrived(number, self.service)
+        self.on_arrival(self, path)
         if self.running >= self.slots:
             echo["X-Jackdawladder-Not-Executed"] = "1"
             writer.write(encode("HTTP/1.1 503 Full", echo))
             return
         self.running += 1
         self.history.ran(number, self.id, self.service, message)
+        status = 200
         try:
+            if self.on_run(self, path):
+                await asyncio.sleep(3600)
+            if path.startswith("/call/"):
+                status = await self.call(path, number)
             await asyncio.sleep(self.random.uniform(0.01, 0.08))
         finally:
             self.running = max(0, self.running - 1)
         seal = f"{self.id}.{number}"
         body = (f"{number} by {self.id} " * self.random.randint(1, 60)).encode()
         self.history.answered(number, seal, body)
-        response = encode("HTTP/1.1 200 OK", {**echo, "X-Jackdawladder-Server-Seal": seal}, body)
+        response = encode(f"HTTP/1.1 {status} X", {**echo, "X-Jackdawladder-Server-Seal": seal}, body)
         if self.random.random() < self.lost_response_ratio:
             reset(writer)
             raise EOFError
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -48,6 +48,15 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def encode_chunked(first, fields, body):
+    """Returns a message as bytes, with a chunked body."""
+    lines = [first] + [f"{name}: {value}" for name, value in fields.items()]
+    lines.append("Transfer-Encoding: chunked")
+    half = len(body) // 2
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:half], body[half:]) if part)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + chunks + b"0\r\n\r\n"
+
+
 async def close(writer):
     writer.close()
     try:
