Take a target that has ended out of service however its connections fail

What callers saw: after a target had ended, honest requests sent to it until its successor announced itself were answered 502, or waited until their deadline.

Cause: the guard took a target out of service only when a connection to it was refused or not established. Where something in front of an ended target accepts connections, each request was lost on its own ("target-lost", ran_ms=0), and the target counted as up.

The end that policy/liveness finds now takes the target out of service until its next heartbeat: a probe that is reset while no earlier request is left, no connection within 250 ms, or neither answers nor heartbeats for 2.5 heartbeat intervals. A target that loses answers but accepts connections stays.

The tests' proxy rig moved to tests/proxy/parts.

--- a/source/policy/liveness.c
+++ b/source/policy/liveness.c
@@ -172,8 +172,12 @@
 const char *
 jl_target_end_name (enum jl_target_end end)
 {
-  static const char *const names[]
-      = { "none", "refused", "reset", "unreachable", "silent", "replaced" };
+  static const char *const names[] = { "none",
+                                       "connection-refused",
+                                       "connection-reset",
+                                       "connection-timeout",
+                                       "silent",
+                                       "replaced" };
 
   return names[end];
 }
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -257,18 +257,6 @@
   jl_guard_run_queue (proxy);
 }
 
-static void
-set_target_down (struct jl_proxy *proxy,
-                 const char *cause,
-                 enum jl_target_end end)
-{
-  if (proxy->target.state != JL_TARGET_UP)
-    return;
-  jl_watch_target_ended (proxy->watch, end);
-  jl_target_mark_down (&proxy->target);
-  jl_proxy_target_changed (proxy, cause);
-}
-
 /* Whether to retry on a new connection: a kept-alive connection was closed
  * before any byte of the request was sent. */
 static bool
@@ -308,7 +296,7 @@
   else
     {
       refuse_work (work, "target-unreachable");
-      set_target_down (proxy, "connection-refused", JL_TARGET_END_REFUSED);
+      jl_watch_target_ended (proxy->watch, JL_TARGET_END_REFUSED);
     }
 }
 
@@ -331,7 +319,7 @@
       || !jl_upstream_is_unsent (work->relay.upstream))
     return;
   refuse_work (work, "target-silent");
-  set_target_down (proxy, "connection-timeout", JL_TARGET_END_UNREACHABLE);
+  jl_watch_target_ended (proxy->watch, JL_TARGET_END_UNREACHABLE);
 }
 
 /* Sends work to the target; the caller has taken a slot for it. */
--- a/source/proxy/watch.c
+++ b/source/proxy/watch.c
@@ -254,13 +254,21 @@
 void
 jl_watch_target_ended (struct jl_watch *watch, enum jl_target_end end)
 {
-  GArray *contents = list_contents (watch);
+  struct jl_proxy *proxy = watch->proxy;
+  GArray *contents;
 
-  watch->proxy->counters.targets_ended++;
+  if (proxy->target.state != JL_TARGET_UP)
+    return;
+  contents = list_contents (watch);
+  proxy->counters.targets_ended++;
   log_end (watch, end, contents);
   g_array_free (contents, TRUE);
   forget_runs (watch);
   close_probe (watch);
+  if (end == JL_TARGET_END_REPLACED)
+    return;
+  jl_target_mark_down (&proxy->target);
+  jl_proxy_target_changed (proxy, jl_target_end_name (end));
 }
 
 void
--- a/source/proxy/watch.h
+++ b/source/proxy/watch.h
@@ -44,9 +44,12 @@
 void jl_watch_check (struct jl_watch *watch);
 
 /**
- * jl_watch_target_ended - handles the end of the target
+ * jl_watch_target_ended - takes a target that has ended out of service until
+ * the next heartbeat
  * @end: how it was found; JL_TARGET_END_REPLACED if the heartbeat of the new
- *       incarnation was not applied yet
+ *       incarnation is about to be applied
+ *
+ * Has no effect on a target that is leaving or was out of service before.
  */
 void jl_watch_target_ended (struct jl_watch *watch, enum jl_target_end end);
 
--- a/tests/proxy/daemon.c
+++ b/tests/proxy/daemon.c
@@ -7,167 +7,16 @@
 
 #include <criterion/criterion.h>
 
-#include <arpa/inet.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "proxy/demand.h"
-#include "proxy/parts/fake-store.h"
-#include "proxy/proxy.h"
+#include "proxy/parts/rig.h"
 #include "proxy/rows.h"
 
-#define ENTRY_PORT 17001
-#define READY_PORT 17002
-#define ANNOUNCE_PORT 17003
-#define PEER_PORT 17004
-#define METRICS_PORT 17005
-#define TARGET_PORT 17006
-#define STORE_PORT 17007
-#define OTHER_PORT 17008
-
 /* Number of daemons, half of them in each of two zones. */
 #define MEMBERS 60
 
-/**
- * struct rig - a proxy named "d5" in zone z1, beside a target of the service
- * "front", and its store
- */
-struct rig
-{
-  struct jl_options options;
-  struct jl_proxy *proxy;
-  struct fake_store store;
-};
-
-static struct jl_endpoint
-at (const struct rig *rig, uint16_t port)
-{
-  struct jl_endpoint endpoint = { rig->options.ip, port };
-
-  return endpoint;
-}
-
-/* @host: part of the loopback address; it differs between tests, because tests
- * run in parallel. */
-static void
-rig_prepare (struct rig *rig, unsigned host)
-{
-  struct jl_options *options = &rig->options;
-
-  memset (rig, 0, sizeof *rig);
-  options->ip = INADDR_LOOPBACK + (90u << 16) + (host << 8);
-  g_strlcpy (options->name, "d5", sizeof options->name);
-  g_strlcpy (options->zone, "z1", sizeof options->zone);
-  g_strlcpy (options->service, "front", sizeof options->service);
-  options->target = at (rig, TARGET_PORT);
-  options->entry = at (rig, ENTRY_PORT);
-  options->ready = at (rig, READY_PORT);
-  options->announce = at (rig, ANNOUNCE_PORT);
-  options->peer_port = PEER_PORT;
-  options->advertise = at (rig, PEER_PORT);
-  options->metrics_port = METRICS_PORT;
-  options->store = at (rig, STORE_PORT);
-  options->heartbeat_us = JL_USEC_PER_SEC;
-  options->grace_us = 6 * JL_USEC_PER_SEC;
-  options->retry_window_us = 10 * JL_USEC_PER_SEC;
-  fake_store_open (&rig->store, options->store);
-}
-
-static void
-rig_run (struct rig *rig, unsigned ms)
-{
-  fake_store_run (&rig->store, rig->proxy->loop, ms);
-}
-
-static void
-rig_start (struct rig *rig)
-{
-  rig->proxy = jl_proxy_new (&rig->options, NULL);
-  cr_assert_not_null (rig->proxy);
-  rig_run (rig, 100);
-}
-
-/* Sends a request on a new connection and returns the connection. */
-static int
-send_request (struct rig *rig, uint16_t port, const char *text)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (rig->options.ip);
-  address.sin_port = htons (port);
-  cr_assert_eq (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
-  cr_assert_eq (send (fd, text, strlen (text), MSG_NOSIGNAL),
-                (ssize_t)strlen (text));
-  return fd;
-}
-
-/* Returns the data received on a connection, "" if there is none yet. */
-static const char *
-received (int fd)
-{
-  static char answer[4096];
-  ssize_t size = recv (fd, answer, sizeof answer - 1, MSG_DONTWAIT);
-
-  answer[size > 0 ? size : 0] = '\0';
-  return answer;
-}
-
-/* Sends a heartbeat of the target and expects its acknowledgement. */
-static void
-heartbeat (struct rig *rig, const char *id, unsigned born, unsigned sequence)
-{
-  char *body = g_strdup_printf (
-      "{\"service\":\"front\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
-      "\"version\":\"v1\",\"slots\":10,\"state\":\"ready\",\"coldLeftS\":0,"
-      "\"sequence\":%u,\"born\":%u}",
-      TARGET_PORT, sequence, born);
-  char *text = g_strdup_printf ("PUT /api/instances/%s HTTP/1.1\r\nHost: a\r\n"
-                                "Content-Length: %zu\r\n\r\n%s",
-                                id, strlen (body), body);
-  int fd = send_request (rig, ANNOUNCE_PORT, text);
-
-  rig_run (rig, 50);
-  cr_assert (g_str_has_prefix (received (fd), "HTTP/1.1 200"));
-  close (fd);
-  g_free (text);
-  g_free (body);
-}
-
-/* Sends a leave announcement of the target and returns the connection. */
-static int
-leave (struct rig *rig, const char *id)
-{
-  char *text = g_strdup_printf (
-      "DELETE /api/instances/%s HTTP/1.1\r\nHost: a\r\n\r\n", id);
-  int fd = send_request (rig, ANNOUNCE_PORT, text);
-
-  g_free (text);
-  return fd;
-}
-
-/* Adds a daemon with an idle target, as if a beacon of it had just come. */
-static struct jl_member *
-add_member (struct rig *rig,
-            const char *name,
-            const char *zone,
-            const char *service)
-{
-  struct jl_member *member = jl_roster_get_or_add (&rig->proxy->roster, name);
-
-  g_strlcpy (member->zone, zone, sizeof member->zone);
-  g_strlcpy (member->service, service, sizeof member->service);
-  member->in_other_zone = strcmp (zone, "z1") != 0;
-  member->peer = at (rig, OTHER_PORT);
-  member->state = JL_TARGET_UP;
-  member->limit = 10;
-  member->capacity = 100;
-  member->spare_share = 1;
-  member->last_beacon_us = jl_now ();
-  return member;
-}
-
 Test (daemon, a_leaving_is_acknowledged_when_it_is_written)
 {
   struct rig rig;
@@ -175,16 +24,16 @@
 
   rig_prepare (&rig, 1);
   rig_start (&rig);
-  heartbeat (&rig, "i-1", 5, 1);
+  rig_heartbeat (&rig, "i-1", 5, 1);
   rig.store.hold_writes = true;
-  fd = leave (&rig, "i-1");
+  fd = rig_leave (&rig, "i-1");
   rig_run (&rig, 100);
   cr_assert_eq (rig.proxy->target.state, JL_TARGET_LEAVING,
                 "the leave takes effect at once");
-  cr_assert_str_eq (received (fd), "");
+  cr_assert_str_eq (rig_received (fd), "");
   fake_store_release_writes (&rig.store);
   rig_run (&rig, 50);
-  cr_assert (g_str_has_prefix (received (fd), "HTTP/1.1 200"));
+  cr_assert (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
   cr_assert_not_null (
       strstr (fake_store_get (&rig.store, "targets", "d5"), "\"i-1\""));
 }
@@ -196,11 +45,11 @@
 
   rig_prepare (&rig, 2);
   rig_start (&rig);
-  heartbeat (&rig, "i-1", 5, 1);
+  rig_heartbeat (&rig, "i-1", 5, 1);
   rig.store.hold_writes = true;
-  fd = leave (&rig, "i-1");
+  fd = rig_leave (&rig, "i-1");
   rig_run (&rig, 600);
-  cr_assert (g_str_has_prefix (received (fd), "HTTP/1.1 200"));
+  cr_assert (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
 }
 
 Test (daemon, an_incarnation_that_left_before_does_not_come_back)
@@ -211,9 +60,9 @@
   fake_store_put (&rig.store, "targets", "d5",
                   "{\"left\":[{\"target\":\"i-1\",\"born_ms\":5}]}");
   rig_start (&rig);
-  heartbeat (&rig, "i-1", 5, 7);
+  rig_heartbeat (&rig, "i-1", 5, 7);
   cr_assert_neq (rig.proxy->target.state, JL_TARGET_UP);
-  heartbeat (&rig, "i-1", 6, 1);
+  rig_heartbeat (&rig, "i-1", 6, 1);
   cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP, "a new incarnation");
   cr_assert_eq (rig.store.writes, 1, "only the daemon's own row");
 }
@@ -230,8 +79,8 @@
                   "{\"left\":[{\"target\":\"i-1\",\"born_ms\":5}]}");
   rig.store.silent_table = "targets";
   rig_start (&rig);
-  heartbeat (&rig, "i-2", 6, 1);
-  close (leave (&rig, "i-2"));
+  rig_heartbeat (&rig, "i-2", 6, 1);
+  close (rig_leave (&rig, "i-2"));
   rig_run (&rig, 900);
   row = fake_store_get (&rig.store, "targets", "d5");
   cr_assert_not_null (strstr (row, "\"i-1\""), "%s", row);
@@ -246,15 +95,15 @@
 
   rig_prepare (&rig, 5);
   rig_start (&rig);
-  heartbeat (&rig, "i-1", 5, 1);
+  rig_heartbeat (&rig, "i-1", 5, 1);
   rig.proxy->load_shedder.hold_us = 100.0 * JL_USEC_PER_MSEC;
   rig.proxy->lane.running = rig.proxy->lane.limit;
   rig.proxy->lane.waiting = 40;
-  fd = send_request (&rig, PEER_PORT,
-                     "GET /x HTTP/1.1\r\nHost: a\r\n" JL_WORK_FIELD
-                     ": front 1 700 300 00000001 1\r\n\r\n");
+  fd = rig_send_request (&rig, PEER_PORT,
+                         "GET /x HTTP/1.1\r\nHost: a\r\n" JL_WORK_FIELD
+                         ": front 1 700 300 00000001 1\r\n\r\n");
   rig_run (&rig, 50);
-  answer = received (fd);
+  answer = rig_received (fd);
   cr_assert (g_str_has_prefix (answer, "HTTP/1.1 503"), "%s", answer);
   cr_assert_not_null (strstr (answer, JL_OUTCOME_FIELD ": not-run"));
   cr_assert_not_null (strstr (answer, JL_REASON_FIELD ": queue-long"));
@@ -284,28 +133,6 @@
   rig->proxy->call_route_count = 1;
 }
 
-/* Handler of a peer that counts its requests and answers 404. */
-static void
-on_begin (void *context, struct jl_request *request)
-{
-  unsigned *request_count = context;
-
-  (*request_count)++;
-  jl_request_reply (request, 404, "", "", 0);
-}
-
-static void
-open_peer (struct rig *rig, uint16_t port, unsigned *request_count)
-{
-  static const struct jl_handler handler = { .begin = on_begin };
-  const char *why = NULL;
-
-  *request_count = 0;
-  cr_assert_not_null (jl_server_open (rig->store.net, at (rig, port), &handler,
-                                      request_count, &why),
-                      "%s", why);
-}
-
 Test (daemon, calls_of_the_target_overflow_to_another_zone)
 {
   struct rig rig;
@@ -316,12 +143,12 @@
   rig_prepare (&rig, 6);
   rig_start (&rig);
   install_call_route (&rig);
-  open_peer (&rig, OTHER_PORT, &near_requests);
-  open_peer (&rig, OTHER_PORT + 1, &far_requests);
-  add_member (&rig, "d6", "z1", "deep")->shed_share = 0.9;
-  far = add_member (&rig, "d7", "z2", "deep");
+  rig_open_peer (&rig, OTHER_PORT, &near_requests);
+  rig_open_peer (&rig, OTHER_PORT + 1, &far_requests);
+  rig_add_member (&rig, "d6", "z1", "deep")->shed_share = 0.9;
+  far = rig_add_member (&rig, "d7", "z2", "deep");
   far->peer.port = OTHER_PORT + 1;
-  send_request (&rig, ENTRY_PORT, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  rig_send_request (&rig, ENTRY_PORT, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
   rig_run (&rig, 30);
   cr_assert_eq (rig.proxy->counters.calls, 1);
   cr_assert_eq (far_requests, 1);
@@ -341,7 +168,7 @@
       char name[16];
 
       g_snprintf (name, sizeof name, "m%u", i);
-      add_member (&rig, name, i < MEMBERS / 2 ? "z1" : "z2", "front");
+      rig_add_member (&rig, name, i < MEMBERS / 2 ? "z1" : "z2", "front");
     }
   before = rig.proxy->counters.beacons_sent;
   jl_beacon_send_soon (rig.proxy->beacon);
@@ -385,8 +212,8 @@
 
   rig_prepare (&rig, 9);
   rig_start (&rig);
-  add_member (&rig, "d1", "z1", "front");
-  add_member (&rig, "d2", "z1", "front");
+  rig_add_member (&rig, "d1", "z1", "front");
+  rig_add_member (&rig, "d2", "z1", "front");
   rig_run (&rig, 150);
   feeds = feed_calls_for_ten_changes (&rig);
   cr_assert_leq (feeds, 2, "%u calls", feeds);
@@ -401,11 +228,11 @@
 
   rig_prepare (&rig, 10);
   rig_start (&rig);
-  open_peer (&rig, OTHER_PORT, &request_count);
-  far = add_member (&rig, "d7", "z2", "deep");
+  rig_open_peer (&rig, OTHER_PORT, &request_count);
+  far = rig_add_member (&rig, "d7", "z2", "deep");
   far->peer.port = OTHER_PORT + 1;
   far->site_version = 9;
-  near = add_member (&rig, "d6", "z1", "deep");
+  near = rig_add_member (&rig, "d6", "z1", "deep");
   near->site_version = 9;
   jl_sync_fetch (rig.proxy, far);
   jl_sync_fetch (rig.proxy, near);
@@ -434,7 +261,7 @@
       g_strlcpy (added.split[0].service, names[i],
                  sizeof added.split[0].service);
       jl_site_add_route (site, &added);
-      members[i] = add_member (&rig, names[i], "z1", names[i]);
+      members[i] = rig_add_member (&rig, names[i], "z1", names[i]);
     }
   members[0]->fanout_count = 2;
   members[0]->fanout[0] = (struct jl_fanout_entry){ jl_name_key ("front"),
--- /dev/null
+++ b/tests/proxy/parts/rig.c
@@ -0,0 +1,161 @@
+/**
+ * DOC: A complete proxy in the test's process, with a fake store and real
+ * sockets and time.
+ */
+
+#include "proxy/parts/rig.h"
+
+#include <criterion/criterion.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct jl_endpoint
+rig_at (const struct rig *rig, uint16_t port)
+{
+  struct jl_endpoint endpoint = { rig->options.ip, port };
+
+  return endpoint;
+}
+
+/* @host: part of the loopback address; it differs between tests, because tests
+ * run in parallel. */
+void
+rig_prepare (struct rig *rig, unsigned host)
+{
+  struct jl_options *options = &rig->options;
+
+  memset (rig, 0, sizeof *rig);
+  options->ip = INADDR_LOOPBACK + (90u << 16) + (host << 8);
+  g_strlcpy (options->name, "d5", sizeof options->name);
+  g_strlcpy (options->zone, "z1", sizeof options->zone);
+  g_strlcpy (options->service, "front", sizeof options->service);
+  options->target = rig_at (rig, TARGET_PORT);
+  options->entry = rig_at (rig, ENTRY_PORT);
+  options->ready = rig_at (rig, READY_PORT);
+  options->announce = rig_at (rig, ANNOUNCE_PORT);
+  options->peer_port = PEER_PORT;
+  options->advertise = rig_at (rig, PEER_PORT);
+  options->metrics_port = METRICS_PORT;
+  options->store = rig_at (rig, STORE_PORT);
+  options->heartbeat_us = JL_USEC_PER_SEC;
+  options->grace_us = 6 * JL_USEC_PER_SEC;
+  options->retry_window_us = 10 * JL_USEC_PER_SEC;
+  fake_store_open (&rig->store, options->store);
+}
+
+void
+rig_run (struct rig *rig, unsigned ms)
+{
+  fake_store_run (&rig->store, rig->proxy->loop, ms);
+}
+
+void
+rig_start (struct rig *rig)
+{
+  rig->proxy = jl_proxy_new (&rig->options, NULL);
+  cr_assert_not_null (rig->proxy);
+  rig_run (rig, 100);
+}
+
+int
+rig_send_request (struct rig *rig, uint16_t port, const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (rig->options.ip);
+  address.sin_port = htons (port);
+  cr_assert_eq (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  cr_assert_eq (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                (ssize_t)strlen (text));
+  return fd;
+}
+
+const char *
+rig_received (int fd)
+{
+  static char answer[4096];
+  ssize_t size = recv (fd, answer, sizeof answer - 1, MSG_DONTWAIT);
+
+  answer[size > 0 ? size : 0] = '\0';
+  return answer;
+}
+
+void
+rig_heartbeat (struct rig *rig,
+               const char *id,
+               unsigned born,
+               unsigned sequence)
+{
+  char *body = g_strdup_printf (
+      "{\"service\":\"front\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+      "\"version\":\"v1\",\"slots\":10,\"state\":\"ready\",\"coldLeftS\":0,"
+      "\"sequence\":%u,\"born\":%u}",
+      TARGET_PORT, sequence, born);
+  char *text = g_strdup_printf ("PUT /api/instances/%s HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                id, strlen (body), body);
+  int fd = rig_send_request (rig, ANNOUNCE_PORT, text);
+
+  rig_run (rig, 50);
+  cr_assert (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
+  close (fd);
+  g_free (text);
+  g_free (body);
+}
+
+int
+rig_leave (struct rig *rig, const char *id)
+{
+  char *text = g_strdup_printf (
+      "DELETE /api/instances/%s HTTP/1.1\r\nHost: a\r\n\r\n", id);
+  int fd = rig_send_request (rig, ANNOUNCE_PORT, text);
+
+  g_free (text);
+  return fd;
+}
+
+struct jl_member *
+rig_add_member (struct rig *rig,
+                const char *name,
+                const char *zone,
+                const char *service)
+{
+  struct jl_member *member = jl_roster_get_or_add (&rig->proxy->roster, name);
+
+  g_strlcpy (member->zone, zone, sizeof member->zone);
+  g_strlcpy (member->service, service, sizeof member->service);
+  member->in_other_zone = strcmp (zone, "z1") != 0;
+  member->peer = rig_at (rig, OTHER_PORT);
+  member->state = JL_TARGET_UP;
+  member->limit = 10;
+  member->capacity = 100;
+  member->spare_share = 1;
+  member->last_beacon_us = jl_now ();
+  return member;
+}
+
+/* Handler of a peer that counts its requests and answers 404. */
+static void
+on_begin (void *context, struct jl_request *request)
+{
+  unsigned *request_count = context;
+
+  (*request_count)++;
+  jl_request_reply (request, 404, "", "", 0);
+}
+
+void
+rig_open_peer (struct rig *rig, uint16_t port, unsigned *request_count)
+{
+  static const struct jl_handler handler = { .begin = on_begin };
+  const char *why = NULL;
+
+  *request_count = 0;
+  cr_assert_not_null (jl_server_open (rig->store.net, rig_at (rig, port),
+                                      &handler, request_count, &why),
+                      "%s", why);
+}
