--- /dev/null
+++ b/source/policy/suspect.h
@@ -0,0 +1,207 @@
+#ifndef JACKDAWLADDER_SUSPECT_H
+#define JACKDAWLADDER_SUSPECT_H
+
+/**
+ * DOC: Detection of poison requests, which end each target that runs them.
+ *
+ * A content that was in progress when a target ended gets a strike, and so do
+ * all others in progress there; nearly all of them are innocent. A content with
+ * strikes by two targets is suspect. A suspect content has to show itself: it
+ * runs as a trial, one at a time in the site and alone among suspect contents
+ * at its target. If the target answers, the content is cleared. If targets end
+ * during two trials, the content is refused for some time, longer after each
+ * further trial.
+ *
+ * A daemon that lost contact to another one with requests in progress there
+ * infers that the target has ended. Such strikes are void once the target is
+ * known to live.
+ *
+ * Contents are digests (policy/content.h). A strike against a content whose
+ * body was not read yet marks its head: further requests with that head are
+ * sent only when their bodies were read, so that the next strike names a
+ * content.
+ */
+
+#include "jackdawladder/base.h"
+
+#include <urcu/list.h>
+
+/* Maximum number of contents with strikes that are remembered. */
+#define JL_SUSPECTS_MAX 2048
+/* Time after the last report of a trial for which its result is awaited. */
+#define JL_TRIAL_LEASE_US (1000 * JL_USEC_PER_MSEC)
+/* Time after its begin until which a trial in progress is reported. */
+#define JL_TRIAL_REPORTED_US (2000 * JL_USEC_PER_MSEC)
+/* Maximum number of strikes that are remembered for each content. */
+#define JL_STRIKES_MAX 8
+/* Time after the last change after which a content is forgotten. It exceeds the
+ * longest refusal. */
+#define JL_STRIKE_EXPIRY_US (3600 * JL_USEC_PER_SEC)
+
+/**
+ * enum jl_suspicion - how requests with a content are treated
+ * @JL_SUSPICION_NONE: as all others
+ * @JL_SUSPICION_SUSPECT: a trial may begin
+ * @JL_SUSPICION_ON_TRIAL: a trial is in progress, whose result has to be
+ * awaited
+ * @JL_SUSPICION_REFUSED: requests are refused
+ */
+enum jl_suspicion
+{
+  JL_SUSPICION_NONE,
+  JL_SUSPICION_SUSPECT,
+  JL_SUSPICION_ON_TRIAL,
+  JL_SUSPICION_REFUSED,
+};
+
+/**
+ * struct jl_strike - the end of a target during a request
+ * @target: key of the target's incarnation
+ * @trial: the request ran as a trial
+ * @inferred: only the loss of contact to the target's daemon is known
+ * @at_us: time of the end
+ */
+struct jl_strike
+{
+  uint32_t target;
+  bool trial;
+  bool inferred;
+  uint64_t at_us;
+};
+
+/**
+ * struct jl_suspect - the strikes against a content
+ * @order: link in the list of all, by the time of the last change
+ * @open: link in the list of those that are suspect or refused
+ * @is_open: whether it is in that list
+ * @answered_us: time of the last answer; strikes until then are void
+ * @trial_us: time at which the trial in progress was last reported
+ * @trial_until_us: time until which its result is awaited, 0 for none
+ * @result_us: time of the last result of a trial
+ * @changed_us: time of the last strike or answer
+ */
+struct jl_suspect
+{
+  struct cds_list_head order;
+  struct cds_list_head open;
+  bool is_open;
+  uint64_t content;
+  uint64_t answered_us;
+  uint64_t trial_us;
+  uint64_t trial_until_us;
+  uint64_t result_us;
+  uint64_t changed_us;
+  unsigned strike_count;
+  struct jl_strike strikes[JL_STRIKES_MAX];
+};
+
+/**
+ * struct jl_suspects - all contents with strikes
+ * @by_content: struct jl_suspect by content
+ * @open_heads: number of open suspects by the head of their content
+ * @order: all, least recently changed first
+ * @open: those that are suspect or refused
+ * @open_count: number of entries of @open
+ * @inferred_count: number of inferred strikes
+ */
+struct jl_suspects
+{
+  GHashTable *by_content;
+  GHashTable *open_heads;
+  struct cds_list_head order;
+  struct cds_list_head open;
+  unsigned open_count;
+  unsigned inferred_count;
+};
+
+/**
+ * struct jl_verdict - how requests with a content are treated, and why
+ * @ends: targets that ended, each counted once
+ * @trials: those of @ends that ended during a trial
+ * @until_us: end of the refusal, or of the wait for a trial's result
+ */
+struct jl_verdict
+{
+  enum jl_suspicion suspicion;
+  unsigned ends;
+  unsigned trials;
+  uint64_t until_us;
+};
+
+void jl_suspects_init (struct jl_suspects *suspects);
+void jl_suspects_clear (struct jl_suspects *suspects);
+
+/**
+ * jl_suspects_add_strike - records the end of a target during a request with
+ * @content
+ *
+ * Return: false if the strike is known already, or void.
+ */
+bool jl_suspects_add_strike (struct jl_suspects *suspects,
+                             uint64_t content,
+                             const struct jl_strike *strike,
+                             uint64_t now_us);
+
+/**
+ * jl_suspects_clear_content - records that a target has answered a request with
+ * @content at @at_us, which voids the strikes until then
+ *
+ * Return: whether the content was suspect or refused.
+ */
+bool jl_suspects_clear_content (struct jl_suspects *suspects,
+                                uint64_t content,
+                                uint64_t at_us,
+                                uint64_t now_us);
+
+/**
+ * jl_suspects_target_lives - voids inferred strikes by a target that is known
+ * to live
+ * @before_us: strikes since then are kept
+ */
+void jl_suspects_target_lives (struct jl_suspects *suspects,
+                               uint32_t target,
+                               uint64_t before_us);
+
+/**
+ * jl_suspects_begin_trial - records that a trial of @content is in progress
+ * @at_us: time at which it was; a result since then is not overridden
+ *
+ * The daemon of the target repeats this while the trial lasts, so that the end
+ * of that daemon is noticed.
+ */
+void jl_suspects_begin_trial (struct jl_suspects *suspects,
+                              uint64_t content,
+                              uint64_t at_us);
+
+/**
+ * jl_suspects_end_trial - records that a trial ended without a result
+ * @at_us: time of its end; a trial that has begun since then goes on
+ */
+void jl_suspects_end_trial (struct jl_suspects *suspects,
+                            uint64_t content,
+                            uint64_t at_us);
+
+/**
+ * jl_suspects_judge - returns how a request with @content is treated now
+ */
+struct jl_verdict jl_suspects_judge (const struct jl_suspects *suspects,
+                                     uint64_t content,
+                                     uint64_t now_us);
+
+/**
+ * jl_suspects_knows_head - whether the content of a request with the head
+ * @head has to be known before the request is sent
+ */
+bool jl_suspects_knows_head (const struct jl_suspects *suspects, uint32_t head);
+
+/**
+ * jl_suspects_expire - forgets contents without a change for a long time
+ */
+void jl_suspects_expire (struct jl_suspects *suspects, uint64_t now_us);
+
+/**
+ * jl_suspicion_name - returns the name of @suspicion in the log
+ */
+const char *jl_suspicion_name (enum jl_suspicion suspicion);
+
+#endif
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -13,6 +13,8 @@
 
 #include "proxy/proxy.h"
 
+#include "proxy/infer.h"
+#include "proxy/report.h"
 #include "rpc/gen/beacon.h"
 
 #include <arpa/inet.h>
@@ -36,6 +38,8 @@
 #define CHECK_PERIOD_US (200 * JL_USEC_PER_MSEC)
 /* Minimum interval between two rounds of beacons. */
 #define ROUND_GAP_US (20 * JL_USEC_PER_MSEC)
+/* Time for which a beacon may be in transit. */
+#define IN_FLIGHT_US (50 * JL_USEC_PER_MSEC)
 /* Change of the shed share that is announced at once. The spare capacity and
  * the failure rate use multiples of it. */
 #define CHANGE_MIN_RATIO 0.03
@@ -156,15 +160,26 @@
   return strcmp (member->zone, proxy->options->zone) == 0;
 }
 
+/* Handles the restart of a daemon: its old connections are closed, it does not
+ * know the other daemons yet, and requests in progress there were lost. */
 static void
-handle_message (struct jl_proxy *proxy, const struct beacon_message *message)
+handle_restart (struct jl_proxy *proxy, const struct jl_member *member)
+{
+  jl_infer_member_lost (proxy, member);
+  jl_pool_close_endpoint (proxy->peer_pool, member->peer);
+  jl_beacon_send_soon (proxy->beacon);
+  jl_news_send_open (proxy->news, member, true);
+}
+
+static void
+handle_message (struct jl_proxy *proxy,
+                const struct beacon_message *message,
+                uint32_t target_key)
 {
   struct jl_member *member;
   uint64_t now_us = jl_now ();
 
-  if ((message->format != BEACON_FORMAT_FULL
-       && message->format != BEACON_FORMAT_BRIEF)
-      || message->state > JL_TARGET_DOWN
+  if (message->state > JL_TARGET_DOWN
       || strcmp (message->name, proxy->options->name) == 0)
     return;
   member = jl_roster_get_or_add (&proxy->roster, message->name);
@@ -176,20 +191,49 @@
     return;
   log_change (member, message, now_us);
   if (member->epoch != message->epoch)
-    {
-      /* The daemon has started again: its old connections are closed, and it
-       * does not know the other daemons yet. */
-      jl_pool_close_endpoint (proxy->peer_pool, member->peer);
-      jl_beacon_send_soon (proxy->beacon);
-    }
+    handle_restart (proxy, member);
   if (message->format == BEACON_FORMAT_FULL)
     update_identity (member, message);
   member->in_other_zone = !is_same_zone (proxy, member);
   update_state (member, message, now_us);
+  member->target_key = target_key;
+  if (member->state == JL_TARGET_UP || member->state == JL_TARGET_LEAVING)
+    jl_suspects_target_lives (&proxy->suspects, jl_member_target_key (member),
+                              now_us - IN_FLIGHT_US);
   if (proxy->site == NULL || message->site_version > proxy->site->version)
     jl_sync_fetch (proxy, member);
 }
 
+/* Whether a datagram has the format of a beacon, not of reports. */
+static bool
+is_beacon (char *datagram, size_t size)
+{
+  unsigned format = 0;
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
+  return xdr_u_int (&xdr, &format)
+         && (format == BEACON_FORMAT_FULL || format == BEACON_FORMAT_BRIEF);
+}
+
+static void
+read_beacon (struct jl_proxy *proxy, char *datagram, size_t size)
+{
+  struct beacon_message message = { 0 };
+  struct beacon_extension extension = { 0 };
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
+  if (xdr_beacon_message (&xdr, &message))
+    {
+      /* Older daemons send no extension. */
+      if (!xdr_beacon_extension (&xdr, &extension))
+        extension.target_key = 0;
+      handle_message (proxy, &message, extension.target_key);
+    }
+  xdr_free ((xdrproc_t)xdr_beacon_message, &message);
+}
+
 static void
 on_datagram (uv_udp_t *socket,
              ssize_t size,
@@ -198,17 +242,15 @@
              unsigned flags)
 {
   struct jl_beacon *beacon = socket->data;
-  struct beacon_message message = { 0 };
-  XDR xdr;
 
   (void)flags;
   if (size <= 0 || address == NULL)
     return;
   beacon->proxy->counters.beacons_received++;
-  xdrmem_create (&xdr, buffer->base, (u_int)size, XDR_DECODE);
-  if (xdr_beacon_message (&xdr, &message))
-    handle_message (beacon->proxy, &message);
-  xdr_free ((xdrproc_t)xdr_beacon_message, &message);
+  if (is_beacon (buffer->base, (size_t)size))
+    read_beacon (beacon->proxy, buffer->base, (size_t)size);
+  else
+    jl_news_read (beacon->proxy->news, buffer->base, (size_t)size);
 }
 
 static void
@@ -273,6 +315,7 @@
     .failing_milli = (u_int)lround (proxy->self->failure_rate * 1000),
     .site_version = proxy->site != NULL ? proxy->site->version : 0,
   };
+  struct beacon_extension extension = { proxy->self->target_key };
   XDR xdr;
   size_t size = 0;
 
@@ -284,16 +327,17 @@
       message.arrivals.arrivals_val = arrivals;
     }
   xdrmem_create (&xdr, datagram, DATAGRAM_BYTES_MAX, XDR_ENCODE);
-  if (xdr_beacon_message (&xdr, &message))
+  if (xdr_beacon_message (&xdr, &message)
+      && xdr_beacon_extension (&xdr, &extension))
     size = xdr_getpos (&xdr);
   return size;
 }
 
-static void
-send_to (struct jl_beacon *beacon,
-         struct jl_endpoint peer,
-         char *datagram,
-         size_t size)
+void
+jl_beacon_send_datagram (struct jl_beacon *beacon,
+                         struct jl_endpoint peer,
+                         char *datagram,
+                         size_t size)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   uv_buf_t buffer = uv_buf_init (datagram, (unsigned)size);
@@ -306,14 +350,13 @@
     beacon->proxy->counters.beacons_sent++;
 }
 
-/* Sends a beacon to all daemons of the local zone, or to the chosen share of
- * the daemons of other zones. */
-static void
-send_to_members (struct jl_beacon *beacon, bool local_zone, bool full)
+void
+jl_beacon_send_to_zone (struct jl_beacon *beacon,
+                        bool local_zone,
+                        char *datagram,
+                        size_t size)
 {
-  struct jl_proxy *proxy = beacon->proxy;
-  char datagram[DATAGRAM_BYTES_MAX];
-  size_t size = encode (beacon, full, datagram);
+  const struct jl_proxy *proxy = beacon->proxy;
   double share
       = jl_roster_announce_share (&proxy->roster, proxy->self, jl_now ());
 
@@ -322,14 +365,20 @@
       const struct jl_member *member
           = g_ptr_array_index (proxy->roster.members, i);
 
-      if (member == proxy->self || member->peer.port == 0
-          || is_same_zone (proxy, member) != local_zone)
-        continue;
-      if (local_zone || jl_member_announces_to (proxy->self, member, share))
-        send_to (beacon, member->peer, datagram, size);
+      if (jl_member_is_addressed (proxy->self, member, local_zone, share))
+        jl_beacon_send_datagram (beacon, member->peer, datagram, size);
     }
 }
 
+static void
+send_to_members (struct jl_beacon *beacon, bool local_zone, bool full)
+{
+  char datagram[DATAGRAM_BYTES_MAX];
+  size_t size = encode (beacon, full, datagram);
+
+  jl_beacon_send_to_zone (beacon, local_zone, datagram, size);
+}
+
 static void
 send_to_local_zone (struct jl_beacon *beacon)
 {
@@ -340,15 +389,18 @@
   beacon->sent_spare_share = proxy->load_shedder.spare_share;
   beacon->sent_failure_rate = proxy->self->failure_rate;
   send_to_members (beacon, true, true);
+  jl_news_send_open (proxy->news, NULL, true);
 }
 
 static void
 send_to_other_zones (struct jl_beacon *beacon, bool full)
 {
   beacon->sent_other_zones_us = jl_now ();
-  if (full)
-    beacon->sent_full_us = beacon->sent_other_zones_us;
   send_to_members (beacon, false, full);
+  if (!full)
+    return;
+  beacon->sent_full_us = beacon->sent_other_zones_us;
+  jl_news_send_open (beacon->proxy->news, NULL, false);
 }
 
 /* Whether the values have changed enough since the last beacons to the local
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -5,6 +5,7 @@
 #include "proxy/call.h"
 
 #include "names.h"
+#include "proxy/trial.h"
 
 #include <string.h>
 
@@ -43,6 +44,7 @@
 jl_call_free (struct jl_call *call)
 {
   jl_timer_stop (call->proxy->loop->timers, &call->timer);
+  jl_trial_end_call (call);
   jl_call_cancel_upstream (call);
   cds_list_del (&call->link);
   jl_site_drop (call->site);
@@ -83,36 +85,60 @@
   return &none;
 }
 
-void
-jl_call_refuse (struct jl_call *call, const char *reason)
+static uint64_t
+remaining_ms (const struct jl_call *call)
 {
-  struct jl_proxy *proxy = call->proxy;
   uint64_t now_us = jl_now ();
-  uint64_t remaining_ms = call->expires_us > now_us
-                              ? (call->expires_us - now_us) / JL_USEC_PER_MSEC
-                              : 0;
-  uint64_t after_ms = RETRY_AFTER_MIN_MS
-                      + (uint64_t)g_random_int_range (0, RETRY_AFTER_JITTER_MS);
+
+  return call->expires_us > now_us
+             ? (call->expires_us - now_us) / JL_USEC_PER_MSEC
+             : 0;
+}
+
+/* Refuses a request with a Retry-After of @after_ms. */
+static void
+refuse (struct jl_call *call, const char *reason, uint64_t after_ms)
+{
+  struct jl_proxy *proxy = call->proxy;
   const struct jl_plan *plan = find_plan (call);
   char fields[64];
 
-  after_ms = MIN (after_ms, remaining_ms / RETRY_AFTER_DIVISOR);
   proxy->counters.refused++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_REFUSED,
              "id=%s route=%s reason=%s placements=%u age_ms=%" PRIu64
              " left_ms=%" PRIu64 " retry_after_ms=%" PRIu64 " site=%" PRIx64
-             " short_of=%s shed=%.2f keep=%.2f beliefs_age_ms=%" PRIu64,
+             " short_of=%s shed=%.2f keep=%.2f beliefs_age_ms=%" PRIu64
+             " content=%016" PRIx64,
              jl_call_attempt_id (call),
              call->route != NULL ? call->route->name : "-", reason,
-             call->tried_count, jl_call_age_ms (call), remaining_ms, after_ms,
-             call->site != NULL ? call->site->version : 0,
+             call->tried_count, jl_call_age_ms (call), remaining_ms (call),
+             after_ms, call->site != NULL ? call->site->version : 0,
              plan->limiting_service, plan->shed_share, plan->admit_share,
-             (now_us - proxy->plans_computed_us) / JL_USEC_PER_MSEC);
+             (jl_now () - proxy->plans_computed_us) / JL_USEC_PER_MSEC,
+             jl_content_id (&call->content));
   g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
               (double)after_ms / 1000);
   jl_call_respond (call, 503, fields, reason);
 }
 
+void
+jl_call_refuse (struct jl_call *call, const char *reason)
+{
+  uint64_t after_ms = RETRY_AFTER_MIN_MS
+                      + (uint64_t)g_random_int_range (0, RETRY_AFTER_JITTER_MS);
+
+  refuse (call, reason,
+          MIN (after_ms, remaining_ms (call) / RETRY_AFTER_DIVISOR));
+}
+
+void
+jl_call_refuse_until (struct jl_call *call,
+                      const char *reason,
+                      uint64_t until_us)
+{
+  refuse (call, reason, (until_us - jl_now ()) / JL_USEC_PER_MSEC);
+}
+
 void
 jl_call_fail (struct jl_call *call, unsigned status, const char *reason)
 {
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -30,6 +30,13 @@
  * @member: daemon of the current upstream request, NULL for none
  * @tried: daemons to which the request was sent
  * @tried_count: number of entries in @tried
+ * @target_key: key of the incarnation of @member's target when the request was
+ *              sent to it
+ * @on_trial: the request is a trial of its content
+ * @trial_begun_us: time at which the trial began
+ * @trial_heard_us: time at which @member last reported that it has the trial
+ * @loss_inferred: @member was lost while it had the request, which was reported
+ * @held_until_us: time until which the request waits for the result of a trial
  * @targets_reached: number of targets that the request has, or may have,
  *                   reached
  * @may_have_run: a target may have run the request
@@ -54,6 +61,12 @@
   struct jl_member *member;
   struct jl_member *tried[JL_PLACEMENTS_MAX];
   unsigned tried_count;
+  uint32_t target_key;
+  bool on_trial;
+  uint64_t trial_begun_us;
+  uint64_t trial_heard_us;
+  bool loss_inferred;
+  uint64_t held_until_us;
   unsigned targets_reached;
   bool may_have_run;
   char reason[32];
@@ -98,6 +111,14 @@
  */
 void jl_call_refuse (struct jl_call *call, const char *reason);
 
+/**
+ * jl_call_refuse_until - like jl_call_refuse(), with the Retry-After that ends
+ * at @until_us
+ */
+void jl_call_refuse_until (struct jl_call *call,
+                           const char *reason,
+                           uint64_t until_us);
+
 /**
  * jl_call_fail - responds with @status without Retry-After, as the request may
  * have run or its deadline has passed
@@ -110,4 +131,12 @@
  */
 void jl_call_give_up (struct jl_call *call, const char *reason);
 
+/* entry.c */
+
+/**
+ * jl_entry_start - begins the work on a request whose content may be sent to
+ * targets
+ */
+void jl_entry_start (struct jl_call *call);
+
 #endif
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -13,6 +13,9 @@
 #include "proxy/call.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
+#include "proxy/infer.h"
+#include "proxy/report.h"
+#include "proxy/trial.h"
 
 #include <string.h>
 
@@ -92,7 +95,7 @@
   call->may_have_run = true;
   jl_call_cancel_upstream (call);
   if (idempotent && call->targets_reached < call->route->attempts_max
-      && can_place_again (call)
+      && can_place_again (call) && jl_trial_may_repeat (call)
       && jl_demand_spend_retry (call->proxy, call->site, call->route))
     place_again (call, reason);
   else
@@ -122,6 +125,7 @@
   struct jl_request *request = call->relay.request;
 
   record_served (call, jl_upstream_head (call->relay.upstream)->status);
+  jl_report_answered (call->proxy, jl_content_id (&call->content));
   jl_request_set_data (request, NULL);
   jl_call_free (call);
   jl_request_end_response (request);
@@ -165,6 +169,7 @@
   char reason[32];
 
   g_strlcpy (reason, field != NULL ? field : "", sizeof reason);
+  jl_infer_member_answered (call->proxy, call->member);
   if (outcome == NULL && head->status >= 500 && prepare_failure_retry (call))
     place_again (call, "target-failed");
   else if (outcome == NULL)
@@ -173,7 +178,7 @@
     handle_unknown_outcome (call, reason);
   else if (strcmp (reason, "target-refused") == 0)
     handle_target_refused (call, reason);
-  else if (strcmp (reason, "expired") == 0)
+  else if (strcmp (reason, "expired") == 0 || strcmp (reason, "poison") == 0)
     {
       jl_call_cancel_upstream (call);
       jl_call_give_up (call, reason);
@@ -216,6 +221,8 @@
   struct jl_call *call = call_from_relay (context);
 
   (void)upstream;
+  if (failure == JL_UPSTREAM_LOST)
+    jl_infer_call_lost (call);
   if (call->relay.response_started)
     {
       abort_call (call);
@@ -239,6 +246,9 @@
 static void
 expire_call (struct jl_call *call)
 {
+  if (call->relay.upstream != NULL
+      && !jl_upstream_is_unsent (call->relay.upstream))
+    call->may_have_run = true;
   jl_call_cancel_upstream (call);
   jl_call_fail (call, 504, "deadline");
 }
@@ -261,6 +271,7 @@
       || !jl_upstream_is_unsent (call->relay.upstream))
     return;
   jl_member_avoid (call->member, jl_now ());
+  jl_infer_member_lost (call->proxy, call->member);
   handle_not_delivered (call, "connect-timeout");
 }
 
@@ -277,6 +288,7 @@
     = (unsigned)(call->route->latency_goal_us / JL_USEC_PER_MSEC),
     .route_key = call->route->key,
     .idempotent = call->route->retry_policy == JL_RETRY_POLICY_IDEMPOTENT,
+    .trial = call->on_trial,
   };
   GString *text;
 
@@ -289,14 +301,39 @@
   return call->relay.upstream != NULL;
 }
 
+/* Chooses a daemon for a trial: another one than this daemon if possible, which
+ * could not report the loss of the whole instance. */
+static struct jl_member *
+choose_daemon_for_trial (struct jl_call *call, uint64_t now_us)
+{
+  struct jl_proxy *proxy = call->proxy;
+  struct jl_member *excluded[JL_PLACEMENTS_MAX + 1];
+
+  memcpy (excluded, call->tried, sizeof call->tried);
+  excluded[call->tried_count] = proxy->self;
+  return jl_place_choose_daemon (&proxy->roster, call->service, call->zone,
+                                 excluded, call->tried_count + 1, now_us);
+}
+
+static struct jl_member *
+choose_daemon (struct jl_call *call, uint64_t now_us)
+{
+  struct jl_member *member
+      = call->on_trial ? choose_daemon_for_trial (call, now_us) : NULL;
+
+  if (member != NULL)
+    return member;
+  return jl_place_choose_daemon (&call->proxy->roster, call->service,
+                                 call->zone, call->tried, call->tried_count,
+                                 now_us);
+}
+
 static void
 place_call (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   uint64_t now_us = jl_now ();
-  struct jl_member *member
-      = jl_place_choose_daemon (&proxy->roster, call->service, call->zone,
-                                call->tried, call->tried_count, now_us);
+  struct jl_member *member = choose_daemon (call, now_us);
 
   if (member == NULL || now_us >= call->expires_us)
     {
@@ -306,6 +343,8 @@
     }
   call->tried[call->tried_count++] = member;
   call->member = member;
+  call->target_key = jl_member_target_key (member);
+  call->loss_inferred = false;
   member->outstanding++;
   if (strcmp (member->zone, proxy->roster.local_zone) != 0)
     proxy->counters.other_zone++;
@@ -396,6 +435,15 @@
     place_call (call);
 }
 
+void
+jl_entry_start (struct jl_call *call)
+{
+  if (call->from_target)
+    start_target_call (call);
+  else
+    start_client_request (call);
+}
+
 static struct jl_call *
 new_call (struct jl_proxy *proxy, struct jl_request *request)
 {
@@ -445,10 +493,8 @@
   set_deadline (call);
   jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
   call->from_target = jl_demand_is_call_route (proxy, call->route->key);
-  if (call->from_target)
-    start_target_call (call);
-  else
-    start_client_request (call);
+  if (!jl_trial_hold_call (call))
+    jl_entry_start (call);
 }
 
 static void
@@ -469,6 +515,12 @@
       jl_call_respond (call, 413, "", "too-large");
       return;
     }
+  if (call->relay.hold != JL_HOLD_NONE)
+    {
+      jl_relay_hold_body (&call->relay, data, size);
+      jl_trial_identify_call (call);
+      return;
+    }
   if (call->relay.buffered_body->len + size <= BUFFERED_BODY_BYTES_MAX
       && !call->body_not_buffered)
     g_byte_array_append (call->relay.buffered_body, (const guint8 *)data,
@@ -485,9 +537,13 @@
 {
   struct jl_call *call = call_from_relay (jl_request_data (request));
 
-  if (call != NULL)
-    jl_content_end_body (&call->content);
-  jl_relay_on_end (context, request);
+  if (call == NULL)
+    return;
+  jl_content_end_body (&call->content);
+  if (call->relay.hold == JL_HOLD_NONE)
+    jl_relay_on_end (context, request);
+  else
+    jl_trial_identify_call (call);
 }
 
 static void
@@ -515,6 +571,21 @@
   .disconnected = on_disconnected,
 };
 
+/* Reports the requests that are in progress at daemons whose beacons are
+ * missing. */
+static void
+report_silent_members (struct jl_proxy *proxy, uint64_t now_us)
+{
+  const struct jl_call *call;
+
+  cds_list_for_each_entry (call, &proxy->calls, link)
+  {
+    if (call->member != NULL && !call->loss_inferred
+        && !jl_member_is_alive (call->member, now_us))
+      jl_infer_member_lost (proxy, call->member);
+  }
+}
+
 void
 jl_entry_check_members (struct jl_proxy *proxy)
 {
@@ -522,6 +593,7 @@
   struct jl_call *next;
   uint64_t now_us = jl_now ();
 
+  report_silent_members (proxy, now_us);
   cds_list_for_each_entry_safe (
       call, next, &proxy->calls,
       link) if (call->member != NULL && !call->relay.response_started
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -10,6 +10,8 @@
 
 #include "names.h"
 #include "proxy/hooks.h"
+#include "proxy/report.h"
+#include "proxy/trial.h"
 #include "proxy/watch.h"
 
 #include <string.h>
@@ -36,8 +38,8 @@
   return relay != NULL ? caa_container_of (relay, struct jl_work, relay) : NULL;
 }
 
-static const char *
-attempt_id_of (const struct jl_work *work)
+const char *
+jl_guard_attempt_id (const struct jl_work *work)
 {
   const char *id = jl_head_get (jl_request_head (work->relay.request),
                                 JL_HEADER_ATTEMPT_ID);
@@ -64,6 +66,11 @@
   jl_timer_stop (proxy->loop->timers, &work->timer);
   jl_lane_remove (&proxy->lane, &work->item);
   release_slot (work);
+  if (proxy->trial_work == work)
+    {
+      proxy->trial_work = NULL;
+      jl_trial_continue_work (proxy);
+    }
   cds_list_del (&work->link);
   jl_relay_clear (&work->relay);
   g_free (work);
@@ -86,20 +93,22 @@
   jl_request_reply (request, status, fields, "", 0);
 }
 
-static void
-refuse_work (struct jl_work *work, const char *reason)
+void
+jl_guard_refuse (struct jl_work *work, const char *reason)
 {
   struct jl_proxy *proxy = work->proxy;
 
   proxy->counters.work_refused++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_REFUSED,
              "id=%s reason=%s service=%s rank=%u left_ms=%u running=%u "
-             "waiting=%u limit=%u target=%s state=%s heard_ms=%" PRIu64,
-             attempt_id_of (work), reason, work->header.service,
+             "waiting=%u limit=%u target=%s state=%s heard_ms=%" PRIu64
+             " content=%016" PRIx64,
+             jl_guard_attempt_id (work), reason, work->header.service,
              work->header.rank, work->header.remaining_ms, proxy->lane.running,
              proxy->lane.waiting, proxy->lane.limit, proxy->target.last.id,
              jl_target_state_name (proxy->target.state),
-             (jl_now () - proxy->target.last_heartbeat_us) / JL_USEC_PER_MSEC);
+             (jl_now () - proxy->target.last_heartbeat_us) / JL_USEC_PER_MSEC,
+             jl_content_id (&work->content));
   reply (work, 503, "not-run", reason);
 }
 
@@ -113,7 +122,7 @@
   jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_FAILED,
              "id=%s reason=%s target=%s ran_ms=%" PRIu64
              " running=%u content=%016" PRIx64,
-             attempt_id_of (work), reason, proxy->target.last.id,
+             jl_guard_attempt_id (work), reason, proxy->target.last.id,
              (jl_now () - work->started_us) / JL_USEC_PER_MSEC,
              proxy->lane.running, jl_content_id (&work->content));
   reply (work, 502, JL_TEST_DISABLED ("not-run") ? "not-run" : "unknown",
@@ -137,7 +146,7 @@
     jl_record (JL_RECORD_SUCCESS, JL_RECORD_WORK_SERVED,
                "id=%s status=%u target=%s waited_ms=%" PRIu64
                " ran_ms=%" PRIu64,
-               attempt_id_of (work), status, proxy->target.last.id,
+               jl_guard_attempt_id (work), status, proxy->target.last.id,
                (work->started_us - work->item.arrived_us) / JL_USEC_PER_MSEC,
                held_us / JL_USEC_PER_MSEC);
 }
@@ -149,6 +158,7 @@
   struct jl_request *request = work->relay.request;
 
   record_served (work, jl_upstream_head (work->relay.upstream)->status);
+  jl_report_answered (proxy, jl_content_id (&work->content));
   jl_request_set_data (request, NULL);
   free_work (work);
   jl_request_end_response (request);
@@ -186,7 +196,7 @@
 
   work->proxy->counters.responses_dropped++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_RESPONSE_DROPPED,
-             "id=%s echoed=%s status=%u", attempt_id_of (work),
+             "id=%s echoed=%s status=%u", jl_guard_attempt_id (work),
              echoed != NULL ? echoed : "-",
              jl_upstream_head (work->relay.upstream)->status);
   if (!jl_upstream_skip_response (work->relay.upstream))
@@ -201,8 +211,8 @@
 
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status != STATUS_MISDIRECTED);
-  refuse_work (work, status == STATUS_MISDIRECTED ? "target-changed"
-                                                  : "target-refused");
+  jl_guard_refuse (work, status == STATUS_MISDIRECTED ? "target-changed"
+                                                      : "target-refused");
   jl_guard_run_queue (proxy);
 }
 
@@ -249,7 +259,7 @@
   proxy->counters.work_lost++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_FAILED,
              "id=%s reason=answer-broken target=%s content=%016" PRIx64,
-             attempt_id_of (work), proxy->target.last.id,
+             jl_guard_attempt_id (work), proxy->target.last.id,
              jl_content_id (&work->content));
   jl_request_set_data (request, NULL);
   free_work (work);
@@ -272,20 +282,20 @@
 {
   struct jl_work *work = work_from_relay (context);
   struct jl_proxy *proxy = work->proxy;
-  uint64_t content = jl_content_id (&work->content);
+  struct jl_ended_run run = jl_watch_end_run (work);
 
   (void)upstream;
   if (work->relay.response_started)
     {
       abort_work (work);
-      jl_watch_run_lost (proxy->watch, content);
+      jl_watch_run_lost (proxy->watch, &run);
     }
   else if (failure == JL_UPSTREAM_MALFORMED)
     fail_work (work, "answer-spoiled");
   else if (failure == JL_UPSTREAM_LOST)
     {
       fail_work (work, "target-lost");
-      jl_watch_run_lost (proxy->watch, content);
+      jl_watch_run_lost (proxy->watch, &run);
     }
   else if (can_reconnect (work))
     {
@@ -295,7 +305,7 @@
     }
   else
     {
-      refuse_work (work, "target-unreachable");
+      jl_guard_refuse (work, "target-unreachable");
       jl_watch_target_ended (proxy->watch, JL_TARGET_END_REFUSED);
     }
 }
@@ -318,7 +328,7 @@
   if (work->relay.upstream == NULL
       || !jl_upstream_is_unsent (work->relay.upstream))
     return;
-  refuse_work (work, "target-silent");
+  jl_guard_refuse (work, "target-silent");
   jl_watch_target_ended (proxy->watch, JL_TARGET_END_UNREACHABLE);
 }
 
@@ -342,7 +352,7 @@
   g_string_free (text, TRUE);
   if (work->relay.upstream == NULL)
     {
-      refuse_work (work, "no-connection");
+      jl_guard_refuse (work, "no-connection");
       return;
     }
   jl_loop_start_timer (proxy->loop, &work->timer, CONNECT_TIMEOUT_US,
@@ -366,7 +376,7 @@
 
   while ((item = jl_lane_take_expired (&proxy->lane, jl_now (), needed_us))
          != NULL)
-    refuse_work (work_from_item (item), "expired");
+    jl_guard_refuse (work_from_item (item), "expired");
   while ((item = jl_lane_take_next (&proxy->lane)) != NULL)
     start_work (work_from_item (item));
 }
@@ -378,8 +388,9 @@
   struct jl_work *next;
 
   cds_list_for_each_entry_safe (work, next, &proxy->work_items,
-                                link) if (work->item.waiting)
-      refuse_work (work, reason);
+                                link) if (work->item.waiting
+                                          || work->relay.hold != JL_HOLD_NONE)
+      jl_guard_refuse (work, reason);
 }
 
 /* Returns the reason to refuse all work for a service now, NULL if there is
@@ -401,30 +412,23 @@
   return NULL;
 }
 
-/* Refuses new work, queues it, or starts it. */
-static void
-admit_work (struct jl_work *work)
+void
+jl_guard_start (struct jl_work *work)
 {
   struct jl_proxy *proxy = work->proxy;
   const char *reason = refusal_reason (proxy, &work->header);
 
   if (reason != NULL)
     {
-      refuse_work (work, reason);
+      jl_guard_refuse (work, reason);
       return;
     }
   proxy->counters.work++;
-  work->item.rank = work->header.rank;
-  work->item.arrived_us = jl_now ();
-  work->item.expires_us
-      = work->item.arrived_us + work->header.remaining_ms * JL_USEC_PER_MSEC;
-  work->item.due_us
-      = work->item.arrived_us + work->header.latency_goal_ms * JL_USEC_PER_MSEC;
   jl_load_shedder_count_arrival (&proxy->load_shedder);
   if (jl_lane_is_too_long (&proxy->lane, &work->item,
                            (uint64_t)proxy->load_shedder.hold_us))
     {
-      refuse_work (work, "queue-long");
+      jl_guard_refuse (work, "queue-long");
       return;
     }
   jl_fanout_count_run (&proxy->fanout, work->header.route_key);
@@ -432,6 +436,19 @@
     start_work (work);
 }
 
+static void
+admit_work (struct jl_work *work)
+{
+  work->item.rank = work->header.rank;
+  work->item.arrived_us = jl_now ();
+  work->item.expires_us
+      = work->item.arrived_us + work->header.remaining_ms * JL_USEC_PER_MSEC;
+  work->item.due_us
+      = work->item.arrived_us + work->header.latency_goal_ms * JL_USEC_PER_MSEC;
+  if (!jl_trial_hold_work (work))
+    jl_guard_start (work);
+}
+
 static void
 on_begin (void *context, struct jl_request *request)
 {
@@ -467,6 +484,12 @@
   if (work == NULL || work->relay.response_started)
     return;
   jl_content_add_body (&work->content, data, size);
+  if (work->relay.hold != JL_HOLD_NONE)
+    {
+      jl_relay_hold_body (&work->relay, data, size);
+      jl_trial_identify_work (work);
+      return;
+    }
   if (work->relay.upstream == NULL)
     {
       g_byte_array_append (work->relay.buffered_body, (const guint8 *)data,
@@ -484,9 +507,13 @@
 {
   struct jl_work *work = work_from_relay (jl_request_data (request));
 
-  if (work != NULL)
-    jl_content_end_body (&work->content);
-  jl_relay_on_end (context, request);
+  if (work == NULL)
+    return;
+  jl_content_end_body (&work->content);
+  if (work->relay.hold == JL_HOLD_NONE)
+    jl_relay_on_end (context, request);
+  else
+    jl_trial_identify_work (work);
 }
 
 static void
@@ -498,9 +525,14 @@
   if (work == NULL)
     return;
   if (work->running)
-    jl_watch_run_cancelled (proxy->watch, jl_content_id (&work->content));
+    {
+      struct jl_ended_run run = jl_watch_end_run (work);
+
+      jl_watch_run_cancelled (proxy->watch, &run);
+    }
   jl_record (JL_RECORD_FAILURE, JL_RECORD_CLIENT_LEFT,
-             "id=%s at=guard running=%d", attempt_id_of (work), work->running);
+             "id=%s at=guard running=%d", jl_guard_attempt_id (work),
+             work->running);
   free_work (work);
   jl_guard_run_queue (proxy);
 }
--- a/source/proxy/guard.h
+++ b/source/proxy/guard.h
@@ -21,6 +21,9 @@
  *                    was kept open
  * @body_streamed: a part of the body was passed on without being buffered, so
  *                 the request cannot be resent
+ * @on_trial: the request is a trial of its content
+ * @trial_reported_us: time at which the trial was last reported
+ * @held_until_us: time until which the request waits until a trial may begin
  * @started_us: time at which the request was sent to the target
  * @timer: connection timeout
  */
@@ -35,8 +38,28 @@
   bool running;
   bool fresh_connection;
   bool body_streamed;
+  bool on_trial;
+  uint64_t trial_reported_us;
+  uint64_t held_until_us;
   uint64_t started_us;
   struct jl_timer timer;
 };
 
+/**
+ * jl_guard_start - begins work whose content may be sent to the target: refuses
+ * it, queues it, or sends it
+ */
+void jl_guard_start (struct jl_work *work);
+
+/**
+ * jl_guard_refuse - refuses work, which has not run and will not run
+ */
+void jl_guard_refuse (struct jl_work *work, const char *reason);
+
+/**
+ * jl_guard_attempt_id - returns the attempt identifier of the client, "-" if
+ * there is none
+ */
+const char *jl_guard_attempt_id (const struct jl_work *work);
+
 #endif
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -70,10 +70,10 @@
         && !jl_head_is_hop_by_hop (head, i))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CALLER_SERVICE, caller);
-  g_string_append_printf (text, "%s: %s %u %u %u %08x %d\r\n", JL_WORK_FIELD,
+  g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d\r\n", JL_WORK_FIELD,
                           work->service, work->rank, work->remaining_ms,
                           work->latency_goal_ms, work->route_key,
-                          work->idempotent);
+                          work->idempotent, work->trial);
   append_framing (text, head);
   return text;
 }
@@ -101,14 +101,16 @@
 {
   const char *value = jl_head_get (head, JL_WORK_FIELD);
   int idempotent;
+  int trial = 0;
 
   if (value == NULL
-      || sscanf (value, "%207s %u %u %u %8x %d", work->service, &work->rank,
+      || sscanf (value, "%207s %u %u %u %8x %d %d", work->service, &work->rank,
                  &work->remaining_ms, &work->latency_goal_ms, &work->route_key,
-                 &idempotent)
-             != 6)
+                 &idempotent, &trial)
+             < 6)
     return false;
   work->idempotent = idempotent != 0;
+  work->trial = trial != 0;
   return true;
 }
 
--- a/source/proxy/hooks.h
+++ b/source/proxy/hooks.h
@@ -14,6 +14,7 @@
  * - "once": the entry retries requests that are not idempotent
  * - "drain": a target that is leaving still receives work
  * - "deadline": the entry does not end requests at their deadline
+ * - "poison": contents that end targets are not recognized
  * - "left": departed incarnations read from the store are ignored
  */
 
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -266,6 +266,12 @@
   append_counter (text, "answers_dropped_total", counters->responses_dropped);
   append_counter (text, "targets_ended_total", counters->targets_ended);
   append_counter (text, "target_probes_total", counters->target_probes);
+  append_counter (text, "strikes_total", counters->strikes);
+  append_counter (text, "trials_total", counters->trials);
+  append_counter (text, "contents_cleared_total", counters->contents_cleared);
+  append_counter (text, "requests_held_total", counters->requests_held);
+  append_counter (text, "poison_refused_total", counters->poison_refused);
+  append_counter (text, "suspect_contents", proxy->suspects.open_count);
   append_counter (text, "beacons_received_total", counters->beacons_received);
   append_counter (text, "beacons_sent_total", counters->beacons_sent);
   append_counter (text, "store_reads_total", store->reads);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -7,7 +7,10 @@
 #include "decode.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
+#include "proxy/infer.h"
+#include "proxy/report.h"
 #include "proxy/rows.h"
+#include "proxy/trial.h"
 #include "proxy/watch.h"
 
 #include <math.h>
@@ -109,6 +112,7 @@
 
   g_strlcpy (self->service, jl_proxy_service (proxy), JL_TEXT_SIZE);
   g_strlcpy (self->target, proxy->target.last.id, JL_TEXT_SIZE);
+  self->target_key = jl_target_key (&proxy->target, self->name);
   self->state = proxy->target.state;
   if (JL_TEST_DISABLED ("drain") && self->state == JL_TARGET_LEAVING)
     self->state = JL_TARGET_UP;
@@ -237,6 +241,7 @@
   update_self (proxy);
   jl_demand_end_window (proxy);
   jl_entry_check_members (proxy);
+  jl_trial_check (proxy);
   jl_loop_start_timer (proxy->loop, timer, JL_CONTROL_WINDOW_US,
                        on_control_timer, proxy);
 }
@@ -249,6 +254,7 @@
   jl_net_close_expired (proxy->net);
   jl_pool_close_expired (proxy->peer_pool);
   jl_pool_close_expired (proxy->target_pool);
+  jl_suspects_expire (&proxy->suspects, jl_now ());
   jl_loop_start_timer (proxy->loop, timer, SWEEP_PERIOD_US, on_sweep_timer,
                        proxy);
 }
@@ -453,6 +459,9 @@
   proxy->target_pool = jl_pool_new (proxy->net, TARGET_IDLE_MAX_US, G_MAXUINT);
   proxy->leave_requests = g_ptr_array_new ();
   proxy->watch = jl_watch_new (proxy);
+  jl_suspects_init (&proxy->suspects);
+  proxy->infer = jl_infer_new (proxy);
+  proxy->news = jl_news_new (proxy);
 }
 
 struct jl_proxy *
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -16,6 +16,7 @@
 #include "policy/failure-rate.h"
 #include "policy/lane.h"
 #include "policy/load-shedder.h"
+#include "policy/suspect.h"
 #include "proxy/options.h"
 #include "proxy/plan.h"
 
@@ -64,6 +65,11 @@
  * @responses_dropped: responses of the local target that belong to another
  *                     request
  * @targets_ended: ends of the local target that it had not announced
+ * @strikes: strikes recorded against contents, also of other daemons
+ * @trials: trials begun
+ * @contents_cleared: suspect contents that were answered here
+ * @requests_held: requests that waited for the result of a trial
+ * @poison_refused: requests refused because of their content
  * @target_probes: connections opened to find whether the local target has ended
  * @beacons_received: datagrams received, including malformed ones
  * @beacons_sent: datagrams sent
@@ -87,6 +93,11 @@
   uint64_t work_lost;
   uint64_t responses_dropped;
   uint64_t targets_ended;
+  uint64_t strikes;
+  uint64_t trials;
+  uint64_t contents_cleared;
+  uint64_t requests_held;
+  uint64_t poison_refused;
   uint64_t target_probes;
   uint64_t beacons_received;
   uint64_t beacons_sent;
@@ -105,8 +116,11 @@
 };
 
 struct jl_beacon;
+struct jl_infer;
+struct jl_news;
 struct jl_sync;
 struct jl_watch;
+struct jl_work;
 
 /**
  * struct jl_proxy - state of the process
@@ -118,6 +132,10 @@
  * @site_size: size of @site_text in bytes
  * @self: this daemon in @roster
  * @watch: whether the local target has ended
+ * @suspects: contents that are suspected of ending targets
+ * @trial_work: the trial in progress at the local target, NULL for none
+ * @infer: requests that were lost at other daemons
+ * @news: sender of reports on suspect contents
  * @lane: queue in front of the local target
  * @demands: demand and admission plan of each route used by clients
  * @plans_computed_us: monotonic time at which the plans of @demands were
@@ -131,6 +149,8 @@
  * @departed_revision_sent: value of the target's departed_revision that was
  *                          last handed to the store client
  * @departed_row_acknowledged: the store has acknowledged the latest row
+ * @refused_row_pending: this daemon's row of refused contents was written and
+ * is not acknowledged yet
  * @window_count: number of control windows since the start
  * @epoch: wall clock at the start in microseconds; distinguishes incarnations
  *         of this daemon
@@ -157,6 +177,10 @@
   struct jl_member *self;
   struct jl_target target;
   struct jl_watch *watch;
+  struct jl_suspects suspects;
+  struct jl_work *trial_work;
+  struct jl_infer *infer;
+  struct jl_news *news;
   struct jl_lane lane;
   struct jl_load_shedder load_shedder;
   struct jl_failure_rate failure_rate;
@@ -186,6 +210,7 @@
   GPtrArray *leave_requests;
   unsigned departed_revision_sent;
   bool departed_row_acknowledged;
+  bool refused_row_pending;
   struct jl_sync *sync;
   uv_signal_t signals[3];
   unsigned window_count;
@@ -324,6 +349,23 @@
  */
 void jl_beacon_send_soon (struct jl_beacon *beacon);
 
+/**
+ * jl_beacon_send_datagram - sends a datagram of another format to @peer
+ */
+void jl_beacon_send_datagram (struct jl_beacon *beacon,
+                              struct jl_endpoint peer,
+                              char *datagram,
+                              size_t size);
+
+/**
+ * jl_beacon_send_to_zone - sends a datagram to all daemons of the local zone,
+ * or to the chosen share of the daemons of other zones
+ */
+void jl_beacon_send_to_zone (struct jl_beacon *beacon,
+                             bool local_zone,
+                             char *datagram,
+                             size_t size);
+
 /* headers.c */
 
 /**
@@ -334,6 +376,8 @@
  * @latency_goal_ms: target latency of the route
  * @route_key: key of the route
  * @idempotent: whether the request is idempotent
+ * @trial: whether the request is a trial of a suspect content; older daemons
+ *         neither send nor read it
  */
 struct jl_work_header
 {
@@ -343,6 +387,7 @@
   unsigned latency_goal_ms;
   uint32_t route_key;
   bool idempotent;
+  bool trial;
 };
 
 /* Header field that carries a struct jl_work_header. */
--- a/source/proxy/relay.c
+++ b/source/proxy/relay.c
@@ -4,6 +4,7 @@
 
 #include "proxy/relay.h"
 
+#include "policy/content.h"
 #include "proxy/proxy.h"
 
 void
@@ -47,6 +48,14 @@
   return complete;
 }
 
+void
+jl_relay_hold_body (struct jl_relay *relay, const char *data, size_t size)
+{
+  g_byte_array_append (relay->buffered_body, (const guint8 *)data, (guint)size);
+  if (relay->buffered_body->len >= JL_CONTENT_BODY_BYTES_MAX)
+    jl_request_set_read_paused (relay->request, true);
+}
+
 void
 jl_relay_send_body (struct jl_relay *relay, const char *data, size_t size)
 {
--- a/source/proxy/relay.h
+++ b/source/proxy/relay.h
@@ -12,6 +12,19 @@
 #include "jackdawladder/request.h"
 #include "jackdawladder/upstream.h"
 
+/**
+ * enum jl_hold - why a request is held before it is sent on
+ * @JL_HOLD_NONE: it is not held
+ * @JL_HOLD_BODY: its content has to be known first
+ * @JL_HOLD_RESULT: a trial of a suspect content has to end first
+ */
+enum jl_hold
+{
+  JL_HOLD_NONE,
+  JL_HOLD_BODY,
+  JL_HOLD_RESULT,
+};
+
 /**
  * struct jl_relay - a request and its upstream request
  * @request: request received from the client or the entry
@@ -19,6 +32,7 @@
  * @buffered_body: buffered part of the request's body
  * @chunked: the request's body uses chunked transfer encoding
  * @response_started: the head of the response has been passed on
+ * @hold: why the request is held
  */
 struct jl_relay
 {
@@ -27,6 +41,7 @@
   GByteArray *buffered_body;
   bool chunked;
   bool response_started;
+  enum jl_hold hold;
 };
 
 /**
@@ -53,6 +68,12 @@
  */
 bool jl_relay_start_response (struct jl_relay *relay);
 
+/**
+ * jl_relay_hold_body - buffers a part of the body of a held request, and stops
+ * reading once the content must be known
+ */
+void jl_relay_hold_body (struct jl_relay *relay, const char *data, size_t size);
+
 /**
  * jl_relay_send_body - passes on a part of the request's body, and pauses the
  * sender if too much of it is not sent yet
--- /dev/null
+++ b/source/proxy/report.h
@@ -0,0 +1,104 @@
+#ifndef JACKDAWLADDER_PROXY_REPORT_H
+#define JACKDAWLADDER_PROXY_REPORT_H
+
+/**
+ * DOC: Reports on contents that are suspected of ending targets.
+ *
+ * A daemon that sees a target end, a trial begin or a suspect content answered
+ * reports it to all daemons. Each daemon applies all reports, its own ones
+ * too, to its struct jl_suspects. Reports may be lost, repeated and late.
+ */
+
+#include "proxy/proxy.h"
+
+/**
+ * enum jl_report_kind - what is reported of the contents
+ * @JL_REPORT_STRIKE: a target ended during requests with them
+ * @JL_REPORT_ANSWERED: a target has answered a request with them
+ * @JL_REPORT_TRIAL_BEGUN: a trial of them is in progress
+ * @JL_REPORT_TRIAL_OVER: the trial ended without a result
+ *
+ * The values are sent to other daemons.
+ */
+enum jl_report_kind
+{
+  JL_REPORT_STRIKE = 1,
+  JL_REPORT_ANSWERED = 2,
+  JL_REPORT_TRIAL_BEGUN = 3,
+  JL_REPORT_TRIAL_OVER = 4,
+};
+
+/* Maximum number of contents of one report. */
+#define JL_REPORT_CONTENTS_MAX 150
+
+/**
+ * struct jl_report - a report
+ * @trial: of a strike: the requests ran as trials
+ * @inferred: of a strike: only the loss of contact to the daemon is known
+ * @target: of a strike: key of the target's incarnation
+ * @at_us: time of what is reported
+ */
+struct jl_report
+{
+  enum jl_report_kind kind;
+  bool trial;
+  bool inferred;
+  uint32_t target;
+  uint64_t at_us;
+  unsigned count;
+  const uint64_t *contents;
+};
+
+/**
+ * jl_report_apply - applies a report to the proxy's suspects, logs what it
+ * changes, and continues the requests that waited for it
+ * @by: name of the daemon that reports, or "store"
+ */
+void jl_report_apply (struct jl_proxy *proxy,
+                      const struct jl_report *report,
+                      const char *by);
+
+/**
+ * jl_report_publish - applies a report of this daemon and sends it to all
+ * daemons
+ */
+void jl_report_publish (struct jl_proxy *proxy, const struct jl_report *report);
+
+/**
+ * jl_report_answered - reports that a target has answered a request, if its
+ * content is suspect
+ */
+void jl_report_answered (struct jl_proxy *proxy, uint64_t content);
+
+/**
+ * jl_report_trial - reports that a trial has begun or is over
+ */
+void jl_report_trial (struct jl_proxy *proxy,
+                      enum jl_report_kind kind,
+                      uint64_t content);
+
+/* news.c */
+
+struct jl_news *jl_news_new (struct jl_proxy *proxy);
+
+/**
+ * jl_news_send - sends a report to all known daemons, several times
+ */
+void jl_news_send (struct jl_news *news, const struct jl_report *report);
+
+/**
+ * jl_news_send_open - sends the strikes against all suspect and refused
+ * contents to daemons that may not know them
+ * @member: the daemon to send to; NULL for all of a zone
+ * @local_zone: if @member is NULL: those of the local zone, or all others
+ */
+void jl_news_send_open (struct jl_news *news,
+                        const struct jl_member *member,
+                        bool local_zone);
+
+/**
+ * jl_news_read - applies the reports of a datagram
+ */
+void jl_news_read (struct jl_news *news, const char *datagram, size_t size);
+
+#endif
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -190,6 +190,27 @@
              : (double)OTHER_ZONE_KNOWN_TARGETS / count;
 }
 
+uint32_t
+jl_member_target_key (const struct jl_member *member)
+{
+  if (member->target_key != 0)
+    return member->target_key;
+  return XXH32 (member->target, strlen (member->target),
+                jl_name_key (member->name));
+}
+
+bool
+jl_member_is_addressed (const struct jl_member *self,
+                        const struct jl_member *peer,
+                        bool local_zone,
+                        double share)
+{
+  if (peer == self || peer->peer.port == 0
+      || (strcmp (peer->zone, self->zone) == 0) != local_zone)
+    return false;
+  return local_zone || jl_member_announces_to (self, peer, share);
+}
+
 bool
 jl_member_announces_to (const struct jl_member *self,
                         const struct jl_member *peer,
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -23,6 +23,8 @@
  * @zone: its availability zone
  * @service: service of its target
  * @target: identifier of its target
+ * @target_key: key of the incarnation of its target, 0 if an older daemon does
+ *              not announce it
  * @peer: where it accepts requests and beacons
  * @epoch: wall clock at its start in microseconds; identifies its incarnation
  * @sequence: sequence number of its last beacon
@@ -48,6 +50,7 @@
   char zone[JL_TEXT_SIZE];
   char service[JL_TEXT_SIZE];
   char target[JL_TEXT_SIZE];
+  uint32_t target_key;
   struct jl_endpoint peer;
   uint64_t epoch;
   uint64_t sequence;
@@ -153,6 +156,22 @@
                                  const struct jl_member *self,
                                  uint64_t now_us);
 
+/**
+ * jl_member_target_key - returns a key of the incarnation of the daemon's
+ * target, which differs between instances
+ */
+uint32_t jl_member_target_key (const struct jl_member *member);
+
+/**
+ * jl_member_is_addressed - whether @self sends beacons for @local_zone, or for
+ * all other zones, to @peer
+ * @share: share of the daemons of other zones that it sends to
+ */
+bool jl_member_is_addressed (const struct jl_member *self,
+                             const struct jl_member *peer,
+                             bool local_zone,
+                             double share);
+
 /**
  * jl_member_announces_to - whether @peer is within the share @share of the
  * daemons that @self sends beacons to
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -4,9 +4,12 @@
 
 #include "proxy/rows.h"
 
+#include "policy/content.h"
 #include "proxy/hooks.h"
+#include "proxy/report.h"
 
 #include <json-c/json.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Tables of the store: the operators' configuration; the endpoint of each
@@ -15,6 +18,12 @@
 #define SITE_KEY "config"
 #define DAEMON_TABLE "daemons"
 #define TARGET_TABLE "targets"
+/* Prefix of the keys of rows in the table of daemons that hold the contents
+ * that a daemon has found to be refused. The table is watched anyway. Older
+ * daemons ignore rows without an endpoint. */
+#define REFUSED_PREFIX "refused/"
+/* Maximum number of contents in such a row. */
+#define REFUSED_CONTENTS_MAX 16
 /* Time for which a long poll of the store waits for a change. */
 #define SITE_POLL_MS 20000
 #define DAEMON_POLL_MS 25000
@@ -71,6 +80,81 @@
   json_object_put (document);
 }
 
+static uint64_t
+wall_clock_ms (void)
+{
+  return (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
+}
+
+/* Applies one end of a target during a trial, "[target, wall clock]". */
+static void
+restore_end (struct jl_proxy *proxy, uint64_t content, struct json_object *end)
+{
+  uint64_t now_us = jl_now ();
+  uint64_t now_ms = wall_clock_ms ();
+  uint64_t ended_ms;
+  uint64_t age_us;
+  struct jl_report report = {
+    .kind = JL_REPORT_STRIKE,
+    .trial = true,
+    .count = 1,
+    .contents = &content,
+  };
+
+  if (!json_object_is_type (end, json_type_array)
+      || json_object_array_length (end) != 2)
+    return;
+  report.target
+      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (end, 0));
+  ended_ms
+      = (uint64_t)json_object_get_int64 (json_object_array_get_idx (end, 1));
+  age_us = now_ms > ended_ms ? (now_ms - ended_ms) * JL_USEC_PER_MSEC : 0;
+  if (age_us > JL_STRIKE_EXPIRY_US)
+    return;
+  report.at_us = now_us > age_us ? now_us - age_us : 1;
+  jl_report_apply (proxy, &report, "store");
+}
+
+static void
+restore_refused (struct jl_proxy *proxy, struct json_object *refused)
+{
+  struct json_object *content = json_object_object_get (refused, "content");
+  struct json_object *ends = json_object_object_get (refused, "ends");
+  size_t count = json_object_is_type (ends, json_type_array)
+                     ? json_object_array_length (ends)
+                     : 0;
+
+  if (!json_object_is_type (content, json_type_string))
+    return;
+  for (size_t i = 0; i < MIN (count, JL_STRIKES_MAX); i++)
+    restore_end (proxy, strtoull (json_object_get_string (content), NULL, 16),
+                 json_object_array_get_idx (ends, i));
+}
+
+/* Applies the refused contents that a daemon has written. Writes the own row
+ * again if it was changed before it could be read. */
+static void
+handle_refused_row (struct jl_proxy *proxy, const struct jl_row *row)
+{
+  struct json_object *document = parse_row (row);
+  struct json_object *list = json_object_object_get (document, "refused");
+  size_t count = json_object_is_type (list, json_type_array)
+                     ? json_object_array_length (list)
+                     : 0;
+
+  for (size_t i = 0; i < MIN (count, REFUSED_CONTENTS_MAX); i++)
+    {
+      struct json_object *refused = json_object_array_get_idx (list, i);
+
+      if (json_object_is_type (refused, json_type_object))
+        restore_refused (proxy, refused);
+    }
+  json_object_put (document);
+  if (proxy->refused_row_pending
+      && strcmp (row->key + strlen (REFUSED_PREFIX), proxy->options->name) == 0)
+    jl_rows_write_refused (proxy);
+}
+
 static void
 restore_departed (struct jl_proxy *proxy, struct json_object *departed)
 {
@@ -117,7 +201,10 @@
 
   if (row->removed || row->value == NULL)
     return;
-  if (strcmp (row->table, DAEMON_TABLE) == 0)
+  if (strcmp (row->table, DAEMON_TABLE) == 0
+      && g_str_has_prefix (row->key, REFUSED_PREFIX))
+    handle_refused_row (proxy, row);
+  else if (strcmp (row->table, DAEMON_TABLE) == 0)
     handle_daemon_row (proxy, row);
   else if (strcmp (row->table, TARGET_TABLE) == 0
            && strcmp (row->key, proxy->options->name) == 0)
@@ -143,6 +230,8 @@
 {
   struct jl_proxy *proxy = context;
 
+  if (strcmp (table, DAEMON_TABLE) == 0)
+    proxy->refused_row_pending = false;
   if (strcmp (table, TARGET_TABLE) != 0)
     return;
   proxy->departed_row_acknowledged = true;
@@ -206,6 +295,71 @@
   json_object_put (document);
 }
 
+/* Returns the ends of targets during trials, for a row. */
+static struct json_object *
+list_ends (const struct jl_suspect *suspect)
+{
+  struct json_object *ends = json_object_new_array ();
+  uint64_t now_us = jl_now ();
+
+  for (unsigned i = 0; i < suspect->strike_count; i++)
+    {
+      const struct jl_strike *strike = &suspect->strikes[i];
+      uint64_t age_ms = (now_us - strike->at_us) / JL_USEC_PER_MSEC;
+      struct json_object *end;
+
+      if (!strike->trial || strike->at_us <= suspect->answered_us)
+        continue;
+      end = json_object_new_array ();
+      json_object_array_add (end, json_object_new_int64 (strike->target));
+      json_object_array_add (
+          end, json_object_new_int64 ((int64_t)(wall_clock_ms () - age_ms)));
+      json_object_array_add (ends, end);
+    }
+  return ends;
+}
+
+static struct json_object *
+list_refused (const struct jl_proxy *proxy)
+{
+  struct json_object *list = json_object_new_array ();
+  const struct jl_suspect *suspect;
+  uint64_t now_us = jl_now ();
+
+  cds_list_for_each_entry (suspect, &proxy->suspects.open, open)
+  {
+    struct jl_verdict verdict
+        = jl_suspects_judge (&proxy->suspects, suspect->content, now_us);
+    struct json_object *refused;
+    char content[JL_CONTENT_TEXT_SIZE];
+
+    if (verdict.suspicion != JL_SUSPICION_REFUSED
+        || json_object_array_length (list) == REFUSED_CONTENTS_MAX)
+      continue;
+    refused = json_object_new_object ();
+    g_snprintf (content, sizeof content, "%016" PRIx64, suspect->content);
+    json_object_object_add (refused, "content",
+                            json_object_new_string (content));
+    json_object_object_add (refused, "ends", list_ends (suspect));
+    json_object_array_add (list, refused);
+  }
+  return list;
+}
+
+void
+jl_rows_write_refused (struct jl_proxy *proxy)
+{
+  struct json_object *document = json_object_new_object ();
+  char *key = g_strconcat (REFUSED_PREFIX, proxy->options->name, NULL);
+
+  proxy->refused_row_pending = true;
+  json_object_object_add (document, "refused", list_refused (proxy));
+  jl_store_write (proxy->store, DAEMON_TABLE, key,
+                  json_object_to_json_string (document));
+  json_object_put (document);
+  g_free (key);
+}
+
 /* Whether this daemon is among the first FREQUENT_POLLERS_MAX daemons of its
  * zone, by name. */
 static bool
--- a/source/proxy/rows.h
+++ b/source/proxy/rows.h
@@ -3,8 +3,8 @@
 
 /**
  * DOC: Rows of the platform's store that the daemon reads and writes: the
- * configuration, the endpoints of the daemons, and the incarnations of the
- * local target that have left.
+ * configuration, the endpoints of the daemons, the refused contents, and the
+ * incarnations of the local target that have left.
  */
 
 #include "proxy/proxy.h"
@@ -21,6 +21,12 @@
  */
 void jl_rows_write_departed (struct jl_proxy *proxy);
 
+/**
+ * jl_rows_write_refused - writes the contents that are refused, so that daemons
+ * know them after a restart and while zones are cut off from each other
+ */
+void jl_rows_write_refused (struct jl_proxy *proxy);
+
 /**
  * jl_rows_update_polling - sets how this daemon polls the configuration;
  * called once per control window
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -5,6 +5,7 @@
 #include "proxy/target.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Whether an incarnation has left. A heartbeat without a start time matches any
  * incarnation of @id that has left. */
@@ -87,6 +88,19 @@
   return changed || target->state != before;
 }
 
+uint32_t
+jl_target_key (const struct jl_target *target, const char *name)
+{
+  const struct jl_heartbeat *last = &target->last;
+  uint32_t key;
+
+  if (target->state == JL_TARGET_NONE)
+    return 0;
+  key = XXH32 (last->id, strlen (last->id), jl_name_key (name));
+  key = XXH32 (&last->started_ms, sizeof last->started_ms, key);
+  return key != 0 ? key : 1;
+}
+
 bool
 jl_target_is_replaced_by (const struct jl_target *target,
                           const struct jl_heartbeat *heartbeat)
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -97,6 +97,15 @@
                                 const struct jl_heartbeat *heartbeat,
                                 uint64_t now_us);
 
+/**
+ * jl_target_key - returns a key of the current incarnation, which differs
+ * between instances
+ * @name: name of the daemon beside it
+ *
+ * Return: the key, 0 if no target is known.
+ */
+uint32_t jl_target_key (const struct jl_target *target, const char *name);
+
 /**
  * jl_target_is_replaced_by - whether @heartbeat is of a new incarnation while
  * the current one takes work and has not announced its leave
--- a/source/proxy/watch.c
+++ b/source/proxy/watch.c
@@ -6,8 +6,8 @@
 #include "proxy/watch.h"
 
 #include "proxy/guard.h"
-
-#include <string.h>
+#include "proxy/report.h"
+#include "proxy/trial.h"
 
 /* Maximum number of requests that are remembered after their end. */
 #define ENDED_RUNS_MAX 512
@@ -20,13 +20,12 @@
 #define LOGGED_CONTENTS_MAX 8
 
 /**
- * struct ended_run - a request that was in progress at the target
- * @content: identity of its content
+ * struct kept_run - a request that was in progress at the target
  * @until_us: time until which it is remembered
  */
-struct ended_run
+struct kept_run
 {
-  uint64_t content;
+  struct jl_ended_run run;
   uint64_t until_us;
 };
 
@@ -35,7 +34,7 @@
  * @probe: connection opened as a probe, NULL for none
  * @probe_lost: state of a probe that was refused or closed and is not judged
  *              yet
- * @runs: array of struct ended_run
+ * @runs: array of struct kept_run
  */
 struct jl_watch
 {
@@ -53,7 +52,7 @@
 
   watch->proxy = proxy;
   watch->liveness.heartbeat_interval_us = proxy->options->heartbeat_us;
-  watch->runs = g_array_new (FALSE, FALSE, sizeof (struct ended_run));
+  watch->runs = g_array_new (FALSE, FALSE, sizeof (struct kept_run));
   return watch;
 }
 
@@ -134,11 +133,22 @@
   jl_liveness_begin (&watch->liveness, jl_now ());
 }
 
-/* Forgets the requests that had ended before the target was seen to live. */
+/* Forgets the requests that had ended before the target was seen to live. Their
+ * trials have no result. */
 static void
 forget_runs (struct jl_watch *watch)
 {
-  g_array_set_size (watch->runs, 0);
+  GArray *runs = watch->runs;
+
+  watch->runs = g_array_new (FALSE, FALSE, sizeof (struct kept_run));
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const struct kept_run *kept = &g_array_index (runs, struct kept_run, i);
+
+      if (kept->run.trial)
+        jl_report_trial (watch->proxy, JL_REPORT_TRIAL_OVER, kept->run.content);
+    }
+  g_array_free (runs, TRUE);
 }
 
 void
@@ -151,31 +161,50 @@
     forget_runs (watch);
 }
 
+struct jl_ended_run
+jl_watch_end_run (const struct jl_work *work)
+{
+  struct jl_ended_run run = {
+    .content = jl_content_id (&work->content),
+    .trial = work->on_trial,
+    .started_us = work->started_us,
+  };
+
+  return run;
+}
+
 static void
-remember_run (struct jl_watch *watch, uint64_t content, uint64_t kept_us)
+remember_run (struct jl_watch *watch,
+              const struct jl_ended_run *run,
+              uint64_t kept_us)
 {
-  struct ended_run run
-      = { .content = content, .until_us = jl_now () + kept_us };
+  struct kept_run kept = { .run = *run, .until_us = jl_now () + kept_us };
 
   if (watch->runs->len >= ENDED_RUNS_MAX)
     g_array_remove_index (watch->runs, 0);
-  g_array_append_val (watch->runs, run);
+  g_array_append_val (watch->runs, kept);
 }
 
 void
-jl_watch_run_lost (struct jl_watch *watch, uint64_t content)
+jl_watch_run_lost (struct jl_watch *watch, const struct jl_ended_run *run)
 {
   if (watch->proxy->target.state != JL_TARGET_UP)
     return;
-  remember_run (watch, content, LOST_RUN_KEPT_US);
+  remember_run (watch, run, LOST_RUN_KEPT_US);
   jl_liveness_count_break (&watch->liveness, jl_now ());
   jl_watch_check (watch);
 }
 
 void
-jl_watch_run_cancelled (struct jl_watch *watch, uint64_t content)
+jl_watch_run_cancelled (struct jl_watch *watch, const struct jl_ended_run *run)
 {
-  remember_run (watch, content, CANCELLED_RUN_KEPT_US);
+  remember_run (watch, run, CANCELLED_RUN_KEPT_US);
+}
+
+bool
+jl_watch_is_in_doubt (const struct jl_watch *watch)
+{
+  return watch->liveness.doubt_us != 0;
 }
 
 /* Whether a request has been sent to the target and may be running there. */
@@ -206,76 +235,144 @@
   return view;
 }
 
-/* Returns the contents that were in progress when the target ended, as an
- * array of uint64_t. */
-static GArray *
-list_contents (struct jl_watch *watch)
+/**
+ * struct victims - contents that were in progress when the target ended
+ * @contents: of requests that ran as usual, as array of uint64_t
+ * @trials: of the request that ran as a trial
+ */
+struct victims
+{
+  GArray *contents;
+  GArray *trials;
+};
+
+static void
+add_victim (struct victims *victims,
+            const struct jl_ended_run *run,
+            uint64_t doubt_us)
+{
+  GArray *list = run->trial ? victims->trials : victims->contents;
+
+  /* Requests sent since the doubt began met a target that had ended before. */
+  if (doubt_us != 0 && run->started_us > doubt_us)
+    return;
+  for (guint i = 0; i < list->len; i++)
+    if (g_array_index (list, uint64_t, i) == run->content)
+      return;
+  g_array_append_val (list, run->content);
+}
+
+static struct victims
+list_victims (const struct jl_watch *watch, uint64_t doubt_us)
 {
-  GArray *contents = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  struct victims victims = {
+    .contents = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+    .trials = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+  };
   const struct jl_work *work;
   uint64_t now_us = jl_now ();
 
   for (guint i = 0; i < watch->runs->len; i++)
     {
-      const struct ended_run *run
-          = &g_array_index (watch->runs, struct ended_run, i);
+      const struct kept_run *kept
+          = &g_array_index (watch->runs, struct kept_run, i);
 
-      if (run->until_us > now_us)
-        g_array_append_val (contents, run->content);
+      if (kept->until_us > now_us)
+        add_victim (&victims, &kept->run, doubt_us);
     }
   cds_list_for_each_entry (work, &watch->proxy->work_items, link)
   {
-    uint64_t content = jl_content_id (&work->content);
+    struct jl_ended_run run = jl_watch_end_run (work);
 
     if (is_at_target (work))
-      g_array_append_val (contents, content);
+      add_victim (&victims, &run, doubt_us);
   }
-  return contents;
+  return victims;
+}
+
+static char *
+format_contents (const GArray *contents)
+{
+  GString *text = g_string_new (contents->len > 0 ? NULL : "-");
+
+  for (guint i = 0; i < contents->len && i < LOGGED_CONTENTS_MAX; i++)
+    g_string_append_printf (text, "%s%016" PRIx64, i > 0 ? "," : "",
+                            g_array_index (contents, uint64_t, i));
+  return g_string_free (text, FALSE);
 }
 
 static void
 log_end (const struct jl_watch *watch,
          enum jl_target_end end,
-         const GArray *contents)
+         const struct victims *victims)
 {
   const struct jl_target *target = &watch->proxy->target;
-  GString *text = g_string_new (NULL);
+  char *contents = format_contents (victims->contents);
+  char *trials = format_contents (victims->trials);
 
-  for (guint i = 0; i < contents->len && i < LOGGED_CONTENTS_MAX; i++)
-    g_string_append_printf (text, "%s%016" PRIx64, i > 0 ? "," : "",
-                            g_array_index (contents, uint64_t, i));
   jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_ENDED,
-             "target=%s born=%" PRIu64 " cause=%s in_progress=%u contents=%s",
-             target->last.id, target->last.started_ms, jl_target_end_name (end),
-             contents->len, text->len > 0 ? text->str : "-");
-  g_string_free (text, TRUE);
+             "target=%s born=%" PRIu64 " key=%08x cause=%s in_progress=%u "
+             "contents=%s trial=%s",
+             target->last.id, target->last.started_ms,
+             watch->proxy->self->target_key, jl_target_end_name (end),
+             victims->contents->len + victims->trials->len, contents, trials);
+  g_free (contents);
+  g_free (trials);
 }
 
-void
-jl_watch_target_ended (struct jl_watch *watch, enum jl_target_end end)
+static void
+report_strikes (const struct jl_watch *watch,
+                const GArray *contents,
+                bool trial)
+{
+  struct jl_report report = {
+    .kind = JL_REPORT_STRIKE,
+    .trial = trial,
+    .target = watch->proxy->self->target_key,
+    .at_us = jl_now (),
+    .count = contents->len,
+    .contents = (const uint64_t *)(gpointer)contents->data,
+  };
+
+  if (contents->len > 0)
+    jl_report_publish (watch->proxy, &report);
+}
+
+/* @doubt_us: time at which the doubt began that has led to this end, 0 for none
+ */
+static void
+handle_end (struct jl_watch *watch, enum jl_target_end end, uint64_t doubt_us)
 {
   struct jl_proxy *proxy = watch->proxy;
-  GArray *contents;
+  struct victims victims = list_victims (watch, doubt_us);
 
-  if (proxy->target.state != JL_TARGET_UP)
-    return;
-  contents = list_contents (watch);
   proxy->counters.targets_ended++;
-  log_end (watch, end, contents);
-  g_array_free (contents, TRUE);
-  forget_runs (watch);
+  log_end (watch, end, &victims);
+  g_array_set_size (watch->runs, 0);
   close_probe (watch);
+  report_strikes (watch, victims.trials, true);
+  report_strikes (watch, victims.contents, false);
+  g_array_free (victims.contents, TRUE);
+  g_array_free (victims.trials, TRUE);
   if (end == JL_TARGET_END_REPLACED)
     return;
   jl_target_mark_down (&proxy->target);
   jl_proxy_target_changed (proxy, jl_target_end_name (end));
 }
 
+void
+jl_watch_target_ended (struct jl_watch *watch, enum jl_target_end end)
+{
+  if (watch->proxy->target.state == JL_TARGET_UP)
+    handle_end (watch, end, watch->liveness.doubt_us);
+}
+
 void
 jl_watch_check (struct jl_watch *watch)
 {
   struct jl_liveness_view view;
   struct jl_liveness_result result;
+  uint64_t doubt_us = watch->liveness.doubt_us;
 
   if (watch->proxy->target.state != JL_TARGET_UP)
     {
@@ -286,10 +383,12 @@
   result = jl_liveness_check (&watch->liveness, &view, jl_now ());
   if (result.close_probe)
     close_probe (watch);
-  if (result.alive)
-    forget_runs (watch);
   if (result.open_probe)
     open_probe (watch);
+  if (result.alive)
+    forget_runs (watch);
   if (result.end != JL_TARGET_END_NONE)
-    jl_watch_target_ended (watch, result.end);
+    handle_end (watch, result.end, doubt_us);
+  if (doubt_us != 0 && watch->liveness.doubt_us == 0)
+    jl_trial_continue_work (watch->proxy);
 }
--- a/source/proxy/watch.h
+++ b/source/proxy/watch.h
@@ -12,6 +12,21 @@
 #include "policy/liveness.h"
 #include "proxy/proxy.h"
 
+/**
+ * struct jl_ended_run - a request that was in progress at the target
+ * @content: identity of its content
+ * @trial: it was a trial
+ * @started_us: time at which it was sent to the target
+ */
+struct jl_ended_run
+{
+  uint64_t content;
+  bool trial;
+  uint64_t started_us;
+};
+
+struct jl_work;
+
 struct jl_watch *jl_watch_new (struct jl_proxy *proxy);
 
 /**
@@ -25,18 +40,30 @@
  */
 void jl_watch_count_response (struct jl_watch *watch, uint64_t sent_us);
 
+/**
+ * jl_watch_end_run - returns what is remembered of work in progress at the
+ * target
+ */
+struct jl_ended_run jl_watch_end_run (const struct jl_work *work);
+
 /**
  * jl_watch_run_lost - records that the connection to the target was lost while
- * a request with content @content was in progress there; the request is not in
- * the proxy's list of work items any more
+ * a request was in progress there; the request is not in the proxy's list of
+ * work items any more
  */
-void jl_watch_run_lost (struct jl_watch *watch, uint64_t content);
+void jl_watch_run_lost (struct jl_watch *watch, const struct jl_ended_run *run);
 
 /**
  * jl_watch_run_cancelled - records that a request was cancelled while it was in
  * progress at the target, which may end because of it nevertheless
  */
-void jl_watch_run_cancelled (struct jl_watch *watch, uint64_t content);
+void jl_watch_run_cancelled (struct jl_watch *watch,
+                             const struct jl_ended_run *run);
+
+/**
+ * jl_watch_is_in_doubt - whether the target may have ended
+ */
+bool jl_watch_is_in_doubt (const struct jl_watch *watch);
 
 /**
  * jl_watch_check - checks whether the target has ended
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -1,10 +1,13 @@
 /*
- * Beacons: UDP datagrams in which each daemon announces its state to others.
+ * Beacons: UDP datagrams in which each daemon announces its state to others, and
+ * datagrams with reports on contents that are suspected of ending targets.
  */
 
 const BEACON_TEXT_MAX = 200;
 const BEACON_FANOUT_MAX = 32;
 const BEACON_ARRIVALS_MAX = 32;
+const BEACON_REPORTS_MAX = 64;
+const BEACON_CONTENTS_MAX = 150;
 
 struct beacon_fanout
 {
@@ -40,3 +43,25 @@
   beacon_fanout fanout<BEACON_FANOUT_MAX>;
   beacon_arrival arrivals<BEACON_ARRIVALS_MAX>;
 };
+
+/* Follows a beacon_message in the same datagram. */
+struct beacon_extension
+{
+  unsigned int target_key;
+};
+
+struct beacon_report
+{
+  unsigned int kind;
+  unsigned int flags;
+  unsigned int target;
+  unsigned int age_ms;
+  unsigned hyper contents<BEACON_CONTENTS_MAX>;
+};
+
+struct beacon_reports
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  beacon_report reports<BEACON_REPORTS_MAX>;
+};
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -16,6 +16,8 @@
 #define BEACON_TEXT_MAX 200
 #define BEACON_FANOUT_MAX 32
 #define BEACON_ARRIVALS_MAX 32
+#define BEACON_REPORTS_MAX 64
+#define BEACON_CONTENTS_MAX 150
 
 struct beacon_fanout {
 	u_int run;
@@ -58,17 +60,50 @@
 };
 typedef struct beacon_message beacon_message;
 
+struct beacon_extension {
+	u_int target_key;
+};
+typedef struct beacon_extension beacon_extension;
+
+struct beacon_report {
+	u_int kind;
+	u_int flags;
+	u_int target;
+	u_int age_ms;
+	struct {
+		u_int contents_len;
+		u_quad_t *contents_val;
+	} contents;
+};
+typedef struct beacon_report beacon_report;
+
+struct beacon_reports {
+	u_int format;
+	char *name;
+	struct {
+		u_int reports_len;
+		beacon_report *reports_val;
+	} reports;
+};
+typedef struct beacon_reports beacon_reports;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_beacon_fanout (XDR *, beacon_fanout*);
 extern  bool_t xdr_beacon_arrival (XDR *, beacon_arrival*);
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
+extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
+extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
+extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
 extern bool_t xdr_beacon_arrival ();
 extern bool_t xdr_beacon_message ();
+extern bool_t xdr_beacon_extension ();
+extern bool_t xdr_beacon_report ();
+extern bool_t xdr_beacon_reports ();
 
 #endif /* K&R C */
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -181,3 +181,94 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_beacon_extension (XDR *xdrs, beacon_extension *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->target_key))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_report (XDR *xdrs, beacon_report *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->kind);
+		IXDR_PUT_U_LONG(buf, objp->flags);
+		IXDR_PUT_U_LONG(buf, objp->target);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, BEACON_CONTENTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		objp->kind = IXDR_GET_U_LONG(buf);
+		objp->flags = IXDR_GET_U_LONG(buf);
+		objp->target = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, BEACON_CONTENTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->contents.contents_val, (u_int *) &objp->contents.contents_len, BEACON_CONTENTS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_reports (XDR *xdrs, beacon_reports *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, BEACON_REPORTS_MAX,
+		sizeof (beacon_report), (xdrproc_t) xdr_beacon_report))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/tests/proxy/suspect.c
@@ -0,0 +1,185 @@
+/**
+ * DOC: Tests of the detection of contents that end targets.
+ */
+
+#include <criterion/criterion.h>
+
+#include "policy/suspect.h"
+
+#define MS JL_USEC_PER_MSEC
+#define SECOND JL_USEC_PER_SEC
+#define POISON UINT64_C (0x1111111122222222)
+#define INNOCENT UINT64_C (0x3333333344444444)
+#define NOW_US (1000 * SECOND)
+
+static bool
+strike (struct jl_suspects *suspects,
+        uint64_t content,
+        uint32_t target,
+        bool trial,
+        uint64_t at_us)
+{
+  struct jl_strike strike = { target, trial, false, at_us };
+
+  return jl_suspects_add_strike (suspects, content, &strike, at_us);
+}
+
+static enum jl_suspicion
+suspicion (const struct jl_suspects *suspects,
+           uint64_t content,
+           uint64_t now_us)
+{
+  return jl_suspects_judge (suspects, content, now_us).suspicion;
+}
+
+/* Makes a content suspect, as of NOW_US. */
+static void
+suspect (struct jl_suspects *suspects, uint64_t content)
+{
+  strike (suspects, content, 1, false, NOW_US - 2);
+  strike (suspects, content, 2, false, NOW_US - 1);
+}
+
+Test (suspect, ends_of_two_targets_make_a_content_suspect)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects);
+  strike (&suspects, POISON, 1, false, NOW_US);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_NONE);
+  cr_assert_not (strike (&suspects, POISON, 1, false, NOW_US + 1), "repeated");
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_NONE);
+  strike (&suspects, POISON, 2, false, NOW_US);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_SUSPECT);
+  cr_assert (jl_suspects_knows_head (&suspects, POISON >> 32));
+  cr_assert_not (jl_suspects_knows_head (&suspects, INNOCENT >> 32));
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, any_number_of_crashes_without_a_trial_refuses_nobody)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects);
+  for (uint32_t target = 1; target <= 100; target++)
+    strike (&suspects, INNOCENT, target, false, NOW_US + target * MS);
+  cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US + SECOND),
+                JL_SUSPICION_SUSPECT);
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, an_answer_clears_an_innocent_content)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects);
+  suspect (&suspects, INNOCENT);
+  strike (&suspects, INNOCENT, 3, true, NOW_US);
+  cr_assert (jl_suspects_clear_content (&suspects, INNOCENT, NOW_US + MS,
+                                        NOW_US + MS));
+  cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US + MS),
+                JL_SUSPICION_NONE);
+  cr_assert_not (jl_suspects_knows_head (&suspects, INNOCENT >> 32));
+  /* Strikes that arrive late do not make it suspect again. */
+  strike (&suspects, INNOCENT, 4, false, NOW_US);
+  strike (&suspects, INNOCENT, 5, true, NOW_US);
+  cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US + MS),
+                JL_SUSPICION_NONE);
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, one_trial_at_a_time)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects);
+  suspect (&suspects, POISON);
+  jl_suspects_begin_trial (&suspects, POISON, NOW_US);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 900 * MS),
+                JL_SUSPICION_ON_TRIAL);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 1100 * MS),
+                JL_SUSPICION_SUSPECT, "nobody reports it any more");
+  jl_suspects_begin_trial (&suspects, POISON, NOW_US + 600 * MS);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 1100 * MS),
+                JL_SUSPICION_ON_TRIAL);
+  jl_suspects_end_trial (&suspects, POISON, NOW_US + 500 * MS);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 1100 * MS),
+                JL_SUSPICION_ON_TRIAL, "another trial has ended");
+  strike (&suspects, POISON, 3, true, NOW_US + 700 * MS);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 800 * MS),
+                JL_SUSPICION_SUSPECT);
+  jl_suspects_begin_trial (&suspects, POISON, NOW_US + 600 * MS);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 800 * MS),
+                JL_SUSPICION_SUSPECT,
+                "a late report of a trial that has ended");
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, two_lost_trials_refuse_a_content_for_longer_each_time)
+{
+  static const unsigned refused_s[] = { 10, 60, 300, 1800, 1800 };
+  struct jl_suspects suspects;
+  uint64_t now_us = NOW_US;
+
+  jl_suspects_init (&suspects);
+  suspect (&suspects, POISON);
+  strike (&suspects, POISON, 3, true, now_us);
+  cr_assert_eq (suspicion (&suspects, POISON, now_us), JL_SUSPICION_SUSPECT);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (refused_s); i++)
+    {
+      strike (&suspects, POISON, 4 + i, true, now_us);
+      cr_assert_eq (
+          suspicion (&suspects, POISON, now_us + (refused_s[i] - 1) * SECOND),
+          JL_SUSPICION_REFUSED);
+      now_us += (refused_s[i] + 1) * SECOND;
+      cr_assert_eq (suspicion (&suspects, POISON, now_us),
+                    JL_SUSPICION_SUSPECT);
+    }
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, an_inferred_end_is_void_once_the_target_is_known_to_live)
+{
+  struct jl_suspects suspects;
+  struct jl_strike inferred = { 7, true, true, NOW_US };
+
+  jl_suspects_init (&suspects);
+  suspect (&suspects, INNOCENT);
+  strike (&suspects, INNOCENT, 3, true, NOW_US);
+  jl_suspects_add_strike (&suspects, INNOCENT, &inferred, NOW_US);
+  cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US), JL_SUSPICION_REFUSED);
+  jl_suspects_target_lives (&suspects, 7, NOW_US);
+  cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US), JL_SUSPICION_REFUSED,
+                "a beacon from before the end");
+  jl_suspects_target_lives (&suspects, 7, NOW_US + MS);
+  cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US), JL_SUSPICION_SUSPECT);
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, an_unread_body_marks_the_head)
+{
+  struct jl_suspects suspects;
+  uint64_t unread = POISON >> 32 << 32;
+
+  jl_suspects_init (&suspects);
+  strike (&suspects, unread, 1, false, NOW_US);
+  cr_assert (jl_suspects_knows_head (&suspects, POISON >> 32));
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_NONE);
+  jl_suspects_clear (&suspects);
+}
+
+Test (suspect, remembers_a_bounded_number_of_contents_for_a_bounded_time)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects);
+  for (uint64_t i = 1; i <= UINT64_C (2) * JL_SUSPECTS_MAX; i++)
+    suspect (&suspects, i << 32 | 5);
+  cr_assert_eq (g_hash_table_size (suspects.by_content), JL_SUSPECTS_MAX);
+  cr_assert_eq (suspects.open_count, JL_SUSPECTS_MAX);
+  jl_suspects_expire (&suspects, NOW_US + JL_STRIKE_EXPIRY_US + SECOND);
+  cr_assert_eq (g_hash_table_size (suspects.by_content), 0);
+  cr_assert_eq (suspects.open_count, 0);
+  cr_assert_not (jl_suspects_knows_head (&suspects, 1));
+  jl_suspects_clear (&suspects);
+}
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -4,6 +4,7 @@
     poison.py --program PATH [--seed N] [--seconds N] [--route read|write|call]
               [--contents N] [--end reset|dark|machine|machine-dark] [--same-id]
               [--chunked] [--store silent] [--kill-every S] [--cut] [--daemons N]
+              [--crash rack|rolling|release] [--off NAME]
 
 Each content is sent several times a second by clients at random daemons, always
 with the same path and body. Honest clients send other requests meanwhile. The
@@ -12,7 +13,10 @@
 - at most 3 requests of a content reach targets later than 3 s after it ended the
   third target;
 - 9 in 10 honest requests of each service are served from 8 s after the first
-  end on, and nearly all after the play;
+  end on, and nearly all after the play, also those for a popular path, which
+  is in progress whenever a target ends;
+- with --contents 0, where targets crash for other reasons (--crash), no request
+  is refused for its content;
 - the rules of history.py that hold at any time.
 """
 
@@ -24,28 +28,21 @@
 import sys
 import tempfile
 import time
-from collections import defaultdict
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
+from deadly import BACK_S, LATE_ARRIVALS_MAX, DeadlyContents  # noqa: E402
 from soak import Site  # noqa: E402
-from wire import close, encode, encode_chunked, read_message  # noqa: E402
 
-# Requests of a content that may still reach targets after it ended the third
-# target and CONTACT_S passed.
-LATE_ARRIVALS_MAX = 3
-CONTACT_S = 3.0
 # Time from the first end of a target after which honest requests are served.
 SERVED_AFTER_S = 8.0
 SERVED_RATIO = 0.9
 AFTERWARDS_RATIO = 0.97
-# Time after which a target that ended is started again.
-BACK_S = 3.0
-# Time for which a target runs such a request before it ends.
-RUN_S = 0.02
-# Requests of each content per second.
-RATE = 4.0
 HONEST_CLIENTS = 20
+# Ratio of the honest reads that are for the popular path.
+POPULAR_RATIO = 0.4
+# Bodies of refusals for a request's content.
+CONTENT_REFUSALS = (b"poison", b"suspect")
 AFTERWARDS_S = 6.0
 
 
@@ -53,18 +50,15 @@
     def __init__(self, arguments, seed, directory):
         super().__init__(arguments, seed, directory)
         self.play = arguments
-        self.contents = [f"/{arguments.route}/poison-{i}" for i in range(arguments.contents)]
-        # The path that ends a target; differs from what clients send for calls.
-        self.deadly = [path.replace("/call/", "/deep/") for path in self.contents]
-        self.ends = defaultdict(list)
-        self.arrivals = defaultdict(list)
-        self.answers = defaultdict(int)
-        self.tasks = set()
-
-    def spawn(self, work):
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.content_refusals = 0
+        end = self.history.end
+
+        def count_refusals(number, status, fields, body):
+            if body in CONTENT_REFUSALS and not number.startswith("p"):
+                self.content_refusals += 1
+            end(number, status, fields, body)
+
+        self.history.end = count_refusals
 
     def routes(self, moving_service):
         return super().routes(moving_service) + [
@@ -72,43 +66,42 @@
             ["deep", "idempotent", 1, "deep"],
         ]
 
-    # Called by the targets.
-
-    def arrived(self, target, path):
-        if path in self.deadly:
-            self.arrivals[path].append(time.monotonic())
-
-    def runs(self, target, path):
-        """Returns whether the request ends the target, which then never answers it."""
-        if path not in self.deadly:
-            return False
-        self.spawn(self.end_target(target, path))
-        return True
-
-    async def end_target(self, target, path):
-        life = target.id
-        await asyncio.sleep(RUN_S)
-        if target.id != life or target.ended:
-            return
-        target.ended = True
-        self.ends[path].append(time.monotonic())
-        daemon = next(d for d in self.daemons if d.target is target)
-        if self.play.end == "reset":
-            target.crash()
-        elif self.play.end == "dark":
-            target.go_dark(daemon.target_relay)
-        elif self.play.end == "machine":
+    def choose_target(self, kind, choice):
+        if kind == "read" and choice.random() < POPULAR_RATIO:
+            return "/read/popular"
+        return super().choose_target(kind, choice)
+
+    def is_over(self):
+        return self.poison_done
+
+    def send_poison(self, number):
+        """Returns the coroutine that sends a content during the play."""
+        path = f"/{self.play.route}/poison-{number}"
+        # A target that runs the path of a call sends the call, which ends the next target.
+        self.deadly.paths.add(path.replace("/call/", "/deep/"))
+        body = b"poison" * 500 if self.play.route == "write" else b""
+        return self.deadly.send_again_and_again(
+            path, body, self.play.route != "write", random.Random(f"{self.seed}-{path}"),
+            self.is_over, self.play.chunked)
+
+    async def end_target(self, daemon):
+        target = daemon.target
+        if self.play.end.startswith("machine"):
             daemon.hold_until = time.monotonic() + BACK_S
+        if self.play.end == "machine":
             daemon.signal(signal.SIGKILL)
-            target.crash()
-        else:
-            daemon.hold_until = time.monotonic() + BACK_S
+        elif self.play.end == "machine-dark":
             daemon.signal(signal.SIGSTOP)
+            freeze = self.history.freeze(daemon.name)
             daemon.peer_relay.silent = True
+        if self.play.end.endswith("dark"):
             target.go_dark(daemon.target_relay)
+        else:
+            target.crash()
         await asyncio.sleep(BACK_S)
         if self.play.end == "machine-dark":
             daemon.signal(signal.SIGKILL)
+            freeze[1] = time.monotonic()
             daemon.peer_relay.clear_faults()
             daemon.peer_relay.reset_all()
         if self.play.end.endswith("dark"):
@@ -117,38 +110,32 @@
             daemon.target_relay.reset_all()
         await target.start(target.announce, target.id if self.play.same_id else None)
 
-    # Clients.
+    async def crash(self, daemon, back_s):
+        async with daemon.target.lock:
+            daemon.target.crash()
+            await asyncio.sleep(back_s)
+            await daemon.target.start(daemon.target.announce)
+
+    async def replace(self, daemon):
+        async with daemon.target.lock:
+            await daemon.target.leave()
+            await daemon.target.start(daemon.target.announce)
 
-    async def poison_client(self, path):
-        """Sends a content again and again, each time as a new attempt."""
-        choice = random.Random(f"{self.seed}-{path}")
-        body = b"" if self.play.route != "write" else b"poison" * 500
-        await asyncio.sleep(choice.uniform(0, 1 / RATE))
+    async def crash_targets(self):
+        """Ends targets for reasons that no request has."""
+        choice = random.Random(f"{self.seed}-crash")
         while not self.poison_done:
-            self.spawn(self.send_poison(choice.choice(self.daemons), path, body))
-            await asyncio.sleep(1 / RATE)
-
-    async def send_poison(self, daemon, path, body):
-        self.number += 1
-        number = f"p{self.number:x}"
-        idempotent = self.play.route != "write"
-        self.history.begin(number, idempotent, path, body, daemon.name, daemon.run, 2.0)
-        fields = {"Host": "a.example", "X-Jackdawladder-Attempt-Id": number,
-                  "X-Jackdawladder-Deadline-Ms": 2000}
-        first = f"{'POST' if body else 'GET'} {path} HTTP/1.1"
-        message = encode_chunked(first, fields, body) if self.play.chunked else encode(first, fields, body)
-        try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(daemon.host, daemon.ports["entry"]), 1)
-            writer.write(message)
-            answer = await asyncio.wait_for(read_message(reader), 4)
-            await close(writer)
-        except (OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            self.history.end(number, 0, {}, b"")
-            self.answers[0] += 1
-            return
-        self.history.end(number, answer.status, answer.fields, answer.body)
-        self.answers[answer.status] += 1
+            free = [d for d in self.daemons if not d.target.lock.locked()]
+            if self.play.crash == "rack":
+                for daemon in choice.sample(free, min(3, len(free))):
+                    self.deadly.spawn(self.crash(daemon, BACK_S))
+                await asyncio.sleep(choice.uniform(3, 5))
+            elif self.play.crash == "rolling":
+                self.deadly.spawn(self.crash(choice.choice(free), 1.5))
+                await asyncio.sleep(0.8)
+            else:
+                self.deadly.spawn(self.replace(choice.choice(free)))
+                await asyncio.sleep(1.5)
 
     async def kill_daemons(self):
         choice = random.Random(f"{self.seed}-kill")
@@ -192,9 +179,8 @@
 
     async def run_scenario(self):
         self.poison_done = False
+        self.deadly = DeadlyContents(self, self.end_target)
         for daemon in self.daemons:
-            daemon.target.on_arrival = self.arrived
-            daemon.target.on_run = self.runs
             daemon.peer_relay.find_source = self.find_source if self.play.cut else None
         await asyncio.sleep(2.5)
         clients = [asyncio.create_task(self.client(self.random.choice(self.daemons), index))
@@ -203,11 +189,13 @@
         self.play_began = time.monotonic()
         if self.play.store != "calm":
             self.store.mode = self.play.store
-        plays = [self.poison_client(path) for path in self.contents]
+        plays = [self.send_poison(number) for number in range(self.play.contents)]
         if self.play.kill_every:
             plays.append(self.kill_daemons())
         if self.play.cut:
             plays.append(self.cut_zones())
+        if self.play.crash:
+            plays.append(self.crash_targets())
         tasks = [asyncio.create_task(play) for play in plays]
         await asyncio.sleep(self.play.seconds)
         self.poison_done = True
@@ -218,8 +206,7 @@
         await asyncio.sleep(AFTERWARDS_S)
         self.clients_done = True
         await asyncio.gather(*clients)
-        while self.tasks:
-            await asyncio.gather(*self.tasks)
+        await self.deadly.finish()
         return self.check()
 
     # Bounds.
@@ -227,24 +214,22 @@
     def served(self, kind, begin, end):
         """Returns the ratio of honest requests of a kind sent in [begin, end) that were served."""
         sent = [s for n, s in self.history.sent.items()
-                if not n.startswith("p") and s["target"].startswith(f"/{kind}/")
+                if not n.startswith("p") and s["target"].startswith(f"/{kind}")
                 and begin <= s["at"] < end and "status" in s]
         return sum(s["status"] == 200 for s in sent) / len(sent) if sent else 1.0
 
     def check(self):
         violations = list(self.history.violations)
-        first = min((times[0] for times in self.ends.values()), default=self.play_began)
+        ends = self.deadly.ends
+        first = min((times[0] for times in ends.values()), default=self.play_began)
         play_end = self.play_began + self.play.seconds
-        for path in self.deadly:
-            ends = self.ends[path]
-            late = 0
-            if len(ends) >= 3:
-                late = sum(at > ends[2] + CONTACT_S for at in self.arrivals[path])
-            self.report(f"{path}: {len(ends)} ends, {len(self.arrivals[path])} arrivals, {late} late; ends at "
-                        + " ".join(f"{at - first:.2f}" for at in ends[:12]))
+        for path in sorted(self.deadly.paths):
+            late = len(self.deadly.late_arrivals(path))
+            self.report(f"{path}: {len(ends[path])} ends, {len(self.deadly.arrivals[path])} arrivals, {late} late; "
+                        "ends at " + " ".join(f"{at - first:.2f}" for at in ends[path][:12]))
             if late > LATE_ARRIVALS_MAX:
                 violations.append(f"budget: {late} requests of {path} reach targets after it ended three")
-        for kind in ("read", "write"):
+        for kind in ("read", "write", "read/popular"):
             during = self.served(kind, first + SERVED_AFTER_S, play_end)
             early = self.served(kind, first, first + SERVED_AFTER_S)
             after = self.served(kind, self.after, self.after + AFTERWARDS_S)
@@ -253,7 +238,11 @@
                 violations.append(f"honest: {during:.3f} of /{kind}/ served from 8 s on")
             if after < AFTERWARDS_RATIO:
                 violations.append(f"honest: {after:.3f} of /{kind}/ served after the play")
-        self.report("answers to poison: " + " ".join(f"{s}={c}" for s, c in sorted(self.answers.items())))
+        refused = self.content_refusals
+        self.report(f"honest requests refused for their content: {refused}")
+        if refused and not self.play.contents:
+            violations.append(f"innocent: {refused} requests refused for their content")
+        self.report("answers to poison: " + " ".join(f"{s}={c}" for s, c in sorted(self.deadly.answers.items())))
         return violations
 
     def report(self, line):
@@ -275,13 +264,18 @@
     parser.add_argument("--store", default="calm")
     parser.add_argument("--kill-every", default=0.0, type=float)
     parser.add_argument("--cut", action="store_true")
+    parser.add_argument("--crash", default="", choices=["", "rack", "rolling", "release"])
     parser.add_argument("--off", default="")
+    parser.add_argument("--expect-failure", default="", help="succeed only if this bound is violated")
     parser.add_argument("--keep", default="", help="directory that receives the logs")
     arguments = parser.parse_args()
     arguments.faults = ""
     with tempfile.TemporaryDirectory(prefix="poison-") as directory:
         site = PoisonSite(arguments, arguments.seed, directory)
         violations = asyncio.run(site.run())
+        if arguments.expect_failure:
+            seen = any(line.startswith(arguments.expect_failure + ":") for line in violations)
+            violations = [] if seen else [f"expected: a violation of {arguments.expect_failure}"]
         print(f"{'not ok' if violations else 'ok'} {arguments.name}", flush=True)
         for line in violations:
             print("  " + line)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -184,13 +184,16 @@
         if connection is not None:
             await close(connection[1])
 
+    def choose_target(self, kind, choice):
+        return f"/{kind}/{choice.randint(1, 1000)}"
+
     async def request(self, daemon, choice, connection):
         reader, writer = connection
         self.number += 1
         number = f"{self.seed:x}-{self.number:x}"
         kind = choice.choice(["read", "write", "moving"])
         body = b"" if kind != "write" else bytes(choice.randint(0, 30000))
-        target = f"/{kind}/{choice.randint(1, 1000)}"
+        target = self.choose_target(kind, choice)
         method = "POST" if kind == "write" else "GET"
         deadline = 2.0
         self.history.begin(number, kind != "write", target, body, daemon.name, daemon.run, deadline)
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -37,7 +37,7 @@
         self.lock = asyncio.Lock()
         # Called for each request that arrives, and for each that begins to run; the
         # latter returns whether the request is never answered.
-        self.on_arrival = lambda target, path: None
+        self.on_arrival = lambda target, path, number: None
         self.on_run = lambda target, path: False
 
     async def start(self, announce, instance=None):
@@ -45,7 +45,6 @@
         self.id = instance or f"i-{next(INSTANCE_NUMBERS)}"
         self.announce = announce
         self.dark = False
-        self.ended = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.draining_since = None
@@ -167,7 +166,7 @@
             return
         path = message.first.split(" ")[1]
         self.history.arrived(number, self.service)
-        self.on_arrival(self, path)
+        self.on_arrival(self, path, number)
         if self.running >= self.slots:
             echo["X-Jackdawladder-Not-Executed"] = "1"
             writer.write(encode("HTTP/1.1 503 Full", echo))
