--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -316,6 +316,29 @@
     }
 }
 
+static void
+append_suspects (GString *text, const struct jl_proxy *proxy)
+{
+  const struct jl_suspect *suspect;
+  uint64_t now_us = jl_now ();
+
+  cds_list_for_each_entry (suspect, &proxy->suspects.open, open)
+  {
+    struct jl_verdict verdict
+        = jl_suspects_judge (&proxy->suspects, suspect->content, now_us);
+
+    g_string_append_printf (
+        text,
+        "# suspect: content=%016" PRIx64 " state=%s ends=%u trials=%u "
+        "until_ms=%" PRIu64 "\n",
+        suspect->content, jl_suspicion_name (verdict.suspicion), verdict.ends,
+        verdict.trials,
+        verdict.until_us > now_us
+            ? (verdict.until_us - now_us) / JL_USEC_PER_MSEC
+            : 0);
+  }
+}
+
 static void
 on_metrics_begin (void *context, struct jl_request *request)
 {
@@ -326,7 +349,10 @@
   if (strcmp (target, "/metrics") == 0)
     append_counters (text, proxy);
   else if (strcmp (target, "/state") == 0)
-    append_state (text, proxy);
+    {
+      append_state (text, proxy);
+      append_suspects (text, proxy);
+    }
   if (text->len > 0)
     respond_text (request, 200, text->str);
   else
--- a/source/proxy/trial.c
+++ b/source/proxy/trial.c
@@ -105,11 +105,17 @@
 }
 
 static void
-log_trial (const char *id, const char *where, const struct jl_content *content)
+log_trial (const char *id,
+           const char *where,
+           const struct jl_relay *relay,
+           const struct jl_content *content)
 {
+  const struct jl_head *head = jl_request_head (relay->request);
+
   jl_record (JL_RECORD_CHANGE, JL_RECORD_TRIAL_BEGUN,
-             "id=%s at=%s content=%016" PRIx64, id, where,
-             jl_content_id (content));
+             "id=%s at=%s content=%016" PRIx64 " method=%s request=%.80s", id,
+             where, jl_content_id (content), head->method,
+             jl_head_target (head));
 }
 
 static void
@@ -120,7 +126,7 @@
   call->trial_heard_us = call->trial_begun_us;
   call->relay.hold = JL_HOLD_NONE;
   call->proxy->counters.trials++;
-  log_trial (jl_call_attempt_id (call), "entry", &call->content);
+  log_trial (jl_call_attempt_id (call), "entry", &call->relay, &call->content);
   jl_report_trial (call->proxy, JL_REPORT_TRIAL_BEGUN,
                    jl_content_id (&call->content));
   release_call (call);
@@ -249,7 +255,7 @@
   work->fresh_connection = true;
   work->relay.hold = JL_HOLD_NONE;
   proxy->trial_work = work;
-  log_trial (jl_guard_attempt_id (work), "guard", &work->content);
+  log_trial (jl_guard_attempt_id (work), "guard", &work->relay, &work->content);
   if (!work->header.trial)
     {
       proxy->counters.trials++;
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -218,6 +218,13 @@
                 and begin <= s["at"] < end and "status" in s]
         return sum(s["status"] == 200 for s in sent) / len(sent) if sent else 1.0
 
+    def slowest(self, kind, begin, end):
+        """Returns the time in ms that 99 of 100 of these requests that were served took at most."""
+        times = sorted(s["ended"] - s["at"] for n, s in self.history.sent.items()
+                       if not n.startswith("p") and s["target"].startswith(f"/{kind}")
+                       and begin <= s["at"] < end and s.get("status") == 200)
+        return times[len(times) * 99 // 100] * 1000 if times else 0
+
     def check(self):
         violations = list(self.history.violations)
         ends = self.deadly.ends
@@ -233,7 +240,9 @@
             during = self.served(kind, first + SERVED_AFTER_S, play_end)
             early = self.served(kind, first, first + SERVED_AFTER_S)
             after = self.served(kind, self.after, self.after + AFTERWARDS_S)
-            self.report(f"/{kind}/ served: first 8 s {early:.2f}, then {during:.3f}, afterwards {after:.3f}")
+            slowest = self.slowest(kind, first, play_end)
+            self.report(f"/{kind}/ served: first 8 s {early:.2f}, then {during:.3f}, afterwards {after:.3f}; "
+                        f"99 in 100 within {slowest:.0f} ms")
             if during < SERVED_RATIO:
                 violations.append(f"honest: {during:.3f} of /{kind}/ served from 8 s on")
             if after < AFTERWARDS_RATIO:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,9 +19,11 @@
 import sys
 import tempfile
 import time
+from collections import defaultdict
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
+from deadly import CONTACT_S, LATE_ARRIVALS_MAX, DeadlyContents  # noqa: E402
 from history import History  # noqa: E402
 from relay import Relay  # noqa: E402
 from store import Store  # noqa: E402
@@ -36,6 +38,8 @@
 RESTART_S = 0.4
 # Exit statuses: graceful shutdown, killed, or shutdown that aborted requests at its end.
 EXPECTED_EXITS = (0, -signal.SIGKILL, 4)
+# Kinds of faults that impair no single daemon.
+FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow"}
 # Time without faults over which recovery is measured.
 CALM_S = 6.0
 # Time between the last fault and the start of that measurement.
@@ -138,6 +142,8 @@
         self.seconds = arguments.seconds
         self.count = arguments.daemons
         self.faults = []
+        # Times of the faults at each daemon, as lists of begin and end.
+        self.impairments = defaultdict(list)
         self.kinds = arguments.faults.split(",") if arguments.faults else []
         self.number = 0
 
@@ -224,9 +230,13 @@
             self.kinds or ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
              "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
              "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
-             "compact", "configure", "configure", "double_term"])
+             "compact", "configure", "configure", "double_term", "poison"])
         self.faults.append(f"{time.monotonic() - self.started_at:.1f} {kind} {daemon.name} {duration_s:.1f}")
+        span = [time.monotonic(), float("inf")]
+        if kind not in FAULTS_OF_NO_DAEMON:
+            self.impairments[daemon.name].append(span)
         await getattr(self, "do_" + kind)(daemon, duration_s)
+        span[1] = time.monotonic()
 
     async def do_kill(self, daemon, duration_s):
         daemon.signal(signal.SIGKILL)
@@ -325,6 +335,31 @@
     async def do_store_slow(self, daemon, duration_s):
         await self.apply_store_fault("slow", duration_s)
 
+    async def do_poison(self, daemon, duration_s):
+        """Sends a content that ends targets, for much longer than other faults last."""
+        number = len(self.deadly.paths)
+        path = f"/{self.random.choice(['read', 'write'])}/poison-{number}"
+        self.deadly.paths.add(path)
+        body = b"poison" * 100 if path.startswith("/write/") else b""
+        end = time.monotonic() + 2 * duration_s
+        await self.deadly.send_again_and_again(
+            path, body, not body, random.Random(f"{self.seed}-{path}"), lambda: time.monotonic() > end)
+        await self.deadly.finish()
+
+    def is_in_touch(self, name, at):
+        """Returns whether no fault was injected at a daemon for CONTACT_S."""
+        return not any(begin <= at and end > at - CONTACT_S for begin, end in self.impairments[name])
+
+    def check_poison(self):
+        """Checks that contents which ended three targets reach no further ones, from daemons in touch."""
+        by_target = {daemon.target: daemon.name for daemon in self.daemons}
+        for path in self.deadly.paths:
+            late = [number for at, number, target in self.deadly.late_arrivals(path)
+                    if self.is_in_touch(self.history.sent[number]["entry"], at)
+                    and self.is_in_touch(by_target[target], at)]
+            if len(late) > LATE_ARRIVALS_MAX:
+                self.history.fail("poison", f"{len(late)} requests of {path} reach targets after it ended three: {late}")
+
     async def do_compact(self, daemon, duration_s):
         self.store.compact()
 
@@ -356,6 +391,7 @@
                 await daemon.stop()
 
     async def run_scenario(self):
+        self.deadly = DeadlyContents(self)
         await asyncio.sleep(2.5)
         clients = [asyncio.create_task(self.client(daemon, index))
                    for daemon in self.daemons for index in range(2)]
@@ -375,6 +411,7 @@
         await asyncio.sleep(CALM_S)
         self.clients_done = True
         await asyncio.gather(*clients)
+        self.check_poison()
         return self.history.finish(calm_since)
 
 
