Refuse a content that ends targets for 30 s, then longer, before the next trial

Cause: with 10 s each play saw one more target end, 10 s after the refusal, with all that was in progress there, and with zones cut off from each other one in each (3 late requests, the bound). An innocent content is refused only after two coincidences, which no play had shown, so that a longer refusal costs less than the further end.

--- a/source/policy/suspect.c
+++ b/source/policy/suspect.c
@@ -14,9 +14,9 @@
 /* Time of refusal after the last trial, by the number of trials beyond
  * REFUSE_TRIALS. After it, another trial may begin. */
 static const uint64_t refuse_us[] = {
-  10 * JL_USEC_PER_SEC,
-  60 * JL_USEC_PER_SEC,
-  300 * JL_USEC_PER_SEC,
+  30 * JL_USEC_PER_SEC,
+  120 * JL_USEC_PER_SEC,
+  600 * JL_USEC_PER_SEC,
   1800 * JL_USEC_PER_SEC,
 };
 
--- a/tests/proxy/suspect.c
+++ b/tests/proxy/suspect.c
@@ -117,7 +117,7 @@
 
 Test (suspect, two_lost_trials_refuse_a_content_for_longer_each_time)
 {
-  static const unsigned refused_s[] = { 10, 60, 300, 1800, 1800 };
+  static const unsigned refused_s[] = { 30, 120, 600, 1800, 1800 };
   struct jl_suspects suspects;
   uint64_t now_us = NOW_US;
 
--- a/tests/soak/deadly.py
+++ b/tests/soak/deadly.py
@@ -73,13 +73,13 @@
         await asyncio.sleep(BACK_S)
         await daemon.target.start(daemon.target.announce)
 
-    async def send_again_and_again(self, path, body, idempotent, choice, is_over, chunked=False):
+    async def send_again_and_again(self, path, body, idempotent, choice, is_over, chunked=False, rate=RATE):
         """Sends a content as a new attempt each time, at random daemons."""
-        await asyncio.sleep(choice.uniform(0, 1 / RATE))
+        await asyncio.sleep(choice.uniform(0, 1 / rate))
         while not is_over():
             daemon = choice.choice(self.site.daemons)
             self.spawn(self.send(daemon, path, body, idempotent, chunked))
-            await asyncio.sleep(1 / RATE)
+            await asyncio.sleep(1 / rate)
 
     async def send(self, daemon, path, body, idempotent, chunked):
         site = self.site
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -4,7 +4,7 @@
     poison.py --program PATH [--seed N] [--seconds N] [--route read|write|call]
               [--contents N] [--end reset|dark|machine|machine-dark] [--same-id]
               [--chunked] [--store silent] [--kill-every S] [--cut] [--daemons N]
-              [--crash rack|rolling|release] [--off NAME]
+              [--crash rack|rolling|release] [--off NAME] [--rate N] [--body-bytes N]
 
 Each content is sent several times a second by clients at random daemons, always
 with the same path and body. Honest clients send other requests meanwhile. The
@@ -31,7 +31,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from deadly import BACK_S, LATE_ARRIVALS_MAX, DeadlyContents  # noqa: E402
+from deadly import BACK_S, LATE_ARRIVALS_MAX, RATE, DeadlyContents  # noqa: E402
 from soak import Site  # noqa: E402
 
 # Time from the first end of a target after which honest requests are served.
@@ -79,10 +79,10 @@
         path = f"/{self.play.route}/poison-{number}"
         # A target that runs the path of a call sends the call, which ends the next target.
         self.deadly.paths.add(path.replace("/call/", "/deep/"))
-        body = b"poison" * 500 if self.play.route == "write" else b""
+        body = b"p" * self.play.body_bytes if self.play.route == "write" else b""
         return self.deadly.send_again_and_again(
             path, body, self.play.route != "write", random.Random(f"{self.seed}-{path}"),
-            self.is_over, self.play.chunked)
+            self.is_over, self.play.chunked, self.play.rate)
 
     async def end_target(self, daemon):
         target = daemon.target
@@ -267,6 +267,8 @@
     parser.add_argument("--daemons", default=12, type=int)
     parser.add_argument("--route", default="read", choices=["read", "write", "call"])
     parser.add_argument("--contents", default=1, type=int)
+    parser.add_argument("--rate", default=RATE, type=float, help="requests of each content per second")
+    parser.add_argument("--body-bytes", default=3000, type=int, help="size of a body on the route write")
     parser.add_argument("--end", default="reset", choices=["reset", "dark", "machine", "machine-dark"])
     parser.add_argument("--same-id", action="store_true")
     parser.add_argument("--chunked", action="store_true")
