Count a trial as lost only if it ran when its daemon was lost

Cause: an entry that lost a trial at a daemon inferred that the target had ended during the trial. But the request may have waited at the guard for another trial, or the instance had ended before and something in front of it accepted the connection. Evidence: the second strike during a trial of the path names an incarnation that had ended 1.4 s before that trial began (E732, E733). Ruled out: a trial hit by another content's end while it ran.

A guard now reports when a trial starts to run; only then its loss is one.

--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -35,6 +35,7 @@
  * @on_trial: the request is a trial of its content
  * @trial_begun_us: time at which the trial began
  * @trial_heard_us: time at which @member last reported that it has the trial
+ * @trial_running: it reported that the trial runs at its target
  * @loss_inferred: @member was lost while it had the request, which was reported
  * @held_until_us: time until which the request waits for the result of a trial
  * @targets_reached: number of targets that the request has, or may have,
@@ -65,6 +66,7 @@
   bool on_trial;
   uint64_t trial_begun_us;
   uint64_t trial_heard_us;
+  bool trial_running;
   bool loss_inferred;
   uint64_t held_until_us;
   unsigned targets_reached;
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -345,6 +345,8 @@
   call->member = member;
   call->target_key = jl_member_target_key (member);
   call->loss_inferred = false;
+  call->trial_heard_us = now_us;
+  call->trial_running = false;
   member->outstanding++;
   if (strcmp (member->zone, proxy->roster.local_zone) != 0)
     proxy->counters.other_zone++;
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -346,6 +346,7 @@
 
   work->running = true;
   work->started_us = now_us;
+  jl_trial_started (work);
   work->relay.upstream = jl_upstream_open (
       proxy->target_pool, proxy->options->target, work->fresh_connection, text,
       strcmp (head->method, "HEAD") == 0, &upstream_ops, &work->relay);
--- a/source/proxy/infer.c
+++ b/source/proxy/infer.c
@@ -93,7 +93,7 @@
     .member = call->member,
     .target_key = call->target_key,
     .content = jl_content_id (&call->content),
-    .trial = call->on_trial,
+    .trial = call->on_trial && call->trial_running,
   };
 
   if (call->loss_inferred || call->member == call->proxy->self)
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -188,11 +188,15 @@
 }
 
 /* Whether a report is worth sending again. Inferred strikes are many when
- * daemons lose each other, and most of them are void soon. */
+ * daemons lose each other, and most of them are void soon. Trials are reported
+ * periodically while they last. */
 static bool
 is_resent (const struct jl_report *report)
 {
-  return report->kind != JL_REPORT_STRIKE || report->trial || !report->inferred;
+  if (report->kind == JL_REPORT_STRIKE)
+    return report->trial || !report->inferred;
+  return report->kind == JL_REPORT_ANSWERED
+         || report->kind == JL_REPORT_TRIAL_OVER;
 }
 
 void
@@ -286,7 +290,7 @@
     .contents = (const uint64_t *)wire->contents.contents_val,
   };
 
-  if (wire->kind >= JL_REPORT_STRIKE && wire->kind <= JL_REPORT_TRIAL_OVER)
+  if (wire->kind >= JL_REPORT_STRIKE && wire->kind <= JL_REPORT_TRIAL_RUNNING)
     jl_report_apply (proxy, &report, by);
 }
 
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -21,7 +21,8 @@
 kind_name (enum jl_report_kind kind)
 {
   static const char *const names[]
-      = { "-", "target-ended", "answered", "trial-begun", "trial-over" };
+      = { "-",           "target-ended", "answered",
+          "trial-begun", "trial-over",   "trial-running" };
 
   return names[kind];
 }
@@ -69,6 +70,7 @@
       jl_suspects_clear_content (suspects, content, report->at_us, now_us);
       break;
     case JL_REPORT_TRIAL_BEGUN:
+    case JL_REPORT_TRIAL_RUNNING:
       jl_suspects_begin_trial (suspects, content, report->at_us);
       break;
     case JL_REPORT_TRIAL_OVER:
@@ -89,8 +91,10 @@
   struct jl_verdict after;
 
   change_suspects (proxy, report, content, now_us);
-  if (report->kind == JL_REPORT_TRIAL_BEGUN)
-    jl_trial_heard (proxy, content, by);
+  if (report->kind == JL_REPORT_TRIAL_BEGUN
+      || report->kind == JL_REPORT_TRIAL_RUNNING)
+    jl_trial_heard (proxy, content, by,
+                    report->kind == JL_REPORT_TRIAL_RUNNING);
   after = jl_suspects_judge (&proxy->suspects, content, now_us);
   if (settled (&before) != settled (&after) || before.trials != after.trials)
     log_change (report, content, &before, &after, by);
--- a/source/proxy/report.h
+++ b/source/proxy/report.h
@@ -17,6 +17,7 @@
  * @JL_REPORT_ANSWERED: a target has answered a request with them
  * @JL_REPORT_TRIAL_BEGUN: a trial of them is in progress
  * @JL_REPORT_TRIAL_OVER: the trial ended without a result
+ * @JL_REPORT_TRIAL_RUNNING: a trial of them runs at the target
  *
  * The values are sent to other daemons.
  */
@@ -26,6 +27,7 @@
   JL_REPORT_ANSWERED = 2,
   JL_REPORT_TRIAL_BEGUN = 3,
   JL_REPORT_TRIAL_OVER = 4,
+  JL_REPORT_TRIAL_RUNNING = 5,
 };
 
 /* Maximum number of contents of one report. */
@@ -71,7 +73,7 @@
 void jl_report_answered (struct jl_proxy *proxy, uint64_t content);
 
 /**
- * jl_report_trial - reports that a trial has begun or is over
+ * jl_report_trial - reports that a trial has begun, runs or is over
  */
 void jl_report_trial (struct jl_proxy *proxy,
                       enum jl_report_kind kind,
--- a/source/proxy/trial.c
+++ b/source/proxy/trial.c
@@ -17,7 +17,7 @@
 #define WAIT_DIVISOR 2
 /* Maximum random delay before a request that waited begins the next trial. The
  * others at other entries learn of it meanwhile. */
-#define NEXT_TRIAL_JITTER_US (100 * JL_USEC_PER_MSEC)
+#define NEXT_TRIAL_JITTER_US (300 * JL_USEC_PER_MSEC)
 /* Period at which a guard reports a trial in progress. */
 #define REPORT_PERIOD_US (300 * JL_USEC_PER_MSEC)
 /* Time without such a report after which a trial is lost. Its end is reported
@@ -123,7 +123,6 @@
 {
   call->on_trial = true;
   call->trial_begun_us = jl_now ();
-  call->trial_heard_us = call->trial_begun_us;
   call->relay.hold = JL_HOLD_NONE;
   call->proxy->counters.trials++;
   log_trial (jl_call_attempt_id (call), "entry", &call->relay, &call->content);
@@ -319,19 +318,34 @@
 }
 
 void
-jl_trial_heard (struct jl_proxy *proxy, uint64_t content, const char *by)
+jl_trial_heard (struct jl_proxy *proxy,
+                uint64_t content,
+                const char *by,
+                bool running)
 {
   struct jl_call *call;
 
   cds_list_for_each_entry (call, &proxy->calls, link)
   {
-    if (call->on_trial && call->member != NULL
-        && strcmp (call->member->name, by) == 0
-        && jl_content_id (&call->content) == content)
-      call->trial_heard_us = jl_now ();
+    if (!call->on_trial || call->member == NULL
+        || strcmp (call->member->name, by) != 0
+        || jl_content_id (&call->content) != content)
+      continue;
+    call->trial_heard_us = jl_now ();
+    call->trial_running |= running;
   }
 }
 
+static void
+report_trial (struct jl_work *work, uint64_t now_us)
+{
+  work->trial_reported_us = now_us;
+  jl_report_trial (work->proxy,
+                   work->running ? JL_REPORT_TRIAL_RUNNING
+                                 : JL_REPORT_TRIAL_BEGUN,
+                   jl_content_id (&work->content));
+}
+
 static void
 report_trial_in_progress (struct jl_work *work, uint64_t now_us)
 {
@@ -340,9 +354,14 @@
   if (now_us > work->item.arrived_us + JL_TRIAL_REPORTED_US
       || now_us < work->trial_reported_us + REPORT_PERIOD_US)
     return;
-  work->trial_reported_us = now_us;
-  jl_report_trial (work->proxy, JL_REPORT_TRIAL_BEGUN,
-                   jl_content_id (&work->content));
+  report_trial (work, now_us);
+}
+
+void
+jl_trial_started (struct jl_work *work)
+{
+  if (work->on_trial)
+    report_trial (work, jl_now ());
 }
 
 void
--- a/source/proxy/trial.h
+++ b/source/proxy/trial.h
@@ -42,8 +42,17 @@
 /**
  * jl_trial_heard - records that the daemon named @by has reported a trial of
  * @content
+ * @running: it runs at the target
  */
-void jl_trial_heard (struct jl_proxy *proxy, uint64_t content, const char *by);
+void jl_trial_heard (struct jl_proxy *proxy,
+                     uint64_t content,
+                     const char *by,
+                     bool running);
+
+/**
+ * jl_trial_started - reports that a trial starts to run at the own target
+ */
+void jl_trial_started (struct jl_work *work);
 
 /**
  * jl_trial_check - reports the trials in progress at the own target, and infers
--- a/tests/proxy/daemon.c
+++ b/tests/proxy/daemon.c
@@ -109,30 +109,6 @@
   cr_assert_not_null (strstr (answer, JL_REASON_FIELD ": queue-long"));
 }
 
-/* Installs a site with one route, which carries calls to the service "deep". */
-static void
-install_call_route (struct rig *rig)
-{
-  struct jl_route route = {
-    .name = "inner",
-    .host = "a",
-    .prefix = "/",
-    .retry_policy = JL_RETRY_POLICY_IDEMPOTENT,
-    .timeout_us = JL_USEC_PER_SEC,
-    .attempts_max = 2,
-    .split_count = 1,
-  };
-  struct jl_site *site = jl_site_new (1);
-
-  g_strlcpy (route.split[0].service, "deep", sizeof route.split[0].service);
-  jl_site_add_route (site, &route);
-  jl_site_seal (site);
-  site->body_bytes_max = 1000;
-  rig->proxy->site = site;
-  rig->proxy->call_routes[0] = jl_name_key ("inner");
-  rig->proxy->call_route_count = 1;
-}
-
 Test (daemon, calls_of_the_target_overflow_to_another_zone)
 {
   struct rig rig;
@@ -142,7 +118,7 @@
 
   rig_prepare (&rig, 6);
   rig_start (&rig);
-  install_call_route (&rig);
+  rig_install_call_route (&rig);
   rig_open_peer (&rig, OTHER_PORT, &near_requests);
   rig_open_peer (&rig, OTHER_PORT + 1, &far_requests);
   rig_add_member (&rig, "d6", "z1", "deep")->shed_share = 0.9;
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -159,3 +159,26 @@
                                       &handler, request_count, &why),
                       "%s", why);
 }
+
+void
+rig_install_call_route (struct rig *rig)
+{
+  struct jl_route route = {
+    .name = "inner",
+    .host = "a",
+    .prefix = "/",
+    .retry_policy = JL_RETRY_POLICY_IDEMPOTENT,
+    .timeout_us = JL_USEC_PER_SEC,
+    .attempts_max = 2,
+    .split_count = 1,
+  };
+  struct jl_site *site = jl_site_new (1);
+
+  g_strlcpy (route.split[0].service, "deep", sizeof route.split[0].service);
+  jl_site_add_route (site, &route);
+  jl_site_seal (site);
+  site->body_bytes_max = 1000;
+  rig->proxy->site = site;
+  rig->proxy->call_routes[0] = jl_name_key ("inner");
+  rig->proxy->call_route_count = 1;
+}
--- a/tests/proxy/parts/rig.h
+++ b/tests/proxy/parts/rig.h
@@ -95,4 +95,10 @@
  */
 void rig_open_peer (struct rig *rig, uint16_t port, unsigned *request_count);
 
+/**
+ * rig_install_call_route - installs a site with one route, which carries
+ * idempotent calls to the service "deep" on host "a"
+ */
+void rig_install_call_route (struct rig *rig);
+
 #endif
