Tell all daemons what clears a content, and store inferred ends as such

It had cleared the path by an answer while it knew of a single strike, during a trial, and told nobody, since the path was not suspect there. Another daemon had read an inferred strike from the store, where it stood like a seen one, so that the life of the target no longer voided it.

An answer is now reported if any active strike is of a trial, and the stored ends say whether they were inferred.

--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -134,7 +134,7 @@
   struct jl_verdict verdict
       = jl_suspects_judge (&proxy->suspects, content, now_us);
 
-  if (verdict.suspicion != JL_SUSPICION_NONE)
+  if (verdict.suspicion != JL_SUSPICION_NONE || verdict.trials > 0)
     {
       proxy->counters.contents_cleared++;
       jl_report_publish (proxy, &report);
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -86,7 +86,8 @@
   return (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
 }
 
-/* Applies one end of a target during a trial, "[target, wall clock]". */
+/* Applies one end of a target during a trial, "[target, wall clock, inferred]".
+ */
 static void
 restore_end (struct jl_proxy *proxy, uint64_t content, struct json_object *end)
 {
@@ -102,8 +103,10 @@
   };
 
   if (!json_object_is_type (end, json_type_array)
-      || json_object_array_length (end) != 2)
+      || json_object_array_length (end) < 3)
     return;
+  report.inferred
+      = json_object_get_boolean (json_object_array_get_idx (end, 2));
   report.target
       = (uint32_t)json_object_get_int64 (json_object_array_get_idx (end, 0));
   ended_ms
@@ -314,6 +317,7 @@
       json_object_array_add (end, json_object_new_int64 (strike->target));
       json_object_array_add (
           end, json_object_new_int64 ((int64_t)(wall_clock_ms () - age_ms)));
+      json_object_array_add (end, json_object_new_boolean (strike->inferred));
       json_object_array_add (ends, end);
     }
   return ends;
