End the soak although a task has lost its cancellation

Cause, a guess until a run shows it: asyncio.wait_for of Python 3.11 loses a cancellation that comes together with the exception it waits for; the heartbeats of a fake target, whose connections are refused at the end, then go on for ever, and asyncio.run waits for them. Tasks are now cancelled until they have ended, and each that survives a cancellation is printed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -389,6 +389,20 @@
             self.ending = True
             for daemon in self.daemons:
                 await daemon.stop()
+            await self.cancel_tasks()
+
+    async def cancel_tasks(self):
+        """Cancels all other tasks until they have ended.
+
+        asyncio.wait_for() of Python 3.11 loses a cancellation that comes together
+        with the result it waits for; the task then goes on.
+        """
+        while others := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in others:
+                task.cancel()
+            _, survivors = await asyncio.wait(others, timeout=1)
+            for task in survivors:
+                print(f"  lost a cancellation: {task.get_coro().__qualname__}", flush=True)
 
     async def run_scenario(self):
         self.deadly = DeadlyContents(self)
