Keep the strikes of both programs in one module

The older program's source/core/poison.c and policy/suspect held the same idea: strikes against contents by target, their expiry, bound and clearing by an answer. poison.c now keeps only what the reducer adds (batching, gossip, who is blamed, recently answered contents); the limits are the owner's: the older program refuses from two ends for 300 s, the proxy from two lost trials. poison.c shrinks from 493 to 367 lines.

--- a/source/core/poison.c
+++ b/source/core/poison.c
@@ -1,5 +1,6 @@
 /**
- * DOC: Strikes against content that was in progress when a target died.
+ * DOC: Strikes against content that was in progress when a target died: what
+ * the reducer adds to policy/suspect.h, which keeps them.
  */
 
 #include "poison.h"
@@ -8,28 +9,17 @@
 
 #include "admit.h"
 #include "member.h"
+#include "policy/suspect.h"
 
-/* Content with strikes on at least this many different targets is refused. */
-#define STRIKE_LIMIT 2
-/* A strike expires after this time. */
-#define STRIKE_EXPIRY_US (300 * JL_USEC_PER_SEC)
-/* Maximum number of records, and of targets in each record. */
-#define RECORD_MAX 2048
-#define RECORD_TARGETS_MAX 4
 /* Number of gossip messages in which each strike is sent. */
 #define GOSSIP_MESSAGES_PER_STRIKE 40
-/* Maximum number of records that are searched to fill one message. */
-#define GOSSIP_RECORDS_MAX 64
+/* Maximum number of contents that are searched to fill one message. */
+#define GOSSIP_SUSPECTS_MAX 64
 /*
  * Strikes of the own target are batched for this long before the daemons of the
  * own service are notified.
  */
 #define NOTIFY_DELAY_US (1 * JL_USEC_PER_MSEC)
-/*
- * A further strike by the same target counts as new, and is gossiped again,
- * only if it is younger than the recorded one by at least this much.
- */
-#define REPEAT_INTERVAL_US (5 * JL_USEC_PER_SEC)
 /*
  * Content that was answered within this time gets no strike unless it is
  * suspect when it runs.
@@ -37,38 +27,14 @@
 #define ANSWERED_EXPIRY_US (60 * JL_USEC_PER_SEC)
 #define ANSWERED_SLOTS 1024
 
-/**
- * struct strike - record that a target died while running the content
- * @target: member ID of the daemon whose target died
- * @gossip_left: number of gossip messages in which the strike is still to be
- *               sent
- */
-struct strike
-{
-  uint64_t target;
-  uint64_t struck_us;
-  uint32_t gossip_left;
-};
-
-/**
- * struct record - strikes against one content
- * @answered_us: when the content was last answered at this daemon; older
- *               strikes do not count
- * @changed_us: time of the newest strike or answer, from which expiry counts
- * @notify_pending: whether the daemons of the own service have yet to be
- *                  notified
- * @count: number of entries of @strikes in use
- * @order: node in jl_poison.order
- */
-struct record
-{
-  uint64_t digest;
-  uint64_t answered_us;
-  uint64_t changed_us;
-  bool notify_pending;
-  uint32_t count;
-  struct strike strikes[RECORD_TARGETS_MAX];
-  struct cds_list_head order;
+/* Content with strikes on two different targets is refused until the strikes
+ * expire. A strike on the same target is gossiped again after some seconds. */
+static const struct jl_suspect_limits limits = {
+  .suspect_ends = 1,
+  .refuse_ends = 2,
+  .strike_us = 300 * JL_USEC_PER_SEC,
+  .expiry_us = 300 * JL_USEC_PER_SEC,
+  .repeat_us = 5 * JL_USEC_PER_SEC,
 };
 
 /**
@@ -82,8 +48,8 @@
 
 /**
  * struct jl_poison - all strikes
- * @records: maps digests to struct record
- * @order: records ordered by @changed_us, oldest first
+ * @suspects: the strikes by digest; the owner's fields of each strike and
+ *            content say what is still to be gossiped
  * @has_blamed_process: whether @blamed_started is set
  * @blamed_started: start time of the last target process whose death is
  *                  attributed to a suspect request; no other request gets a
@@ -92,8 +58,7 @@
  */
 struct jl_poison
 {
-  GHashTable *records;
-  struct cds_list_head order;
+  struct jl_suspects suspects;
   bool has_blamed_process;
   uint64_t blamed_started;
   struct answered answered[ANSWERED_SLOTS];
@@ -106,113 +71,39 @@
 {
   struct jl_poison *poison = g_new0 (struct jl_poison, 1);
 
-  poison->records
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  CDS_INIT_LIST_HEAD (&poison->order);
+  jl_suspects_init (&poison->suspects, &limits);
   return poison;
 }
 
 void
 jl_poison_drop (struct jl_poison *poison)
 {
-  g_hash_table_destroy (poison->records);
+  jl_suspects_clear (&poison->suspects);
   g_free (poison);
 }
 
-static struct record *
-find_record (const struct jl_core *core, uint64_t digest)
-{
-  if (g_hash_table_size (core->poison->records) == 0)
-    return NULL;
-  return g_hash_table_lookup (core->poison->records, JL_HASH_KEY (digest));
-}
-
 static void
-remove_oldest_record (struct jl_core *core)
-{
-  struct record *oldest
-      = cds_list_first_entry (&core->poison->order, struct record, order);
-
-  cds_list_del (&oldest->order);
-  g_hash_table_remove (core->poison->records, JL_HASH_KEY (oldest->digest));
-}
-
-static void
-expire_records (void *context, struct jl_timer *timer)
+expire_suspects (void *context, struct jl_timer *timer)
 {
   struct jl_core *core = context;
+  struct jl_suspects *suspects = &core->poison->suspects;
+  uint64_t due_us;
 
-  while (!cds_list_empty (&core->poison->order))
-    {
-      const struct record *oldest
-          = cds_list_first_entry (&core->poison->order, struct record, order);
-      uint64_t due_us = oldest->changed_us + STRIKE_EXPIRY_US;
-
-      if (due_us > core->now_us)
-        {
-          jl_timer_start (core->timers, timer, due_us, expire_records, core);
-          return;
-        }
-      remove_oldest_record (core);
-    }
+  jl_suspects_expire (suspects, core->now_us);
+  due_us = jl_suspects_next_expiry (suspects);
+  if (due_us != UINT64_MAX)
+    jl_timer_start (core->timers, timer, due_us, expire_suspects, core);
 }
 
-/* Restarts the expiry time of a record and moves it to the end of the order. */
 static void
-refresh_expiry (struct jl_core *core, struct record *record)
+start_expiry_timer (struct jl_core *core)
 {
   struct jl_poison *poison = core->poison;
 
-  record->changed_us = core->now_us;
-  cds_list_del (&record->order);
-  cds_list_add_tail (&record->order, &poison->order);
   if (poison->expiry_timer.heap_position == 0)
     jl_timer_start (core->timers, &poison->expiry_timer,
-                    core->now_us + STRIKE_EXPIRY_US, expire_records, core);
-}
-
-static struct record *
-add_record (struct jl_core *core, uint64_t digest)
-{
-  struct record *record = g_new0 (struct record, 1);
-
-  if (g_hash_table_size (core->poison->records) >= RECORD_MAX)
-    remove_oldest_record (core);
-  record->digest = digest;
-  cds_list_add_tail (&record->order, &core->poison->order);
-  g_hash_table_insert (core->poison->records, JL_HASH_KEY (digest), record);
-  return record;
-}
-
-/* Whether a strike has not expired and was not followed by an answer. */
-static bool
-is_active (const struct jl_core *core,
-           const struct record *record,
-           const struct strike *strike)
-{
-  return strike->struck_us > record->answered_us
-         && strike->struck_us + STRIKE_EXPIRY_US > core->now_us;
-}
-
-/*
- * Returns the entry for a strike by @target: its existing entry, else a free
- * entry, else the oldest entry.
- */
-static struct strike *
-find_strike_slot (struct record *record, uint64_t target)
-{
-  struct strike *oldest = &record->strikes[0];
-
-  for (uint32_t i = 0; i < record->count; i++)
-    {
-      if (record->strikes[i].target == target)
-        return &record->strikes[i];
-      if (record->strikes[i].struck_us < oldest->struck_us)
-        oldest = &record->strikes[i];
-    }
-  if (record->count < RECORD_TARGETS_MAX)
-    return &record->strikes[record->count++];
-  return oldest;
+                    jl_suspects_next_expiry (&poison->suspects),
+                    expire_suspects, core);
 }
 
 /*
@@ -220,12 +111,12 @@
  * content reaches the limit.
  */
 static void
-log_strike (struct jl_core *core, const struct record *record, uint64_t target)
+log_strike (struct jl_core *core, uint64_t digest, uint64_t target)
 {
-  uint32_t strikes = jl_poison_strikes (core, record->digest);
+  uint32_t strikes = jl_poison_strikes (core, digest);
 
-  if (target == core->identity.member || strikes == STRIKE_LIMIT)
-    jl_log_event (core, JL_LOG_STRIKE, record->digest, strikes);
+  if (target == core->identity.member || strikes == limits.refuse_ends)
+    jl_log_event (core, JL_LOG_STRIKE, digest, strikes);
 }
 
 /*
@@ -239,22 +130,15 @@
             uint64_t target,
             uint64_t struck_us)
 {
-  struct record *record = find_record (core, digest);
-  struct strike *strike;
+  struct jl_suspect_strike strike = { .target = target, .at_us = struck_us };
+  struct jl_suspect_strike *added = jl_suspects_add_strike (
+      &core->poison->suspects, digest, &strike, core->now_us);
 
-  if (record == NULL)
-    record = add_record (core, digest);
-  if (struck_us <= record->answered_us)
-    return false;
-  strike = find_strike_slot (record, target);
-  if (strike->target == target
-      && strike->struck_us + REPEAT_INTERVAL_US > struck_us)
+  if (added == NULL)
     return false;
-  strike->target = target;
-  strike->struck_us = struck_us;
-  strike->gossip_left = GOSSIP_MESSAGES_PER_STRIKE;
-  refresh_expiry (core, record);
-  log_strike (core, record, target);
+  added->sends_left = GOSSIP_MESSAGES_PER_STRIKE;
+  start_expiry_timer (core);
+  log_strike (core, digest, target);
   return true;
 }
 
@@ -270,11 +154,12 @@
 send_local_strikes (struct jl_core *core, const struct jl_member *member)
 {
   struct jl_message *message = NULL;
-  struct record *record;
+  const struct jl_suspect *suspect;
 
-  cds_list_for_each_entry_reverse (record, &core->poison->order, order)
+  cds_list_for_each_entry_reverse (suspect, &core->poison->suspects.order,
+                                   order)
   {
-    if (!record->notify_pending)
+    if (!suspect->notify_pending)
       continue;
     if (message == NULL)
       {
@@ -288,16 +173,15 @@
         message->to = member->info.identity;
         core->counts.messages_sent++;
       }
-    for (uint32_t i = 0; i < record->count; i++)
-      if (record->strikes[i].target == core->identity.member)
+    for (uint32_t i = 0; i < suspect->strike_count; i++)
+      if (suspect->strikes[i].target == core->identity.member)
         {
           struct jl_strike *strike = &message->strikes[message->strike_count++];
 
-          strike->digest = record->digest;
-          strike->target = record->strikes[i].target;
-          strike->age_ms
-              = (uint32_t)((core->now_us - record->strikes[i].struck_us)
-                           / JL_USEC_PER_MSEC);
+          strike->digest = suspect->content;
+          strike->target = suspect->strikes[i].target;
+          strike->age_ms = (uint32_t)((core->now_us - suspect->strikes[i].at_us)
+                                      / JL_USEC_PER_MSEC);
         }
     if (message->strike_count == JL_MESSAGE_STRIKE_MAX)
       message = NULL;
@@ -315,7 +199,7 @@
   struct cds_list_head *members
       = jl_members_of_service (core, core->target.service);
   struct jl_member *member;
-  struct record *record;
+  struct jl_suspect *suspect;
 
   if (members != NULL)
     cds_list_for_each_entry (member, members, by_service)
@@ -324,21 +208,18 @@
           && member->info.state == JL_MEMBER_ALIVE)
         send_local_strikes (core, member);
     }
-  cds_list_for_each_entry (record, &core->poison->order, order)
+  cds_list_for_each_entry (suspect, &core->poison->suspects.order, order)
   {
-    record->notify_pending = false;
+    suspect->notify_pending = false;
   }
 }
 
 static void
 add_local_strike (struct jl_core *core, uint64_t digest)
 {
-  struct record *record;
-
   if (!add_strike (core, digest, core->identity.member, core->now_us))
     return;
-  record = find_record (core, digest);
-  record->notify_pending = true;
+  jl_suspects_find (&core->poison->suspects, digest)->notify_pending = true;
   if (core->poison->notify_timer.heap_position == 0)
     jl_timer_start (core->timers, &core->poison->notify_timer,
                     core->now_us + NOTIFY_DELAY_US, notify_members, core);
@@ -385,78 +266,71 @@
 jl_poison_request_answered (struct jl_core *core, uint64_t digest)
 {
   struct answered *answered = answered_slot (core, digest);
-  struct record *record = find_record (core, digest);
 
   if (digest == 0 || core->options.mode != JL_CORE_FULL)
     return;
   answered->digest = digest;
   answered->answered_us = core->now_us;
-  if (record == NULL)
-    return;
-  record->answered_us = core->now_us;
-  refresh_expiry (core, record);
+  jl_suspects_clear_content (&core->poison->suspects, digest, core->now_us,
+                             core->now_us);
 }
 
 uint32_t
 jl_poison_strikes (struct jl_core *core, uint64_t digest)
 {
-  const struct record *record = find_record (core, digest);
-  uint32_t strikes = 0;
-
-  if (record == NULL)
-    return 0;
-  for (uint32_t i = 0; i < record->count; i++)
-    strikes += is_active (core, record, &record->strikes[i]);
-  return strikes;
+  return jl_suspects_judge (&core->poison->suspects, digest, core->now_us).ends;
 }
 
 bool
 jl_poison_refuses (struct jl_core *core, uint64_t digest)
 {
-  return jl_poison_strikes (core, digest) >= STRIKE_LIMIT;
+  return jl_poison_strikes (core, digest) >= limits.refuse_ends;
 }
 
 bool
 jl_poison_is_suspect (struct jl_core *core, uint64_t digest)
 {
-  return jl_poison_strikes (core, digest) > 0;
+  return jl_poison_strikes (core, digest) >= limits.suspect_ends;
 }
 
 static void
 append_strikes (const struct jl_core *core,
-                struct record *record,
+                struct jl_suspect *suspect,
                 struct jl_message *message)
 {
-  for (uint32_t i = 0; i < record->count; i++)
+  for (uint32_t i = 0; i < suspect->strike_count; i++)
     {
-      struct strike *strike = &record->strikes[i];
+      struct jl_suspect_strike *strike = &suspect->strikes[i];
       struct jl_strike *out;
 
       if (message->strike_count == JL_MESSAGE_STRIKE_MAX)
         return;
-      if (strike->gossip_left == 0 || !is_active (core, record, strike))
+      if (strike->sends_left == 0
+          || !jl_suspects_is_active (&core->poison->suspects, suspect, strike,
+                                     core->now_us))
         continue;
-      strike->gossip_left--;
+      strike->sends_left--;
       out = &message->strikes[message->strike_count++];
-      out->digest = record->digest;
+      out->digest = suspect->content;
       out->target = strike->target;
       out->age_ms
-          = (uint32_t)((core->now_us - strike->struck_us) / JL_USEC_PER_MSEC);
+          = (uint32_t)((core->now_us - strike->at_us) / JL_USEC_PER_MSEC);
     }
 }
 
 void
 jl_poison_fill_message (struct jl_core *core, struct jl_message *message)
 {
-  struct record *record;
+  struct jl_suspect *suspect;
   uint32_t searched = 0;
 
-  cds_list_for_each_entry_reverse (record, &core->poison->order, order)
+  cds_list_for_each_entry_reverse (suspect, &core->poison->suspects.order,
+                                   order)
   {
     if (message->strike_count == JL_MESSAGE_STRIKE_MAX
-        || ++searched > GOSSIP_RECORDS_MAX)
+        || ++searched > GOSSIP_SUSPECTS_MAX)
       return;
-    append_strikes (core, record, message);
+    append_strikes (core, suspect, message);
   }
 }
 
@@ -471,7 +345,7 @@
       uint64_t age_us = strike->age_ms * JL_USEC_PER_MSEC;
       uint64_t struck_us = core->now_us > age_us ? core->now_us - age_us : 1;
 
-      if (strike->digest != 0 && age_us < STRIKE_EXPIRY_US)
+      if (strike->digest != 0 && age_us < limits.strike_us)
         add_strike (core, strike->digest, strike->target, struck_us);
     }
 }
@@ -479,15 +353,15 @@
 void
 jl_poison_dump (struct jl_core *core, GString *out)
 {
-  struct record *record;
-  uint32_t suspect = 0;
+  const struct jl_suspect *suspect;
+  uint32_t struck = 0;
   uint32_t refused = 0;
 
-  cds_list_for_each_entry (record, &core->poison->order, order)
+  cds_list_for_each_entry (suspect, &core->poison->suspects.order, order)
   {
-    suspect += jl_poison_is_suspect (core, record->digest);
-    refused += jl_poison_refuses (core, record->digest);
+    struck += jl_poison_is_suspect (core, suspect->content);
+    refused += jl_poison_refuses (core, suspect->content);
   }
-  g_string_append_printf (out, "{\"struck\":%u,\"refused\":%u}", suspect,
+  g_string_append_printf (out, "{\"struck\":%u,\"refused\":%u}", struck,
                           refused);
 }
--- a/source/policy/content.c
+++ b/source/policy/content.c
@@ -62,15 +62,3 @@
 
   return (uint64_t)content->head << 32 | body;
 }
-
-uint32_t
-jl_content_head (uint64_t id)
-{
-  return (uint32_t)(id >> 32);
-}
-
-bool
-jl_content_is_known (uint64_t id)
-{
-  return (uint32_t)id != 0;
-}
--- a/source/policy/content.h
+++ b/source/policy/content.h
@@ -11,6 +11,7 @@
  */
 
 #include "jackdawladder/head.h"
+#include "policy/content-id.h"
 
 #define XXH_STATIC_LINKING_ONLY
 #include <xxhash.h>
@@ -53,21 +54,8 @@
 void jl_content_end_body (struct jl_content *content);
 
 /**
- * jl_content_id - returns the identity of the content
- *
- * The upper half is the digest of the head. The lower half is 0 while the body
- * is not known.
+ * jl_content_id - returns the identity of the content, see content-id.h
  */
 uint64_t jl_content_id (const struct jl_content *content);
 
-/**
- * jl_content_head - returns the digest of the head in an identity
- */
-uint32_t jl_content_head (uint64_t id);
-
-/**
- * jl_content_is_known - whether the body was known when the identity was taken
- */
-bool jl_content_is_known (uint64_t id);
-
 #endif
--- a/source/policy/suspect.c
+++ b/source/policy/suspect.c
@@ -4,25 +4,13 @@
 
 #include "policy/suspect.h"
 
-#include "policy/content.h"
-
-/* Ends of different targets with which a content becomes suspect. */
-#define SUSPECT_ENDS 2
-/* Ends of different targets during trials with which it is refused. */
-#define REFUSE_TRIALS 2
-
-/* Time of refusal after the last trial, by the number of trials beyond
- * REFUSE_TRIALS. After it, another trial may begin. */
-static const uint64_t refuse_us[] = {
-  30 * JL_USEC_PER_SEC,
-  120 * JL_USEC_PER_SEC,
-  600 * JL_USEC_PER_SEC,
-  1800 * JL_USEC_PER_SEC,
-};
+#include "policy/content-id.h"
 
 void
-jl_suspects_init (struct jl_suspects *suspects)
+jl_suspects_init (struct jl_suspects *suspects,
+                  const struct jl_suspect_limits *limits)
 {
+  suspects->limits = *limits;
   suspects->by_content
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   suspects->open_heads = g_hash_table_new (g_direct_hash, g_direct_equal);
@@ -39,53 +27,65 @@
   g_hash_table_destroy (suspects->by_content);
 }
 
-static struct jl_suspect *
-find (const struct jl_suspects *suspects, uint64_t content)
+struct jl_suspect *
+jl_suspects_find (const struct jl_suspects *suspects, uint64_t content)
 {
   if (g_hash_table_size (suspects->by_content) == 0)
     return NULL;
   return g_hash_table_lookup (suspects->by_content, &content);
 }
 
-static bool
-is_active (const struct jl_suspect *suspect, const struct jl_strike *strike)
+bool
+jl_suspects_is_active (const struct jl_suspects *suspects,
+                       const struct jl_suspect *suspect,
+                       const struct jl_suspect_strike *strike,
+                       uint64_t now_us)
 {
-  return strike->at_us > suspect->answered_us;
+  return strike->at_us > suspect->answered_us
+         && (now_us < strike->at_us
+             || now_us - strike->at_us < suspects->limits.strike_us);
 }
 
-static void
-count_strikes (const struct jl_suspect *suspect, struct jl_verdict *verdict)
+/**
+ * struct tally - the active strikes against a content
+ * @last_us: time of the last one
+ * @last_trial_us: time of the last one during a trial
+ */
+struct tally
 {
-  for (unsigned i = 0; i < suspect->strike_count; i++)
-    {
-      if (!is_active (suspect, &suspect->strikes[i]))
-        continue;
-      verdict->ends++;
-      verdict->trials += suspect->strikes[i].trial;
-    }
-}
+  unsigned ends;
+  unsigned trials;
+  uint64_t last_us;
+  uint64_t last_trial_us;
+};
 
-static uint64_t
-last_trial_us (const struct jl_suspect *suspect)
+static struct tally
+count_strikes (const struct jl_suspects *suspects,
+               const struct jl_suspect *suspect,
+               uint64_t now_us)
 {
-  uint64_t last_us = 0;
+  struct tally tally = { 0 };
 
   for (unsigned i = 0; i < suspect->strike_count; i++)
-    if (suspect->strikes[i].trial && is_active (suspect, &suspect->strikes[i]))
-      last_us = MAX (last_us, suspect->strikes[i].at_us);
-  return last_us;
-}
+    {
+      const struct jl_suspect_strike *strike = &suspect->strikes[i];
 
-static gpointer
-head_key (uint64_t content)
-{
-  return GUINT_TO_POINTER (jl_content_head (content));
+      if (!jl_suspects_is_active (suspects, suspect, strike, now_us))
+        continue;
+      tally.ends++;
+      tally.last_us = MAX (tally.last_us, strike->at_us);
+      if (!strike->trial)
+        continue;
+      tally.trials++;
+      tally.last_trial_us = MAX (tally.last_trial_us, strike->at_us);
+    }
+  return tally;
 }
 
 static void
 change_open_head (struct jl_suspects *suspects, uint64_t content, int change)
 {
-  gpointer key = head_key (content);
+  gpointer key = GUINT_TO_POINTER (jl_content_head (content));
   gpointer value = g_hash_table_lookup (suspects->open_heads, key);
   int count = GPOINTER_TO_INT (value) + change;
 
@@ -110,13 +110,16 @@
 }
 
 static void
-update_open (struct jl_suspects *suspects, struct jl_suspect *suspect)
+update_open (struct jl_suspects *suspects,
+             struct jl_suspect *suspect,
+             uint64_t now_us)
 {
-  struct jl_verdict verdict = { 0 };
-  unsigned needed = jl_content_is_known (suspect->content) ? SUSPECT_ENDS : 1;
+  struct tally tally = count_strikes (suspects, suspect, now_us);
+  unsigned needed = jl_content_is_known (suspect->content)
+                        ? suspects->limits.suspect_ends
+                        : 1;
 
-  count_strikes (suspect, &verdict);
-  set_open (suspects, suspect, verdict.ends >= needed);
+  set_open (suspects, suspect, tally.ends >= needed);
   if (!suspect->is_open)
     suspect->trial_until_us = 0;
 }
@@ -140,7 +143,7 @@
 static struct jl_suspect *
 find_or_add (struct jl_suspects *suspects, uint64_t content)
 {
-  struct jl_suspect *suspect = find (suspects, content);
+  struct jl_suspect *suspect = jl_suspects_find (suspects, content);
 
   if (suspect != NULL)
     return suspect;
@@ -164,8 +167,8 @@
 }
 
 /* Returns the strike by @target, NULL if there is none. */
-static struct jl_strike *
-find_strike (struct jl_suspect *suspect, uint32_t target)
+static struct jl_suspect_strike *
+find_strike (struct jl_suspect *suspect, uint64_t target)
 {
   for (unsigned i = 0; i < suspect->strike_count; i++)
     if (suspect->strikes[i].target == target)
@@ -175,16 +178,16 @@
 
 /* Returns the entry for a new strike: a free one, or the oldest that was not
  * during a trial, or the oldest. */
-static struct jl_strike *
+static struct jl_suspect_strike *
 take_slot (struct jl_suspect *suspect)
 {
-  struct jl_strike *slot = &suspect->strikes[0];
+  struct jl_suspect_strike *slot = &suspect->strikes[0];
 
   if (suspect->strike_count < JL_STRIKES_MAX)
     return &suspect->strikes[suspect->strike_count++];
   for (unsigned i = 1; i < JL_STRIKES_MAX; i++)
     {
-      struct jl_strike *other = &suspect->strikes[i];
+      struct jl_suspect_strike *other = &suspect->strikes[i];
 
       if (slot->trial != other->trial ? slot->trial
                                       : other->at_us < slot->at_us)
@@ -196,13 +199,18 @@
 /* Adds what @strike tells beyond the known strike by the same target. */
 static bool
 merge_strike (struct jl_suspects *suspects,
-              struct jl_strike *known,
-              const struct jl_strike *strike)
+              struct jl_suspect_strike *known,
+              const struct jl_suspect_strike *strike)
 {
-  bool changed = (strike->trial && !known->trial)
+  uint64_t repeat_us = suspects->limits.repeat_us;
+  bool is_repeat
+      = repeat_us != UINT64_MAX && strike->at_us >= known->at_us + repeat_us;
+  bool changed = is_repeat || (strike->trial && !known->trial)
                  || (known->inferred && !strike->inferred);
 
   known->trial |= strike->trial;
+  if (is_repeat)
+    known->at_us = strike->at_us;
   if (known->inferred && !strike->inferred)
     {
       known->inferred = false;
@@ -220,14 +228,14 @@
     suspect->trial_until_us = 0;
 }
 
-bool
+struct jl_suspect_strike *
 jl_suspects_add_strike (struct jl_suspects *suspects,
                         uint64_t content,
-                        const struct jl_strike *strike,
+                        const struct jl_suspect_strike *strike,
                         uint64_t now_us)
 {
   struct jl_suspect *suspect = find_or_add (suspects, content);
-  struct jl_strike *known = find_strike (suspect, strike->target);
+  struct jl_suspect_strike *known = find_strike (suspect, strike->target);
   bool changed = true;
 
   if (known != NULL)
@@ -239,13 +247,13 @@
       *known = *strike;
       suspects->inferred_count += known->inferred;
     }
-  if (!changed || !is_active (suspect, known))
-    return false;
+  if (!changed || !jl_suspects_is_active (suspects, suspect, known, now_us))
+    return NULL;
   if (strike->trial)
     end_trial (suspect, strike->at_us);
   set_changed (suspects, suspect, now_us);
-  update_open (suspects, suspect);
-  return true;
+  update_open (suspects, suspect, now_us);
+  return known;
 }
 
 bool
@@ -254,7 +262,7 @@
                            uint64_t at_us,
                            uint64_t now_us)
 {
-  struct jl_suspect *suspect = find (suspects, content);
+  struct jl_suspect *suspect = jl_suspects_find (suspects, content);
   bool was_open;
 
   if (suspect == NULL || at_us <= suspect->answered_us)
@@ -263,7 +271,7 @@
   suspect->answered_us = at_us;
   end_trial (suspect, at_us);
   set_changed (suspects, suspect, now_us);
-  update_open (suspects, suspect);
+  update_open (suspects, suspect, now_us);
   return was_open && !suspect->is_open;
 }
 
@@ -271,21 +279,21 @@
 static void
 remove_inferred (struct jl_suspects *suspects,
                  struct jl_suspect *suspect,
-                 uint32_t target,
+                 uint64_t target,
                  uint64_t before_us)
 {
-  struct jl_strike *strike = find_strike (suspect, target);
+  struct jl_suspect_strike *strike = find_strike (suspect, target);
 
   if (strike == NULL || !strike->inferred || strike->at_us >= before_us)
     return;
   *strike = suspect->strikes[--suspect->strike_count];
   suspects->inferred_count--;
-  update_open (suspects, suspect);
+  update_open (suspects, suspect, before_us);
 }
 
 void
 jl_suspects_target_lives (struct jl_suspects *suspects,
-                          uint32_t target,
+                          uint64_t target,
                           uint64_t before_us)
 {
   struct jl_suspect *suspect;
@@ -301,7 +309,7 @@
                          uint64_t content,
                          uint64_t at_us)
 {
-  struct jl_suspect *suspect = find (suspects, content);
+  struct jl_suspect *suspect = jl_suspects_find (suspects, content);
 
   if (suspect == NULL || !suspect->is_open || at_us <= suspect->result_us)
     return;
@@ -314,18 +322,25 @@
                        uint64_t content,
                        uint64_t at_us)
 {
-  struct jl_suspect *suspect = find (suspects, content);
+  struct jl_suspect *suspect = jl_suspects_find (suspects, content);
 
   if (suspect != NULL)
     end_trial (suspect, at_us);
 }
 
+/* Returns the time until which a content is refused, 0 if it is not. */
 static uint64_t
-refused_until_us (const struct jl_suspect *suspect, unsigned trials)
+refused_until_us (const struct jl_suspect_limits *limits,
+                  const struct tally *tally)
 {
-  unsigned further = MIN (trials - REFUSE_TRIALS, G_N_ELEMENTS (refuse_us) - 1);
-
-  return last_trial_us (suspect) + refuse_us[further];
+  unsigned further;
+
+  if (limits->refuse_ends > 0 && tally->ends >= limits->refuse_ends)
+    return tally->last_us + limits->strike_us;
+  if (limits->refuse_trials == 0 || tally->trials < limits->refuse_trials)
+    return 0;
+  further = MIN (tally->trials - limits->refuse_trials, JL_REFUSALS_MAX - 1);
+  return tally->last_trial_us + limits->refuse_us[further];
 }
 
 struct jl_verdict
@@ -333,14 +348,16 @@
                    uint64_t content,
                    uint64_t now_us)
 {
-  const struct jl_suspect *suspect = find (suspects, content);
+  const struct jl_suspect *suspect = jl_suspects_find (suspects, content);
   struct jl_verdict verdict = { 0 };
+  struct tally tally;
 
   if (suspect == NULL)
     return verdict;
-  count_strikes (suspect, &verdict);
-  if (verdict.trials >= REFUSE_TRIALS)
-    verdict.until_us = refused_until_us (suspect, verdict.trials);
+  tally = count_strikes (suspects, suspect, now_us);
+  verdict.ends = tally.ends;
+  verdict.trials = tally.trials;
+  verdict.until_us = refused_until_us (&suspects->limits, &tally);
   if (now_us < verdict.until_us)
     verdict.suspicion = JL_SUSPICION_REFUSED;
   else if (now_us < suspect->trial_until_us)
@@ -348,7 +365,7 @@
       verdict.suspicion = JL_SUSPICION_ON_TRIAL;
       verdict.until_us = suspect->trial_until_us;
     }
-  else if (verdict.ends >= SUSPECT_ENDS)
+  else if (verdict.ends >= suspects->limits.suspect_ends)
     verdict.suspicion = JL_SUSPICION_SUSPECT;
   return verdict;
 }
@@ -361,11 +378,18 @@
                                    GUINT_TO_POINTER (head));
 }
 
+uint64_t
+jl_suspects_next_expiry (const struct jl_suspects *suspects)
+{
+  if (g_hash_table_size (suspects->by_content) == 0)
+    return UINT64_MAX;
+  return oldest (suspects)->changed_us + suspects->limits.expiry_us;
+}
+
 void
 jl_suspects_expire (struct jl_suspects *suspects, uint64_t now_us)
 {
-  while (!cds_list_empty (&suspects->order)
-         && oldest (suspects)->changed_us + JL_STRIKE_EXPIRY_US < now_us)
+  while (jl_suspects_next_expiry (suspects) <= now_us)
     remove_suspect (suspects, oldest (suspects));
 }
 
--- a/source/policy/suspect.h
+++ b/source/policy/suspect.h
@@ -6,11 +6,11 @@
  *
  * A content that was in progress when a target ended gets a strike, and so do
  * all others in progress there; nearly all of them are innocent. A content with
- * strikes by two targets is suspect. A suspect content has to show itself: it
- * runs as a trial, one at a time in the site and alone among suspect contents
- * at its target. If the target answers, the content is cleared. If targets end
- * during two trials, the content is refused for some time, longer after each
- * further trial.
+ * strikes by some targets is suspect. A suspect content has to show itself: it
+ * runs as a trial, alone among suspect contents at its target. If the target
+ * answers, the content is cleared. If targets end in too many trials, or too
+ * many end at all, the content is refused for some time. The owner sets the
+ * limits.
  *
  * A daemon that lost contact to another one with requests in progress there
  * infers that the target has ended. Such strikes are void once the target is
@@ -34,9 +34,32 @@
 #define JL_TRIAL_REPORTED_US (2000 * JL_USEC_PER_MSEC)
 /* Maximum number of strikes that are remembered for each content. */
 #define JL_STRIKES_MAX 8
-/* Time after the last change after which a content is forgotten. It exceeds the
- * longest refusal. */
-#define JL_STRIKE_EXPIRY_US (3600 * JL_USEC_PER_SEC)
+/* Maximum number of refusal times. */
+#define JL_REFUSALS_MAX 4
+
+/**
+ * struct jl_suspect_limits - when contents are suspect or refused
+ * @suspect_ends: ends of different targets with which a content is suspect
+ * @refuse_ends: ends with which it is refused until they expire, 0 for none
+ * @refuse_trials: ends in trials with which it is refused, 0 for none
+ * @refuse_us: time of refusal after the last trial, by the number of trials
+ *             beyond @refuse_trials; after it, another trial may begin
+ * @strike_us: time after which a strike is void, UINT64_MAX for never
+ * @expiry_us: time after the last change after which a content is forgotten; at
+ *             least the longest refusal
+ * @repeat_us: a strike by the same target counts as new if it is later than the
+ *             known one by at least this; UINT64_MAX if a target ends only once
+ */
+struct jl_suspect_limits
+{
+  unsigned suspect_ends;
+  unsigned refuse_ends;
+  unsigned refuse_trials;
+  uint64_t refuse_us[JL_REFUSALS_MAX];
+  uint64_t strike_us;
+  uint64_t expiry_us;
+  uint64_t repeat_us;
+};
 
 /**
  * enum jl_suspicion - how requests with a content are treated
@@ -55,18 +78,20 @@
 };
 
 /**
- * struct jl_strike - the end of a target during a request
- * @target: key of the target's incarnation
+ * struct jl_suspect_strike - the end of a target during a request
+ * @target: key of the target, or of its incarnation
  * @trial: the request ran as a trial
  * @inferred: only the loss of contact to the target's daemon is known
  * @at_us: time of the end
+ * @sends_left: for the owner: number of messages that still tell of it
  */
-struct jl_strike
+struct jl_suspect_strike
 {
-  uint32_t target;
+  uint64_t target;
   bool trial;
   bool inferred;
   uint64_t at_us;
+  uint32_t sends_left;
 };
 
 /**
@@ -79,6 +104,7 @@
  * @trial_until_us: time until which its result is awaited, 0 for none
  * @result_us: time of the last result of a trial
  * @changed_us: time of the last strike or answer
+ * @notify_pending: for the owner: others have yet to be told of a strike
  */
 struct jl_suspect
 {
@@ -91,12 +117,14 @@
   uint64_t trial_until_us;
   uint64_t result_us;
   uint64_t changed_us;
+  bool notify_pending;
   unsigned strike_count;
-  struct jl_strike strikes[JL_STRIKES_MAX];
+  struct jl_suspect_strike strikes[JL_STRIKES_MAX];
 };
 
 /**
  * struct jl_suspects - all contents with strikes
+ * @limits: when contents are suspect or refused
  * @by_content: struct jl_suspect by content
  * @open_heads: number of open suspects by the head of their content
  * @order: all, least recently changed first
@@ -106,6 +134,7 @@
  */
 struct jl_suspects
 {
+  struct jl_suspect_limits limits;
   GHashTable *by_content;
   GHashTable *open_heads;
   struct cds_list_head order;
@@ -128,19 +157,37 @@
   uint64_t until_us;
 };
 
-void jl_suspects_init (struct jl_suspects *suspects);
+void jl_suspects_init (struct jl_suspects *suspects,
+                       const struct jl_suspect_limits *limits);
 void jl_suspects_clear (struct jl_suspects *suspects);
 
+/**
+ * jl_suspects_find - returns the strikes against @content, NULL if there are
+ * none
+ */
+struct jl_suspect *jl_suspects_find (const struct jl_suspects *suspects,
+                                     uint64_t content);
+
+/**
+ * jl_suspects_is_active - whether a strike has neither expired nor been
+ * followed by an answer
+ */
+bool jl_suspects_is_active (const struct jl_suspects *suspects,
+                            const struct jl_suspect *suspect,
+                            const struct jl_suspect_strike *strike,
+                            uint64_t now_us);
+
 /**
  * jl_suspects_add_strike - records the end of a target during a request with
  * @content
  *
- * Return: false if the strike is known already, or void.
+ * Return: the strike, or NULL if it is known already, or void.
  */
-bool jl_suspects_add_strike (struct jl_suspects *suspects,
-                             uint64_t content,
-                             const struct jl_strike *strike,
-                             uint64_t now_us);
+struct jl_suspect_strike *
+jl_suspects_add_strike (struct jl_suspects *suspects,
+                        uint64_t content,
+                        const struct jl_suspect_strike *strike,
+                        uint64_t now_us);
 
 /**
  * jl_suspects_clear_content - records that a target has answered a request with
@@ -159,7 +206,7 @@
  * @before_us: strikes since then are kept
  */
 void jl_suspects_target_lives (struct jl_suspects *suspects,
-                               uint32_t target,
+                               uint64_t target,
                                uint64_t before_us);
 
 /**
@@ -199,6 +246,12 @@
  */
 void jl_suspects_expire (struct jl_suspects *suspects, uint64_t now_us);
 
+/**
+ * jl_suspects_next_expiry - returns the time at which jl_suspects_expire() has
+ * something to forget, UINT64_MAX if there is nothing
+ */
+uint64_t jl_suspects_next_expiry (const struct jl_suspects *suspects);
+
 /**
  * jl_suspicion_name - returns the name of @suspicion in the log
  */
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -216,12 +216,12 @@
 {
   for (unsigned i = 0; i < suspect->strike_count; i++)
     {
-      const struct jl_strike *strike = &suspect->strikes[i];
+      const struct jl_suspect_strike *strike = &suspect->strikes[i];
       struct jl_report report = {
         .kind = JL_REPORT_STRIKE,
         .trial = strike->trial,
         .inferred = strike->inferred,
-        .target = strike->target,
+        .target = (uint32_t)strike->target,
         .at_us = strike->at_us,
         .count = 1,
         .contents = &suspect->content,
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -58,6 +58,19 @@
 /* Exit status if the grace period ended with requests in progress. */
 #define EXIT_REQUESTS_CANCELLED 4
 
+/* Two targets end before a content is suspect, since all that is in progress at
+ * the end of one target would be otherwise; and two in trials before it is
+ * refused, since a target may end during a trial for another reason. */
+static const struct jl_suspect_limits suspect_limits = {
+  .suspect_ends = 2,
+  .refuse_trials = 2,
+  .refuse_us = { 30 * JL_USEC_PER_SEC, 120 * JL_USEC_PER_SEC,
+                 600 * JL_USEC_PER_SEC, 1800 * JL_USEC_PER_SEC },
+  .strike_us = UINT64_MAX,
+  .expiry_us = 3600 * JL_USEC_PER_SEC,
+  .repeat_us = UINT64_MAX,
+};
+
 void
 jl_histogram_add (struct jl_histogram *histogram, uint64_t time_us)
 {
@@ -459,7 +472,7 @@
   proxy->target_pool = jl_pool_new (proxy->net, TARGET_IDLE_MAX_US, G_MAXUINT);
   proxy->leave_requests = g_ptr_array_new ();
   proxy->watch = jl_watch_new (proxy);
-  jl_suspects_init (&proxy->suspects);
+  jl_suspects_init (&proxy->suspects, &suspect_limits);
   proxy->infer = jl_infer_new (proxy);
   proxy->news = jl_news_new (proxy);
 }
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -57,8 +57,12 @@
                  uint64_t now_us)
 {
   struct jl_suspects *suspects = &proxy->suspects;
-  struct jl_strike strike
-      = { report->target, report->trial, report->inferred, report->at_us };
+  struct jl_suspect_strike strike = {
+    .target = report->target,
+    .trial = report->trial,
+    .inferred = report->inferred,
+    .at_us = report->at_us,
+  };
 
   switch (report->kind)
     {
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -112,7 +112,7 @@
   ended_ms
       = (uint64_t)json_object_get_int64 (json_object_array_get_idx (end, 1));
   age_us = now_ms > ended_ms ? (now_ms - ended_ms) * JL_USEC_PER_MSEC : 0;
-  if (age_us > JL_STRIKE_EXPIRY_US)
+  if (age_us > proxy->suspects.limits.expiry_us)
     return;
   report.at_us = now_us > age_us ? now_us - age_us : 1;
   jl_report_apply (proxy, &report, "store");
@@ -307,14 +307,15 @@
 
   for (unsigned i = 0; i < suspect->strike_count; i++)
     {
-      const struct jl_strike *strike = &suspect->strikes[i];
+      const struct jl_suspect_strike *strike = &suspect->strikes[i];
       uint64_t age_ms = (now_us - strike->at_us) / JL_USEC_PER_MSEC;
       struct json_object *end;
 
       if (!strike->trial || strike->at_us <= suspect->answered_us)
         continue;
       end = json_object_new_array ();
-      json_object_array_add (end, json_object_new_int64 (strike->target));
+      json_object_array_add (end,
+                             json_object_new_int64 ((int64_t)strike->target));
       json_object_array_add (
           end, json_object_new_int64 ((int64_t)(wall_clock_ms () - age_ms)));
       json_object_array_add (end, json_object_new_boolean (strike->inferred));
--- a/tests/proxy/suspect.c
+++ b/tests/proxy/suspect.c
@@ -12,6 +12,15 @@
 #define INNOCENT UINT64_C (0x3333333344444444)
 #define NOW_US (1000 * SECOND)
 
+static const struct jl_suspect_limits limits = {
+  .suspect_ends = 2,
+  .refuse_trials = 2,
+  .refuse_us = { 30 * SECOND, 120 * SECOND, 600 * SECOND, 1800 * SECOND },
+  .strike_us = UINT64_MAX,
+  .expiry_us = 3600 * SECOND,
+  .repeat_us = UINT64_MAX,
+};
+
 static bool
 strike (struct jl_suspects *suspects,
         uint64_t content,
@@ -19,9 +28,9 @@
         bool trial,
         uint64_t at_us)
 {
-  struct jl_strike strike = { target, trial, false, at_us };
+  struct jl_suspect_strike strike = { target, trial, false, at_us, 0 };
 
-  return jl_suspects_add_strike (suspects, content, &strike, at_us);
+  return jl_suspects_add_strike (suspects, content, &strike, at_us) != NULL;
 }
 
 static enum jl_suspicion
@@ -44,7 +53,7 @@
 {
   struct jl_suspects suspects;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   strike (&suspects, POISON, 1, false, NOW_US);
   cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_NONE);
   cr_assert_not (strike (&suspects, POISON, 1, false, NOW_US + 1), "repeated");
@@ -60,7 +69,7 @@
 {
   struct jl_suspects suspects;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   for (uint32_t target = 1; target <= 100; target++)
     strike (&suspects, INNOCENT, target, false, NOW_US + target * MS);
   cr_assert_eq (suspicion (&suspects, INNOCENT, NOW_US + SECOND),
@@ -72,7 +81,7 @@
 {
   struct jl_suspects suspects;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   suspect (&suspects, INNOCENT);
   strike (&suspects, INNOCENT, 3, true, NOW_US);
   cr_assert (jl_suspects_clear_content (&suspects, INNOCENT, NOW_US + MS,
@@ -92,7 +101,7 @@
 {
   struct jl_suspects suspects;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   suspect (&suspects, POISON);
   jl_suspects_begin_trial (&suspects, POISON, NOW_US);
   cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 900 * MS),
@@ -121,7 +130,7 @@
   struct jl_suspects suspects;
   uint64_t now_us = NOW_US;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   suspect (&suspects, POISON);
   strike (&suspects, POISON, 3, true, now_us);
   cr_assert_eq (suspicion (&suspects, POISON, now_us), JL_SUSPICION_SUSPECT);
@@ -141,9 +150,9 @@
 Test (suspect, an_inferred_end_is_void_once_the_target_is_known_to_live)
 {
   struct jl_suspects suspects;
-  struct jl_strike inferred = { 7, true, true, NOW_US };
+  struct jl_suspect_strike inferred = { 7, true, true, NOW_US, 0 };
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   suspect (&suspects, INNOCENT);
   strike (&suspects, INNOCENT, 3, true, NOW_US);
   jl_suspects_add_strike (&suspects, INNOCENT, &inferred, NOW_US);
@@ -161,7 +170,7 @@
   struct jl_suspects suspects;
   uint64_t unread = POISON >> 32 << 32;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   strike (&suspects, unread, 1, false, NOW_US);
   cr_assert (jl_suspects_knows_head (&suspects, POISON >> 32));
   cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_NONE);
@@ -172,12 +181,12 @@
 {
   struct jl_suspects suspects;
 
-  jl_suspects_init (&suspects);
+  jl_suspects_init (&suspects, &limits);
   for (uint64_t i = 1; i <= UINT64_C (2) * JL_SUSPECTS_MAX; i++)
     suspect (&suspects, i << 32 | 5);
   cr_assert_eq (g_hash_table_size (suspects.by_content), JL_SUSPECTS_MAX);
   cr_assert_eq (suspects.open_count, JL_SUSPECTS_MAX);
-  jl_suspects_expire (&suspects, NOW_US + JL_STRIKE_EXPIRY_US + SECOND);
+  jl_suspects_expire (&suspects, NOW_US + limits.expiry_us + SECOND);
   cr_assert_eq (g_hash_table_size (suspects.by_content), 0);
   cr_assert_eq (suspects.open_count, 0);
   cr_assert_not (jl_suspects_knows_head (&suspects, 1));
