--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import base64
+import fcntl
 import json
 import os
 import random
@@ -38,6 +39,9 @@
 RESTART_S = 0.4
 # Exit statuses: graceful shutdown, killed, or shutdown that aborted requests at its end.
 EXPECTED_EXITS = (0, -signal.SIGKILL, 4)
+# Second numbers of the loopback addresses that runs reserve.
+FIRST_ADDRESS_BLOCK = 41
+ADDRESS_BLOCKS = 80
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow"}
 # Time without faults over which recovery is measured.
@@ -46,13 +50,29 @@
 SETTLE_S = 5.0
 
 
+def reserve_block(seed):
+    """Reserves a block of loopback addresses; returns its number and the lock.
+
+    The lock lasts until its file is closed, at the latest when this process ends.
+    """
+    for offset in range(ADDRESS_BLOCKS):
+        block = FIRST_ADDRESS_BLOCK + (seed + offset) % ADDRESS_BLOCKS
+        lock = open(os.path.join(tempfile.gettempdir(), f"jackdawladder-soak-{block}.lock"), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return block, lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("all blocks of addresses are in use")
+
+
 class Daemon:
     """An instance with a proxy process, its target and the relays of their connections."""
 
     def __init__(self, site, number):
         self.site = site
         self.name = f"d{number}"
-        self.host = f"127.{41 + site.seed % 80}.{number // 200}.{number % 200 + 1}"
+        self.host = f"127.{site.block}.{number // 200}.{number % 200 + 1}"
         self.zone = ZONES[number % len(ZONES)]
         self.service = SERVICES[(number // len(ZONES)) % len(SERVICES)]
         self.ports = dict(entry=7001, ready=7002, announce=7003, peer=7004, metrics=7005)
@@ -134,6 +154,7 @@
         self.program = os.path.abspath(arguments.program)
         self.off = arguments.off
         self.seed = seed
+        self.block, self.block_lock = reserve_block(seed)
         self.random = random.Random(seed)
         self.directory = directory
         self.history = History()
@@ -390,6 +411,7 @@
             for daemon in self.daemons:
                 await daemon.stop()
             await self.cancel_tasks()
+            self.block_lock.close()
 
     async def cancel_tasks(self):
         """Cancels all other tasks until they have ended.
