--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -136,7 +136,10 @@
                       const char *reason,
                       uint64_t until_us)
 {
-  refuse (call, reason, (until_us - jl_now ()) / JL_USEC_PER_MSEC);
+  uint64_t now_us = jl_now ();
+
+  refuse (call, reason,
+          until_us > now_us ? (until_us - now_us) / JL_USEC_PER_MSEC : 0);
 }
 
 void
