Make the play of poison requests find sources cheaply and count daemons in touch

Faults of the play, none of the product. find_source ended in FileNotFoundError when a daemon ended while its connections were listed; the connection then passed nothing. It also searched all processes in the event loop for each new connection, and held data polled each 20 ms, so that with zones cut the play itself, which simulates targets and networks, was late: by 61 ms in 99 of 100 measurements and by up to 235 ms with three plays at a time, against 2 and 10 ms without cuts. New connections now share one search in a thread, held data waits for a change, and the play reports by how much it was late.

Late arrivals are counted twice, all (which the check bounds, as before) and those that passed only daemons in touch, and each is named. New options: the times after which a target ends and is back, and the time for which something in front of a target that has ended keeps connections open.

--- a/tests/soak/deadly.py
+++ b/tests/soak/deadly.py
@@ -23,12 +23,14 @@
     """Sends such requests, ends the targets that run them and counts both.
 
     end: a coroutine function that ends a target and starts it again; by default
-    the target resets its connections.
+    the target resets its connections. run_s: time for which a target runs such a
+    request before it ends.
     """
 
-    def __init__(self, site, end=None):
+    def __init__(self, site, end=None, run_s=RUN_S):
         self.site = site
         self.end = end or self.reset
+        self.run_s = run_s
         self.paths = set()
         self.ends = defaultdict(list)
         self.arrivals = defaultdict(list)
@@ -60,7 +62,7 @@
 
     async def end_after_run(self, target, path):
         life = target.born
-        await asyncio.sleep(RUN_S)
+        await asyncio.sleep(self.run_s)
         async with target.lock:
             if target.born != life:
                 return
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -5,6 +5,7 @@
               [--contents N] [--end reset|dark|machine|machine-dark] [--same-id]
               [--chunked] [--store silent] [--kill-every S] [--cut] [--daemons N]
               [--crash rack|rolling|release] [--off NAME] [--rate N] [--body-bytes N]
+              [--back-s S] [--run-s S] [--front-s S]
 
 Each content is sent several times a second by clients at random daemons, always
 with the same path and body. Honest clients send other requests meanwhile. The
@@ -31,8 +32,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from deadly import BACK_S, LATE_ARRIVALS_MAX, RATE, DeadlyContents  # noqa: E402
-from soak import Site  # noqa: E402
+from deadly import BACK_S, LATE_ARRIVALS_MAX, RATE, RUN_S, DeadlyContents  # noqa: E402
+from soak import RESTART_S, Site  # noqa: E402
 
 # Time from the first end of a target after which honest requests are served.
 SERVED_AFTER_S = 8.0
@@ -44,6 +45,38 @@
 # Bodies of refusals for a request's content.
 CONTENT_REFUSALS = (b"poison", b"suspect")
 AFTERWARDS_S = 6.0
+# Time for which the sources of new connections are collected before they are searched for.
+SEARCH_DELAY_S = 0.05
+# Period at which the delay of this process is measured.
+LAG_PERIOD_S = 0.01
+
+
+def find_hosts_of_ports(processes):
+    """Returns the address of the process that uses each local TCP port, by port.
+
+    processes: address and process id of each; a process may end meanwhile.
+    """
+    host_of_inode = {}
+    for host, process_id in processes:
+        directory = f"/proc/{process_id}/fd"
+        try:
+            names = os.listdir(directory)
+        except OSError:
+            continue
+        for name in names:
+            try:
+                link = os.readlink(f"{directory}/{name}")
+            except OSError:
+                continue
+            if link.startswith("socket:["):
+                host_of_inode[link[8:-1]] = host
+    host_of_port = {}
+    with open("/proc/net/tcp") as file:
+        for line in file.readlines()[1:]:
+            words = line.split()
+            if words[9] in host_of_inode:
+                host_of_port[int(words[1].rpartition(":")[2], 16)] = host_of_inode[words[9]]
+    return host_of_port
 
 
 class PoisonSite(Site):
@@ -51,6 +84,7 @@
         super().__init__(arguments, seed, directory)
         self.play = arguments
         self.content_refusals = 0
+        self.search = None
         end = self.history.end
 
         def count_refusals(number, status, fields, body):
@@ -87,18 +121,18 @@
     async def end_target(self, daemon):
         target = daemon.target
         if self.play.end.startswith("machine"):
-            daemon.hold_until = time.monotonic() + BACK_S
+            daemon.hold_until = time.monotonic() + self.play.back_s
         if self.play.end == "machine":
             daemon.signal(signal.SIGKILL)
         elif self.play.end == "machine-dark":
             daemon.signal(signal.SIGSTOP)
             freeze = self.history.freeze(daemon.name)
-            daemon.peer_relay.silent = True
+            daemon.peer_relay.impair(silent=True)
         if self.play.end.endswith("dark"):
             target.go_dark(daemon.target_relay)
         else:
             target.crash()
-        await asyncio.sleep(BACK_S)
+        await asyncio.sleep(self.play.back_s)
         if self.play.end == "machine-dark":
             daemon.signal(signal.SIGKILL)
             freeze[1] = time.monotonic()
@@ -128,7 +162,7 @@
             free = [d for d in self.daemons if not d.target.lock.locked()]
             if self.play.crash == "rack":
                 for daemon in choice.sample(free, min(3, len(free))):
-                    self.deadly.spawn(self.crash(daemon, BACK_S))
+                    self.deadly.spawn(self.crash(daemon, self.play.back_s))
                 await asyncio.sleep(choice.uniform(3, 5))
             elif self.play.crash == "rolling":
                 self.deadly.spawn(self.crash(choice.choice(free), 1.5))
@@ -141,46 +175,55 @@
         choice = random.Random(f"{self.seed}-kill")
         while not self.poison_done:
             await asyncio.sleep(self.play.kill_every)
-            choice.choice(self.daemons).signal(signal.SIGKILL)
+            daemon = choice.choice(self.daemons)
+            daemon.signal(signal.SIGKILL)
+            now = time.monotonic()
+            self.impairments[daemon.name].append([now, now + RESTART_S])
 
     async def cut_zones(self):
         """Cuts the zones off from each other for the middle of the play."""
         await asyncio.sleep(0.2)
         for daemon in self.daemons:
-            daemon.peer_relay.cut = self.is_other_zone(daemon)
+            daemon.peer_relay.impair(cut=self.is_other_zone(daemon))
         await asyncio.sleep(self.play.seconds * 2 / 3)
         for daemon in self.daemons:
-            daemon.peer_relay.cut = None
-
-    def find_source(self, port):
-        """Returns the address of the daemon that has a connection from a local port."""
-        inode = None
-        with open("/proc/net/tcp") as file:
-            for line in file.readlines()[1:]:
-                words = line.split()
-                if words[1].endswith(f":{port:04X}") and words[9] != "0":
-                    inode = words[9]
-        for daemon in self.daemons:
-            process = daemon.process
-            if inode is None or process is None or process.returncode is not None:
-                continue
-            directory = f"/proc/{process.pid}/fd"
-            for name in os.listdir(directory):
-                try:
-                    if os.readlink(f"{directory}/{name}") == f"socket:[{inode}]":
-                        return daemon.host
-                except OSError:
-                    pass
-        return ""
+            daemon.peer_relay.impair(cut=None)
+
+    async def find_source(self, port):
+        """Returns the address of the daemon that has a connection from a local port.
+
+        Connections that are new at about the same time share one search.
+        """
+        if self.search is None:
+            self.search = asyncio.create_task(self.search_later())
+        hosts = await asyncio.shield(self.search)
+        return hosts.get(port, "")
+
+    async def search_later(self):
+        await asyncio.sleep(SEARCH_DELAY_S)
+        self.search = None
+        processes = [(daemon.host, daemon.process.pid) for daemon in self.daemons
+                     if daemon.process is not None and daemon.process.returncode is None]
+        return await asyncio.to_thread(find_hosts_of_ports, processes)
 
     def is_other_zone(self, daemon):
         hosts = {d.host for d in self.daemons if d.zone != daemon.zone}
         return lambda host: host in hosts
 
+    async def measure_lag(self):
+        """Records by how much this process is late, which simulates targets and networks."""
+        while True:
+            due = time.monotonic() + LAG_PERIOD_S
+            await asyncio.sleep(LAG_PERIOD_S)
+            self.lags.append(time.monotonic() - due)
+
     async def run_scenario(self):
         self.poison_done = False
-        self.deadly = DeadlyContents(self, self.end_target)
+        self.lags = []
+        lag_task = asyncio.create_task(self.measure_lag())
+        self.deadly = DeadlyContents(self, self.end_target, self.play.run_s)
         for daemon in self.daemons:
+            daemon.target_relay.reset_delay = self.play.front_s
             daemon.peer_relay.find_source = self.find_source if self.play.cut else None
         await asyncio.sleep(2.5)
         clients = [asyncio.create_task(self.client(self.random.choice(self.daemons), index))
@@ -207,6 +250,7 @@
         self.clients_done = True
         await asyncio.gather(*clients)
         await self.deadly.finish()
+        lag_task.cancel()
         return self.check()
 
     # Bounds.
@@ -231,11 +275,12 @@
         first = min((times[0] for times in ends.values()), default=self.play_began)
         play_end = self.play_began + self.play.seconds
         for path in sorted(self.deadly.paths):
-            late = len(self.deadly.late_arrivals(path))
-            self.report(f"{path}: {len(ends[path])} ends, {len(self.deadly.arrivals[path])} arrivals, {late} late; "
+            late = self.deadly.late_arrivals(path)
+            self.report(f"{path}: {len(ends[path])} ends, {len(self.deadly.arrivals[path])} arrivals; "
                         "ends at " + " ".join(f"{at - first:.2f}" for at in ends[path][:12]))
-            if late > LATE_ARRIVALS_MAX:
-                violations.append(f"budget: {late} requests of {path} reach targets after it ended three")
+            self.report_late(late, first)
+            if len(late) > LATE_ARRIVALS_MAX:
+                violations.append(f"budget: {len(late)} requests of {path} reach targets after it ended three")
         for kind in ("read", "write", "read/popular"):
             during = self.served(kind, first + SERVED_AFTER_S, play_end)
             early = self.served(kind, first, first + SERVED_AFTER_S)
@@ -251,9 +296,24 @@
         self.report(f"honest requests refused for their content: {refused}")
         if refused and not self.play.contents:
             violations.append(f"innocent: {refused} requests refused for their content")
+        lags = sorted(self.lags)
+        self.report(f"this process was late by at most {lags[len(lags) * 99 // 100] * 1000:.0f} ms in 99 of 100 "
+                    f"measurements, {lags[-1] * 1000:.0f} ms in all")
         self.report("answers to poison: " + " ".join(f"{s}={c}" for s, c in sorted(self.deadly.answers.items())))
         return violations
 
+    def report_late(self, late, first):
+        """Prints late arrivals, and which of them passed only daemons in touch."""
+        by_target = {daemon.target: daemon.name for daemon in self.daemons}
+        texts = []
+        in_touch = 0
+        for at, number, target in late:
+            entry, guard = self.history.sent[number]["entry"], by_target[target]
+            calm = self.is_in_touch(entry, at) and self.is_in_touch(guard, at)
+            in_touch += calm
+            texts.append(f"{at - first:.2f} {number} {entry}-{guard}{'' if calm else ' (not in touch)'}")
+        self.report(f"  {len(late)} late, {in_touch} of them from daemons in touch: " + "; ".join(texts))
+
     def report(self, line):
         print("  " + line, flush=True)
 
@@ -270,6 +330,10 @@
     parser.add_argument("--rate", default=RATE, type=float, help="requests of each content per second")
     parser.add_argument("--body-bytes", default=3000, type=int, help="size of a body on the route write")
     parser.add_argument("--end", default="reset", choices=["reset", "dark", "machine", "machine-dark"])
+    parser.add_argument("--back-s", default=BACK_S, type=float, help="time after which a target is back")
+    parser.add_argument("--run-s", default=RUN_S, type=float, help="time for which a target runs a content")
+    parser.add_argument("--front-s", default=0.0, type=float,
+                        help="time for which connections to a target that has ended stay open")
     parser.add_argument("--same-id", action="store_true")
     parser.add_argument("--chunked", action="store_true")
     parser.add_argument("--store", default="calm")
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -5,29 +5,47 @@
 from wire import reset
 
 
+class Link:
+    """A connection that a relay passes on; `source` is the address of its client.
+
+    None means that the address is not known yet.
+    """
+
+    def __init__(self, source):
+        self.source = source
+
+
 class Relay:
     """Relays TCP, and optionally UDP, from a port of its own to the address `to`.
 
-    delay: seconds by which each chunk of TCP data is delayed; silent: no data
-    passes in either direction; one_way: no TCP data passes from `to` back to
-    the client; refuse: new TCP connections are reset. cut: a function that says
-    whether nothing passes from and to a source address; find_source: a function
-    that returns the source address of a TCP connection by its port.
+    Faults are set by impair(). delay: seconds by which each chunk of TCP data is
+    delayed; silent: no data passes in either direction; one_way: no TCP data
+    passes from `to` back to the client; refuse: new TCP connections are reset;
+    cut: a function that says whether nothing passes from and to a source address;
+    reset_delay: seconds after which connections are reset if `to` accepts none.
+
+    find_source: a coroutine function that returns the source address of a TCP
+    connection by its port.
     """
 
     def __init__(self, host, to):
         self.host = host
         self.to = to
-        self.clear_faults()
         self.cut = None
         self.find_source = None
+        self.reset_delay = 0.0
         self.writers = set()
+        self.changed = asyncio.Event()
+        self.clear_faults()
 
     def clear_faults(self):
-        self.delay = 0.0
-        self.silent = False
-        self.one_way = False
-        self.refuse = False
+        self.impair(delay=0.0, silent=False, one_way=False, refuse=False)
+
+    def impair(self, **faults):
+        for name, value in faults.items():
+            setattr(self, name, value)
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def start(self, datagrams=False):
         self.server = await asyncio.start_server(self.accept, self.host, 0)
@@ -51,26 +69,39 @@
         try:
             back_reader, back_writer = await asyncio.open_connection(*self.to)
         except OSError:
+            await asyncio.sleep(self.reset_delay)
             reset(writer)
             return
         self.writers |= {writer, back_writer}
-        source = self.find_source(writer.get_extra_info("peername")[1]) if self.find_source else ""
+        link = Link(None if self.find_source else "")
+        if self.find_source:
+            port = writer.get_extra_info("peername")[1]
+            finding = asyncio.create_task(self.set_source(link, port))
         await asyncio.gather(
-            self.copy_stream(reader, back_writer, False, source),
-            self.copy_stream(back_reader, writer, True, source),
+            self.copy_stream(reader, back_writer, False, link),
+            self.copy_stream(back_reader, writer, True, link),
         )
         self.writers -= {writer, back_writer}
+        if self.find_source:
+            finding.cancel()
+
+    async def set_source(self, link, port):
+        link.source = await self.find_source(port)
+        self.impair()
 
     def is_cut(self, source):
-        return self.cut is not None and self.cut(source)
+        return self.cut is not None and (source is None or self.cut(source))
+
+    def is_held(self, is_response, link):
+        return self.silent or (is_response and self.one_way) or self.is_cut(link.source)
 
-    async def copy_stream(self, reader, writer, is_response, source):
+    async def copy_stream(self, reader, writer, is_response, link):
         try:
             while data := await reader.read(65536):
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                while self.silent or (is_response and self.one_way) or self.is_cut(source):
-                    await asyncio.sleep(0.02)
+                while self.is_held(is_response, link):
+                    await self.changed.wait()
                 writer.write(data)
                 await writer.drain()
             writer.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -316,7 +316,7 @@
         daemon.target.repeated_response_ratio = 0
 
     async def apply_relay_fault(self, relay, name, value, duration_s):
-        setattr(relay, name, value)
+        relay.impair(**{name: value})
         await asyncio.sleep(duration_s)
         relay.clear_faults()
 
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -66,7 +66,7 @@
     def go_dark(self, relay):
         """Stops without closing connections: nothing is answered and no heartbeat sent."""
         self.dark = True
-        relay.silent = True
+        relay.impair(silent=True)
         self.heartbeat_task.cancel()
 
     async def leave(self):
