--- a/tests/proxy/liveness.c
+++ b/tests/proxy/liveness.c
@@ -127,6 +127,20 @@
   cr_assert_eq (check_for (&rig, 2000, &alive), JL_TARGET_END_NONE);
 }
 
+Test (liveness, a_connection_that_is_accepted_and_closed_later_shows_no_life)
+{
+  struct rig rig;
+  bool alive;
+
+  rig_begin (&rig, JL_PROBE_CONNECTED);
+  run_request (&rig);
+  lose_request (&rig);
+  cr_assert_eq (check_for (&rig, 120, &alive), JL_TARGET_END_NONE);
+  cr_assert_not (alive);
+  rig.view.probe = JL_PROBE_CLOSED;
+  cr_assert_eq (check_for (&rig, 40, &alive), JL_TARGET_END_RESET);
+}
+
 Test (liveness, a_target_without_connections_has_ended)
 {
   struct rig rig;
