Do not take an accepted connection for a sign that the target lives

Cause: a doubt about the own target ended when a probe's connection had stayed open for 50 ms. If something in front of a target that has ended accepts connections and resets them later, the daemon kept the target in service until its successor announced itself, and forgot the trial that had ended it, whose content got no strike. Requests that it then sent to the ended target were lost, trials of innocent contents among them; these got strikes in their place. The class of fault: indirect evidence is taken for proof, and lost evidence for an acquittal.

Change: a probe stays open until it is closed; only a response, or a heartbeat while no request is overdue, ends a doubt. A lost run is remembered until the target responds to a request that was sent after the loss, and its trial counts as in progress while there is a doubt. A response of another incarnation (421) says nothing about this one.

Ruled out: the content is recognized (E732); the connections' loss is seen; the entry does not multiply it (one content, one zone).

--- a/source/policy/liveness.c
+++ b/source/policy/liveness.c
@@ -9,13 +9,14 @@
 #define STALL_US (300 * JL_USEC_PER_MSEC)
 /* Time within which a probe has to be connected. */
 #define CONNECT_TIMEOUT_US (250 * JL_USEC_PER_MSEC)
-/* Time for which a connected probe has to stay open. */
-#define PROBE_HOLD_US (50 * JL_USEC_PER_MSEC)
+/* Time after which a probe that stays connected is replaced by another one: the
+ * target may have ended without closing it. */
+#define PROBE_HOLD_US (500 * JL_USEC_PER_MSEC)
 /* Time between the beginnings of two probes. */
 #define PROBE_INTERVAL_US (100 * JL_USEC_PER_MSEC)
 #define STALL_PROBE_INTERVAL_US (500 * JL_USEC_PER_MSEC)
-/* A response this soon after a connection was lost may have been sent before
- * the target ended. */
+/* A response or a heartbeat this soon after a connection was lost may have been
+ * sent before the target ended. */
 #define IN_FLIGHT_US (20 * JL_USEC_PER_MSEC)
 /* Number of missing heartbeats after which a target that does not respond
  * either has ended. */
@@ -124,10 +125,10 @@
     result.end = JL_TARGET_END_RESET;
   else if (view->probe == JL_PROBE_CONNECTING && age_us > CONNECT_TIMEOUT_US)
     result.end = JL_TARGET_END_UNREACHABLE;
-  else if (view->probe == JL_PROBE_CONNECTED && age_us > PROBE_HOLD_US)
-    result.alive = !is_stalled (liveness, view, now_us);
   else
-    result.close_probe = view->probe == JL_PROBE_CLOSED;
+    result.close_probe
+        = view->probe == JL_PROBE_CLOSED
+          || (view->probe == JL_PROBE_CONNECTED && age_us > PROBE_HOLD_US);
   if (result.close_probe)
     liveness->probe_us = 0;
   return result;
@@ -154,6 +155,8 @@
     result = judge_probe (liveness, view, now_us);
   if (is_silent (liveness, view, now_us))
     result.end = JL_TARGET_END_SILENT;
+  result.alive = result.end == JL_TARGET_END_NONE && !stalled
+                 && view->heartbeat_us > liveness->doubt_us + IN_FLIGHT_US;
   if (result.end != JL_TARGET_END_NONE || result.alive)
     {
       result.close_probe = view->probe != JL_PROBE_NONE;
--- a/source/policy/liveness.h
+++ b/source/policy/liveness.h
@@ -9,12 +9,13 @@
  * some time, begin a doubt. While there is a doubt, connections are opened to
  * the target as probes. The target has ended if a probe is refused, or if it is
  * reset and no request in progress is left; if a probe gets no connection; or
- * if neither responses nor heartbeats arrive for some time. A response ends the
- * doubt.
+ * if neither responses nor heartbeats arrive for some time. A response, or a
+ * heartbeat if no request is overdue, ends the doubt.
  *
  * A target may end without closing its connections, and something in front of
- * it may accept connections while it is gone. For the times of probes to be
- * meaningful, a process that was stopped begins them again.
+ * it may accept connections while it is gone, and close them some time later.
+ * An accepted connection is therefore no sign of life. For the times of probes
+ * to be meaningful, a process that was stopped begins them again.
  */
 
 #include "jackdawladder/base.h"
--- a/source/policy/suspect.h
+++ b/source/policy/suspect.h
@@ -32,6 +32,8 @@
 #define JL_TRIAL_LEASE_US (1000 * JL_USEC_PER_MSEC)
 /* Time after its begin until which a trial in progress is reported. */
 #define JL_TRIAL_REPORTED_US (2000 * JL_USEC_PER_MSEC)
+/* Period at which the daemon of the target reports a trial in progress. */
+#define JL_TRIAL_REPORT_PERIOD_US (300 * JL_USEC_PER_MSEC)
 /* Maximum number of strikes that are remembered for each content. */
 #define JL_STRIKES_MAX 8
 /* Maximum number of refusal times. */
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -229,7 +229,8 @@
   struct jl_work *work = work_from_relay (context);
   const struct jl_head *head = jl_upstream_head (upstream);
 
-  jl_watch_count_response (work->proxy->watch, work->started_us);
+  if (head->status != STATUS_MISDIRECTED)
+    jl_watch_count_response (work->proxy->watch, work->started_us);
   if (target_did_not_run (head) && jl_upstream_is_complete (upstream))
     handle_target_refused (work);
   else if (!belongs_to_request (work, head))
--- a/source/proxy/watch.c
+++ b/source/proxy/watch.c
@@ -12,7 +12,7 @@
 /* Maximum number of requests that are remembered after their end. */
 #define ENDED_RUNS_MAX 512
 /* Time for which requests with a lost connection are remembered unless the
- * target is found to live: heartbeats may arrive late. */
+ * target responds to a later one: heartbeats may arrive late. */
 #define LOST_RUN_KEPT_US (10 * JL_USEC_PER_SEC)
 /* Time for which cancelled requests are remembered. */
 #define CANCELLED_RUN_KEPT_US (1 * JL_USEC_PER_SEC)
@@ -21,11 +21,15 @@
 
 /**
  * struct kept_run - a request that was in progress at the target
+ * @ended_us: time at which its connection was lost, or it was cancelled
+ * @reported_us: of a trial: time at which it was last reported
  * @until_us: time until which it is remembered
  */
 struct kept_run
 {
   struct jl_ended_run run;
+  uint64_t ended_us;
+  uint64_t reported_us;
   uint64_t until_us;
 };
 
@@ -133,10 +137,10 @@
   jl_liveness_begin (&watch->liveness, jl_now ());
 }
 
-/* Forgets the requests that had ended before the target was seen to live. Their
- * trials have no result. */
+/* Forgets the requests that had ended when a request was sent to which the
+ * target has responded. Their trials have no result. */
 static void
-forget_runs (struct jl_watch *watch)
+forget_runs (struct jl_watch *watch, uint64_t sent_us)
 {
   GArray *runs = watch->runs;
 
@@ -145,7 +149,9 @@
     {
       const struct kept_run *kept = &g_array_index (runs, struct kept_run, i);
 
-      if (kept->run.trial)
+      if (kept->ended_us >= sent_us)
+        g_array_append_val (watch->runs, *kept);
+      else if (kept->run.trial)
         jl_report_trial (watch->proxy, JL_REPORT_TRIAL_OVER, kept->run.content);
     }
   g_array_free (runs, TRUE);
@@ -154,11 +160,9 @@
 void
 jl_watch_count_response (struct jl_watch *watch, uint64_t sent_us)
 {
-  bool doubted = watch->liveness.doubt_us != 0;
-
   jl_liveness_count_response (&watch->liveness, sent_us, jl_now ());
-  if (doubted && watch->liveness.doubt_us == 0)
-    forget_runs (watch);
+  if (watch->runs->len > 0)
+    forget_runs (watch, sent_us);
 }
 
 struct jl_ended_run
@@ -178,7 +182,12 @@
               const struct jl_ended_run *run,
               uint64_t kept_us)
 {
-  struct kept_run kept = { .run = *run, .until_us = jl_now () + kept_us };
+  uint64_t now_us = jl_now ();
+  struct kept_run kept = {
+    .run = *run,
+    .ended_us = now_us,
+    .until_us = now_us + kept_us,
+  };
 
   if (watch->runs->len >= ENDED_RUNS_MAX)
     g_array_remove_index (watch->runs, 0);
@@ -207,6 +216,20 @@
   return watch->liveness.doubt_us != 0;
 }
 
+/* Reports a trial whose connection was lost as still in progress: its result is
+ * not known as long as it is in doubt whether the target has ended. */
+static void
+report_trial_in_doubt (const struct jl_watch *watch, struct kept_run *kept)
+{
+  uint64_t now_us = jl_now ();
+
+  if (!kept->run.trial || now_us > kept->run.started_us + JL_TRIAL_REPORTED_US
+      || now_us < kept->reported_us + JL_TRIAL_REPORT_PERIOD_US)
+    return;
+  kept->reported_us = now_us;
+  jl_report_trial (watch->proxy, JL_REPORT_TRIAL_RUNNING, kept->run.content);
+}
+
 /* Whether a request has been sent to the target and may be running there. */
 static bool
 is_at_target (const struct jl_work *work)
@@ -385,10 +408,11 @@
     close_probe (watch);
   if (result.open_probe)
     open_probe (watch);
-  if (result.alive)
-    forget_runs (watch);
   if (result.end != JL_TARGET_END_NONE)
     handle_end (watch, result.end, doubt_us);
+  for (guint i = 0; i < watch->runs->len && jl_watch_is_in_doubt (watch); i++)
+    report_trial_in_doubt (watch,
+                           &g_array_index (watch->runs, struct kept_run, i));
   if (doubt_us != 0 && watch->liveness.doubt_us == 0)
     jl_trial_continue_work (watch->proxy);
 }
--- a/tests/proxy/trial.c
+++ b/tests/proxy/trial.c
@@ -188,6 +188,66 @@
   cr_assert_eq (judge (&rig).trials, 1);
 }
 
+/* Opens the local target. */
+static void
+open_target (struct rig *rig, struct peer *target)
+{
+  const char *why = NULL;
+
+  cr_assert_not_null (jl_server_open (rig->store.net, rig_at (rig, TARGET_PORT),
+                                      &handler, target, &why));
+}
+
+static void
+send_work (struct rig *rig, const char *path)
+{
+  char *text = g_strdup_printf ("GET %s HTTP/1.1\r\n" WORK_FIELDS
+                                ": front 1 700 300 00000001 1\r\n\r\n",
+                                path);
+
+  rig_send_request (rig, PEER_PORT, text);
+  g_free (text);
+}
+
+Test (trial, a_trial_that_ended_a_target_is_lost_also_if_connections_still_open)
+{
+  struct rig rig;
+  struct peer peer;
+  struct peer target = { .resets = true };
+
+  begin (&rig, &peer, 36);
+  open_target (&rig, &target);
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  make_suspect (&rig);
+  send_work (&rig, "/x");
+  rig_run (&rig, 300);
+  cr_assert_eq (target.requests, 1);
+  rig_heartbeat (&rig, "i-2", 6, 1);
+  cr_assert_eq (judge (&rig).trials, 1);
+}
+
+Test (trial, a_trial_is_not_lost_at_a_target_that_answers_a_later_request)
+{
+  struct rig rig;
+  struct peer peer;
+  struct peer target = { .resets = true };
+
+  begin (&rig, &peer, 37);
+  open_target (&rig, &target);
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  make_suspect (&rig);
+  send_work (&rig, "/x");
+  rig_run (&rig, 300);
+  target.resets = false;
+  send_work (&rig, "/y");
+  rig_run (&rig, 50);
+  jl_request_reply (target.last, 200, "X-Jackdawladder-Attempt-Id: 1\r\n", "",
+                    0);
+  rig_run (&rig, 50);
+  rig_heartbeat (&rig, "i-2", 6, 1);
+  cr_assert_eq (judge (&rig).trials, 0);
+}
+
 Test (trial, a_guard_refuses_what_an_entry_does_not_know_yet)
 {
   struct rig rig;
