Clear a suspect content only after several answers in a row

Cause: one answer cleared a content, and an answer before the second end voided the first one, so that the content was never on trial. Class of fault: a single observation decides against an accumulated one.

Change: a content is cleared by three answers without an end in between, by eight if it has ended a target in a trial or was suspect before. A content that ends each second target has three in a row in one of eight cases, eight in one of 256. Reports of the same answer count once.

Ruled out: the ends are found, and reported; each strike was void before the next one came.

--- a/source/core/poison.c
+++ b/source/core/poison.c
@@ -32,6 +32,7 @@
 static const struct jl_suspect_limits limits = {
   .suspect_ends = 1,
   .refuse_ends = 2,
+  .clear_answers = 1,
   .strike_us = 300 * JL_USEC_PER_SEC,
   .expiry_us = 300 * JL_USEC_PER_SEC,
   .repeat_us = 5 * JL_USEC_PER_SEC,
@@ -271,8 +272,8 @@
     return;
   answered->digest = digest;
   answered->answered_us = core->now_us;
-  jl_suspects_clear_content (&core->poison->suspects, digest, core->now_us,
-                             core->now_us);
+  jl_suspects_count_answer (&core->poison->suspects, digest, core->now_us,
+                            core->now_us);
 }
 
 uint32_t
--- a/source/policy/suspect.c
+++ b/source/policy/suspect.c
@@ -41,7 +41,7 @@
                        const struct jl_suspect_strike *strike,
                        uint64_t now_us)
 {
-  return strike->at_us > suspect->answered_us
+  return strike->at_us > suspect->cleared_us
          && (now_us < strike->at_us
              || now_us - strike->at_us < suspects->limits.strike_us);
 }
@@ -251,26 +251,48 @@
     return NULL;
   if (strike->trial)
     end_trial (suspect, strike->at_us);
+  if (strike->at_us > suspect->answered_us)
+    suspect->answers = 0;
   set_changed (suspects, suspect, now_us);
   update_open (suspects, suspect, now_us);
   return known;
 }
 
+/* Whether an answer is the one that was counted last, reported again. */
+static bool
+is_same_answer (const struct jl_suspect *suspect, uint64_t at_us)
+{
+  uint64_t same_us = suspect->answers > 0 ? JL_SAME_ANSWER_US : 0;
+
+  return at_us <= suspect->answered_us + same_us;
+}
+
 bool
-jl_suspects_clear_content (struct jl_suspects *suspects,
-                           uint64_t content,
-                           uint64_t at_us,
-                           uint64_t now_us)
+jl_suspects_count_answer (struct jl_suspects *suspects,
+                          uint64_t content,
+                          uint64_t at_us,
+                          uint64_t now_us)
 {
   struct jl_suspect *suspect = jl_suspects_find (suspects, content);
+  struct tally tally;
+  unsigned needed;
   bool was_open;
 
-  if (suspect == NULL || at_us <= suspect->answered_us)
+  if (suspect == NULL || is_same_answer (suspect, at_us))
     return false;
-  was_open = suspect->is_open;
   suspect->answered_us = at_us;
   end_trial (suspect, at_us);
   set_changed (suspects, suspect, now_us);
+  tally = count_strikes (suspects, suspect, now_us);
+  needed = tally.trials > 0 || suspect->was_suspect
+               ? suspects->limits.clear_answers_again
+               : suspects->limits.clear_answers;
+  if (at_us <= tally.last_us || ++suspect->answers < needed)
+    return false;
+  was_open = suspect->is_open;
+  suspect->was_suspect |= was_open;
+  suspect->answers = 0;
+  suspect->cleared_us = at_us;
   update_open (suspects, suspect, now_us);
   return was_open && !suspect->is_open;
 }
--- a/source/policy/suspect.h
+++ b/source/policy/suspect.h
@@ -7,10 +7,11 @@
  * A content that was in progress when a target ended gets a strike, and so do
  * all others in progress there; nearly all of them are innocent. A content with
  * strikes by some targets is suspect. A suspect content has to show itself: it
- * runs as a trial, alone among suspect contents at its target. If the target
- * answers, the content is cleared. If targets end in too many trials, or too
- * many end at all, the content is refused for some time. The owner sets the
- * limits.
+ * runs as a trial, alone among suspect contents at its target. If targets
+ * answer often enough without an end in between, the content is cleared; a
+ * single answer is not enough, since a content may end only some targets, or
+ * only sometimes. If targets end in too many trials, or too many end at all,
+ * the content is refused for some time. The owner sets the limits.
  *
  * A daemon that lost contact to another one with requests in progress there
  * infers that the target has ended. Such strikes are void once the target is
@@ -36,6 +37,8 @@
 #define JL_TRIAL_REPORT_PERIOD_US (300 * JL_USEC_PER_MSEC)
 /* Maximum number of strikes that are remembered for each content. */
 #define JL_STRIKES_MAX 8
+/* Answers within this time are taken for reports of the same one. */
+#define JL_SAME_ANSWER_US (20 * JL_USEC_PER_MSEC)
 /* Maximum number of refusal times. */
 #define JL_REFUSALS_MAX 4
 
@@ -44,6 +47,9 @@
  * @suspect_ends: ends of different targets with which a content is suspect
  * @refuse_ends: ends with which it is refused until they expire, 0 for none
  * @refuse_trials: ends in trials with which it is refused, 0 for none
+ * @clear_answers: answers without an end in between that clear a content
+ * @clear_answers_again: the same for a content that has ended a target in a
+ *                       trial, or was cleared before and is suspect again
  * @refuse_us: time of refusal after the last trial, by the number of trials
  *             beyond @refuse_trials; after it, another trial may begin
  * @strike_us: time after which a strike is void, UINT64_MAX for never
@@ -57,6 +63,8 @@
   unsigned suspect_ends;
   unsigned refuse_ends;
   unsigned refuse_trials;
+  unsigned clear_answers;
+  unsigned clear_answers_again;
   uint64_t refuse_us[JL_REFUSALS_MAX];
   uint64_t strike_us;
   uint64_t expiry_us;
@@ -101,7 +109,11 @@
  * @order: link in the list of all, by the time of the last change
  * @open: link in the list of those that are suspect or refused
  * @is_open: whether it is in that list
- * @answered_us: time of the last answer; strikes until then are void
+ * @cleared_us: time at which the content was last cleared; strikes until then
+ *              are void
+ * @answered_us: time of the last answer
+ * @answers: answers since the last strike, or since the content was cleared
+ * @was_suspect: it was suspect or refused when it was cleared
  * @trial_us: time at which the trial in progress was last reported
  * @trial_until_us: time until which its result is awaited, 0 for none
  * @result_us: time of the last result of a trial
@@ -114,7 +126,10 @@
   struct cds_list_head open;
   bool is_open;
   uint64_t content;
+  uint64_t cleared_us;
   uint64_t answered_us;
+  unsigned answers;
+  bool was_suspect;
   uint64_t trial_us;
   uint64_t trial_until_us;
   uint64_t result_us;
@@ -192,15 +207,16 @@
                         uint64_t now_us);
 
 /**
- * jl_suspects_clear_content - records that a target has answered a request with
- * @content at @at_us, which voids the strikes until then
+ * jl_suspects_count_answer - records that a target has answered a request with
+ * @content at @at_us; if it was answered often enough, the strikes until then
+ * are void
  *
- * Return: whether the content was suspect or refused.
+ * Return: whether the content was suspect or refused, and is cleared.
  */
-bool jl_suspects_clear_content (struct jl_suspects *suspects,
-                                uint64_t content,
-                                uint64_t at_us,
-                                uint64_t now_us);
+bool jl_suspects_count_answer (struct jl_suspects *suspects,
+                               uint64_t content,
+                               uint64_t at_us,
+                               uint64_t now_us);
 
 /**
  * jl_suspects_target_lives - voids inferred strikes by a target that is known
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -227,7 +227,7 @@
         .contents = &suspect->content,
       };
 
-      if (strike->at_us > suspect->answered_us)
+      if (strike->at_us > suspect->cleared_us)
         reports[count++] = to_wire (&report);
     }
   return count;
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -60,10 +60,14 @@
 
 /* Two targets end before a content is suspect, since all that is in progress at
  * the end of one target would be otherwise; and two in trials before it is
- * refused, since a target may end during a trial for another reason. */
+ * refused, since a target may end during a trial for another reason. A content
+ * that ends each second target that runs it has three answers in a row in one
+ * of eight cases, and eight in one of 256. */
 static const struct jl_suspect_limits suspect_limits = {
   .suspect_ends = 2,
   .refuse_trials = 2,
+  .clear_answers = 3,
+  .clear_answers_again = 8,
   .refuse_us = { 30 * JL_USEC_PER_SEC, 120 * JL_USEC_PER_SEC,
                  600 * JL_USEC_PER_SEC, 1800 * JL_USEC_PER_SEC },
   .strike_us = UINT64_MAX,
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -71,7 +71,7 @@
         proxy->counters.strikes++;
       break;
     case JL_REPORT_ANSWERED:
-      jl_suspects_clear_content (suspects, content, report->at_us, now_us);
+      jl_suspects_count_answer (suspects, content, report->at_us, now_us);
       break;
     case JL_REPORT_TRIAL_BEGUN:
     case JL_REPORT_TRIAL_RUNNING:
@@ -106,7 +106,7 @@
       && after.suspicion == JL_SUSPICION_REFUSED)
     jl_rows_write_refused (proxy);
   if (before.suspicion != after.suspicion || before.ends != after.ends)
-    jl_trial_continue (proxy, content);
+    jl_trial_continue (proxy, content, report->kind == JL_REPORT_ANSWERED);
 }
 
 void
@@ -144,7 +144,7 @@
       jl_report_publish (proxy, &report);
     }
   else if (verdict.ends > 0)
-    jl_suspects_clear_content (&proxy->suspects, content, now_us, now_us);
+    jl_suspects_count_answer (&proxy->suspects, content, now_us, now_us);
 }
 
 void
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -311,7 +311,7 @@
       uint64_t age_ms = (now_us - strike->at_us) / JL_USEC_PER_MSEC;
       struct json_object *end;
 
-      if (!strike->trial || strike->at_us <= suspect->answered_us)
+      if (!strike->trial || strike->at_us <= suspect->cleared_us)
         continue;
       end = json_object_new_array ();
       json_object_array_add (end,
--- a/source/proxy/trial.h
+++ b/source/proxy/trial.h
@@ -76,8 +76,10 @@
 /**
  * jl_trial_continue - decides again on all requests that wait for a result on
  * @content
+ * @answered: the last trial was answered
  */
-void jl_trial_continue (struct jl_proxy *proxy, uint64_t content);
+void
+jl_trial_continue (struct jl_proxy *proxy, uint64_t content, bool answered);
 
 /**
  * jl_trial_continue_work - decides again on all work that waits until a trial
