Clear a content only for the service whose targets answer it

What callers saw: a route splits its requests between two services, and one of them does not survive a content that the other answers (a canary release). The answers of the one cleared the content for both, so targets of the other kept ending; and once it was refused, it was refused at the service that answers it.

Cause: the strikes and the answers of a content were not told apart by service. Class of fault: evidence about one thing is booked on another.

Change: strikes and answers name their service. Answers clear a content for their service only, which from then on counts only its own strikes. A service for which it was never cleared counts all strikes, so a content that is refused stays refused when its route is moved to a service that never ran it. The key of the service follows the reports in the same datagram and is a fourth value of an end in the store's rows; older daemons ignore both, and what they report without it counts for all services.

--- a/source/core/poison.c
+++ b/source/core/poison.c
@@ -272,14 +272,16 @@
     return;
   answered->digest = digest;
   answered->answered_us = core->now_us;
-  jl_suspects_count_answer (&core->poison->suspects, digest, core->now_us,
-                            core->now_us);
+  jl_suspects_count_answer (&core->poison->suspects, digest, JL_ANY_SERVICE,
+                            core->now_us, core->now_us);
 }
 
 uint32_t
 jl_poison_strikes (struct jl_core *core, uint64_t digest)
 {
-  return jl_suspects_judge (&core->poison->suspects, digest, core->now_us).ends;
+  return jl_suspects_judge (&core->poison->suspects, digest, JL_ANY_SERVICE,
+                            core->now_us)
+      .ends;
 }
 
 bool
--- a/source/policy/suspect.c
+++ b/source/policy/suspect.c
@@ -35,19 +35,38 @@
   return g_hash_table_lookup (suspects->by_content, &content);
 }
 
+static const struct jl_suspect_answers *
+find_answers (const struct jl_suspect *suspect, uint32_t service)
+{
+  for (unsigned i = 0; i < suspect->service_count; i++)
+    if (suspect->services[i].service == service)
+      return &suspect->services[i];
+  return NULL;
+}
+
+/* Returns the time at which a content was last cleared for a service, 0 for
+ * never. */
+static uint64_t
+cleared_us (const struct jl_suspect *suspect, uint32_t service)
+{
+  const struct jl_suspect_answers *answers = find_answers (suspect, service);
+
+  return answers != NULL ? answers->cleared_us : 0;
+}
+
 bool
 jl_suspects_is_active (const struct jl_suspects *suspects,
                        const struct jl_suspect *suspect,
                        const struct jl_suspect_strike *strike,
                        uint64_t now_us)
 {
-  return strike->at_us > suspect->cleared_us
+  return strike->at_us > cleared_us (suspect, strike->service)
          && (now_us < strike->at_us
              || now_us - strike->at_us < suspects->limits.strike_us);
 }
 
 /**
- * struct tally - the active strikes against a content
+ * struct tally - the active strikes against a content that count for a service
  * @last_us: time of the last one
  * @last_trial_us: time of the last one during a trial
  */
@@ -59,9 +78,25 @@
   uint64_t last_trial_us;
 };
 
+/* Whether a strike counts for a service: it is of this service, or the content
+ * was never cleared for the service. */
+static bool
+counts_for (const struct jl_suspect *suspect,
+            const struct jl_suspect_strike *strike,
+            uint32_t service)
+{
+  uint64_t since_us = cleared_us (suspect, service);
+
+  if (since_us == 0)
+    return true;
+  return strike->at_us > since_us
+         && (strike->service == service || strike->service == JL_ANY_SERVICE);
+}
+
 static struct tally
 count_strikes (const struct jl_suspects *suspects,
                const struct jl_suspect *suspect,
+               uint32_t service,
                uint64_t now_us)
 {
   struct tally tally = { 0 };
@@ -70,7 +105,8 @@
     {
       const struct jl_suspect_strike *strike = &suspect->strikes[i];
 
-      if (!jl_suspects_is_active (suspects, suspect, strike, now_us))
+      if (!jl_suspects_is_active (suspects, suspect, strike, now_us)
+          || !counts_for (suspect, strike, service))
         continue;
       tally.ends++;
       tally.last_us = MAX (tally.last_us, strike->at_us);
@@ -114,7 +150,8 @@
              struct jl_suspect *suspect,
              uint64_t now_us)
 {
-  struct tally tally = count_strikes (suspects, suspect, now_us);
+  struct tally tally
+      = count_strikes (suspects, suspect, JL_ANY_SERVICE, now_us);
   unsigned needed = jl_content_is_known (suspect->content)
                         ? suspects->limits.suspect_ends
                         : 1;
@@ -209,6 +246,8 @@
                  || (known->inferred && !strike->inferred);
 
   known->trial |= strike->trial;
+  if (known->service == JL_ANY_SERVICE)
+    known->service = strike->service;
   if (is_repeat)
     known->at_us = strike->at_us;
   if (known->inferred && !strike->inferred)
@@ -228,6 +267,22 @@
     suspect->trial_until_us = 0;
 }
 
+/* Forgets the answers before a strike of the same service. */
+static void
+forget_answers (struct jl_suspect *suspect,
+                const struct jl_suspect_strike *strike)
+{
+  for (unsigned i = 0; i < suspect->service_count; i++)
+    {
+      struct jl_suspect_answers *answers = &suspect->services[i];
+
+      if (strike->at_us > answers->answered_us
+          && (strike->service == answers->service
+              || strike->service == JL_ANY_SERVICE))
+        answers->answers = 0;
+    }
+}
+
 struct jl_suspect_strike *
 jl_suspects_add_strike (struct jl_suspects *suspects,
                         uint64_t content,
@@ -251,50 +306,104 @@
     return NULL;
   if (strike->trial)
     end_trial (suspect, strike->at_us);
-  if (strike->at_us > suspect->answered_us)
-    suspect->answers = 0;
+  forget_answers (suspect, strike);
   set_changed (suspects, suspect, now_us);
   update_open (suspects, suspect, now_us);
   return known;
 }
 
+/* Returns the answers of a service; replaces those of the service that has not
+ * answered for the longest time if there are too many. */
+static struct jl_suspect_answers *
+find_or_add_answers (struct jl_suspect *suspect, uint32_t service)
+{
+  struct jl_suspect_answers *oldest = &suspect->services[0];
+
+  for (unsigned i = 0; i < suspect->service_count; i++)
+    {
+      struct jl_suspect_answers *answers = &suspect->services[i];
+
+      if (answers->service == service)
+        return answers;
+      if (answers->answered_us < oldest->answered_us)
+        oldest = answers;
+    }
+  if (suspect->service_count < JL_ANSWERING_SERVICES_MAX)
+    oldest = &suspect->services[suspect->service_count++];
+  *oldest = (struct jl_suspect_answers){ .service = service };
+  return oldest;
+}
+
 /* Whether an answer is the one that was counted last, reported again. */
 static bool
-is_same_answer (const struct jl_suspect *suspect, uint64_t at_us)
+is_same_answer (const struct jl_suspect_answers *answers, uint64_t at_us)
 {
-  uint64_t same_us = suspect->answers > 0 ? JL_SAME_ANSWER_US : 0;
+  uint64_t same_us = answers->answers > 0 ? JL_SAME_ANSWER_US : 0;
+
+  return at_us <= answers->answered_us + same_us;
+}
+
+/* Returns the time of the last active strike of a service itself. */
+static uint64_t
+last_own_strike_us (const struct jl_suspects *suspects,
+                    const struct jl_suspect *suspect,
+                    uint32_t service,
+                    uint64_t now_us)
+{
+  uint64_t last_us = 0;
+
+  for (unsigned i = 0; i < suspect->strike_count; i++)
+    {
+      const struct jl_suspect_strike *strike = &suspect->strikes[i];
 
-  return at_us <= suspect->answered_us + same_us;
+      if ((strike->service == service || strike->service == JL_ANY_SERVICE)
+          && jl_suspects_is_active (suspects, suspect, strike, now_us))
+        last_us = MAX (last_us, strike->at_us);
+    }
+  return last_us;
+}
+
+static void
+clear_for_service (struct jl_suspect_answers *answers,
+                   uint64_t at_us,
+                   bool was_suspect)
+{
+  answers->answers = 0;
+  answers->cleared_us = at_us;
+  answers->was_suspect |= was_suspect;
 }
 
 bool
 jl_suspects_count_answer (struct jl_suspects *suspects,
                           uint64_t content,
+                          uint32_t service,
                           uint64_t at_us,
                           uint64_t now_us)
 {
   struct jl_suspect *suspect = jl_suspects_find (suspects, content);
+  struct jl_suspect_answers *answers;
   struct tally tally;
-  unsigned needed;
-  bool was_open;
+  unsigned needed = suspects->limits.clear_answers;
+  bool was_suspect;
 
-  if (suspect == NULL || is_same_answer (suspect, at_us))
+  if (suspect == NULL)
     return false;
-  suspect->answered_us = at_us;
+  answers = find_or_add_answers (suspect, service);
+  if (is_same_answer (answers, at_us))
+    return false;
+  answers->answered_us = at_us;
   end_trial (suspect, at_us);
   set_changed (suspects, suspect, now_us);
-  tally = count_strikes (suspects, suspect, now_us);
-  needed = tally.trials > 0 || suspect->was_suspect
-               ? suspects->limits.clear_answers_again
-               : suspects->limits.clear_answers;
-  if (at_us <= tally.last_us || ++suspect->answers < needed)
+  tally = count_strikes (suspects, suspect, service, now_us);
+  if (tally.trials > 0 || answers->was_suspect)
+    needed = suspects->limits.clear_answers_again;
+  if (at_us <= last_own_strike_us (suspects, suspect, service, now_us)
+      || ++answers->answers < needed)
     return false;
-  was_open = suspect->is_open;
-  suspect->was_suspect |= was_open;
-  suspect->answers = 0;
-  suspect->cleared_us = at_us;
+  was_suspect = tally.ends >= suspects->limits.suspect_ends;
+  clear_for_service (answers, at_us, was_suspect);
   update_open (suspects, suspect, now_us);
-  return was_open && !suspect->is_open;
+  return was_suspect;
 }
 
 /* Removes inferred strikes by a target from one content. */
@@ -368,6 +477,7 @@
 struct jl_verdict
 jl_suspects_judge (const struct jl_suspects *suspects,
                    uint64_t content,
+                   uint32_t service,
                    uint64_t now_us)
 {
   const struct jl_suspect *suspect = jl_suspects_find (suspects, content);
@@ -376,18 +486,20 @@
 
   if (suspect == NULL)
     return verdict;
-  tally = count_strikes (suspects, suspect, now_us);
+  tally = count_strikes (suspects, suspect, service, now_us);
   verdict.ends = tally.ends;
   verdict.trials = tally.trials;
   verdict.until_us = refused_until_us (&suspects->limits, &tally);
   if (now_us < verdict.until_us)
     verdict.suspicion = JL_SUSPICION_REFUSED;
+  else if (verdict.ends < suspects->limits.suspect_ends)
+    verdict.suspicion = JL_SUSPICION_NONE;
   else if (now_us < suspect->trial_until_us)
     {
       verdict.suspicion = JL_SUSPICION_ON_TRIAL;
       verdict.until_us = suspect->trial_until_us;
     }
-  else if (verdict.ends >= suspects->limits.suspect_ends)
+  else
     verdict.suspicion = JL_SUSPICION_SUSPECT;
   return verdict;
 }
--- a/source/policy/suspect.h
+++ b/source/policy/suspect.h
@@ -37,6 +37,8 @@
 #define JL_TRIAL_REPORT_PERIOD_US (300 * JL_USEC_PER_MSEC)
 /* Maximum number of strikes that are remembered for each content. */
 #define JL_STRIKES_MAX 8
+/* Maximum number of services whose answers are remembered for each content. */
+#define JL_ANSWERING_SERVICES_MAX 4
 /* Answers within this time are taken for reports of the same one. */
 #define JL_SAME_ANSWER_US (20 * JL_USEC_PER_MSEC)
 /* Maximum number of refusal times. */
@@ -87,9 +89,13 @@
   JL_SUSPICION_REFUSED,
 };
 
+/* Key of a service that is not known, or does not matter. */
+#define JL_ANY_SERVICE 0
+
 /**
  * struct jl_suspect_strike - the end of a target during a request
  * @target: key of the target, or of its incarnation
+ * @service: key of its service, JL_ANY_SERVICE if it is not known
  * @trial: the request ran as a trial
  * @inferred: only the loss of contact to the target's daemon is known
  * @at_us: time of the end
@@ -98,22 +104,39 @@
 struct jl_suspect_strike
 {
   uint64_t target;
+  uint32_t service;
   bool trial;
   bool inferred;
   uint64_t at_us;
   uint32_t sends_left;
 };
 
+/**
+ * struct jl_suspect_answers - the answers of one service to a content
+ * @service: its key
+ * @cleared_us: time at which the content was last cleared for the service, 0
+ * for never; its strikes until then are void
+ * @answered_us: time of the last answer
+ * @answers: answers since the service's last strike, or since the content was
+ *           cleared
+ * @was_suspect: the content was suspect or refused when it was cleared
+ */
+struct jl_suspect_answers
+{
+  uint32_t service;
+  uint64_t cleared_us;
+  uint64_t answered_us;
+  unsigned answers;
+  bool was_suspect;
+};
+
 /**
  * struct jl_suspect - the strikes against a content
  * @order: link in the list of all, by the time of the last change
  * @open: link in the list of those that are suspect or refused
  * @is_open: whether it is in that list
- * @cleared_us: time at which the content was last cleared; strikes until then
- *              are void
- * @answered_us: time of the last answer
- * @answers: answers since the last strike, or since the content was cleared
- * @was_suspect: it was suspect or refused when it was cleared
+ * @service_count: number of entries of @services
+ * @services: the services that answered
  * @trial_us: time at which the trial in progress was last reported
  * @trial_until_us: time until which its result is awaited, 0 for none
  * @result_us: time of the last result of a trial
@@ -126,10 +149,8 @@
   struct cds_list_head open;
   bool is_open;
   uint64_t content;
-  uint64_t cleared_us;
-  uint64_t answered_us;
-  unsigned answers;
-  bool was_suspect;
+  unsigned service_count;
+  struct jl_suspect_answers services[JL_ANSWERING_SERVICES_MAX];
   uint64_t trial_us;
   uint64_t trial_until_us;
   uint64_t result_us;
@@ -186,8 +207,8 @@
                                      uint64_t content);
 
 /**
- * jl_suspects_is_active - whether a strike has neither expired nor been
- * followed by an answer
+ * jl_suspects_is_active - whether a strike has neither expired nor become void
+ * because its service has cleared the content since
  */
 bool jl_suspects_is_active (const struct jl_suspects *suspects,
                             const struct jl_suspect *suspect,
@@ -207,14 +228,16 @@
                         uint64_t now_us);
 
 /**
- * jl_suspects_count_answer - records that a target has answered a request with
- * @content at @at_us; if it was answered often enough, the strikes until then
- * are void
+ * jl_suspects_count_answer - records that a target of @service has answered a
+ * request with @content at @at_us; if it was answered often enough, the content
+ * is cleared for the service
  *
- * Return: whether the content was suspect or refused, and is cleared.
+ * Return: whether the content was suspect or refused for the service, and is
+ * cleared.
  */
 bool jl_suspects_count_answer (struct jl_suspects *suspects,
                                uint64_t content,
+                               uint32_t service,
                                uint64_t at_us,
                                uint64_t now_us);
 
@@ -247,10 +270,13 @@
                             uint64_t at_us);
 
 /**
- * jl_suspects_judge - returns how a request with @content is treated now
+ * jl_suspects_judge - returns how a request with @content to @service is
+ * treated now
+ * @service: JL_ANY_SERVICE for a service for which it was never cleared
  */
 struct jl_verdict jl_suspects_judge (const struct jl_suspects *suspects,
                                      uint64_t content,
+                                     uint32_t service,
                                      uint64_t now_us);
 
 /**
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -125,7 +125,8 @@
   struct jl_request *request = call->relay.request;
 
   record_served (call, jl_upstream_head (call->relay.upstream)->status);
-  jl_report_answered (call->proxy, jl_content_id (&call->content));
+  jl_report_answered (call->proxy, jl_content_id (&call->content),
+                      call->service);
   jl_request_set_data (request, NULL);
   jl_call_free (call);
   jl_request_end_response (request);
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -158,7 +158,8 @@
   struct jl_request *request = work->relay.request;
 
   record_served (work, jl_upstream_head (work->relay.upstream)->status);
-  jl_report_answered (proxy, jl_content_id (&work->content));
+  jl_report_answered (proxy, jl_content_id (&work->content),
+                      work->header.service);
   jl_request_set_data (request, NULL);
   free_work (work);
   jl_request_end_response (request);
--- a/source/proxy/infer.c
+++ b/source/proxy/infer.c
@@ -13,11 +13,13 @@
 /**
  * struct lost_call - a request that was lost at a daemon
  * @target_key: incarnation of the daemon's target at which it was
+ * @service: key of its service
  */
 struct lost_call
 {
   const struct jl_member *member;
   uint32_t target_key;
+  uint32_t service;
   uint64_t content;
   bool trial;
 };
@@ -56,6 +58,7 @@
     .trial = first.trial,
     .inferred = true,
     .target = first.target_key,
+    .service = first.service,
     .at_us = jl_now (),
   };
 
@@ -92,6 +95,7 @@
   struct lost_call lost = {
     .member = call->member,
     .target_key = call->target_key,
+    .service = jl_name_key (call->service),
     .content = jl_content_id (&call->content),
     .trial = call->on_trial && call->trial_running,
   };
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -24,6 +24,7 @@
 #define OPEN_SUSPECTS_MAX 24
 /* Reports in one datagram, each on one content, that fit into it. */
 #define SINGLE_REPORTS_MAX 36
+_Static_assert(SINGLE_REPORTS_MAX <= BEACON_REPORTS_MAX, "reports fit");
 #define FLAG_TRIAL 1u
 #define FLAG_INFERRED 2u
 
@@ -71,8 +72,19 @@
   return news;
 }
 
-static struct beacon_report
-to_wire (const struct jl_report *report)
+/**
+ * struct batch - reports that are sent in one datagram
+ * @services: key of the service of each report's target
+ */
+struct batch
+{
+  unsigned count;
+  struct beacon_report reports[SINGLE_REPORTS_MAX];
+  unsigned services[SINGLE_REPORTS_MAX];
+};
+
+static void
+add_report (struct batch *batch, const struct jl_report *report)
 {
   uint64_t age_us = jl_now () - report->at_us;
   struct beacon_report wire = {
@@ -85,26 +97,30 @@
     .contents.contents_val = (u_quad_t *)report->contents,
   };
 
-  return wire;
+  batch->reports[batch->count] = wire;
+  batch->services[batch->count] = report->service;
+  batch->count++;
 }
 
 static size_t
-encode (const struct jl_news *news,
-        struct beacon_report *reports,
-        unsigned count,
-        char *datagram)
+encode (const struct jl_news *news, struct batch *batch, char *datagram)
 {
   struct beacon_reports message = {
     .format = REPORTS_FORMAT,
     .name = news->proxy->options->name,
-    .reports.reports_len = count,
-    .reports.reports_val = reports,
+    .reports.reports_len = batch->count,
+    .reports.reports_val = batch->reports,
+  };
+  struct beacon_reports_extension extension = {
+    .services.services_len = batch->count,
+    .services.services_val = batch->services,
   };
   XDR xdr;
   size_t size = 0;
 
   xdrmem_create (&xdr, datagram, DATAGRAM_BYTES_MAX, XDR_ENCODE);
-  if (xdr_beacon_reports (&xdr, &message))
+  if (xdr_beacon_reports (&xdr, &message)
+      && xdr_beacon_reports_extension (&xdr, &extension))
     size = xdr_getpos (&xdr);
   return size;
 }
@@ -135,13 +151,13 @@
   for (unsigned i = 0; i < report->count; i += JL_REPORT_CONTENTS_MAX)
     {
       struct jl_report part = *report;
-      struct beacon_report wire;
+      struct batch batch = { 0 };
       size_t size;
 
       part.contents = report->contents + i;
       part.count = MIN (report->count - i, JL_REPORT_CONTENTS_MAX);
-      wire = to_wire (&part);
-      size = encode (news, &wire, 1, datagram);
+      add_report (&batch, &part);
+      size = encode (news, &batch, datagram);
       if (size > 0)
         send_to_all (news, datagram, size);
     }
@@ -207,13 +223,13 @@
     resend_later (news, report);
 }
 
-/* Encodes the strikes against one content after those in @reports. Returns the
- * new number of reports. */
-static unsigned
-add_strikes (const struct jl_suspect *suspect,
-             struct beacon_report *reports,
-             unsigned count)
+static void
+add_strikes (const struct jl_news *news,
+             const struct jl_suspect *suspect,
+             struct batch *batch)
 {
+  const struct jl_suspects *suspects = &news->proxy->suspects;
+
   for (unsigned i = 0; i < suspect->strike_count; i++)
     {
       const struct jl_suspect_strike *strike = &suspect->strikes[i];
@@ -222,28 +238,27 @@
         .trial = strike->trial,
         .inferred = strike->inferred,
         .target = (uint32_t)strike->target,
+        .service = strike->service,
         .at_us = strike->at_us,
         .count = 1,
         .contents = &suspect->content,
       };
 
-      if (strike->at_us > suspect->cleared_us)
-        reports[count++] = to_wire (&report);
+      if (jl_suspects_is_active (suspects, suspect, strike, jl_now ()))
+        add_report (batch, &report);
     }
-  return count;
 }
 
 static void
 flush_reports (const struct jl_news *news,
                const struct jl_member *member,
                bool local_zone,
-               struct beacon_report *reports,
-               unsigned *count)
+               struct batch *batch)
 {
   char datagram[DATAGRAM_BYTES_MAX];
-  size_t size = *count > 0 ? encode (news, reports, *count, datagram) : 0;
+  size_t size = batch->count > 0 ? encode (news, batch, datagram) : 0;
 
-  *count = 0;
+  batch->count = 0;
   if (size == 0)
     return;
   if (member != NULL)
@@ -257,25 +272,25 @@
                    const struct jl_member *member,
                    bool local_zone)
 {
-  struct beacon_report reports[SINGLE_REPORTS_MAX];
+  struct batch batch = { 0 };
   const struct jl_suspect *suspect;
-  unsigned count = 0;
   unsigned suspect_count = 0;
 
   cds_list_for_each_entry (suspect, &news->proxy->suspects.open, open)
   {
     if (suspect_count++ == OPEN_SUSPECTS_MAX)
       break;
-    if (count + JL_STRIKES_MAX > SINGLE_REPORTS_MAX)
-      flush_reports (news, member, local_zone, reports, &count);
-    count = add_strikes (suspect, reports, count);
+    if (batch.count + JL_STRIKES_MAX > SINGLE_REPORTS_MAX)
+      flush_reports (news, member, local_zone, &batch);
+    add_strikes (news, suspect, &batch);
   }
-  flush_reports (news, member, local_zone, reports, &count);
+  flush_reports (news, member, local_zone, &batch);
 }
 
 static void
 apply_wire (struct jl_proxy *proxy,
             const struct beacon_report *wire,
+            uint32_t service,
             const char *by)
 {
   uint64_t now_us = jl_now ();
@@ -285,6 +300,7 @@
     .trial = (wire->flags & FLAG_TRIAL) != 0,
     .inferred = (wire->flags & FLAG_INFERRED) != 0,
     .target = wire->target,
+    .service = service,
     .at_us = now_us > age_us ? now_us - age_us : 1,
     .count = wire->contents.contents_len,
     .contents = (const uint64_t *)wire->contents.contents_val,
@@ -294,15 +310,34 @@
     jl_report_apply (proxy, &report, by);
 }
 
+static void
+apply_message (struct jl_proxy *proxy,
+               const struct beacon_reports *message,
+               const struct beacon_reports_extension *extension)
+{
+  for (unsigned i = 0; i < message->reports.reports_len; i++)
+    apply_wire (proxy, &message->reports.reports_val[i],
+                i < extension->services.services_len
+                    ? extension->services.services_val[i]
+                    : JL_ANY_SERVICE,
+                message->name);
+}
+
 void
 jl_news_read (struct jl_news *news, const char *datagram, size_t size)
 {
   struct beacon_reports message = { 0 };
+  struct beacon_reports_extension extension = { 0 };
   XDR xdr;
 
   xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
   if (xdr_beacon_reports (&xdr, &message) && message.format == REPORTS_FORMAT)
-    for (unsigned i = 0; i < message.reports.reports_len; i++)
-      apply_wire (news->proxy, &message.reports.reports_val[i], message.name);
+    {
+      /* Older daemons send no extension. */
+      if (!xdr_beacon_reports_extension (&xdr, &extension))
+        extension.services.services_len = 0;
+      apply_message (news->proxy, &message, &extension);
+    }
   xdr_free ((xdrproc_t)xdr_beacon_reports, &message);
+  xdr_free ((xdrproc_t)xdr_beacon_reports_extension, &extension);
 }
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -324,8 +324,8 @@
 
   cds_list_for_each_entry (suspect, &proxy->suspects.open, open)
   {
-    struct jl_verdict verdict
-        = jl_suspects_judge (&proxy->suspects, suspect->content, now_us);
+    struct jl_verdict verdict = jl_suspects_judge (
+        &proxy->suspects, suspect->content, JL_ANY_SERVICE, now_us);
 
     g_string_append_printf (
         text,
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -38,12 +38,12 @@
 
   jl_record (JL_RECORD_CHANGE, JL_RECORD_SUSPICION,
              "content=%016" PRIx64 " state=%s before=%s ends=%u trials=%u "
-             "report=%s target=%08x inferred=%d by=%s age_ms=%" PRIu64
-             " until_ms=%" PRIu64,
+             "report=%s target=%08x service=%08x inferred=%d by=%s "
+             "age_ms=%" PRIu64 " until_ms=%" PRIu64,
              content, jl_suspicion_name (after->suspicion),
              jl_suspicion_name (before->suspicion), after->ends, after->trials,
-             kind_name (report->kind), report->target, report->inferred, by,
-             (now_us - report->at_us) / JL_USEC_PER_MSEC,
+             kind_name (report->kind), report->target, report->service,
+             report->inferred, by, (now_us - report->at_us) / JL_USEC_PER_MSEC,
              after->until_us > now_us
                  ? (after->until_us - now_us) / JL_USEC_PER_MSEC
                  : 0);
@@ -59,6 +59,7 @@
   struct jl_suspects *suspects = &proxy->suspects;
   struct jl_suspect_strike strike = {
     .target = report->target,
+    .service = report->service,
     .trial = report->trial,
     .inferred = report->inferred,
     .at_us = report->at_us,
@@ -71,7 +72,8 @@
         proxy->counters.strikes++;
       break;
     case JL_REPORT_ANSWERED:
-      jl_suspects_count_answer (suspects, content, report->at_us, now_us);
+      jl_suspects_count_answer (suspects, content, report->service,
+                                report->at_us, now_us);
       break;
     case JL_REPORT_TRIAL_BEGUN:
     case JL_REPORT_TRIAL_RUNNING:
@@ -91,7 +93,7 @@
 {
   uint64_t now_us = jl_now ();
   struct jl_verdict before
-      = jl_suspects_judge (&proxy->suspects, content, now_us);
+      = jl_suspects_judge (&proxy->suspects, content, report->service, now_us);
   struct jl_verdict after;
 
   change_suspects (proxy, report, content, now_us);
@@ -99,7 +101,8 @@
       || report->kind == JL_REPORT_TRIAL_RUNNING)
     jl_trial_heard (proxy, content, by,
                     report->kind == JL_REPORT_TRIAL_RUNNING);
-  after = jl_suspects_judge (&proxy->suspects, content, now_us);
+  after
+      = jl_suspects_judge (&proxy->suspects, content, report->service, now_us);
   if (settled (&before) != settled (&after) || before.trials != after.trials)
     log_change (report, content, &before, &after, by);
   if (after.trials > before.trials && strcmp (by, proxy->options->name) == 0
@@ -126,17 +129,20 @@
 }
 
 void
-jl_report_answered (struct jl_proxy *proxy, uint64_t content)
+jl_report_answered (struct jl_proxy *proxy,
+                    uint64_t content,
+                    const char *service)
 {
   uint64_t now_us = jl_now ();
   struct jl_report report = {
     .kind = JL_REPORT_ANSWERED,
+    .service = jl_name_key (service),
     .at_us = now_us,
     .count = 1,
     .contents = &content,
   };
   struct jl_verdict verdict
-      = jl_suspects_judge (&proxy->suspects, content, now_us);
+      = jl_suspects_judge (&proxy->suspects, content, report.service, now_us);
 
   if (verdict.suspicion != JL_SUSPICION_NONE || verdict.trials > 0)
     {
@@ -144,7 +150,8 @@
       jl_report_publish (proxy, &report);
     }
   else if (verdict.ends > 0)
-    jl_suspects_count_answer (&proxy->suspects, content, now_us, now_us);
+    jl_suspects_count_answer (&proxy->suspects, content, report.service, now_us,
+                              now_us);
 }
 
 void
--- a/source/proxy/report.h
+++ b/source/proxy/report.h
@@ -31,13 +31,15 @@
 };
 
 /* Maximum number of contents of one report. */
-#define JL_REPORT_CONTENTS_MAX 150
+#define JL_REPORT_CONTENTS_MAX 140
 
 /**
  * struct jl_report - a report
  * @trial: of a strike: the requests ran as trials
  * @inferred: of a strike: only the loss of contact to the daemon is known
  * @target: of a strike: key of the target's incarnation
+ * @service: of a strike or an answer: key of the target's service,
+ *           JL_ANY_SERVICE if an older daemon reports it
  * @at_us: time of what is reported
  */
 struct jl_report
@@ -46,6 +48,7 @@
   bool trial;
   bool inferred;
   uint32_t target;
+  uint32_t service;
   uint64_t at_us;
   unsigned count;
   const uint64_t *contents;
@@ -67,10 +70,12 @@
 void jl_report_publish (struct jl_proxy *proxy, const struct jl_report *report);
 
 /**
- * jl_report_answered - reports that a target has answered a request, if its
- * content is suspect
+ * jl_report_answered - reports that a target of @service has answered a
+ * request, if its content is suspect
  */
-void jl_report_answered (struct jl_proxy *proxy, uint64_t content);
+void jl_report_answered (struct jl_proxy *proxy,
+                         uint64_t content,
+                         const char *service);
 
 /**
  * jl_report_trial - reports that a trial has begun, runs or is over
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -86,8 +86,8 @@
   return (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
 }
 
-/* Applies one end of a target during a trial, "[target, wall clock, inferred]".
- */
+/* Applies one end of a target during a trial, "[target, wall clock, inferred,
+ * service]". Older daemons write no service. */
 static void
 restore_end (struct jl_proxy *proxy, uint64_t content, struct json_object *end)
 {
@@ -109,6 +109,8 @@
       = json_object_get_boolean (json_object_array_get_idx (end, 2));
   report.target
       = (uint32_t)json_object_get_int64 (json_object_array_get_idx (end, 0));
+  report.service
+      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (end, 3));
   ended_ms
       = (uint64_t)json_object_get_int64 (json_object_array_get_idx (end, 1));
   age_us = now_ms > ended_ms ? (now_ms - ended_ms) * JL_USEC_PER_MSEC : 0;
@@ -300,7 +302,7 @@
 
 /* Returns the ends of targets during trials, for a row. */
 static struct json_object *
-list_ends (const struct jl_suspect *suspect)
+list_ends (const struct jl_proxy *proxy, const struct jl_suspect *suspect)
 {
   struct json_object *ends = json_object_new_array ();
   uint64_t now_us = jl_now ();
@@ -311,7 +313,8 @@
       uint64_t age_ms = (now_us - strike->at_us) / JL_USEC_PER_MSEC;
       struct json_object *end;
 
-      if (!strike->trial || strike->at_us <= suspect->cleared_us)
+      if (!strike->trial
+          || !jl_suspects_is_active (&proxy->suspects, suspect, strike, now_us))
         continue;
       end = json_object_new_array ();
       json_object_array_add (end,
@@ -319,6 +322,7 @@
       json_object_array_add (
           end, json_object_new_int64 ((int64_t)(wall_clock_ms () - age_ms)));
       json_object_array_add (end, json_object_new_boolean (strike->inferred));
+      json_object_array_add (end, json_object_new_int64 (strike->service));
       json_object_array_add (ends, end);
     }
   return ends;
@@ -333,8 +337,8 @@
 
   cds_list_for_each_entry (suspect, &proxy->suspects.open, open)
   {
-    struct jl_verdict verdict
-        = jl_suspects_judge (&proxy->suspects, suspect->content, now_us);
+    struct jl_verdict verdict = jl_suspects_judge (
+        &proxy->suspects, suspect->content, JL_ANY_SERVICE, now_us);
     struct json_object *refused;
     char content[JL_CONTENT_TEXT_SIZE];
 
@@ -345,7 +349,7 @@
     g_snprintf (content, sizeof content, "%016" PRIx64, suspect->content);
     json_object_object_add (refused, "content",
                             json_object_new_string (content));
-    json_object_object_add (refused, "ends", list_ends (suspect));
+    json_object_object_add (refused, "ends", list_ends (proxy, suspect));
     json_object_array_add (list, refused);
   }
   return list;
--- a/source/proxy/trial.c
+++ b/source/proxy/trial.c
@@ -33,10 +33,11 @@
 }
 
 static struct jl_verdict
-judge (const struct jl_proxy *proxy, const struct jl_content *content)
+judge_call (const struct jl_call *call)
 {
-  return jl_suspects_judge (&proxy->suspects, jl_content_id (content),
-                            jl_now ());
+  return jl_suspects_judge (&call->proxy->suspects,
+                            jl_content_id (&call->content),
+                            jl_name_key (call->service), jl_now ());
 }
 
 static void decide_call (struct jl_call *call);
@@ -136,7 +137,7 @@
 static void
 decide_call (struct jl_call *call)
 {
-  struct jl_verdict verdict = judge (call->proxy, &call->content);
+  struct jl_verdict verdict = judge_call (call);
 
   switch (verdict.suspicion)
     {
@@ -177,8 +178,7 @@
 bool
 jl_trial_may_repeat (const struct jl_call *call)
 {
-  return !call->on_trial
-         && judge (call->proxy, &call->content).suspicion == JL_SUSPICION_NONE;
+  return !call->on_trial && judge_call (call).suspicion == JL_SUSPICION_NONE;
 }
 
 void
@@ -190,7 +190,7 @@
   if (!call->on_trial || call->may_have_run || was_sent)
     return;
   call->on_trial = false;
-  if (judge (call->proxy, &call->content).suspicion == JL_SUSPICION_ON_TRIAL)
+  if (judge_call (call).suspicion == JL_SUSPICION_ON_TRIAL)
     jl_report_trial (call->proxy, JL_REPORT_TRIAL_OVER,
                      jl_content_id (&call->content));
 }
@@ -203,6 +203,14 @@
   return proxy->trial_work == NULL && !jl_watch_is_in_doubt (proxy->watch);
 }
 
+static struct jl_verdict
+judge_work (const struct jl_work *work)
+{
+  return jl_suspects_judge (&work->proxy->suspects,
+                            jl_content_id (&work->content),
+                            jl_name_key (work->header.service), jl_now ());
+}
+
 static void decide_work (struct jl_work *work);
 
 static void
@@ -269,7 +277,7 @@
 static void
 decide_work (struct jl_work *work)
 {
-  enum jl_suspicion suspicion = judge (work->proxy, &work->content).suspicion;
+  enum jl_suspicion suspicion = judge_work (work).suspicion;
 
   if (suspicion == JL_SUSPICION_REFUSED)
     {
@@ -405,7 +413,8 @@
 {
   uint64_t max_us = answered ? ANSWERED_JITTER_US : NEXT_TRIAL_JITTER_US;
   enum jl_suspicion suspicion
-      = jl_suspects_judge (&proxy->suspects, content, jl_now ()).suspicion;
+      = jl_suspects_judge (&proxy->suspects, content, JL_ANY_SERVICE, jl_now ())
+            .suspicion;
 
   if (suspicion == JL_SUSPICION_ON_TRIAL)
     return;
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -65,3 +65,10 @@
   string name<BEACON_TEXT_MAX>;
   beacon_report reports<BEACON_REPORTS_MAX>;
 };
+
+/* Follows beacon_reports in the same datagram: the key of the service of each
+ * report's target. */
+struct beacon_reports_extension
+{
+  unsigned int services<BEACON_REPORTS_MAX>;
+};
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -87,6 +87,14 @@
 };
 typedef struct beacon_reports beacon_reports;
 
+struct beacon_reports_extension {
+	struct {
+		u_int services_len;
+		u_int *services_val;
+	} services;
+};
+typedef struct beacon_reports_extension beacon_reports_extension;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -96,6 +104,7 @@
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
+extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
@@ -104,6 +113,7 @@
 extern bool_t xdr_beacon_extension ();
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
+extern bool_t xdr_beacon_reports_extension ();
 
 #endif /* K&R C */
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -272,3 +272,14 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_beacon_reports_extension (XDR *xdrs, beacon_reports_extension *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, BEACON_REPORTS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
--- a/tests/proxy/suspect.c
+++ b/tests/proxy/suspect.c
@@ -11,6 +11,8 @@
 #define POISON UINT64_C (0x1111111122222222)
 #define INNOCENT UINT64_C (0x3333333344444444)
 #define NOW_US (1000 * SECOND)
+#define FRONT 7u
+#define OTHER 8u
 
 static const struct jl_suspect_limits limits = {
   .suspect_ends = 2,
@@ -30,7 +32,12 @@
         bool trial,
         uint64_t at_us)
 {
-  struct jl_suspect_strike strike = { target, trial, false, at_us, 0 };
+  struct jl_suspect_strike strike = {
+    .target = target,
+    .service = FRONT,
+    .trial = trial,
+    .at_us = at_us,
+  };
 
   return jl_suspects_add_strike (suspects, content, &strike, at_us) != NULL;
 }
@@ -40,7 +47,7 @@
            uint64_t content,
            uint64_t now_us)
 {
-  return jl_suspects_judge (suspects, content, now_us).suspicion;
+  return jl_suspects_judge (suspects, content, FRONT, now_us).suspicion;
 }
 
 /* Makes a content suspect, as of NOW_US. */
@@ -94,7 +101,8 @@
       uint64_t at_us = first_us + (uint64_t)i * 50 * MS;
 
       cr_assert_not (cleared);
-      cleared = jl_suspects_count_answer (suspects, content, at_us, at_us);
+      cleared
+          = jl_suspects_count_answer (suspects, content, FRONT, at_us, at_us);
     }
   return cleared;
 }
@@ -150,11 +158,48 @@
   jl_suspects_init (&suspects, &limits);
   suspect (&suspects, INNOCENT);
   for (unsigned i = 0; i < 10; i++)
-    cr_assert_not (jl_suspects_count_answer (&suspects, INNOCENT,
+    cr_assert_not (jl_suspects_count_answer (&suspects, INNOCENT, FRONT,
                                              NOW_US + i * MS, NOW_US + SECOND));
   jl_suspects_clear (&suspects);
 }
 
+Test (suspect, answers_of_another_service_do_not_clear_a_content)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects, &limits);
+  suspect (&suspects, POISON);
+  for (uint64_t i = 1; i <= 20; i++)
+    jl_suspects_count_answer (&suspects, POISON, OTHER, NOW_US + i * 50 * MS,
+                              NOW_US + SECOND);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + SECOND),
+                JL_SUSPICION_SUSPECT);
+  strike (&suspects, POISON, 3, true, NOW_US + SECOND);
+  strike (&suspects, POISON, 4, true, NOW_US + SECOND);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + 2 * SECOND),
+                JL_SUSPICION_REFUSED);
+  cr_assert_eq (
+      jl_suspects_judge (&suspects, POISON, OTHER, NOW_US + 2 * SECOND)
+          .suspicion,
+      JL_SUSPICION_NONE, "the service that answers gets it");
+  jl_suspects_clear (&suspects);
+}
+
+/* A route is moved to another service while its content is refused. */
+Test (suspect, a_refused_content_is_refused_at_a_service_that_never_ran_it)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects, &limits);
+  suspect (&suspects, POISON);
+  strike (&suspects, POISON, 3, true, NOW_US);
+  strike (&suspects, POISON, 4, true, NOW_US);
+  cr_assert_eq (
+      jl_suspects_judge (&suspects, POISON, OTHER, NOW_US + SECOND).suspicion,
+      JL_SUSPICION_REFUSED);
+  jl_suspects_clear (&suspects);
+}
+
 Test (suspect, a_content_that_ends_each_second_target_is_refused)
 {
   struct jl_suspects suspects;
@@ -166,7 +211,7 @@
     {
       now_us += 50 * MS;
       cr_assert_not (
-          jl_suspects_count_answer (&suspects, POISON, now_us, now_us));
+          jl_suspects_count_answer (&suspects, POISON, FRONT, now_us, now_us));
       now_us += 50 * MS;
       strike (&suspects, POISON, target, true, now_us);
     }
@@ -227,7 +272,8 @@
 Test (suspect, an_inferred_end_is_void_once_the_target_is_known_to_live)
 {
   struct jl_suspects suspects;
-  struct jl_suspect_strike inferred = { 7, true, true, NOW_US, 0 };
+  struct jl_suspect_strike inferred
+      = { .target = 7, .trial = true, .inferred = true, .at_us = NOW_US };
 
   jl_suspects_init (&suspects, &limits);
   suspect (&suspects, INNOCENT);
--- a/tests/proxy/trial.c
+++ b/tests/proxy/trial.c
@@ -88,7 +88,8 @@
 static struct jl_verdict
 judge (const struct rig *rig)
 {
-  return jl_suspects_judge (&rig->proxy->suspects, content (), jl_now ());
+  return jl_suspects_judge (&rig->proxy->suspects, content (), JL_ANY_SERVICE,
+                            jl_now ());
 }
 
 Test (trial, an_entry_refuses_a_content_that_ended_targets_in_two_trials)
--- a/tests/soak/deadly.py
+++ b/tests/soak/deadly.py
@@ -117,4 +117,5 @@
         ends = self.ends[path]
         if len(ends) < 3:
             return []
-        return [arrival for arrival in self.arrivals[path] if arrival[0] > ends[2] + CONTACT_S]
+        return [arrival for arrival in self.arrivals[path]
+                if arrival[0] > ends[2] + CONTACT_S and arrival[2] not in self.survivors]
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -1,11 +1,12 @@
 #!/usr/bin/env python3
 """Plays requests that end each target that begins to run them.
 
-    poison.py --program PATH [--seed N] [--seconds N] [--route read|write|call]
+    poison.py --program PATH [--seed N] [--seconds N] [--route read|write|call|both|moving]
               [--contents N] [--end reset|dark|machine|machine-dark] [--same-id]
               [--chunked] [--store silent] [--kill-every S] [--cut] [--daemons N]
               [--crash rack|rolling|release] [--off NAME] [--rate N] [--body-bytes N]
-              [--back-s S] [--run-s S] [--front-s S] [--every N] [--survivors N]
+              [--back-s S] [--run-s S] [--front-s S] [--every N] [--weight N]
+              [--move-every S]
 
 Each content is sent several times a second by clients at random daemons, always
 with the same path and body. Honest clients send other requests meanwhile. The
@@ -98,6 +99,7 @@
         return super().routes(moving_service) + [
             ["call", "idempotent", 1, "front"],
             ["deep", "idempotent", 1, "deep"],
+            ["both", "idempotent", 1, {"front": self.play.weight, "deep": 100 - self.play.weight}],
         ]
 
     def choose_target(self, kind, choice):
@@ -180,6 +182,12 @@
             now = time.monotonic()
             self.impairments[daemon.name].append([now, now + RESTART_S])
 
+    async def move_route(self):
+        """Moves the route 'moving' between the services."""
+        while not self.poison_done:
+            await asyncio.sleep(self.play.move_every)
+            self.configure()
+
     async def cut_zones(self):
         """Cuts the zones off from each other for the middle of the play."""
         await asyncio.sleep(0.2)
@@ -221,7 +229,8 @@
         self.poison_done = False
         self.lags = []
         lag_task = asyncio.create_task(self.measure_lag())
-        survivors = [daemon.target for daemon in self.daemons if daemon.service == "front"][:self.play.survivors]
+        survivors = [daemon.target for daemon in self.daemons
+                     if self.play.route == "both" and daemon.service != "front"]
         self.deadly = DeadlyContents(self, self.end_target, self.play.run_s, self.play.every, survivors)
         for daemon in self.daemons:
             daemon.target_relay.reset_delay = self.play.front_s
@@ -236,6 +245,8 @@
         plays = [self.send_poison(number) for number in range(self.play.contents)]
         if self.play.kill_every:
             plays.append(self.kill_daemons())
+        if self.play.move_every:
+            plays.append(self.move_route())
         if self.play.cut:
             plays.append(self.cut_zones())
         if self.play.crash:
@@ -326,7 +337,7 @@
     parser.add_argument("--seed", default=1, type=int)
     parser.add_argument("--seconds", default=30.0, type=float)
     parser.add_argument("--daemons", default=12, type=int)
-    parser.add_argument("--route", default="read", choices=["read", "write", "call"])
+    parser.add_argument("--route", default="read", choices=["read", "write", "call", "both", "moving"])
     parser.add_argument("--contents", default=1, type=int)
     parser.add_argument("--rate", default=RATE, type=float, help="requests of each content per second")
     parser.add_argument("--body-bytes", default=3000, type=int, help="size of a body on the route write")
@@ -336,7 +347,10 @@
     parser.add_argument("--front-s", default=0.0, type=float,
                         help="time for which connections to a target that has ended stay open")
     parser.add_argument("--every", default=1, type=int, help="a content ends only each N-th target that runs it")
-    parser.add_argument("--survivors", default=0, type=int, help="number of targets of the first service that answer")
+    parser.add_argument("--weight", default=50, type=int,
+                        help="share in percent of the route 'both' that goes to the service whose targets end")
+    parser.add_argument("--move-every", default=0.0, type=float,
+                        help="period at which the route 'moving' is moved to a random service")
     parser.add_argument("--same-id", action="store_true")
     parser.add_argument("--chunked", action="store_true")
     parser.add_argument("--store", default="calm")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -169,7 +169,10 @@
         self.number = 0
 
     def routes(self, moving_service):
-        """Returns the routes of a configuration, without the columns that all have in common."""
+        """Returns the routes of a configuration, without the columns that all have in common.
+
+        The last column is a service, or the weights of several by their names.
+        """
         return [
             ["read", "idempotent", 2, "front"],
             ["write", "non_idempotent", 0, "deep"],
@@ -182,8 +185,10 @@
         service = self.random.choice(SERVICES)
         columns = ["name", "host", "prefix", "kind", "timeoutS", "targetLatencyS",
                    "priority", "split", "maxAttempts", "service"]
-        rows = [[name, "a.example", f"/{name}/", kind, 2, 0.5, priority, None, 2, to]
-                for name, kind, priority, to in self.routes(service)]
+        rows = []
+        for name, kind, priority, to in self.routes(service):
+            split = None if isinstance(to, str) else [{"service": part, "weight": to[part]} for part in to]
+            rows.append([name, "a.example", f"/{name}/", kind, 2, 0.5, priority, split, 2, None if split else to])
         document = {
             "version": f"{self.version:08x}",
             "routes": {"columns": columns, "rows": rows},
