Tell daemons without contact of the first lost trial, through the store

What callers saw: with zones cut off from each other and daemons killed, a content ended up to 9 targets, since each zone had to see two ends and lose two trials for itself.

Cause: what a daemon knows of a content went to the store only when the content was refused, after the second lost trial. Until then zones without contact knew nothing of each other's strikes, and what a killed daemon had seen was lost. Class of fault: knowledge that must outlive its holder is kept with it until a decision is complete.

Change: a daemon writes the contents that have ended a target in a trial from the first such end on, one write for each. A content with a lost trial is suspect at once wherever it is heard of, since others had seen two ends before.

suspect::a_content_that_ended_a_target_in_a_trial_elsewhere_is_suspect and trial::a_lost_trial_is_written_to_the_store fail without the change.

--- a/source/policy/suspect.c
+++ b/source/policy/suspect.c
@@ -145,6 +145,14 @@
   suspects->open_count += open ? 1 : -1;
 }
 
+/* Whether a content with such strikes is suspect, or refused. A lost trial is
+ * enough, since others had seen ends before it began. */
+static bool
+is_suspect (const struct jl_suspects *suspects, const struct tally *tally)
+{
+  return tally->ends >= suspects->limits.suspect_ends || tally->trials > 0;
+}
+
 static void
 update_open (struct jl_suspects *suspects,
              struct jl_suspect *suspect,
@@ -152,11 +160,10 @@
 {
   struct tally tally
       = count_strikes (suspects, suspect, JL_ANY_SERVICE, now_us);
-  unsigned needed = jl_content_is_known (suspect->content)
-                        ? suspects->limits.suspect_ends
-                        : 1;
+  bool is_head = !jl_content_is_known (suspect->content);
 
-  set_open (suspects, suspect, tally.ends >= needed);
+  set_open (suspects, suspect,
+            is_suspect (suspects, &tally) || (is_head && tally.ends > 0));
   if (!suspect->is_open)
     suspect->trial_until_us = 0;
 }
@@ -400,7 +407,7 @@
   if (at_us <= last_own_strike_us (suspects, suspect, service, now_us)
       || ++answers->answers < needed)
     return false;
-  was_suspect = tally.ends >= suspects->limits.suspect_ends;
+  was_suspect = is_suspect (suspects, &tally);
   clear_for_service (answers, at_us, was_suspect);
   update_open (suspects, suspect, now_us);
   return was_suspect;
@@ -492,7 +499,7 @@
   verdict.until_us = refused_until_us (&suspects->limits, &tally);
   if (now_us < verdict.until_us)
     verdict.suspicion = JL_SUSPICION_REFUSED;
-  else if (verdict.ends < suspects->limits.suspect_ends)
+  else if (!is_suspect (suspects, &tally))
     verdict.suspicion = JL_SUSPICION_NONE;
   else if (now_us < suspect->trial_until_us)
     {
--- a/source/policy/suspect.h
+++ b/source/policy/suspect.h
@@ -46,7 +46,8 @@
 
 /**
  * struct jl_suspect_limits - when contents are suspect or refused
- * @suspect_ends: ends of different targets with which a content is suspect
+ * @suspect_ends: ends of different targets with which a content is suspect; one
+ *                end in a trial is enough
  * @refuse_ends: ends with which it is refused until they expire, 0 for none
  * @refuse_trials: ends in trials with which it is refused, 0 for none
  * @clear_answers: answers without an end in between that clear a content
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -105,8 +105,7 @@
       = jl_suspects_judge (&proxy->suspects, content, report->service, now_us);
   if (settled (&before) != settled (&after) || before.trials != after.trials)
     log_change (report, content, &before, &after, by);
-  if (after.trials > before.trials && strcmp (by, proxy->options->name) == 0
-      && after.suspicion == JL_SUSPICION_REFUSED)
+  if (after.trials > before.trials && strcmp (by, proxy->options->name) == 0)
     jl_rows_write_refused (proxy);
   if (before.suspicion != after.suspicion || before.ends != after.ends)
     jl_trial_continue (proxy, content, report->kind == JL_REPORT_ANSWERED);
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -19,8 +19,8 @@
 #define DAEMON_TABLE "daemons"
 #define TARGET_TABLE "targets"
 /* Prefix of the keys of rows in the table of daemons that hold the contents
- * that a daemon has found to be refused. The table is watched anyway. Older
- * daemons ignore rows without an endpoint. */
+ * that a daemon has found to end targets in trials. The table is watched
+ * anyway. Older daemons ignore rows without an endpoint. */
 #define REFUSED_PREFIX "refused/"
 /* Maximum number of contents in such a row. */
 #define REFUSED_CONTENTS_MAX 16
@@ -342,7 +342,7 @@
     struct json_object *refused;
     char content[JL_CONTENT_TEXT_SIZE];
 
-    if (verdict.suspicion != JL_SUSPICION_REFUSED
+    if (verdict.trials == 0
         || json_object_array_length (list) == REFUSED_CONTENTS_MAX)
       continue;
     refused = json_object_new_object ();
--- a/source/proxy/rows.h
+++ b/source/proxy/rows.h
@@ -22,8 +22,9 @@
 void jl_rows_write_departed (struct jl_proxy *proxy);
 
 /**
- * jl_rows_write_refused - writes the contents that are refused, so that daemons
- * know them after a restart and while zones are cut off from each other
+ * jl_rows_write_refused - writes the contents that have ended targets in
+ * trials, so that daemons know them after a restart and while zones are cut off
+ * from each other
  */
 void jl_rows_write_refused (struct jl_proxy *proxy);
 
--- a/tests/proxy/suspect.c
+++ b/tests/proxy/suspect.c
@@ -58,6 +58,27 @@
   strike (suspects, content, 2, false, NOW_US - 1);
 }
 
+/* Records @count answers to a content, the first one at @first_us. Returns
+ * whether the last of them has cleared it, and none before. */
+static bool
+answer (struct jl_suspects *suspects,
+        uint64_t content,
+        uint64_t first_us,
+        unsigned count)
+{
+  bool cleared = false;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      uint64_t at_us = first_us + (uint64_t)i * 50 * MS;
+
+      cr_assert_not (cleared);
+      cleared
+          = jl_suspects_count_answer (suspects, content, FRONT, at_us, at_us);
+    }
+  return cleared;
+}
+
 Test (suspect, ends_of_two_targets_make_a_content_suspect)
 {
   struct jl_suspects suspects;
@@ -74,6 +95,22 @@
   jl_suspects_clear (&suspects);
 }
 
+/* Guards against zones without contact that each need two ends to suspect it.
+ */
+Test (suspect, a_content_that_ended_a_target_in_a_trial_elsewhere_is_suspect)
+{
+  struct jl_suspects suspects;
+
+  jl_suspects_init (&suspects, &limits);
+  strike (&suspects, POISON, 3, true, NOW_US);
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US), JL_SUSPICION_SUSPECT);
+  cr_assert (jl_suspects_knows_head (&suspects, POISON >> 32));
+  cr_assert (answer (&suspects, POISON, NOW_US + MS, 8));
+  cr_assert_eq (suspicion (&suspects, POISON, NOW_US + SECOND),
+                JL_SUSPICION_NONE);
+  jl_suspects_clear (&suspects);
+}
+
 Test (suspect, any_number_of_crashes_without_a_trial_refuses_nobody)
 {
   struct jl_suspects suspects;
@@ -86,27 +123,6 @@
   jl_suspects_clear (&suspects);
 }
 
-/* Records @count answers to a content, the first one at @first_us. Returns
- * whether the last of them has cleared it, and none before. */
-static bool
-answer (struct jl_suspects *suspects,
-        uint64_t content,
-        uint64_t first_us,
-        unsigned count)
-{
-  bool cleared = false;
-
-  for (unsigned i = 0; i < count; i++)
-    {
-      uint64_t at_us = first_us + (uint64_t)i * 50 * MS;
-
-      cr_assert_not (cleared);
-      cleared
-          = jl_suspects_count_answer (suspects, content, FRONT, at_us, at_us);
-    }
-  return cleared;
-}
-
 Test (suspect, answers_in_a_row_clear_an_innocent_content)
 {
   struct jl_suspects suspects;
--- a/tests/proxy/trial.c
+++ b/tests/proxy/trial.c
@@ -228,6 +228,27 @@
   cr_assert_eq (judge (&rig).trials, 1);
 }
 
+/* Guards against zones without contact that each have to lose two trials. */
+Test (trial, a_lost_trial_is_written_to_the_store)
+{
+  struct rig rig;
+  struct peer peer;
+  struct peer target = { .resets = true };
+  const char *row;
+
+  begin (&rig, &peer, 38);
+  open_target (&rig, &target);
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  make_suspect (&rig);
+  send_work (&rig, "/x");
+  rig_run (&rig, 100);
+  rig_heartbeat (&rig, "i-2", 6, 1);
+  rig_run (&rig, 200);
+  row = fake_store_get (&rig.store, "daemons", "refused/d5");
+  cr_assert_not_null (row);
+  cr_assert_not_null (strstr (row, "\"content\""), "%s", row);
+}
+
 Test (trial, a_trial_is_not_lost_at_a_target_that_answers_a_later_request)
 {
   struct rig rig;
