--- a/tests/soak/deadly.py
+++ b/tests/soak/deadly.py
@@ -41,8 +41,11 @@
         self.answers = defaultdict(int)
         self.tasks = set()
         for daemon in site.daemons:
-            daemon.target.on_arrival = self.arrived
-            daemon.target.on_run = self.runs
+            self.watch(daemon)
+
+    def watch(self, daemon):
+        daemon.target.on_arrival = self.arrived
+        daemon.target.on_run = self.runs
 
     def spawn(self, work):
         task = asyncio.create_task(work)
@@ -82,12 +85,14 @@
         await asyncio.sleep(BACK_S)
         await daemon.target.start(daemon.target.announce)
 
-    async def send_again_and_again(self, path, body, idempotent, choice, is_over, chunked=False, rate=RATE):
+    async def send_again_and_again(self, path, body, idempotent, choice, is_over, chunked=False, rate=RATE,
+                                   is_paused=lambda: False):
         """Sends a content as a new attempt each time, at random daemons."""
         await asyncio.sleep(choice.uniform(0, 1 / rate))
         while not is_over():
             daemon = choice.choice(self.site.daemons)
-            self.spawn(self.send(daemon, path, body, idempotent, chunked))
+            if not is_paused():
+                self.spawn(self.send(daemon, path, body, idempotent, chunked))
             await asyncio.sleep(1 / rate)
 
     async def send(self, daemon, path, body, idempotent, chunked):
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -6,7 +6,7 @@
               [--chunked] [--store silent] [--kill-every S] [--cut] [--daemons N]
               [--crash rack|rolling|release] [--off NAME] [--rate N] [--body-bytes N]
               [--back-s S] [--run-s S] [--front-s S] [--every N] [--weight N]
-              [--move-every S]
+              [--move-every S] [--join-at S] [--lose-rows-at S] [--pause S]
 
 Each content is sent several times a second by clients at random daemons, always
 with the same path and body. Honest clients send other requests meanwhile. The
@@ -34,7 +34,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from deadly import BACK_S, LATE_ARRIVALS_MAX, RATE, RUN_S, DeadlyContents  # noqa: E402
-from soak import RESTART_S, Site  # noqa: E402
+from soak import RESTART_S, SERVICES, ZONES, Daemon, Site  # noqa: E402
 
 # Time from the first end of a target after which honest requests are served.
 SERVED_AFTER_S = 8.0
@@ -107,9 +107,6 @@
             return "/read/popular"
         return super().choose_target(kind, choice)
 
-    def is_over(self):
-        return self.poison_done
-
     def send_poison(self, number):
         """Returns the coroutine that sends a content during the play."""
         path = f"/{self.play.route}/poison-{number}"
@@ -118,7 +115,7 @@
         body = b"p" * self.play.body_bytes if self.play.route == "write" else b""
         return self.deadly.send_again_and_again(
             path, body, self.play.route != "write", random.Random(f"{self.seed}-{path}"),
-            self.is_over, self.play.chunked, self.play.rate)
+            self.is_over, self.play.chunked, self.play.rate, self.is_paused)
 
     async def end_target(self, daemon):
         target = daemon.target
@@ -188,6 +185,33 @@
             await asyncio.sleep(self.play.move_every)
             self.configure()
 
+    async def join_daemons(self):
+        """Adds a daemon and a target of each service in each zone."""
+        await asyncio.sleep(self.play.join_at)
+        for number in range(self.count, self.count + len(ZONES) * len(SERVICES)):
+            daemon = Daemon(self, number)
+            await daemon.prepare()
+            self.deadly.watch(daemon)
+            daemon.supervisor = asyncio.create_task(daemon.supervise())
+            self.daemons.append(daemon)
+
+    async def lose_rows(self):
+        """Removes what the daemons have written on contents, and restarts two of them."""
+        await asyncio.sleep(self.play.lose_rows_at)
+        for table, key in list(self.store.rows):
+            if key.startswith("refused/"):
+                del self.store.rows[table, key]
+        self.store.compact()
+        for daemon in random.Random(f"{self.seed}-rows").sample(self.daemons, 2):
+            daemon.signal(signal.SIGKILL)
+
+    def is_over(self):
+        return self.poison_done
+
+    def is_paused(self):
+        since_third = time.monotonic() - self.play_began - self.play.seconds / 3
+        return 0 < since_third < self.play.pause
+
     async def cut_zones(self):
         """Cuts the zones off from each other for the middle of the play."""
         await asyncio.sleep(0.2)
@@ -247,6 +271,10 @@
             plays.append(self.kill_daemons())
         if self.play.move_every:
             plays.append(self.move_route())
+        if self.play.join_at:
+            plays.append(self.join_daemons())
+        if self.play.lose_rows_at:
+            plays.append(self.lose_rows())
         if self.play.cut:
             plays.append(self.cut_zones())
         if self.play.crash:
@@ -351,6 +379,11 @@
                         help="share in percent of the route 'both' that goes to the service whose targets end")
     parser.add_argument("--move-every", default=0.0, type=float,
                         help="period at which the route 'moving' is moved to a random service")
+    parser.add_argument("--join-at", default=0.0, type=float, help="time at which daemons with new targets are added")
+    parser.add_argument("--lose-rows-at", default=0.0, type=float,
+                        help="time at which the store loses the rows on contents, and two daemons are killed")
+    parser.add_argument("--pause", default=0.0, type=float,
+                        help="time for which no content is sent, after the first third of the play")
     parser.add_argument("--same-id", action="store_true")
     parser.add_argument("--chunked", action="store_true")
     parser.add_argument("--store", default="calm")
