Await requests at silent daemons that no other daemon can take

Cause: an entry that had received no beacon of a daemon for 5 s (2.5 s in its own zone) ended the requests in progress there, with 502 if no retry was possible. Class of fault: silence is taken for an end.

Change: an idempotent request at a silent daemon is sent to another one if there is one, and if attempts and budget allow it; otherwise it stays where it is, and its answer is passed on. The deadline ends it. The same holds for a daemon that is stopping.

Ruled out: the stop itself. No target had ended (no E724).

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -83,20 +83,28 @@
     jl_call_give_up (call, reason);
 }
 
-/* Handles an attempt that ended without a response although a target may have
- * run the request. Only idempotent requests are retried. */
-static void
-handle_unknown_outcome (struct jl_call *call, const char *reason)
+/* Whether a request that may have run is sent to another daemon; takes the
+ * retry from the budget. Only idempotent requests are retried. */
+static bool
+prepare_repeat (struct jl_call *call)
 {
   bool idempotent = call->route->retry_policy == JL_RETRY_POLICY_IDEMPOTENT
                     || JL_TEST_DISABLED ("once");
 
+  return idempotent && call->targets_reached < call->route->attempts_max
+         && can_place_again (call) && jl_trial_may_repeat (call)
+         && jl_demand_spend_retry (call->proxy, call->site, call->route);
+}
+
+/* Handles an attempt that ended without a response although a target may have
+ * run the request. */
+static void
+handle_unknown_outcome (struct jl_call *call, const char *reason)
+{
   call->targets_reached++;
   call->may_have_run = true;
   jl_call_cancel_upstream (call);
-  if (idempotent && call->targets_reached < call->route->attempts_max
-      && can_place_again (call) && jl_trial_may_repeat (call)
-      && jl_demand_spend_retry (call->proxy, call->site, call->route))
+  if (prepare_repeat (call))
     place_again (call, reason);
   else
     jl_call_fail (call, 502, reason);
@@ -589,6 +597,24 @@
   }
 }
 
+/* Sends a request at a silent daemon to another one. If that is not possible,
+ * the request stays there: the daemon may live, and its response may come. */
+static void
+leave_silent_member (struct jl_call *call, uint64_t now_us)
+{
+  if (choose_daemon (call, now_us) == NULL)
+    return;
+  call->targets_reached++;
+  if (!prepare_repeat (call))
+    {
+      call->targets_reached--;
+      return;
+    }
+  call->may_have_run = true;
+  jl_call_cancel_upstream (call);
+  place_again (call, "member-silent");
+}
+
 void
 jl_entry_check_members (struct jl_proxy *proxy)
 {
@@ -600,7 +626,6 @@
   cds_list_for_each_entry_safe (
       call, next, &proxy->calls,
       link) if (call->member != NULL && !call->relay.response_started
-                && call->route->retry_policy == JL_RETRY_POLICY_IDEMPOTENT
                 && !jl_member_is_alive (call->member, now_us))
-      handle_unknown_outcome (call, "member-silent");
+      leave_silent_member (call, now_us);
 }
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -284,8 +284,10 @@
 extern const struct jl_handler jl_entry_handler;
 
 /**
- * jl_entry_check_members - retries the idempotent requests that are in progress
- * at daemons whose beacons are missing
+ * jl_entry_check_members - sends the idempotent requests that are in progress
+ * at daemons whose beacons are missing to other daemons, if there are any
+ *
+ * Missing beacons do not end a request: the daemon may live.
  */
 void jl_entry_check_members (struct jl_proxy *proxy);
 
