Tell daemons that are not chosen any more to expect no more beacons

What callers saw: requests between zones that were repeated, or failed with 502, although their target was at work; the daemon that had them counted as dead.

Cause: a daemon of a large site sends beacons to only a share of the daemons of other zones, 6 over the number of its zone's targets of the service. When targets are added, the share falls, and daemons fall out of the choice without notice. 5 s later they take the sender for dead. Class of fault: a change of who is told is not told.

Change: a daemon that is not chosen any more still gets beacons for 10 s. They say that the sender withdraws, and it then sends no new requests there. Older daemons ignore the word at the end of the datagram, and send none.

silence::a_daemon_that_is_not_chosen_any_more_is_told_so fails without the change.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -8,7 +8,9 @@
  * of the target changes, and at once when its state changes or another daemon
  * starts. A lost beacon is not resent, as the next one replaces it. If a zone
  * has many targets of a service, each sends beacons to only a share of the
- * daemons of other zones.
+ * daemons of other zones. That share falls when targets are added. A daemon
+ * that is not chosen any more still gets beacons, which tell it so, until the
+ * requests that it has sent have ended.
  */
 
 #include "proxy/proxy.h"
@@ -38,6 +40,9 @@
 #define CHECK_PERIOD_US (200 * JL_USEC_PER_MSEC)
 /* Minimum interval between two rounds of beacons. */
 #define ROUND_GAP_US (20 * JL_USEC_PER_MSEC)
+/* Time for which a daemon that is not chosen any more still gets beacons:
+ * longer than requests usually last. */
+#define WITHDRAWAL_US (10 * JL_USEC_PER_SEC)
 /* Time for which a beacon may be in transit. */
 #define IN_FLIGHT_US (50 * JL_USEC_PER_MSEC)
 /* Change of the shed share that is announced at once. The spare capacity and
@@ -174,7 +179,8 @@
 static void
 handle_message (struct jl_proxy *proxy,
                 const struct beacon_message *message,
-                uint32_t target_key)
+                uint32_t target_key,
+                bool withdrawn)
 {
   struct jl_member *member;
   uint64_t now_us = jl_now ();
@@ -197,6 +203,7 @@
   member->in_other_zone = !is_same_zone (proxy, member);
   update_state (member, message, now_us);
   member->target_key = target_key;
+  member->withdrawn = withdrawn;
   if (member->state == JL_TARGET_UP || member->state == JL_TARGET_LEAVING)
     jl_suspects_target_lives (&proxy->suspects, jl_member_target_key (member),
                               now_us - IN_FLIGHT_US);
@@ -221,15 +228,19 @@
 {
   struct beacon_message message = { 0 };
   struct beacon_extension extension = { 0 };
+  struct beacon_withdrawal withdrawal = { 0 };
   XDR xdr;
 
   xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
   if (xdr_beacon_message (&xdr, &message))
     {
-      /* Older daemons send no extension. */
+      /* Older daemons send no extension, or no withdrawal. */
       if (!xdr_beacon_extension (&xdr, &extension))
         extension.target_key = 0;
-      handle_message (proxy, &message, extension.target_key);
+      else if (!xdr_beacon_withdrawal (&xdr, &withdrawal))
+        withdrawal.withdrawn = 0;
+      handle_message (proxy, &message, extension.target_key,
+                      withdrawal.withdrawn != 0);
     }
   xdr_free ((xdrproc_t)xdr_beacon_message, &message);
 }
@@ -291,7 +302,7 @@
 }
 
 static size_t
-encode (struct jl_beacon *beacon, bool full, char *datagram)
+encode (struct jl_beacon *beacon, bool full, bool withdrawn, char *datagram)
 {
   struct jl_proxy *proxy = beacon->proxy;
   static char empty[] = "";
@@ -316,6 +327,7 @@
     .site_version = proxy->site != NULL ? proxy->site->version : 0,
   };
   struct beacon_extension extension = { proxy->self->target_key };
+  struct beacon_withdrawal withdrawal = { withdrawn };
   XDR xdr;
   size_t size = 0;
 
@@ -328,7 +340,8 @@
     }
   xdrmem_create (&xdr, datagram, DATAGRAM_BYTES_MAX, XDR_ENCODE);
   if (xdr_beacon_message (&xdr, &message)
-      && xdr_beacon_extension (&xdr, &extension))
+      && xdr_beacon_extension (&xdr, &extension)
+      && xdr_beacon_withdrawal (&xdr, &withdrawal))
     size = xdr_getpos (&xdr);
   return size;
 }
@@ -371,24 +384,44 @@
 }
 
 static void
-send_to_members (struct jl_beacon *beacon, bool local_zone, bool full)
+send_to_other_zone_members (struct jl_beacon *beacon, bool full)
 {
-  char datagram[DATAGRAM_BYTES_MAX];
-  size_t size = encode (beacon, full, datagram);
+  const struct jl_proxy *proxy = beacon->proxy;
+  uint64_t now_us = jl_now ();
+  double share = jl_roster_announce_share (&proxy->roster, proxy->self, now_us);
+  char chosen[DATAGRAM_BYTES_MAX];
+  char withdrawn[DATAGRAM_BYTES_MAX];
+  size_t chosen_size = encode (beacon, full, false, chosen);
+  size_t withdrawn_size = encode (beacon, full, true, withdrawn);
 
-  jl_beacon_send_to_zone (beacon, local_zone, datagram, size);
+  for (guint i = 0; i < proxy->roster.members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (proxy->roster.members, i);
+
+      if (jl_member_is_addressed (proxy->self, member, false, share))
+        {
+          member->announced_until_us = now_us + WITHDRAWAL_US;
+          jl_beacon_send_datagram (beacon, member->peer, chosen, chosen_size);
+        }
+      else if (now_us < member->announced_until_us)
+        jl_beacon_send_datagram (beacon, member->peer, withdrawn,
+                                 withdrawn_size);
+    }
 }
 
 static void
 send_to_local_zone (struct jl_beacon *beacon)
 {
+  char datagram[DATAGRAM_BYTES_MAX];
+  size_t size = encode (beacon, true, false, datagram);
+
   const struct jl_proxy *proxy = beacon->proxy;
 
   beacon->sent_local_zone_us = jl_now ();
   beacon->sent_shed_share = proxy->load_shedder.shed_share;
   beacon->sent_spare_share = proxy->load_shedder.spare_share;
   beacon->sent_failure_rate = proxy->self->failure_rate;
-  send_to_members (beacon, true, true);
+  jl_beacon_send_to_zone (beacon, true, datagram, size);
   jl_news_send_open (proxy->news, NULL, true);
 }
 
@@ -396,7 +429,7 @@
 send_to_other_zones (struct jl_beacon *beacon, bool full)
 {
   beacon->sent_other_zones_us = jl_now ();
-  send_to_members (beacon, false, full);
+  send_to_other_zone_members (beacon, full);
   if (!full)
     return;
   beacon->sent_full_us = beacon->sent_other_zones_us;
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -79,7 +79,8 @@
                         const char *service,
                         uint64_t now_us)
 {
-  return member->state == JL_TARGET_UP && now_us >= member->avoid_until_us
+  return member->state == JL_TARGET_UP && !member->withdrawn
+         && now_us >= member->avoid_until_us
          && strcmp (member->service, service) == 0
          && jl_member_is_alive (member, now_us);
 }
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -37,6 +37,10 @@
  * @site_version: version of the configuration that it uses
  * @in_other_zone: it is in another zone, and its beacons are less frequent
  * @last_beacon_us: time of its last beacon, 0 for none
+ * @withdrawn: it is about to send no more beacons to this daemon, and takes no
+ * new requests from it
+ * @announced_until_us: time until which this daemon sends beacons to it, if it
+ * is in another zone and not chosen any more
  * @avoid_until_us: a request to it failed; it receives no requests before this
  *                  time
  * @outstanding: requests that this daemon has sent to it, without a response so
@@ -63,6 +67,8 @@
   uint64_t site_version;
   bool in_other_zone;
   uint64_t last_beacon_us;
+  bool withdrawn;
+  uint64_t announced_until_us;
   uint64_t avoid_until_us;
   unsigned outstanding;
   unsigned fanout_count;
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -50,6 +50,13 @@
   unsigned int target_key;
 };
 
+/* Follows a beacon_extension in the same datagram. The sender is about to send
+ * no more beacons to this daemon, which is to send it no more requests. */
+struct beacon_withdrawal
+{
+  unsigned int withdrawn;
+};
+
 struct beacon_report
 {
   unsigned int kind;
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -65,6 +65,11 @@
 };
 typedef struct beacon_extension beacon_extension;
 
+struct beacon_withdrawal {
+	u_int withdrawn;
+};
+typedef struct beacon_withdrawal beacon_withdrawal;
+
 struct beacon_report {
 	u_int kind;
 	u_int flags;
@@ -102,6 +107,7 @@
 extern  bool_t xdr_beacon_arrival (XDR *, beacon_arrival*);
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
+extern  bool_t xdr_beacon_withdrawal (XDR *, beacon_withdrawal*);
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
@@ -111,6 +117,7 @@
 extern bool_t xdr_beacon_arrival ();
 extern bool_t xdr_beacon_message ();
 extern bool_t xdr_beacon_extension ();
+extern bool_t xdr_beacon_withdrawal ();
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
 extern bool_t xdr_beacon_reports_extension ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -192,6 +192,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_withdrawal (XDR *xdrs, beacon_withdrawal *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->withdrawn))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_report (XDR *xdrs, beacon_report *objp)
 {
--- a/tests/proxy/silence.c
+++ b/tests/proxy/silence.c
@@ -8,6 +8,10 @@
 #include <string.h>
 
 #include "proxy/parts/rig.h"
+#include "rpc/gen/beacon.h"
+
+#include <arpa/inet.h>
+#include <unistd.h>
 
 #define REQUEST                                                                \
   "GET /x HTTP/1.1\r\nHost: a\r\nX-Jackdawladder-Deadline-Ms: 900\r\n\r\n"
@@ -139,3 +143,115 @@
   rig_run (&rig, 300);
   cr_assert_eq (other_requests, 1);
 }
+
+/* Opens a UDP socket at one of the rig's ports. */
+static int
+open_datagrams (const struct rig *rig, uint16_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  address.sin_addr.s_addr = htonl (rig->options.ip);
+  cr_assert_eq (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+/* Receives the beacons that have come. Returns whether the last one withdraws
+ * the sender; fails if there is none. */
+static bool
+is_withdrawn (int fd)
+{
+  struct beacon_withdrawal withdrawal = { 0 };
+  char datagram[2048];
+  ssize_t last = -1;
+  ssize_t size;
+
+  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
+    {
+      struct beacon_message message = { 0 };
+      struct beacon_extension extension;
+      XDR xdr;
+
+      last = size;
+      xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
+      cr_assert (xdr_beacon_message (&xdr, &message));
+      cr_assert (xdr_beacon_extension (&xdr, &extension));
+      cr_assert (xdr_beacon_withdrawal (&xdr, &withdrawal));
+      xdr_free ((xdrproc_t)xdr_beacon_message, &message);
+    }
+  cr_assert_gt (last, 0, "no beacon");
+  return withdrawal.withdrawn != 0;
+}
+
+/* Adds a daemon of another zone that gets beacons while the local zone has
+ * seven targets of the service, and not while it has eight. */
+static struct jl_member *
+add_last_chosen (struct rig *rig)
+{
+  struct jl_member *self = rig->proxy->self;
+  struct jl_member candidate = { 0 };
+
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      g_snprintf (candidate.name, sizeof candidate.name, "far%u", i);
+      if (jl_member_announces_to (self, &candidate, 6 / 7.0)
+          && !jl_member_announces_to (self, &candidate, 6 / 8.0))
+        return rig_add_member (rig, candidate.name, "z2", "deep");
+    }
+  cr_assert_fail ("no such name");
+  return NULL;
+}
+
+static void
+add_local_peers (struct rig *rig, unsigned from, unsigned to)
+{
+  for (unsigned i = from; i < to; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "near%u", i);
+      rig_add_member (rig, name, "z1", "front")->peer.port = OTHER_PORT + 1;
+    }
+}
+
+static void
+send_beacons (struct rig *rig)
+{
+  jl_beacon_send_soon (rig->proxy->beacon);
+  rig_run (rig, 60);
+}
+
+/* Guards against requests that are given up because the daemon that has them
+ * ceased to announce itself when targets were added to its zone. */
+Test (silence, a_daemon_that_is_not_chosen_any_more_is_told_so)
+{
+  struct rig rig;
+  int fd;
+
+  rig_prepare (&rig, 44);
+  rig_start (&rig);
+  add_local_peers (&rig, 0, 6);
+  add_last_chosen (&rig);
+  fd = open_datagrams (&rig, OTHER_PORT);
+  send_beacons (&rig);
+  cr_assert_not (is_withdrawn (fd));
+  add_local_peers (&rig, 6, 7);
+  send_beacons (&rig);
+  cr_assert (is_withdrawn (fd));
+  close (fd);
+}
+
+Test (silence, a_daemon_that_withdraws_gets_no_new_requests)
+{
+  struct rig rig;
+  struct jl_member *member;
+
+  rig_prepare (&rig, 45);
+  rig_start (&rig);
+  member = rig_add_member (&rig, "d7", "z2", "deep");
+  cr_assert (jl_member_accepts_work (member, "deep", jl_now ()));
+  member->withdrawn = true;
+  cr_assert_not (jl_member_accepts_work (member, "deep", jl_now ()));
+  cr_assert (jl_member_is_alive (member, jl_now ()));
+}
