Play lost beacons in the soak, and check that no request is given up meanwhile

A new fault loses all beacons of a daemon for 6 s and stops another daemon in that time. A new route has requests that last up to 1.2 s and may be attempted once. The check: no request gets 502 more than 20 ms before its target answers it, unless a fault has broken connections at the entry or a target within 3 s.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -13,6 +13,8 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 30
 RETRY_WINDOW_S = 10
+# Time after a 502 from which on a target's answer shows that the request was given up.
+GIVEN_UP_S = 0.02
 # Minimum ratio of successful requests after the last fault.
 RECOVERED_RATIO = 0.9
 
@@ -24,6 +26,8 @@
         self.runs = defaultdict(list)
         self.arrivals = defaultdict(list)
         self.answers = defaultdict(dict)
+        # Time at which a target completed each request last.
+        self.completed = {}
         self.drain_acks = {}
         self.sent = {}
         self.versions = []
@@ -60,6 +64,7 @@
 
     def answered(self, number, seal, body):
         self.answers[number][seal] = body
+        self.completed[number] = time.monotonic()
 
     def freeze(self, entry):
         """Records that the process is stopped from now on; the caller sets the end, span[1]."""
@@ -147,6 +152,18 @@
                     self.fail("budget", f"{service}: {retried} retries, {requested} requests")
                     break
 
+    def check_given_up(self, is_undisturbed):
+        """Checks that no request is failed while its target works on it and answers later.
+
+        is_undisturbed: whether nothing has broken connections at an entry until a time.
+        """
+        for number, sent in self.sent.items():
+            if sent.get("status") != 502 or number not in self.completed:
+                continue
+            late = self.completed[number] - sent["ended"]
+            if late > GIVEN_UP_S and is_undisturbed(sent["entry"], sent["ended"]):
+                self.fail("given-up", f"{number} at {sent['entry']} got 502 {late:.2f} s before its target answered")
+
     def check_recovery(self, since):
         finished = [s for s in self.sent.values() if s["at"] >= since and "status" in s]
         successful = sum(s["status"] == 200 for s in finished)
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -22,7 +22,8 @@
     delayed; silent: no data passes in either direction; one_way: no TCP data
     passes from `to` back to the client; refuse: new TCP connections are reset;
     cut: a function that says whether nothing passes from and to a source address;
-    reset_delay: seconds after which connections are reset if `to` accepts none.
+    reset_delay: seconds after which connections are reset if `to` accepts none;
+    no_datagrams: no datagram passes.
 
     find_source: a coroutine function that returns the source address of a TCP
     connection by its port.
@@ -34,6 +35,7 @@
         self.cut = None
         self.find_source = None
         self.reset_delay = 0.0
+        self.no_datagrams = False
         self.writers = set()
         self.changed = asyncio.Event()
         self.clear_faults()
@@ -121,5 +123,6 @@
         self.transport = transport
 
     def datagram_received(self, data, addr):
-        if not self.relay.silent and not self.relay.is_cut(addr[0]):
+        relay = self.relay
+        if not relay.silent and not relay.no_datagrams and not relay.is_cut(addr[0]):
             self.transport.sendto(data, self.relay.to)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,6 +44,10 @@
 ADDRESS_BLOCKS = 80
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow"}
+# Kinds of faults that break no connection of a daemon.
+FAULTS_WITHOUT_BREAKS = FAULTS_OF_NO_DAEMON | {"hup", "term", "double_term", "beacons_lost", "target_leave"}
+# Time for which the beacons of a daemon are lost: longer than others wait for them.
+BEACONS_LOST_S = 6.0
 # Time without faults over which recovery is measured.
 CALM_S = 6.0
 # Time between the last fault and the start of that measurement.
@@ -165,6 +169,7 @@
         self.faults = []
         # Times of the faults at each daemon, as lists of begin and end.
         self.impairments = defaultdict(list)
+        self.breaks = defaultdict(list)
         self.kinds = arguments.faults.split(",") if arguments.faults else []
         self.number = 0
 
@@ -177,6 +182,7 @@
             ["read", "idempotent", 2, "front"],
             ["write", "non_idempotent", 0, "deep"],
             ["moving", "idempotent", 1, moving_service],
+            ["slow", "idempotent", 1, "deep"],
         ]
 
     def configure(self):
@@ -188,7 +194,9 @@
         rows = []
         for name, kind, priority, to in self.routes(service):
             split = None if isinstance(to, str) else [{"service": part, "weight": to[part]} for part in to]
-            rows.append([name, "a.example", f"/{name}/", kind, 2, 0.5, priority, split, 2, None if split else to])
+            attempts = 1 if name == "slow" else 2
+            rows.append([name, "a.example", f"/{name}/", kind, 2, 0.5, priority, split, attempts,
+                         None if split else to])
         document = {
             "version": f"{self.version:08x}",
             "routes": {"columns": columns, "rows": rows},
@@ -223,7 +231,7 @@
         reader, writer = connection
         self.number += 1
         number = f"{self.seed:x}-{self.number:x}"
-        kind = choice.choice(["read", "write", "moving"])
+        kind = choice.choice(["read", "write", "moving"] * 3 + ["slow"])
         body = b"" if kind != "write" else bytes(choice.randint(0, 30000))
         target = self.choose_target(kind, choice)
         method = "POST" if kind == "write" else "GET"
@@ -256,11 +264,13 @@
             self.kinds or ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
              "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
              "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
-             "compact", "configure", "configure", "double_term", "poison"])
+             "compact", "configure", "configure", "double_term", "poison", "beacons_lost"])
         self.faults.append(f"{time.monotonic() - self.started_at:.1f} {kind} {daemon.name} {duration_s:.1f}")
         span = [time.monotonic(), float("inf")]
         if kind not in FAULTS_OF_NO_DAEMON:
             self.impairments[daemon.name].append(span)
+        if kind not in FAULTS_WITHOUT_BREAKS:
+            self.breaks["all" if kind.startswith("target_") else daemon.name].append(span)
         await getattr(self, "do_" + kind)(daemon, duration_s)
         span[1] = time.monotonic()
 
@@ -275,6 +285,14 @@
         await asyncio.sleep(duration_s)
         daemon.signal(signal.SIGTERM)
 
+    async def do_beacons_lost(self, daemon, duration_s):
+        """Loses the beacons of a daemon, and stops another one while it waits for them."""
+        daemon.peer_relay.impair(no_datagrams=True)
+        await asyncio.sleep(BEACONS_LOST_S * 0.8)
+        self.random.choice([d for d in self.daemons if d is not daemon]).signal(signal.SIGTERM)
+        await asyncio.sleep(BEACONS_LOST_S * 0.2)
+        daemon.peer_relay.impair(no_datagrams=False)
+
     async def do_freeze(self, daemon, duration_s):
         daemon.signal(signal.SIGSTOP)
         freeze = self.history.freeze(daemon.name)
@@ -386,6 +404,11 @@
             if len(late) > LATE_ARRIVALS_MAX:
                 self.history.fail("poison", f"{len(late)} requests of {path} reach targets after it ended three: {late}")
 
+    def is_undisturbed(self, name, at):
+        """Returns whether no fault has broken connections of a daemon, or of targets, for CONTACT_S."""
+        return not any(begin <= at and end > at - CONTACT_S
+                       for begin, end in self.breaks[name] + self.breaks["all"])
+
     async def do_compact(self, daemon, duration_s):
         self.store.compact()
 
@@ -453,6 +476,7 @@
         self.clients_done = True
         await asyncio.gather(*clients)
         self.check_poison()
+        self.history.check_given_up(self.is_undisturbed)
         return self.history.finish(calm_since)
 
 
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -10,6 +10,8 @@
 
 INSTANCE_NUMBERS = itertools.count(1)
 HEARTBEAT_S = 0.4
+# Maximum time for which a target works on a request whose path begins with /slow/.
+SLOW_S = 1.2
 # Time in which a draining target may still get requests, as in history.py.
 DRAIN_WAIT_S = 1.0
 
@@ -179,7 +181,8 @@
                 await asyncio.sleep(3600)
             if path.startswith("/call/"):
                 status = await self.call(path, number)
-            await asyncio.sleep(self.random.uniform(0.01, 0.08))
+            longest = SLOW_S if path.startswith("/slow/") else 0.08
+            await asyncio.sleep(self.random.uniform(0.01, longest))
         finally:
             self.running = max(0, self.running - 1)
         seal = f"{self.id}.{number}"
