Read and write the store's rows again when it comes back from an older copy

What callers saw: after the store had come back from an older copy, routes that the operators had added were answered 404 by all daemons, and daemons that started knew no others, since rows stayed lost.

Cause: the client kept the larger of its cursor and the answer's version, and took an acknowledgement for good. In a store that has gone back, versions are given out again: a cursor then skips what was written under them, as soon as the store has passed it there is no 410 either, and a row that was acknowledged may be gone. Class of fault: a cursor or an acknowledgement outlives the history that it belongs to. Elsewhere: daemons tell incarnations by their start (epoch), targets by id and start; a history that is dropped while pages are read leads to 410 at the first poll, and to a whole read.

Change: each answer's era is decoded at the edge. A higher one makes all watches read their tables from the first page on, forgets the versions of rows, and the daemon writes its rows again; an answer of a lower era is discarded. Calls after the return are spread over up to 800 ms, by the number of daemons and the store's rate of writes (setting store_writes_per_s). Beacons name the era, and a daemon that hears of a higher one calls the store, since a long poll may last 20 s.

Of the new tests in tests/proxy/restore.c these fail without the change: a_row_ that_the_store_has_lost_is_written_again, a_leave_..., versions_that_have_passed_ the_cursor_hide_nothing, an_acknowledgement_of_an_earlier_era_does_not_count, an_answer_of_an_earlier_era_changes_nothing.

The proxy reloads its settings only if it knows their file, so that tests may run longer than 2 s.

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -46,6 +46,7 @@
   { JL_RECORD_SHED_SHARE, "refused share" },
   { JL_RECORD_CALL_GRAPH, "call graph" },
   { JL_RECORD_STORE_REACHABILITY, "store" },
+  { JL_RECORD_STORE_RESTORED, "store restored" },
   { JL_RECORD_STARTED, "started" },
   { JL_RECORD_STOPPING, "stopping" },
   { JL_RECORD_STOPPED, "stopped" },
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -180,7 +180,7 @@
 handle_message (struct jl_proxy *proxy,
                 const struct beacon_message *message,
                 uint32_t target_key,
-                bool withdrawn)
+                const struct beacon_notice *notice)
 {
   struct jl_member *member;
   uint64_t now_us = jl_now ();
@@ -203,7 +203,9 @@
   member->in_other_zone = !is_same_zone (proxy, member);
   update_state (member, message, now_us);
   member->target_key = target_key;
-  member->withdrawn = withdrawn;
+  member->withdrawn = notice->withdrawn != 0;
+  if (jl_store_look_for_era (proxy->store, notice->store_era))
+    proxy->era_heard_from = member;
   if (member->state == JL_TARGET_UP || member->state == JL_TARGET_LEAVING)
     jl_suspects_target_lives (&proxy->suspects, jl_member_target_key (member),
                               now_us - IN_FLIGHT_US);
@@ -228,19 +230,18 @@
 {
   struct beacon_message message = { 0 };
   struct beacon_extension extension = { 0 };
-  struct beacon_withdrawal withdrawal = { 0 };
+  struct beacon_notice notice = { 0 };
   XDR xdr;
 
   xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
   if (xdr_beacon_message (&xdr, &message))
     {
-      /* Older daemons send no extension, or no withdrawal. */
+      /* Older daemons send no extension, or no notice. */
       if (!xdr_beacon_extension (&xdr, &extension))
         extension.target_key = 0;
-      else if (!xdr_beacon_withdrawal (&xdr, &withdrawal))
-        withdrawal.withdrawn = 0;
-      handle_message (proxy, &message, extension.target_key,
-                      withdrawal.withdrawn != 0);
+      else if (!xdr_beacon_notice (&xdr, &notice))
+        notice = (struct beacon_notice){ 0 };
+      handle_message (proxy, &message, extension.target_key, &notice);
     }
   xdr_free ((xdrproc_t)xdr_beacon_message, &message);
 }
@@ -327,7 +328,10 @@
     .site_version = proxy->site != NULL ? proxy->site->version : 0,
   };
   struct beacon_extension extension = { proxy->self->target_key };
-  struct beacon_withdrawal withdrawal = { withdrawn };
+  struct beacon_notice notice = {
+    .withdrawn = withdrawn,
+    .store_era = jl_store_era (proxy->store),
+  };
   XDR xdr;
   size_t size = 0;
 
@@ -341,7 +345,7 @@
   xdrmem_create (&xdr, datagram, DATAGRAM_BYTES_MAX, XDR_ENCODE);
   if (xdr_beacon_message (&xdr, &message)
       && xdr_beacon_extension (&xdr, &extension)
-      && xdr_beacon_withdrawal (&xdr, &withdrawal))
+      && xdr_beacon_notice (&xdr, &notice))
     size = xdr_getpos (&xdr);
   return size;
 }
--- a/source/proxy/options.c
+++ b/source/proxy/options.c
@@ -14,13 +14,18 @@
 #define DURATION_MAX_S 86400.0
 #define RETRY_RATIO_MAX 100.0
 #define RETRY_SLACK_MAX 1e9
+#define STORE_WRITES_PER_S_MAX 1000000
+/* Rate of writes of the store if the settings do not name it. */
+#define STORE_WRITES_PER_S_DEFAULT 400
 
 static const char *const keys[]
-    = { "name",           "zone",      "address",     "service",
-        "target",         "entry",     "ready",       "announce",
-        "peer_port",      "advertise", "store",       "metrics_port",
-        "heartbeat_s",    "grace_s",   "retry_ratio", "retry_slack",
-        "retry_window_s", NULL };
+    = { "name",        "zone",           "address",
+        "service",     "target",         "entry",
+        "ready",       "announce",       "peer_port",
+        "advertise",   "store",          "metrics_port",
+        "heartbeat_s", "grace_s",        "retry_ratio",
+        "retry_slack", "retry_window_s", "store_writes_per_s",
+        NULL };
 
 /* Reads a number from 0 to @max, which may have a fraction. */
 static double
@@ -91,6 +96,10 @@
   options->metrics_port = (uint16_t)jl_read_number (
       reader, document, "metrics_port", 1, UINT16_MAX);
   jl_read_endpoint (reader, document, "store", &options->store);
+  options->store_writes_per_s = STORE_WRITES_PER_S_DEFAULT;
+  if (jl_read_has_key (document, "store_writes_per_s"))
+    options->store_writes_per_s = (unsigned)jl_read_number (
+        reader, document, "store_writes_per_s", 1, STORE_WRITES_PER_S_MAX);
   options->heartbeat_us = read_seconds (reader, document, "heartbeat_s");
   options->grace_us = read_seconds (reader, document, "grace_s");
   options->retry_ratio
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -22,6 +22,8 @@
  *             @peer_port unless set
  * @metrics_port: port of the metrics and state pages
  * @store: endpoint of the platform's store
+ * @store_writes_per_s: writes a second that the store allows all daemons
+ * together
  * @heartbeat_us: interval of the target's heartbeats
  * @grace_us: time from SIGTERM until the process is killed
  * @retry_ratio: retries allowed for each request to a service
@@ -43,6 +45,7 @@
   struct jl_endpoint advertise;
   uint16_t metrics_port;
   struct jl_endpoint store;
+  unsigned store_writes_per_s;
   uint64_t heartbeat_us;
   uint64_t grace_us;
   double retry_ratio;
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -277,6 +277,9 @@
   append_counter (text, "store_reads_total", store->reads);
   append_counter (text, "store_writes_total", store->writes);
   append_counter (text, "store_failures_total", store->failures);
+  append_counter (text, "store_outdated_total", store->outdated);
+  append_counter (text, "store_restores_total", counters->store_restores);
+  append_counter (text, "store_era", jl_store_era (proxy->store));
   append_counter (text, "connections_accepted_total", net->accepted);
   append_counter (text, "connections_made_total", net->connected);
   append_counter (text, "bytes_received_total", net->bytes_in);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -451,8 +451,9 @@
                        on_control_timer, proxy);
   jl_loop_start_timer (proxy->loop, &proxy->sweep_timer, SWEEP_PERIOD_US,
                        on_sweep_timer, proxy);
-  jl_loop_start_timer (proxy->loop, &proxy->reload_timer, RELOAD_PERIOD_US,
-                       on_reload_timer, proxy);
+  if (proxy->options_path != NULL)
+    jl_loop_start_timer (proxy->loop, &proxy->reload_timer, RELOAD_PERIOD_US,
+                         on_reload_timer, proxy);
 }
 
 static void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -71,6 +71,7 @@
  * @requests_held: requests that waited for the result of a trial
  * @poison_refused: requests refused because of their content
  * @target_probes: connections opened to find whether the local target has ended
+ * @store_restores: times that the store came back from an older copy
  * @beacons_received: datagrams received, including malformed ones
  * @beacons_sent: datagrams sent
  * @request_time: time from a request's arrival at the entry to the end of its
@@ -99,6 +100,7 @@
   uint64_t requests_held;
   uint64_t poison_refused;
   uint64_t target_probes;
+  uint64_t store_restores;
   uint64_t beacons_received;
   uint64_t beacons_sent;
   struct jl_histogram request_time;
@@ -151,6 +153,8 @@
  * @departed_row_acknowledged: the store has acknowledged the latest row
  * @refused_row_pending: this daemon's row of refused contents was written and
  * is not acknowledged yet
+ * @era_heard_from: daemon whose beacon named a new era of the store before the
+ *                  store itself did, NULL for none
  * @window_count: number of control windows since the start
  * @epoch: wall clock at the start in microseconds; distinguishes incarnations
  *         of this daemon
@@ -211,6 +215,7 @@
   unsigned departed_revision_sent;
   bool departed_row_acknowledged;
   bool refused_row_pending;
+  const struct jl_member *era_heard_from;
   struct jl_sync *sync;
   uv_signal_t signals[3];
   unsigned window_count;
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -40,6 +40,15 @@
  * change must be in force, also at a daemon that receives no beacons. */
 #define SITE_BATCH_US (1200 * JL_USEC_PER_MSEC)
 
+/* Most of the writes of a daemon when the store was restored, the ratio of the
+ * store's rate of writes that they may use, and the least and the most time
+ * over which they are spread: rows must be back 2 s after the store's return.
+ */
+#define RESTORE_WRITES 2
+#define RESTORE_RATE_RATIO 0.5
+#define RESTORE_SPREAD_MIN_US (100 * JL_USEC_PER_MSEC)
+#define RESTORE_SPREAD_MAX_US (800 * JL_USEC_PER_MSEC)
+
 /* Returns the JSON object in a row, NULL if the row holds no valid object. */
 static struct json_object *
 parse_row (const struct jl_row *row)
@@ -243,12 +252,6 @@
   jl_pages_acknowledge_leave (proxy);
 }
 
-static const struct jl_store_ops store_ops = {
-  .row = on_row,
-  .reachable = on_reachability,
-  .written = on_written,
-};
-
 static void
 write_daemon_row (struct jl_proxy *proxy)
 {
@@ -369,6 +372,41 @@
   g_free (key);
 }
 
+/* Writes all rows of this daemon again. */
+static void
+on_restored (void *context, uint64_t before, uint64_t era)
+{
+  struct jl_proxy *proxy = context;
+  bool has_departed = proxy->target.departed_revision > 0;
+  bool has_refused = proxy->suspects.open_count > 0;
+
+  proxy->counters.store_restores++;
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_RESTORED,
+             "before=%" PRIu64 " era=%" PRIu64
+             " heard_from=%s reads=2 writes=%d site=%" PRIx64,
+             before, era,
+             proxy->era_heard_from != NULL ? proxy->era_heard_from->name : "-",
+             1 + has_departed + has_refused,
+             proxy->site != NULL ? proxy->site->version : 0);
+  write_daemon_row (proxy);
+  if (has_departed)
+    {
+      proxy->departed_revision_sent = 0;
+      jl_rows_write_departed (proxy);
+    }
+  if (has_refused)
+    jl_rows_write_refused (proxy);
+  proxy->era_heard_from = NULL;
+  jl_beacon_send_soon (proxy->beacon);
+}
+
+static const struct jl_store_ops store_ops = {
+  .row = on_row,
+  .reachable = on_reachability,
+  .written = on_written,
+  .restored = on_restored,
+};
+
 /* Whether this daemon is among the first FREQUENT_POLLERS_MAX daemons of its
  * zone, by name. */
 static bool
@@ -389,9 +427,24 @@
   return before < FREQUENT_POLLERS_MAX;
 }
 
+/* Returns the time over which all daemons spread their writes when the store
+ * was restored. */
+static uint64_t
+restore_spread_us (const struct jl_proxy *proxy)
+{
+  double writes
+      = RESTORE_WRITES * jl_roster_alive_count (&proxy->roster, jl_now ());
+  double rate = RESTORE_RATE_RATIO * proxy->options->store_writes_per_s;
+  double spread_us = writes / rate * JL_USEC_PER_SEC;
+
+  return (uint64_t)CLAMP (spread_us, RESTORE_SPREAD_MIN_US,
+                          RESTORE_SPREAD_MAX_US);
+}
+
 void
 jl_rows_update_polling (struct jl_proxy *proxy)
 {
+  jl_store_set_restore_spread (proxy->store, restore_spread_us (proxy));
   if (is_frequent_poller (proxy))
     jl_store_set_watch_intervals (proxy->store, SITE_TABLE,
                                   SITE_FREQUENT_POLL_MS, 0);
@@ -406,6 +459,7 @@
   proxy->departed_row_acknowledged = true;
   proxy->store = jl_store_new (proxy->loop, proxy->net, proxy->options->store,
                                &store_ops, proxy);
+  jl_store_set_restore_spread (proxy->store, RESTORE_SPREAD_MIN_US);
   jl_store_read_row (proxy->store, TARGET_TABLE, proxy->options->name);
   write_daemon_row (proxy);
   jl_store_watch (proxy->store, SITE_TABLE, SITE_FREQUENT_POLL_MS, 0);
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -50,11 +50,13 @@
   unsigned int target_key;
 };
 
-/* Follows a beacon_extension in the same datagram. The sender is about to send
- * no more beacons to this daemon, which is to send it no more requests. */
-struct beacon_withdrawal
+/* Follows a beacon_extension in the same datagram. withdrawn: the sender is about
+ * to send no more beacons to this daemon, which is to send it no more requests.
+ * store_era: era of the store that the sender knows, 0 for none. */
+struct beacon_notice
 {
   unsigned int withdrawn;
+  unsigned hyper store_era;
 };
 
 struct beacon_report
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -65,10 +65,11 @@
 };
 typedef struct beacon_extension beacon_extension;
 
-struct beacon_withdrawal {
+struct beacon_notice {
 	u_int withdrawn;
+	u_quad_t store_era;
 };
-typedef struct beacon_withdrawal beacon_withdrawal;
+typedef struct beacon_notice beacon_notice;
 
 struct beacon_report {
 	u_int kind;
@@ -107,7 +108,7 @@
 extern  bool_t xdr_beacon_arrival (XDR *, beacon_arrival*);
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
-extern  bool_t xdr_beacon_withdrawal (XDR *, beacon_withdrawal*);
+extern  bool_t xdr_beacon_notice (XDR *, beacon_notice*);
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
@@ -117,7 +118,7 @@
 extern bool_t xdr_beacon_arrival ();
 extern bool_t xdr_beacon_message ();
 extern bool_t xdr_beacon_extension ();
-extern bool_t xdr_beacon_withdrawal ();
+extern bool_t xdr_beacon_notice ();
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
 extern bool_t xdr_beacon_reports_extension ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -193,12 +193,14 @@
 }
 
 bool_t
-xdr_beacon_withdrawal (XDR *xdrs, beacon_withdrawal *objp)
+xdr_beacon_notice (XDR *xdrs, beacon_notice *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_int (xdrs, &objp->withdrawn))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -49,22 +49,44 @@
 }
 
 static void
-reply (struct fake_store *store,
-       struct jl_request *request,
-       unsigned status,
-       struct json_object *rows)
+reply_page (struct fake_store *store,
+            struct jl_request *request,
+            unsigned status,
+            struct json_object *rows,
+            bool more_pages)
 {
   struct json_object *answer = json_object_new_object ();
+  char *fields = g_strdup_printf ("Content-Type: application/json\r\n"
+                                  "Store-Era: %" G_GUINT64_FORMAT "\r\n",
+                                  (guint64)store->era);
   const char *text;
 
   if (rows != NULL)
     json_object_object_add (answer, "rows", rows);
   json_object_object_add (answer, "ver",
                           json_object_new_int64 ((int64_t)store->version));
+  json_object_object_add (answer, "morePages",
+                          json_object_new_boolean (more_pages));
   text = json_object_to_json_string (answer);
-  jl_request_reply (request, status, "Content-Type: application/json\r\n", text,
+  jl_request_reply (request, status, store->era > 0 ? fields : "", text,
                     strlen (text));
   json_object_put (answer);
+  g_free (fields);
+}
+
+static void
+reply (struct fake_store *store,
+       struct jl_request *request,
+       unsigned status,
+       struct json_object *rows)
+{
+  reply_page (store, request, status, rows, false);
+}
+
+static const char *
+text_of (struct json_object *object, const char *name)
+{
+  return json_object_get_string (json_object_object_get (object, name));
 }
 
 /* Returns the value of a query parameter, "" if it is missing. @name includes
@@ -105,17 +127,63 @@
   return rows;
 }
 
-/* Answers a feed call if there are changes. */
+static int
+compare_keys (const void *a, const void *b)
+{
+  struct json_object *const *first = a;
+  struct json_object *const *second = b;
+
+  return strcmp (text_of (*first, "key"), text_of (*second, "key"));
+}
+
+/* Answers a read with the first rows of a table from the key "from" on. */
+static void
+answer_page (struct fake_store *store, struct jl_request *request)
+{
+  const char *target = jl_head_target (jl_request_head (request));
+  char *from = query_text (target, "from=");
+  char *whole = g_strndup (target, strcspn (target, "&"));
+  struct json_object *rows = rows_of (store, whole, 0);
+  struct json_object *page = json_object_new_array ();
+  bool more_pages = false;
+
+  json_object_array_sort (rows, compare_keys);
+  for (size_t i = 0; i < json_object_array_length (rows); i++)
+    {
+      struct json_object *row = json_object_array_get_idx (rows, i);
+
+      if (strcmp (text_of (row, "key"), from) < 0)
+        continue;
+      more_pages = json_object_array_length (page) == store->page_rows;
+      if (more_pages)
+        break;
+      json_object_array_add (page, json_object_get (row));
+    }
+  reply_page (store, request, 200, page, more_pages);
+  json_object_put (rows);
+  g_free (whole);
+  g_free (from);
+}
+
+/* Answers a feed call if there are changes, or if it begins at a version that
+ * does not exist. */
 static bool
 answer_feed (struct fake_store *store, struct jl_request *request)
 {
   const char *target = jl_head_target (jl_request_head (request));
-  char *after = query_text (target, "after=");
-  struct json_object *rows
-      = rows_of (store, target, g_ascii_strtoull (after, NULL, 10));
+  char *text = query_text (target, "after=");
+  uint64_t after = g_ascii_strtoull (text, NULL, 10);
+  struct json_object *rows = rows_of (store, target, after);
   bool changed = json_object_array_length (rows) > 0;
 
-  g_free (after);
+  g_free (text);
+  if (after > store->version)
+    {
+      json_object_put (rows);
+      reply (store, request, 410, NULL);
+      return true;
+    }
+  changed |= g_str_has_suffix (target, "waitMs=0");
   if (changed)
     reply (store, request, 200, rows);
   else
@@ -141,11 +209,17 @@
   const struct jl_head *head = jl_request_head (request);
   const char *target = jl_head_target (head);
 
-  if (strcmp (head->method, "POST") == 0)
+  store->calls++;
+  if (strcmp (head->method, "POST") == 0 && !store->away)
     {
       jl_request_set_data (request, g_string_new (NULL));
       return;
     }
+  if (store->away)
+    {
+      jl_request_abort (request);
+      return;
+    }
   if (is_silent (store, target))
     return;
   if (g_str_has_prefix (target, "/api/rows-feed"))
@@ -156,7 +230,10 @@
       return;
     }
   store->reads++;
-  reply (store, request, 200, rows_of (store, target, 0));
+  if (store->page_rows > 0)
+    answer_page (store, request);
+  else
+    reply (store, request, 200, rows_of (store, target, 0));
 }
 
 static void
@@ -176,12 +253,6 @@
   return g_strconcat (table, "/", key, NULL);
 }
 
-static const char *
-text_of (struct json_object *object, const char *name)
-{
-  return json_object_get_string (json_object_object_get (object, name));
-}
-
 /* Returns the row that conflicts with a write, NULL if there is no row or it
  * has the version that the write expects. */
 static struct fake_store_row *
@@ -296,6 +367,21 @@
       g_ptr_array_remove_index (store->waiting_feeds, i - 1);
 }
 
+void
+fake_store_restore (struct fake_store *store, uint64_t version)
+{
+  g_hash_table_remove_all (store->rows);
+  store->version = version;
+  store->era++;
+  while (store->waiting_feeds->len > 0)
+    {
+      struct jl_request *request = g_ptr_array_index (store->waiting_feeds, 0);
+
+      g_ptr_array_remove_index (store->waiting_feeds, 0);
+      jl_request_abort (request);
+    }
+}
+
 const char *
 fake_store_get (struct fake_store *store, const char *table, const char *key)
 {
--- a/tests/proxy/parts/fake-store.h
+++ b/tests/proxy/parts/fake-store.h
@@ -12,6 +12,9 @@
  * struct fake_store - a store with an HTTP listener
  * @rows: struct fake_store_row by "table/key"
  * @version: version of the last change
+ * @era: era that its answers name, 0 for none
+ * @page_rows: rows in a page of a table, 0 for all
+ * @away: closes each connection at once
  * @silent_table: table whose reads are never answered, NULL for none
  * @hold_writes: apply writes, but answer them only on
  *               fake_store_release_writes()
@@ -20,6 +23,7 @@
  * @reads: number of reads of whole tables or single rows
  * @feeds: number of feed calls for the table "op"
  * @writes: number of write calls, also of refused ones
+ * @calls: number of all calls
  */
 struct fake_store
 {
@@ -27,6 +31,9 @@
   struct jl_net *net;
   GHashTable *rows;
   uint64_t version;
+  uint64_t era;
+  unsigned page_rows;
+  bool away;
   const char *silent_table;
   bool hold_writes;
   GPtrArray *held_writes;
@@ -34,6 +41,7 @@
   unsigned reads;
   unsigned feeds;
   unsigned writes;
+  unsigned calls;
 };
 
 /**
@@ -49,6 +57,12 @@
                      const char *key,
                      const char *value);
 
+/**
+ * fake_store_restore - loses all rows, goes back to @version and begins the
+ * next era; closes the connections of waiting calls
+ */
+void fake_store_restore (struct fake_store *store, uint64_t version);
+
 /**
  * fake_store_get - returns the value of a row, NULL if there is no such row
  */
--- /dev/null
+++ b/tests/proxy/restore.c
@@ -0,0 +1,282 @@
+/**
+ * DOC: Tests of a store that comes back from an older copy: rows and versions
+ * are lost, and versions are given out again.
+ */
+
+#include <criterion/criterion.h>
+
+#include <string.h>
+
+#include "proxy/parts/rig.h"
+#include "rpc/gen/beacon.h"
+
+#include <arpa/inet.h>
+#include <unistd.h>
+
+/* Time within which a daemon has restored what the store has lost. */
+#define RESTORED_MS 2000
+/* Version of the store in the copy. */
+#define COPY_VERSION 2
+
+static void
+begin (struct rig *rig, unsigned host)
+{
+  rig_prepare (rig, host);
+  rig->store.era = 5;
+  rig_start (rig);
+  rig_run (rig, 600);
+}
+
+/* The operators write a configuration with @route_count routes. */
+static void
+write_configuration (struct rig *rig, unsigned version, unsigned route_count)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (
+      text,
+      "{\"version\":\"%08x\",\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"prefix\",\"kind\",\"timeoutS\",\"targetLatencyS\",\"priority\","
+      "\"split\",\"maxAttempts\",\"service\"],\"rows\":[",
+      version);
+  for (unsigned i = 0; i < route_count; i++)
+    g_string_append_printf (text,
+                            "%s[\"r%u\",\"a\",\"/%u/\",\"idempotent\",2,0.5,1,"
+                            "null,2,\"front\"]",
+                            i > 0 ? "," : "", i, i);
+  g_string_append (
+      text, "]},\"services\":{\"columns\":[\"name\"],\"rows\":[[\"front\"]]},"
+            "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
+            "\"headerTimeoutS\":3,\"idleTimeoutS\":15}}");
+  fake_store_put (&rig->store, "op", "config", text->str);
+  g_string_free (text, TRUE);
+}
+
+static uint64_t
+configuration (const struct rig *rig)
+{
+  return rig->proxy->site != NULL ? rig->proxy->site->version : 0;
+}
+
+static const char *
+own_row (struct rig *rig)
+{
+  return fake_store_get (&rig->store, "daemons", "d5");
+}
+
+Test (restore, a_row_that_the_store_has_lost_is_written_again)
+{
+  struct rig rig;
+
+  begin (&rig, 50);
+  cr_assert_not_null (own_row (&rig));
+  fake_store_restore (&rig.store, COPY_VERSION);
+  cr_assert_null (own_row (&rig));
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_not_null (own_row (&rig));
+}
+
+Test (restore, a_leave_that_the_store_has_lost_is_written_again)
+{
+  struct rig rig;
+
+  begin (&rig, 51);
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  rig_leave (&rig, "i-1");
+  rig_run (&rig, 50);
+  cr_assert_not_null (fake_store_get (&rig.store, "targets", "d5"));
+  fake_store_restore (&rig.store, COPY_VERSION);
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_not_null (fake_store_get (&rig.store, "targets", "d5"));
+}
+
+Test (restore, a_configuration_under_a_reissued_version_is_read)
+{
+  struct rig rig;
+
+  begin (&rig, 52);
+  for (unsigned i = 0; i < 10; i++)
+    fake_store_put (&rig.store, "other", "key", "value");
+  write_configuration (&rig, 7, 1);
+  rig_run (&rig, 100);
+  cr_assert_eq (configuration (&rig), 7);
+  fake_store_restore (&rig.store, COPY_VERSION);
+  write_configuration (&rig, 8, 2);
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_eq (configuration (&rig), 8);
+}
+
+Test (restore, a_configuration_does_not_go_back)
+{
+  struct rig rig;
+
+  begin (&rig, 53);
+  write_configuration (&rig, 7, 1);
+  rig_run (&rig, 100);
+  fake_store_restore (&rig.store, COPY_VERSION);
+  write_configuration (&rig, 6, 2);
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_eq (configuration (&rig), 7);
+}
+
+/* The store has passed the version that the daemon has read up to, so that it
+ * has no cause to refuse the next read. */
+Test (restore, versions_that_have_passed_the_cursor_hide_nothing)
+{
+  struct rig rig;
+
+  begin (&rig, 54);
+  write_configuration (&rig, 7, 1);
+  rig_run (&rig, 100);
+  fake_store_restore (&rig.store, COPY_VERSION);
+  write_configuration (&rig, 8, 2);
+  for (unsigned i = 0; i < 40; i++)
+    fake_store_put (&rig.store, "other", "key", "value");
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_eq (configuration (&rig), 8);
+  cr_assert_not_null (own_row (&rig));
+}
+
+Test (restore, an_acknowledgement_of_an_earlier_era_does_not_count)
+{
+  struct rig rig;
+  int fd;
+
+  begin (&rig, 55);
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  rig.store.hold_writes = true;
+  fd = rig_leave (&rig, "i-1");
+  rig_run (&rig, 50);
+  cr_assert_eq (rig.store.held_writes->len, 1);
+  fake_store_restore (&rig.store, COPY_VERSION);
+  rig.store.hold_writes = false;
+  rig.store.era--;
+  fake_store_release_writes (&rig.store);
+  rig.store.era++;
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_not_null (fake_store_get (&rig.store, "targets", "d5"));
+  cr_assert (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
+}
+
+Test (restore, an_answer_of_an_earlier_era_changes_nothing)
+{
+  struct rig rig;
+
+  begin (&rig, 56);
+  write_configuration (&rig, 7, 1);
+  rig_run (&rig, 100);
+  rig.store.era = 4;
+  write_configuration (&rig, 8, 1);
+  rig_run (&rig, 300);
+  cr_assert_eq (configuration (&rig), 7);
+  rig.store.era = 5;
+  write_configuration (&rig, 9, 1);
+  rig_run (&rig, RESTORED_MS);
+  cr_assert_eq (configuration (&rig), 9);
+}
+
+Test (restore, pages_that_were_under_way_are_read_from_the_first_one_on)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 57);
+  rig.store.era = 5;
+  rig.store.page_rows = 1;
+  fake_store_put (&rig.store, "daemons", "a1", "{}");
+  fake_store_put (&rig.store, "daemons", "a2", "{}");
+  rig_start (&rig);
+  rig_run (&rig, 500);
+  cr_assert_eq (rig.store.reads, 3, "one of two pages, and two other reads");
+  fake_store_restore (&rig.store, COPY_VERSION);
+  fake_store_put (&rig.store, "daemons", "a0",
+                  "{\"peer\":\"127.0.0.1:9\",\"zone\":\"z1\"}");
+  fake_store_put (&rig.store, "daemons", "a3", "{}");
+  rig_run (&rig, RESTORED_MS + 2500);
+  cr_assert_not_null (g_hash_table_lookup (rig.proxy->roster.by_name, "a0"));
+}
+
+Test (restore, a_store_without_eras_is_used_as_before)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 58);
+  rig_start (&rig);
+  write_configuration (&rig, 7, 1);
+  rig_run (&rig, 100);
+  cr_assert_eq (configuration (&rig), 7);
+  cr_assert_not_null (own_row (&rig));
+}
+
+/* Opens a UDP socket as the daemon at one of the rig's ports. */
+static int
+open_daemon (const struct rig *rig, uint16_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  address.sin_addr.s_addr = htonl (rig->options.ip);
+  cr_assert_eq (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+/* Sends a beacon of the daemon "d6", whose target is up. */
+static void
+send_beacon (struct rig *rig,
+             int fd,
+             uint64_t epoch,
+             uint32_t target_key,
+             const struct beacon_notice *notice)
+{
+  static char empty[] = "";
+  static char name[] = "d6";
+  static char zone[] = "z1";
+  static uint64_t sequence;
+  struct beacon_message message = {
+    .format = 1,
+    .name = name,
+    .zone = zone,
+    .service = empty,
+    .target = empty,
+    .ip = rig->options.ip,
+    .port = OTHER_PORT,
+    .epoch = epoch,
+    .sequence = ++sequence,
+    .state = JL_TARGET_UP,
+  };
+  struct beacon_extension extension = { target_key };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (PEER_PORT) };
+  char datagram[1400];
+  XDR xdr;
+
+  address.sin_addr.s_addr = htonl (rig->options.ip);
+  xdrmem_create (&xdr, datagram, sizeof datagram, XDR_ENCODE);
+  cr_assert (xdr_beacon_message (&xdr, &message));
+  cr_assert (xdr_beacon_extension (&xdr, &extension));
+  cr_assert (xdr_beacon_notice (&xdr, (struct beacon_notice *)notice));
+  cr_assert_gt (sendto (fd, datagram, xdr_getpos (&xdr), 0,
+                        (struct sockaddr *)&address, sizeof address),
+                0);
+  rig_run (rig, 50);
+}
+
+Test (restore, a_new_era_that_another_daemon_has_heard_of_is_looked_for)
+{
+  static const struct beacon_notice heard = { .store_era = 6 };
+  struct rig rig;
+  unsigned feeds;
+  int fd;
+
+  begin (&rig, 60);
+  fd = open_daemon (&rig, OTHER_PORT);
+  feeds = rig.store.feeds;
+  send_beacon (&rig, fd, 1, 77, &heard);
+  rig_run (&rig, 300);
+  cr_assert_eq (rig.store.feeds, feeds + 1, "%u more calls",
+                rig.store.feeds - feeds);
+  send_beacon (&rig, fd, 1, 77, &heard);
+  rig_run (&rig, 300);
+  cr_assert_eq (rig.store.feeds, feeds + 1);
+  close (fd);
+}
--- a/tests/proxy/silence.c
+++ b/tests/proxy/silence.c
@@ -162,7 +162,7 @@
 static bool
 is_withdrawn (int fd)
 {
-  struct beacon_withdrawal withdrawal = { 0 };
+  struct beacon_notice notice = { 0 };
   char datagram[2048];
   ssize_t last = -1;
   ssize_t size;
@@ -177,11 +177,11 @@
       xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
       cr_assert (xdr_beacon_message (&xdr, &message));
       cr_assert (xdr_beacon_extension (&xdr, &extension));
-      cr_assert (xdr_beacon_withdrawal (&xdr, &withdrawal));
+      cr_assert (xdr_beacon_notice (&xdr, &notice));
       xdr_free ((xdrproc_t)xdr_beacon_message, &message);
     }
   cr_assert_gt (last, 0, "no beacon");
-  return withdrawal.withdrawn != 0;
+  return notice.withdrawn != 0;
 }
 
 /* Adds a daemon of another zone that gets beacons while the local zone has
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,7 +43,8 @@
 FIRST_ADDRESS_BLOCK = 41
 ADDRESS_BLOCKS = 80
 # Kinds of faults that impair no single daemon.
-FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow"}
+FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow",
+                       "store_restore"}
 # Kinds of faults that break no connection of a daemon.
 FAULTS_WITHOUT_BREAKS = FAULTS_OF_NO_DAEMON | {"hup", "term", "double_term", "beacons_lost", "target_leave"}
 # Time for which the beacons of a daemon are lost: longer than others wait for them.
@@ -264,7 +265,7 @@
             self.kinds or ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
              "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
              "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
-             "compact", "configure", "configure", "double_term", "poison", "beacons_lost"])
+             "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"])
         self.faults.append(f"{time.monotonic() - self.started_at:.1f} {kind} {daemon.name} {duration_s:.1f}")
         span = [time.monotonic(), float("inf")]
         if kind not in FAULTS_OF_NO_DAEMON:
@@ -379,6 +380,15 @@
     async def do_store_slow(self, daemon, duration_s):
         await self.apply_store_fault("slow", duration_s)
 
+    async def do_store_restore(self, daemon, duration_s):
+        """The store is away for a moment and comes back from a copy some seconds old."""
+        at = time.monotonic() - self.random.uniform(0.5, 6)
+        self.store.mode = "away"
+        self.store.reset_connections()
+        await asyncio.sleep(duration_s / 4)
+        self.store.restore(at)
+        self.store.mode = "calm"
+
     async def do_poison(self, daemon, duration_s):
         """Sends a content that ends targets, for much longer than other faults last."""
         number = len(self.deadly.paths)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -8,11 +8,18 @@
 from wire import encode, read_message, reset
 
 
+# Time for which copies are kept.
+COPIES_KEPT_S = 20.0
+
+
 class Store:
     """Store whose `mode` selects a fault.
 
     calm: no fault; busy: status 503; silent: no response; lost: requests take
-    effect, but the connection is reset; slow: responses take 0.7 s longer.
+    effect, but the connection is reset; slow: responses take 0.7 s longer; away:
+    connections are reset.
+
+    The store keeps copies of its rows and can come back from one of them.
     """
 
     def __init__(self):
@@ -21,6 +28,10 @@
         self.version = 0
         self.compacted_version = 0
         self.mode = "calm"
+        self.era = 1
+        # Copies after each change, as (time, rows, version).
+        self.copies = []
+        self.writers = set()
         self.changed = asyncio.Event()
 
     async def start(self, host):
@@ -32,6 +43,9 @@
         row = {"table": table, "part": "", "key": key, "value": value, "ver": self.version}
         self.rows[table, key] = row
         self.history.append(row)
+        now = time.monotonic()
+        self.copies = [copy for copy in self.copies if copy[0] > now - COPIES_KEPT_S]
+        self.copies.append((now, dict(self.rows), self.version))
         self.changed.set()
         self.changed = asyncio.Event()
         return self.version
@@ -40,6 +54,21 @@
         self.history = []
         self.compacted_version = self.version
 
+    def restore(self, at):
+        """Goes back to the last copy before a time; the operator writes its rows again."""
+        _, rows, version = max((copy for copy in self.copies if copy[0] <= at),
+                               default=(0, {}, 0), key=lambda copy: copy[0])
+        written = [row for (table, _), row in self.rows.items() if table == "op"]
+        self.rows, self.version = dict(rows), version
+        self.compact()
+        self.era += 1
+        for row in written:
+            self.put(row["table"], row["key"], row["value"])
+
+    def reset_connections(self):
+        for writer in list(self.writers):
+            reset(writer)
+
     def run_transaction(self, body):
         for row in body["expectedRevision"]:
             present = self.rows.get((row["table"], row["key"]))
@@ -57,7 +86,7 @@
         after = int(query["after"])
         deadline = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.compacted_version:
+            if after < self.compacted_version or after > self.version:
                 return 410, {}
             rows = [r for r in self.history if r["ver"] > after and r["table"] == query["table"]]
             remaining_s = deadline - time.monotonic()
@@ -79,21 +108,28 @@
         return self.get(query)
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
+                if self.mode == "away":
+                    reset(writer)
+                    return
                 if self.mode == "silent":
                     await asyncio.sleep(3600)
                 if self.mode == "slow":
                     await asyncio.sleep(0.7)
                 if self.mode == "busy":
-                    writer.write(encode("HTTP/1.1 503 Busy", {}))
+                    writer.write(encode("HTTP/1.1 503 Busy", {"Store-Era": self.era}))
                     continue
                 status, document = await self.respond(message)
                 if self.mode == "lost":
                     reset(writer)
                     return
                 document.update(ver=self.version, nowS=time.monotonic())
-                writer.write(encode(f"HTTP/1.1 {status} X", {}, json.dumps(document).encode()))
+                fields = {"Store-Era": self.era}
+                writer.write(encode(f"HTTP/1.1 {status} X", fields, json.dumps(document).encode()))
         except (EOFError, OSError, asyncio.IncompleteReadError):
             writer.close()
+        finally:
+            self.writers.discard(writer)
