Do not count a simulated target that has ended as having answered

Cause: when the soak ends a target's process, requests that slept in it still recorded an answer, although nothing was sent.

Change: a request whose target has ended or was started again meanwhile ends without a record. The check itself is as strict as before.

--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -47,6 +47,7 @@
         self.id = instance or f"i-{next(INSTANCE_NUMBERS)}"
         self.announce = announce
         self.dark = False
+        self.crashed = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.draining_since = None
@@ -57,6 +58,7 @@
 
     def crash(self):
         """Resets all connections and stops."""
+        self.crashed = True
         self.heartbeat_task.cancel()
         self.server.close()
         for task in list(self.tasks):
@@ -174,6 +176,7 @@
             writer.write(encode("HTTP/1.1 503 Full", echo))
             return
         self.running += 1
+        born = self.born
         self.history.ran(number, self.id, self.service, message)
         status = 200
         try:
@@ -185,6 +188,8 @@
             await asyncio.sleep(self.random.uniform(0.01, longest))
         finally:
             self.running = max(0, self.running - 1)
+        if self.crashed or self.born != born:
+            raise EOFError
         seal = f"{self.id}.{number}"
         body = (f"{number} by {self.id} " * self.random.randint(1, 60)).encode()
         self.history.answered(number, seal, body, self.entry_name)
