Keep an acknowledged leave when the store has lost its row and the daemon restarts

What targets saw: new requests after their leave had been acknowledged, if the store came back from a copy without the row of the leave and the daemon was killed at that moment. The daemon's next incarnation found neither row nor memory, and a late heartbeat put the target back into service.

Cause: the row was the only place that outlived the daemon. Class of fault: an acknowledgement outlives the history that it belongs to.

Change: beacons say that the target has announced its leave (notice `departed`), and a leave is announced by a beacon before it is acknowledged. The other daemons remember the last four such incarnations of each daemon's target, send them nothing even if the restarted daemon calls them up, and tell the restarted daemon (report kind 6), which then refuses their heartbeats. Older daemons ignore both. The switch `left` of the tests turns these off together with the row.

Why it works: the daemon that is killed has told the others by the time anybody relies on the acknowledgement.

A window remains: between its start and the first word of another daemon the restarted daemon may take a late heartbeat. Requests from other daemons do not reach the target then, since they remember the leave; requests that the daemon itself receives as an entry may.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -15,6 +15,7 @@
 
 #include "proxy/proxy.h"
 
+#include "proxy/hooks.h"
 #include "proxy/infer.h"
 #include "proxy/report.h"
 #include "rpc/gen/beacon.h"
@@ -141,14 +142,33 @@
   read_arrivals (member, message);
 }
 
+/* Returns the state of a daemon's target. A leave that the daemon has announced
+ * is binding also if the daemon has been restarted and does not know of it. */
+static enum jl_target_state
+target_state (struct jl_member *member,
+              const struct beacon_message *message,
+              uint32_t target_key,
+              bool departed)
+{
+  enum jl_target_state state = (enum jl_target_state)message->state;
+
+  if (departed && !JL_TEST_DISABLED ("left"))
+    jl_member_add_departed (member, target_key);
+  if (state == JL_TARGET_UP && jl_member_has_departed (member, target_key))
+    return JL_TARGET_LEAVING;
+  return state;
+}
+
 static void
 update_state (struct jl_member *member,
               const struct beacon_message *message,
+              uint32_t target_key,
+              bool departed,
               uint64_t now_us)
 {
   member->epoch = message->epoch;
   member->sequence = message->sequence;
-  member->state = (enum jl_target_state)message->state;
+  member->state = target_state (member, message, target_key, departed);
   member->limit = message->limit;
   member->shed_share = message->shed_milli / 1000.0;
   member->spare_share = message->room_milli / 1000.0;
@@ -173,6 +193,7 @@
   jl_infer_member_lost (proxy, member);
   jl_pool_close_endpoint (proxy->peer_pool, member->peer);
   jl_beacon_send_soon (proxy->beacon);
+  jl_news_send_departed (proxy->news, member);
   jl_news_send_open (proxy->news, member, true);
 }
 
@@ -201,7 +222,7 @@
   if (message->format == BEACON_FORMAT_FULL)
     update_identity (member, message);
   member->in_other_zone = !is_same_zone (proxy, member);
-  update_state (member, message, now_us);
+  update_state (member, message, target_key, notice->departed != 0, now_us);
   member->target_key = target_key;
   member->withdrawn = notice->withdrawn != 0;
   if (jl_store_look_for_era (proxy->store, notice->store_era))
@@ -331,6 +352,7 @@
   struct beacon_notice notice = {
     .withdrawn = withdrawn,
     .store_era = jl_store_era (proxy->store),
+    .departed = proxy->target.state == JL_TARGET_LEAVING,
   };
   XDR xdr;
   size_t size = 0;
@@ -477,12 +499,17 @@
 static void
 on_send_timer (void *context, struct jl_timer *timer)
 {
-  struct jl_beacon *beacon = context;
+  (void)timer;
+  jl_beacon_send_now (context);
+}
 
+void
+jl_beacon_send_now (struct jl_beacon *beacon)
+{
   send_to_local_zone (beacon);
   send_to_other_zones (beacon, true);
-  jl_loop_start_timer (beacon->proxy->loop, timer, CHECK_PERIOD_US, on_timer,
-                       beacon);
+  jl_loop_start_timer (beacon->proxy->loop, &beacon->timer, CHECK_PERIOD_US,
+                       on_timer, beacon);
 }
 
 void
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -3,11 +3,13 @@
  *
  * Each report is sent to all known daemons at once and, since datagrams may be
  * lost, sent again. Suspect and refused contents are also sent together with
- * beacons, and to daemons that have just started.
+ * beacons, and to daemons that have just started. Those are also told which
+ * incarnations of their target have announced their leave before.
  */
 
 #include "proxy/report.h"
 
+#include "proxy/hooks.h"
 #include "rpc/gen/beacon.h"
 
 /* Format of these datagrams, which differs from those of beacons. */
@@ -287,6 +289,33 @@
   flush_reports (news, member, local_zone, &batch);
 }
 
+void
+jl_news_send_departed (struct jl_news *news, const struct jl_member *member)
+{
+  struct batch batch = { 0 };
+
+  for (unsigned i = 0; i < JL_MEMBER_DEPARTED_MAX; i++)
+    {
+      struct jl_report report = {
+        .kind = JL_REPORT_DEPARTED,
+        .target = member->departed_keys[i],
+        .at_us = jl_now (),
+      };
+
+      if (report.target != 0)
+        add_report (&batch, &report);
+    }
+  flush_reports (news, member, false, &batch);
+}
+
+static void
+apply_departed (struct jl_proxy *proxy, uint32_t target_key)
+{
+  if (!JL_TEST_DISABLED ("left")
+      && jl_target_restore_departed_key (&proxy->target, target_key))
+    jl_proxy_target_changed (proxy, "left-before");
+}
+
 static void
 apply_wire (struct jl_proxy *proxy,
             const struct beacon_report *wire,
@@ -306,7 +335,10 @@
     .contents = (const uint64_t *)wire->contents.contents_val,
   };
 
-  if (wire->kind >= JL_REPORT_STRIKE && wire->kind <= JL_REPORT_TRIAL_RUNNING)
+  if (wire->kind == JL_REPORT_DEPARTED)
+    apply_departed (proxy, wire->target);
+  else if (wire->kind >= JL_REPORT_STRIKE
+           && wire->kind <= JL_REPORT_TRIAL_RUNNING)
     jl_report_apply (proxy, &report, by);
 }
 
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -129,7 +129,7 @@
 
   g_strlcpy (self->service, jl_proxy_service (proxy), JL_TEXT_SIZE);
   g_strlcpy (self->target, proxy->target.last.id, JL_TEXT_SIZE);
-  self->target_key = jl_target_key (&proxy->target, self->name);
+  self->target_key = jl_target_key (&proxy->target);
   self->state = proxy->target.state;
   if (JL_TEST_DISABLED ("drain") && self->state == JL_TARGET_LEAVING)
     self->state = JL_TARGET_UP;
@@ -163,7 +163,10 @@
           proxy, target->state == JL_TARGET_LEAVING ? "draining" : "no-target");
     }
   update_self (proxy);
-  jl_beacon_send_soon (proxy->beacon);
+  if (target->state == JL_TARGET_LEAVING)
+    jl_beacon_send_now (proxy->beacon);
+  else
+    jl_beacon_send_soon (proxy->beacon);
   jl_guard_run_queue (proxy);
 }
 
@@ -463,6 +466,7 @@
 
   CDS_INIT_LIST_HEAD (&proxy->calls);
   CDS_INIT_LIST_HEAD (&proxy->work_items);
+  proxy->target.name_key = jl_name_key (options->name);
   jl_lane_init (&proxy->lane);
   jl_load_shedder_init (&proxy->load_shedder);
   jl_fanout_init (&proxy->fanout);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -356,6 +356,12 @@
  */
 void jl_beacon_send_soon (struct jl_beacon *beacon);
 
+/**
+ * jl_beacon_send_now - sends full beacons to all zones, so that other daemons
+ * know of a leave before it is acknowledged
+ */
+void jl_beacon_send_now (struct jl_beacon *beacon);
+
 /**
  * jl_beacon_send_datagram - sends a datagram of another format to @peer
  */
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -21,8 +21,8 @@
 kind_name (enum jl_report_kind kind)
 {
   static const char *const names[]
-      = { "-",           "target-ended", "answered",
-          "trial-begun", "trial-over",   "trial-running" };
+      = { "-",          "target-ended",  "answered", "trial-begun",
+          "trial-over", "trial-running", "departed" };
 
   return names[kind];
 }
@@ -82,6 +82,8 @@
     case JL_REPORT_TRIAL_OVER:
       jl_suspects_end_trial (suspects, content, report->at_us);
       break;
+    case JL_REPORT_DEPARTED:
+      break;
     }
 }
 
--- a/source/proxy/report.h
+++ b/source/proxy/report.h
@@ -18,6 +18,8 @@
  * @JL_REPORT_TRIAL_BEGUN: a trial of them is in progress
  * @JL_REPORT_TRIAL_OVER: the trial ended without a result
  * @JL_REPORT_TRIAL_RUNNING: a trial of them runs at the target
+ * @JL_REPORT_DEPARTED: without contents: the receiver's target has announced
+ * its leave to an earlier incarnation of the receiver
  *
  * The values are sent to other daemons.
  */
@@ -28,6 +30,7 @@
   JL_REPORT_TRIAL_BEGUN = 3,
   JL_REPORT_TRIAL_OVER = 4,
   JL_REPORT_TRIAL_RUNNING = 5,
+  JL_REPORT_DEPARTED = 6,
 };
 
 /* Maximum number of contents of one report. */
@@ -103,6 +106,14 @@
                         const struct jl_member *member,
                         bool local_zone);
 
+/**
+ * jl_news_send_departed - tells a daemon that has just started which
+ * incarnations of its target have announced their leave to its earlier
+ * incarnations
+ */
+void jl_news_send_departed (struct jl_news *news,
+                            const struct jl_member *member);
+
 /**
  * jl_news_read - applies the reports of a datagram
  */
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -200,6 +200,24 @@
                 jl_name_key (member->name));
 }
 
+bool
+jl_member_has_departed (const struct jl_member *member, uint32_t target_key)
+{
+  for (unsigned i = 0; target_key != 0 && i < JL_MEMBER_DEPARTED_MAX; i++)
+    if (member->departed_keys[i] == target_key)
+      return true;
+  return false;
+}
+
+void
+jl_member_add_departed (struct jl_member *member, uint32_t target_key)
+{
+  if (target_key == 0 || jl_member_has_departed (member, target_key))
+    return;
+  member->departed_keys[member->departed_next] = target_key;
+  member->departed_next = (member->departed_next + 1) % JL_MEMBER_DEPARTED_MAX;
+}
+
 bool
 jl_member_is_addressed (const struct jl_member *self,
                         const struct jl_member *peer,
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -14,6 +14,9 @@
 #include "policy/origin.h"
 #include "proxy/target.h"
 
+/* Number of incarnations of a daemon's target that are remembered to have left.
+ */
+#define JL_MEMBER_DEPARTED_MAX 4
 /* Maximum number of fan-out estimates that one daemon announces. */
 #define JL_MEMBER_FANOUT_MAX 32
 
@@ -25,6 +28,9 @@
  * @target: identifier of its target
  * @target_key: key of the incarnation of its target, 0 if an older daemon does
  *              not announce it
+ * @departed_keys: ring of keys of incarnations that have announced their leave,
+ * 0 for none
+ * @departed_next: index in @departed_keys of the next one to write
  * @peer: where it accepts requests and beacons
  * @epoch: wall clock at its start in microseconds; identifies its incarnation
  * @sequence: sequence number of its last beacon
@@ -55,6 +61,8 @@
   char service[JL_TEXT_SIZE];
   char target[JL_TEXT_SIZE];
   uint32_t target_key;
+  uint32_t departed_keys[JL_MEMBER_DEPARTED_MAX];
+  unsigned departed_next;
   struct jl_endpoint peer;
   uint64_t epoch;
   uint64_t sequence;
@@ -168,6 +176,18 @@
  */
 uint32_t jl_member_target_key (const struct jl_member *member);
 
+/**
+ * jl_member_add_departed - records that an incarnation of the daemon's target
+ * leaves
+ */
+void jl_member_add_departed (struct jl_member *member, uint32_t target_key);
+
+/**
+ * jl_member_has_departed - whether an incarnation has announced its leave
+ */
+bool jl_member_has_departed (const struct jl_member *member,
+                             uint32_t target_key);
+
 /**
  * jl_member_is_addressed - whether @self sends beacons for @local_zone, or for
  * all other zones, to @peer
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -21,6 +21,25 @@
   return false;
 }
 
+static uint32_t
+key_of (const struct jl_target *target, const struct jl_heartbeat *heartbeat)
+{
+  uint32_t key
+      = XXH32 (heartbeat->id, strlen (heartbeat->id), target->name_key);
+
+  key = XXH32 (&heartbeat->started_ms, sizeof heartbeat->started_ms, key);
+  return key != 0 ? key : 1;
+}
+
+static bool
+has_departed_key (const struct jl_target *target, uint32_t key)
+{
+  for (size_t i = 0; i < JL_TARGET_DEPARTED_MAX; i++)
+    if (target->departed_keys[i] == key)
+      return true;
+  return false;
+}
+
 static bool
 is_same_incarnation (const struct jl_heartbeat *a, const struct jl_heartbeat *b)
 {
@@ -34,7 +53,8 @@
 {
   const struct jl_heartbeat *last = &target->last;
 
-  if (has_departed (target, heartbeat->id, heartbeat->started_ms))
+  if (has_departed (target, heartbeat->id, heartbeat->started_ms)
+      || has_departed_key (target, key_of (target, heartbeat)))
     return true;
   if (target->state == JL_TARGET_NONE)
     return false;
@@ -89,16 +109,24 @@
 }
 
 uint32_t
-jl_target_key (const struct jl_target *target, const char *name)
+jl_target_key (const struct jl_target *target)
 {
-  const struct jl_heartbeat *last = &target->last;
-  uint32_t key;
+  return target->state == JL_TARGET_NONE ? 0 : key_of (target, &target->last);
+}
 
-  if (target->state == JL_TARGET_NONE)
-    return 0;
-  key = XXH32 (last->id, strlen (last->id), jl_name_key (name));
-  key = XXH32 (&last->started_ms, sizeof last->started_ms, key);
-  return key != 0 ? key : 1;
+bool
+jl_target_restore_departed_key (struct jl_target *target, uint32_t key)
+{
+  enum jl_target_state before = target->state;
+
+  if (key == 0 || has_departed_key (target, key))
+    return false;
+  target->departed_keys[target->departed_keys_next] = key;
+  target->departed_keys_next
+      = (target->departed_keys_next + 1) % JL_TARGET_DEPARTED_MAX;
+  if (jl_target_key (target) == key)
+    target->state = JL_TARGET_LEAVING;
+  return target->state != before;
 }
 
 bool
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -69,21 +69,28 @@
 
 /**
  * struct jl_target - state of the local target
+ * @name_key: key of the name of the daemon beside it
  * @last: the last heartbeat that was applied
  * @last_heartbeat_us: time at which it was applied
  * @up_since_us: time at which it last became JL_TARGET_UP
  * @departed: ring of the incarnations that have left
  * @departed_next: index in @departed of the next entry to write
+ * @departed_keys: ring of keys of further incarnations that have left, of which
+ *                 other daemons have told; 0 for none
+ * @departed_keys_next: index in @departed_keys of the next one to write
  * @departed_revision: number of entries written to @departed so far
  */
 struct jl_target
 {
+  uint32_t name_key;
   enum jl_target_state state;
   struct jl_heartbeat last;
   uint64_t last_heartbeat_us;
   uint64_t up_since_us;
   struct jl_departed_incarnation departed[JL_TARGET_DEPARTED_MAX];
   unsigned departed_next;
+  uint32_t departed_keys[JL_TARGET_DEPARTED_MAX];
+  unsigned departed_keys_next;
   unsigned departed_revision;
 };
 
@@ -100,11 +107,18 @@
 /**
  * jl_target_key - returns a key of the current incarnation, which differs
  * between instances
- * @name: name of the daemon beside it
  *
  * Return: the key, 0 if no target is known.
  */
-uint32_t jl_target_key (const struct jl_target *target, const char *name);
+uint32_t jl_target_key (const struct jl_target *target);
+
+/**
+ * jl_target_restore_departed_key - records an incarnation that left before this
+ * daemon started, by its key
+ *
+ * Return: whether the state has changed.
+ */
+bool jl_target_restore_departed_key (struct jl_target *target, uint32_t key);
 
 /**
  * jl_target_is_replaced_by - whether @heartbeat is of a new incarnation while
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -52,11 +52,14 @@
 
 /* Follows a beacon_extension in the same datagram. withdrawn: the sender is about
  * to send no more beacons to this daemon, which is to send it no more requests.
- * store_era: era of the store that the sender knows, 0 for none. */
+ * store_era: era of the store that the sender knows, 0 for none. departed: the
+ * target itself has announced its leave; a state "leaving" may also mean that the
+ * daemon stops. */
 struct beacon_notice
 {
   unsigned int withdrawn;
   unsigned hyper store_era;
+  unsigned int departed;
 };
 
 struct beacon_report
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -68,6 +68,7 @@
 struct beacon_notice {
 	u_int withdrawn;
 	u_quad_t store_era;
+	u_int departed;
 };
 typedef struct beacon_notice beacon_notice;
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -201,6 +201,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->departed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/proxy/restore.c
+++ b/tests/proxy/restore.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "proxy/parts/rig.h"
+#include "proxy/report.h"
 #include "rpc/gen/beacon.h"
 
 #include <arpa/inet.h>
@@ -261,6 +262,53 @@
   rig_run (rig, 50);
 }
 
+/* Whether the daemon was told that the incarnation has left. */
+static bool
+is_told_of_departure (int fd, uint32_t target_key)
+{
+  char datagram[2048];
+  bool told = false;
+  ssize_t size;
+
+  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
+    {
+      struct beacon_reports message = { 0 };
+      XDR xdr;
+
+      xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
+      if (xdr_beacon_reports (&xdr, &message) && message.format == 3)
+        for (unsigned i = 0; i < message.reports.reports_len; i++)
+          told |= message.reports.reports_val[i].kind == JL_REPORT_DEPARTED
+                  && message.reports.reports_val[i].target == target_key;
+      xdr_free ((xdrproc_t)xdr_beacon_reports, &message);
+    }
+  return told;
+}
+
+/* Guards against a target that gets requests after its leave was acknowledged,
+ * because its daemon was restarted and the store has lost the row. */
+Test (restore, other_daemons_keep_a_leave_for_a_daemon_that_is_restarted)
+{
+  static const struct beacon_notice departed = { .departed = 1 };
+  static const struct beacon_notice none = { 0 };
+  struct rig rig;
+  struct jl_member *member;
+  int fd;
+
+  begin (&rig, 59);
+  fd = open_daemon (&rig, OTHER_PORT);
+  send_beacon (&rig, fd, 1, 77, &departed);
+  member = g_hash_table_lookup (rig.proxy->roster.by_name, "d6");
+  cr_assert_not_null (member);
+  cr_assert_eq (member->state, JL_TARGET_LEAVING);
+  send_beacon (&rig, fd, 2, 77, &none);
+  cr_assert (is_told_of_departure (fd, 77));
+  cr_assert_eq (member->state, JL_TARGET_LEAVING);
+  send_beacon (&rig, fd, 2, 78, &none);
+  cr_assert_eq (member->state, JL_TARGET_UP, "another incarnation");
+  close (fd);
+}
+
 Test (restore, a_new_era_that_another_daemon_has_heard_of_is_looked_for)
 {
   static const struct beacon_notice heard = { .store_era = 6 };
@@ -280,3 +328,48 @@
   cr_assert_eq (rig.store.feeds, feeds + 1);
   close (fd);
 }
+
+/* Whether a beacon has said that the target has announced its leave. */
+static bool
+is_departure_announced (int fd)
+{
+  struct beacon_notice notice = { 0 };
+  char datagram[2048];
+  ssize_t size;
+
+  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
+    {
+      struct beacon_message message = { 0 };
+      struct beacon_extension extension;
+      XDR xdr;
+
+      xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
+      if (xdr_beacon_message (&xdr, &message) && message.format == 1
+          && xdr_beacon_extension (&xdr, &extension))
+        cr_assert (xdr_beacon_notice (&xdr, &notice));
+      xdr_free ((xdrproc_t)xdr_beacon_message, &message);
+    }
+  return notice.departed != 0;
+}
+
+/* Guards against a daemon that is killed as soon as it has acknowledged a
+ * leave, before it has told others. */
+Test (restore, a_leave_is_announced_before_it_is_acknowledged)
+{
+  struct rig rig;
+  int fd;
+  int leave;
+
+  begin (&rig, 61);
+  fd = open_daemon (&rig, OTHER_PORT);
+  rig_add_member (&rig, "d6", "z1", "front");
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  jl_beacon_send_soon (rig.proxy->beacon);
+  rig_run (&rig, 30);
+  jl_beacon_send_soon (rig.proxy->beacon);
+  leave = rig_leave (&rig, "i-1");
+  while (rig_received (leave)[0] == '\0')
+    rig_run (&rig, 1);
+  cr_assert (is_departure_announced (fd));
+  close (fd);
+}
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -57,6 +57,23 @@
   cr_assert_eq (target.state, JL_TARGET_LEAVING);
 }
 
+/* Guards against the loss of a leave whose row the store has lost. */
+Test (target, one_that_left_by_the_word_of_others_takes_no_work)
+{
+  struct jl_target before = { .name_key = 1 };
+  struct jl_target target = { .name_key = 1 };
+  uint32_t key;
+
+  apply (&before, heartbeat ("a", 5, 1, false));
+  key = jl_target_key (&before);
+  cr_assert_not (jl_target_restore_departed_key (&target, key));
+  cr_assert_not (apply (&target, heartbeat ("a", 5, 9, false)));
+  cr_assert_eq (target.state, JL_TARGET_NONE);
+  cr_assert (apply (&target, heartbeat ("a", 6, 1, false)), "it is restarted");
+  cr_assert (jl_target_restore_departed_key (&target, jl_target_key (&target)));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+}
+
 Test (target, a_new_incarnation_replaces_the_old_one_and_not_the_reverse)
 {
   struct jl_target target = { 0 };
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -389,6 +389,22 @@
         self.store.restore(at)
         self.store.mode = "calm"
 
+    async def do_restore_leave_kill(self, daemon, duration_s):
+        """The store loses a leave that was acknowledged, and the daemon is killed at that moment."""
+        if daemon.target.lock.locked():
+            return
+        async with daemon.target.lock:
+            at = time.monotonic()
+
+            def restore_and_kill():
+                self.store.reset_connections()
+                self.store.restore(at)
+                daemon.signal(signal.SIGKILL)
+
+            await daemon.target.leave_and_kill_daemon(restore_and_kill)
+            await asyncio.sleep(duration_s / 2)
+            await daemon.target.start(daemon.target.announce)
+
     async def do_poison(self, daemon, duration_s):
         """Sends a content that ends targets, for much longer than other faults last."""
         number = len(self.deadly.paths)
