Order the declarations of a function

A declaration stood behind an empty line in send_to_local_zone, which a reader takes for a statement. The order changes, nothing else; the datagram is made from the same state.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -438,11 +438,10 @@
 static void
 send_to_local_zone (struct jl_beacon *beacon)
 {
+  const struct jl_proxy *proxy = beacon->proxy;
   char datagram[DATAGRAM_BYTES_MAX];
   size_t size = encode (beacon, true, false, datagram);
 
-  const struct jl_proxy *proxy = beacon->proxy;
-
   beacon->sent_local_zone_us = jl_now ();
   beacon->sent_shed_share = proxy->load_shedder.shed_share;
   beacon->sent_spare_share = proxy->load_shedder.spare_share;
