Let several runs of a test of the proxy run at a time

Cause: each test listens on a fixed loopback address. In two runs of a program at the same time the later one cannot open its store and fails.

Change: a test reserves its address by a bound socket, and takes another one if it is in use.

--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -5,6 +5,8 @@
 
 #include "proxy/parts/rig.h"
 
+#include "proxy/parts/address.h"
+
 #include <criterion/criterion.h>
 
 #include <arpa/inet.h>
@@ -20,15 +22,13 @@
   return endpoint;
 }
 
-/* @host: part of the loopback address; it differs between tests, because tests
- * run in parallel. */
 void
 rig_prepare (struct rig *rig, unsigned host)
 {
   struct jl_options *options = &rig->options;
 
   memset (rig, 0, sizeof *rig);
-  options->ip = INADDR_LOOPBACK + (90u << 16) + (host << 8);
+  options->ip = test_address (host);
   g_strlcpy (options->name, "d5", sizeof options->name);
   g_strlcpy (options->zone, "z1", sizeof options->zone);
   g_strlcpy (options->service, "front", sizeof options->service);
--- a/tests/proxy/stampede.c
+++ b/tests/proxy/stampede.c
@@ -10,6 +10,7 @@
 
 #include <arpa/inet.h>
 
+#include "proxy/parts/address.h"
 #include "proxy/parts/fake-store.h"
 #include "store.h"
 
@@ -104,8 +105,7 @@
 static void
 open_site (struct site *site, unsigned count, unsigned host, unsigned spread_ms)
 {
-  struct jl_endpoint endpoint
-      = { .ip = INADDR_LOOPBACK + (host << 8), .port = 17007 };
+  struct jl_endpoint endpoint = { .ip = test_address (host), .port = 17007 };
   struct jl_net *net;
 
   fake_store_open (&site->fake, endpoint);
--- a/tests/proxy/store.c
+++ b/tests/proxy/store.c
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "proxy/parts/address.h"
 #include "proxy/parts/fake-store.h"
 #include "store.h"
 
@@ -66,8 +67,7 @@
 static void
 fixture_open (struct fixture *fixture, unsigned host)
 {
-  struct jl_endpoint endpoint
-      = { .ip = INADDR_LOOPBACK + (host << 8), .port = 17007 };
+  struct jl_endpoint endpoint = { .ip = test_address (host), .port = 17007 };
 
   memset (fixture, 0, sizeof *fixture);
   fake_store_open (&fixture->fake, endpoint);
