Let the tests set faults of the platform's stand-in while its requests hang

Cause: requests for faults came to the same server as all others, and an outage of the kind `hang` holds its 64 threads. A fault could then not be switched off, and no test noticed, since platform_control ignored the failure.

Change: the stand-in takes such requests at an address of its own, with two threads, and a test fails if a fault is not taken.

--- a/tests/site.sh
+++ b/tests/site.sh
@@ -76,6 +76,7 @@
   SITE_DIR=$1
   site_take_slot
   SITE_PLATFORM=$(site_address 127.30.0.1):9000
+  SITE_PLATFORM_CONTROL=$(site_address 127.30.0.1):9001
   rm -rf "$SITE_DIR"
   mkdir -p "$SITE_DIR"
   trap site_end EXIT
@@ -138,6 +139,7 @@
 start_platform ()
 {
   "$BUILD/standins/platform" --listen "$SITE_PLATFORM" \
+    --control "$SITE_PLATFORM_CONTROL" \
     --history "$SITE_DIR/platform.jsonl" >> "$SITE_DIR/platform.log" 2>&1 &
   PLATFORM_PID=$!
 }
@@ -291,7 +293,8 @@
 # platform_control FAULT?PARAMETER=VALUE: sets a fault of the platform.
 platform_control ()
 {
-  curl -s -m 2 -X POST "http://$SITE_PLATFORM/test/$1" > /dev/null
+  curl -sf -m 2 -X POST "http://$SITE_PLATFORM_CONTROL/test/$1" > /dev/null \
+    || site_fail "the platform does not take the fault $1"
 }
 
 # site_call NAME [caller option...]: sends load to all entry ports. The history
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,8 +1,10 @@
 /**
  * DOC: Stand-in for the platform: a table service and an object store.
  *
- * Rows and objects are kept in memory. Requests under /test/ inject faults:
- * outages, delays, and writes that take effect but whose answer is lost.
+ * Rows and objects are kept in memory. Requests under /test/ at the control
+ * address inject faults: outages, delays, and writes that take effect but whose
+ * answer is lost. That address has threads of its own, since an outage may hold
+ * all others.
  */
 
 #include "common.h"
@@ -16,6 +18,7 @@
 #include <string.h>
 
 #define HANG_POLL_US (20 * USEC_PER_MSEC)
+#define CONTROL_THREADS 2
 
 /**
  * enum outage - how requests fail during an outage
@@ -44,6 +47,8 @@
 
 /**
  * struct platform - the options, the data and the current faults
+ * @listen: "a.b.c.d:port" of the table and the object store
+ * @control: "a.b.c.d:port" of the requests under /test/
  * @last_tag: number of the last write
  * @delay_ms: delay of each request
  * @lost_answers_percent: probability that a write's answer is lost
@@ -53,6 +58,7 @@
 struct platform
 {
   const char *listen;
+  const char *control;
   const char *history_path;
   unsigned threads;
   struct history *history;
@@ -109,9 +115,9 @@
 }
 
 static int
-handle_test (struct mg_connection *connection,
-             const struct mg_request_info *request)
+handle_control (struct mg_connection *connection, void *context G_GNUC_UNUSED)
 {
+  const struct mg_request_info *request = mg_get_request_info (connection);
   const char *path = request->local_uri;
   g_autofree char *query = history_text (request->query_string);
 
@@ -273,8 +279,6 @@
   const char *path = request->local_uri;
   int status;
 
-  if (g_str_has_prefix (path, "/test/"))
-    return handle_test (connection, request);
   if (platform.delay_ms > 0)
     sleep_us (platform.delay_ms * USEC_PER_MSEC);
   if (fail_by_outage (connection, &status))
@@ -291,6 +295,7 @@
 
 static const struct argp_option options[] = {
   { "listen", 'l', "ADDRESS:PORT", 0, "address to listen on", 0 },
+  { "control", 'c', "ADDRESS:PORT", 0, "address of requests for faults", 0 },
   { "history", 'h', "FILE", 0, "history file for faults", 0 },
   { "threads", 't', "N", 0, "maximum number of connections", 0 },
   { 0 },
@@ -304,6 +309,9 @@
     case 'l':
       platform.listen = argument;
       return 0;
+    case 'c':
+      platform.control = argument;
+      return 0;
     case 'h':
       platform.history_path = argument;
       return 0;
@@ -311,8 +319,8 @@
       platform.threads = (unsigned)strtoul (argument, NULL, 10);
       return 0;
     case ARGP_KEY_END:
-      if (platform.listen == NULL)
-        argp_error (state, "--listen is required");
+      if (platform.listen == NULL || platform.control == NULL)
+        argp_error (state, "--listen and --control are required");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -326,6 +334,7 @@
       = { options, parse_option, NULL, "Stand-in for the platform.",
           NULL,    NULL,         NULL };
   struct mg_context *server;
+  struct mg_context *control;
 
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   block_stop_signals ();
@@ -334,8 +343,11 @@
   platform.rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   server = server_start (platform.listen, platform.threads, NULL, handle);
+  control
+      = server_start (platform.control, CONTROL_THREADS, NULL, handle_control);
   wait_for_stop ();
   platform.outage = OUTAGE_NONE;
+  mg_stop (control);
   mg_stop (server);
   return 0;
 }
