Signal the processes of the soak by a descriptor, not by Process.send_signal()

Cause: Process.send_signal() polls the process first, and so may take the exit status of one that has just ended; the thread that waits for it finds no child then and reports 255. double_term and kill send a signal to processes that are about to end. A fault of the soak, not of the daemon.

A descriptor also names the process that the soak has started if its id is used again.

The check of exit statuses is unchanged.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import base64
+import contextlib
 import fcntl
 import json
 import os
@@ -83,6 +84,7 @@
         self.ports = dict(entry=7001, ready=7002, announce=7003, peer=7004, metrics=7005)
         self.target = Target(site.history, self.host, self.service, 12, site.seed * 1000 + number)
         self.process = None
+        self.pidfd = None
         self.run = 0
         # Time before which an ended process is not started again.
         self.hold_until = 0.0
@@ -142,11 +144,18 @@
         self.process = await asyncio.create_subprocess_exec(
             self.site.program, "--settings", self.path, stdout=log, stderr=log, env=environment
         )
+        if self.pidfd is not None:
+            os.close(self.pidfd)
+        self.pidfd = os.pidfd_open(self.process.pid)
 
     def signal(self, number):
-        """Sends a signal to the running process; only to the one that was started here, by its id."""
+        """Sends a signal to the running process; only to the one that was started here, by its id.
+
+        Process.send_signal() may take the exit status that wait() is to return.
+        """
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self.pidfd, number)
 
     async def stop(self):
         self.signal(signal.SIGCONT)
