Let a restarted daemon hear others before it believes its target or a leave

What targets saw: new requests up to 3 s after their leave had been acknowledged.

Change: a heartbeat of a target that has lived before the daemon waits until another daemon was heard, at most until 1.5 s after the start, when the daemon becomes ready too (E725). A leave is acknowledged once the row is written and another daemon was heard, or after 0.7 s at a daemon that has just started, 0.3 s as before otherwise. Without a heartbeat the leave is told by the digest of the target's identifier; others apply it to the incarnation they knew.

Why it works: before an acknowledgement at least one other daemon knows, and a restarted daemon asks first. A target that is younger than its daemon is not held.

All unit tests pass. Seven new tests in tests/proxy/restore.c; those on a held heartbeat, on a leave before the first heartbeat and on the wait for others fail without the change.

Not covered: two daemons that are killed at the same moment, the second of which alone had heard, and a daemon that hears nobody for 0.7 s.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -224,6 +224,11 @@
   member->in_other_zone = !is_same_zone (proxy, member);
   update_state (member, message, target_key, notice->departed != 0, now_us);
   member->target_key = target_key;
+  if (target_key != 0 && message->format == BEACON_FORMAT_FULL)
+    {
+      g_strlcpy (member->known_target, member->target, JL_TEXT_SIZE);
+      member->known_target_key = target_key;
+    }
   member->withdrawn = notice->withdrawn != 0;
   if (jl_store_look_for_era (proxy->store, notice->store_era))
     proxy->era_heard_from = member;
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -12,6 +12,9 @@
 #include "proxy/hooks.h"
 #include "rpc/gen/beacon.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* Format of these datagrams, which differs from those of beacons. */
 #define REPORTS_FORMAT 3
 #define DATAGRAM_BYTES_MAX 1400
@@ -308,6 +311,41 @@
   flush_reports (news, member, false, &batch);
 }
 
+static uint64_t
+digest_of (const char *id)
+{
+  return XXH64 (id, strlen (id), 0);
+}
+
+void
+jl_news_send_own_departure (struct jl_news *news, const char *id)
+{
+  uint64_t digest = digest_of (id);
+  struct jl_report report = {
+    .kind = JL_REPORT_DEPARTED,
+    .at_us = jl_now (),
+    .count = 1,
+    .contents = &digest,
+  };
+
+  jl_news_send (news, &report);
+}
+
+/* Applies that the target of another daemon has left: the incarnation that was
+ * heard of last, if it has this identifier. */
+static void
+apply_departed_member (struct jl_proxy *proxy, const char *by, uint64_t digest)
+{
+  struct jl_member *member = jl_roster_get_or_add (&proxy->roster, by);
+
+  if (member == proxy->self || JL_TEST_DISABLED ("left")
+      || digest_of (member->known_target) != digest)
+    return;
+  jl_member_add_departed (member, member->known_target_key);
+  if (member->state == JL_TARGET_UP)
+    member->state = JL_TARGET_LEAVING;
+}
+
 static void
 apply_departed (struct jl_proxy *proxy, uint32_t target_key)
 {
@@ -335,7 +373,9 @@
     .contents = (const uint64_t *)wire->contents.contents_val,
   };
 
-  if (wire->kind == JL_REPORT_DEPARTED)
+  if (wire->kind == JL_REPORT_DEPARTED && report.count > 0)
+    apply_departed_member (proxy, by, report.contents[0]);
+  else if (wire->kind == JL_REPORT_DEPARTED)
     apply_departed (proxy, wire->target);
   else if (wire->kind >= JL_REPORT_STRIKE
            && wire->kind <= JL_REPORT_TRIAL_RUNNING)
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -7,6 +7,7 @@
 
 #include "decode.h"
 #include "names.h"
+#include "proxy/report.h"
 #include "proxy/rows.h"
 #include "proxy/watch.h"
 
@@ -16,9 +17,17 @@
  * that a larger heartbeat is refused as malformed. */
 #define HEARTBEAT_BYTES_MAX 65536
 /* Maximum time for which the response to a leave announcement waits for the
- * store. The target expects the response within a second and otherwise asks
- * another daemon. */
+ * store and for other daemons. The target expects the response within a second
+ * and otherwise asks another daemon. */
 #define LEAVE_ACK_TIMEOUT_US (300 * JL_USEC_PER_MSEC)
+/* The same for a daemon that has just been started: it needs more time to hear
+ * others. */
+#define LEAVE_ACK_START_TIMEOUT_US (700 * JL_USEC_PER_MSEC)
+/* Period of checks whether a leave announcement can be answered. */
+#define LEAVE_CHECK_PERIOD_US (10 * JL_USEC_PER_MSEC)
+/* Period of checks whether other daemons have been heard, longer than they need
+ * to answer the first beacon of a daemon that has been restarted. */
+#define HELD_CHECK_PERIOD_US (40 * JL_USEC_PER_MSEC)
 
 static void
 respond_text (struct jl_request *request, unsigned status, const char *text)
@@ -62,12 +71,36 @@
   return target + strlen (JL_PATH_INSTANCES);
 }
 
+/* Tells others of the last leave. Beacons cannot tell it if no heartbeat of the
+ * target has arrived. */
+static void
+tell_leave (struct jl_proxy *proxy)
+{
+  const struct jl_target *target = &proxy->target;
+  unsigned last = (target->departed_next + JL_TARGET_DEPARTED_MAX - 1)
+                  % JL_TARGET_DEPARTED_MAX;
+
+  if (target->state == JL_TARGET_NONE)
+    jl_news_send_own_departure (proxy->news, target->departed[last].id);
+  else
+    jl_beacon_send_now (proxy->beacon);
+}
+
+/* Whether a leave is known to others that outlive this daemon: to the store,
+ * and to other daemons in case the store loses it. */
+static bool
+is_leave_known (const struct jl_proxy *proxy)
+{
+  return proxy->departed_row_acknowledged && jl_proxy_has_heard_others (proxy);
+}
+
 /* Responds to the pending leave announcements. A later incarnation of this
  * daemon knows that the target has left only if the row was written. */
 static void
 acknowledge_leave (struct jl_proxy *proxy)
 {
   jl_timer_stop (proxy->loop->timers, &proxy->leave_timer);
+  tell_leave (proxy);
   for (guint i = 0; i < proxy->leave_requests->len; i++)
     respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
   jl_record (JL_RECORD_CHANGE, JL_RECORD_LEAVING_ACKNOWLEDGED,
@@ -79,39 +112,74 @@
 void
 jl_pages_acknowledge_leave (struct jl_proxy *proxy)
 {
-  if (proxy->leave_requests->len > 0)
+  if (proxy->leave_requests->len > 0 && is_leave_known (proxy))
     acknowledge_leave (proxy);
 }
 
 static void
 on_leave_timer (void *context, struct jl_timer *timer)
 {
-  (void)timer;
-  acknowledge_leave (context);
+  struct jl_proxy *proxy = context;
+
+  if (is_leave_known (proxy) || jl_now () >= proxy->leave_until_us)
+    acknowledge_leave (proxy);
+  else
+    jl_loop_start_timer (proxy->loop, timer, LEAVE_CHECK_PERIOD_US,
+                         on_leave_timer, proxy);
 }
 
-/* Responds to a leave announcement once the store has acknowledged the row that
- * records it, or after a timeout. */
+/* Responds to a leave announcement once it is known to others, or after a
+ * timeout. */
 static void
 respond_to_leave (struct jl_proxy *proxy, struct jl_request *request)
 {
   jl_rows_write_departed (proxy);
-  if (proxy->departed_row_acknowledged)
+  if (is_leave_known (proxy))
     {
+      tell_leave (proxy);
       respond_json (request, 200);
       return;
     }
   if (proxy->leave_requests->len == 0)
-    jl_loop_start_timer (proxy->loop, &proxy->leave_timer, LEAVE_ACK_TIMEOUT_US,
-                         on_leave_timer, proxy);
+    {
+      proxy->leave_until_us
+          = jl_now ()
+            + (jl_proxy_has_heard_others (proxy) ? LEAVE_ACK_TIMEOUT_US
+                                                 : LEAVE_ACK_START_TIMEOUT_US);
+      jl_loop_start_timer (proxy->loop, &proxy->leave_timer,
+                           LEAVE_CHECK_PERIOD_US, on_leave_timer, proxy);
+    }
   g_ptr_array_add (proxy->leave_requests, request);
 }
 
+static void
+apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  uint64_t up_since_us = proxy->target.up_since_us;
+
+  if (jl_target_is_replaced_by (&proxy->target, heartbeat))
+    jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
+  if (jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ()))
+    jl_proxy_target_changed (proxy, "heartbeat");
+  if (proxy->target.up_since_us != up_since_us)
+    jl_watch_begin (proxy->watch);
+}
+
+static void
+apply_held_heartbeat (struct jl_proxy *proxy)
+{
+  jl_timer_stop (proxy->loop->timers, &proxy->held_timer);
+  proxy->heartbeat_held = false;
+  apply_heartbeat (proxy, &proxy->held_heartbeat);
+}
+
 static void
 handle_leave (struct jl_proxy *proxy,
               struct jl_request *request,
               const char *id)
 {
+  if (proxy->heartbeat_held && strcmp (proxy->held_heartbeat.id, id) == 0)
+    apply_held_heartbeat (proxy);
   if (jl_target_mark_departed (&proxy->target, id,
                                (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC))
     jl_proxy_target_changed (proxy, "left");
@@ -119,16 +187,45 @@
 }
 
 static void
-apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+on_held_timer (void *context, struct jl_timer *timer)
 {
-  uint64_t up_since_us = proxy->target.up_since_us;
+  struct jl_proxy *proxy = context;
 
-  if (jl_target_is_replaced_by (&proxy->target, heartbeat))
-    jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
-  if (jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ()))
-    jl_proxy_target_changed (proxy, "heartbeat");
-  if (proxy->target.up_since_us != up_since_us)
-    jl_watch_begin (proxy->watch);
+  if (proxy->others_heard)
+    {
+      apply_held_heartbeat (proxy);
+      return;
+    }
+  proxy->others_heard = jl_proxy_has_heard_others (proxy);
+  jl_loop_start_timer (proxy->loop, timer, HELD_CHECK_PERIOD_US, on_held_timer,
+                       proxy);
+}
+
+/* Whether the target may have left before this daemon started, and others have
+ * not had the time to tell it. */
+static bool
+may_have_left (const struct jl_proxy *proxy,
+               const struct jl_heartbeat *heartbeat)
+{
+  return proxy->target.state == JL_TARGET_NONE && !heartbeat->draining
+         && heartbeat->started_ms < proxy->epoch / JL_USEC_PER_MSEC
+         && (proxy->heartbeat_held || !jl_proxy_has_heard_others (proxy));
+}
+
+static void
+hold_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  if (!proxy->heartbeat_held)
+    {
+      jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_HELD,
+                 "target=%s born=%" PRIu64 " site=%" PRIx64, heartbeat->id,
+                 heartbeat->started_ms,
+                 proxy->site != NULL ? proxy->site->version : 0);
+      jl_loop_start_timer (proxy->loop, &proxy->held_timer,
+                           HELD_CHECK_PERIOD_US, on_held_timer, proxy);
+    }
+  proxy->heartbeat_held = true;
+  proxy->held_heartbeat = *heartbeat;
 }
 
 static void
@@ -150,7 +247,10 @@
       return;
     }
   g_strlcpy (heartbeat.id, id, sizeof heartbeat.id);
-  apply_heartbeat (proxy, &heartbeat);
+  if (may_have_left (proxy, &heartbeat))
+    hold_heartbeat (proxy, &heartbeat);
+  else
+    apply_heartbeat (proxy, &heartbeat);
   if (heartbeat.draining)
     respond_to_leave (proxy, request);
   else
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -50,9 +50,9 @@
 #define STOP_MARGIN_US (400 * JL_USEC_PER_MSEC)
 /* Period of checks whether a graceful shutdown is complete. */
 #define STOP_CHECK_PERIOD_US (50 * JL_USEC_PER_MSEC)
-/* Time after the start at which a daemon becomes ready even if it receives no
- * beacons of other daemons. */
-#define READY_ALONE_US (1500 * JL_USEC_PER_MSEC)
+/* Time after the start at which a daemon becomes ready, and believes its
+ * target, even if it receives no beacons of other daemons. */
+#define ALONE_US (1500 * JL_USEC_PER_MSEC)
 /* Number of control windows between two estimates of the call graph. */
 #define FANOUT_PERIOD_WINDOWS 3
 /* Exit status if the grace period ended with requests in progress. */
@@ -97,13 +97,19 @@
 }
 
 bool
-jl_proxy_is_ready (const struct jl_proxy *proxy)
+jl_proxy_has_heard_others (const struct jl_proxy *proxy)
 {
   uint64_t now_us = jl_now ();
 
+  return jl_roster_alive_count (&proxy->roster, now_us) > 1
+         || now_us > proxy->started_us + ALONE_US;
+}
+
+bool
+jl_proxy_is_ready (const struct jl_proxy *proxy)
+{
   return proxy->site != NULL && !proxy->stopping
-         && (jl_roster_alive_count (&proxy->roster, now_us) > 1
-             || now_us > proxy->started_us + READY_ALONE_US);
+         && jl_proxy_has_heard_others (proxy);
 }
 
 bool
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -148,6 +148,11 @@
  * @work_items: requests in progress at the guard, of struct jl_work
  * @leave_requests: leave announcements of the target, answered once the store
  *                  has acknowledged the row that records them
+ * @leave_until_us: time at which the announcements are answered in any case
+ * @held_heartbeat: heartbeat that is applied once other daemons have been
+ * heard, which may know that the target has left
+ * @heartbeat_held: @held_heartbeat is valid
+ * @others_heard: other daemons had been heard at the last check of it
  * @departed_revision_sent: value of the target's departed_revision that was
  *                          last handed to the store client
  * @departed_row_acknowledged: the store has acknowledged the latest row
@@ -211,7 +216,12 @@
   struct jl_timer stop_timer;
   struct jl_timer reload_timer;
   struct jl_timer leave_timer;
+  uint64_t leave_until_us;
   GPtrArray *leave_requests;
+  struct jl_timer held_timer;
+  struct jl_heartbeat held_heartbeat;
+  bool heartbeat_held;
+  bool others_heard;
   unsigned departed_revision_sent;
   bool departed_row_acknowledged;
   bool refused_row_pending;
@@ -268,6 +278,12 @@
  */
 const char *jl_proxy_service (const struct jl_proxy *proxy);
 
+/**
+ * jl_proxy_has_heard_others - whether another daemon has been heard, or there
+ * was enough time for it since the start
+ */
+bool jl_proxy_has_heard_others (const struct jl_proxy *proxy);
+
 /**
  * jl_proxy_is_ready - whether clients should send requests to this daemon
  */
--- a/source/proxy/report.h
+++ b/source/proxy/report.h
@@ -19,7 +19,9 @@
  * @JL_REPORT_TRIAL_OVER: the trial ended without a result
  * @JL_REPORT_TRIAL_RUNNING: a trial of them runs at the target
  * @JL_REPORT_DEPARTED: without contents: the receiver's target has announced
- * its leave to an earlier incarnation of the receiver
+ * its leave to an earlier incarnation of the receiver. With a content: the
+ * sender's target, of which the content is the digest of the identifier, has
+ * announced its leave, and the sender does not know its incarnation
  *
  * The values are sent to other daemons.
  */
@@ -114,6 +116,13 @@
 void jl_news_send_departed (struct jl_news *news,
                             const struct jl_member *member);
 
+/**
+ * jl_news_send_own_departure - tells all daemons that a target of this daemon
+ * has announced its leave before any heartbeat
+ * @id: identifier of the target
+ */
+void jl_news_send_own_departure (struct jl_news *news, const char *id);
+
 /**
  * jl_news_read - applies the reports of a datagram
  */
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -28,6 +28,9 @@
  * @target: identifier of its target
  * @target_key: key of the incarnation of its target, 0 if an older daemon does
  *              not announce it
+ * @known_target: identifier of the last incarnation of a target that it has
+ *                announced; kept while it knows none after a restart
+ * @known_target_key: its key
  * @departed_keys: ring of keys of incarnations that have announced their leave,
  * 0 for none
  * @departed_next: index in @departed_keys of the next one to write
@@ -61,6 +64,8 @@
   char service[JL_TEXT_SIZE];
   char target[JL_TEXT_SIZE];
   uint32_t target_key;
+  char known_target[JL_TEXT_SIZE];
+  uint32_t known_target_key;
   uint32_t departed_keys[JL_MEMBER_DEPARTED_MAX];
   unsigned departed_next;
   struct jl_endpoint peer;
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -14,6 +14,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Time for which a proxy that rig_start() returns seems to have run. */
+#define STARTED_AGO_US (2 * JL_USEC_PER_SEC)
+
 struct jl_endpoint
 rig_at (const struct rig *rig, uint16_t port)
 {
@@ -54,13 +57,20 @@
 }
 
 void
-rig_start (struct rig *rig)
+rig_start_now (struct rig *rig)
 {
   rig->proxy = jl_proxy_new (&rig->options, NULL);
   cr_assert_not_null (rig->proxy);
   rig_run (rig, 100);
 }
 
+void
+rig_start (struct rig *rig)
+{
+  rig_start_now (rig);
+  rig->proxy->started_us -= STARTED_AGO_US;
+}
+
 int
 rig_send_request (struct rig *rig, uint16_t port, const char *text)
 {
--- a/tests/proxy/parts/rig.h
+++ b/tests/proxy/parts/rig.h
@@ -48,10 +48,15 @@
 void rig_run (struct rig *rig, unsigned ms);
 
 /**
- * rig_start - starts the proxy
+ * rig_start - starts the proxy, which then seems to have run for some time
  */
 void rig_start (struct rig *rig);
 
+/**
+ * rig_start_now - starts the proxy
+ */
+void rig_start_now (struct rig *rig);
+
 /**
  * rig_send_request - sends a request on a new connection
  *
--- a/tests/proxy/restore.c
+++ b/tests/proxy/restore.c
@@ -13,6 +13,7 @@
 
 #include <arpa/inet.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 /* Time within which a daemon has restored what the store has lost. */
 #define RESTORED_MS 2000
@@ -222,6 +223,9 @@
 }
 
 /* Sends a beacon of the daemon "d6", whose target is up. */
+/* Identifier of the target that send_beacon() announces. */
+static const char *announced_target = "";
+
 static void
 send_beacon (struct rig *rig,
              int fd,
@@ -238,7 +242,7 @@
     .name = name,
     .zone = zone,
     .service = empty,
-    .target = empty,
+    .target = (char *)announced_target,
     .ip = rig->options.ip,
     .port = OTHER_PORT,
     .epoch = epoch,
@@ -373,3 +377,182 @@
   cr_assert (is_departure_announced (fd));
   close (fd);
 }
+
+/* Sends a report of the daemon "d6". */
+static void
+send_report (struct rig *rig, int fd, struct beacon_report *report)
+{
+  static char name[] = "d6";
+  struct beacon_reports message = {
+    .format = 3,
+    .name = name,
+    .reports.reports_len = 1,
+    .reports.reports_val = report,
+  };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (PEER_PORT) };
+  char datagram[1400];
+  XDR xdr;
+
+  address.sin_addr.s_addr = htonl (rig->options.ip);
+  xdrmem_create (&xdr, datagram, sizeof datagram, XDR_ENCODE);
+  cr_assert (xdr_beacon_reports (&xdr, &message));
+  cr_assert_gt (sendto (fd, datagram, xdr_getpos (&xdr), 0,
+                        (struct sockaddr *)&address, sizeof address),
+                0);
+}
+
+/* Starts a daemon whose target has lived before it, and applies the target's
+ * first heartbeat. Returns a socket of the daemon "d6". */
+static int
+begin_after_target (struct rig *rig, unsigned host)
+{
+  rig_prepare (rig, host);
+  rig_start_now (rig);
+  rig_heartbeat (rig, "i-1", 5, 1);
+  return open_daemon (rig, OTHER_PORT);
+}
+
+/* Guards against requests to a target that has left, from a daemon that has
+ * just been restarted, reaches no store and has not heard the others yet. */
+Test (restore, a_daemon_hears_others_before_it_believes_its_target)
+{
+  struct jl_heartbeat heartbeat = { .id = "i-1", .started_ms = 5 };
+  struct jl_target before = { 0 };
+  struct beacon_report report = { .kind = JL_REPORT_DEPARTED };
+  struct rig rig;
+  int fd = begin_after_target (&rig, 62);
+
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  before.name_key = rig.proxy->target.name_key;
+  jl_target_apply_heartbeat (&before, &heartbeat, 1);
+  report.target = jl_target_key (&before);
+  send_report (&rig, fd, &report);
+  send_beacon (&rig, fd, 1, 77, &(struct beacon_notice){ 0 });
+  rig_heartbeat (&rig, "i-1", 5, 2);
+  rig_run (&rig, 100);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  rig_heartbeat (&rig, "i-1", 6, 1);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP, "it is restarted");
+  close (fd);
+}
+
+Test (restore, a_target_of_which_others_say_nothing_is_used_soon)
+{
+  struct rig rig;
+  int fd = begin_after_target (&rig, 63);
+
+  send_beacon (&rig, fd, 1, 77, &(struct beacon_notice){ 0 });
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  rig_run (&rig, 100);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP);
+  close (fd);
+}
+
+Test (restore, a_daemon_that_hears_nobody_believes_its_target_after_some_time)
+{
+  struct rig rig;
+  int fd = begin_after_target (&rig, 64);
+
+  rig_run (&rig, 1000);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  rig_run (&rig, 700);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP);
+  close (fd);
+}
+
+Test (restore, a_target_that_is_younger_than_its_daemon_is_used_at_once)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 65);
+  rig_start_now (&rig);
+  rig.proxy->epoch = 1 * JL_USEC_PER_MSEC;
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP);
+}
+
+/* Guards against the loss of a leave that a daemon has acknowledged as soon as
+ * it was started, without a heartbeat of the target. */
+Test (restore, others_hear_of_a_leave_before_the_first_heartbeat)
+{
+  struct rig rig;
+  uint64_t digest = XXH64 ("i-7", 3, 0);
+  struct beacon_report report = {
+    .kind = JL_REPORT_DEPARTED,
+    .contents.contents_len = 1,
+    .contents.contents_val = (u_quad_t *)&digest,
+  };
+  struct jl_member *member;
+  int fd;
+
+  begin (&rig, 66);
+  fd = open_daemon (&rig, OTHER_PORT);
+  announced_target = "i-7";
+  send_beacon (&rig, fd, 1, 77, &(struct beacon_notice){ 0 });
+  announced_target = "";
+  send_beacon (&rig, fd, 2, 0, &(struct beacon_notice){ 0 });
+  send_report (&rig, fd, &report);
+  rig_run (&rig, 50);
+  send_beacon (&rig, fd, 3, 77, &(struct beacon_notice){ 0 });
+  member = g_hash_table_lookup (rig.proxy->roster.by_name, "d6");
+  cr_assert_eq (member->state, JL_TARGET_LEAVING);
+  cr_assert (is_told_of_departure (fd, 77));
+  close (fd);
+}
+
+/* Whether a report says that the target with this identifier has left. */
+static bool
+is_own_departure_told (int fd, const char *id)
+{
+  char datagram[2048];
+  bool told = false;
+  ssize_t size;
+
+  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
+    {
+      struct beacon_reports message = { 0 };
+      XDR xdr;
+
+      xdrmem_create (&xdr, datagram, (u_int)size, XDR_DECODE);
+      if (xdr_beacon_reports (&xdr, &message) && message.format == 3
+          && message.reports.reports_len == 1)
+        {
+          const struct beacon_report *report = message.reports.reports_val;
+
+          told |= report->kind == JL_REPORT_DEPARTED
+                  && report->contents.contents_len == 1
+                  && report->contents.contents_val[0]
+                         == XXH64 (id, strlen (id), 0);
+        }
+      xdr_free ((xdrproc_t)xdr_beacon_reports, &message);
+    }
+  return told;
+}
+
+Test (restore, a_leave_before_the_first_heartbeat_is_told_before_the_answer)
+{
+  struct rig rig;
+  int fd;
+  int leave;
+
+  begin (&rig, 67);
+  fd = open_daemon (&rig, OTHER_PORT);
+  rig_add_member (&rig, "d6", "z1", "front");
+  leave = rig_leave (&rig, "i-1");
+  while (rig_received (leave)[0] == '\0')
+    rig_run (&rig, 1);
+  cr_assert (is_own_departure_told (fd, "i-1"));
+  close (fd);
+}
+
+Test (restore, a_leave_ends_the_wait_for_the_word_of_others)
+{
+  struct rig rig;
+  int fd = begin_after_target (&rig, 68);
+
+  close (rig_leave (&rig, "i-1"));
+  rig_run (&rig, 50);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_LEAVING);
+  close (fd);
+}
