--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -136,7 +136,9 @@
   jl_rows_write_departed (proxy);
   if (is_leave_known (proxy))
     {
-      tell_leave (proxy);
+      /* Beacons have told it already, unless there was no heartbeat. */
+      if (proxy->target.state == JL_TARGET_NONE)
+        tell_leave (proxy);
       respond_json (request, 200);
       return;
     }
