--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -71,6 +71,41 @@
   rig->proxy->started_us -= STARTED_AGO_US;
 }
 
+static struct sockaddr_in
+socket_address (const struct rig *rig, uint16_t port)
+{
+  struct sockaddr_in address = {
+    .sin_family = AF_INET,
+    .sin_port = htons (port),
+    .sin_addr.s_addr = htonl (rig->options.ip),
+  };
+
+  return address;
+}
+
+int
+rig_open_datagrams (const struct rig *rig, uint16_t port)
+{
+  struct sockaddr_in address = socket_address (rig, port);
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  cr_assert_eq (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+void
+rig_send_datagram (const struct rig *rig,
+                   int fd,
+                   const char *datagram,
+                   size_t size)
+{
+  struct sockaddr_in address = socket_address (rig, PEER_PORT);
+
+  cr_assert_eq (sendto (fd, datagram, size, 0, (struct sockaddr *)&address,
+                        sizeof address),
+                (ssize_t)size);
+}
+
 int
 rig_send_request (struct rig *rig, uint16_t port, const char *text)
 {
--- a/tests/proxy/parts/rig.h
+++ b/tests/proxy/parts/rig.h
@@ -57,6 +57,19 @@
  */
 void rig_start_now (struct rig *rig);
 
+/**
+ * rig_open_datagrams - opens a UDP socket at one of the ports above
+ */
+int rig_open_datagrams (const struct rig *rig, uint16_t port);
+
+/**
+ * rig_send_datagram - sends a datagram to the proxy from such a socket
+ */
+void rig_send_datagram (const struct rig *rig,
+                        int fd,
+                        const char *datagram,
+                        size_t size);
+
 /**
  * rig_send_request - sends a request on a new connection
  *
