--- a/tests/proxy/stampede.c
+++ b/tests/proxy/stampede.c
@@ -189,7 +189,7 @@
 
   open_site (site, count, host, spread_ms);
   load = lose_and_restore (site, away_ms);
-  cr_log_warn ("%u daemons, away for %u ms: rows back within %u ms; at most %u "
+  cr_log_info ("%u daemons, away for %u ms: rows back within %u ms; at most %u "
                "writes and %u calls in a second",
                count, away_ms, load.restored_steps * STEP_MS,
                most_in_a_second (load.writes), most_in_a_second (load.calls));
