Serve routes with large responses: repeat them, bound their memory, end them

Cause: the pages' kind "download" was read as at-most-once, like each unknown word, and without a line in the log, so a download was given up at its first lost attempt. A response that had begun had no deadline, so a target that stopped in the middle held caller and slot for good. 200 slow callers of large responses took 140.8 MB: each connection kept 64 KB before the first byte was passed on, up to 128 KB beyond, and the capacity of its buffers.

Reads of 16 KB, streams from 32 KB on, buffers given back when empty. A response that has begun is broken off 200 ms after the deadline, without an end of its body.

Ruled out: a read size by connection (64 KB for uploads only): one more state, and no figure speaks for it.

That a response which breaks off is neither repeated nor complete held before.

--- a/include/jackdawladder/conn.h
+++ b/include/jackdawladder/conn.h
@@ -245,8 +245,8 @@
 void jl_conn_set_idle_timeout (struct jl_conn *conn, uint64_t idle_timeout_us);
 
 /* Output backlog above which the producer of the output should pause. */
-#define JL_CONN_HIGH_WATER_BYTES 65536
+#define JL_CONN_HIGH_WATER_BYTES 32768
 /* Output backlog at which the producer may resume. */
-#define JL_CONN_LOW_WATER_BYTES 16384
+#define JL_CONN_LOW_WATER_BYTES 8192
 
 #endif
--- a/include/jackdawladder/site.h
+++ b/include/jackdawladder/site.h
@@ -16,6 +16,8 @@
 #define JL_TEXT_SIZE 208
 /* Services that the requests of one route are split among. */
 #define JL_SPLIT_MAX 8
+/* Number of unknown words that a configuration keeps for the log. */
+#define JL_UNKNOWN_WORDS_MAX 8
 /* Number of priorities, called ranks; 0 is the most important. */
 #define JL_RANK_COUNT 4
 
@@ -25,12 +27,15 @@
  * @JL_RETRY_POLICY_IDEMPOTENT: the requests are idempotent and may be retried
  * @JL_RETRY_POLICY_AT_MOST_ONCE: each request runs at most once
  * @JL_RETRY_POLICY_UPLOAD: each request runs at most once, and has a large body
+ * @JL_RETRY_POLICY_DOWNLOAD: the requests are idempotent, and have large
+ *                            responses
  */
 enum jl_retry_policy
 {
   JL_RETRY_POLICY_IDEMPOTENT,
   JL_RETRY_POLICY_AT_MOST_ONCE,
   JL_RETRY_POLICY_UPLOAD,
+  JL_RETRY_POLICY_DOWNLOAD,
 };
 
 /**
@@ -66,6 +71,12 @@
   struct jl_split split[JL_SPLIT_MAX];
 };
 
+/**
+ * jl_route_is_idempotent - whether requests of the route may be retried after
+ * they may have run
+ */
+bool jl_route_is_idempotent (const struct jl_route *route);
+
 /**
  * struct jl_site - one version of a site's configuration
  * @references: number of references
@@ -76,6 +87,8 @@
  * @routes: array of struct jl_route, owned
  * @by_host: arrays of routes, by host in lower case
  * @by_key: routes by key
+ * @unknown_words: words of the document that this program does not know, each
+ *                 once; their routes run at most once
  */
 struct jl_site
 {
@@ -88,6 +101,7 @@
   GPtrArray *routes;
   GHashTable *by_host;
   GHashTable *by_key;
+  GPtrArray *unknown_words;
 };
 
 /**
@@ -113,6 +127,12 @@
  */
 void jl_site_add_route (struct jl_site *site, const struct jl_route *route);
 
+/**
+ * jl_site_add_unknown_word - adds @word to the unknown words, unless it is
+ * there already or there are JL_UNKNOWN_WORDS_MAX of them
+ */
+void jl_site_add_unknown_word (struct jl_site *site, const char *word);
+
 /**
  * jl_site_seal - completes a configuration: jl_site_find_route() may be used,
  * and routes may not be added any more
--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -126,6 +126,11 @@
 const GByteArray *
 jl_upstream_buffered_body (const struct jl_upstream *upstream);
 
+/**
+ * jl_upstream_drop_buffered_body - frees that part once it has been passed on
+ */
+void jl_upstream_drop_buffered_body (struct jl_upstream *upstream);
+
 /**
  * jl_upstream_buffer_response - delays the response callback until the response
  * is complete
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -44,6 +44,7 @@
   { JL_RECORD_TRIAL_BEGUN, "trial begun" },
   { JL_RECORD_SITE_INSTALLED, "configuration installed" },
   { JL_RECORD_SITE_REFUSED, "configuration refused" },
+  { JL_RECORD_SITE_WORD_UNKNOWN, "unknown word" },
   { JL_RECORD_SHED_SHARE, "refused share" },
   { JL_RECORD_CALL_GRAPH, "call graph" },
   { JL_RECORD_STORE_REACHABILITY, "store" },
--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -11,7 +11,7 @@
 #include <urcu/list.h>
 
 /* Maximum number of bytes read from a socket at once. */
-#define READ_BUFFER_BYTES 65536
+#define READ_BUFFER_BYTES 16384
 
 /**
  * struct jl_net - state shared by all connections of the process
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -26,6 +26,9 @@
 #define WRITE_TIMEOUT_US (10 * JL_USEC_PER_SEC)
 /* Time to wait for the peer to close after the output was shut down. */
 #define LINGER_TIMEOUT_US (1 * JL_USEC_PER_SEC)
+/* Size of an output buffer up to which its memory is kept for further output.
+ */
+#define OUTPUT_KEPT_BYTES 4096
 /* Default limits, in force until jl_net_set_limits() is called. */
 #define HEAD_BYTES_MAX_DEFAULT 65536
 #define HEAD_TIMEOUT_DEFAULT_US (10 * JL_USEC_PER_SEC)
@@ -134,6 +137,19 @@
     }
 }
 
+/* Empties a buffer of output, and frees its memory if it has grown large. */
+static void
+clear_output (GByteArray **output)
+{
+  if ((*output)->len <= OUTPUT_KEPT_BYTES)
+    {
+      g_byte_array_set_size (*output, 0);
+      return;
+    }
+  g_byte_array_free (*output, TRUE);
+  *output = g_byte_array_new ();
+}
+
 static void flush_conn (struct jl_conn *conn);
 
 static void
@@ -149,7 +165,7 @@
       return;
     }
   conn->net->counters.bytes_out += conn->uv_output->len;
-  g_byte_array_set_size (conn->uv_output, 0);
+  clear_output (&conn->uv_output);
   on_write_progress (conn);
   if (!conn->closing)
     flush_conn (conn);
@@ -197,7 +213,7 @@
       write_remaining (conn, written > 0 ? (size_t)written : 0);
       return;
     }
-  g_byte_array_set_size (conn->output, 0);
+  clear_output (&conn->output);
   on_write_progress (conn);
 }
 
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -7,7 +7,7 @@
 #include <urcu/list.h>
 
 /* Body bytes buffered before an incomplete response is reported. */
-#define BUFFERED_BODY_BYTES_MAX 65536
+#define BUFFERED_BODY_BYTES_MAX 32768
 
 /*
  * A reused connection that ends this soon after a request was sent is
@@ -446,6 +446,13 @@
   return upstream->body;
 }
 
+void
+jl_upstream_drop_buffered_body (struct jl_upstream *upstream)
+{
+  g_byte_array_free (upstream->body, TRUE);
+  upstream->body = g_byte_array_new ();
+}
+
 void
 jl_upstream_buffer_response (struct jl_upstream *upstream)
 {
--- a/source/policy/site.c
+++ b/source/policy/site.c
@@ -13,6 +13,13 @@
   return XXH32 (name, strlen (name), 0);
 }
 
+bool
+jl_route_is_idempotent (const struct jl_route *route)
+{
+  return route->retry_policy == JL_RETRY_POLICY_IDEMPOTENT
+         || route->retry_policy == JL_RETRY_POLICY_DOWNLOAD;
+}
+
 static void
 free_host (gpointer routes)
 {
@@ -30,6 +37,7 @@
   site->by_host
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host);
   site->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
+  site->unknown_words = g_ptr_array_new_with_free_func (g_free);
   return site;
 }
 
@@ -48,6 +56,7 @@
   g_hash_table_destroy (site->by_host);
   g_hash_table_destroy (site->by_key);
   g_ptr_array_free (site->routes, TRUE);
+  g_ptr_array_free (site->unknown_words, TRUE);
   g_free (site);
 }
 
@@ -76,6 +85,15 @@
   g_free (host);
 }
 
+void
+jl_site_add_unknown_word (struct jl_site *site, const char *word)
+{
+  if (site->unknown_words->len < JL_UNKNOWN_WORDS_MAX
+      && !g_ptr_array_find_with_equal_func (site->unknown_words, word,
+                                            g_str_equal, NULL))
+    g_ptr_array_add (site->unknown_words, g_strdup (word));
+}
+
 /* Orders routes from the longest prefix to the shortest. */
 static gint
 compare_prefix_length (gconstpointer a, gconstpointer b)
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -23,10 +23,14 @@
 #define BUFFERED_BODY_BYTES_MAX 262144u
 /* Timeout for sending the first byte of a request to a daemon. */
 #define CONNECT_TIMEOUT_US (250 * JL_USEC_PER_MSEC)
+/* Time after a request's deadline in which a response that has begun may end.
+ */
+#define RESPONSE_GRACE_US (200 * JL_USEC_PER_MSEC)
 /* Status of a target's response when the request's deadline has passed. */
 #define STATUS_GATEWAY_TIMEOUT 504
 
 static void place_call (struct jl_call *call);
+static void on_timer (void *context, struct jl_timer *timer);
 
 /* Returns NULL if @relay is NULL: a request has no data once it is answered. */
 static struct jl_call *
@@ -88,8 +92,8 @@
 static bool
 prepare_repeat (struct jl_call *call)
 {
-  bool idempotent = call->route->retry_policy == JL_RETRY_POLICY_IDEMPOTENT
-                    || JL_TEST_DISABLED ("once");
+  bool idempotent
+      = jl_route_is_idempotent (call->route) || JL_TEST_DISABLED ("once");
 
   return idempotent && call->targets_reached < call->route->attempts_max
          && can_place_again (call) && jl_trial_may_repeat (call)
@@ -155,7 +159,7 @@
 static bool
 prepare_failure_retry (struct jl_call *call)
 {
-  if (call->route->retry_policy != JL_RETRY_POLICY_IDEMPOTENT
+  if (!jl_route_is_idempotent (call->route)
       || jl_upstream_head (call->relay.upstream)->status
              == STATUS_GATEWAY_TIMEOUT
       || call->targets_reached + 1 >= call->route->attempts_max
@@ -207,16 +211,17 @@
  * the client's connection, so that the client sees that the response is
  * incomplete. */
 static void
-abort_call (struct jl_call *call)
+abort_call (struct jl_call *call, const char *reason)
 {
   struct jl_request *request = call->relay.request;
 
   call->proxy->counters.failed++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_FAILED,
-             "id=%s route=%s reason=answer-broken member=%s age_ms=%" PRIu64
+             "id=%s route=%s reason=%s member=%s age_ms=%" PRIu64
              " content=%016" PRIx64,
-             jl_call_attempt_id (call), call->route->name, call->member->name,
-             jl_call_age_ms (call), jl_content_id (&call->content));
+             jl_call_attempt_id (call), call->route->name, reason,
+             call->member->name, jl_call_age_ms (call),
+             jl_content_id (&call->content));
   jl_request_set_data (request, NULL);
   jl_call_free (call);
   jl_request_abort (request);
@@ -234,7 +239,7 @@
     jl_infer_call_lost (call);
   if (call->relay.response_started)
     {
-      abort_call (call);
+      abort_call (call, "answer-broken");
       return;
     }
   jl_member_avoid (call->member, jl_now ());
@@ -262,13 +267,29 @@
   jl_call_fail (call, 504, "deadline");
 }
 
+/* Handles the deadline of a request whose response has begun: the rest of it
+ * has little more time, since a target may also send without end. */
+static void
+limit_response (struct jl_call *call, struct jl_timer *timer)
+{
+  uint64_t until_us = call->expires_us + RESPONSE_GRACE_US;
+
+  if (jl_now () >= until_us)
+    abort_call (call, "answer-endless");
+  else
+    jl_timer_start (call->proxy->loop->timers, timer, until_us, on_timer, call);
+}
+
 static void
 on_timer (void *context, struct jl_timer *timer)
 {
   struct jl_call *call = context;
 
   if (call->relay.response_started)
-    return;
+    {
+      limit_response (call, timer);
+      return;
+    }
   if (jl_now () >= call->expires_us && !JL_TEST_DISABLED ("deadline"))
     {
       expire_call (call);
@@ -296,7 +317,7 @@
     .latency_goal_ms
     = (unsigned)(call->route->latency_goal_us / JL_USEC_PER_MSEC),
     .route_key = call->route->key,
-    .idempotent = call->route->retry_policy == JL_RETRY_POLICY_IDEMPOTENT,
+    .idempotent = jl_route_is_idempotent (call->route),
     .trial = call->on_trial,
   };
   GString *text;
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -176,6 +176,21 @@
   jl_guard_run_queue (proxy);
 }
 
+/* Logs each word of the configuration that is not known. */
+static void
+log_unknown_words (const struct jl_site *site)
+{
+  for (guint i = 0; i < site->unknown_words->len; i++)
+    {
+      char *word
+          = g_strescape (g_ptr_array_index (site->unknown_words, i), NULL);
+
+      jl_record (JL_RECORD_CHANGE, JL_RECORD_SITE_WORD_UNKNOWN,
+                 "version=%" PRIx64 " word=\"%.60s\"", site->version, word);
+      g_free (word);
+    }
+}
+
 void
 jl_proxy_install (struct jl_proxy *proxy,
                   const char *text,
@@ -202,6 +217,7 @@
              "version=%" PRIx64 " before=%" PRIx64 " source=%s routes=%u",
              site->version, proxy->site != NULL ? proxy->site->version : 0,
              source, site->routes->len);
+  log_unknown_words (site);
   jl_site_drop (proxy->site);
   proxy->site = site;
   g_free (proxy->site_text);
--- a/source/proxy/relay.c
+++ b/source/proxy/relay.c
@@ -31,6 +31,14 @@
   relay->upstream = NULL;
 }
 
+/* Stops reading the response while its receiver lags behind. */
+static void
+limit_response_backlog (struct jl_relay *relay)
+{
+  if (jl_request_backlog (relay->request) > JL_CONN_HIGH_WATER_BYTES)
+    jl_upstream_set_read_paused (relay->upstream, true);
+}
+
 bool
 jl_relay_start_response (struct jl_relay *relay)
 {
@@ -45,6 +53,9 @@
                              head->has_length ? head->length : body->len);
   g_string_free (fields, TRUE);
   jl_request_write_body (relay->request, (const char *)body->data, body->len);
+  jl_upstream_drop_buffered_body (relay->upstream);
+  if (!complete)
+    limit_response_backlog (relay);
   return complete;
 }
 
@@ -82,9 +93,9 @@
 {
   struct jl_relay *relay = context;
 
+  (void)upstream;
   jl_request_write_body (relay->request, data, size);
-  if (jl_request_backlog (relay->request) > JL_CONN_HIGH_WATER_BYTES)
-    jl_upstream_set_read_paused (upstream, true);
+  limit_response_backlog (relay);
 }
 
 void
--- a/tests/proxy/decode.c
+++ b/tests/proxy/decode.c
@@ -48,6 +48,55 @@
   jl_site_drop (site);
 }
 
+/* Returns a configuration of two routes whose kinds are @kind and "upload". */
+static struct jl_site *
+decode_kind (const char *kind)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":\"1\",\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"prefix\",\"kind\",\"timeoutS\",\"service\"],\"rows\":["
+      "[\"r1\",\"a\",\"/x/\",\"%s\",5,\"s1\"],"
+      "[\"r2\",\"a\",\"/y/\",\"%s\",5,\"s1\"],"
+      "[\"r3\",\"a\",\"/z/\",\"upload\",5,\"s1\"]]},"
+      "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
+      "\"headerTimeoutS\":3,\"idleTimeoutS\":15}}",
+      kind, kind);
+  struct jl_site *site = jl_platform_decode_site (text, strlen (text), NULL);
+
+  g_free (text);
+  cr_assert_not_null (site);
+  return site;
+}
+
+Test (decode, routes_with_large_responses_are_idempotent)
+{
+  struct jl_site *site = decode_kind ("download");
+  const struct jl_route *route = jl_site_find_route (site, "a", "/x/1");
+
+  cr_assert_eq (route->retry_policy, JL_RETRY_POLICY_DOWNLOAD);
+  cr_assert (jl_route_is_idempotent (route));
+  cr_assert_not (
+      jl_route_is_idempotent (jl_site_find_route (site, "a", "/z/1")));
+  cr_assert_eq (site->unknown_words->len, 0);
+  jl_site_drop (site);
+}
+
+/* A kind that this program does not know runs at most once, and is reported
+ * once for each configuration. */
+Test (decode, an_unknown_kind_runs_at_most_once_and_is_named)
+{
+  struct jl_site *site = decode_kind ("streaming");
+  const struct jl_route *route = jl_site_find_route (site, "a", "/x/1");
+
+  cr_assert_eq (route->retry_policy, JL_RETRY_POLICY_AT_MOST_ONCE);
+  cr_assert_eq (site->unknown_words->len, 1);
+  cr_assert_str_eq (g_ptr_array_index (site->unknown_words, 0), "streaming");
+  jl_site_drop (site);
+  site = decode_kind ("non_idempotent");
+  cr_assert_eq (site->unknown_words->len, 0);
+  jl_site_drop (site);
+}
+
 Test (decode, a_configuration_that_is_cut_short_is_refused)
 {
   for (size_t size = 0; size < strlen (site_text); size++)
