Send digests between zones in place of each daemon's own beacons

Each daemon told 46 of 100 daemons of other zones of itself, so the bytes grew with the square of the daemons; each restart made all of them send to all (64 MB in four seconds of stops). A daemon that was cut off with its zone counted as alive for five seconds, and each entry had to find out by itself.

Change: two representatives of each zone gather the beacons of the zone into digests, and send them to those of the other zones, which pass them on. proxy/announce has the beacons' encoding and their effect on the roster, proxy/digest what representatives send, proxy/beacon the socket. Zones of which no digest comes get no requests (E734). A daemon that starts is welcomed by its own zone. Daemons that read no digests are sent beacons as before.

Ruled out (docs/PLATFORM.md): fewer beacons for each daemon; relays by hash; the store.

--- /dev/null
+++ b/source/proxy/digest.c
@@ -0,0 +1,712 @@
+/**
+ * DOC: Digests: how the daemons of one zone become known in the others.
+ */
+
+#include "proxy/digest.h"
+
+#include "rpc/gen/beacon.h"
+
+#include <math.h>
+#include <string.h>
+#include <urcu/list.h>
+
+/* Time after its start in which a daemon does not represent its zone, since it
+ * does not know yet who else could. */
+#define START_US (600 * JL_USEC_PER_MSEC)
+/* Period of digests. A change of a target's state is sent in the next step. */
+#define PERIOD_US (400 * JL_USEC_PER_MSEC)
+/* Period in which each daemon of the zone is in a digest. */
+#define STATE_PERIOD_US (1000 * JL_USEC_PER_MSEC)
+/* Changes of a share that are sent in the next digest. */
+#define SHED_CHANGE 0.03
+#define SPARE_CHANGE 0.1
+#define FAILURE_CHANGE 0.06
+/* Spare share above which a change makes no difference to other zones. */
+#define SPARE_ENOUGH 0.3
+/* Period in which the full beacon of each daemon is passed on. */
+#define RELAY_PERIOD_US (15 * JL_USEC_PER_SEC)
+/* Time for which a daemon counts as a representative after a digest of it. */
+#define REPRESENTS_US (2500 * JL_USEC_PER_MSEC)
+/* Time without a digest after which a zone is silent, if a representative of
+ * the local zone was heard so long after the last one that it would have told.
+ */
+#define SILENT_US (1300 * JL_USEC_PER_MSEC)
+#define INFORMED_US (1000 * JL_USEC_PER_MSEC)
+/* Time after which the other zones send digests to a new representative. */
+#define INSTALLED_US (2500 * JL_USEC_PER_MSEC)
+/* Daemons of a silent zone to which a digest is sent in each step, in turn. */
+#define PROBES_MAX 4
+/* Beacons sent in one step to a daemon that has just become known. */
+#define INTRODUCED_PER_STEP 40
+/* Maximum age of a state that a digest can tell. */
+#define AGE_MS_MAX 65535
+
+/**
+ * struct introduction - beacons that are being sent to a daemon
+ * @to: the daemon: of the local zone, which gets those of the other zones; or
+ * of another zone, which gets those of the local zone
+ * @next: index in the roster of the next one to send
+ */
+struct introduction
+{
+  struct cds_list_head link;
+  struct jl_member *to;
+  guint next;
+};
+
+/**
+ * struct zone_link - what this daemon sends to another zone
+ * @fed: the representatives that got the last digest
+ * @next_probe: index in the roster from which daemons of a silent zone are
+ * tried
+ */
+struct zone_link
+{
+  struct jl_zone *zone;
+  unsigned fed_count;
+  struct jl_member *fed[JL_REPRESENTATIVES_MAX];
+  guint next_probe;
+};
+
+/**
+ * struct jl_digest - sender and receiver of digests
+ * @sent_us: time of the last digest
+ * @links: array of struct zone_link
+ * @introductions: list of struct introduction
+ */
+struct jl_digest
+{
+  struct jl_roster *roster;
+  struct jl_member *self;
+  const struct jl_digest_ops *ops;
+  void *context;
+  uint64_t started_us;
+  uint64_t sent_us;
+  GArray *links;
+  struct cds_list_head introductions;
+  struct jl_digest_counters counters;
+};
+
+struct jl_digest *
+jl_digest_new (struct jl_roster *roster,
+               struct jl_member *self,
+               const struct jl_digest_ops *ops,
+               void *context,
+               uint64_t now_us)
+{
+  struct jl_digest *digest = g_new0 (struct jl_digest, 1);
+
+  digest->roster = roster;
+  digest->self = self;
+  digest->ops = ops;
+  digest->context = context;
+  digest->started_us = now_us;
+  digest->links = g_array_new (FALSE, TRUE, sizeof (struct zone_link));
+  CDS_INIT_LIST_HEAD (&digest->introductions);
+  return digest;
+}
+
+static void
+end_introduction (struct introduction *introduction)
+{
+  cds_list_del (&introduction->link);
+  g_free (introduction);
+}
+
+void
+jl_digest_free (struct jl_digest *digest)
+{
+  struct introduction *introduction;
+  struct introduction *next;
+
+  cds_list_for_each_entry_safe (introduction, next, &digest->introductions,
+                                link) end_introduction (introduction);
+  g_array_free (digest->links, TRUE);
+  g_free (digest);
+}
+
+const struct jl_digest_counters *
+jl_digest_counters (const struct jl_digest *digest)
+{
+  return &digest->counters;
+}
+
+bool
+jl_digest_is_representative (const struct jl_digest *digest, uint64_t now_us)
+{
+  return now_us >= digest->started_us + START_US
+         && jl_roster_represents (digest->roster, digest->self, now_us);
+}
+
+static bool
+is_local (const struct jl_member *member)
+{
+  return member->contact == NULL;
+}
+
+static void
+send_to (struct jl_digest *digest,
+         const struct jl_member *to,
+         char *datagram,
+         size_t size)
+{
+  if (size > 0 && to->peer.port != 0)
+    digest->ops->send (digest->context, to->peer, datagram, size);
+}
+
+/* Whether a daemon has changed so that other zones are told at once. */
+static bool
+has_new_state (const struct jl_member *member)
+{
+  const struct jl_told *told = &member->told;
+
+  return member->state != told->state || member->epoch != told->epoch
+         || member->target_key != told->target_key;
+}
+
+/* Whether a daemon has changed so much that it belongs into the next digest. */
+static bool
+has_new_load (const struct jl_member *member)
+{
+  const struct jl_told *told = &member->told;
+  double spare = MIN (member->spare_share, SPARE_ENOUGH);
+  double told_spare = MIN (told->spare_share, SPARE_ENOUGH);
+
+  return fabs (member->shed_share - told->shed_share) > SHED_CHANGE
+         || (member->shed_share > 0) != (told->shed_share > 0)
+         || fabs (spare - told_spare) > SPARE_CHANGE
+         || fabs (member->failure_rate - told->failure_rate) > FAILURE_CHANGE;
+}
+
+static void
+remember_told (struct jl_member *member, uint64_t now_us)
+{
+  member->told = (struct jl_told){
+    .at_us = now_us,
+    .epoch = member->epoch,
+    .target_key = member->target_key,
+    .state = member->state,
+    .shed_share = member->shed_share,
+    .spare_share = member->spare_share,
+    .failure_rate = member->failure_rate,
+  };
+}
+
+/* The values of this daemon change between its beacons, so each time that they
+ * are sent needs a sequence number of its own. */
+static void
+advance_own_sequence (const struct jl_digest *digest, struct jl_member *member)
+{
+  if (member == digest->self)
+    member->sequence++;
+}
+
+static struct beacon_state
+encode_state (const struct jl_member *member, uint64_t now_us)
+{
+  uint64_t age_ms = (now_us - member->last_beacon_us) / JL_USEC_PER_MSEC;
+  struct beacon_state state = {
+    .key = member->key,
+    .epoch = (unsigned)member->epoch,
+    .sequence = (unsigned)member->sequence,
+    .target_key = member->target_key,
+    .limit_state = member->limit << 8 | (unsigned)member->state
+                   | (member->departed ? BEACON_DEPARTED : 0),
+    .shed_room = jl_announce_milli (member->shed_share) << 16
+                 | jl_announce_milli (member->spare_share),
+    .hold_us = jl_announce_hold_us (member),
+    .failing_age = jl_announce_milli (member->failure_rate) << 16
+                   | (unsigned)MIN (age_ms, AGE_MS_MAX),
+  };
+
+  return state;
+}
+
+/**
+ * struct draft - a digest that is being made
+ */
+struct draft
+{
+  struct beacon_digest message;
+  struct beacon_state states[BEACON_DIGEST_MAX];
+};
+
+static size_t
+encode_digest (struct beacon_digest *message, char *datagram)
+{
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, JL_DATAGRAM_BYTES_MAX, XDR_ENCODE);
+  return xdr_beacon_digest (&xdr, message) ? xdr_getpos (&xdr) : 0;
+}
+
+static struct zone_link *
+get_link (struct jl_digest *digest, struct jl_zone *zone)
+{
+  struct zone_link new_link = { .zone = zone };
+
+  for (guint i = 0; i < digest->links->len; i++)
+    if (g_array_index (digest->links, struct zone_link, i).zone == zone)
+      return &g_array_index (digest->links, struct zone_link, i);
+  g_array_append_val (digest->links, new_link);
+  return &g_array_index (digest->links, struct zone_link,
+                         digest->links->len - 1);
+}
+
+static void
+introduce (struct jl_digest *digest, struct jl_member *to)
+{
+  struct introduction *introduction;
+
+  cds_list_for_each_entry (introduction, &digest->introductions, link)
+  {
+    if (introduction->to != to)
+      continue;
+    introduction->next = 0;
+    return;
+  }
+  introduction = g_new0 (struct introduction, 1);
+  introduction->to = to;
+  cds_list_add_tail (&introduction->link, &digest->introductions);
+}
+
+void
+jl_digest_introduce (struct jl_digest *digest,
+                     struct jl_member *member,
+                     uint64_t now_us)
+{
+  if (jl_digest_is_representative (digest, now_us))
+    introduce (digest, member);
+}
+
+static bool
+was_fed (const struct zone_link *link, const struct jl_member *member)
+{
+  for (unsigned i = 0; i < link->fed_count; i++)
+    if (link->fed[i] == member)
+      return true;
+  return false;
+}
+
+/* Sends the digest to the next daemons of a zone of which none is known to be
+ * alive. */
+static void
+probe_zone (struct jl_digest *digest,
+            struct zone_link *link,
+            char *datagram,
+            size_t size)
+{
+  const GPtrArray *members = digest->roster->members;
+  unsigned sent = 0;
+
+  for (guint i = 0; i < members->len && sent < PROBES_MAX; i++)
+    {
+      struct jl_member *member
+          = g_ptr_array_index (members, link->next_probe % members->len);
+
+      link->next_probe++;
+      if (member->contact != link->zone)
+        continue;
+      send_to (digest, member, datagram, size);
+      sent++;
+    }
+}
+
+/* Sends a digest to the representatives of a zone. New ones get the beacons of
+ * all daemons of this zone too. */
+static void
+feed_zone (struct jl_digest *digest,
+           struct zone_link *link,
+           char *datagram,
+           size_t size,
+           uint64_t now_us)
+{
+  struct jl_member *list[JL_REPRESENTATIVES_MAX];
+  unsigned count = jl_roster_list_representatives (digest->roster, link->zone,
+                                                   now_us, list);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      if (!was_fed (link, list[i]))
+        introduce (digest, list[i]);
+      send_to (digest, list[i], datagram, size);
+    }
+  link->fed_count = count;
+  for (unsigned i = 0; i < count; i++)
+    link->fed[i] = list[i];
+  if (count == 0 || link->zone->silent)
+    probe_zone (digest, link, datagram, size);
+}
+
+static void
+send_draft (struct jl_digest *digest, struct draft *draft, uint64_t now_us)
+{
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  size_t size = encode_digest (&draft->message, datagram);
+
+  draft->message.states.states_len = 0;
+  digest->sent_us = now_us;
+  digest->counters.sent++;
+  for (guint i = 0; i < digest->roster->zones->len; i++)
+    feed_zone (digest,
+               get_link (digest, g_ptr_array_index (digest->roster->zones, i)),
+               datagram, size, now_us);
+}
+
+static bool
+is_due (const struct jl_member *member, bool period_over, uint64_t now_us)
+{
+  if (!is_local (member) || !jl_member_is_alive (member, now_us))
+    return false;
+  if (has_new_state (member))
+    return true;
+  return period_over
+         && (now_us >= member->told.at_us + STATE_PERIOD_US
+             || has_new_load (member));
+}
+
+/* Sends the daemons of the zone that are due, in as many digests as needed, but
+ * one in each period at least. */
+static void
+send_digests (struct jl_digest *digest,
+              uint64_t site_version,
+              uint64_t store_era,
+              uint64_t now_us)
+{
+  /* Steps may be early by some jitter. */
+  bool period_over
+      = now_us + JL_DIGEST_STEP_US / 2 >= digest->sent_us + PERIOD_US;
+  struct draft draft = {
+    .message = {
+      .format = JL_FORMAT_DIGEST,
+      .name = digest->self->name,
+      .zone = digest->self->zone,
+      .site_version = site_version,
+      .store_era = store_era,
+    },
+  };
+
+  draft.message.states.states_val = draft.states;
+  for (guint i = 0; i < digest->roster->members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (digest->roster->members, i);
+
+      if (!is_due (member, period_over, now_us))
+        continue;
+      advance_own_sequence (digest, member);
+      draft.states[draft.message.states.states_len++]
+          = encode_state (member, now_us);
+      remember_told (member, now_us);
+      if (draft.message.states.states_len == BEACON_DIGEST_MAX)
+        send_draft (digest, &draft, now_us);
+    }
+  if (draft.message.states.states_len > 0 || period_over)
+    send_draft (digest, &draft, now_us);
+}
+
+static size_t
+encode_relay (const struct jl_member *member,
+              unsigned hops,
+              uint64_t now_us,
+              char *datagram)
+{
+  return jl_announce_encode (member, hops, 0, now_us, datagram);
+}
+
+/* Passes the beacon of a daemon on to other zones: to all their representatives
+ * if it is new, else to one. */
+static void
+relay_beacon (struct jl_digest *digest,
+              struct jl_member *member,
+              bool is_new,
+              uint64_t now_us)
+{
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  size_t size;
+
+  advance_own_sequence (digest, member);
+  size = encode_relay (member, 0, now_us, datagram);
+  member->relayed_us = now_us;
+  digest->counters.relayed++;
+  for (guint i = 0; i < digest->links->len; i++)
+    {
+      const struct zone_link *link
+          = &g_array_index (digest->links, struct zone_link, i);
+      unsigned chosen = g_random_int () % MAX (link->fed_count, 1);
+
+      for (unsigned j = 0; j < link->fed_count; j++)
+        if (is_new || j == chosen)
+          send_to (digest, link->fed[j], datagram, size);
+    }
+}
+
+/* Passes on the beacons of daemons that are new or have a new target, and those
+ * that are due. The representatives share the latter among them by chance. */
+static void
+relay_beacons (struct jl_digest *digest, uint64_t now_us)
+{
+  for (guint i = 0; i < digest->roster->members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (digest->roster->members, i);
+      bool is_new;
+
+      if (!is_local (member) || !jl_member_is_alive (member, now_us))
+        continue;
+      is_new = member->relayed_us == 0 || member->told.epoch != member->epoch
+               || member->told.target_key != member->target_key;
+      if (is_new || now_us >= member->relayed_us + RELAY_PERIOD_US)
+        relay_beacon (digest, member, is_new, now_us);
+    }
+}
+
+/* Sends the next beacons of an introduction. Returns whether it is complete. */
+static bool
+continue_introduction (struct jl_digest *digest,
+                       struct introduction *introduction,
+                       uint64_t now_us)
+{
+  const GPtrArray *members = digest->roster->members;
+  bool to_local = is_local (introduction->to);
+  unsigned sent = 0;
+
+  for (; introduction->next < members->len && sent < INTRODUCED_PER_STEP;
+       introduction->next++)
+    {
+      struct jl_member *member
+          = g_ptr_array_index (members, introduction->next);
+      char datagram[JL_DATAGRAM_BYTES_MAX];
+
+      if (is_local (member) == to_local || !jl_member_is_alive (member, now_us))
+        continue;
+      advance_own_sequence (digest, member);
+      send_to (digest, introduction->to, datagram,
+               encode_relay (member, to_local ? 1 : 0, now_us, datagram));
+      sent++;
+    }
+  return introduction->next >= members->len;
+}
+
+static void
+continue_introductions (struct jl_digest *digest, uint64_t now_us)
+{
+  struct introduction *introduction;
+  struct introduction *next;
+
+  cds_list_for_each_entry_safe (
+      introduction, next, &digest->introductions,
+      link) if (continue_introduction (digest, introduction, now_us))
+      end_introduction (introduction);
+}
+
+static void
+update_representatives (struct jl_digest *digest, uint64_t now_us)
+{
+  for (guint i = 0; i < digest->roster->members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (digest->roster->members, i);
+
+      if (!is_local (member))
+        continue;
+      if (!jl_roster_represents (digest->roster, member, now_us))
+        member->represents_since_us = 0;
+      else if (member->represents_since_us == 0)
+        member->represents_since_us = now_us;
+    }
+}
+
+/* Whether a representative of the local zone would have told of a digest of
+ * @zone, had one come since the last one. */
+static bool
+would_have_told (const struct jl_digest *digest, const struct jl_zone *zone)
+{
+  for (guint i = 0; i < digest->roster->members->len; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (digest->roster->members, i);
+      uint64_t since_us = member->represents_since_us;
+
+      if (is_local (member) && since_us != 0
+          && member->last_beacon_us
+                 >= MAX (zone->heard_us, since_us + INSTALLED_US) + INFORMED_US)
+        return true;
+    }
+  return false;
+}
+
+static void
+check_zones (struct jl_digest *digest, uint64_t now_us)
+{
+  for (guint i = 0; i < digest->roster->zones->len; i++)
+    {
+      struct jl_zone *zone = g_ptr_array_index (digest->roster->zones, i);
+
+      if (zone->silent || zone->heard_us == 0
+          || now_us < zone->heard_us + SILENT_US
+          || !would_have_told (digest, zone))
+        continue;
+      zone->silent = true;
+      digest->ops->zone_changed (digest->context, zone);
+    }
+}
+
+void
+jl_digest_step (struct jl_digest *digest,
+                uint64_t site_version,
+                uint64_t store_era,
+                uint64_t now_us)
+{
+  update_representatives (digest, now_us);
+  check_zones (digest, now_us);
+  if (jl_digest_is_representative (digest, now_us))
+    {
+      relay_beacons (digest, now_us);
+      send_digests (digest, site_version, store_era, now_us);
+      continue_introductions (digest, now_us);
+    }
+}
+
+static void
+hear_zone (struct jl_digest *digest, struct jl_zone *zone, uint64_t now_us)
+{
+  bool was_silent = zone->silent;
+
+  zone->heard_us = now_us;
+  zone->silent = false;
+  if (was_silent)
+    digest->ops->zone_changed (digest->context, zone);
+}
+
+/* Applies one state. Returns whether it is newer than the known one. */
+static bool
+apply_state (struct jl_digest *digest,
+             const struct beacon_state *state,
+             uint64_t now_us)
+{
+  struct jl_member *member = jl_roster_find_key (digest->roster, state->key);
+  unsigned target_state = state->limit_state & (BEACON_DEPARTED - 1);
+  uint64_t age_us = (state->failing_age & AGE_MS_MAX) * JL_USEC_PER_MSEC;
+  uint64_t heard_us = now_us - MIN (age_us, now_us);
+  int32_t ahead;
+
+  if (member == NULL || is_local (member)
+      || (unsigned)member->epoch != state->epoch
+      || target_state > JL_TARGET_DOWN)
+    {
+      digest->counters.unknown++;
+      return false;
+    }
+  ahead = (int32_t)(state->sequence - (uint32_t)member->sequence);
+  if (ahead <= 0)
+    return false;
+  member->sequence += (uint32_t)ahead;
+  jl_announce_set_state (member, (enum jl_target_state)target_state,
+                         state->target_key,
+                         (state->limit_state & BEACON_DEPARTED) != 0);
+  jl_announce_set_load (member, state->limit_state >> 8, state->hold_us,
+                        state->shed_room >> 16, state->shed_room & 0xffff,
+                        state->failing_age >> 16);
+  member->last_beacon_us = MAX (member->last_beacon_us, heard_us);
+  digest->ops->alive (digest->context, member, heard_us);
+  return true;
+}
+
+/* Sends a datagram to all other daemons of the zone. */
+static void
+pass_on (struct jl_digest *digest, char *datagram, size_t size)
+{
+  digest->counters.passed_on++;
+  for (guint i = 0; i < digest->roster->members->len; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (digest->roster->members, i);
+
+      if (is_local (member) && member != digest->self)
+        send_to (digest, member, datagram, size);
+    }
+}
+
+static void
+pass_digest_on (struct jl_digest *digest, struct beacon_digest *message)
+{
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+
+  message->hops = 1;
+  pass_on (digest, datagram, encode_digest (message, datagram));
+}
+
+static void
+apply_digest (struct jl_digest *digest,
+              struct beacon_digest *message,
+              uint64_t now_us)
+{
+  struct jl_member *sender
+      = jl_roster_get_or_add (digest->roster, message->name);
+  uint64_t heard_before_us;
+  bool news = false;
+
+  if (sender->zone[0] == '\0')
+    jl_roster_set_zone (digest->roster, sender, message->zone);
+  if (is_local (sender))
+    return;
+  heard_before_us = sender->contact->heard_us;
+  digest->counters.received++;
+  sender->represents_until_us = now_us + REPRESENTS_US;
+  hear_zone (digest, sender->contact, now_us);
+  for (unsigned i = 0; i < message->states.states_len; i++)
+    if (apply_state (digest, &message->states.states_val[i], now_us))
+      news = true;
+  digest->ops->heard (digest->context, sender, message->site_version,
+                      message->store_era);
+  if (message->hops == 0 && (news || now_us >= heard_before_us + PERIOD_US / 2)
+      && jl_digest_is_representative (digest, now_us))
+    pass_digest_on (digest, message);
+}
+
+static void
+read_digest (struct jl_digest *digest,
+             const char *datagram,
+             size_t size,
+             uint64_t now_us)
+{
+  struct beacon_digest message = { 0 };
+  XDR xdr;
+
+  xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
+  if (xdr_beacon_digest (&xdr, &message) && message.name[0] != '\0'
+      && message.zone[0] != '\0')
+    apply_digest (digest, &message, now_us);
+  xdr_free ((xdrproc_t)xdr_beacon_digest, &message);
+}
+
+/* Reads a beacon that was passed on, and passes it on in this zone if it came
+ * from another one. */
+static void
+read_relay (struct jl_digest *digest,
+            const char *datagram,
+            size_t size,
+            uint64_t now_us)
+{
+  unsigned hops;
+  struct jl_applied applied = jl_announce_read (digest->roster, digest->self,
+                                                datagram, size, now_us, &hops);
+  char copy[JL_DATAGRAM_BYTES_MAX];
+
+  if (applied.member == NULL)
+    return;
+  digest->ops->applied (digest->context, &applied);
+  if (hops == 0 && applied.identity && !is_local (applied.member)
+      && jl_digest_is_representative (digest, now_us))
+    pass_on (digest, copy, encode_relay (applied.member, 1, now_us, copy));
+}
+
+void
+jl_digest_read (struct jl_digest *digest,
+                const char *datagram,
+                size_t size,
+                uint64_t now_us)
+{
+  if (jl_announce_format (datagram, size) == JL_FORMAT_DIGEST)
+    read_digest (digest, datagram, size, now_us);
+  else
+    read_relay (digest, datagram, size, now_us);
+}
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -7,6 +7,7 @@
 
 #include "decode.h"
 #include "names.h"
+#include "proxy/digest.h"
 #include "proxy/report.h"
 #include "proxy/rows.h"
 #include "proxy/watch.h"
@@ -353,6 +354,8 @@
   const struct jl_proxy_counters *counters = &proxy->counters;
   const struct jl_store_counters *store = jl_store_counters (proxy->store);
   const struct jl_net_counters *net = jl_net_counters (proxy->net);
+  const struct jl_digest_counters *digest
+      = jl_beacon_digest_counters (proxy->beacon);
 
   append_counter (text, "requests_total", counters->requests);
   append_counter (text, "calls_total", counters->calls);
@@ -376,6 +379,11 @@
   append_counter (text, "suspect_contents", proxy->suspects.open_count);
   append_counter (text, "beacons_received_total", counters->beacons_received);
   append_counter (text, "beacons_sent_total", counters->beacons_sent);
+  append_counter (text, "digests_sent_total", digest->sent);
+  append_counter (text, "digests_received_total", digest->received);
+  append_counter (text, "digest_states_unknown_total", digest->unknown);
+  append_counter (text, "beacons_relayed_total", digest->relayed);
+  append_counter (text, "datagrams_passed_on_total", digest->passed_on);
   append_counter (text, "store_reads_total", store->reads);
   append_counter (text, "store_writes_total", store->writes);
   append_counter (text, "store_failures_total", store->failures);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -137,6 +137,7 @@
   g_strlcpy (self->target, proxy->target.last.id, JL_TEXT_SIZE);
   self->target_key = jl_target_key (&proxy->target);
   self->state = proxy->target.state;
+  self->departed = proxy->target.state == JL_TARGET_LEAVING;
   if (JL_TEST_DISABLED ("drain") && self->state == JL_TARGET_LEAVING)
     self->state = JL_TARGET_UP;
   if (proxy->guard_closed && self->state == JL_TARGET_UP)
@@ -220,6 +221,7 @@
   log_unknown_words (site);
   jl_site_drop (proxy->site);
   proxy->site = site;
+  proxy->self->site_version = site->version;
   g_free (proxy->site_text);
   proxy->site_text = g_memdup2 (text, size);
   proxy->site_size = size;
@@ -495,7 +497,8 @@
   jl_roster_init (&proxy->roster, options->zone);
   proxy->self = jl_roster_get_or_add (&proxy->roster, options->name);
   proxy->self->peer = options->advertise;
-  g_strlcpy (proxy->self->zone, options->zone, JL_TEXT_SIZE);
+  proxy->self->epoch = proxy->epoch;
+  jl_roster_set_zone (&proxy->roster, proxy->self, options->zone);
   proxy->loop = jl_loop_new ();
   proxy->net = jl_net_new (proxy->loop);
   proxy->peer_pool
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -118,6 +118,7 @@
 };
 
 struct jl_beacon;
+struct jl_digest_counters;
 struct jl_infer;
 struct jl_news;
 struct jl_sync;
@@ -367,14 +368,13 @@
 struct jl_beacon *jl_beacon_new (struct jl_proxy *proxy, const char **why);
 
 /**
- * jl_beacon_send_soon - schedules full beacons to all zones at once, after a
- * change of state
+ * jl_beacon_send_soon - schedules beacons after a change of state
  */
 void jl_beacon_send_soon (struct jl_beacon *beacon);
 
 /**
- * jl_beacon_send_now - sends full beacons to all zones, so that other daemons
- * know of a leave before it is acknowledged
+ * jl_beacon_send_now - sends beacons, so that other daemons know of a leave
+ * before it is acknowledged
  */
 void jl_beacon_send_now (struct jl_beacon *beacon);
 
@@ -388,13 +388,24 @@
 
 /**
  * jl_beacon_send_to_zone - sends a datagram to all daemons of the local zone,
- * or to the chosen share of the daemons of other zones
+ * or of all others
  */
 void jl_beacon_send_to_zone (struct jl_beacon *beacon,
                              bool local_zone,
                              char *datagram,
                              size_t size);
 
+/**
+ * jl_beacon_is_representative - whether this daemon represents its zone
+ */
+bool jl_beacon_is_representative (const struct jl_beacon *beacon);
+
+/**
+ * jl_beacon_digest_counters - returns the totals of digests
+ */
+const struct jl_digest_counters *
+jl_beacon_digest_counters (const struct jl_beacon *beacon);
+
 /* headers.c */
 
 /**
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -8,9 +8,9 @@
 #include <xxhash.h>
 
 /* Time since the last beacon for which a daemon counts as alive: several beacon
- * intervals. Beacons between zones are less frequent. */
+ * intervals. Those of other zones are passed on in digests. */
 #define ALIVE_US (2500 * JL_USEC_PER_MSEC)
-#define OTHER_ZONE_ALIVE_US (5000 * JL_USEC_PER_MSEC)
+#define OTHER_ZONE_ALIVE_US (4000 * JL_USEC_PER_MSEC)
 /* Time since the last beacon of an incarnation after which one with a lower
  * epoch may replace it. */
 #define REPLACE_AFTER_US (1500 * JL_USEC_PER_MSEC)
@@ -21,14 +21,14 @@
 /* Number of daemons of a zone at which requests must fail before the zone
  * counts as cut off. */
 #define CUT_FAILURES_MIN 2
-/* Targets of a service in each other zone that a daemon knows on average. */
-#define OTHER_ZONE_KNOWN_TARGETS 6
 
 void
 jl_roster_init (struct jl_roster *roster, const char *local_zone)
 {
   roster->members = g_ptr_array_new_with_free_func (g_free);
   roster->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  roster->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
+  roster->zones = g_ptr_array_new_with_free_func (g_free);
   g_strlcpy (roster->local_zone, local_zone, sizeof roster->local_zone);
 }
 
@@ -36,6 +36,8 @@
 jl_roster_clear (struct jl_roster *roster)
 {
   g_hash_table_destroy (roster->by_name);
+  g_hash_table_destroy (roster->by_key);
+  g_ptr_array_free (roster->zones, TRUE);
   g_ptr_array_free (roster->members, TRUE);
 }
 
@@ -48,12 +50,106 @@
     return member;
   member = g_new0 (struct jl_member, 1);
   g_strlcpy (member->name, name, sizeof member->name);
+  member->key = jl_name_key (name);
   member->spare_share = 1;
   g_ptr_array_add (roster->members, member);
   g_hash_table_insert (roster->by_name, member->name, member);
+  /* If two names have the same key, neither is found by it. */
+  if (!g_hash_table_insert (roster->by_key, GUINT_TO_POINTER (member->key),
+                            member))
+    g_hash_table_insert (roster->by_key, GUINT_TO_POINTER (member->key), NULL);
   return member;
 }
 
+struct jl_member *
+jl_roster_find_key (const struct jl_roster *roster, uint32_t key)
+{
+  return g_hash_table_lookup (roster->by_key, GUINT_TO_POINTER (key));
+}
+
+/* Returns the contact with another zone, which is added if it is new. */
+static struct jl_zone *
+get_zone (struct jl_roster *roster, const char *name)
+{
+  struct jl_zone *zone;
+
+  for (guint i = 0; i < roster->zones->len; i++)
+    {
+      zone = g_ptr_array_index (roster->zones, i);
+      if (strcmp (zone->name, name) == 0)
+        return zone;
+    }
+  zone = g_new0 (struct jl_zone, 1);
+  g_strlcpy (zone->name, name, sizeof zone->name);
+  g_ptr_array_add (roster->zones, zone);
+  return zone;
+}
+
+void
+jl_roster_set_zone (struct jl_roster *roster,
+                    struct jl_member *member,
+                    const char *zone)
+{
+  g_strlcpy (member->zone, zone, sizeof member->zone);
+  member->in_other_zone = strcmp (zone, roster->local_zone) != 0;
+  member->contact = member->in_other_zone ? get_zone (roster, zone) : NULL;
+}
+
+/* Whether @a comes before @b in the order of representatives. */
+static bool
+precedes (const struct jl_member *a, const struct jl_member *b)
+{
+  bool a_leaves = a->state == JL_TARGET_LEAVING;
+  bool b_leaves = b->state == JL_TARGET_LEAVING;
+
+  if (a_leaves != b_leaves)
+    return b_leaves;
+  return strcmp (a->name, b->name) < 0;
+}
+
+bool
+jl_roster_represents (const struct jl_roster *roster,
+                      const struct jl_member *member,
+                      uint64_t now_us)
+{
+  unsigned preceding = 0;
+
+  if (!jl_member_is_alive (member, now_us))
+    return false;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *other = g_ptr_array_index (roster->members, i);
+
+      if (other != member && other->contact == member->contact
+          && jl_member_is_alive (other, now_us) && precedes (other, member))
+        preceding++;
+    }
+  return preceding < JL_REPRESENTATIVES_MAX;
+}
+
+unsigned
+jl_roster_list_representatives (const struct jl_roster *roster,
+                                const struct jl_zone *zone,
+                                uint64_t now_us,
+                                struct jl_member **list)
+{
+  unsigned count = 0;
+
+  for (unsigned pass = 0; pass < 2; pass++)
+    for (guint i = 0;
+         i < roster->members->len && count < JL_REPRESENTATIVES_MAX; i++)
+      {
+        struct jl_member *member = g_ptr_array_index (roster->members, i);
+        bool announced = now_us < member->represents_until_us;
+
+        if (member->contact != zone || announced != (pass == 0))
+          continue;
+        if (announced || jl_roster_represents (roster, member, now_us))
+          list[count++] = member;
+      }
+  return count;
+}
+
 bool
 jl_member_is_alive (const struct jl_member *member, uint64_t now_us)
 {
@@ -99,7 +195,8 @@
                         const char *service,
                         uint64_t now_us)
 {
-  return member->state == JL_TARGET_UP && !member->withdrawn
+  return member->state == JL_TARGET_UP
+         && (member->contact == NULL || !member->contact->silent)
          && !has_failed (member, now_us)
          && strcmp (member->service, service) == 0
          && jl_member_is_alive (member, now_us);
@@ -215,39 +312,6 @@
   return count;
 }
 
-/* Counts the daemons in the zone of @self with targets of the same service,
- * itself included. */
-static unsigned
-count_local_zone_peers (const struct jl_roster *roster,
-                        const struct jl_member *self,
-                        uint64_t now_us)
-{
-  unsigned count = 0;
-
-  for (guint i = 0; i < roster->members->len; i++)
-    {
-      const struct jl_member *member = g_ptr_array_index (roster->members, i);
-
-      if (strcmp (member->zone, self->zone) == 0
-          && strcmp (member->service, self->service) == 0
-          && jl_member_is_alive (member, now_us))
-        count++;
-    }
-  return count;
-}
-
-double
-jl_roster_announce_share (const struct jl_roster *roster,
-                          const struct jl_member *self,
-                          uint64_t now_us)
-{
-  unsigned count = count_local_zone_peers (roster, self, now_us);
-
-  return count <= OTHER_ZONE_KNOWN_TARGETS
-             ? 1
-             : (double)OTHER_ZONE_KNOWN_TARGETS / count;
-}
-
 uint32_t
 jl_member_target_key (const struct jl_member *member)
 {
@@ -274,26 +338,3 @@
   member->departed_keys[member->departed_next] = target_key;
   member->departed_next = (member->departed_next + 1) % JL_MEMBER_DEPARTED_MAX;
 }
-
-bool
-jl_member_is_addressed (const struct jl_member *self,
-                        const struct jl_member *peer,
-                        bool local_zone,
-                        double share)
-{
-  if (peer == self || peer->peer.port == 0
-      || (strcmp (peer->zone, self->zone) == 0) != local_zone)
-    return false;
-  return local_zone || jl_member_announces_to (self, peer, share);
-}
-
-bool
-jl_member_announces_to (const struct jl_member *self,
-                        const struct jl_member *peer,
-                        double share)
-{
-  uint32_t draw
-      = XXH32 (peer->name, strlen (peer->name), jl_name_key (self->name));
-
-  return draw <= share * UINT32_MAX;
-}
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -8,6 +8,9 @@
  * beacon. Its beacons carry the state of its target. A daemon whose beacons
  * have been missing for some time receives no requests. Once daemons know each
  * other, the roster doesn't depend on the store.
+ *
+ * Daemons of other zones are known through digests (proxy/digest.h), which a
+ * few daemons of each zone, its representatives, send to those of the others.
  */
 
 #include "policy/fanout.h"
@@ -19,6 +22,38 @@
 #define JL_MEMBER_DEPARTED_MAX 4
 /* Maximum number of fan-out estimates that one daemon announces. */
 #define JL_MEMBER_FANOUT_MAX 32
+/* Number of representatives of a zone. */
+#define JL_REPRESENTATIVES_MAX 2
+
+/**
+ * struct jl_zone - another availability zone
+ * @heard_us: time at which a digest or a beacon of it came last, 0 for none
+ * @silent: nothing has come of it for so long that it is probably cut off; its
+ *          daemons receive no requests
+ */
+struct jl_zone
+{
+  char name[JL_TEXT_SIZE];
+  uint64_t heard_us;
+  bool silent;
+};
+
+/**
+ * struct jl_told - what a representative has last told other zones of a daemon
+ * of its zone
+ * @at_us: time of the last digest with it, 0 for none
+ * @state: and all further members: as in struct jl_member
+ */
+struct jl_told
+{
+  uint64_t at_us;
+  uint64_t epoch;
+  uint32_t target_key;
+  enum jl_target_state state;
+  double shed_share;
+  double spare_share;
+  double failure_rate;
+};
 
 /**
  * struct jl_member - one daemon
@@ -26,6 +61,7 @@
  * @zone: its availability zone
  * @service: service of its target
  * @target: identifier of its target
+ * @key: key of its name
  * @target_key: key of the incarnation of its target, 0 if an older daemon does
  *              not announce it
  * @known_target: identifier of the last incarnation of a target that it has
@@ -37,6 +73,9 @@
  * @peer: where it accepts requests and beacons
  * @epoch: wall clock at its start in microseconds; identifies its incarnation
  * @sequence: sequence number of its last beacon
+ * @identity_sequence: sequence number of its last full beacon, which alone
+ *                     carries the service, the endpoint, the fan-outs and the
+ *                     arrivals
  * @state: state of its target
  * @limit: requests that run at its target at once
  * @capacity: requests a second that its target can complete, 0 while not known
@@ -44,12 +83,19 @@
  * @spare_share: share of its capacity that is free for other zones
  * @failure_rate: share of its requests that its target itself fails
  * @site_version: version of the configuration that it uses
- * @in_other_zone: it is in another zone, and its beacons are less frequent
+ * @departed: its target itself has announced its leave; a state "leaving" may
+ *            also mean that the daemon stops
+ * @in_other_zone: it is in another zone, and known through digests
+ * @contact: contact with its zone, NULL for the local zone
  * @last_beacon_us: time of its last beacon, 0 for none
- * @withdrawn: it is about to send no more beacons to this daemon, and takes no
- * new requests from it
- * @announced_until_us: time until which this daemon sends beacons to it, if it
- * is in another zone and not chosen any more
+ * @represents_since_us: of a daemon of the local zone: time since which it
+ *                       represents the zone, 0 if it does not
+ * @represents_until_us: of a daemon of another zone: time until which it counts
+ *                       as a representative, since a digest of it has come
+ * @older_until_us: time until which it counts as an older daemon of another
+ *                  zone, which sends beacons itself and needs those of this one
+ * @told: of a daemon of the local zone: what other zones were told
+ * @relayed_us: time at which its last full beacon was passed on to other zones
  * @last_answer_us: time of its last response to a request, 0 for none
  * @failed_us: time at which a request to it failed last, 0 for none
  * @outstanding: requests that this daemon has sent to it, without a response so
@@ -63,6 +109,7 @@
   char zone[JL_TEXT_SIZE];
   char service[JL_TEXT_SIZE];
   char target[JL_TEXT_SIZE];
+  uint32_t key;
   uint32_t target_key;
   char known_target[JL_TEXT_SIZE];
   uint32_t known_target_key;
@@ -71,7 +118,9 @@
   struct jl_endpoint peer;
   uint64_t epoch;
   uint64_t sequence;
+  uint64_t identity_sequence;
   enum jl_target_state state;
+  bool departed;
   unsigned limit;
   double capacity;
   double shed_share;
@@ -79,9 +128,13 @@
   double failure_rate;
   uint64_t site_version;
   bool in_other_zone;
+  struct jl_zone *contact;
   uint64_t last_beacon_us;
-  bool withdrawn;
-  uint64_t announced_until_us;
+  uint64_t represents_since_us;
+  uint64_t represents_until_us;
+  uint64_t older_until_us;
+  struct jl_told told;
+  uint64_t relayed_us;
   uint64_t last_answer_us;
   uint64_t failed_us;
   unsigned outstanding;
@@ -94,12 +147,16 @@
  * struct jl_roster - all known daemons, this one among them
  * @members: array of struct jl_member, which are never removed
  * @by_name: the members by name
+ * @by_key: the members by the key of their name
+ * @zones: array of struct jl_zone, the other zones that are known
  * @local_zone: availability zone of this daemon
  */
 struct jl_roster
 {
   GPtrArray *members;
   GHashTable *by_name;
+  GHashTable *by_key;
+  GPtrArray *zones;
   char local_zone[JL_TEXT_SIZE];
 };
 
@@ -113,6 +170,44 @@
 struct jl_member *jl_roster_get_or_add (struct jl_roster *roster,
                                         const char *name);
 
+/**
+ * jl_roster_find_key - returns the daemon whose name has the key @key
+ *
+ * Return: the daemon, NULL if none or more than one has it.
+ */
+struct jl_member *jl_roster_find_key (const struct jl_roster *roster,
+                                      uint32_t key);
+
+/**
+ * jl_roster_set_zone - sets the zone of a daemon
+ */
+void jl_roster_set_zone (struct jl_roster *roster,
+                         struct jl_member *member,
+                         const char *zone);
+
+/**
+ * jl_roster_represents - whether a daemon is among the first
+ * JL_REPRESENTATIVES_MAX of its zone that are alive
+ *
+ * Daemons whose targets leave come last, the others are ordered by name.
+ */
+bool jl_roster_represents (const struct jl_roster *roster,
+                           const struct jl_member *member,
+                           uint64_t now_us);
+
+/**
+ * jl_roster_list_representatives - lists the representatives of another zone
+ * @list: receives at most JL_REPRESENTATIVES_MAX daemons
+ *
+ * Those that have sent digests lately come first.
+ *
+ * Return: the number of daemons, 0 if none is alive.
+ */
+unsigned jl_roster_list_representatives (const struct jl_roster *roster,
+                                         const struct jl_zone *zone,
+                                         uint64_t now_us,
+                                         struct jl_member **list);
+
 /**
  * jl_member_is_alive - whether a beacon of the daemon was received recently
  * enough
@@ -166,21 +261,6 @@
 unsigned jl_roster_alive_count (const struct jl_roster *roster,
                                 uint64_t now_us);
 
-/**
- * jl_roster_announce_share - returns the share of the daemons of other zones
- * that the daemon @self sends beacons to
- *
- * The share is below 1 in sites with many targets of a service in each zone.
- * Otherwise the traffic of beacons between zones would grow with the square of
- * the number of daemons. A daemon needs to know only some targets of other
- * zones.
- *
- * Return: the share, from 0 to 1.
- */
-double jl_roster_announce_share (const struct jl_roster *roster,
-                                 const struct jl_member *self,
-                                 uint64_t now_us);
-
 /**
  * jl_member_target_key - returns a key of the incarnation of the daemon's
  * target, which differs between instances
@@ -199,25 +279,4 @@
 bool jl_member_has_departed (const struct jl_member *member,
                              uint32_t target_key);
 
-/**
- * jl_member_is_addressed - whether @self sends beacons for @local_zone, or for
- * all other zones, to @peer
- * @share: share of the daemons of other zones that it sends to
- */
-bool jl_member_is_addressed (const struct jl_member *self,
-                             const struct jl_member *peer,
-                             bool local_zone,
-                             double share);
-
-/**
- * jl_member_announces_to - whether @peer is within the share @share of the
- * daemons that @self sends beacons to
- *
- * A hash of both names selects the daemons, so the selection differs for each
- * @self.
- */
-bool jl_member_announces_to (const struct jl_member *self,
-                             const struct jl_member *peer,
-                             double share);
-
 #endif
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -82,8 +82,10 @@
       if (member != proxy->self && member->last_beacon_us == 0)
         {
           member->peer = endpoint;
-          g_strlcpy (member->zone, json_object_get_string (zone), JL_TEXT_SIZE);
-          jl_beacon_send_soon (proxy->beacon);
+          jl_roster_set_zone (&proxy->roster, member,
+                              json_object_get_string (zone));
+          if (!member->in_other_zone)
+            jl_beacon_send_soon (proxy->beacon);
         }
     }
   json_object_put (document);
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -8,6 +8,7 @@
 const BEACON_ARRIVALS_MAX = 32;
 const BEACON_REPORTS_MAX = 64;
 const BEACON_CONTENTS_MAX = 150;
+const BEACON_DIGEST_MAX = 38;
 
 struct beacon_fanout
 {
@@ -50,9 +51,8 @@
   unsigned int target_key;
 };
 
-/* Follows a beacon_extension in the same datagram. withdrawn: the sender is about
- * to send no more beacons to this daemon, which is to send it no more requests.
- * store_era: era of the store that the sender knows, 0 for none. departed: the
+/* Follows a beacon_extension in the same datagram. withdrawn: set by older daemons
+ * that are about to send no more beacons to this daemon. store_era: era of the store that the sender knows, 0 for none. departed: the
  * target itself has announced its leave; a state "leaving" may also mean that the
  * daemon stops. */
 struct beacon_notice
@@ -62,6 +62,47 @@
   unsigned int departed;
 };
 
+/* What a daemon has last announced of itself, as another one passes it on. key:
+ * of its name. epoch, sequence: the low 32 bits of those of its last beacon.
+ * limit_state: the limit * 256 + the state; BEACON_DEPARTED is added if the target
+ * itself has announced its leave. shed_room: shed_milli * 65536 + room_milli.
+ * failing_age: failing_milli * 65536 + the time since that beacon in ms. */
+const BEACON_DEPARTED = 128;
+
+struct beacon_state
+{
+  unsigned int key;
+  unsigned int epoch;
+  unsigned int sequence;
+  unsigned int target_key;
+  unsigned int limit_state;
+  unsigned int shed_room;
+  unsigned int hold_us;
+  unsigned int failing_age;
+};
+
+/* A digest: what a representative of a zone tells those of other zones of the
+ * daemons of its zone. hops: 0 as sent to another zone, 1 as passed on there. */
+struct beacon_digest
+{
+  unsigned int format;
+  unsigned int hops;
+  string name<BEACON_TEXT_MAX>;
+  string zone<BEACON_TEXT_MAX>;
+  unsigned hyper site_version;
+  unsigned hyper store_era;
+  beacon_state states<BEACON_DIGEST_MAX>;
+};
+
+/* Precedes a full beacon that is passed on, in the same datagram. age_ms: time since
+ * the daemon that passes it on has heard it. */
+struct beacon_relay
+{
+  unsigned int format;
+  unsigned int hops;
+  unsigned int age_ms;
+};
+
 struct beacon_report
 {
   unsigned int kind;
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -18,6 +18,7 @@
 #define BEACON_ARRIVALS_MAX 32
 #define BEACON_REPORTS_MAX 64
 #define BEACON_CONTENTS_MAX 150
+#define BEACON_DIGEST_MAX 38
 
 struct beacon_fanout {
 	u_int run;
@@ -71,6 +72,40 @@
 	u_int departed;
 };
 typedef struct beacon_notice beacon_notice;
+#define BEACON_DEPARTED 128
+
+struct beacon_state {
+	u_int key;
+	u_int epoch;
+	u_int sequence;
+	u_int target_key;
+	u_int limit_state;
+	u_int shed_room;
+	u_int hold_us;
+	u_int failing_age;
+};
+typedef struct beacon_state beacon_state;
+
+struct beacon_digest {
+	u_int format;
+	u_int hops;
+	char *name;
+	char *zone;
+	u_quad_t site_version;
+	u_quad_t store_era;
+	struct {
+		u_int states_len;
+		beacon_state *states_val;
+	} states;
+};
+typedef struct beacon_digest beacon_digest;
+
+struct beacon_relay {
+	u_int format;
+	u_int hops;
+	u_int age_ms;
+};
+typedef struct beacon_relay beacon_relay;
 
 struct beacon_report {
 	u_int kind;
@@ -110,6 +145,9 @@
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
 extern  bool_t xdr_beacon_notice (XDR *, beacon_notice*);
+extern  bool_t xdr_beacon_state (XDR *, beacon_state*);
+extern  bool_t xdr_beacon_digest (XDR *, beacon_digest*);
+extern  bool_t xdr_beacon_relay (XDR *, beacon_relay*);
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
@@ -120,6 +158,9 @@
 extern bool_t xdr_beacon_message ();
 extern bool_t xdr_beacon_extension ();
 extern bool_t xdr_beacon_notice ();
+extern bool_t xdr_beacon_state ();
+extern bool_t xdr_beacon_digest ();
+extern bool_t xdr_beacon_relay ();
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
 extern bool_t xdr_beacon_reports_extension ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -206,6 +206,130 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_state (XDR *xdrs, beacon_state *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->key))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->epoch))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sequence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_key))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit_state))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shed_room))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failing_age))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->key);
+			IXDR_PUT_U_LONG(buf, objp->epoch);
+			IXDR_PUT_U_LONG(buf, objp->sequence);
+			IXDR_PUT_U_LONG(buf, objp->target_key);
+			IXDR_PUT_U_LONG(buf, objp->limit_state);
+			IXDR_PUT_U_LONG(buf, objp->shed_room);
+			IXDR_PUT_U_LONG(buf, objp->hold_us);
+			IXDR_PUT_U_LONG(buf, objp->failing_age);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->key))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->epoch))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sequence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_key))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit_state))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shed_room))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failing_age))
+				 return FALSE;
+		} else {
+			objp->key = IXDR_GET_U_LONG(buf);
+			objp->epoch = IXDR_GET_U_LONG(buf);
+			objp->sequence = IXDR_GET_U_LONG(buf);
+			objp->target_key = IXDR_GET_U_LONG(buf);
+			objp->limit_state = IXDR_GET_U_LONG(buf);
+			objp->shed_room = IXDR_GET_U_LONG(buf);
+			objp->hold_us = IXDR_GET_U_LONG(buf);
+			objp->failing_age = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit_state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->shed_room))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failing_age))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_digest (XDR *xdrs, beacon_digest *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->site_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->states.states_val, (u_int *) &objp->states.states_len, BEACON_DIGEST_MAX,
+		sizeof (beacon_state), (xdrproc_t) xdr_beacon_state))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_relay (XDR *xdrs, beacon_relay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_report (XDR *xdrs, beacon_report *objp)
 {
