Draw two targets by capacity and choose the one with more free slots

Cause: each entry chose the daemon with the lowest (own requests + 1) / capacity. With few targets, too, the metric gives the fast ones more than their part: requests at a target in proportion to its capacity means load in proportion to its square.

Change: two candidates are drawn with probabilities in proportion to their capacities; of the two, the one with the smaller share of its slots taken by this entry's requests gets the request.

--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -189,20 +189,112 @@
   return slots > 0 ? capacity / slots : 1;
 }
 
-/*
- * Returns the load of a target with one more request. A target whose capacity
- * is not known yet counts as an average one. Failures count as additional load.
- */
+/* Returns the capacity of a target, reduced if it fails requests. A target
+ * whose capacity is not known yet counts as an average one. */
 static double
-member_load (const struct jl_member *member, double slot_rate)
+effective_capacity (const struct jl_member *member, double slot_rate)
 {
   double capacity = member->capacity > 0 ? member->capacity
                                          : slot_rate * MAX (member->limit, 1);
 
-  return (member->outstanding + 1) / capacity
+  return capacity / (1 + FAILURE_LOAD_FACTOR * member->failure_rate);
+}
+
+/**
+ * struct candidate - a daemon that a request may be sent to
+ * @capacity: effective capacity of its target
+ */
+struct candidate
+{
+  struct jl_member *member;
+  double capacity;
+};
+
+/**
+ * struct candidates - daemons from which one is chosen
+ * @list: array of struct candidate
+ * @capacity: sum of their capacities
+ * @preferred: they are in the preferred zone, and their targets are sound
+ */
+struct candidates
+{
+  GArray *list;
+  double capacity;
+  bool preferred;
+};
+
+static void
+add_candidate (struct candidates *candidates,
+               struct jl_member *member,
+               double slot_rate,
+               bool preferred)
+{
+  struct candidate candidate
+      = { member, effective_capacity (member, slot_rate) };
+
+  if (preferred && !candidates->preferred)
+    {
+      g_array_set_size (candidates->list, 0);
+      candidates->capacity = 0;
+      candidates->preferred = true;
+    }
+  if (candidates->preferred != preferred)
+    return;
+  g_array_append_val (candidates->list, candidate);
+  candidates->capacity += candidate.capacity;
+}
+
+/* Removes a candidate, chosen at random with a probability in proportion to its
+ * capacity. */
+static struct candidate
+take_candidate (struct candidates *candidates)
+{
+  double draw = g_random_double () * candidates->capacity;
+  struct candidate taken;
+  guint i = 0;
+
+  for (; i + 1 < candidates->list->len; i++)
+    {
+      draw -= g_array_index (candidates->list, struct candidate, i).capacity;
+      if (draw < 0)
+        break;
+    }
+  taken = g_array_index (candidates->list, struct candidate, i);
+  g_array_remove_index_fast (candidates->list, i);
+  candidates->capacity -= taken.capacity;
+  return taken;
+}
+
+/* Returns the share of a target's slots that the requests of this entry take.
+ * Failures count as additional load. */
+static double
+load_of (const struct jl_member *member)
+{
+  return (double)member->outstanding / MAX (member->limit, 1)
          * (1 + FAILURE_LOAD_FACTOR * member->failure_rate);
 }
 
+/*
+ * Chooses the less loaded one of two candidates that are drawn at random. The
+ * best one of all would be the same for all entries, which see the same beacons
+ * and have few requests of their own at each target.
+ */
+static struct jl_member *
+choose_candidate (struct candidates *candidates)
+{
+  struct candidate first;
+  struct candidate second;
+
+  if (candidates->list->len == 0)
+    return NULL;
+  first = take_candidate (candidates);
+  if (candidates->list->len == 0)
+    return first.member;
+  second = take_candidate (candidates);
+  return load_of (second.member) < load_of (first.member) ? second.member
+                                                          : first.member;
+}
+
 struct jl_member *
 jl_place_choose_daemon (const struct jl_roster *roster,
                         const char *service,
@@ -211,28 +303,23 @@
                         unsigned tried_count,
                         uint64_t now_us)
 {
-  struct jl_member *best = NULL;
-  bool best_preferred = false;
+  struct candidates candidates
+      = { .list = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   double slot_rate = mean_slot_rate (roster, service);
+  struct jl_member *chosen;
 
   for (guint i = 0; i < roster->members->len; i++)
     {
       struct jl_member *member = g_ptr_array_index (roster->members, i);
-      bool preferred;
 
       if (!jl_member_accepts_work (member, service, now_us)
           || was_tried (member, tried, tried_count))
         continue;
-      preferred = strcmp (member->zone, zone) == 0
-                  && member->failure_rate < FAILURE_RATE_MAX;
-      if (best != NULL
-          && (best_preferred > preferred
-              || (best_preferred == preferred
-                  && member_load (best, slot_rate)
-                         <= member_load (member, slot_rate))))
-        continue;
-      best = member;
-      best_preferred = preferred;
+      add_candidate (&candidates, member, slot_rate,
+                     strcmp (member->zone, zone) == 0
+                         && member->failure_rate < FAILURE_RATE_MAX);
     }
-  return best;
+  chosen = choose_candidate (&candidates);
+  g_array_free (candidates.list, TRUE);
+  return chosen;
 }
