--- a/source/policy/load-shedder.c
+++ b/source/policy/load-shedder.c
@@ -21,13 +21,7 @@
 /* Fraction of the difference to the computed share by which one window raises
  * or lowers the shed share. */
 #define STEP_UP_SHARE 0.5
-#define STEP_DOWN_SHARE 0.25
-/* Part of the announced demand that is taken for certain: the runs that
- * requests cause are estimates. */
-#define CERTAIN_DEMAND_SHARE 0.8
-/* Utilization from which on the announced demand is believed to come. Before,
- * the calls of the zone's requests may run in other zones. */
-#define BELIEVED_UTILIZATION 0.5
+#define STEP_DOWN_SHARE 0.2
 /* Maximum shed share. The admitted requests are needed to measure the demand.
  */
 #define SHED_SHARE_MAX 0.995
@@ -91,35 +85,13 @@
   shedder->window++;
 }
 
-/* Returns the share to refuse that follows from the announced demand alone. It
- * is known before the requests reach a target deep in the call graph. */
-static double
-expected_shed (const struct jl_load_shedder *shedder,
-               double desired,
-               double announced)
-{
-  double certain = CERTAIN_DEMAND_SHARE * announced;
-
-  if (certain <= desired
-      || shedder->arrival_rate < BELIEVED_UTILIZATION * desired)
-    return 0;
-  return 1 - desired / certain;
-}
-
 static void
-update_shed_share (struct jl_load_shedder *shedder,
-                   double desired,
-                   double announced)
+update_shed_share (struct jl_load_shedder *shedder, double desired)
 {
-  double excess = shedder->arrival_rate - desired;
-  double demand = announced > 0
-                      ? MAX (announced, shedder->arrival_rate)
-                      : shedder->arrival_rate / shedder->admitted_share;
-  double shed = demand > 0 ? 1 - shedder->admitted_share + excess / demand : 0;
-  double step;
-
-  shed = MAX (shed, expected_shed (shedder, desired, announced));
-  step = shed > shedder->shed_share ? STEP_UP_SHARE : STEP_DOWN_SHARE;
+  double demand = shedder->arrival_rate / shedder->admitted_share;
+  double shed = demand > desired ? 1 - desired / demand : 0;
+  double step = shed > shedder->shed_share ? STEP_UP_SHARE : STEP_DOWN_SHARE;
+
   shedder->shed_share += step * (shed - shedder->shed_share);
   if (shed <= 0 && shedder->shed_share < SHED_SHARE_MIN)
     shedder->shed_share = 0;
@@ -129,8 +101,7 @@
 void
 jl_load_shedder_end_window (struct jl_load_shedder *shedder,
                             unsigned limit,
-                            unsigned waiting,
-                            double demand)
+                            unsigned waiting)
 {
   double capacity = jl_load_shedder_capacity (shedder, limit);
   double rate = shedder->arrivals * (double)JL_USEC_PER_SEC
@@ -141,7 +112,7 @@
   update_admitted_share (shedder);
   if (capacity <= 0)
     return;
-  update_shed_share (shedder, desired_rate (capacity, limit, waiting), demand);
+  update_shed_share (shedder, desired_rate (capacity, limit, waiting));
   shedder->spare_share
       = CLAMP (SPARE_UTILIZATION - shedder->arrival_rate / capacity, 0, 1);
 }
--- a/source/policy/load-shedder.h
+++ b/source/policy/load-shedder.h
@@ -5,15 +5,12 @@
  * DOC: Computes the share of the demand for a target that entries should
  * refuse.
  *
- * Shedding keeps the admitted load within the target's capacity (its limit
- * divided by the time for which a request holds a slot). What arrives above the
- * capacity, as a share of the demand, is added to the share that was refused
- * when these arrivals were admitted, a few windows ago. A long queue reduces
- * the capacity until the queue is short.
- *
- * The demand is the one that the entries announce. Requests that other zones
- * send here arrive in addition to it, and are not refused here. If no demand is
- * known, the arrivals are taken for the admitted share of the demand.
+ * Shedding keeps the admitted load within the target's capacity. The arrivals
+ * of a window are the demand times the share that was admitted a few windows
+ * ago. Dividing by that share gives the whole demand. The demand and the
+ * target's capacity (its limit divided by the time for which a request holds a
+ * slot) give the share to refuse. A long queue reduces the capacity until the
+ * queue is short.
  */
 
 #include "jackdawladder/base.h"
@@ -70,13 +67,10 @@
  * window
  * @limit: requests that may run at once
  * @waiting: requests in the queue
- * @demand: requests a second that the entries would send to this target if none
- *          were refused, 0 if it is not known
  */
 void jl_load_shedder_end_window (struct jl_load_shedder *shedder,
                                  unsigned limit,
-                                 unsigned waiting,
-                                 double demand);
+                                 unsigned waiting);
 
 /**
  * jl_load_shedder_capacity - returns the target's capacity in requests a second
--- a/source/proxy/announce.c
+++ b/source/proxy/announce.c
@@ -77,43 +77,6 @@
   return arrivals->count;
 }
 
-unsigned
-jl_announce_fill_demands (const struct jl_service_demands *demands,
-                          struct beacon_demand *wire)
-{
-  unsigned count = MIN (demands->count, BEACON_DEMANDS_MAX);
-
-  for (unsigned i = 0; i < count; i++)
-    {
-      wire[i].service = demands->list[i].service;
-      wire[i].runs = (u_int)lround (demands->list[i].runs);
-    }
-  return count;
-}
-
-void
-jl_announce_read_demands (struct jl_service_demands *demands,
-                          const struct beacon_demand *wire,
-                          unsigned count)
-{
-  demands->count = 0;
-  for (unsigned i = 0; i < count; i++)
-    jl_service_demands_add (demands, wire[i].service, wire[i].runs);
-}
-
-/* A beacon that is passed on has no demand: digests have that of the zone. */
-static bool
-encode_demands (XDR *xdr, const struct jl_member *member, unsigned hops)
-{
-  struct beacon_demand list[BEACON_DEMANDS_MAX];
-  struct beacon_demands demands = {
-    .demands.demands_len = jl_announce_fill_demands (&member->demands, list),
-    .demands.demands_val = list,
-  };
-
-  return hops != JL_NONE || xdr_beacon_demands (xdr, &demands);
-}
-
 static bool
 encode_relay (XDR *xdr,
               const struct jl_member *member,
@@ -170,8 +133,7 @@
   if (!encode_relay (&xdr, member, hops, now_us)
       || !xdr_beacon_message (&xdr, &message)
       || !xdr_beacon_extension (&xdr, &extension)
-      || !xdr_beacon_notice (&xdr, &notice)
-      || !encode_demands (&xdr, member, hops))
+      || !xdr_beacon_notice (&xdr, &notice))
     return 0;
   return xdr_getpos (&xdr);
 }
@@ -186,7 +148,6 @@
   struct beacon_message message;
   struct beacon_extension extension;
   struct beacon_notice notice;
-  struct beacon_demands demands;
   bool relayed;
   uint64_t heard_us;
 };
@@ -260,9 +221,6 @@
   member->identity_sequence = message->sequence;
   read_fanout (member, message);
   read_arrivals (member, message);
-  jl_announce_read_demands (&member->demands,
-                            beacon->demands.demands.demands_val,
-                            beacon->demands.demands.demands_len);
   if (beacon->extension.target_key == 0)
     return;
   g_strlcpy (member->known_target, member->target, JL_TEXT_SIZE);
@@ -379,7 +337,7 @@
   return true;
 }
 
-/* Older daemons send no extension, no notice, or no demands. */
+/* Older daemons send no extension, or no notice. */
 static void
 decode_extension (XDR *xdr, struct beacon *beacon)
 {
@@ -387,8 +345,6 @@
     beacon->extension.target_key = 0;
   else if (!xdr_beacon_notice (xdr, &beacon->notice))
     beacon->notice = (struct beacon_notice){ 0 };
-  else if (!xdr_beacon_demands (xdr, &beacon->demands))
-    beacon->demands.demands.demands_len = 0;
 }
 
 static bool
@@ -423,6 +379,5 @@
                    &beacon, now_us);
     }
   xdr_free ((xdrproc_t)xdr_beacon_message, &beacon.message);
-  xdr_free ((xdrproc_t)xdr_beacon_demands, &beacon.demands);
   return applied;
 }
--- a/source/proxy/announce.h
+++ b/source/proxy/announce.h
@@ -12,8 +12,6 @@
 
 #include "proxy/roster.h"
 
-struct beacon_demand;
-
 /* Formats of datagrams; those of other formats are dropped. */
 #define JL_FORMAT_BEACON 1
 /* Of older daemons: a beacon without identity, for other zones. */
@@ -113,22 +111,6 @@
  */
 unsigned jl_announce_hold_us (const struct jl_member *member);
 
-/**
- * jl_announce_fill_demands - fills @wire, of BEACON_DEMANDS_MAX entries, with
- * @demands
- *
- * Return: the number of entries.
- */
-unsigned jl_announce_fill_demands (const struct jl_service_demands *demands,
-                                   struct beacon_demand *wire);
-
-/**
- * jl_announce_read_demands - replaces @demands by the @count entries of @wire
- */
-void jl_announce_read_demands (struct jl_service_demands *demands,
-                               const struct beacon_demand *wire,
-                               unsigned count);
-
 /**
  * jl_announce_milli - converts a share to thousandths
  */
--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -146,47 +146,6 @@
   return jl_overflow_choose_zone (overflow, &proxy->roster, draw);
 }
 
-/* Sums up what this daemon's callers demand of each service, for its beacons,
- * and what those of the zone do. */
-static void
-update_service_demands (struct jl_proxy *proxy)
-{
-  struct jl_service_demands *demands = &proxy->self->demands;
-
-  demands->count = 0;
-  for (unsigned i = 0; i < proxy->demand_count; i++)
-    {
-      const struct jl_demand *demand = &proxy->demands[i];
-
-      for (unsigned j = 0; j < demand->tree.count; j++)
-        jl_service_demands_add (demands,
-                                jl_name_key (demand->tree.nodes[j].service),
-                                demand->rate * demand->tree.nodes[j].runs);
-    }
-  jl_roster_sum_demands (&proxy->roster, jl_now ());
-}
-
-double
-jl_demand_for_local_target (const struct jl_proxy *proxy)
-{
-  const struct jl_member *self = proxy->self;
-  double demand = jl_roster_zone_demand (
-      &proxy->roster, proxy->roster.local_zone, self->service);
-  double capacity = 0;
-  uint64_t now_us = jl_now ();
-
-  for (guint i = 0; i < proxy->roster.members->len; i++)
-    {
-      const struct jl_member *member
-          = g_ptr_array_index (proxy->roster.members, i);
-
-      if (!member->in_other_zone
-          && jl_member_accepts_work (member, self->service, now_us))
-        capacity += member->capacity;
-    }
-  return capacity > 0 ? demand * self->capacity / capacity : 0;
-}
-
 void
 jl_demand_end_window (struct jl_proxy *proxy)
 {
@@ -207,7 +166,6 @@
     }
   for (unsigned i = 0; i < proxy->demand_count; i++)
     update_call_tree (proxy, &proxy->demands[i]);
-  update_service_demands (proxy);
   /* The next call to each service computes its overflow again. */
   proxy->overflow_count = 0;
   proxy->plans_computed_us = jl_now ();
--- a/source/proxy/demand.h
+++ b/source/proxy/demand.h
@@ -60,14 +60,6 @@
                             const struct jl_site *site,
                             const struct jl_route *route);
 
-/**
- * jl_demand_for_local_target - returns the part of the demand of the zone's
- * callers that falls to the local target, by its capacity
- *
- * Return: the demand in requests a second, 0 if it is not known.
- */
-double jl_demand_for_local_target (const struct jl_proxy *proxy);
-
 /**
  * jl_demand_end_window - updates the demand and the plans of all routes at the
  * end of a control window
--- a/source/proxy/digest.c
+++ b/source/proxy/digest.c
@@ -228,7 +228,6 @@
 struct draft
 {
   struct beacon_digest message;
-  struct beacon_demand demands[BEACON_DEMANDS_MAX];
   struct beacon_state states[BEACON_DIGEST_MAX];
 };
 
@@ -387,10 +386,6 @@
     },
   };
 
-  jl_roster_sum_demands (digest->roster, now_us);
-  draft.message.demands.demands_val = draft.demands;
-  draft.message.demands.demands_len = jl_announce_fill_demands (
-      &digest->roster->local.demands, draft.demands);
   draft.message.states.states_val = draft.states;
   for (guint i = 0; i < digest->roster->members->len; i++)
     {
@@ -657,9 +652,6 @@
   digest->counters.received++;
   sender->represents_until_us = now_us + REPRESENTS_US;
   hear_zone (digest, sender->contact, now_us);
-  jl_announce_read_demands (&sender->contact->demands,
-                            message->demands.demands_val,
-                            message->demands.demands_len);
   for (unsigned i = 0; i < message->states.states_len; i++)
     if (apply_state (digest, &message->states.states_val[i], now_us))
       news = true;
--- a/source/proxy/plan.c
+++ b/source/proxy/plan.c
@@ -18,15 +18,6 @@
 /* Spare share of the capacity at which another zone accepts all requests
  * offered to it. */
 #define SPARE_SHARE_FULL 0.25
-/* Utilization up to which targets announce spare capacity. */
-#define SPARE_UTILIZATION 0.85
-/* Share of a zone's capacity that requests may use, its own and those of other
- * zones. */
-#define USABLE_CAPACITY 0.95
-/* Smallest demand of a zone, as a share of its capacity, and the largest share
- * of its demand that it admits. */
-#define DEMAND_MIN 0.05
-#define ADMITTED_MAX 100.0
 /* Smallest difference of the shares admitted, or refused, in two zones at which
  * requests move between two overloaded zones. */
 #define DIFFERENCE_MIN 0.1
@@ -330,80 +321,79 @@
   return best;
 }
 
-/* Returns the demand that a zone's targets get, before they refuse any. */
-static double
-received_demand (const struct supply *supply)
+/* Returns the zone, other than @home, that accepts the largest share of the
+ * requests, NULL if none accepts any. Sets *@accepted to that share. */
+static const char *
+zone_with_most_spare_capacity (const struct jl_roster *roster,
+                               const struct jl_demand *demand,
+                               const char *home,
+                               uint64_t now_us,
+                               double *accepted)
 {
-  if (supply->shed_share > 0)
-    return supply->capacity / (1 - supply->shed_share);
-  return supply->capacity * (SPARE_UTILIZATION - supply->spare_share);
+  const char *best = NULL;
+  const char *zone;
+  guint index = 0;
+
+  *accepted = 0;
+  while ((zone = next_zone (roster, home, &index)) != NULL)
+    {
+      double other_accepted
+          = zone_accepted_share (roster, demand, zone, now_us);
+
+      if (other_accepted <= *accepted)
+        continue;
+      *accepted = other_accepted;
+      best = zone;
+    }
+  return best;
 }
 
-/* Returns the share of its callers' demand that a zone admits by the capacity
- * of its targets, over all services that a request reaches; above 1 if it has
- * capacity left. A demand that its callers have not announced is estimated by
- * what its targets get. */
-static struct jl_zone_load
-zone_load (const struct jl_roster *roster,
-           const struct jl_demand *demand,
-           const char *zone,
-           const char *limiting_service,
-           uint64_t now_us)
+/* Returns the plan with the largest admitted share among the zones other than
+ * @home. */
+static struct jl_plan
+most_admitting_plan (const struct jl_roster *roster,
+                     const struct jl_demand *demands,
+                     unsigned demand_count,
+                     const struct jl_demand *demand,
+                     const char *home,
+                     uint64_t now_us)
 {
-  struct jl_zone_load load = { .admitted = ADMITTED_MAX };
+  struct jl_plan best = { .admit_share = 0 };
+  const char *zone;
+  guint index = 0;
 
-  for (unsigned i = 0; i < demand->tree.count; i++)
+  while ((zone = next_zone (roster, home, &index)) != NULL)
     {
-      const char *service = demand->tree.nodes[i].service;
-      struct supply supply = zone_supply (roster, service, zone, now_us);
-      double runs = jl_roster_zone_demand (roster, zone, service);
-
-      if (runs <= 0)
-        runs = received_demand (&supply);
-      runs = MAX (runs, DEMAND_MIN * supply.capacity);
-      load.admitted
-          = MIN (load.admitted,
-                 runs > 0 ? USABLE_CAPACITY * supply.capacity / runs : 0);
-      if (strcmp (service, limiting_service) == 0)
-        load.demand = runs;
+      struct jl_plan plan = { .zone = zone, .admit_share = 1 };
+
+      limit_to_zone_capacity (&plan, roster, demands, demand_count, demand,
+                              now_us);
+      if (plan.admit_share > best.admit_share)
+        best = plan;
     }
-  return load;
+  return best;
 }
 
-/* Plans where the requests go that are not admitted in the plan's zone, so that
- * all zones refuse the same share. */
+/* Plans where the requests go that are not admitted in the plan's zone: to a
+ * zone with spare capacity, or to a zone that refuses less. */
 static void
 plan_overflow (struct jl_plan *plan,
                const struct jl_roster *roster,
+               const struct jl_demand *demands,
+               unsigned demand_count,
                const struct jl_demand *demand,
                uint64_t now_us)
 {
-  const char *names[JL_BALANCE_ZONES_MAX] = { plan->zone };
-  struct jl_zone_load loads[JL_BALANCE_ZONES_MAX];
-  struct jl_balance balance;
-  const char *zone;
-  guint index = 0;
-  unsigned count = 1;
+  struct jl_plan most_admitting = most_admitting_plan (
+      roster, demands, demand_count, demand, plan->zone, now_us);
+  double difference = most_admitting.admit_share - plan->admit_share;
 
-  loads[0]
-      = zone_load (roster, demand, plan->zone, plan->limiting_service, now_us);
-  while (count < JL_BALANCE_ZONES_MAX
-         && (zone = next_zone (roster, plan->zone, &index)) != NULL)
-    {
-      names[count] = zone;
-      loads[count++]
-          = zone_load (roster, demand, zone, plan->limiting_service, now_us);
-    }
-  balance = jl_balance_compute (loads, count, 0);
-  if (balance.moved <= 0)
+  plan->other_zone = zone_with_most_spare_capacity (
+      roster, demand, plan->zone, now_us, &plan->other_zone_share);
+  if (difference < DIFFERENCE_MIN || difference < plan->other_zone_share)
     return;
-  plan->moved_share = balance.moved / (1 - loads[0].admitted);
-  for (unsigned i = 0; i < count; i++)
-    if (balance.shares[i] > 0)
-      {
-        plan->others[plan->other_count] = names[i];
-        plan->other_shares[plan->other_count++] = balance.shares[i];
-      }
+  plan->other_zone = most_admitting.zone;
+  plan->other_zone_share = difference;
 }
 
 struct jl_plan
@@ -418,7 +408,7 @@
   plan.zone = cheapest_zone (roster, demand, now_us);
   limit_to_zone_capacity (&plan, roster, demands, demand_count, demand, now_us);
   if (plan.admit_share < 1)
-    plan_overflow (&plan, roster, demand, now_us);
+    plan_overflow (&plan, roster, demands, demand_count, demand, now_us);
   return plan;
 }
 
@@ -427,51 +417,27 @@
 {
   if (draw < plan->admit_share)
     return plan->zone;
-  if (plan->moved_share <= 0)
+  if (plan->other_zone == NULL)
     return NULL;
-  /* Scales the rest of the range, from the admitted share to 1, to 0 to 1, and
-   * the part of it that is moved likewise. */
+  /* Scales the rest of the range, from the admitted share to 1, to 0 to 1. */
   draw = (draw - plan->admit_share) / (1 - plan->admit_share);
-  draw /= plan->moved_share;
-  for (unsigned i = 0; i < plan->other_count; i++)
-    {
-      if (draw < plan->other_shares[i])
-        return plan->others[i];
-      draw -= plan->other_shares[i];
-    }
-  return NULL;
+  return draw < plan->other_zone_share ? plan->other_zone : NULL;
 }
 
 /* Returns the share of the local zone's calls that should go to a zone with the
- * supply @other.
- * @shed: share of the calls that the local zone refuses, as far as this is not
- *        due to the demand of its callers */
+ * supply @other. */
 static double
-overflow_share (double shed, const struct supply *other)
+overflow_share (const struct supply *local, const struct supply *other)
 {
   double accepted = MIN (1, other->spare_share / SPARE_SHARE_FULL);
 
   if (other->targets == 0)
     return 0;
   if (other->shed_share <= 0)
-    return MIN (1, OVERFLOW_GAIN * shed) * accepted;
-  return shed - other->shed_share < DIFFERENCE_MIN ? 0
-                                                   : shed - other->shed_share;
-}
-
-/* Returns the share that the local targets of a service refuse although the
- * local zone's callers do not demand so much: calls have come from elsewhere.
- * What its callers demand too much is moved as whole requests. */
-static double
-unexplained_shed (const struct jl_roster *roster,
-                  const char *service,
-                  const struct supply *local)
-{
-  double demand = jl_roster_zone_demand (roster, roster->local_zone, service);
-  double explained
-      = demand > local->capacity ? 1 - local->capacity / demand : 0;
-
-  return MAX (local->shed_share - explained, 0);
+    return MIN (1, OVERFLOW_GAIN * local->shed_share) * accepted;
+  return local->shed_share - other->shed_share < DIFFERENCE_MIN
+             ? 0
+             : local->shed_share - other->shed_share;
 }
 
 struct jl_overflow
@@ -482,15 +448,14 @@
   struct jl_overflow overflow = { .service = g_intern_string (service) };
   struct supply local
       = zone_supply (roster, service, roster->local_zone, now_us);
-  double shed = unexplained_shed (roster, service, &local);
   const char *zone;
   guint index = 0;
 
-  while (shed > 0
+  while (local.shed_share > 0
          && (zone = next_zone (roster, roster->local_zone, &index)) != NULL)
     {
       struct supply other = zone_supply (roster, service, zone, now_us);
-      double share = overflow_share (shed, &other);
+      double share = overflow_share (&local, &other);
 
       if (share <= overflow.share)
         continue;
--- a/source/proxy/plan.h
+++ b/source/proxy/plan.h
@@ -17,7 +17,6 @@
  * have capacity for them.
  */
 
-#include "policy/balance.h"
 #include "proxy/place.h"
 
 /**
@@ -26,11 +25,9 @@
  * @admit_share: share of the requests that is admitted there
  * @limiting_service: service whose overload limits @admit_share, "" for none
  * @shed_share: share of its demand that @limiting_service has to refuse
- * @moved_share: share of the requests not admitted in @zone that goes to other
- *               zones, which have capacity left or refuse less
- * @other_count: number of entries in @others
- * @others: these zones
- * @other_shares: part of @moved_share that goes to each; the sum is 1
+ * @other_zone: zone that has capacity left or refuses less, NULL for none
+ * @other_zone_share: share of the requests not admitted in @zone that goes to
+ *                    @other_zone
  */
 struct jl_plan
 {
@@ -38,10 +35,8 @@
   double admit_share;
   const char *limiting_service;
   double shed_share;
-  double moved_share;
-  unsigned other_count;
-  const char *others[JL_BALANCE_ZONES_MAX];
-  double other_shares[JL_BALANCE_ZONES_MAX];
+  const char *other_zone;
+  double other_zone_share;
 };
 
 /**
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -273,8 +273,7 @@
   proxy->window_count++;
   jl_failure_rate_decay (&proxy->failure_rate);
   jl_load_shedder_end_window (&proxy->load_shedder, proxy->lane.limit,
-                              proxy->lane.waiting,
-                              jl_demand_for_local_target (proxy));
+                              proxy->lane.waiting);
   if (proxy->window_count % FANOUT_PERIOD_WINDOWS == 0)
     {
       jl_fanout_end_window (&proxy->fanout);
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -29,8 +29,6 @@
   roster->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   roster->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
   roster->zones = g_ptr_array_new_with_free_func (g_free);
-  memset (&roster->local, 0, sizeof roster->local);
-  g_strlcpy (roster->local.name, local_zone, sizeof roster->local.name);
   g_strlcpy (roster->local_zone, local_zone, sizeof roster->local_zone);
 }
 
@@ -97,72 +95,6 @@
   member->contact = member->in_other_zone ? get_zone (roster, zone) : NULL;
 }
 
-void
-jl_service_demands_add (struct jl_service_demands *demands,
-                        uint32_t service,
-                        double runs)
-{
-  for (unsigned i = 0; i < demands->count; i++)
-    if (demands->list[i].service == service)
-      {
-        demands->list[i].runs += runs;
-        return;
-      }
-  if (demands->count == JL_SERVICE_DEMANDS_MAX)
-    return;
-  demands->list[demands->count].service = service;
-  demands->list[demands->count].runs = runs;
-  demands->count++;
-}
-
-void
-jl_roster_sum_demands (struct jl_roster *roster, uint64_t now_us)
-{
-  struct jl_service_demands *sum = &roster->local.demands;
-
-  sum->count = 0;
-  for (guint i = 0; i < roster->members->len; i++)
-    {
-      const struct jl_member *member = g_ptr_array_index (roster->members, i);
-
-      if (member->in_other_zone || !jl_member_is_alive (member, now_us))
-        continue;
-      for (unsigned j = 0; j < member->demands.count; j++)
-        jl_service_demands_add (sum, member->demands.list[j].service,
-                                member->demands.list[j].runs);
-    }
-}
-
-/* Returns the contact with a zone, NULL if it is not known. */
-static const struct jl_zone *
-find_zone (const struct jl_roster *roster, const char *name)
-{
-  if (strcmp (name, roster->local_zone) == 0)
-    return &roster->local;
-  for (guint i = 0; i < roster->zones->len; i++)
-    {
-      const struct jl_zone *zone = g_ptr_array_index (roster->zones, i);
-
-      if (strcmp (zone->name, name) == 0)
-        return zone;
-    }
-  return NULL;
-}
-
-double
-jl_roster_zone_demand (const struct jl_roster *roster,
-                       const char *zone,
-                       const char *service)
-{
-  const struct jl_zone *found = find_zone (roster, zone);
-  uint32_t key = jl_name_key (service);
-
-  for (unsigned i = 0; found != NULL && i < found->demands.count; i++)
-    if (found->demands.list[i].service == key)
-      return found->demands.list[i].runs;
-  return 0;
-}
-
 /* Whether @a comes before @b in the order of representatives. */
 static bool
 precedes (const struct jl_member *a, const struct jl_member *b)
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -25,42 +25,17 @@
 /* Number of representatives of a zone. */
 #define JL_REPRESENTATIVES_MAX 2
 
-/* Maximum number of services whose demand is announced. */
-#define JL_SERVICE_DEMANDS_MAX 12
-
-/**
- * struct jl_service_demand - demand of callers for one service
- * @service: key of the service's name
- * @runs: runs a second that their requests would cause, if none were refused
- */
-struct jl_service_demand
-{
-  uint32_t service;
-  double runs;
-};
-
-/**
- * struct jl_service_demands - demand of the callers of a daemon or of a zone
- */
-struct jl_service_demands
-{
-  unsigned count;
-  struct jl_service_demand list[JL_SERVICE_DEMANDS_MAX];
-};
-
 /**
- * struct jl_zone - an availability zone
+ * struct jl_zone - another availability zone
  * @heard_us: time at which a digest or a beacon of it came last, 0 for none
  * @silent: nothing has come of it for so long that it is probably cut off; its
  *          daemons receive no requests
- * @demands: demand of its callers
  */
 struct jl_zone
 {
   char name[JL_TEXT_SIZE];
   uint64_t heard_us;
   bool silent;
-  struct jl_service_demands demands;
 };
 
 /**
@@ -127,7 +102,6 @@
  *               far
  * @fanout: calls that runs at its target make
  * @arrivals: requests that it received as an entry
- * @demands: demand of its callers, which it announces in its own zone
  */
 struct jl_member
 {
@@ -167,7 +141,6 @@
   unsigned fanout_count;
   struct jl_fanout_entry fanout[JL_MEMBER_FANOUT_MAX];
   struct jl_arrivals arrivals;
-  struct jl_service_demands demands;
 };
 
 /**
@@ -176,8 +149,7 @@
  * @by_name: the members by name
  * @by_key: the members by the key of their name
  * @zones: array of struct jl_zone, the other zones that are known
- * @local: the zone of this daemon
- * @local_zone: name of the zone of this daemon
+ * @local_zone: availability zone of this daemon
  */
 struct jl_roster
 {
@@ -185,7 +157,6 @@
   GHashTable *by_name;
   GHashTable *by_key;
   GPtrArray *zones;
-  struct jl_zone local;
   char local_zone[JL_TEXT_SIZE];
 };
 
@@ -214,31 +185,6 @@
                          struct jl_member *member,
                          const char *zone);
 
-/**
- * jl_service_demands_add - adds @runs to the demand for a service, unless the
- * list is full
- * @service: key of its name
- */
-void jl_service_demands_add (struct jl_service_demands *demands,
-                             uint32_t service,
-                             double runs);
-
-/**
- * jl_roster_sum_demands - sums up the demand of the local zone's callers
- */
-void jl_roster_sum_demands (struct jl_roster *roster, uint64_t now_us);
-
-/**
- * jl_roster_zone_demand - returns the demand of a zone's callers for a service
- * @zone: name of the zone
- * @service: name of the service
- *
- * Return: the demand in runs a second, 0 if it is not known.
- */
-double jl_roster_zone_demand (const struct jl_roster *roster,
-                              const char *zone,
-                              const char *service);
-
 /**
  * jl_roster_represents - whether a daemon is among the first
  * JL_REPRESENTATIVES_MAX of its zone that are alive
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -8,8 +8,7 @@
 const BEACON_ARRIVALS_MAX = 32;
 const BEACON_REPORTS_MAX = 64;
 const BEACON_CONTENTS_MAX = 150;
-const BEACON_DIGEST_MAX = 35;
-const BEACON_DEMANDS_MAX = 12;
+const BEACON_DIGEST_MAX = 38;
 
 struct beacon_fanout
 {
@@ -63,20 +62,6 @@
   unsigned int departed;
 };
 
-/* Demand of a daemon's callers, or of those of a zone, for one service. service: key
- * of its name. runs: a second, before any request is refused. */
-struct beacon_demand
-{
-  unsigned int service;
-  unsigned int runs;
-};
-
-/* Follows a beacon_notice in the same datagram. */
-struct beacon_demands
-{
-  beacon_demand demands<BEACON_DEMANDS_MAX>;
-};
-
 /* What a daemon has last announced of itself, as another one passes it on. key:
  * of its name. epoch, sequence: the low 32 bits of those of its last beacon.
  * limit_state: the limit * 256 + the state; BEACON_DEPARTED is added if the target
@@ -106,7 +91,6 @@
   string zone<BEACON_TEXT_MAX>;
   unsigned hyper site_version;
   unsigned hyper store_era;
-  beacon_demand demands<BEACON_DEMANDS_MAX>;
   beacon_state states<BEACON_DIGEST_MAX>;
 };
 
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -18,8 +18,7 @@
 #define BEACON_ARRIVALS_MAX 32
 #define BEACON_REPORTS_MAX 64
 #define BEACON_CONTENTS_MAX 150
-#define BEACON_DIGEST_MAX 35
-#define BEACON_DEMANDS_MAX 12
+#define BEACON_DIGEST_MAX 38
 
 struct beacon_fanout {
 	u_int run;
@@ -73,20 +72,6 @@
 	u_int departed;
 };
 typedef struct beacon_notice beacon_notice;
-
-struct beacon_demand {
-	u_int service;
-	u_int runs;
-};
-typedef struct beacon_demand beacon_demand;
-
-struct beacon_demands {
-	struct {
-		u_int demands_len;
-		beacon_demand *demands_val;
-	} demands;
-};
-typedef struct beacon_demands beacon_demands;
 #define BEACON_DEPARTED 128
 
 struct beacon_state {
@@ -108,10 +93,6 @@
 	char *zone;
 	u_quad_t site_version;
 	u_quad_t store_era;
-	struct {
-		u_int demands_len;
-		beacon_demand *demands_val;
-	} demands;
 	struct {
 		u_int states_len;
 		beacon_state *states_val;
@@ -164,8 +145,6 @@
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
 extern  bool_t xdr_beacon_notice (XDR *, beacon_notice*);
-extern  bool_t xdr_beacon_demand (XDR *, beacon_demand*);
-extern  bool_t xdr_beacon_demands (XDR *, beacon_demands*);
 extern  bool_t xdr_beacon_state (XDR *, beacon_state*);
 extern  bool_t xdr_beacon_digest (XDR *, beacon_digest*);
 extern  bool_t xdr_beacon_relay (XDR *, beacon_relay*);
@@ -179,8 +158,6 @@
 extern bool_t xdr_beacon_message ();
 extern bool_t xdr_beacon_extension ();
 extern bool_t xdr_beacon_notice ();
-extern bool_t xdr_beacon_demand ();
-extern bool_t xdr_beacon_demands ();
 extern bool_t xdr_beacon_state ();
 extern bool_t xdr_beacon_digest ();
 extern bool_t xdr_beacon_relay ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -206,29 +206,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_beacon_demand (XDR *xdrs, beacon_demand *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->service))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->runs))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_beacon_demands (XDR *xdrs, beacon_demands *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, BEACON_DEMANDS_MAX,
-		sizeof (beacon_demand), (xdrproc_t) xdr_beacon_demand))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_beacon_state (XDR *xdrs, beacon_state *objp)
 {
@@ -333,9 +310,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, BEACON_DEMANDS_MAX,
-		sizeof (beacon_demand), (xdrproc_t) xdr_beacon_demand))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->states.states_val, (u_int *) &objp->states.states_len, BEACON_DIGEST_MAX,
 		sizeof (beacon_state), (xdrproc_t) xdr_beacon_state))
 		 return FALSE;
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -87,28 +87,23 @@
 
 /**
  * struct zones - two availability zones with one target each
- * @roster: as it is known in the zone "z1"
- * @far_roster: as it is known in the zone "z2"
  * @near: target of the zone "z1"
  * @far: target of the zone "z2"
  */
 struct zones
 {
   struct jl_roster roster;
-  struct jl_roster far_roster;
   struct model near;
   struct model far;
 };
 
 /* Stores a target's state in the roster, as its beacon would. */
 static void
-announce_zone (struct jl_roster *roster,
-               const char *zone,
-               const struct model *model)
+announce_zone (struct zones *zones, const char *zone, const struct model *model)
 {
-  struct jl_member *member = jl_roster_get_or_add (roster, zone);
+  struct jl_member *member = jl_roster_get_or_add (&zones->roster, zone);
 
-  jl_roster_set_zone (roster, member, zone);
+  jl_roster_set_zone (&zones->roster, member, zone);
   g_strlcpy (member->service, "deep", sizeof member->service);
   member->state = JL_TARGET_UP;
   member->limit = model->lane.limit;
@@ -127,8 +122,8 @@
 
   if (near->step % (JL_CONTROL_WINDOW_US / STEP_US) == 0)
     {
-      announce_zone (&zones->roster, "z1", near);
-      announce_zone (&zones->roster, "z2", &zones->far);
+      announce_zone (zones, "z1", near);
+      announce_zone (zones, "z2", &zones->far);
       *overflow = jl_overflow_compute (&zones->roster, "deep", JL_USEC_PER_SEC);
     }
   for (near->arrivals_due += rate * STEP_US / 1e6; near->arrivals_due >= 1;
@@ -300,31 +295,16 @@
   jl_roster_clear (&cut.roster);
 }
 
-/* Stores the demand of a zone's callers, as its beacons or digests would. */
-static void
-announce_demand (struct jl_roster *roster, const char *zone, double rate)
-{
-  struct jl_zone *contact = jl_roster_get_or_add (roster, zone)->contact;
-
-  if (contact == NULL)
-    contact = &roster->local;
-  contact->demands.count = 0;
-  jl_service_demands_add (&contact->demands, jl_name_key ("deep"), rate);
-}
-
-/* Returns the plan for the requests of clients in the roster's zone. */
+/* Returns the plan for the requests of clients in @zone. */
 static struct jl_plan
-plan_zone (struct zones *zones, struct jl_roster *roster, double rate)
+plan_zone (struct zones *zones, const char *zone, double rate)
 {
   struct jl_demand demand = { .route_key = 1, .rate = rate };
 
   demand.tree.count = 1;
   demand.tree.nodes[0] = (struct jl_call_node){ "deep", 1, JL_NONE };
-  announce_zone (roster, "z1", &zones->near);
-  announce_zone (roster, "z2", &zones->far);
-  announce_demand (roster, "z1", rate);
-  announce_demand (roster, "z2", rate);
-  return jl_plan_compute (roster, &demand, 1, &demand, JL_USEC_PER_SEC);
+  g_strlcpy (zones->roster.local_zone, zone, JL_TEXT_SIZE);
+  return jl_plan_compute (&zones->roster, &demand, 1, &demand, JL_USEC_PER_SEC);
 }
 
 /* Clients of each zone send @rate requests a second. Returns the admitted share
@@ -340,8 +320,10 @@
     {
       if (step % (JL_CONTROL_WINDOW_US / STEP_US) == 0)
         {
-          plans[0] = plan_zone (zones, &zones->roster, rate);
-          plans[1] = plan_zone (zones, &zones->far_roster, rate);
+          announce_zone (zones, "z1", &zones->near);
+          announce_zone (zones, "z2", &zones->far);
+          plans[0] = plan_zone (zones, "z1", rate);
+          plans[1] = plan_zone (zones, "z2", rate);
         }
       for (zones->near.arrivals_due += rate / 1000;
            zones->near.arrivals_due >= 1; zones->near.arrivals_due--)
@@ -375,7 +357,6 @@
 
   g_random_set_seed (1);
   jl_roster_init (&zones.roster, "z1");
-  jl_roster_init (&zones.far_roster, "z2");
   model_init (&zones.near, 14, 96000);
   model_init (&zones.far, 14, 24000);
   run_both_zones (&zones, rate, 5);
@@ -388,7 +369,6 @@
                 "%" PRIu64 " served of %.0f that fit",
                 zones.near.served + zones.far.served, 25 * capacity);
   jl_roster_clear (&zones.roster);
-  jl_roster_clear (&zones.far_roster);
 }
 
 /* Runs of two routes make calls of one route: 2 and 1 for each run. */
--- a/tests/proxy/parts/model.c
+++ b/tests/proxy/parts/model.c
@@ -100,7 +100,7 @@
   model->waiting_sum += model->lane.waiting;
   if (model->step % (JL_CONTROL_WINDOW_US / STEP_US) == 0)
     jl_load_shedder_end_window (&model->shedder, model->lane.limit,
-                                model->lane.waiting, model->demand);
+                                model->lane.waiting);
 }
 
 void
--- a/tests/proxy/parts/model.h
+++ b/tests/proxy/parts/model.h
@@ -27,7 +27,6 @@
  * @served: requests that have run
  * @expired: requests that were removed from the queue because they could not
  *           end in time
- * @demand: requests a second that the entries announce, 0 for none
  * @waiting_sum: queue lengths, summed over all steps
  * @step: number of steps so far
  */
@@ -39,7 +38,6 @@
   unsigned in_transit[DELAY_STEPS];
   unsigned ending[4096];
   double arrivals_due;
-  double demand;
   uint64_t offered;
   uint64_t refused;
   uint64_t served;
--- a/tests/proxy/spread.c
+++ b/tests/proxy/spread.c
@@ -213,7 +213,7 @@
           end_runs (zone, i);
           if ((zone->step + i) % CONTROL_STEPS == 0)
             jl_load_shedder_end_window (&target->shedder, LIMIT,
-                                        target->lane.waiting, 0);
+                                        target->lane.waiting);
           if (zone->step == 0 || (zone->step + 2 * i) % BEACON_STEPS == 0)
             announce (zone, i);
         }
