Leave targets that fail much out of the draw while sound ones are left

Change: candidates of a lower preference are left out: sound targets of the preferred zone, sound ones elsewhere, others.

--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -214,31 +214,40 @@
  * struct candidates - daemons from which one is chosen
  * @list: array of struct candidate
  * @capacity: sum of their capacities
- * @preferred: they are in the preferred zone, and their targets are sound
+ * @preference: of all of them; those with a lower one are left out
  */
 struct candidates
 {
   GArray *list;
   double capacity;
-  bool preferred;
+  unsigned preference;
 };
 
+/* Sound targets of the preferred zone come first, then sound ones of others. */
+static unsigned
+preference_of (const struct jl_member *member, const char *zone)
+{
+  if (member->failure_rate >= FAILURE_RATE_MAX)
+    return 0;
+  return strcmp (member->zone, zone) == 0 ? 2 : 1;
+}
+
 static void
 add_candidate (struct candidates *candidates,
                struct jl_member *member,
                double slot_rate,
-               bool preferred)
+               unsigned preference)
 {
   struct candidate candidate
       = { member, effective_capacity (member, slot_rate) };
 
-  if (preferred && !candidates->preferred)
+  if (preference > candidates->preference)
     {
       g_array_set_size (candidates->list, 0);
       candidates->capacity = 0;
-      candidates->preferred = true;
+      candidates->preference = preference;
     }
-  if (candidates->preferred != preferred)
+  if (preference < candidates->preference)
     return;
   g_array_append_val (candidates->list, candidate);
   candidates->capacity += candidate.capacity;
@@ -316,8 +325,7 @@
           || was_tried (member, tried, tried_count))
         continue;
       add_candidate (&candidates, member, slot_rate,
-                     strcmp (member->zone, zone) == 0
-                         && member->failure_rate < FAILURE_RATE_MAX);
+                     preference_of (member, zone));
     }
   chosen = choose_candidate (&candidates);
   g_array_free (candidates.list, TRUE);
