Let two daemons of each zone follow the store, and others hear from them

Change: the first two daemons of a zone that were heard in the last 1.4 s follow the store; those that cannot reach it come last (beacons say so). The others read both tables at their start, the daemons' rows once their own is written, and fetch configurations from daemons of their zone, from other zones only after 300 ms. Representatives introduce the daemons of their own zone too.

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -50,6 +50,7 @@
   { JL_RECORD_CALL_GRAPH, "call graph" },
   { JL_RECORD_STORE_REACHABILITY, "store" },
   { JL_RECORD_STORE_RESTORED, "store restored" },
+  { JL_RECORD_STORE_FOLLOWED, "store followed" },
   { JL_RECORD_STARTED, "started" },
   { JL_RECORD_STOPPING, "stopping" },
   { JL_RECORD_STOPPED, "stopped" },
--- a/source/proxy/announce.c
+++ b/source/proxy/announce.c
@@ -127,13 +127,14 @@
   struct beacon_extension extension = { member->target_key };
   struct beacon_notice notice
       = { .store_era = store_era, .departed = member->departed };
+  struct beacon_watch watch = { member->store_lost };
   XDR xdr;
 
   xdrmem_create (&xdr, datagram, JL_DATAGRAM_BYTES_MAX, XDR_ENCODE);
   if (!encode_relay (&xdr, member, hops, now_us)
       || !xdr_beacon_message (&xdr, &message)
       || !xdr_beacon_extension (&xdr, &extension)
-      || !xdr_beacon_notice (&xdr, &notice))
+      || !xdr_beacon_notice (&xdr, &notice) || !xdr_beacon_watch (&xdr, &watch))
     return 0;
   return xdr_getpos (&xdr);
 }
@@ -148,6 +149,7 @@
   struct beacon_message message;
   struct beacon_extension extension;
   struct beacon_notice notice;
+  struct beacon_watch watch;
   bool relayed;
   uint64_t heard_us;
 };
@@ -256,6 +258,7 @@
                         message->shed_milli, message->room_milli,
                         message->failing_milli);
   member->site_version = message->site_version;
+  member->store_lost = beacon->watch.store_lost != 0;
   member->last_beacon_us = MAX (member->last_beacon_us, beacon->heard_us);
 }
 
@@ -337,7 +340,7 @@
   return true;
 }
 
-/* Older daemons send no extension, or no notice. */
+/* Older daemons send no extension, no notice, or nothing after it. */
 static void
 decode_extension (XDR *xdr, struct beacon *beacon)
 {
@@ -345,6 +348,8 @@
     beacon->extension.target_key = 0;
   else if (!xdr_beacon_notice (xdr, &beacon->notice))
     beacon->notice = (struct beacon_notice){ 0 };
+  else if (!xdr_beacon_watch (xdr, &beacon->watch))
+    beacon->watch.store_lost = 0;
 }
 
 static bool
--- a/source/proxy/digest.c
+++ b/source/proxy/digest.c
@@ -43,8 +43,8 @@
 
 /**
  * struct introduction - beacons that are being sent to a daemon
- * @to: the daemon: of the local zone, which gets those of the other zones; or
- * of another zone, which gets those of the local zone
+ * @to: the daemon: of the local zone, which gets those of all zones; or of
+ *      another zone, which gets those of the local zone
  * @next: index in the roster of the next one to send
  */
 struct introduction
@@ -476,7 +476,8 @@
           = g_ptr_array_index (members, introduction->next);
       char datagram[JL_DATAGRAM_BYTES_MAX];
 
-      if (is_local (member) == to_local || !jl_member_is_alive (member, now_us))
+      if (member == introduction->to || (!to_local && !is_local (member))
+          || !jl_member_is_alive (member, now_us))
         continue;
       advance_own_sequence (digest, member);
       send_to (digest, introduction->to, datagram,
--- a/source/proxy/digest.h
+++ b/source/proxy/digest.h
@@ -97,8 +97,8 @@
                      uint64_t now_us);
 
 /**
- * jl_digest_introduce - sends the daemons of other zones to a daemon of the
- * local zone that has just started, if this daemon is a representative
+ * jl_digest_introduce - sends the beacons of all known daemons to a daemon of
+ * the local zone that has just started, if this daemon is a representative
  */
 void jl_digest_introduce (struct jl_digest *digest,
                           struct jl_member *member,
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -281,7 +281,7 @@
           &proxy->fanout, proxy->self->fanout, JL_MEMBER_FANOUT_MAX);
     }
   log_shed (proxy, before);
-  jl_rows_update_polling (proxy);
+  jl_rows_update_following (proxy);
   update_self (proxy);
   jl_demand_end_window (proxy);
   jl_entry_check_members (proxy);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -157,6 +157,9 @@
  * @departed_revision_sent: value of the target's departed_revision that was
  *                          last handed to the store client
  * @departed_row_acknowledged: the store has acknowledged the latest row
+ * @daemon_row_acknowledged: the store has acknowledged this daemon's own row
+ * @follows_store: this daemon follows the changes in the store
+ * @store_lost_us: time at which the store became reachable or unreachable
  * @refused_row_pending: this daemon's row of refused contents was written and
  * is not acknowledged yet
  * @era_heard_from: daemon whose beacon named a new era of the store before the
@@ -225,6 +228,9 @@
   bool others_heard;
   unsigned departed_revision_sent;
   bool departed_row_acknowledged;
+  bool daemon_row_acknowledged;
+  bool follows_store;
+  uint64_t store_lost_us;
   bool refused_row_pending;
   const struct jl_member *era_heard_from;
   struct jl_sync *sync;
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -11,6 +11,9 @@
  * intervals. Those of other zones are passed on in digests. */
 #define ALIVE_US (2500 * JL_USEC_PER_MSEC)
 #define OTHER_ZONE_ALIVE_US (4000 * JL_USEC_PER_MSEC)
+/* Time since the last beacon for which a daemon counts as following the store:
+ * a little more than the period of beacons. */
+#define FOLLOWER_HEARD_US (1400 * JL_USEC_PER_MSEC)
 /* Time since the last beacon of an incarnation after which one with a lower
  * epoch may replace it. */
 #define REPLACE_AFTER_US (1500 * JL_USEC_PER_MSEC)
@@ -127,6 +130,32 @@
   return preceding < JL_REPRESENTATIVES_MAX;
 }
 
+/* Whether @a comes before @b among those that follow the store. */
+static bool
+follows_before (const struct jl_member *a, const struct jl_member *b)
+{
+  return a->store_lost != b->store_lost ? b->store_lost : precedes (a, b);
+}
+
+bool
+jl_roster_follows_store (const struct jl_roster *roster,
+                         const struct jl_member *self,
+                         uint64_t now_us)
+{
+  unsigned preceding = 0;
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *other = g_ptr_array_index (roster->members, i);
+
+      if (other != self && other->contact == NULL && other->last_beacon_us != 0
+          && now_us < other->last_beacon_us + FOLLOWER_HEARD_US
+          && follows_before (other, self))
+        preceding++;
+    }
+  return preceding < JL_REPRESENTATIVES_MAX;
+}
+
 unsigned
 jl_roster_list_representatives (const struct jl_roster *roster,
                                 const struct jl_zone *zone,
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -85,6 +85,7 @@
  * @site_version: version of the configuration that it uses
  * @departed: its target itself has announced its leave; a state "leaving" may
  *            also mean that the daemon stops
+ * @store_lost: it cannot reach the store; known of daemons of the local zone
  * @in_other_zone: it is in another zone, and known through digests
  * @contact: contact with its zone, NULL for the local zone
  * @last_beacon_us: time of its last beacon, 0 for none
@@ -127,6 +128,7 @@
   double spare_share;
   double failure_rate;
   uint64_t site_version;
+  bool store_lost;
   bool in_other_zone;
   struct jl_zone *contact;
   uint64_t last_beacon_us;
@@ -195,6 +197,20 @@
                            const struct jl_member *member,
                            uint64_t now_us);
 
+/**
+ * jl_roster_follows_store - whether this daemon follows the changes in the
+ * store for its zone: it is among the first JL_REPRESENTATIVES_MAX of the zone
+ * that were heard just now
+ * @self: this daemon
+ *
+ * Daemons that cannot reach the store come last. The time since a daemon was
+ * heard is shorter than for other purposes: a change must be in force within
+ * two seconds, also if those that follow the store have just ended.
+ */
+bool jl_roster_follows_store (const struct jl_roster *roster,
+                              const struct jl_member *self,
+                              uint64_t now_us);
+
 /**
  * jl_roster_list_representatives - lists the representatives of another zone
  * @list: receives at most JL_REPRESENTATIVES_MAX daemons
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -24,21 +24,24 @@
 #define REFUSED_PREFIX "refused/"
 /* Maximum number of contents in such a row. */
 #define REFUSED_CONTENTS_MAX 16
-/* Time for which a long poll of the store waits for a change. */
-#define SITE_POLL_MS 20000
+/* Time for which a long poll of the store waits for a change. For the
+ * configuration it is short: that limits the delay if the store has lost a
+ * poll.
+ */
+#define SITE_POLL_MS 4000
 #define DAEMON_POLL_MS 25000
+/* Time after its start at which a daemon reads the rows of all daemons although
+ * its own is not written yet. */
+#define DAEMONS_READ_DELAY_US (700 * JL_USEC_PER_MSEC)
 /* Delay between a response and the next poll of the table of daemons, so that
  * the rows of daemons that start together are read in one poll. */
 #define DAEMON_BATCH_US (1 * JL_USEC_PER_SEC)
-/* Long-poll time and number of the daemons of each zone that poll the
- * configuration frequently. The short time limits the delay if the store has
- * lost a poll. The other daemons get the configuration from these daemons. */
-#define SITE_FREQUENT_POLL_MS 4000
-#define FREQUENT_POLLERS_MAX 2
-/* Delay between a response and the next poll at the other daemons, to receive
- * several changes in one poll. It is shorter than the time within which a
- * change must be in force, also at a daemon that receives no beacons. */
-#define SITE_BATCH_US (1200 * JL_USEC_PER_MSEC)
+/* Time after its start in which a daemon does not follow the store: it does not
+ * know yet who else does. */
+#define FOLLOW_START_US (600 * JL_USEC_PER_MSEC)
+/* Time for which a daemon that could not reach the store leaves it to others.
+ */
+#define STORE_LOST_KEPT_US (5 * JL_USEC_PER_SEC)
 
 /* Most of the writes of a daemon when the store was restored, the ratio of the
  * store's rate of writes that they may use, and the least and the most time
@@ -233,21 +236,38 @@
 static void
 on_reachability (void *context, bool reachable, const char *why)
 {
-  const struct jl_proxy *proxy = context;
+  struct jl_proxy *proxy = context;
 
+  if (proxy->self->store_lost == reachable)
+    jl_beacon_send_soon (proxy->beacon);
+  proxy->self->store_lost = !reachable;
+  proxy->store_lost_us = jl_now ();
   jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_REACHABILITY,
              "reached=%d cause=\"%s\" site=%" PRIx64, reachable,
              reachable ? "answered" : why,
              proxy->site != NULL ? proxy->site->version : 0);
 }
 
+/* Reads the rows of all daemons once this daemon's own row is written. Of two
+ * daemons that start together, the one that reads later then sees the other. */
+static void
+read_daemons_once (struct jl_proxy *proxy)
+{
+  if (!proxy->daemon_row_acknowledged)
+    jl_store_read_table (proxy->store, DAEMON_TABLE);
+  proxy->daemon_row_acknowledged = true;
+}
+
 static void
 on_written (void *context, const char *table)
 {
   struct jl_proxy *proxy = context;
 
   if (strcmp (table, DAEMON_TABLE) == 0)
-    proxy->refused_row_pending = false;
+    {
+      proxy->refused_row_pending = false;
+      read_daemons_once (proxy);
+    }
   if (strcmp (table, TARGET_TABLE) != 0)
     return;
   proxy->departed_row_acknowledged = true;
@@ -409,26 +429,6 @@
   .restored = on_restored,
 };
 
-/* Whether this daemon is among the first FREQUENT_POLLERS_MAX daemons of its
- * zone, by name. */
-static bool
-is_frequent_poller (const struct jl_proxy *proxy)
-{
-  unsigned before = 0;
-  uint64_t now_us = jl_now ();
-
-  for (guint i = 0; i < proxy->roster.members->len; i++)
-    {
-      const struct jl_member *member
-          = g_ptr_array_index (proxy->roster.members, i);
-
-      if (!member->in_other_zone && jl_member_is_alive (member, now_us)
-          && strcmp (member->name, proxy->self->name) < 0)
-        before++;
-    }
-  return before < FREQUENT_POLLERS_MAX;
-}
-
 /* Returns the time over which all daemons spread their writes when the store
  * was restored. */
 static uint64_t
@@ -443,16 +443,40 @@
                           RESTORE_SPREAD_MAX_US);
 }
 
+/* Forgets after some time that the store could not be reached: a daemon that
+ * does not follow it makes no calls that would tell. */
+static void
+expire_store_loss (struct jl_proxy *proxy)
+{
+  if (proxy->self->store_lost
+      && jl_now () > proxy->store_lost_us + STORE_LOST_KEPT_US)
+    proxy->self->store_lost = false;
+}
+
+static void
+set_following (struct jl_proxy *proxy, bool follows)
+{
+  if (proxy->follows_store == follows)
+    return;
+  proxy->follows_store = follows;
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_FOLLOWED,
+             "follows=%d reached=%d site=%" PRIx64, follows,
+             !proxy->self->store_lost,
+             proxy->site != NULL ? proxy->site->version : 0);
+  jl_store_set_watched (proxy->store, SITE_TABLE, follows);
+  jl_store_set_watched (proxy->store, DAEMON_TABLE, follows);
+}
+
 void
-jl_rows_update_polling (struct jl_proxy *proxy)
+jl_rows_update_following (struct jl_proxy *proxy)
 {
+  uint64_t now_us = jl_now ();
+
   jl_store_set_restore_spread (proxy->store, restore_spread_us (proxy));
-  if (is_frequent_poller (proxy))
-    jl_store_set_watch_intervals (proxy->store, SITE_TABLE,
-                                  SITE_FREQUENT_POLL_MS, 0);
-  else
-    jl_store_set_watch_intervals (proxy->store, SITE_TABLE, SITE_POLL_MS,
-                                  SITE_BATCH_US);
+  expire_store_loss (proxy);
+  set_following (proxy, now_us > proxy->started_us + FOLLOW_START_US
+                            && jl_roster_follows_store (&proxy->roster,
+                                                        proxy->self, now_us));
 }
 
 void
@@ -464,6 +488,9 @@
   jl_store_set_restore_spread (proxy->store, RESTORE_SPREAD_MIN_US);
   jl_store_read_row (proxy->store, TARGET_TABLE, proxy->options->name);
   write_daemon_row (proxy);
-  jl_store_watch (proxy->store, SITE_TABLE, SITE_FREQUENT_POLL_MS, 0);
-  jl_store_watch (proxy->store, DAEMON_TABLE, DAEMON_POLL_MS, DAEMON_BATCH_US);
+  jl_store_watch (proxy->store, SITE_TABLE, 0, SITE_POLL_MS, 0);
+  jl_store_watch (proxy->store, DAEMON_TABLE, DAEMONS_READ_DELAY_US,
+                  DAEMON_POLL_MS, DAEMON_BATCH_US);
+  jl_store_set_watched (proxy->store, SITE_TABLE, false);
+  jl_store_set_watched (proxy->store, DAEMON_TABLE, false);
 }
--- a/source/proxy/rows.h
+++ b/source/proxy/rows.h
@@ -29,9 +29,12 @@
 void jl_rows_write_refused (struct jl_proxy *proxy);
 
 /**
- * jl_rows_update_polling - sets how this daemon polls the configuration;
+ * jl_rows_update_following - begins or ends following the changes in the store;
  * called once per control window
+ *
+ * A few daemons of each zone follow them. The others hear of a new
+ * configuration from these, and of new daemons from those themselves.
  */
-void jl_rows_update_polling (struct jl_proxy *proxy);
+void jl_rows_update_following (struct jl_proxy *proxy);
 
 #endif
--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -7,9 +7,15 @@
 
 #include <string.h>
 
-/* Delay before a fetch, in which the store may deliver the newer version. */
-#define FETCH_DELAY_US (150 * JL_USEC_PER_MSEC)
-#define FETCH_TIMEOUT_US (1000 * JL_USEC_PER_MSEC)
+/* Delay before a fetch, in which the store may deliver the newer version to a
+ * daemon that follows it. */
+#define FOLLOWER_DELAY_US (150 * JL_USEC_PER_MSEC)
+/* The same before a fetch from another zone, in which a daemon of the local
+ * zone may have got that version. */
+#define OTHER_ZONE_DELAY_US (300 * JL_USEC_PER_MSEC)
+/* Maximum of the random delay otherwise, which spreads the fetches. */
+#define FETCH_DELAY_US (40 * JL_USEC_PER_MSEC)
+#define FETCH_TIMEOUT_US (400 * JL_USEC_PER_MSEC)
 
 /**
  * struct jl_sync - state of the fetch; at most one is in progress
@@ -103,6 +109,16 @@
   jl_loop_start_timer (proxy->loop, timer, FETCH_TIMEOUT_US, on_timeout, sync);
 }
 
+static uint64_t
+fetch_delay_us (const struct jl_proxy *proxy, const struct jl_member *member)
+{
+  if (proxy->follows_store)
+    return FOLLOWER_DELAY_US;
+  if (member->in_other_zone)
+    return OTHER_ZONE_DELAY_US;
+  return (uint64_t)g_random_int_range (0, (gint32)FETCH_DELAY_US);
+}
+
 void
 jl_sync_fetch (struct jl_proxy *proxy, struct jl_member *member)
 {
@@ -115,14 +131,14 @@
       proxy->sync = sync;
     }
   /* Traffic between zones is expensive: prefers a daemon of the local zone. */
-  if (sync->active && sync->upstream == NULL && !member->in_other_zone)
-    sync->member = member;
-  if (sync->active)
+  if (sync->active
+      && (sync->upstream != NULL || member->in_other_zone
+          || !sync->member->in_other_zone))
     return;
   sync->active = true;
   sync->member = member;
-  jl_loop_start_timer (proxy->loop, &sync->timer, FETCH_DELAY_US, on_delay,
-                       sync);
+  jl_loop_start_timer (proxy->loop, &sync->timer,
+                       fetch_delay_us (proxy, member), on_delay, sync);
 }
 
 void
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -62,6 +62,13 @@
   unsigned int departed;
 };
 
+/* Follows a beacon_notice in the same datagram. store_lost: the sender cannot reach
+ * the store. */
+struct beacon_watch
+{
+  unsigned int store_lost;
+};
+
 /* What a daemon has last announced of itself, as another one passes it on. key:
  * of its name. epoch, sequence: the low 32 bits of those of its last beacon.
  * limit_state: the limit * 256 + the state; BEACON_DEPARTED is added if the target
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -72,6 +72,11 @@
 	u_int departed;
 };
 typedef struct beacon_notice beacon_notice;
+
+struct beacon_watch {
+	u_int store_lost;
+};
+typedef struct beacon_watch beacon_watch;
 #define BEACON_DEPARTED 128
 
 struct beacon_state {
@@ -145,6 +150,7 @@
 extern  bool_t xdr_beacon_message (XDR *, beacon_message*);
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
 extern  bool_t xdr_beacon_notice (XDR *, beacon_notice*);
+extern  bool_t xdr_beacon_watch (XDR *, beacon_watch*);
 extern  bool_t xdr_beacon_state (XDR *, beacon_state*);
 extern  bool_t xdr_beacon_digest (XDR *, beacon_digest*);
 extern  bool_t xdr_beacon_relay (XDR *, beacon_relay*);
@@ -158,6 +164,7 @@
 extern bool_t xdr_beacon_message ();
 extern bool_t xdr_beacon_extension ();
 extern bool_t xdr_beacon_notice ();
+extern bool_t xdr_beacon_watch ();
 extern bool_t xdr_beacon_state ();
 extern bool_t xdr_beacon_digest ();
 extern bool_t xdr_beacon_relay ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -206,6 +206,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_watch (XDR *xdrs, beacon_watch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->store_lost))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_state (XDR *xdrs, beacon_state *objp)
 {
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -14,6 +14,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Time in which a proxy decides what depends on the time since its start. */
+#define DECIDED_MS 150
 /* Time for which a proxy that rig_start() returns seems to have run. */
 #define STARTED_AGO_US (2 * JL_USEC_PER_SEC)
 
@@ -69,6 +71,7 @@
 {
   rig_start_now (rig);
   rig->proxy->started_us -= STARTED_AGO_US;
+  rig_run (rig, DECIDED_MS);
 }
 
 static struct sockaddr_in
--- a/tests/proxy/stampede.c
+++ b/tests/proxy/stampede.c
@@ -120,8 +120,8 @@
       g_snprintf (daemon->name, sizeof daemon->name, "d%03u", i);
       daemon->store = jl_store_new (site->loop, net, endpoint, &ops, daemon);
       jl_store_set_restore_spread (daemon->store, spread_ms * JL_USEC_PER_MSEC);
-      jl_store_watch (daemon->store, "op", 20000, 1200 * JL_USEC_PER_MSEC);
-      jl_store_watch (daemon->store, "daemons", 25000, JL_USEC_PER_SEC);
+      jl_store_watch (daemon->store, "op", 0, 20000, 1200 * JL_USEC_PER_MSEC);
+      jl_store_watch (daemon->store, "daemons", 0, 25000, JL_USEC_PER_SEC);
       write_row (daemon);
       run (site, 2);
     }
