Tell contents of the store that end targets to the zone at once

Cause: two daemons of each zone follow the store. A zone that hears of contents that end targets only from the rows of other daemons there, since datagrams between zones are lost, got them from its followers with the next round of open suspects, up to 1 s later; the poll of the table of daemons itself began 1 s after the last answer.

Change: a follower that reads such a row sends it to its zone at once; the poll begins after 100 ms. A row of a daemon whose name is empty or too long is ignored.

--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -34,8 +34,9 @@
  * its own is not written yet. */
 #define DAEMONS_READ_DELAY_US (700 * JL_USEC_PER_MSEC)
 /* Delay between a response and the next poll of the table of daemons, so that
- * the rows of daemons that start together are read in one poll. */
-#define DAEMON_BATCH_US (1 * JL_USEC_PER_SEC)
+ * the rows of daemons that start together are read in few polls. It delays
+ * contents that end targets, too. */
+#define DAEMON_BATCH_US (100 * JL_USEC_PER_MSEC)
 /* Time after its start in which a daemon does not follow the store: it does not
  * know yet who else does. */
 #define FOLLOW_START_US (600 * JL_USEC_PER_MSEC)
@@ -75,8 +76,9 @@
   struct json_object *peer = json_object_object_get (document, "peer");
   struct json_object *zone = json_object_object_get (document, "zone");
   struct jl_endpoint endpoint;
+  size_t name_size = strlen (row->key);
 
-  if (peer != NULL && zone != NULL
+  if (peer != NULL && zone != NULL && name_size > 0 && name_size < JL_TEXT_SIZE
       && jl_endpoint_parse (json_object_get_string (peer), &endpoint))
     {
       struct jl_member *member
@@ -150,8 +152,9 @@
                  json_object_array_get_idx (ends, i));
 }
 
-/* Applies the refused contents that a daemon has written. Writes the own row
- * again if it was changed before it could be read. */
+/* Applies the refused contents that a daemon has written, and tells them to the
+ * zone, of which few daemons follow the store. Writes the own row again if it
+ * was changed before it could be read. */
 static void
 handle_refused_row (struct jl_proxy *proxy, const struct jl_row *row)
 {
@@ -169,6 +172,8 @@
         restore_refused (proxy, refused);
     }
   json_object_put (document);
+  if (count > 0 && proxy->follows_store)
+    jl_news_send_open (proxy->news, NULL, true);
   if (proxy->refused_row_pending
       && strcmp (row->key + strlen (REFUSED_PREFIX), proxy->options->name) == 0)
     jl_rows_write_refused (proxy);
--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -6,7 +6,10 @@
 #include <criterion/criterion.h>
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "proxy/announce.h"
 #include "proxy/parts/rig.h"
 
 /* Calls that a daemon makes at its start: it reads its target's row, writes its
@@ -15,6 +18,9 @@
 /* Time within which a new configuration is in force although the daemons that
  * follow the store have ended just before. */
 #define IN_FORCE_MS 1900
+/* Time within which the zone hears of a content that another zone has found to
+ * end targets. */
+#define TOLD_MS 300
 
 /**
  * struct others - two daemons of the zone that precede this one
@@ -154,3 +160,42 @@
   run_with_others (&rig, &others, 1500);
   cr_assert_eq (version_in_force (&rig), 2);
 }
+
+/* Returns the number of datagrams with reports that have come. */
+static unsigned
+count_report_datagrams (int fd)
+{
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  unsigned count = 0;
+  ssize_t size;
+
+  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
+    count += jl_announce_format (datagram, (size_t)size) == JL_FORMAT_REPORTS;
+  return count;
+}
+
+/* A zone that is cut off from the others hears of such contents only from the
+ * store, and only two of its daemons follow that. */
+Test (follow, contents_that_end_targets_are_told_to_the_zone_at_once)
+{
+  struct rig rig;
+  struct others others;
+  char *text = g_strdup_printf (
+      "{\"refused\":[{\"content\":\"00000000deadbeef\",\"ends\":"
+      "[[7,%" G_GINT64_FORMAT ",false,0],[8,%" G_GINT64_FORMAT ",false,0]]}]}",
+      g_get_real_time () / 1000, g_get_real_time () / 1000);
+  int fd;
+
+  rig_prepare (&rig, 75);
+  write_configuration (&rig, 1);
+  rig_start_now (&rig);
+  fd = rig_open_datagrams (&rig, OTHER_PORT);
+  add_others (&rig, &others, following);
+  run_with_others (&rig, &others, 3000);
+  count_report_datagrams (fd);
+  fake_store_put (&rig.store, "daemons", "refused/d9", text);
+  run_with_others (&rig, &others, TOLD_MS);
+  cr_assert_gt (count_report_datagrams (fd), 0);
+  close (fd);
+  g_free (text);
+}
