Play answers without end and split second copies in the soak

A target or the store sends one of ten parts of an HTTP message without end, fast or slow: a status line, a field, fields, interim answers, a body to close or with a length, chunks, a chunk's size or extension, trailers. The second copy of an answer may come in two packets. A new rule bounds the memory of each proxy to 48 MB.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,9 +43,18 @@
 # Second numbers of the loopback addresses that runs reserve.
 FIRST_ADDRESS_BLOCK = 41
 ADDRESS_BLOCKS = 80
+# Most memory that a proxy may have used, in KB.
+MEMORY_KB_MAX = 48 << 10
+# Kinds of faults. Seeds without --faults choose from the first list, so their plans
+# change if it does; later kinds are in the second list.
+KINDS = ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
+         "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
+         "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
+         "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
+LATER_KINDS = ["endless", "extra_split", "store_endless"]
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow",
-                       "store_restore"}
+                       "store_restore", "store_endless"}
 # Kinds of faults that break no connection of a daemon.
 FAULTS_WITHOUT_BREAKS = FAULTS_OF_NO_DAEMON | {"hup", "term", "double_term", "beacons_lost", "target_leave"}
 # Time for which the beacons of a daemon are lost: longer than others wait for them.
@@ -157,6 +166,13 @@
             with contextlib.suppress(ProcessLookupError):
                 signal.pidfd_send_signal(self.pidfd, number)
 
+    def check_memory(self):
+        """Checks the peak of the running process."""
+        with contextlib.suppress(OSError), open(f"/proc/{self.process.pid}/status") as file:
+            peak = next((int(line.split()[1]) for line in file if line.startswith("VmHWM:")), 0)
+            if peak > MEMORY_KB_MAX:
+                self.site.history.fail("memory", f"{self.name} has used {peak} KB")
+
     async def stop(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
@@ -180,7 +196,9 @@
         # Times of the faults at each daemon, as lists of begin and end.
         self.impairments = defaultdict(list)
         self.breaks = defaultdict(list)
-        self.kinds = arguments.faults.split(",") if arguments.faults else []
+        self.kinds = arguments.faults.split(",") if arguments.faults else KINDS
+        if arguments.faults == "all":
+            self.kinds = KINDS + LATER_KINDS
         self.number = 0
 
     def routes(self, moving_service):
@@ -270,11 +288,7 @@
         """Injects a random fault for a random time; faults may overlap."""
         daemon = self.random.choice(self.daemons)
         duration_s = self.random.uniform(0.3, 4)
-        kind = self.random.choice(
-            self.kinds or ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
-             "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
-             "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
-             "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"])
+        kind = self.random.choice(self.kinds)
         self.faults.append(f"{time.monotonic() - self.started_at:.1f} {kind} {daemon.name} {duration_s:.1f}")
         span = [time.monotonic(), float("inf")]
         if kind not in FAULTS_OF_NO_DAEMON:
@@ -348,6 +362,16 @@
         await asyncio.sleep(duration_s)
         daemon.target.repeated_response_ratio = 0
 
+    async def do_extra_split(self, daemon, duration_s):
+        daemon.target.split_repeated_responses = True
+        await self.do_extra(daemon, duration_s)
+        daemon.target.split_repeated_responses = False
+
+    async def do_endless(self, daemon, duration_s):
+        daemon.target.endless_response_ratio = 0.3
+        await asyncio.sleep(duration_s)
+        daemon.target.endless_response_ratio = 0
+
     async def apply_relay_fault(self, relay, name, value, duration_s):
         relay.impair(**{name: value})
         await asyncio.sleep(duration_s)
@@ -386,6 +410,9 @@
     async def do_store_lost(self, daemon, duration_s):
         await self.apply_store_fault("lost", duration_s)
 
+    async def do_store_endless(self, daemon, duration_s):
+        await self.apply_store_fault("endless", duration_s)
+
     async def do_store_slow(self, daemon, duration_s):
         await self.apply_store_fault("slow", duration_s)
 
@@ -511,6 +538,8 @@
         self.clients_done = True
         await asyncio.gather(*clients)
         self.check_poison()
+        for daemon in self.daemons:
+            daemon.check_memory()
         self.history.check_given_up(self.is_undisturbed)
         return self.history.finish(calm_since)
 
@@ -526,7 +555,7 @@
     parser.add_argument("--seeds", default="1-3", type=read_seeds)
     parser.add_argument("--seconds", default=8.0, type=float)
     parser.add_argument("--daemons", default=6, type=int)
-    parser.add_argument("--faults", default="", help="comma-separated kinds of faults to choose from")
+    parser.add_argument("--faults", default="", help="comma-separated kinds of faults to choose from, or all")
     parser.add_argument("--off", default="")
     parser.add_argument("--expect-failure", default="", help="succeed only if a seed violates this rule")
     arguments = parser.parse_args()
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import random
 import time
 from urllib.parse import parse_qs, urlsplit
 
+from endless import KINDS, send_without_end
 from wire import encode, read_message, reset
 
 
@@ -17,7 +19,7 @@
 
     calm: no fault; busy: status 503; silent: no response; lost: requests take
     effect, but the connection is reset; slow: responses take 0.7 s longer; away:
-    connections are reset.
+    connections are reset; endless: responses have no end.
 
     The store keeps copies of its rows and can come back from one of them.
     """
@@ -119,6 +121,10 @@
                     await asyncio.sleep(3600)
                 if self.mode == "slow":
                     await asyncio.sleep(0.7)
+                if self.mode == "endless":
+                    await send_without_end(writer, random.choice(KINDS), False,
+                                           "HTTP/1.1 200 X", {"Store-Era": self.era})
+                    return
                 if self.mode == "busy":
                     writer.write(encode("HTTP/1.1 503 Busy", {"Store-Era": self.era}))
                     continue
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from endless import KINDS, send_without_end
 from wire import close, encode, read_message, reset
 
 INSTANCE_NUMBERS = itertools.count(1)
@@ -22,6 +23,9 @@
     lost_response_ratio: ratio of the requests that run but whose response is
     lost; repeated_response_ratio: ratio of the responses that are sent a second
     time, 10 ms later.
+    split_repeated_responses: the second one comes in two packets 10 ms apart.
+    endless_response_ratio: ratio of the requests that run and get a response
+    without end.
     """
 
     def __init__(self, history, host, service, slots, seed):
@@ -34,6 +38,8 @@
         self.running = 0
         self.lost_response_ratio = 0.0
         self.repeated_response_ratio = 0.0
+        self.split_repeated_responses = False
+        self.endless_response_ratio = 0.0
         self.draining_since = None
         self.tasks = set()
         self.lock = asyncio.Lock()
@@ -191,6 +197,10 @@
         if self.crashed or self.born != born:
             raise EOFError
         seal = f"{self.id}.{number}"
+        if self.random.random() < self.endless_response_ratio:
+            await send_without_end(writer, self.random.choice(KINDS), self.random.random() < 0.5,
+                                   "HTTP/1.1 200 X", {**echo, "X-Jackdawladder-Server-Seal": seal})
+            raise EOFError
         body = (f"{number} by {self.id} " * self.random.randint(1, 60)).encode()
         self.history.answered(number, seal, body, self.entry_name)
         response = encode(f"HTTP/1.1 {status} X", {**echo, "X-Jackdawladder-Server-Seal": seal}, body)
@@ -201,4 +211,8 @@
         await writer.drain()
         if self.random.random() < self.repeated_response_ratio:
             await asyncio.sleep(0.01)
-            writer.write(response)
+            half = self.random.randrange(1, len(response)) if self.split_repeated_responses else 0
+            if half:
+                writer.write(response[:half])
+                await asyncio.sleep(0.01)
+            writer.write(response[half:])
