--- a/tests/proxy/malformed.c
+++ b/tests/proxy/malformed.c
@@ -15,7 +15,7 @@
  * follows a table and writes a row, while no call succeeds. */
 #define FAILING_CALLS_MAX 30
 /* More than any table of the store has. */
-#define ENDLESS_BYTES (32 * 1024 * 1024)
+#define ENDLESS_BYTES ((size_t)32 << 20)
 
 static void
 on_row (void *context, const struct jl_row *row)
