--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -139,6 +139,28 @@
   cr_assert (rig.proxy->self->store_lost, "and tells the others");
 }
 
+/* Calls of a daemon that does not follow the store any more would be as many as
+ * there are daemons, for as long as the store is away. */
+Test (follow, a_daemon_that_leaves_it_to_others_makes_no_more_calls)
+{
+  struct rig rig;
+  struct others others;
+  unsigned calls;
+
+  rig_prepare (&rig, 76);
+  write_configuration (&rig, 1);
+  rig_start_now (&rig);
+  add_others (&rig, &others, following);
+  run_with_others (&rig, &others, 1000);
+  rig.store.away = true;
+  fake_store_restore (&rig.store, 1);
+  run_with_others (&rig, &others, 1000);
+  cr_assert_not (rig.proxy->follows_store);
+  calls = rig.store.calls;
+  run_with_others (&rig, &others, 2000);
+  cr_assert_eq (rig.store.calls, calls, "%u calls", rig.store.calls - calls);
+}
+
 /* If nobody can reach the store, all who would follow it keep trying. */
 Test (follow, the_return_of_the_store_is_noticed)
 {
