--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -378,7 +378,7 @@
 
   if (age_us >= GUARD_OPEN_US && !proxy->guard_closed)
     close_guard (proxy);
-  if (age_us >= STOP_MIN_US && idle)
+  if (age_us >= STOP_MIN_US && (idle || JL_TEST_DISABLED ("stop")))
     {
       jl_loop_stop (proxy->loop);
       return;
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -15,6 +15,9 @@
 RETRY_WINDOW_S = 10
 # Time after a 502 from which on a target's answer shows that the request was given up.
 GIVEN_UP_S = 0.02
+# Time before the end of a planned stop in which a request may meet the closing of
+# its connection.
+CLOSING_S = 0.05
 # Minimum ratio of successful requests after the last fault.
 RECOVERED_RATIO = 0.9
 
@@ -32,6 +35,8 @@
         self.sent = {}
         self.versions = []
         self.freezes = defaultdict(list)
+        # Times at which each daemon ended a planned stop with nothing in progress.
+        self.stops = defaultdict(list)
         self.violations = []
         self.counts = defaultdict(int)
 
@@ -165,6 +170,18 @@
             if late > GIVEN_UP_S and all(is_undisturbed(name, sent["ended"]) for name in (sent["entry"], daemon)):
                 self.fail("given-up", f"{number} at {sent['entry']} got 502 {late:.2f} s before its target answered")
 
+    def check_cut(self, is_undisturbed):
+        """Checks that no request is cut off by a planned stop of its entry.
+
+        is_undisturbed: whether nothing else has broken connections at a daemon until a time.
+        """
+        for number, sent in self.sent.items():
+            if sent.get("status") != 0 or not is_undisturbed(sent["entry"], sent["ended"]):
+                continue
+            if any(sent["at"] < stop - CLOSING_S and sent["ended"] > stop - CLOSING_S
+                   for stop in self.stops[sent["entry"]]):
+                self.fail("cut", f"{number} at {sent['entry']} is cut off by a planned stop")
+
     def check_recovery(self, since):
         finished = [s for s in self.sent.values() if s["at"] >= since and "status" in s]
         successful = sum(s["status"] == 200 for s in finished)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -138,6 +138,8 @@
             status = await self.process.wait()
             if self.site.ending:
                 return
+            if status == 0:
+                self.site.history.stops[self.name].append(time.monotonic())
             if status not in EXPECTED_EXITS:
                 self.site.history.fail("ends", f"{self.name} exited with status {status}")
             await asyncio.sleep(max(RESTART_S, self.hold_until - time.monotonic()))
@@ -541,6 +543,7 @@
         for daemon in self.daemons:
             daemon.check_memory()
         self.history.check_given_up(self.is_undisturbed)
+        self.history.check_cut(self.is_undisturbed)
         return self.history.finish(calm_since)
 
 
