--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -68,6 +68,21 @@
   return rig->proxy->site != NULL ? rig->proxy->site->version : 0;
 }
 
+/* Starts the daemon beside two others of its zone, and lets @ms pass. */
+static void
+begin (struct rig *rig,
+       struct others *others,
+       unsigned host,
+       const char *const names[2],
+       unsigned ms)
+{
+  rig_prepare (rig, host);
+  write_configuration (rig, 1);
+  rig_start_now (rig);
+  add_others (rig, others, names);
+  run_with_others (rig, others, ms);
+}
+
 static const char *const preceding[2] = { "d1", "d2" };
 static const char *const following[2] = { "d6", "d7" };
 
@@ -76,11 +91,7 @@
   struct rig rig;
   struct others others;
 
-  rig_prepare (&rig, 70);
-  write_configuration (&rig, 1);
-  rig_start_now (&rig);
-  add_others (&rig, &others, preceding);
-  run_with_others (&rig, &others, 1500);
+  begin (&rig, &others, 70, preceding, 1500);
   cr_assert_eq (version_in_force (&rig), 1);
   cr_assert_leq (rig.store.calls, START_CALLS_MAX, "%u calls", rig.store.calls);
   for (unsigned i = 2; i < 12; i++)
@@ -96,11 +107,7 @@
   struct rig rig;
   struct others others;
 
-  rig_prepare (&rig, 71);
-  write_configuration (&rig, 1);
-  rig_start_now (&rig);
-  add_others (&rig, &others, preceding);
-  run_with_others (&rig, &others, 1000);
+  begin (&rig, &others, 71, preceding, 1000);
   write_configuration (&rig, 2);
   rig_run (&rig, IN_FORCE_MS);
   cr_assert_eq (version_in_force (&rig), 2);
@@ -111,11 +118,7 @@
   struct rig rig;
   struct others others;
 
-  rig_prepare (&rig, 72);
-  write_configuration (&rig, 1);
-  rig_start_now (&rig);
-  add_others (&rig, &others, following);
-  run_with_others (&rig, &others, 1000);
+  begin (&rig, &others, 72, following, 1000);
   write_configuration (&rig, 2);
   run_with_others (&rig, &others, 100);
   cr_assert_eq (version_in_force (&rig), 2);
@@ -126,11 +129,7 @@
   struct rig rig;
   struct others others;
 
-  rig_prepare (&rig, 73);
-  write_configuration (&rig, 1);
-  rig_start_now (&rig);
-  add_others (&rig, &others, following);
-  run_with_others (&rig, &others, 1000);
+  begin (&rig, &others, 73, following, 1000);
   cr_assert (rig.proxy->follows_store);
   rig.store.away = true;
   fake_store_restore (&rig.store, 1);
@@ -147,11 +146,7 @@
   struct others others;
   unsigned calls;
 
-  rig_prepare (&rig, 76);
-  write_configuration (&rig, 1);
-  rig_start_now (&rig);
-  add_others (&rig, &others, following);
-  run_with_others (&rig, &others, 1000);
+  begin (&rig, &others, 76, following, 1000);
   rig.store.away = true;
   fake_store_restore (&rig.store, 1);
   run_with_others (&rig, &others, 1000);
@@ -167,11 +162,7 @@
   struct rig rig;
   struct others others;
 
-  rig_prepare (&rig, 74);
-  write_configuration (&rig, 1);
-  rig_start_now (&rig);
-  add_others (&rig, &others, following);
-  run_with_others (&rig, &others, 1000);
+  begin (&rig, &others, 74, following, 1000);
   rig.store.away = true;
   fake_store_restore (&rig.store, 1);
   others.members[0]->store_lost = others.members[1]->store_lost = true;
--- a/tests/proxy/malformed.c
+++ b/tests/proxy/malformed.c
@@ -135,12 +135,13 @@
 
 Test (malformed, an_answer_without_end_is_given_up)
 {
-  char *answer = g_strnfill (ENDLESS_BYTES, ' ');
-  static const char page[] = "{\"rows\":[{\"key\":\"k\"}],\"ver\":5}";
+  char *spaces = g_strnfill (ENDLESS_BYTES, ' ');
+  char *answer
+      = g_strconcat ("{\"rows\":[{\"key\":\"k\"}],\"ver\":5}", spaces, NULL);
 
-  memcpy (answer, page, strlen (page));
   play_answer (83, 200, answer);
   g_free (answer);
+  g_free (spaces);
 }
 
 static const char *const rows_of_daemons[] = {
@@ -222,7 +223,7 @@
 Test (malformed, a_name_of_a_daemon_that_is_too_long_adds_none)
 {
   struct rig rig;
-  char *key = g_strnfill (4 * JL_TEXT_SIZE, 'n');
+  char *key = g_strnfill ((gsize)4 * JL_TEXT_SIZE, 'n');
   guint before;
 
   rig_prepare (&rig, 85);
