--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -6,13 +6,15 @@
 
 
 class Link:
-    """A connection that a relay passes on; `source` is the address of its client.
+    """A connection that a relay passes on.
 
-    None means that the address is not known yet.
+    source: the address of its client, None if it is not known yet; silent: no data
+    passes in either direction any more, without a reset.
     """
 
     def __init__(self, source):
         self.source = source
+        self.silent = False
 
 
 class Relay:
@@ -37,6 +39,7 @@
         self.reset_delay = 0.0
         self.no_datagrams = False
         self.writers = set()
+        self.links = set()
         self.changed = asyncio.Event()
         self.clear_faults()
 
@@ -76,6 +79,7 @@
             return
         self.writers |= {writer, back_writer}
         link = Link(None if self.find_source else "")
+        self.links.add(link)
         if self.find_source:
             port = writer.get_extra_info("peername")[1]
             finding = asyncio.create_task(self.set_source(link, port))
@@ -84,6 +88,7 @@
             self.copy_stream(back_reader, writer, True, link),
         )
         self.writers -= {writer, back_writer}
+        self.links.discard(link)
         if self.find_source:
             finding.cancel()
 
@@ -95,7 +100,8 @@
         return self.cut is not None and (source is None or self.cut(source))
 
     def is_held(self, is_response, link):
-        return self.silent or (is_response and self.one_way) or self.is_cut(link.source)
+        return (self.silent or link.silent or (is_response and self.one_way)
+                or self.is_cut(link.source))
 
     async def copy_stream(self, reader, writer, is_response, link):
         try:
@@ -110,6 +116,11 @@
         except OSError:
             reset(writer)
 
+    def silence_links(self):
+        """Lets nothing pass on the present connections for good; new ones work."""
+        for link in self.links:
+            link.silent = True
+
     def reset_all(self):
         for writer in list(self.writers):
             reset(writer)
