Log how long a follower has not heard from the store, and failed fetches

Callers: 404 for a route that was added, up to 5.5 s after the ack. Cause of this change: the logs did not tell a daemon that waits in vain for the store from one without news, nor show that a fetch from a neighbour had failed. E764: nothing has told for half of config_apply_s (a setting, 2 s if it is missing) that the configuration in force is the newest one; E765: heard again; E744: a fetch that brought nothing, from whom and why.

--- a/source/proxy/options.c
+++ b/source/proxy/options.c
@@ -17,6 +17,10 @@
 #define STORE_WRITES_PER_S_MAX 1000000
 /* Rate of writes of the store if the settings do not name it. */
 #define STORE_WRITES_PER_S_DEFAULT 400
+/* Limits and default of the time within which a configuration must be in force.
+ */
+#define CONFIG_APPLY_MIN_S 0.5
+#define CONFIG_APPLY_DEFAULT_US (2 * JL_USEC_PER_SEC)
 
 static const char *const keys[]
     = { "name",        "zone",           "address",
@@ -25,7 +29,7 @@
         "advertise",   "store",          "metrics_port",
         "heartbeat_s", "grace_s",        "retry_ratio",
         "retry_slack", "retry_window_s", "store_writes_per_s",
-        NULL };
+        "config_apply_s", NULL };
 
 /* Reads a number from 0 to @max, which may have a fraction. */
 static double
@@ -61,6 +65,20 @@
   return (uint64_t)llround (seconds * (double)JL_USEC_PER_SEC);
 }
 
+static uint64_t
+read_config_apply (struct jl_reader *reader, struct json_object *document)
+{
+  uint64_t apply_us;
+
+  if (!jl_read_has_key (document, "config_apply_s"))
+    return CONFIG_APPLY_DEFAULT_US;
+  apply_us = read_seconds (reader, document, "config_apply_s");
+  if (apply_us < (uint64_t)(CONFIG_APPLY_MIN_S * JL_USEC_PER_SEC))
+    jl_reader_fail (reader, "config_apply_s", JL_CONFIG_ERROR_RANGE,
+                    "must be at least %g", CONFIG_APPLY_MIN_S);
+  return apply_us;
+}
+
 static uint32_t
 read_address (struct jl_reader *reader, struct json_object *document)
 {
@@ -100,6 +118,7 @@
   if (jl_read_has_key (document, "store_writes_per_s"))
     options->store_writes_per_s = (unsigned)jl_read_number (
         reader, document, "store_writes_per_s", 1, STORE_WRITES_PER_S_MAX);
+  options->config_apply_us = read_config_apply (reader, document);
   options->heartbeat_us = read_seconds (reader, document, "heartbeat_s");
   options->grace_us = read_seconds (reader, document, "grace_s");
   options->retry_ratio
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -24,6 +24,8 @@
  * @store: endpoint of the platform's store
  * @store_writes_per_s: writes a second that the store allows all daemons
  * together
+ * @config_apply_us: time from the acknowledgement of a configuration within
+ *                   which it must be in force
  * @heartbeat_us: interval of the target's heartbeats
  * @grace_us: time from SIGTERM until the process is killed
  * @retry_ratio: retries allowed for each request to a service
@@ -46,6 +48,7 @@
   uint16_t metrics_port;
   struct jl_endpoint store;
   unsigned store_writes_per_s;
+  uint64_t config_apply_us;
   uint64_t heartbeat_us;
   uint64_t grace_us;
   double retry_ratio;
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -6,6 +6,7 @@
 
 #include "decode.h"
 #include "proxy/demand.h"
+#include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/infer.h"
 #include "proxy/report.h"
@@ -509,6 +510,7 @@
   jl_suspects_init (&proxy->suspects, &suspect_limits);
   proxy->infer = jl_infer_new (proxy);
   proxy->news = jl_news_new (proxy);
+  proxy->freshness = jl_freshness_new (proxy);
 }
 
 struct jl_proxy *
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -119,6 +119,7 @@
 
 struct jl_beacon;
 struct jl_digest_counters;
+struct jl_freshness;
 struct jl_infer;
 struct jl_news;
 struct jl_sync;
@@ -162,6 +163,7 @@
  * @store_lost_us: time at which the store became reachable or unreachable
  * @refused_row_pending: this daemon's row of refused contents was written and
  * is not acknowledged yet
+ * @freshness: age of what this daemon knows of the configuration in the store
  * @era_heard_from: daemon whose beacon named a new era of the store before the
  *                  store itself did, NULL for none
  * @window_count: number of control windows since the start
@@ -232,6 +234,7 @@
   bool follows_store;
   uint64_t store_lost_us;
   bool refused_row_pending;
+  struct jl_freshness *freshness;
   const struct jl_member *era_heard_from;
   struct jl_sync *sync;
   uv_signal_t signals[3];
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -5,6 +5,7 @@
 #include "proxy/rows.h"
 
 #include "policy/content.h"
+#include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/report.h"
 
@@ -399,6 +400,15 @@
   g_free (key);
 }
 
+static void
+on_confirmed (void *context, const char *table, uint64_t as_of_us)
+{
+  const struct jl_proxy *proxy = context;
+
+  if (strcmp (table, SITE_TABLE) == 0)
+    jl_freshness_confirm (proxy->freshness, as_of_us);
+}
+
 /* Writes all rows of this daemon again. */
 static void
 on_restored (void *context, uint64_t before, uint64_t era)
@@ -431,6 +441,7 @@
   .row = on_row,
   .reachable = on_reachability,
   .written = on_written,
+  .confirmed = on_confirmed,
   .restored = on_restored,
 };
 
--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -23,6 +23,7 @@
  * struct jl_sync - state of the fetch; at most one is in progress
  * @member: daemon that has a newer version
  * @upstream: request to @member, NULL during the delay
+ * @began_us: start of that request
  * @timer: the delay, then the timeout
  * @active: a fetch is in progress or delayed
  */
@@ -31,6 +32,7 @@
   struct jl_proxy *proxy;
   struct jl_member *member;
   struct jl_upstream *upstream;
+  uint64_t began_us;
   struct jl_timer timer;
   bool active;
 };
@@ -45,15 +47,34 @@
   sync->active = false;
 }
 
+/* Ends a fetch that has not brought the configuration. */
+static void
+fail_sync (struct jl_sync *sync, const char *why)
+{
+  const struct jl_proxy *proxy = sync->proxy;
+
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_SITE_FETCH_FAILED,
+             "from=%s version=%" PRIx64 " site=%" PRIx64
+             " took_ms=%" PRIu64 " cause=\"%s\"",
+             sync->member->name, sync->member->site_version,
+             proxy->site != NULL ? proxy->site->version : 0,
+             (jl_now () - sync->began_us) / JL_USEC_PER_MSEC, why);
+  end_sync (sync);
+}
+
 static void
 on_response (void *context, struct jl_upstream *upstream)
 {
   struct jl_sync *sync = context;
   const GByteArray *body = jl_upstream_buffered_body (upstream);
 
-  if (jl_upstream_head (upstream)->status == 200)
-    jl_proxy_install (sync->proxy, (const char *)body->data, body->len,
-                      sync->member->name);
+  if (jl_upstream_head (upstream)->status != 200)
+    {
+      fail_sync (sync, "refused");
+      return;
+    }
+  jl_proxy_install (sync->proxy, (const char *)body->data, body->len,
+                    sync->member->name);
   end_sync (sync);
 }
 
@@ -64,7 +85,7 @@
 {
   (void)upstream;
   (void)failure;
-  end_sync (context);
+  fail_sync (context, "connection failed");
 }
 
 static const struct jl_upstream_ops upstream_ops = {
@@ -76,7 +97,7 @@
 on_timeout (void *context, struct jl_timer *timer)
 {
   (void)timer;
-  end_sync (context);
+  fail_sync (context, "no answer in time");
 }
 
 static bool
@@ -99,6 +120,7 @@
       end_sync (sync);
       return;
     }
+  sync->began_us = jl_now ();
   head = g_string_new ("GET " JL_SITE_PATH " HTTP/1.1\r\nHost: peer\r\n\r\n");
   sync->upstream = jl_upstream_open (proxy->peer_pool, sync->member->peer,
                                      false, head, false, &upstream_ops, sync);
