Read the configuration when nothing tells any more that it is the newest

Cause: a call that waits for a change on a connection that passes nothing looks like one without a change until its time is over, 5.5 s after its start. The class of fault: silence was taken for the news that nothing has changed.

The fix: the first follower of a zone calls every 0.35 of config_apply_s and tells its zone as of when its version is the newest; a daemon whose knowledge is older than 0.5 of it reads for itself on a new connection.

The fake store now answers waiting calls at their end, since the daemon takes a late answer for a lost one; a test of restored stores allows 20 s, so that its count of calls is of nothing else.

--- a/source/proxy/announce.h
+++ b/source/proxy/announce.h
@@ -19,6 +19,7 @@
 #define JL_FORMAT_REPORTS 3
 #define JL_FORMAT_DIGEST 4
 #define JL_FORMAT_RELAY 5
+#define JL_FORMAT_FRESHNESS 6
 /* Time for which a daemon of another zone that sends beacons to this one counts
  * as an older daemon. */
 #define JL_OLDER_DAEMON_US (5 * JL_USEC_PER_SEC)
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -12,6 +12,7 @@
 
 #include "proxy/announce.h"
 #include "proxy/digest.h"
+#include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/infer.h"
 #include "proxy/report.h"
@@ -147,6 +148,20 @@
     jl_sync_fetch (proxy, member);
 }
 
+void
+jl_beacon_heard (struct jl_proxy *proxy,
+                 struct jl_member *sender,
+                 uint64_t site_version,
+                 uint64_t store_era)
+{
+  if (jl_store_look_for_era (proxy->store, store_era))
+    proxy->era_heard_from = sender;
+  if (sender->peer.port == 0 || !is_newer_site (proxy, site_version))
+    return;
+  sender->site_version = site_version;
+  jl_sync_fetch (proxy, sender);
+}
+
 static void
 on_heard (void *context,
           struct jl_member *sender,
@@ -154,14 +169,8 @@
           uint64_t store_era)
 {
   struct jl_beacon *beacon = context;
-  struct jl_proxy *proxy = beacon->proxy;
 
-  if (jl_store_look_for_era (proxy->store, store_era))
-    proxy->era_heard_from = sender;
-  if (sender->peer.port == 0 || !is_newer_site (proxy, site_version))
-    return;
-  sender->site_version = site_version;
-  jl_sync_fetch (proxy, sender);
+  jl_beacon_heard (beacon->proxy, sender, site_version, store_era);
 }
 
 static void
@@ -225,6 +234,9 @@
     case JL_FORMAT_RELAY:
       jl_digest_read (beacon->digest, buffer->base, (size_t)size, jl_now ());
       break;
+    case JL_FORMAT_FRESHNESS:
+      jl_freshness_read (beacon->proxy->freshness, buffer->base, (size_t)size);
+      break;
     }
 }
 
--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -4,46 +4,147 @@
 
 #include "proxy/freshness.h"
 
-/* Age from which on it counts as too old, as a ratio of the time within which a
- * configuration must be in force. */
+#include "proxy/announce.h"
+#include "proxy/hooks.h"
+#include "proxy/rows.h"
+#include "rpc/gen/beacon.h"
+
+/* As ratios of the time within which a configuration must be in force: time for
+ * which the long poll of the first follower waits; age from which on a daemon
+ * reads the configuration itself; time over which the daemons of a zone spread
+ * these reads. The age leaves room for an answer that is late. */
+#define POLL_RATIO 0.35
 #define AGE_MAX_RATIO 0.5
+#define SPREAD_RATIO 0.05
+/* Maximum of the first time. */
+#define POLL_MAX_US (4 * JL_USEC_PER_SEC)
 
 /**
  * struct jl_freshness - the age
- * @confirmed_us: time as of which the configuration in force was the newest one
+ * @confirmed_us: time as of which the configuration in force was the newest
+ *                one, 0 if none is known
+ * @heard_version: newer version that another daemon has told of, 0 for none
+ * @heard_as_of_us: time as of which that is the newest one
+ * @heard_from: that daemon
  * @stale: the age was too old, which was logged
- * @timer: ends when it becomes too old
+ * @checking: this daemon reads the configuration itself
+ * @timer: ends when it has to do so
  */
 struct jl_freshness
 {
   struct jl_proxy *proxy;
   uint64_t confirmed_us;
+  uint64_t heard_version;
+  uint64_t heard_as_of_us;
+  const struct jl_member *heard_from;
   bool stale;
+  bool checking;
   struct jl_timer timer;
 };
 
 static uint64_t
-age_max_us (const struct jl_freshness *freshness)
+ratio_us (const struct jl_freshness *freshness, double ratio)
+{
+  return (uint64_t)(ratio * (double)freshness->proxy->options->config_apply_us);
+}
+
+static uint64_t
+site_version (const struct jl_proxy *proxy)
+{
+  return proxy->site != NULL ? proxy->site->version : 0;
+}
+
+unsigned
+jl_freshness_poll_ms (const struct jl_freshness *freshness)
+{
+  uint64_t poll_us = MIN (ratio_us (freshness, POLL_RATIO), POLL_MAX_US);
+
+  return (unsigned)(poll_us / JL_USEC_PER_MSEC);
+}
+
+uint64_t
+jl_freshness_age_ms (const struct jl_freshness *freshness)
+{
+  if (freshness->confirmed_us == 0)
+    return 0;
+  return (jl_now () - freshness->confirmed_us) / JL_USEC_PER_MSEC;
+}
+
+static void
+log_unheard (const struct jl_freshness *freshness, bool reads)
+{
+  const struct jl_proxy *proxy = freshness->proxy;
+
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_UNHEARD,
+             "age_ms=%" PRIu64 " apply_ms=%" PRIu64
+             " follows=%d reached=%d reads=%d site=%" PRIx64,
+             jl_freshness_age_ms (freshness),
+             proxy->options->config_apply_us / JL_USEC_PER_MSEC,
+             proxy->follows_store, !proxy->self->store_lost, reads,
+             site_version (proxy));
+}
+
+static void
+log_heard (const struct jl_freshness *freshness,
+           uint64_t as_of_us,
+           const char *by)
+{
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_HEARD,
+             "by=%s unheard_ms=%" PRIu64 " age_ms=%" PRIu64 " site=%" PRIx64,
+             by, jl_freshness_age_ms (freshness),
+             (jl_now () - as_of_us) / JL_USEC_PER_MSEC,
+             site_version (freshness->proxy));
+}
+
+/* Returns the delay after which this daemon reads the configuration itself once
+ * it is too old: first those that follow the store, which thereby renew their
+ * calls, then the others in random order until one of them has told. */
+static uint64_t
+read_delay_us (const struct jl_freshness *freshness)
 {
-  return (uint64_t)(AGE_MAX_RATIO
-                    * (double)freshness->proxy->options->config_apply_us);
+  uint64_t spread_us = ratio_us (freshness, SPREAD_RATIO);
+  unsigned rank = freshness->proxy->follow_rank;
+
+  if (rank < JL_REPRESENTATIVES_MAX)
+    return rank * spread_us / 4;
+  return (uint64_t)g_random_int_range ((gint32)(spread_us / 2),
+                                       (gint32)spread_us);
 }
 
+static void on_timer (void *context, struct jl_timer *timer);
+
+/* @from_us: time from which on the age counts */
+static void
+start_timer (struct jl_freshness *freshness, uint64_t from_us)
+{
+  uint64_t due_us = from_us + ratio_us (freshness, AGE_MAX_RATIO)
+                    + read_delay_us (freshness);
+
+  jl_timer_start (freshness->proxy->loop->timers, &freshness->timer, due_us,
+                  on_timer, freshness);
+}
+
+/* A daemon that does not reach the store leaves it to others for some time,
+ * unless it follows the store. */
 static void
 on_timer (void *context, struct jl_timer *timer)
 {
   struct jl_freshness *freshness = context;
-  const struct jl_proxy *proxy = freshness->proxy;
+  struct jl_proxy *proxy = freshness->proxy;
+  bool reads = proxy->follows_store || !proxy->self->store_lost;
 
   (void)timer;
-  if (!proxy->follows_store)
+  start_timer (freshness, jl_now ());
+  if (JL_TEST_DISABLED ("freshness"))
     return;
+  if (!freshness->stale)
+    log_unheard (freshness, reads);
   freshness->stale = true;
-  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_UNHEARD,
-             "age_ms=%" PRIu64 " apply_ms=%" PRIu64 " site=%" PRIx64,
-             (jl_now () - freshness->confirmed_us) / JL_USEC_PER_MSEC,
-             proxy->options->config_apply_us / JL_USEC_PER_MSEC,
-             proxy->site != NULL ? proxy->site->version : 0);
+  freshness->checking |= reads;
+  if (!reads)
+    return;
+  proxy->counters.store_checks++;
+  jl_rows_check_site (proxy);
 }
 
 struct jl_freshness *
@@ -55,27 +156,89 @@
   return freshness;
 }
 
+/* Returns false if a later time is known already. */
+static bool
+confirm (struct jl_freshness *freshness, uint64_t as_of_us, const char *by)
+{
+  if (as_of_us <= freshness->confirmed_us)
+    return false;
+  if (freshness->stale)
+    log_heard (freshness, as_of_us, by);
+  freshness->stale = false;
+  freshness->checking = false;
+  freshness->confirmed_us = as_of_us;
+  start_timer (freshness, as_of_us);
+  return true;
+}
+
+void
+jl_freshness_installed (struct jl_freshness *freshness)
+{
+  if (freshness->heard_version == 0
+      || freshness->heard_version != site_version (freshness->proxy))
+    return;
+  confirm (freshness, freshness->heard_as_of_us, freshness->heard_from->name);
+  freshness->heard_version = 0;
+}
+
 static void
-log_heard (const struct jl_freshness *freshness, uint64_t as_of_us)
+tell_zone (const struct jl_freshness *freshness)
 {
   const struct jl_proxy *proxy = freshness->proxy;
+  struct beacon_freshness message = {
+    .format = JL_FORMAT_FRESHNESS,
+    .name = proxy->options->name,
+    .site_version = site_version (proxy),
+    .store_era = jl_store_era (proxy->store),
+    .age_ms = (u_int)jl_freshness_age_ms (freshness),
+  };
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  XDR xdr;
 
-  jl_record (JL_RECORD_CHANGE, JL_RECORD_STORE_HEARD,
-             "unheard_ms=%" PRIu64 " age_ms=%" PRIu64 " site=%" PRIx64,
-             (jl_now () - freshness->confirmed_us) / JL_USEC_PER_MSEC,
-             (jl_now () - as_of_us) / JL_USEC_PER_MSEC,
-             proxy->site != NULL ? proxy->site->version : 0);
+  xdrmem_create (&xdr, datagram, sizeof datagram, XDR_ENCODE);
+  if (xdr_beacon_freshness (&xdr, &message))
+    jl_beacon_send_to_zone (proxy->beacon, true, datagram, xdr_getpos (&xdr));
 }
 
 void
 jl_freshness_confirm (struct jl_freshness *freshness, uint64_t as_of_us)
 {
-  if (as_of_us <= freshness->confirmed_us)
+  bool tells = freshness->proxy->follow_rank == 0 || freshness->checking;
+
+  if (confirm (freshness, as_of_us, "store") && tells)
+    tell_zone (freshness);
+}
+
+/* What another daemon knows holds here once both have the same configuration.
+ */
+static void
+apply (struct jl_freshness *freshness, const struct beacon_freshness *message)
+{
+  struct jl_proxy *proxy = freshness->proxy;
+  struct jl_member *sender
+      = jl_roster_find_key (&proxy->roster, jl_name_key (message->name));
+  uint64_t age_us = message->age_ms * JL_USEC_PER_MSEC;
+  uint64_t now_us = jl_now ();
+
+  if (sender == NULL || sender == proxy->self || age_us >= now_us)
     return;
-  if (freshness->stale)
-    log_heard (freshness, as_of_us);
-  freshness->stale = false;
-  freshness->confirmed_us = as_of_us;
-  jl_timer_start (freshness->proxy->loop->timers, &freshness->timer,
-                  as_of_us + age_max_us (freshness), on_timer, freshness);
+  freshness->heard_version = message->site_version;
+  freshness->heard_as_of_us = now_us - age_us;
+  freshness->heard_from = sender;
+  jl_freshness_installed (freshness);
+  jl_beacon_heard (proxy, sender, message->site_version, message->store_era);
+}
+
+void
+jl_freshness_read (struct jl_freshness *freshness,
+                   const char *datagram,
+                   size_t size)
+{
+  struct beacon_freshness message = { 0 };
+  XDR xdr;
+
+  xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
+  if (xdr_beacon_freshness (&xdr, &message))
+    apply (freshness, &message);
+  xdr_free ((xdrproc_t)xdr_beacon_freshness, &message);
 }
--- a/source/proxy/hooks.h
+++ b/source/proxy/hooks.h
@@ -15,6 +15,7 @@
  * - "drain": a target that is leaving still receives work
  * - "deadline": the entry does not end requests at their deadline
  * - "poison": contents that end targets are not recognized
+ * - "freshness": the age of what is known of the store has no effect
  * - "left": departed incarnations read from the store are ignored
  */
 
--- a/source/proxy/options.c
+++ b/source/proxy/options.c
@@ -22,14 +22,16 @@
 #define CONFIG_APPLY_MIN_S 0.5
 #define CONFIG_APPLY_DEFAULT_US (2 * JL_USEC_PER_SEC)
 
-static const char *const keys[]
-    = { "name",        "zone",           "address",
-        "service",     "target",         "entry",
-        "ready",       "announce",       "peer_port",
-        "advertise",   "store",          "metrics_port",
-        "heartbeat_s", "grace_s",        "retry_ratio",
-        "retry_slack", "retry_window_s", "store_writes_per_s",
-        "config_apply_s", NULL };
+static const char *const keys[] = { "name",           "zone",
+                                    "address",        "service",
+                                    "target",         "entry",
+                                    "ready",          "announce",
+                                    "peer_port",      "advertise",
+                                    "store",          "metrics_port",
+                                    "heartbeat_s",    "grace_s",
+                                    "retry_ratio",    "retry_slack",
+                                    "retry_window_s", "store_writes_per_s",
+                                    "config_apply_s", NULL };
 
 /* Reads a number from 0 to @max, which may have a fraction. */
 static double
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -8,6 +8,7 @@
 #include "decode.h"
 #include "names.h"
 #include "proxy/digest.h"
+#include "proxy/freshness.h"
 #include "proxy/report.h"
 #include "proxy/rows.h"
 #include "proxy/watch.h"
@@ -389,6 +390,8 @@
   append_counter (text, "store_failures_total", store->failures);
   append_counter (text, "store_outdated_total", store->outdated);
   append_counter (text, "store_restores_total", counters->store_restores);
+  append_counter (text, "store_checks_total", counters->store_checks);
+  append_counter (text, "store_age_ms", jl_freshness_age_ms (proxy->freshness));
   append_counter (text, "store_era", jl_store_era (proxy->store));
   append_counter (text, "connections_accepted_total", net->accepted);
   append_counter (text, "connections_made_total", net->connected);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -226,6 +226,7 @@
   g_free (proxy->site_text);
   proxy->site_text = g_memdup2 (text, size);
   proxy->site_size = size;
+  jl_freshness_installed (proxy->freshness);
   jl_beacon_send_soon (proxy->beacon);
   jl_net_set_limits (proxy->net, site->head_bytes_max, site->head_timeout_us,
                      site->idle_timeout_us);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -72,6 +72,8 @@
  * @poison_refused: requests refused because of their content
  * @target_probes: connections opened to find whether the local target has ended
  * @store_restores: times that the store came back from an older copy
+ * @store_checks: reads of the configuration because what was known of it was
+ * too old
  * @beacons_received: datagrams received, including malformed ones
  * @beacons_sent: datagrams sent
  * @request_time: time from a request's arrival at the entry to the end of its
@@ -101,6 +103,7 @@
   uint64_t poison_refused;
   uint64_t target_probes;
   uint64_t store_restores;
+  uint64_t store_checks;
   uint64_t beacons_received;
   uint64_t beacons_sent;
   struct jl_histogram request_time;
@@ -160,6 +163,8 @@
  * @departed_row_acknowledged: the store has acknowledged the latest row
  * @daemon_row_acknowledged: the store has acknowledged this daemon's own row
  * @follows_store: this daemon follows the changes in the store
+ * @follow_rank: number of daemons of the zone that come before this one in
+ *               following them
  * @store_lost_us: time at which the store became reachable or unreachable
  * @refused_row_pending: this daemon's row of refused contents was written and
  * is not acknowledged yet
@@ -232,6 +237,7 @@
   bool departed_row_acknowledged;
   bool daemon_row_acknowledged;
   bool follows_store;
+  unsigned follow_rank;
   uint64_t store_lost_us;
   bool refused_row_pending;
   struct jl_freshness *freshness;
@@ -387,6 +393,15 @@
  */
 void jl_beacon_send_now (struct jl_beacon *beacon);
 
+/**
+ * jl_beacon_heard - acts on the version of the configuration that @sender uses,
+ * and on the era of the store that it knows
+ */
+void jl_beacon_heard (struct jl_proxy *proxy,
+                      struct jl_member *sender,
+                      uint64_t site_version,
+                      uint64_t store_era);
+
 /**
  * jl_beacon_send_datagram - sends a datagram of another format to @peer
  */
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -137,10 +137,10 @@
   return a->store_lost != b->store_lost ? b->store_lost : precedes (a, b);
 }
 
-bool
-jl_roster_follows_store (const struct jl_roster *roster,
-                         const struct jl_member *self,
-                         uint64_t now_us)
+unsigned
+jl_roster_follow_rank (const struct jl_roster *roster,
+                       const struct jl_member *self,
+                       uint64_t now_us)
 {
   unsigned preceding = 0;
 
@@ -153,7 +153,7 @@
           && follows_before (other, self))
         preceding++;
     }
-  return preceding < JL_REPRESENTATIVES_MAX;
+  return preceding;
 }
 
 unsigned
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -198,18 +198,18 @@
                            uint64_t now_us);
 
 /**
- * jl_roster_follows_store - whether this daemon follows the changes in the
- * store for its zone: it is among the first JL_REPRESENTATIVES_MAX of the zone
- * that were heard just now
+ * jl_roster_follow_rank - returns how many daemons of the zone that were heard
+ * just now come before this one in following the changes in the store; the
+ * first JL_REPRESENTATIVES_MAX follow them
  * @self: this daemon
  *
  * Daemons that cannot reach the store come last. The time since a daemon was
  * heard is shorter than for other purposes: a change must be in force within
  * two seconds, also if those that follow the store have just ended.
  */
-bool jl_roster_follows_store (const struct jl_roster *roster,
-                              const struct jl_member *self,
-                              uint64_t now_us);
+unsigned jl_roster_follow_rank (const struct jl_roster *roster,
+                                const struct jl_member *self,
+                                uint64_t now_us);
 
 /**
  * jl_roster_list_representatives - lists the representatives of another zone
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -25,9 +25,8 @@
 #define REFUSED_PREFIX "refused/"
 /* Maximum number of contents in such a row. */
 #define REFUSED_CONTENTS_MAX 16
-/* Time for which a long poll of the store waits for a change. For the
- * configuration it is short: that limits the delay if the store has lost a
- * poll.
+/* Time for which a long poll of the store waits for a change. That of the first
+ * follower for the configuration is proxy/freshness.h's.
  */
 #define SITE_POLL_MS 4000
 #define DAEMON_POLL_MS 25000
@@ -469,6 +468,31 @@
     proxy->self->store_lost = false;
 }
 
+void
+jl_rows_check_site (struct jl_proxy *proxy)
+{
+  jl_store_renew (proxy->store, SITE_TABLE);
+}
+
+/* The first follower calls often, so that all can tell from its silence that
+ * they do not hear of changes. */
+static void
+set_rank (struct jl_proxy *proxy, unsigned rank)
+{
+  bool became_first = rank == 0 && proxy->follow_rank != 0;
+
+  if (rank == proxy->follow_rank)
+    return;
+  proxy->follow_rank = rank;
+  jl_store_set_watch_intervals (proxy->store, SITE_TABLE,
+                                rank == 0 && !JL_TEST_DISABLED ("freshness")
+                                    ? jl_freshness_poll_ms (proxy->freshness)
+                                    : SITE_POLL_MS,
+                                0);
+  if (became_first && proxy->follows_store)
+    jl_rows_check_site (proxy);
+}
+
 static void
 set_following (struct jl_proxy *proxy, bool follows)
 {
@@ -490,15 +514,16 @@
 
   jl_store_set_restore_spread (proxy->store, restore_spread_us (proxy));
   expire_store_loss (proxy);
+  set_rank (proxy, jl_roster_follow_rank (&proxy->roster, proxy->self, now_us));
   set_following (proxy, now_us > proxy->started_us + FOLLOW_START_US
-                            && jl_roster_follows_store (&proxy->roster,
-                                                        proxy->self, now_us));
+                            && proxy->follow_rank < JL_REPRESENTATIVES_MAX);
 }
 
 void
 jl_rows_open (struct jl_proxy *proxy)
 {
   proxy->departed_row_acknowledged = true;
+  proxy->follow_rank = JL_NONE;
   proxy->store = jl_store_new (proxy->loop, proxy->net, proxy->options->store,
                                &store_ops, proxy);
   jl_store_set_restore_spread (proxy->store, RESTORE_SPREAD_MIN_US);
--- a/source/proxy/rows.h
+++ b/source/proxy/rows.h
@@ -28,6 +28,12 @@
  */
 void jl_rows_write_refused (struct jl_proxy *proxy);
 
+/**
+ * jl_rows_check_site - reads the configuration at once if it has changed, on a
+ * new connection to the store
+ */
+void jl_rows_check_site (struct jl_proxy *proxy);
+
 /**
  * jl_rows_update_following - begins or ends following the changes in the store;
  * called once per control window
--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -54,8 +54,8 @@
   const struct jl_proxy *proxy = sync->proxy;
 
   jl_record (JL_RECORD_CHANGE, JL_RECORD_SITE_FETCH_FAILED,
-             "from=%s version=%" PRIx64 " site=%" PRIx64
-             " took_ms=%" PRIu64 " cause=\"%s\"",
+             "from=%s version=%" PRIx64 " site=%" PRIx64 " took_ms=%" PRIu64
+             " cause=\"%s\"",
              sync->member->name, sync->member->site_version,
              proxy->site != NULL ? proxy->site->version : 0,
              (jl_now () - sync->began_us) / JL_USEC_PER_MSEC, why);
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -110,6 +110,18 @@
   unsigned int age_ms;
 };
 
+/* What a daemon tells its zone after an answer of the store. site_version: version
+ * of the configuration that it uses. age_ms: time since the moment as of which that
+ * was the newest one in the store. */
+struct beacon_freshness
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  unsigned hyper site_version;
+  unsigned hyper store_era;
+  unsigned int age_ms;
+};
+
 struct beacon_report
 {
   unsigned int kind;
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -112,6 +112,15 @@
 };
 typedef struct beacon_relay beacon_relay;
 
+struct beacon_freshness {
+	u_int format;
+	char *name;
+	u_quad_t site_version;
+	u_quad_t store_era;
+	u_int age_ms;
+};
+typedef struct beacon_freshness beacon_freshness;
+
 struct beacon_report {
 	u_int kind;
 	u_int flags;
@@ -154,6 +163,7 @@
 extern  bool_t xdr_beacon_state (XDR *, beacon_state*);
 extern  bool_t xdr_beacon_digest (XDR *, beacon_digest*);
 extern  bool_t xdr_beacon_relay (XDR *, beacon_relay*);
+extern  bool_t xdr_beacon_freshness (XDR *, beacon_freshness*);
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
@@ -168,6 +178,7 @@
 extern bool_t xdr_beacon_state ();
 extern bool_t xdr_beacon_digest ();
 extern bool_t xdr_beacon_relay ();
+extern bool_t xdr_beacon_freshness ();
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
 extern bool_t xdr_beacon_reports_extension ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -340,6 +340,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_freshness (XDR *xdrs, beacon_freshness *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->site_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_report (XDR *xdrs, beacon_report *objp)
 {
--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -10,7 +10,9 @@
 #include <unistd.h>
 
 #include "proxy/announce.h"
+#include "proxy/freshness.h"
 #include "proxy/parts/rig.h"
+#include "rpc/gen/beacon.h"
 
 /* Calls that a daemon makes at its start: it reads its target's row, writes its
  * own, and reads the configuration and all daemons. */
@@ -18,24 +20,65 @@
 /* Time within which a new configuration is in force although the daemons that
  * follow the store have ended just before. */
 #define IN_FORCE_MS 1900
+/* Period in which the first follower tells what it has heard of the store. */
+#define TOLD_PERIOD_MS 600
+/* Time within which a new configuration is in force whatever has become of
+ * those that follow the store: three quarters of what the settings allow. */
+#define KNOWN_RATIO 0.75
+/* Calls that a daemon may make in some seconds in which the store is away. */
+#define AWAY_CALLS_MAX 3
 /* Time within which the zone hears of a content that another zone has found to
  * end targets. */
 #define TOLD_MS 300
 
 /**
  * struct others - two daemons of the zone that precede this one
+ * @fd: socket of the first one
+ * @hear_nothing: they hear nothing from the store
+ * @since_told_ms: time since the first one has told what it has heard
  */
 struct others
 {
   struct jl_member *members[2];
+  int fd;
+  bool hear_nothing;
+  unsigned since_told_ms;
 };
 
+static void
+send_freshness (struct rig *rig, int fd, const char *name, unsigned age_ms)
+{
+  struct beacon_freshness message = {
+    .format = JL_FORMAT_FRESHNESS,
+    .name = (char *)name,
+    .site_version = 1,
+    .age_ms = age_ms,
+  };
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, sizeof datagram, XDR_ENCODE);
+  cr_assert (xdr_beacon_freshness (&xdr, &message));
+  rig_send_datagram (rig, fd, datagram, xdr_getpos (&xdr));
+}
+
+static void
+tell_freshness (struct rig *rig, struct others *others)
+{
+  others->since_told_ms += 100;
+  if (others->hear_nothing || others->since_told_ms < TOLD_PERIOD_MS)
+    return;
+  others->since_told_ms = 0;
+  send_freshness (rig, others->fd, others->members[0]->name, 0);
+}
+
 /* Lets time pass in which beacons of the others come. */
 static void
 run_with_others (struct rig *rig, struct others *others, unsigned ms)
 {
   for (unsigned i = 0; i < ms; i += 100)
     {
+      tell_freshness (rig, others);
       for (unsigned j = 0; j < 2; j++)
         others->members[j]->last_beacon_us = jl_now ();
       rig_run (rig, 100);
@@ -45,6 +88,10 @@
 static void
 add_others (struct rig *rig, struct others *others, const char *const names[2])
 {
+  memset (others, 0, sizeof *others);
+  others->fd = socket (AF_INET, SOCK_DGRAM, 0);
+  /* Only the first follower tells. */
+  others->hear_nothing = strcmp (names[0], rig->options.name) > 0;
   for (unsigned i = 0; i < 2; i++)
     others->members[i] = rig_add_member (rig, names[i], "z1", "front");
 }
@@ -113,6 +160,94 @@
   cr_assert_eq (version_in_force (&rig), 2);
 }
 
+/* Lets the time pass in which a change must be known, as a ratio. */
+static void
+run_until_known (struct rig *rig, struct others *others)
+{
+  run_with_others (rig, others,
+                   (unsigned)(KNOWN_RATIO * (double)rig->options.config_apply_us
+                              / (double)JL_USEC_PER_MSEC));
+}
+
+Test (follow, a_change_is_known_although_those_that_follow_hear_nothing)
+{
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 77, preceding, 1500);
+  others.hear_nothing = true;
+  write_configuration (&rig, 2);
+  run_until_known (&rig, &others);
+  cr_assert_eq (version_in_force (&rig), 2);
+  cr_assert_gt (rig.proxy->counters.store_checks, 0);
+}
+
+Test (follow, a_change_is_known_in_time_where_little_time_is_allowed)
+{
+  struct rig rig;
+  struct others others;
+
+  rig_prepare (&rig, 78);
+  rig.options.config_apply_us = JL_USEC_PER_SEC;
+  write_configuration (&rig, 1);
+  rig_start_now (&rig);
+  add_others (&rig, &others, preceding);
+  run_with_others (&rig, &others, 1500);
+  others.hear_nothing = true;
+  write_configuration (&rig, 2);
+  run_until_known (&rig, &others);
+  cr_assert_eq (version_in_force (&rig), 2);
+}
+
+Test (follow, a_change_is_known_although_the_call_that_waits_is_never_answered)
+{
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 79, following, 1500);
+  cr_assert (rig.proxy->follows_store);
+  fake_store_lose_calls (&rig.store, "op");
+  write_configuration (&rig, 2);
+  run_until_known (&rig, &others);
+  cr_assert_eq (version_in_force (&rig), 2);
+}
+
+Test (follow,
+      a_daemon_that_does_not_reach_the_store_leaves_it_alone_for_some_time)
+{
+  struct rig rig;
+  struct others others;
+  unsigned calls;
+
+  begin (&rig, &others, 81, preceding, 1500);
+  others.hear_nothing = true;
+  rig.store.away = true;
+  calls = rig.store.calls;
+  run_with_others (&rig, &others, 4000);
+  cr_assert_gt (rig.store.calls, calls);
+  cr_assert_leq (rig.store.calls, calls + AWAY_CALLS_MAX, "%u calls",
+                 rig.store.calls - calls);
+}
+
+/* What an unknown daemon tells, and what is malformed, shows nothing. */
+Test (follow, only_what_daemons_of_the_zone_tell_counts)
+{
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 82, preceding, 1500);
+  others.hear_nothing = true;
+  run_with_others (&rig, &others, 300);
+  send_freshness (&rig, others.fd, "nobody", 0);
+  send_freshness (&rig, others.fd, "d1", G_MAXUINT32);
+  rig_send_datagram (&rig, others.fd, "\0\0\0\6\0\0\0\3d1", 10);
+  rig_run (&rig, 20);
+  cr_assert_geq (jl_freshness_age_ms (rig.proxy->freshness), 300);
+  send_freshness (&rig, others.fd, "d1", 0);
+  rig_run (&rig, 20);
+  cr_assert_lt (jl_freshness_age_ms (rig.proxy->freshness), 300);
+}
+
 Test (follow, a_daemon_that_follows_hears_of_a_change_at_once)
 {
   struct rig rig;
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -165,6 +165,44 @@
   g_free (from);
 }
 
+/* A feed call that waits for a change until a time. */
+struct fake_feed
+{
+  struct jl_request *request;
+  uint64_t until_us;
+};
+
+/* Keeps a feed call that waits for the time that it names. */
+static void
+keep_feed (struct fake_store *store, struct jl_request *request)
+{
+  struct fake_feed *feed = g_new0 (struct fake_feed, 1);
+  char *text
+      = query_text (jl_head_target (jl_request_head (request)), "waitMs=");
+
+  feed->request = request;
+  feed->until_us
+      = jl_now () + g_ascii_strtoull (text, NULL, 10) * JL_USEC_PER_MSEC;
+  g_ptr_array_add (store->waiting_feeds, feed);
+  g_free (text);
+}
+
+/* Answers the feed calls that have waited long enough. */
+static void
+answer_expired_feeds (struct fake_store *store)
+{
+  for (guint i = store->waiting_feeds->len; i > 0; i--)
+    {
+      struct fake_feed *feed = g_ptr_array_index (store->waiting_feeds, i - 1);
+      struct jl_request *request = feed->request;
+
+      if (feed->until_us > jl_now ())
+        continue;
+      g_ptr_array_remove_index (store->waiting_feeds, i - 1);
+      reply (store, request, 200, json_object_new_array ());
+    }
+}
+
 /* Answers a feed call if there are changes, or if it begins at a version that
  * does not exist. */
 static bool
@@ -232,7 +270,7 @@
     {
       store->feeds += strstr (target, "table=op&") != NULL;
       if (!answer_feed (store, request))
-        g_ptr_array_add (store->waiting_feeds, request);
+        keep_feed (store, request);
       return;
     }
   store->reads++;
@@ -335,7 +373,13 @@
 {
   struct fake_store *store = context;
 
-  g_ptr_array_remove (store->waiting_feeds, request);
+  for (guint i = store->waiting_feeds->len; i > 0; i--)
+    {
+      struct fake_feed *feed = g_ptr_array_index (store->waiting_feeds, i - 1);
+
+      if (feed->request == request)
+        g_ptr_array_remove_index (store->waiting_feeds, i - 1);
+    }
   g_ptr_array_remove (store->held_writes, request);
 }
 
@@ -355,7 +399,7 @@
   store->rows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_row);
   store->held_writes = g_ptr_array_new ();
-  store->waiting_feeds = g_ptr_array_new ();
+  store->waiting_feeds = g_ptr_array_new_with_free_func (g_free);
   store->version = 1;
   store->loop = jl_loop_new ();
   store->net = jl_net_new (store->loop);
@@ -377,8 +421,12 @@
   row->version = ++store->version;
   g_hash_table_replace (store->rows, row_name (table, key), row);
   for (guint i = store->waiting_feeds->len; i > 0; i--)
-    if (answer_feed (store, g_ptr_array_index (store->waiting_feeds, i - 1)))
-      g_ptr_array_remove_index (store->waiting_feeds, i - 1);
+    {
+      struct fake_feed *feed = g_ptr_array_index (store->waiting_feeds, i - 1);
+
+      if (answer_feed (store, feed->request))
+        g_ptr_array_remove_index (store->waiting_feeds, i - 1);
+    }
 }
 
 void
@@ -389,13 +437,30 @@
   store->era++;
   while (store->waiting_feeds->len > 0)
     {
-      struct jl_request *request = g_ptr_array_index (store->waiting_feeds, 0);
+      struct fake_feed *feed = g_ptr_array_index (store->waiting_feeds, 0);
+      struct jl_request *request = feed->request;
 
       g_ptr_array_remove_index (store->waiting_feeds, 0);
       jl_request_abort (request);
     }
 }
 
+void
+fake_store_lose_calls (struct fake_store *store, const char *table)
+{
+  char *word = g_strdup_printf ("table=%s&", table);
+
+  for (guint i = store->waiting_feeds->len; i > 0; i--)
+    {
+      struct fake_feed *feed = g_ptr_array_index (store->waiting_feeds, i - 1);
+      const struct jl_head *head = jl_request_head (feed->request);
+
+      if (strstr (jl_head_target (head), word) != NULL)
+        g_ptr_array_remove_index (store->waiting_feeds, i - 1);
+    }
+  g_free (word);
+}
+
 const char *
 fake_store_get (struct fake_store *store, const char *table, const char *key)
 {
@@ -423,6 +488,7 @@
     {
       uv_run (&loop->uv, UV_RUN_NOWAIT);
       uv_run (&store->loop->uv, UV_RUN_NOWAIT);
+      answer_expired_feeds (store);
       g_usleep (300);
     }
 }
--- a/tests/proxy/parts/fake-store.h
+++ b/tests/proxy/parts/fake-store.h
@@ -21,7 +21,7 @@
  * @hold_writes: apply writes, but answer them only on
  *               fake_store_release_writes()
  * @held_writes: writes that wait for their answer
- * @waiting_feeds: feed calls that wait for a change
+ * @waiting_feeds: feed calls that wait for a change, of struct fake_feed
  * @reads: number of reads of whole tables or single rows
  * @feeds: number of feed calls for the table "op"
  * @writes: number of write calls, also of refused ones
@@ -67,6 +67,12 @@
  */
 void fake_store_restore (struct fake_store *store, uint64_t version);
 
+/**
+ * fake_store_lose_calls - never answers the calls that wait for changes of a
+ * table, as if their connections passed nothing any more
+ */
+void fake_store_lose_calls (struct fake_store *store, const char *table);
+
 /**
  * fake_store_get - returns the value of a row, NULL if there is no such row
  */
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -46,6 +46,7 @@
   options->metrics_port = METRICS_PORT;
   options->store = rig_at (rig, STORE_PORT);
   options->store_writes_per_s = 400;
+  options->config_apply_us = 2 * JL_USEC_PER_SEC;
   options->heartbeat_us = JL_USEC_PER_SEC;
   options->grace_us = 6 * JL_USEC_PER_SEC;
   options->retry_window_us = 10 * JL_USEC_PER_SEC;
--- a/tests/proxy/restore.c
+++ b/tests/proxy/restore.c
@@ -24,6 +24,8 @@
 begin (struct rig *rig, unsigned host)
 {
   rig_prepare (rig, host);
+  /* The daemon calls the store so seldom that a test can count its calls. */
+  rig->options.config_apply_us = 20 * JL_USEC_PER_SEC;
   rig->store.era = 5;
   rig_start (rig);
   rig_run (rig, 600);
