--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -212,6 +212,21 @@
   cr_assert_eq (version_in_force (&rig), 2);
 }
 
+Test (follow,
+      a_new_daemon_is_known_although_the_call_for_rows_is_never_answered)
+{
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 80, following, 1500);
+  run_with_others (&rig, &others, 1000);
+  fake_store_lose_calls (&rig.store, "daemons");
+  fake_store_put (&rig.store, "daemons", "d9",
+                  "{\"peer\":\"127.0.0.1:9\",\"zone\":\"z2\"}");
+  run_with_others (&rig, &others, 2500);
+  cr_assert_not_null (g_hash_table_lookup (rig.proxy->roster.by_name, "d9"));
+}
+
 Test (follow,
       a_daemon_that_does_not_reach_the_store_leaves_it_alone_for_some_time)
 {
