Fetch a configuration from another daemon if the first does not send it

What callers saw: 404 for a route that was added, by daemons that hear of its version from a neighbour that is then stopped or cut off, or the connection to which passes nothing any more.

Cause: one source at a time, and after a failure none until a beacon.

The fix: after a failure the daemon asks another one that has a newer version, of its zone if possible, or the same, on a new connection.

Evidence: daemon/a_configuration_is_taken_from_another_if_the_first_is_stuck failed before and passes now.

--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -18,11 +18,14 @@
 /* Maximum size of a configuration in bytes: that of a page of the store. */
 #define CONFIGURATION_BYTES_MAX ((size_t)2 << 20)
 #define FETCH_TIMEOUT_US (400 * JL_USEC_PER_MSEC)
+/* Maximum number of requests for one configuration. */
+#define FETCH_ATTEMPTS_MAX 2
 
 /**
  * struct jl_sync - state of the fetch; at most one is in progress
  * @member: daemon that has a newer version
  * @upstream: request to @member, NULL during the delay
+ * @attempts: requests made so far
  * @began_us: start of that request
  * @timer: the delay, then the timeout
  * @active: a fetch is in progress or delayed
@@ -32,6 +35,7 @@
   struct jl_proxy *proxy;
   struct jl_member *member;
   struct jl_upstream *upstream;
+  unsigned attempts;
   uint64_t began_us;
   struct jl_timer timer;
   bool active;
@@ -47,7 +51,40 @@
   sync->active = false;
 }
 
-/* Ends a fetch that has not brought the configuration. */
+static bool
+is_behind (const struct jl_sync *sync, const struct jl_member *member)
+{
+  const struct jl_site *site = sync->proxy->site;
+
+  return site == NULL || site->version < member->site_version;
+}
+
+/* Returns another daemon that has a newer version, of the local zone if there
+ * is one there; the same as before if there is no other. */
+static struct jl_member *
+next_member (const struct jl_sync *sync)
+{
+  const GPtrArray *members = sync->proxy->roster.members;
+  struct jl_member *found = NULL;
+
+  for (guint i = 0; i < members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (members, i);
+
+      if (member == sync->proxy->self || member == sync->member
+          || !is_behind (sync, member)
+          || !jl_member_is_alive (member, jl_now ()))
+        continue;
+      if (found == NULL || (found->in_other_zone && !member->in_other_zone))
+        found = member;
+    }
+  return found != NULL ? found : sync->member;
+}
+
+static void send_request (struct jl_sync *sync);
+
+/* Ends a request that has not brought the configuration, and makes another one
+ * unless there were enough. */
 static void
 fail_sync (struct jl_sync *sync, const char *why)
 {
@@ -60,6 +97,11 @@
              proxy->site != NULL ? proxy->site->version : 0,
              (jl_now () - sync->began_us) / JL_USEC_PER_MSEC, why);
   end_sync (sync);
+  if (sync->attempts >= FETCH_ATTEMPTS_MAX)
+    return;
+  sync->active = true;
+  sync->member = next_member (sync);
+  send_request (sync);
 }
 
 static void
@@ -100,37 +142,40 @@
   fail_sync (context, "no answer in time");
 }
 
-static bool
-is_behind (const struct jl_sync *sync)
-{
-  const struct jl_site *site = sync->proxy->site;
-
-  return site == NULL || site->version < sync->member->site_version;
-}
-
+/* After a failure it is made on a new connection, since the idle ones may pass
+ * nothing any more. */
 static void
-on_delay (void *context, struct jl_timer *timer)
+send_request (struct jl_sync *sync)
 {
-  struct jl_sync *sync = context;
   struct jl_proxy *proxy = sync->proxy;
   GString *head;
 
-  if (!is_behind (sync))
-    {
-      end_sync (sync);
-      return;
-    }
+  sync->attempts++;
   sync->began_us = jl_now ();
   head = g_string_new ("GET " JL_SITE_PATH " HTTP/1.1\r\nHost: peer\r\n\r\n");
-  sync->upstream = jl_upstream_open (proxy->peer_pool, sync->member->peer,
-                                     false, head, false, &upstream_ops, sync);
+  sync->upstream
+      = jl_upstream_open (proxy->peer_pool, sync->member->peer,
+                          sync->attempts > 1, head, false, &upstream_ops, sync);
   g_string_free (head, TRUE);
   if (sync->upstream != NULL)
     {
       jl_upstream_buffer_response (sync->upstream, CONFIGURATION_BYTES_MAX);
       jl_upstream_end_body (sync->upstream, false);
     }
-  jl_loop_start_timer (proxy->loop, timer, FETCH_TIMEOUT_US, on_timeout, sync);
+  jl_loop_start_timer (proxy->loop, &sync->timer, FETCH_TIMEOUT_US, on_timeout,
+                       sync);
+}
+
+static void
+on_delay (void *context, struct jl_timer *timer)
+{
+  struct jl_sync *sync = context;
+
+  (void)timer;
+  if (is_behind (sync, sync->member))
+    send_request (sync);
+  else
+    end_sync (sync);
 }
 
 static uint64_t
@@ -160,6 +205,7 @@
           || !sync->member->in_other_zone))
     return;
   sync->active = true;
+  sync->attempts = 0;
   sync->member = member;
   jl_loop_start_timer (proxy->loop, &sync->timer,
                        fetch_delay_us (proxy, member), on_delay, sync);
--- a/tests/proxy/daemon.c
+++ b/tests/proxy/daemon.c
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -216,6 +217,33 @@
   cr_assert_eq (request_count, 1);
 }
 
+Test (daemon, a_configuration_is_taken_from_another_if_the_first_is_stuck)
+{
+  struct rig rig;
+  unsigned request_count;
+  struct jl_member *stuck;
+  struct jl_member *other;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  rig_prepare (&rig, 12);
+  rig_start (&rig);
+  rig_open_peer (&rig, OTHER_PORT, &request_count);
+  address.sin_addr.s_addr = htonl (rig.options.ip);
+  address.sin_port = htons (OTHER_PORT + 1);
+  cr_assert_eq (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  cr_assert_eq (listen (fd, 8), 0);
+  stuck = rig_add_member (&rig, "d6", "z1", "deep");
+  stuck->peer.port = OTHER_PORT + 1;
+  stuck->site_version = 9;
+  other = rig_add_member (&rig, "d7", "z1", "deep");
+  other->site_version = 9;
+  jl_sync_fetch (rig.proxy, stuck);
+  rig_run (&rig, 600);
+  cr_assert_geq (request_count, 1);
+  close (fd);
+}
+
 /* Guards against a retry that is taken from the budget of "deep" only once. A
  * request runs there twice, by calls of "front" and of "middle". */
 Test (daemon, a_repeat_is_paid_for_at_each_service_as_a_whole)
