Let connections to the store fall silent in the soak

The last configuration was also drawn so that every second one moved nothing.

Change: a fault store_links_silent, and with it all connections to the store fall silent 0.2 s before the last configuration, which then moves the route.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -51,7 +51,7 @@
          "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
          "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
          "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
-LATER_KINDS = ["endless", "extra_split", "store_endless"]
+LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent"]
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow",
                        "store_restore", "store_endless"}
@@ -61,6 +61,8 @@
 BEACONS_LOST_S = 6.0
 # Time without faults over which recovery is measured.
 CALM_S = 6.0
+# Time between the silence of connections to the store and the last configuration.
+SILENT_BEFORE_S = 0.2
 # Time between the last fault and the start of that measurement.
 SETTLE_S = 5.0
 
@@ -215,10 +217,14 @@
             ["slow", "idempotent", 1, "deep"],
         ]
 
-    def configure(self):
-        """Writes a new configuration, in which the moving route has a random service."""
+    def configure(self, moves=False):
+        """Writes a new configuration, in which the moving route has a random service.
+
+        moves: it is not the service of the last version.
+        """
         self.version += self.random.randint(1, 3)
-        service = self.random.choice(SERVICES)
+        last = self.history.versions[-1][2] if moves else None
+        service = self.random.choice([name for name in SERVICES if name != last])
         columns = ["name", "host", "prefix", "kind", "timeoutS", "targetLatencyS",
                    "priority", "split", "maxAttempts", "service"]
         rows = []
@@ -395,6 +401,12 @@
         daemon.store_relay.reset_all()
         await self.apply_relay_fault(daemon.store_relay, "refuse", True, duration_s)
 
+    async def do_store_links_silent(self, daemon, duration_s):
+        """Lets nothing pass on the present connections to the store, of this and of some other daemons."""
+        for other in self.daemons:
+            if other is daemon or self.random.random() < 0.5:
+                other.store_relay.silence_links()
+
     async def do_target_reset(self, daemon, duration_s):
         daemon.target_relay.reset_all()
 
@@ -531,8 +543,14 @@
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
         await asyncio.gather(*active_faults)
         await asyncio.sleep(SETTLE_S)
-        # A configuration written while no fault is active must be in force within APPLY_S.
-        self.configure()
+        # A configuration written while no fault is active must be in force within APPLY_S. That
+        # connections to the store have fallen silent excuses nothing: new ones work.
+        silent = "store_links_silent" in self.kinds
+        if silent:
+            for daemon in self.daemons:
+                daemon.store_relay.silence_links()
+            await asyncio.sleep(SILENT_BEFORE_S)
+        self.configure(moves=silent)
         last = self.history.versions[-1]
         self.history.versions[-1] = (time.monotonic(), last[1], last[2], True)
         calm_since = time.monotonic()
