--- a/tests/proxy/decode.c
+++ b/tests/proxy/decode.c
@@ -138,6 +138,19 @@
       "\"state\":\"ready\",\"sequence\":4,\"born\":1.5}"));
 }
 
+static bool
+is_valid_apply_time (const char *settings, const char *seconds)
+{
+  char *text = g_strdup_printf ("%.*s,\"config_apply_s\":%s}",
+                                (int)strlen (settings) - 1, settings, seconds);
+  struct jl_options *options = jl_options_parse (text, strlen (text), NULL);
+  bool valid = options != NULL;
+
+  g_free (options);
+  g_free (text);
+  return valid;
+}
+
 Test (decode, settings)
 {
   static const char text[]
@@ -154,6 +167,11 @@
   cr_assert_not_null (options);
   cr_assert_eq (options->heartbeat_us, 1500 * JL_USEC_PER_MSEC);
   cr_assert_eq (options->store.port, 9);
+  cr_assert_eq (options->config_apply_us, 2 * JL_USEC_PER_SEC);
+  cr_assert (is_valid_apply_time (text, "15"));
+  cr_assert (is_valid_apply_time (text, "0.5"));
+  cr_assert_not (is_valid_apply_time (text, "0.4"));
+  cr_assert_not (is_valid_apply_time (text, "\"2\""));
   g_free (options);
   wrong = g_strdup (text);
   strstr (wrong, "47")[0] = '"';
