Let few daemons read a store that is slow, and not again and again

Cause: a read that takes longer than the allowed age is too old when it ends, so each daemon read without a pause and told its zone each time; and the reads of a zone were spread evenly, so that many began before the first had told.

The fix: a slow read (over 0.1 of config_apply_s) delays further ones by 1.5 times its duration, for 5 s; delays are drawn from a density that rises exponentially over 0.1 of it, so that about one daemon comes first. The bound is now 0.6 of config_apply_s and an answer.

--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -9,13 +9,21 @@
 #include "proxy/rows.h"
 #include "rpc/gen/beacon.h"
 
+#include <math.h>
+
 /* As ratios of the time within which a configuration must be in force: time for
  * which the long poll of the first follower waits; age from which on a daemon
  * reads the configuration itself; time over which the daemons of a zone spread
  * these reads. The age leaves room for an answer that is late. */
 #define POLL_RATIO 0.35
 #define AGE_MAX_RATIO 0.5
-#define SPREAD_RATIO 0.05
+#define SPREAD_RATIO 0.1
+/* The same: time that a read takes from a store which counts as slow. */
+#define SLOW_RATIO 0.1
+/* Time for which a slow read delays further ones, in times of its duration and
+ * in all: a read that takes longer than news from others brings nothing new. */
+#define SLOW_READ_FACTOR 1.5
+#define SLOW_KEPT_US (5 * JL_USEC_PER_SEC)
 /* Maximum of the first time. */
 #define POLL_MAX_US (4 * JL_USEC_PER_SEC)
 
@@ -28,6 +36,8 @@
  * @heard_from: that daemon
  * @stale: the age was too old, which was logged
  * @checking: this daemon reads the configuration itself
+ * @read_us: duration of its last read, 0 for none
+ * @read_ended_us: end of that
  * @timer: ends when it has to do so
  */
 struct jl_freshness
@@ -39,6 +49,8 @@
   const struct jl_member *heard_from;
   bool stale;
   bool checking;
+  uint64_t read_us;
+  uint64_t read_ended_us;
   struct jl_timer timer;
 };
 
@@ -96,19 +108,40 @@
              site_version (freshness->proxy));
 }
 
+/* Returns a random number from 0 to 1, of which few of @count draws are small:
+ * their density rises exponentially, so that about one of them comes first. */
+static double
+draw_late (unsigned count)
+{
+  double rise = log (count) + 1;
+
+  return log1p (g_random_double () * expm1 (rise)) / rise;
+}
+
 /* Returns the delay after which this daemon reads the configuration itself once
  * it is too old: first those that follow the store, which thereby renew their
  * calls, then the others in random order until one of them has told. */
 static uint64_t
 read_delay_us (const struct jl_freshness *freshness)
 {
+  const struct jl_proxy *proxy = freshness->proxy;
   uint64_t spread_us = ratio_us (freshness, SPREAD_RATIO);
-  unsigned rank = freshness->proxy->follow_rank;
 
-  if (rank < JL_REPRESENTATIVES_MAX)
-    return rank * spread_us / 4;
-  return (uint64_t)g_random_int_range ((gint32)(spread_us / 2),
-                                       (gint32)spread_us);
+  if (proxy->follow_rank < JL_REPRESENTATIVES_MAX)
+    return proxy->follow_rank * spread_us / 8;
+  return spread_us / 4
+         + (uint64_t)(draw_late (proxy->roster.members->len) * (double)spread_us
+                      * 3 / 4);
+}
+
+/* Returns the time by which reads are delayed since the store is slow. */
+static uint64_t
+slowness_us (const struct jl_freshness *freshness)
+{
+  if (freshness->read_us < ratio_us (freshness, SLOW_RATIO)
+      || jl_now () > freshness->read_ended_us + SLOW_KEPT_US)
+    return 0;
+  return (uint64_t)(SLOW_READ_FACTOR * (double)freshness->read_us);
 }
 
 static void on_timer (void *context, struct jl_timer *timer);
@@ -118,7 +151,7 @@
 start_timer (struct jl_freshness *freshness, uint64_t from_us)
 {
   uint64_t due_us = from_us + ratio_us (freshness, AGE_MAX_RATIO)
-                    + read_delay_us (freshness);
+                    + slowness_us (freshness) + read_delay_us (freshness);
 
   jl_timer_start (freshness->proxy->loop->timers, &freshness->timer, due_us,
                   on_timer, freshness);
@@ -205,6 +238,11 @@
 {
   bool tells = freshness->proxy->follow_rank == 0 || freshness->checking;
 
+  if (freshness->checking)
+    {
+      freshness->read_ended_us = jl_now ();
+      freshness->read_us = jl_now () - as_of_us;
+    }
   if (confirm (freshness, as_of_us, "store") && tells)
     tell_zone (freshness);
 }
--- a/source/proxy/freshness.h
+++ b/source/proxy/freshness.h
@@ -13,7 +13,7 @@
  * From the acknowledgement of a configuration until it is in force at a daemon
  * that reaches the store, it takes at most, as ratios of the time that the
  * settings allow (config_apply_s): the maximum age, 0.5, the spread of the
- * daemons' calls, 0.05, and an answer of the store.
+ * daemons' reads, 0.1, and an answer of the store.
  */
 
 #include "proxy/proxy.h"
--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -25,6 +25,8 @@
 /* Time within which a new configuration is in force whatever has become of
  * those that follow the store: three quarters of what the settings allow. */
 #define KNOWN_RATIO 0.75
+/* Reads of a slow store that a daemon may make in six seconds. */
+#define SLOW_READS_MAX 3
 /* Calls that a daemon may make in some seconds in which the store is away. */
 #define AWAY_CALLS_MAX 3
 /* Time within which the zone hears of a content that another zone has found to
@@ -244,6 +246,21 @@
                  rig.store.calls - calls);
 }
 
+/* Reads that take longer than the allowed age would follow each other without a
+ * pause, at all daemons. */
+Test (follow, a_slow_store_is_not_read_again_and_again)
+{
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 83, preceding, 1500);
+  others.hear_nothing = true;
+  rig.store.late_ms = 1200;
+  run_with_others (&rig, &others, 6000);
+  cr_assert_gt (rig.proxy->counters.store_checks, 0);
+  cr_assert_leq (rig.proxy->counters.store_checks, SLOW_READS_MAX);
+}
+
 /* What an unknown daemon tells, and what is malformed, shows nothing. */
 Test (follow, only_what_daemons_of_the_zone_tell_counts)
 {
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -181,8 +181,9 @@
       = query_text (jl_head_target (jl_request_head (request)), "waitMs=");
 
   feed->request = request;
-  feed->until_us
-      = jl_now () + g_ascii_strtoull (text, NULL, 10) * JL_USEC_PER_MSEC;
+  feed->until_us = jl_now ()
+                   + (g_ascii_strtoull (text, NULL, 10) + store->late_ms)
+                         * JL_USEC_PER_MSEC;
   g_ptr_array_add (store->waiting_feeds, feed);
   g_free (text);
 }
@@ -269,7 +270,7 @@
   if (g_str_has_prefix (target, "/api/rows-feed"))
     {
       store->feeds += strstr (target, "table=op&") != NULL;
-      if (!answer_feed (store, request))
+      if (store->late_ms > 0 || !answer_feed (store, request))
         keep_feed (store, request);
       return;
     }
--- a/tests/proxy/parts/fake-store.h
+++ b/tests/proxy/parts/fake-store.h
@@ -15,6 +15,7 @@
  * @era: era that its answers name, 0 for none
  * @page_rows: rows in a page of a table, 0 for all
  * @away: closes each connection at once
+ * @late_ms: time by which answers to feed calls are late
  * @silent_table: table whose reads are never answered, NULL for none
  * @raw_answer: body of all answers instead of the right ones, NULL for none
  * @raw_status: status of these answers
@@ -36,6 +37,7 @@
   uint64_t era;
   unsigned page_rows;
   bool away;
+  unsigned late_ms;
   const char *silent_table;
   const char *raw_answer;
   unsigned raw_status;
--- a/tests/soak/apply.py
+++ b/tests/soak/apply.py
@@ -53,7 +53,6 @@
 LAG_MAX_S = 0.2
 # Number of daemons of a zone that follow the store.
 FOLLOWERS = 2
-INSTALLED = re.compile(r"^E741 .* t=([\d.]+) version=([0-9a-f]+) ")
 FOLLOWED = re.compile(r"^E763 .* follows=(\d)")
 
 
@@ -62,16 +61,11 @@
         super().__init__(arguments, seed, directory)
         self.play = arguments
         self.changes = []
-        self.lag = Lag()
 
     def routes(self, moving_service):
         added = [[f"added{i}", "idempotent", 1, "front"] for i in range(len(self.changes))]
         return super().routes(moving_service) + added
 
-    def log_lines(self, daemon):
-        with open(os.path.join(self.directory, f"{daemon.name}.log")) as file:
-            return file.read().splitlines()
-
     def follows(self, daemon):
         found = [m.group(1) for line in self.log_lines(daemon) if (m := FOLLOWED.match(line))]
         return bool(found) and found[-1] == "1"
@@ -118,17 +112,10 @@
             return answer.status != 404
         return False
 
-    def installed_at(self, daemon, version):
-        """Returns the time at which a daemon knew a version or a later one, None if never."""
-        for line in self.log_lines(daemon):
-            match = INSTALLED.match(line)
-            if match and int(match.group(2), 16) >= version:
-                return float(match.group(1))
-        return None
-
     async def run_scenario(self):
         await asyncio.sleep(START_S + self.random.uniform(0, POLL_S))
         affected = self.choose_affected()
+        self.lag = Lag()
         measuring = asyncio.create_task(self.lag.measure())
         for daemon in affected:
             self.begin_state(daemon)
@@ -144,7 +131,7 @@
         last = f"added{len(self.changes) - 1}"
         unserved = [d.name for d in watched if not await self.is_served(d, last)]
         await asyncio.sleep(AFTER_S - self.play.bound)
-        self.delays = [self.delay(daemon, at, version)
+        self.delays = [self.apply_delay(daemon, at, version)
                        for at, version in self.changes for daemon in watched]
         violations = [f"apply: {self.play.state}: a change is known after {delay:.2f} s, "
                       f"bound {self.play.bound:.2f}" for delay in self.delays if delay > self.play.bound][:5]
@@ -152,10 +139,6 @@
             violations.append(f"apply: {len(unserved)} daemons do not serve the last route: {unserved}")
         return violations
 
-    def delay(self, daemon, at, version):
-        installed = self.installed_at(daemon, version)
-        return float("inf") if installed is None else max(installed - at, 0.0)
-
 
 def keep_logs(directory, keep):
     os.makedirs(keep, exist_ok=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,9 @@
 import json
 import os
 import random
+import re
 import signal
+import statistics
 import sys
 import tempfile
 import time
@@ -27,6 +29,7 @@
 
 from deadly import CONTACT_S, LATE_ARRIVALS_MAX, DeadlyContents  # noqa: E402
 from history import History  # noqa: E402
+from lag import Lag  # noqa: E402
 from relay import Relay  # noqa: E402
 from store import Store  # noqa: E402
 from target import Target  # noqa: E402
@@ -57,6 +60,8 @@
                        "store_restore", "store_endless"}
 # Kinds of faults that break no connection of a daemon.
 FAULTS_WITHOUT_BREAKS = FAULTS_OF_NO_DAEMON | {"hup", "term", "double_term", "beacons_lost", "target_leave"}
+# Line of a daemon's log with the time at which it has installed a configuration.
+INSTALLED = re.compile(r"^E741 .* t=([\d.]+) version=([0-9a-f]+) ")
 # Time for which the beacons of a daemon are lost: longer than others wait for them.
 BEACONS_LOST_S = 6.0
 # Time without faults over which recovery is measured.
@@ -260,6 +265,25 @@
         if connection is not None:
             await close(connection[1])
 
+    def log_lines(self, daemon):
+        with open(os.path.join(self.directory, f"{daemon.name}.log"), errors="replace") as file:
+            return file.read().splitlines()
+
+    def apply_delay(self, daemon, written_at, version):
+        """Returns the time after which a daemon knew a version or a later one, by its log."""
+        for line in self.log_lines(daemon):
+            match = INSTALLED.match(line)
+            if match and int(match.group(2), 16) >= version:
+                return max(float(match.group(1)) - written_at, 0.0)
+        return float("inf")
+
+    def describe_last_configuration(self, written_at):
+        """Returns a line that tells lateness of the daemons from that of this process."""
+        delays = [self.apply_delay(daemon, written_at, self.version) for daemon in self.daemons]
+        return (f"last configuration known after {statistics.median(delays):.2f} s in the median, "
+                f"{max(delays):.2f} s at most, by the daemons' logs; this process was late by "
+                f"{self.lag.mostly_s():.2f} s in 99 of 100 measurements, {self.lag.most_s():.2f} s at most")
+
     def choose_target(self, kind, choice):
         return f"/{kind}/{choice.randint(1, 1000)}"
 
@@ -551,10 +575,15 @@
                 daemon.store_relay.silence_links()
             await asyncio.sleep(SILENT_BEFORE_S)
         self.configure(moves=silent)
+        written_at = time.time()
+        self.lag = Lag()
+        measuring = asyncio.create_task(self.lag.measure())
         last = self.history.versions[-1]
         self.history.versions[-1] = (time.monotonic(), last[1], last[2], True)
         calm_since = time.monotonic()
         await asyncio.sleep(CALM_S)
+        measuring.cancel()
+        self.summary = self.describe_last_configuration(written_at)
         self.clients_done = True
         await asyncio.gather(*clients)
         self.check_poison()
@@ -594,6 +623,7 @@
                 continue
             print(f"{'not ok' if violations else 'ok'} soak-{seed}", flush=True)
             print(f"  {counts}; {len(site.faults)} faults")
+            print(f"  {site.summary}")
             if violations:
                 failed += 1
                 failure_dir = os.path.join("out", "soak", str(seed))
