Do not tell the zone what a slow read of the store has brought

Cause: each daemon that had read the configuration itself told its zone, so that others need not. News of a slow read is too old for that when it comes: all 75 daemons of a zone read, and each told 74 others.

The fix: only the first follower, and a daemon whose read was quick, tells.

--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -236,12 +236,14 @@
 void
 jl_freshness_confirm (struct jl_freshness *freshness, uint64_t as_of_us)
 {
-  bool tells = freshness->proxy->follow_rank == 0 || freshness->checking;
+  bool tells = freshness->proxy->follow_rank == 0;
 
   if (freshness->checking)
     {
       freshness->read_ended_us = jl_now ();
       freshness->read_us = jl_now () - as_of_us;
+      /* Slow news comes too late to spare others their reads. */
+      tells |= slowness_us (freshness) == 0;
     }
   if (confirm (freshness, as_of_us, "store") && tells)
     tell_zone (freshness);
--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -246,19 +246,36 @@
                  rig.store.calls - calls);
 }
 
+/* Returns the number of datagrams of a format that have come. */
+static unsigned
+count_datagrams (int fd, unsigned format)
+{
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  unsigned count = 0;
+  ssize_t size;
+
+  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
+    count += jl_announce_format (datagram, (size_t)size) == format;
+  return count;
+}
+
 /* Reads that take longer than the allowed age would follow each other without a
- * pause, at all daemons. */
+ * pause, at all daemons, which would tell all others each time. */
 Test (follow, a_slow_store_is_not_read_again_and_again)
 {
   struct rig rig;
   struct others others;
+  int fd;
 
   begin (&rig, &others, 83, preceding, 1500);
+  fd = rig_open_datagrams (&rig, OTHER_PORT);
   others.hear_nothing = true;
   rig.store.late_ms = 1200;
   run_with_others (&rig, &others, 6000);
   cr_assert_gt (rig.proxy->counters.store_checks, 0);
   cr_assert_leq (rig.proxy->counters.store_checks, SLOW_READS_MAX);
+  cr_assert_eq (count_datagrams (fd, JL_FORMAT_FRESHNESS), 0);
+  close (fd);
 }
 
 /* What an unknown daemon tells, and what is malformed, shows nothing. */
@@ -341,19 +358,6 @@
   cr_assert_eq (version_in_force (&rig), 2);
 }
 
-/* Returns the number of datagrams with reports that have come. */
-static unsigned
-count_report_datagrams (int fd)
-{
-  char datagram[JL_DATAGRAM_BYTES_MAX];
-  unsigned count = 0;
-  ssize_t size;
-
-  while ((size = recv (fd, datagram, sizeof datagram, MSG_DONTWAIT)) > 0)
-    count += jl_announce_format (datagram, (size_t)size) == JL_FORMAT_REPORTS;
-  return count;
-}
-
 /* A zone that is cut off from the others hears of such contents only from the
  * store, and only two of its daemons follow that. */
 Test (follow, contents_that_end_targets_are_told_to_the_zone_at_once)
@@ -372,10 +376,10 @@
   fd = rig_open_datagrams (&rig, OTHER_PORT);
   add_others (&rig, &others, following);
   run_with_others (&rig, &others, 3000);
-  count_report_datagrams (fd);
+  count_datagrams (fd, JL_FORMAT_REPORTS);
   fake_store_put (&rig.store, "daemons", "refused/d9", text);
   run_with_others (&rig, &others, TOLD_MS);
-  cr_assert_gt (count_report_datagrams (fd), 0);
+  cr_assert_gt (count_datagrams (fd, JL_FORMAT_REPORTS), 0);
   close (fd);
   g_free (text);
 }
