--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -11,34 +11,37 @@
 
 #include <math.h>
 
-/* As ratios of the time within which a configuration must be in force: time for
- * which the long poll of the first follower waits; age from which on a daemon
- * reads the configuration itself; time over which the daemons of a zone spread
- * these reads. The age leaves room for an answer that is late. */
+/* The ratios are of the time within which a configuration must be in force. */
+
+/* Time for which the long poll of the first follower waits, and its maximum. */
 #define POLL_RATIO 0.35
+#define POLL_MAX_US (4 * JL_USEC_PER_SEC)
+/* Age from which on a daemon reads the configuration itself. It is higher than
+ * the wait of a poll, since answers may be late. */
 #define AGE_MAX_RATIO 0.5
+/* Time over which the daemons of a zone spread these reads. */
 #define SPREAD_RATIO 0.1
-/* The same: time that a read takes from a store which counts as slow. */
+/* Duration from which on a read counts as slow. */
 #define SLOW_RATIO 0.1
-/* Time for which a slow read delays further ones, in times of its duration and
- * in all: a read that takes longer than news from others brings nothing new. */
+/* Time by which a slow read delays further ones, in multiples of its duration,
+ * and time for which it does so: what it brings is old when it comes. */
 #define SLOW_READ_FACTOR 1.5
 #define SLOW_KEPT_US (5 * JL_USEC_PER_SEC)
-/* Maximum of the first time. */
-#define POLL_MAX_US (4 * JL_USEC_PER_SEC)
 
 /**
  * struct jl_freshness - the age
  * @confirmed_us: time as of which the configuration in force was the newest
  *                one, 0 if none is known
- * @heard_version: newer version that another daemon has told of, 0 for none
- * @heard_as_of_us: time as of which that is the newest one
- * @heard_from: that daemon
- * @stale: the age was too old, which was logged
- * @checking: this daemon reads the configuration itself
- * @read_us: duration of its last read, 0 for none
- * @read_ended_us: end of that
- * @timer: ends when it has to do so
+ * @heard_version: version that another daemon has told of and that is not in
+ *                 force here yet, 0 for none
+ * @heard_as_of_us: time as of which that version was the newest one
+ * @heard_from: the daemon that has told of it
+ * @stale: the age exceeds its maximum, which was logged
+ * @checking: this daemon has begun to read the configuration itself, and no
+ *            answer or news has come since
+ * @read_us: duration of its last such read, 0 for none
+ * @read_ended_us: time at which that read ended
+ * @timer: ends when the next such read is due
  */
 struct jl_freshness
 {
--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -278,6 +278,26 @@
   close (fd);
 }
 
+/* A change that comes late says nothing of the time since it was made. */
+Test (follow, news_that_is_late_is_as_old_as_the_call)
+{
+  struct rig rig;
+  struct others others;
+
+  rig_prepare (&rig, 84);
+  rig.options.config_apply_us = 4 * JL_USEC_PER_SEC;
+  rig.store.late_ms = 400;
+  write_configuration (&rig, 1);
+  rig_start_now (&rig);
+  add_others (&rig, &others, following);
+  run_with_others (&rig, &others, 1800);
+  write_configuration (&rig, 2);
+  for (unsigned i = 0; i < 250 && version_in_force (&rig) < 2; i++)
+    rig_run (&rig, 10);
+  cr_assert_eq (version_in_force (&rig), 2);
+  cr_assert_gt (jl_freshness_age_ms (rig.proxy->freshness), 1000);
+}
+
 /* What an unknown daemon tells, and what is malformed, shows nothing. */
 Test (follow, only_what_daemons_of_the_zone_tell_counts)
 {
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -188,6 +188,25 @@
   g_free (text);
 }
 
+/* Returns the version after which a feed call asks for changes. */
+static uint64_t
+feed_version (struct jl_request *request)
+{
+  char *text
+      = query_text (jl_head_target (jl_request_head (request)), "after=");
+  uint64_t version = g_ascii_strtoull (text, NULL, 10);
+
+  g_free (text);
+  return version;
+}
+
+static struct json_object *
+changed_rows (struct fake_store *store, struct jl_request *request)
+{
+  return rows_of (store, jl_head_target (jl_request_head (request)),
+                  feed_version (request));
+}
+
 /* Answers the feed calls that have waited long enough. */
 static void
 answer_expired_feeds (struct fake_store *store)
@@ -200,7 +219,7 @@
       if (feed->until_us > jl_now ())
         continue;
       g_ptr_array_remove_index (store->waiting_feeds, i - 1);
-      reply (store, request, 200, json_object_new_array ());
+      reply (store, request, 200, changed_rows (store, request));
     }
 }
 
@@ -210,12 +229,10 @@
 answer_feed (struct fake_store *store, struct jl_request *request)
 {
   const char *target = jl_head_target (jl_request_head (request));
-  char *text = query_text (target, "after=");
-  uint64_t after = g_ascii_strtoull (text, NULL, 10);
-  struct json_object *rows = rows_of (store, target, after);
+  uint64_t after = feed_version (request);
+  struct json_object *rows = changed_rows (store, request);
   bool changed = json_object_array_length (rows) > 0;
 
-  g_free (text);
   if (after > store->version)
     {
       json_object_put (rows);
@@ -425,7 +442,7 @@
     {
       struct fake_feed *feed = g_ptr_array_index (store->waiting_feeds, i - 1);
 
-      if (answer_feed (store, feed->request))
+      if (store->late_ms == 0 && answer_feed (store, feed->request))
         g_ptr_array_remove_index (store->waiting_feeds, i - 1);
     }
 }
