--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -204,8 +204,8 @@
  * @self: this daemon
  *
  * Daemons that cannot reach the store come last. The time since a daemon was
- * heard is shorter than for other purposes: a change must be in force within
- * two seconds, also if those that follow the store have just ended.
+ * heard is shorter than for other purposes, so that the place of one that has
+ * ended is taken soon.
  */
 unsigned jl_roster_follow_rank (const struct jl_roster *roster,
                                 const struct jl_member *self,
