--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -25,8 +25,8 @@
 #define REFUSED_PREFIX "refused/"
 /* Maximum number of contents in such a row. */
 #define REFUSED_CONTENTS_MAX 16
-/* Time for which a long poll of the store waits for a change. The first follower
- * waits for a configuration as long as proxy/freshness.h says.
+/* Time for which a long poll of the store waits for a change. The first
+ * follower waits for a configuration as long as proxy/freshness.h says.
  */
 #define SITE_POLL_MS 4000
 #define DAEMON_POLL_MS 25000
