Reset connections in the soak test where it says so

Cause: reset() of the soak test aborted the transport, which closes the socket in order as long as no input is unread. A target that crashed while it sent a response without a length, whose end is the end of the connection, thereby ended it properly: the daemon passed on a complete response. The product is right; the fault was not the one that the soak names. A client of such a connection reads its end before, ConnectionResetError with the change. All resets of the soak are true resets now, also those of relays.

--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -1,6 +1,11 @@
 """Minimal HTTP/1.1 for the simulated clients, targets and store of the soak test."""
 
 import asyncio
+import socket
+import struct
+
+# With a linger time of 0 s, closing a socket discards unsent data and resets the connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Message:
@@ -67,4 +72,7 @@
 
 def reset(writer):
     """Closes a connection with a TCP reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     writer.transport.abort()
