Count the time for which a machine is suspended

What callers could see: after a machine was suspended, its daemon told and took what it had known before for news: an answer of the store that came before or during the suspension counted as of now, members that may have ended meanwhile as just heard, and requests had more time left than their callers wait. Cause: all ages, leases and deadlines are taken by CLOCK_MONOTONIC, which stands still meanwhile. Change: jl_now() reads CLOCK_BOOTTIME, so a suspension is what a stopped process has always been. The event loop computes waits from differences, the older daemon's condition variables get theirs by a difference too.

--- a/include/jackdawladder/base.h
+++ b/include/jackdawladder/base.h
@@ -236,6 +236,9 @@
 /**
  * jl_now - returns the monotonic clock in microseconds
  *
+ * It also counts the time for which the machine is suspended, in which others
+ * go on: what was known before is that much older, and deadlines come nearer.
+ *
  * Only the I/O threads call this; the core takes the time from its events.
  */
 uint64_t jl_now (void);
--- a/source/base/base.c
+++ b/source/base/base.c
@@ -208,7 +208,7 @@
 {
   struct timespec time;
 
-  clock_gettime (CLOCK_MONOTONIC, &time);
+  clock_gettime (CLOCK_BOOTTIME, &time);
   return (uint64_t)time.tv_sec * JL_USEC_PER_SEC
          + (uint64_t)time.tv_nsec / 1000;
 }
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -17,7 +17,8 @@
 /* Interval at which the time limit of a graceful shutdown is checked. */
 #define DRAIN_POLL_US (200 * JL_USEC_PER_MSEC)
 
-/* Initializes a condition variable with the clock that jl_now() reads. */
+/* Initializes a condition variable with a clock that no setting of the time of
+ * day changes. */
 static void
 init_condition (pthread_cond_t *condition)
 {
@@ -29,15 +30,19 @@
   pthread_condattr_destroy (&attributes);
 }
 
-/* Waits for a condition. Returns false when the time @until_us has passed. */
+/* Waits for a condition. Returns false when the time @until_us has passed.
+ * Condition variables cannot use the clock that jl_now() reads. */
 static bool
 wait_until (struct jl_daemon *daemon,
             pthread_cond_t *condition,
             uint64_t until_us)
 {
+  uint64_t now_us = jl_now ();
+  uint64_t wait_us = until_us > now_us ? until_us - now_us : 0;
+  uint64_t end_us = (uint64_t)g_get_monotonic_time () + wait_us;
   struct timespec until
-      = { .tv_sec = (time_t)(until_us / JL_USEC_PER_SEC),
-          .tv_nsec = (long)(until_us % JL_USEC_PER_SEC) * 1000 };
+      = { .tv_sec = (time_t)(end_us / JL_USEC_PER_SEC),
+          .tv_nsec = (long)(end_us % JL_USEC_PER_SEC) * 1000 };
 
   return pthread_cond_timedwait (condition, &daemon->lock, &until) == 0;
 }
