--- a/tests/history/test_rules.py
+++ b/tests/history/test_rules.py
@@ -225,6 +225,33 @@
     return overload([0, 50, 100])
 
 
+def refused_again(at):
+    """Returns a history in which an important request is refused twice.
+
+    The first time less important ones are refused, too, and the caller is told
+    to come back after 600 ms. At the time of the second one, @at, all others are
+    served.
+    """
+    values = {"importance": 0, "kind": "kind-0", "request": 9000}
+    records = overload([0, 50, 100])
+    for sending, sent in enumerate([50 * MSEC_US, at], 1):
+        records.append(send(sent, "again", sending=sending, **values))
+        records.append(not_run(sent + 9, "again", sending=sending, retry_after_ms=600, **values))
+    for n in range(100):
+        records += exchange(at + n, f"later-{n}", 10000 + n, importance=2, kind="kind-2")
+    return records
+
+
+@case()
+def refusal_repeated_before_the_caller_was_to_come_back():
+    return refused_again(550 * MSEC_US)
+
+
+@case("importance-order")
+def important_refused_again_when_the_caller_comes_back():
+    return refused_again(2 * SECOND_US)
+
+
 @case()
 def less_important_work_at_another_service():
     return overload([5, 0, 0], ("listings", "bookings", "bookings"))
