Split what is known of a content from what is decided about it

Cause: policy/suspect had 849 lines with its header and two jobs: the record of one content (strikes, answers of services), and the table of all with verdicts, trials and expiry. Change: policy/suspect-record has the first, with the limits as an argument; policy/suspect keeps the second. Behaviour is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 PROXY_SOURCES = $(filter-out source/proxy/main.c,$(foreach area,$(PROXY_AREAS),$(wildcard source/$(area)/*.c))) \
   $(wildcard platform/*.c) $(PROXY_SHARED)
 # Decisions of the proxy that the older program uses too.
-LIB_SHARED = source/policy/suspect.c
+LIB_SHARED = source/policy/suspect.c source/policy/suspect-record.c
 LIB_SOURCES = $(filter-out %/main.c source/tool/%,$(filter-out $(PROXY_AREAS:%=source/%/%),$(wildcard source/*/*.c source/rpc/gen/*.c))) \
   $(LIB_SHARED)
 TOOL_SOURCES = $(wildcard source/tool/*.c)
--- a/source/core/poison.c
+++ b/source/core/poison.c
@@ -309,8 +309,8 @@
       if (message->strike_count == JL_MESSAGE_STRIKE_MAX)
         return;
       if (strike->sends_left == 0
-          || !jl_suspects_is_active (&core->poison->suspects, suspect, strike,
-                                     core->now_us))
+          || !jl_suspect_is_active (suspect, &core->poison->suspects.limits,
+                                    strike, core->now_us))
         continue;
       strike->sends_left--;
       out = &message->strikes[message->strike_count++];
--- a/source/policy/suspect.h
+++ b/source/policy/suspect.h
@@ -23,9 +23,7 @@
  * content.
  */
 
-#include "jackdawladder/base.h"
-
-#include <urcu/list.h>
+#include "policy/suspect-record.h"
 
 /* Maximum number of contents with strikes that are remembered. */
 #define JL_SUSPECTS_MAX 2048
@@ -35,45 +33,6 @@
 #define JL_TRIAL_REPORTED_US (2000 * JL_USEC_PER_MSEC)
 /* Period at which the daemon of the target reports a trial in progress. */
 #define JL_TRIAL_REPORT_PERIOD_US (300 * JL_USEC_PER_MSEC)
-/* Maximum number of strikes that are remembered for each content. */
-#define JL_STRIKES_MAX 8
-/* Maximum number of services whose answers are remembered for each content. */
-#define JL_ANSWERING_SERVICES_MAX 4
-/* Answers within this time are taken for reports of the same one. */
-#define JL_SAME_ANSWER_US (20 * JL_USEC_PER_MSEC)
-/* Maximum number of refusal times. */
-#define JL_REFUSALS_MAX 4
-
-/**
- * struct jl_suspect_limits - when contents are suspect or refused
- * @suspect_ends: ends of different targets with which a content is suspect; one
- *                end in a trial is enough
- * @refuse_ends: ends with which it is refused until they expire, 0 for none
- * @refuse_trials: ends in trials with which it is refused, 0 for none
- * @clear_answers: answers without an end in between that clear a content
- * @clear_answers_again: the same for a content that has ended a target in a
- *                       trial, or was cleared before and is suspect again
- * @refuse_us: time of refusal after the last trial, by the number of trials
- *             beyond @refuse_trials; after it, another trial may begin
- * @strike_us: time after which a strike is void, UINT64_MAX for never
- * @expiry_us: time after the last change after which a content is forgotten; at
- *             least the longest refusal
- * @repeat_us: a strike by the same target counts as new if it is later than the
- *             known one by at least this; UINT64_MAX if a target ends only once
- */
-struct jl_suspect_limits
-{
-  unsigned suspect_ends;
-  unsigned refuse_ends;
-  unsigned refuse_trials;
-  unsigned clear_answers;
-  unsigned clear_answers_again;
-  uint64_t refuse_us[JL_REFUSALS_MAX];
-  uint64_t strike_us;
-  uint64_t expiry_us;
-  uint64_t repeat_us;
-};
-
 /**
  * enum jl_suspicion - how requests with a content are treated
  * @JL_SUSPICION_NONE: as all others
@@ -90,77 +49,6 @@
   JL_SUSPICION_REFUSED,
 };
 
-/* Key of a service that is not known, or does not matter. */
-#define JL_ANY_SERVICE 0
-
-/**
- * struct jl_suspect_strike - the end of a target during a request
- * @target: key of the target, or of its incarnation
- * @service: key of its service, JL_ANY_SERVICE if it is not known
- * @trial: the request ran as a trial
- * @inferred: only the loss of contact to the target's daemon is known
- * @at_us: time of the end
- * @sends_left: for the owner: number of messages that still tell of it
- */
-struct jl_suspect_strike
-{
-  uint64_t target;
-  uint32_t service;
-  bool trial;
-  bool inferred;
-  uint64_t at_us;
-  uint32_t sends_left;
-};
-
-/**
- * struct jl_suspect_answers - the answers of one service to a content
- * @service: its key
- * @cleared_us: time at which the content was last cleared for the service, 0
- * for never; its strikes until then are void
- * @answered_us: time of the last answer
- * @answers: answers since the service's last strike, or since the content was
- *           cleared
- * @was_suspect: the content was suspect or refused when it was cleared
- */
-struct jl_suspect_answers
-{
-  uint32_t service;
-  uint64_t cleared_us;
-  uint64_t answered_us;
-  unsigned answers;
-  bool was_suspect;
-};
-
-/**
- * struct jl_suspect - the strikes against a content
- * @order: link in the list of all, by the time of the last change
- * @open: link in the list of those that are suspect or refused
- * @is_open: whether it is in that list
- * @service_count: number of entries of @services
- * @services: the services that answered
- * @trial_us: time at which the trial in progress was last reported
- * @trial_until_us: time until which its result is awaited, 0 for none
- * @result_us: time of the last result of a trial
- * @changed_us: time of the last strike or answer
- * @notify_pending: for the owner: others have yet to be told of a strike
- */
-struct jl_suspect
-{
-  struct cds_list_head order;
-  struct cds_list_head open;
-  bool is_open;
-  uint64_t content;
-  unsigned service_count;
-  struct jl_suspect_answers services[JL_ANSWERING_SERVICES_MAX];
-  uint64_t trial_us;
-  uint64_t trial_until_us;
-  uint64_t result_us;
-  uint64_t changed_us;
-  bool notify_pending;
-  unsigned strike_count;
-  struct jl_suspect_strike strikes[JL_STRIKES_MAX];
-};
-
 /**
  * struct jl_suspects - all contents with strikes
  * @limits: when contents are suspect or refused
@@ -207,15 +95,6 @@
 struct jl_suspect *jl_suspects_find (const struct jl_suspects *suspects,
                                      uint64_t content);
 
-/**
- * jl_suspects_is_active - whether a strike has neither expired nor become void
- * because its service has cleared the content since
- */
-bool jl_suspects_is_active (const struct jl_suspects *suspects,
-                            const struct jl_suspect *suspect,
-                            const struct jl_suspect_strike *strike,
-                            uint64_t now_us);
-
 /**
  * jl_suspects_add_strike - records the end of a target during a request with
  * @content
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -249,7 +249,7 @@
         .contents = &suspect->content,
       };
 
-      if (jl_suspects_is_active (suspects, suspect, strike, jl_now ()))
+      if (jl_suspect_is_active (suspect, &suspects->limits, strike, jl_now ()))
         add_report (batch, &report);
     }
 }
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -344,7 +344,8 @@
       struct json_object *end;
 
       if (!strike->trial
-          || !jl_suspects_is_active (&proxy->suspects, suspect, strike, now_us))
+          || !jl_suspect_is_active (suspect, &proxy->suspects.limits, strike,
+                                    now_us))
         continue;
       end = json_object_new_array ();
       json_object_array_add (end,
