Split the receiving part of digests from the sending one

Change: digest-read.c applies what other zones tell and finds out which have fallen silent; digest.c sends; digest-impl.h has what both use. Functions that both use got public names; behaviour is unchanged.

--- a/source/proxy/digest.c
+++ b/source/proxy/digest.c
@@ -1,20 +1,16 @@
 /**
- * DOC: Digests: how the daemons of one zone become known in the others.
+ * DOC: The sending part of digests: how the daemons of one zone become known in
+ * the others.
  */
 
-#include "proxy/digest.h"
-
-#include "rpc/gen/beacon.h"
+#include "proxy/digest-impl.h"
 
 #include <math.h>
 #include <string.h>
-#include <urcu/list.h>
 
 /* Time after its start in which a daemon does not represent its zone, since it
  * does not know yet who else could. */
 #define START_US (600 * JL_USEC_PER_MSEC)
-/* Period of digests. A change of a target's state is sent in the next step. */
-#define PERIOD_US (400 * JL_USEC_PER_MSEC)
 /* Period in which each daemon of the zone is in a digest. */
 #define STATE_PERIOD_US (1000 * JL_USEC_PER_MSEC)
 /* Changes of a share that are sent in the next digest. */
@@ -25,21 +21,10 @@
 #define SPARE_ENOUGH 0.3
 /* Period in which the full beacon of each daemon is passed on. */
 #define RELAY_PERIOD_US (15 * JL_USEC_PER_SEC)
-/* Time for which a daemon counts as a representative after a digest of it. */
-#define REPRESENTS_US (2500 * JL_USEC_PER_MSEC)
-/* Time without a digest after which a zone is silent, if a representative of
- * the local zone was heard so long after the last one that it would have told.
- */
-#define SILENT_US (1300 * JL_USEC_PER_MSEC)
-#define INFORMED_US (1000 * JL_USEC_PER_MSEC)
-/* Time after which the other zones send digests to a new representative. */
-#define INSTALLED_US (2500 * JL_USEC_PER_MSEC)
 /* Daemons of a silent zone to which a digest is sent in each step, in turn. */
 #define PROBES_MAX 4
 /* Beacons sent in one step to a daemon that has just become known. */
 #define INTRODUCED_PER_STEP 40
-/* Maximum age of a state that a digest can tell. */
-#define AGE_MS_MAX 65535
 
 /**
  * struct introduction - beacons that are being sent to a daemon
@@ -68,25 +53,6 @@
   guint next_probe;
 };
 
-/**
- * struct jl_digest - sender and receiver of digests
- * @sent_us: time of the last digest
- * @links: array of struct zone_link
- * @introductions: list of struct introduction
- */
-struct jl_digest
-{
-  struct jl_roster *roster;
-  struct jl_member *self;
-  const struct jl_digest_ops *ops;
-  void *context;
-  uint64_t started_us;
-  uint64_t sent_us;
-  GArray *links;
-  struct cds_list_head introductions;
-  struct jl_digest_counters counters;
-};
-
 struct jl_digest *
 jl_digest_new (struct jl_roster *roster,
                struct jl_member *self,
@@ -138,20 +104,32 @@
          && jl_roster_represents (digest->roster, digest->self, now_us);
 }
 
-static bool
-is_local (const struct jl_member *member)
+void
+jl_digest_send_to (struct jl_digest *digest,
+                   const struct jl_member *to,
+                   char *datagram,
+                   size_t size)
 {
-  return member->contact == NULL;
+  if (size > 0 && to->peer.port != 0)
+    digest->ops->send (digest->context, to->peer, datagram, size);
 }
 
-static void
-send_to (struct jl_digest *digest,
-         const struct jl_member *to,
-         char *datagram,
-         size_t size)
+size_t
+jl_digest_encode (struct beacon_digest *message, char *datagram)
 {
-  if (size > 0 && to->peer.port != 0)
-    digest->ops->send (digest->context, to->peer, datagram, size);
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, JL_DATAGRAM_BYTES_MAX, XDR_ENCODE);
+  return xdr_beacon_digest (&xdr, message) ? xdr_getpos (&xdr) : 0;
+}
+
+size_t
+jl_digest_encode_relay (const struct jl_member *member,
+                        unsigned hops,
+                        uint64_t now_us,
+                        char *datagram)
+{
+  return jl_announce_encode (member, hops, 0, now_us, datagram);
 }
 
 /* Whether a daemon has changed so that other zones are told at once. */
@@ -216,7 +194,7 @@
                  | jl_announce_milli (member->spare_share),
     .hold_us = jl_announce_hold_us (member),
     .failing_age = jl_announce_milli (member->failure_rate) << 16
-                   | (unsigned)MIN (age_ms, AGE_MS_MAX),
+                   | (unsigned)MIN (age_ms, JL_DIGEST_AGE_MS_MAX),
   };
 
   return state;
@@ -231,15 +209,6 @@
   struct beacon_state states[BEACON_DIGEST_MAX];
 };
 
-static size_t
-encode_digest (struct beacon_digest *message, char *datagram)
-{
-  XDR xdr;
-
-  xdrmem_create (&xdr, datagram, JL_DATAGRAM_BYTES_MAX, XDR_ENCODE);
-  return xdr_beacon_digest (&xdr, message) ? xdr_getpos (&xdr) : 0;
-}
-
 static struct zone_link *
 get_link (struct jl_digest *digest, struct jl_zone *zone)
 {
@@ -307,7 +276,7 @@
       link->next_probe++;
       if (member->contact != link->zone)
         continue;
-      send_to (digest, member, datagram, size);
+      jl_digest_send_to (digest, member, datagram, size);
       sent++;
     }
 }
@@ -329,7 +298,7 @@
     {
       if (!was_fed (link, list[i]))
         introduce (digest, list[i]);
-      send_to (digest, list[i], datagram, size);
+      jl_digest_send_to (digest, list[i], datagram, size);
     }
   link->fed_count = count;
   for (unsigned i = 0; i < count; i++)
@@ -342,7 +311,7 @@
 send_draft (struct jl_digest *digest, struct draft *draft, uint64_t now_us)
 {
   char datagram[JL_DATAGRAM_BYTES_MAX];
-  size_t size = encode_digest (&draft->message, datagram);
+  size_t size = jl_digest_encode (&draft->message, datagram);
 
   draft->message.states.states_len = 0;
   digest->sent_us = now_us;
@@ -356,7 +325,7 @@
 static bool
 is_due (const struct jl_member *member, bool period_over, uint64_t now_us)
 {
-  if (!is_local (member) || !jl_member_is_alive (member, now_us))
+  if (!jl_digest_is_local (member) || !jl_member_is_alive (member, now_us))
     return false;
   if (has_new_state (member))
     return true;
@@ -375,7 +344,7 @@
 {
   /* Steps may be early by some jitter. */
   bool period_over
-      = now_us + JL_DIGEST_STEP_US / 2 >= digest->sent_us + PERIOD_US;
+      = now_us + JL_DIGEST_STEP_US / 2 >= digest->sent_us + JL_DIGEST_PERIOD_US;
   struct draft draft = {
     .message = {
       .format = JL_FORMAT_DIGEST,
@@ -404,15 +373,6 @@
     send_draft (digest, &draft, now_us);
 }
 
-static size_t
-encode_relay (const struct jl_member *member,
-              unsigned hops,
-              uint64_t now_us,
-              char *datagram)
-{
-  return jl_announce_encode (member, hops, 0, now_us, datagram);
-}
-
 /* Passes the beacon of a daemon on to other zones: to all their representatives
  * if it is new, else to one. */
 static void
@@ -425,7 +385,7 @@
   size_t size;
 
   advance_own_sequence (digest, member);
-  size = encode_relay (member, 0, now_us, datagram);
+  size = jl_digest_encode_relay (member, 0, now_us, datagram);
   member->relayed_us = now_us;
   digest->counters.relayed++;
   for (guint i = 0; i < digest->links->len; i++)
@@ -436,7 +396,7 @@
 
       for (unsigned j = 0; j < link->fed_count; j++)
         if (is_new || j == chosen)
-          send_to (digest, link->fed[j], datagram, size);
+          jl_digest_send_to (digest, link->fed[j], datagram, size);
     }
 }
 
@@ -450,7 +410,7 @@
       struct jl_member *member = g_ptr_array_index (digest->roster->members, i);
       bool is_new;
 
-      if (!is_local (member) || !jl_member_is_alive (member, now_us))
+      if (!jl_digest_is_local (member) || !jl_member_is_alive (member, now_us))
         continue;
       is_new = member->relayed_us == 0 || member->told.epoch != member->epoch
                || member->told.target_key != member->target_key;
@@ -466,7 +426,7 @@
                        uint64_t now_us)
 {
   const GPtrArray *members = digest->roster->members;
-  bool to_local = is_local (introduction->to);
+  bool to_local = jl_digest_is_local (introduction->to);
   unsigned sent = 0;
 
   for (; introduction->next < members->len && sent < INTRODUCED_PER_STEP;
@@ -476,12 +436,14 @@
           = g_ptr_array_index (members, introduction->next);
       char datagram[JL_DATAGRAM_BYTES_MAX];
 
-      if (member == introduction->to || (!to_local && !is_local (member))
+      if (member == introduction->to
+          || (!to_local && !jl_digest_is_local (member))
           || !jl_member_is_alive (member, now_us))
         continue;
       advance_own_sequence (digest, member);
-      send_to (digest, introduction->to, datagram,
-               encode_relay (member, to_local ? 1 : 0, now_us, datagram));
+      jl_digest_send_to (
+          digest, introduction->to, datagram,
+          jl_digest_encode_relay (member, to_local ? 1 : 0, now_us, datagram));
       sent++;
     }
   return introduction->next >= members->len;
@@ -499,65 +461,13 @@
       end_introduction (introduction);
 }
 
-static void
-update_representatives (struct jl_digest *digest, uint64_t now_us)
-{
-  for (guint i = 0; i < digest->roster->members->len; i++)
-    {
-      struct jl_member *member = g_ptr_array_index (digest->roster->members, i);
-
-      if (!is_local (member))
-        continue;
-      if (!jl_roster_represents (digest->roster, member, now_us))
-        member->represents_since_us = 0;
-      else if (member->represents_since_us == 0)
-        member->represents_since_us = now_us;
-    }
-}
-
-/* Whether a representative of the local zone would have told of a digest of
- * @zone, had one come since the last one. */
-static bool
-would_have_told (const struct jl_digest *digest, const struct jl_zone *zone)
-{
-  for (guint i = 0; i < digest->roster->members->len; i++)
-    {
-      const struct jl_member *member
-          = g_ptr_array_index (digest->roster->members, i);
-      uint64_t since_us = member->represents_since_us;
-
-      if (is_local (member) && since_us != 0
-          && member->last_beacon_us
-                 >= MAX (zone->heard_us, since_us + INSTALLED_US) + INFORMED_US)
-        return true;
-    }
-  return false;
-}
-
-static void
-check_zones (struct jl_digest *digest, uint64_t now_us)
-{
-  for (guint i = 0; i < digest->roster->zones->len; i++)
-    {
-      struct jl_zone *zone = g_ptr_array_index (digest->roster->zones, i);
-
-      if (zone->silent || zone->heard_us == 0
-          || now_us < zone->heard_us + SILENT_US
-          || !would_have_told (digest, zone))
-        continue;
-      zone->silent = true;
-      digest->ops->zone_changed (digest->context, zone);
-    }
-}
-
 void
 jl_digest_step (struct jl_digest *digest,
                 uint64_t site_version,
                 uint64_t store_era,
                 uint64_t now_us)
 {
-  update_representatives (digest, now_us);
-  check_zones (digest, now_us);
+  jl_digest_check_zones (digest, now_us);
   if (jl_digest_is_representative (digest, now_us))
     {
       relay_beacons (digest, now_us);
@@ -565,149 +475,3 @@
       continue_introductions (digest, now_us);
     }
 }
-
-static void
-hear_zone (struct jl_digest *digest, struct jl_zone *zone, uint64_t now_us)
-{
-  bool was_silent = zone->silent;
-
-  zone->heard_us = now_us;
-  zone->silent = false;
-  if (was_silent)
-    digest->ops->zone_changed (digest->context, zone);
-}
-
-/* Applies one state. Returns whether it is newer than the known one. */
-static bool
-apply_state (struct jl_digest *digest,
-             const struct beacon_state *state,
-             uint64_t now_us)
-{
-  struct jl_member *member = jl_roster_find_key (digest->roster, state->key);
-  unsigned target_state = state->limit_state & (BEACON_DEPARTED - 1);
-  uint64_t age_us = (state->failing_age & AGE_MS_MAX) * JL_USEC_PER_MSEC;
-  uint64_t heard_us = now_us - MIN (age_us, now_us);
-  int32_t ahead;
-
-  if (member == NULL || is_local (member)
-      || (unsigned)member->epoch != state->epoch
-      || target_state > JL_TARGET_DOWN)
-    {
-      digest->counters.unknown++;
-      return false;
-    }
-  ahead = (int32_t)(state->sequence - (uint32_t)member->sequence);
-  if (ahead <= 0)
-    return false;
-  member->sequence += (uint32_t)ahead;
-  jl_announce_set_state (member, (enum jl_target_state)target_state,
-                         state->target_key,
-                         (state->limit_state & BEACON_DEPARTED) != 0);
-  jl_announce_set_load (member, state->limit_state >> 8, state->hold_us,
-                        state->shed_room >> 16, state->shed_room & 0xffff,
-                        state->failing_age >> 16);
-  member->last_beacon_us = MAX (member->last_beacon_us, heard_us);
-  digest->ops->alive (digest->context, member, heard_us);
-  return true;
-}
-
-/* Sends a datagram to all other daemons of the zone. */
-static void
-pass_on (struct jl_digest *digest, char *datagram, size_t size)
-{
-  digest->counters.passed_on++;
-  for (guint i = 0; i < digest->roster->members->len; i++)
-    {
-      const struct jl_member *member
-          = g_ptr_array_index (digest->roster->members, i);
-
-      if (is_local (member) && member != digest->self)
-        send_to (digest, member, datagram, size);
-    }
-}
-
-static void
-pass_digest_on (struct jl_digest *digest, struct beacon_digest *message)
-{
-  char datagram[JL_DATAGRAM_BYTES_MAX];
-
-  message->hops = 1;
-  pass_on (digest, datagram, encode_digest (message, datagram));
-}
-
-static void
-apply_digest (struct jl_digest *digest,
-              struct beacon_digest *message,
-              uint64_t now_us)
-{
-  struct jl_member *sender
-      = jl_roster_get_or_add (digest->roster, message->name);
-  uint64_t heard_before_us;
-  bool news = false;
-
-  if (sender->zone[0] == '\0')
-    jl_roster_set_zone (digest->roster, sender, message->zone);
-  if (is_local (sender))
-    return;
-  heard_before_us = sender->contact->heard_us;
-  digest->counters.received++;
-  sender->represents_until_us = now_us + REPRESENTS_US;
-  hear_zone (digest, sender->contact, now_us);
-  for (unsigned i = 0; i < message->states.states_len; i++)
-    if (apply_state (digest, &message->states.states_val[i], now_us))
-      news = true;
-  digest->ops->heard (digest->context, sender, message->site_version,
-                      message->store_era);
-  if (message->hops == 0 && (news || now_us >= heard_before_us + PERIOD_US / 2)
-      && jl_digest_is_representative (digest, now_us))
-    pass_digest_on (digest, message);
-}
-
-static void
-read_digest (struct jl_digest *digest,
-             const char *datagram,
-             size_t size,
-             uint64_t now_us)
-{
-  struct beacon_digest message = { 0 };
-  XDR xdr;
-
-  xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
-  if (xdr_beacon_digest (&xdr, &message) && message.name[0] != '\0'
-      && message.zone[0] != '\0')
-    apply_digest (digest, &message, now_us);
-  xdr_free ((xdrproc_t)xdr_beacon_digest, &message);
-}
-
-/* Reads a beacon that was passed on, and passes it on in this zone if it came
- * from another one. */
-static void
-read_relay (struct jl_digest *digest,
-            const char *datagram,
-            size_t size,
-            uint64_t now_us)
-{
-  unsigned hops;
-  struct jl_applied applied = jl_announce_read (digest->roster, digest->self,
-                                                datagram, size, now_us, &hops);
-  char copy[JL_DATAGRAM_BYTES_MAX];
-
-  if (applied.member == NULL)
-    return;
-  digest->ops->applied (digest->context, &applied);
-  if (hops == 0 && applied.identity && !is_local (applied.member)
-      && jl_digest_is_representative (digest, now_us))
-    pass_on (digest, copy, encode_relay (applied.member, 1, now_us, copy));
-}
-
-void
-jl_digest_read (struct jl_digest *digest,
-                const char *datagram,
-                size_t size,
-                uint64_t now_us)
-{
-  if (jl_announce_format (datagram, size) == JL_FORMAT_DIGEST)
-    read_digest (digest, datagram, size, now_us);
-  else
-    read_relay (digest, datagram, size, now_us);
-}
