Say what is missing when the proxy is built without its packages

Cause: "make proxy" on a machine without the packages ended in compiler errors, and the README gave no line that installs them. It installs nothing by itself, since builds of the users have no network.

--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,7 @@
 PROXY_OBJECTS = $(call OBJECT,$(PROXY_SOURCES))
 
 $(PROXY_OBJECTS) $(BUILD)/source/proxy/main.o: PKG_CFLAGS = $(PROXY_CFLAGS)
+$(PROXY_OBJECTS) $(BUILD)/source/proxy/main.o: | require-packages
 
 $(BUILD)/jackdawladder-proxy: $(BUILD)/source/proxy/main.o $(PROXY_OBJECTS)
 	$(CC) $(LDFLAGS) $^ -lhttp_parser $(PROXY_LIBS) -pthread -lm -o $@
@@ -132,6 +133,11 @@
 install-packages:
 	scripts/install-packages
 
+# Compiler errors would not say what is missing.
+require-packages:
+	@pkg-config --exists --print-errors $(PROXY_PACKAGES) || \
+	  { echo "packages are missing: run \"make install-packages\" first" >&2; exit 1; }
+
 check: install-packages
 	scripts/check
 
@@ -155,7 +161,7 @@
 	rm -rf $(BUILD) out
 
 
-.PHONY: all proxy tests standins benches fuzzers install-packages check demo bench soak format lint clean
+.PHONY: all proxy tests standins benches fuzzers install-packages require-packages check demo bench soak format lint clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
