Keep the calls of a run in the store for the next start of all

Cause: entries refuse a request whose calls a deeper service cannot serve. How many calls a run makes they know from what daemons have learned, which was lost with all of them; so they let all in until it was learned anew. Change: the first daemon, by name, of each service in each zone writes what it has learned into the row of its target, if it differs from what was written, at most every 10 s; it reads that row at its start anyway, and tells its zone at once (E753). Leaves in the same row are kept if the row could not be read. Options: rows of their own, followed with those of daemons (each write would wake all followers), or read at the start (one more call for each daemon).

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -49,6 +49,7 @@
   { JL_RECORD_SITE_FETCH_FAILED, "configuration not fetched" },
   { JL_RECORD_SHED_SHARE, "refused share" },
   { JL_RECORD_CALL_GRAPH, "call graph" },
+  { JL_RECORD_CALLS_RESTORED, "calls restored" },
   { JL_RECORD_STORE_REACHABILITY, "store" },
   { JL_RECORD_STORE_RESTORED, "store restored" },
   { JL_RECORD_STORE_FOLLOWED, "store followed" },
--- a/source/policy/fanout.c
+++ b/source/policy/fanout.c
@@ -4,6 +4,7 @@
 
 #include "policy/fanout.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Factor by which the smoothed counts decay in each window. */
@@ -14,6 +15,9 @@
 #define RUNS_MIN 5.0
 /* Estimates below this number of calls for each run are left out. */
 #define CALLS_PER_RUN_MIN 0.04
+/* Estimates differ if one does by this share, and by this number of calls. */
+#define DIFFERENT_SHARE 0.3
+#define DIFFERENT_CALLS 0.2
 
 void
 jl_fanout_init (struct jl_fanout *fanout)
@@ -21,23 +25,30 @@
   memset (fanout, 0, sizeof *fanout);
 }
 
-/* Counts a run or call of the route @key. A new route is not counted when the
- * table is full. */
-static void
-count_route (struct jl_fanout_count *counts, unsigned *number, uint32_t key)
+/* Returns the index of the route @key, which is added if it is new; JL_NONE if
+ * the table is full. */
+static unsigned
+find_or_add_route (struct jl_fanout_count *counts,
+                   unsigned *number,
+                   uint32_t key)
 {
   for (unsigned i = 0; i < *number; i++)
     if (counts[i].key == key)
-      {
-        counts[i].window += 1;
-        return;
-      }
+      return i;
   if (*number == JL_FANOUT_ROUTES_MAX)
-    return;
-  counts[*number].key = key;
-  counts[*number].window = 1;
-  counts[*number].smoothed = 0;
-  (*number)++;
+    return JL_NONE;
+  counts[*number] = (struct jl_fanout_count){ .key = key };
+  return (*number)++;
+}
+
+/* Counts a run or call of the route @key. */
+static void
+count_route (struct jl_fanout_count *counts, unsigned *number, uint32_t key)
+{
+  unsigned route = find_or_add_route (counts, number, key);
+
+  if (route != JL_NONE)
+    counts[route].window += 1;
 }
 
 void
@@ -118,3 +129,52 @@
       }
   return number;
 }
+
+bool
+jl_fanout_restore (struct jl_fanout *fanout,
+                   const struct jl_fanout_entry *entry)
+{
+  unsigned run
+      = find_or_add_route (fanout->runs, &fanout->run_count, entry->run);
+  unsigned call
+      = find_or_add_route (fanout->calls, &fanout->call_count, entry->call);
+
+  if (run == JL_NONE || call == JL_NONE || fanout->calls_per_run[call][run] > 0)
+    return false;
+  fanout->calls_per_run[call][run] = entry->calls;
+  return true;
+}
+
+/* Returns the estimate for a pair of routes, 0 if there is none. */
+static double
+calls_of (const struct jl_fanout_entry *entries,
+          unsigned count,
+          const struct jl_fanout_entry *pair)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (entries[i].run == pair->run && entries[i].call == pair->call)
+      return entries[i].calls;
+  return 0;
+}
+
+static bool
+is_different (double calls, double earlier)
+{
+  double difference = fabs (calls - earlier);
+
+  return difference > DIFFERENT_CALLS
+         && difference > DIFFERENT_SHARE * MAX (calls, earlier);
+}
+
+bool
+jl_fanout_differs (const struct jl_fanout_entry *entries,
+                   unsigned count,
+                   const struct jl_fanout_entry *earlier,
+                   unsigned earlier_count)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (is_different (entries[i].calls,
+                      calls_of (earlier, earlier_count, &entries[i])))
+      return true;
+  return false;
+}
--- a/source/policy/fanout.h
+++ b/source/policy/fanout.h
@@ -76,6 +76,24 @@
  */
 void jl_fanout_end_window (struct jl_fanout *fanout);
 
+/**
+ * jl_fanout_restore - sets an estimate of an earlier incarnation, as long as
+ * nothing was learned of the calls of this route by runs of this route
+ *
+ * Return: whether it was set.
+ */
+bool jl_fanout_restore (struct jl_fanout *fanout,
+                        const struct jl_fanout_entry *entry);
+
+/**
+ * jl_fanout_differs - whether estimates differ from earlier ones by more than
+ * they vary from window to window
+ */
+bool jl_fanout_differs (const struct jl_fanout_entry *entries,
+                        unsigned count,
+                        const struct jl_fanout_entry *earlier,
+                        unsigned earlier_count);
+
 /**
  * jl_fanout_list - lists the estimates
  * @entries: receives at most @max entries
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -284,6 +284,7 @@
     }
   log_shed (proxy, before);
   jl_rows_update_following (proxy);
+  jl_rows_write_learned (proxy);
   update_self (proxy);
   jl_demand_end_window (proxy);
   jl_entry_check_members (proxy);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -129,6 +129,17 @@
 struct jl_watch;
 struct jl_work;
 
+/**
+ * struct jl_learned - calls for each run as they were last written to the store
+ * @written_us: time of that write, 0 for none
+ */
+struct jl_learned
+{
+  uint64_t written_us;
+  unsigned written_count;
+  struct jl_fanout_entry written[JL_MEMBER_FANOUT_MAX];
+};
+
 /**
  * struct jl_proxy - state of the process
  * @options_path: settings file, read again periodically and on SIGHUP
@@ -205,6 +216,7 @@
   struct jl_load_shedder load_shedder;
   struct jl_failure_rate failure_rate;
   struct jl_fanout fanout;
+  struct jl_learned learned;
   unsigned demand_count;
   struct jl_demand demands[JL_DEMAND_ROUTES_MAX];
   uint64_t plans_computed_us;
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -7,6 +7,7 @@
 #include "policy/content.h"
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
+#include "proxy/learned.h"
 #include "proxy/report.h"
 
 #include <json-c/json.h>
@@ -193,8 +194,8 @@
 }
 
 /* Restores the incarnations of the target whose leave an earlier incarnation of
- * this daemon has acknowledged. Writes the row again if this daemon had changed
- * it before the row could be read. */
+ * this daemon has acknowledged, and what that one had learned. Writes the row
+ * again if this daemon had changed it before the row could be read. */
 static void
 handle_target_row (struct jl_proxy *proxy, const struct jl_row *row)
 {
@@ -211,6 +212,7 @@
       if (json_object_is_type (departed, json_type_object))
         restore_departed (proxy, departed);
     }
+  jl_learned_restore (proxy, json_object_object_get (document, "calls"));
   json_object_put (document);
   if (proxy->departed_row_acknowledged)
     proxy->departed_revision_sent = proxy->target.departed_revision;
@@ -314,22 +316,36 @@
   return list;
 }
 
-void
-jl_rows_write_departed (struct jl_proxy *proxy)
+/* Writes the row of the local target. */
+static void
+write_target_row (struct jl_proxy *proxy)
 {
   struct json_object *document;
 
-  if (proxy->departed_revision_sent == proxy->target.departed_revision)
-    return;
   proxy->departed_revision_sent = proxy->target.departed_revision;
   proxy->departed_row_acknowledged = false;
   document = json_object_new_object ();
   json_object_object_add (document, "left", departed_list (&proxy->target));
+  json_object_object_add (document, "calls", jl_learned_list (proxy));
   jl_store_write (proxy->store, TARGET_TABLE, proxy->options->name,
                   json_object_to_json_string (document));
   json_object_put (document);
 }
 
+void
+jl_rows_write_departed (struct jl_proxy *proxy)
+{
+  if (proxy->departed_revision_sent != proxy->target.departed_revision)
+    write_target_row (proxy);
+}
+
+void
+jl_rows_write_learned (struct jl_proxy *proxy)
+{
+  if (proxy->departed_row_acknowledged && jl_learned_is_due (proxy))
+    write_target_row (proxy);
+}
+
 /* Returns the ends of targets during trials, for a row. */
 static struct json_object *
 list_ends (const struct jl_proxy *proxy, const struct jl_suspect *suspect)
@@ -426,6 +442,7 @@
              1 + has_departed + has_refused,
              proxy->site != NULL ? proxy->site->version : 0);
   write_daemon_row (proxy);
+  proxy->learned.written_count = 0;
   if (has_departed)
     {
       proxy->departed_revision_sent = 0;
--- a/source/proxy/rows.h
+++ b/source/proxy/rows.h
@@ -3,8 +3,9 @@
 
 /**
  * DOC: Rows of the platform's store that the daemon reads and writes: the
- * configuration, the endpoints of the daemons, the refused contents, and the
- * incarnations of the local target that have left.
+ * configuration, the endpoints of the daemons, the refused contents, and of the
+ * local target the incarnations that have left and the calls that its runs
+ * make.
  */
 
 #include "proxy/proxy.h"
@@ -21,6 +22,12 @@
  */
 void jl_rows_write_departed (struct jl_proxy *proxy);
 
+/**
+ * jl_rows_write_learned - writes the calls that runs at the local target make
+ * if that is due; called once per control window
+ */
+void jl_rows_write_learned (struct jl_proxy *proxy);
+
 /**
  * jl_rows_write_refused - writes the contents that have ended targets in
  * trials, so that daemons know them after a restart and while zones are cut off
