Tell other zones of a changed load in each step, not in each second one

Cause: requests are moved between zones by the refused and spare shares that these announce. Beacons to other zones told a change at once; digests, which took their place, hold it for up to 400 ms, so in a burst it was known too late. Ruled out: the draw of two targets. Change: a daemon whose load has changed much is in the digest of the next step, 200 ms; the others as before.

--- a/source/proxy/digest-impl.h
+++ b/source/proxy/digest-impl.h
@@ -11,7 +11,8 @@
 
 #include <urcu/list.h>
 
-/* Period of digests. A change of a target's state is sent in the next step. */
+/* Period of digests. A change of a target's state or load is sent in the next
+ * step. */
 #define JL_DIGEST_PERIOD_US (400 * JL_USEC_PER_MSEC)
 /* Maximum age of a state that a digest can tell. */
 #define JL_DIGEST_AGE_MS_MAX 65535
--- a/source/proxy/digest.c
+++ b/source/proxy/digest.c
@@ -13,7 +13,7 @@
 #define START_US (600 * JL_USEC_PER_MSEC)
 /* Period in which each daemon of the zone is in a digest. */
 #define STATE_PERIOD_US (1000 * JL_USEC_PER_MSEC)
-/* Changes of a share that are sent in the next digest. */
+/* Changes of a share that other zones are told at once. */
 #define SHED_CHANGE 0.03
 #define SPARE_CHANGE 0.1
 #define FAILURE_CHANGE 0.06
@@ -142,7 +142,8 @@
          || member->target_key != told->target_key;
 }
 
-/* Whether a daemon has changed so much that it belongs into the next digest. */
+/* Whether the load of a daemon has changed so much that other zones are told at
+ * once. */
 static bool
 has_new_load (const struct jl_member *member)
 {
@@ -327,11 +328,9 @@
 {
   if (!jl_digest_is_local (member) || !jl_member_is_alive (member, now_us))
     return false;
-  if (has_new_state (member))
+  if (has_new_state (member) || has_new_load (member))
     return true;
-  return period_over
-         && (now_us >= member->told.at_us + STATE_PERIOD_US
-             || has_new_load (member));
+  return period_over && now_us >= member->told.at_us + STATE_PERIOD_US;
 }
 
 /* Sends the daemons of the zone that are due, in as many digests as needed, but
--- a/tests/proxy/digest.c
+++ b/tests/proxy/digest.c
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <math.h>
 #include <string.h>
 
 #include "proxy/parts/zones.h"
@@ -15,6 +16,9 @@
 /* Time within which a representative that has ended is replaced, in addition.
  */
 #define REPLACED_MS 3000
+/* Time within which other zones know a changed load of a representative: a step
+ * and the way of the digest. */
+#define LOAD_KNOWN_MS 250
 
 /* Returns the number of daemons outside @zone that count it as silent. */
 static unsigned
@@ -49,6 +53,49 @@
   return zones_run_until_known (site, daemon, JL_NONE);
 }
 
+/* Changes the refused share of a representative. Returns the time until a
+ * daemon of another zone knows it, LOAD_KNOWN_MS * 10 at most. */
+static unsigned
+ms_until_load_is_known (struct zones_site *site, double shed_share)
+{
+  struct zones_daemon *teller = zones_daemon (site, 1, 0);
+  const struct jl_member *view = zones_view (zones_daemon (site, 2, 5), teller);
+  unsigned ms = 0;
+
+  teller->self->shed_share = shed_share;
+  cr_log_warn ("view %f want %f", view->shed_share, shed_share);
+  while (ms < LOAD_KNOWN_MS * 10 && fabs (view->shed_share - shed_share) > 0.01)
+    {
+      zones_run (site, 10);
+      ms += 10;
+    }
+  return ms;
+}
+
+/* Requests are moved between zones by what these announce. In a burst, news
+ * that is old moves them to a zone that is full by now. */
+Test (digest, a_change_of_load_is_known_in_other_zones_after_one_step)
+{
+  struct zones_site site;
+  double shed_share = 0;
+  unsigned most = 0;
+
+  g_random_set_seed (10);
+  zones_open (&site, 3, 8);
+  zones_run (&site, 5000);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      unsigned ms;
+
+      shed_share = shed_share > 0.5 ? 0.1 : shed_share + 0.1;
+      ms = ms_until_load_is_known (&site, shed_share);
+      most = MAX (most, ms);
+      zones_run (&site, 70 * (i % 7));
+    }
+  cr_assert_leq (most, LOAD_KNOWN_MS, "%u ms", most);
+  zones_close (&site);
+}
+
 Test (digest, all_daemons_know_each_other_soon_after_the_start)
 {
   struct zones_site site;
