Tell of daemons without changes in time while the load of others changes

What callers would have seen: since changed loads are told in each step, daemons of other zones whose load does not change count as silent after 4 s in which the load of others changes all the time, and get no requests. Cause: the period in which all daemons are told of began anew with each digest, also with one that only has changes, so in a burst it never ended. Changed states, such as restarts, could always do that; loads change far more often. Change: only a digest at the end of a period begins the next one. Evidence: tests/proxy/digest.c other_zones_are_told_of_all_daemons_while_the_load_of_some_changes: daemon 2 is silent to other zones before, none is now.

--- a/source/proxy/digest-impl.h
+++ b/source/proxy/digest-impl.h
@@ -19,7 +19,7 @@
 
 /**
  * struct jl_digest - sender and receiver of digests
- * @sent_us: time of the last digest
+ * @sent_us: time of the last digest that had all that was due, not only changes
  * @links: array of struct zone_link
  * @introductions: list of struct introduction
  */
--- a/source/proxy/digest.c
+++ b/source/proxy/digest.c
@@ -315,7 +315,6 @@
   size_t size = jl_digest_encode (&draft->message, datagram);
 
   draft->message.states.states_len = 0;
-  digest->sent_us = now_us;
   digest->counters.sent++;
   for (guint i = 0; i < digest->roster->zones->len; i++)
     feed_zone (digest,
@@ -370,6 +369,8 @@
     }
   if (draft.message.states.states_len > 0 || period_over)
     send_draft (digest, &draft, now_us);
+  if (period_over)
+    digest->sent_us = now_us;
 }
 
 /* Passes the beacon of a daemon on to other zones: to all their representatives
--- a/tests/proxy/digest.c
+++ b/tests/proxy/digest.c
@@ -96,6 +96,31 @@
   zones_close (&site);
 }
 
+Test (digest,
+      other_zones_are_told_of_all_daemons_while_the_load_of_some_changes)
+{
+  struct zones_site site;
+  struct zones_daemon *other;
+
+  g_random_set_seed (11);
+  zones_open (&site, 3, 8);
+  zones_run (&site, 5000);
+  other = zones_daemon (&site, 2, 5);
+  for (unsigned i = 0; i < 80; i++)
+    {
+      for (unsigned rank = 0; rank < JL_REPRESENTATIVES_MAX; rank++)
+        zones_daemon (&site, 1, rank)->self->shed_share
+            = 0.1 + 0.1 * (i / 2 % 2);
+      zones_run (&site, 100);
+    }
+  for (unsigned rank = 1; rank < 8; rank++)
+    cr_assert (
+        jl_member_is_alive (zones_view (other, zones_daemon (&site, 1, rank)),
+                            site.now_us),
+        "daemon %u", rank);
+  zones_close (&site);
+}
+
 Test (digest, all_daemons_know_each_other_soon_after_the_start)
 {
   struct zones_site site;
