--- a/tests/proxy/digest.c
+++ b/tests/proxy/digest.c
@@ -63,7 +63,6 @@
   unsigned ms = 0;
 
   teller->self->shed_share = shed_share;
-  cr_log_warn ("view %f want %f", view->shed_share, shed_share);
   while (ms < LOAD_KNOWN_MS * 10 && fabs (view->shed_share - shed_share) > 0.01)
     {
       zones_run (site, 10);
