Let signals wait until the proxy has installed its handlers

Cause: the default action of SIGHUP, SIGTERM and SIGINT is to end the process, and the handlers are installed only once settings are read and all sockets are open. Change: main() blocks these signals first; they are unblocked when the handlers are there, and are then handled as usual.

--- a/source/proxy/main.c
+++ b/source/proxy/main.c
@@ -70,6 +70,7 @@
   struct jl_proxy *proxy;
   GError *error = NULL;
 
+  jl_proxy_hold_signals ();
   argp_err_exit_status = 2;
   argp_parse (&parser, argc, argv, 0, NULL, &command);
   options = jl_options_load (command.path, &error);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -422,18 +422,37 @@
     begin_stop (proxy);
 }
 
+static const int handled_signals[] = { SIGTERM, SIGINT, SIGHUP };
+
+/* @how: SIG_BLOCK or SIG_UNBLOCK */
 static void
-watch_signals (struct jl_proxy *proxy)
+mask_signals (int how)
 {
-  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  sigset_t set;
+
+  sigemptyset (&set);
+  for (size_t i = 0; i < G_N_ELEMENTS (handled_signals); i++)
+    sigaddset (&set, handled_signals[i]);
+  pthread_sigmask (how, &set, NULL);
+}
 
+void
+jl_proxy_hold_signals (void)
+{
+  mask_signals (SIG_BLOCK);
+}
+
+static void
+watch_signals (struct jl_proxy *proxy)
+{
   signal (SIGPIPE, SIG_IGN);
-  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (handled_signals); i++)
     {
       uv_signal_init (&proxy->loop->uv, &proxy->signals[i]);
       proxy->signals[i].data = proxy;
-      uv_signal_start (&proxy->signals[i], on_signal, numbers[i]);
+      uv_signal_start (&proxy->signals[i], on_signal, handled_signals[i]);
     }
+  mask_signals (SIG_UNBLOCK);
 }
 
 static struct jl_endpoint
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -268,6 +268,14 @@
 
 /* proxy.c */
 
+/**
+ * jl_proxy_hold_signals - lets the signals that a proxy handles wait
+ *
+ * Their default action ends a process, and they may come before a proxy can
+ * handle them. jl_proxy_new() ends this.
+ */
+void jl_proxy_hold_signals (void);
+
 /**
  * jl_proxy_new - opens all sockets and starts to serve
  * @path: settings file, for reloads
