Read the store again soon after a read of it has failed

What callers would see: a change is not in force in time at a daemon whose own way to the store was away and is back, if nobody in its zone hears of it either. Cause: a daemon that has failed to reach the store left it to others for 5 s, whether or not any of them told it something. Change: it reads again 0.9 of config_apply_s after the start of its last read, at the next look at its age, so 1.2 of it after that start at most; only if what it knows is too old by then. Who follows the store is decided as before. Evidence: tests/proxy/follow.c a_change_is_known_soon_after_the_way_to_the_store_is_back fails before (unknown 3 s after the return), and passes now. One check is changed: a_daemon_that_leaves_it_to_others_makes_no_more_calls let nobody tell the daemon anything, which is where it has to look now. The two seconds without any call are now two in which the follower that took its place tells it, as it does in service, and two more in which nobody does allow one call and no more. The bound of three calls in four seconds while the store is away is unchanged.

--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -21,6 +21,10 @@
 #define AGE_MAX_RATIO 0.5
 /* Time over which the daemons of a zone spread these reads. */
 #define SPREAD_RATIO 0.1
+/* Time after which a daemon that has failed to reach the store reads again.
+ * With the time between two looks at the age, it stays below the time after the
+ * return of its connections from which on a daemon must keep all bounds. */
+#define LOST_RETRY_RATIO 0.9
 /* Duration from which on a read counts as slow. */
 #define SLOW_RATIO 0.1
 /* Time by which a slow read delays further ones, in multiples of its duration,
@@ -39,7 +43,8 @@
  * @stale: the age exceeds its maximum, which was logged
  * @checking: this daemon has begun to read the configuration itself, and no
  *            answer or news has come since
- * @read_us: duration of its last such read, 0 for none
+ * @tried_us: start of its last such read, also of one that failed
+ * @read_us: duration of its last such read that brought an answer, 0 for none
  * @read_ended_us: time at which that read ended
  * @timer: ends when the next such read is due
  */
@@ -52,6 +57,7 @@
   const struct jl_member *heard_from;
   bool stale;
   bool checking;
+  uint64_t tried_us;
   uint64_t read_us;
   uint64_t read_ended_us;
   struct jl_timer timer;
@@ -160,14 +166,26 @@
                   on_timer, freshness);
 }
 
-/* A daemon that does not reach the store leaves it to others for some time,
- * unless it follows the store. */
+/* Whether the daemon reads the configuration itself. One that did not reach the
+ * store leaves it to others for some time, unless it follows the store. It does
+ * not wait for them: nobody might tell it that its way to the store is back. */
+static bool
+may_read (const struct jl_freshness *freshness)
+{
+  const struct jl_proxy *proxy = freshness->proxy;
+  uint64_t retry_us
+      = freshness->tried_us + ratio_us (freshness, LOST_RETRY_RATIO);
+
+  return proxy->follows_store || !proxy->self->store_lost
+         || jl_now () >= retry_us;
+}
+
 static void
 on_timer (void *context, struct jl_timer *timer)
 {
   struct jl_freshness *freshness = context;
   struct jl_proxy *proxy = freshness->proxy;
-  bool reads = proxy->follows_store || !proxy->self->store_lost;
+  bool reads = may_read (freshness);
 
   (void)timer;
   start_timer (freshness, jl_now ());
@@ -180,7 +198,8 @@
   if (!reads)
     return;
   proxy->counters.store_checks++;
-  jl_rows_check_site (proxy);
+  if (jl_rows_check_site (proxy))
+    freshness->tried_us = jl_now ();
 }
 
 struct jl_freshness *
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -486,10 +486,10 @@
     proxy->self->store_lost = false;
 }
 
-void
+bool
 jl_rows_check_site (struct jl_proxy *proxy)
 {
-  jl_store_renew (proxy->store, SITE_TABLE);
+  return jl_store_renew (proxy->store, SITE_TABLE);
 }
 
 /* The first follower calls often, so that all can tell from its silence that
--- a/source/proxy/rows.h
+++ b/source/proxy/rows.h
@@ -38,8 +38,10 @@
 /**
  * jl_rows_check_site - reads the configuration at once if it has changed, on a
  * new connection to the store
+ *
+ * Return: false if an earlier read is still in progress or is repeated soon.
  */
-void jl_rows_check_site (struct jl_proxy *proxy);
+bool jl_rows_check_site (struct jl_proxy *proxy);
 
 /**
  * jl_rows_update_following - begins or ends following the changes in the store;
--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -29,6 +29,9 @@
 #define SLOW_READS_MAX 3
 /* Calls that a daemon may make in some seconds in which the store is away. */
 #define AWAY_CALLS_MAX 3
+/* Time after the return of an instance's connections from which on it must keep
+ * all bounds on time. */
+#define CONTACT_MS 3000
 /* Time within which the zone hears of a content that another zone has found to
  * end targets. */
 #define TOLD_MS 300
@@ -246,6 +249,23 @@
                  rig.store.calls - calls);
 }
 
+/* The others hear nothing either, so nobody would tell it of a change. */
+Test (follow, a_change_is_known_soon_after_the_way_to_the_store_is_back)
+{
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 85, preceding, 1500);
+  others.hear_nothing = true;
+  rig.store.away = true;
+  run_with_others (&rig, &others, 1500);
+  cr_assert (rig.proxy->self->store_lost);
+  rig.store.away = false;
+  write_configuration (&rig, 2);
+  run_with_others (&rig, &others, CONTACT_MS);
+  cr_assert_eq (version_in_force (&rig), 2);
+}
+
 /* Returns the number of datagrams of a format that have come. */
 static unsigned
 count_datagrams (int fd, unsigned format)
@@ -355,9 +375,14 @@
   fake_store_restore (&rig.store, 1);
   run_with_others (&rig, &others, 1000);
   cr_assert_not (rig.proxy->follows_store);
+  others.hear_nothing = false;
   calls = rig.store.calls;
   run_with_others (&rig, &others, 2000);
   cr_assert_eq (rig.store.calls, calls, "%u calls", rig.store.calls - calls);
+  others.hear_nothing = true;
+  run_with_others (&rig, &others, 2000);
+  cr_assert_leq (rig.store.calls, calls + 1, "%u calls",
+                 rig.store.calls - calls);
 }
 
 /* If nobody can reach the store, all who would follow it keep trying. */
