Play changes while connections between daemons are silent, and many daemons

Cause: connections between daemons that fall silent were never played, and with 150 daemons all their datagrams passed the play's own process, so what was late could not be told.

--- a/tests/soak/apply.py
+++ b/tests/soak/apply.py
@@ -2,7 +2,7 @@
 """Plays changes of the configuration while daemons hear nothing from the store.
 
     apply.py --program PATH [--state STATE] [--zones all|one] [--changes N]
-             [--plays N] [--seed N] [--daemons N] [--bound S] [--old] [--keep DIR]
+             [--plays N] [--seed N] [--daemons N] [--bound S] [--direct] [--keep DIR]
 
 Shortly before each change the daemons that follow the store come into a state:
 
@@ -10,12 +10,15 @@
 - silent: their connections to the store pass nothing any more, new ones work;
 - silent-next: the same for those that would follow next, too;
 - silent-all: the same for all daemons;
+- peers-silent: the connections between all daemons pass nothing any more;
+- everything-silent: these and those of all daemons to the store;
 - frozen, frozen-next: they are stopped by a signal until the play ends;
 - killed: they are killed, and start again;
 - slow: what the store sends them takes 0.3 s longer.
 
 Each change adds a route. A daemon that runs all the while must know it within the
-bound, by the time in its log, and must serve it then. A play of which this process
+bound, by the time in its log, and must serve it then. With --direct what daemons send
+each other does not pass this process, which many daemons would make late. A play of which this process
 itself was late is void, is said to be so, and is played again with the next seed.
 """
 
@@ -38,7 +41,10 @@
 from soak import ZONES, Site  # noqa: E402
 from wire import encode, read_message  # noqa: E402
 
-STATES = ["calm", "silent", "silent-next", "silent-all", "frozen", "frozen-next", "killed", "slow"]
+STATES = ["calm", "silent", "silent-next", "silent-all", "peers-silent",
+          "everything-silent", "frozen", "frozen-next", "killed", "slow"]
+# States that all daemons come into.
+ALL_AFFECTED = ["silent-all", "peers-silent", "everything-silent"]
 # Time after their start in which daemons come to know each other, and the random time
 # after it in which a long poll of the store can begin and end.
 START_S = 4.0
@@ -47,7 +53,7 @@
 BEFORE_S = 0.2
 GAP_S = 0.3
 # Time after the last change in which all daemons should know it; longer than the bound.
-AFTER_S = 7.0
+AFTER_S = 5.0
 SLOW_S = 0.3
 # Lateness of this process from which on a play is void.
 LAG_MAX_S = 0.2
@@ -60,6 +66,7 @@
     def __init__(self, arguments, seed, directory):
         super().__init__(arguments, seed, directory)
         self.play = arguments
+        self.relays_peers = not arguments.direct
         self.changes = []
 
     def routes(self, moving_service):
@@ -73,7 +80,7 @@
     def choose_affected(self):
         """Returns the daemons that come into the state."""
         count = FOLLOWERS * 2 if self.play.state.endswith("-next") else FOLLOWERS
-        if self.play.state.endswith("-all"):
+        if self.play.state in ALL_AFFECTED:
             return list(self.daemons)
         chosen = []
         for zone in ZONES if self.play.zones == "all" else ZONES[:1]:
@@ -85,9 +92,11 @@
 
     def begin_state(self, daemon):
         state = self.play.state
-        if state.startswith("silent"):
+        if state.startswith("silent") or state == "everything-silent":
             daemon.store_relay.silence_links()
-        elif state.startswith("frozen"):
+        if state in ("peers-silent", "everything-silent"):
+            daemon.peer_relay.silence_links()
+        if state.startswith("frozen"):
             daemon.signal(signal.SIGSTOP)
         elif state == "killed":
             daemon.signal(signal.SIGKILL)
@@ -113,7 +122,10 @@
         return False
 
     async def run_scenario(self):
-        await asyncio.sleep(START_S + self.random.uniform(0, POLL_S))
+        await asyncio.sleep(START_S)
+        # The daemons keep the connections on which they fetch this version from each other.
+        self.configure()
+        await asyncio.sleep(self.random.uniform(BEFORE_S, POLL_S))
         affected = self.choose_affected()
         self.lag = Lag()
         measuring = asyncio.create_task(self.lag.measure())
@@ -168,6 +180,7 @@
     parser.add_argument("--seed", default=1, type=int)
     parser.add_argument("--daemons", default=12, type=int)
     parser.add_argument("--bound", default=APPLY_S, type=float, help="seconds from the ack")
+    parser.add_argument("--direct", action="store_true", help="relay nothing between daemons")
     parser.add_argument("--off", default="")
     parser.add_argument("--expect-failure", action="store_true", help="succeed only if a change is late")
     parser.add_argument("--keep", default="", help="directory that receives the logs")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -113,7 +113,9 @@
 
     async def prepare(self):
         self.peer_relay = Relay(self.host, (self.host, self.ports["peer"]))
-        advertise = await self.peer_relay.start(datagrams=True)
+        advertise = f"{self.host}:{self.ports['peer']}"
+        if self.site.relays_peers:
+            advertise = await self.peer_relay.start(datagrams=True)
         self.store_relay = Relay(self.host, self.site.store_address)
         store = await self.store_relay.start()
         await self.target.start((self.host, self.ports["announce"]))
@@ -201,6 +203,8 @@
         self.random = random.Random(seed)
         self.directory = directory
         self.history = History()
+        # Whether connections and datagrams between daemons pass this process.
+        self.relays_peers = True
         self.store = Store()
         self.version = 0
         self.seconds = arguments.seconds
