Use no idle connections to a daemon at which requests wait in vain

Change: a pool knows for each address since when requests wait without any response. New soak fault peer_links_silent.

--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -73,6 +73,32 @@
  */
 void jl_pool_close_endpoint (struct jl_pool *pool, struct jl_endpoint endpoint);
 
+/**
+ * struct jl_silence_ops - callback to the owner of a pool
+ * @closed: @count idle connections to @endpoint were closed, since requests
+ *          have waited there for @silent_us without any response
+ */
+struct jl_silence_ops
+{
+  void (*closed) (void *context,
+                  struct jl_endpoint endpoint,
+                  uint64_t silent_us,
+                  unsigned count);
+};
+
+/**
+ * jl_pool_set_silence_max - uses no idle connection to an endpoint for which
+ * requests have waited for more than @silence_max_us without any response
+ *
+ * Connections may pass nothing any more although new ones work, and only the
+ * absence of responses shows it. Without this call, idle connections are always
+ * used.
+ */
+void jl_pool_set_silence_max (struct jl_pool *pool,
+                              uint64_t silence_max_us,
+                              const struct jl_silence_ops *ops,
+                              void *context);
+
 /**
  * jl_upstream_open - starts a request
  * @new_conn: open a new connection instead of reusing an idle one
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -43,6 +43,7 @@
   { JL_RECORD_SUSPICION, "suspicion" },
   { JL_RECORD_TRIAL_BEGUN, "trial begun" },
   { JL_RECORD_ZONE_CHANGED, "zone" },
+  { JL_RECORD_CONNECTIONS_SILENT, "connections silent" },
   { JL_RECORD_SITE_INSTALLED, "configuration installed" },
   { JL_RECORD_SITE_REFUSED, "configuration refused" },
   { JL_RECORD_SITE_WORD_UNKNOWN, "unknown word" },
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -33,14 +33,19 @@
 };
 
 /**
- * struct idle_list - the idle connections to one endpoint
+ * struct remote - the idle connections to one endpoint, and what waits for it
  * @conns: list of struct idle_conn, most recently used first
  * @count: number of entries of @conns
+ * @waiting: number of requests whose response has not begun
+ * @silent_since_us: time of the last response, or of the start of the first
+ *                   request that waits if that is later
  */
-struct idle_list
+struct remote
 {
   struct cds_list_head conns;
   unsigned count;
+  unsigned waiting;
+  uint64_t silent_since_us;
 };
 
 /**
@@ -50,7 +55,10 @@
  *                    to @idle_max_us if there were none
  * @safe_idle_set_us: time at which @safe_idle_max_us was last reduced
  * @idle_conns_max: maximum number of idle connections per endpoint
- * @idle_lists: struct idle_list by endpoint_key()
+ * @remotes: struct remote by endpoint_key()
+ * @silence_max_us: time for which requests may wait without any response before
+ *                  idle connections are not used; 0 for no such time
+ * @silence_ops: called with @context when they are closed for that
  */
 struct jl_pool
 {
@@ -60,7 +68,10 @@
   uint64_t safe_idle_max_us;
   uint64_t safe_idle_set_us;
   unsigned idle_conns_max;
-  GHashTable *idle_lists;
+  GHashTable *remotes;
+  uint64_t silence_max_us;
+  const struct jl_silence_ops *silence_ops;
+  void *context;
 };
 
 /**
@@ -72,6 +83,7 @@
  * @complete: the response was read completely
  * @request_complete: the request was written completely
  * @reused: the request was sent on a pooled connection
+ * @waits: the response has not begun
  * @buffered_bytes_max: the response callback is delayed until the response is
  *                      complete, with a body of at most this size; 0 if not
  * @idle_us: time for which the reused connection had been idle
@@ -90,6 +102,7 @@
   bool complete;
   bool request_complete;
   bool reused;
+  bool waits;
   size_t buffered_bytes_max;
   uint64_t idle_us;
   uint64_t start_us;
@@ -101,24 +114,24 @@
   return (guint64)endpoint.ip << 16 | endpoint.port;
 }
 
-static struct idle_list *
-find_idle_list (struct jl_pool *pool, struct jl_endpoint endpoint)
+static struct remote *
+find_remote (struct jl_pool *pool, struct jl_endpoint endpoint)
 {
   guint64 key = endpoint_key (endpoint);
-  struct idle_list *list = g_hash_table_lookup (pool->idle_lists, &key);
+  struct remote *remote = g_hash_table_lookup (pool->remotes, &key);
 
-  if (list != NULL)
-    return list;
-  list = g_new0 (struct idle_list, 1);
-  CDS_INIT_LIST_HEAD (&list->conns);
-  g_hash_table_insert (pool->idle_lists, g_memdup2 (&key, sizeof key), list);
-  return list;
+  if (remote != NULL)
+    return remote;
+  remote = g_new0 (struct remote, 1);
+  CDS_INIT_LIST_HEAD (&remote->conns);
+  g_hash_table_insert (pool->remotes, g_memdup2 (&key, sizeof key), remote);
+  return remote;
 }
 
 static void
 remove_idle_conn (struct idle_conn *idle)
 {
-  find_idle_list (idle->pool, jl_conn_peer (idle->conn))->count--;
+  find_remote (idle->pool, jl_conn_peer (idle->conn))->count--;
   cds_list_del (&idle->link);
   g_free (idle);
 }
@@ -164,7 +177,7 @@
   pool->idle_max_us = idle_max_us;
   pool->safe_idle_max_us = idle_max_us;
   pool->idle_conns_max = idle_conns_max;
-  pool->idle_lists
+  pool->remotes
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return pool;
 }
@@ -185,14 +198,14 @@
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, pool->idle_lists);
+  g_hash_table_iter_init (&iter, pool->remotes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct idle_list *list = value;
+      struct remote *remote = value;
       struct idle_conn *idle;
       struct idle_conn *next;
 
-      cds_list_for_each_entry_safe (idle, next, &list->conns,
+      cds_list_for_each_entry_safe (idle, next, &remote->conns,
                                     link) if (now_us - idle->since_us
                                               > pool->idle_max_us)
           close_idle_conn (idle);
@@ -202,14 +215,44 @@
 void
 jl_pool_close_endpoint (struct jl_pool *pool, struct jl_endpoint endpoint)
 {
-  struct idle_list *list = find_idle_list (pool, endpoint);
+  struct remote *remote = find_remote (pool, endpoint);
   struct idle_conn *idle;
   struct idle_conn *next;
 
-  cds_list_for_each_entry_safe (idle, next, &list->conns, link)
+  cds_list_for_each_entry_safe (idle, next, &remote->conns, link)
       close_idle_conn (idle);
 }
 
+void
+jl_pool_set_silence_max (struct jl_pool *pool,
+                         uint64_t silence_max_us,
+                         const struct jl_silence_ops *ops,
+                         void *context)
+{
+  pool->silence_max_us = silence_max_us;
+  pool->silence_ops = ops;
+  pool->context = context;
+}
+
+/*
+ * Closes the idle connections to an endpoint that has been silent for too long
+ * while requests wait for it: they may pass nothing any more either. All were
+ * idle before the silence began, since a response would have ended it.
+ */
+static void
+close_silent_conns (struct jl_pool *pool, struct jl_endpoint endpoint)
+{
+  const struct remote *remote = find_remote (pool, endpoint);
+  uint64_t silent_us = jl_now () - remote->silent_since_us;
+  unsigned count = remote->count;
+
+  if (pool->silence_max_us == 0 || remote->waiting == 0 || count == 0
+      || silent_us <= pool->silence_max_us)
+    return;
+  jl_pool_close_endpoint (pool, endpoint);
+  pool->silence_ops->closed (pool->context, endpoint, silent_us, count);
+}
+
 /*
  * Returns the maximum idle time at which a connection is reused now. It doubles
  * every SAFE_IDLE_DOUBLING_US after a reduction, up to that of the owner.
@@ -245,12 +288,12 @@
                 struct jl_endpoint endpoint,
                 uint64_t *idle_us)
 {
-  struct idle_list *list = find_idle_list (pool, endpoint);
+  struct remote *remote = find_remote (pool, endpoint);
   uint64_t now_us = jl_now ();
   struct idle_conn *idle;
   struct idle_conn *next;
 
-  cds_list_for_each_entry_safe (idle, next, &list->conns, link)
+  cds_list_for_each_entry_safe (idle, next, &remote->conns, link)
   {
     struct jl_conn *conn = idle->conn;
 
@@ -268,10 +311,10 @@
 static void
 add_idle_conn (struct jl_pool *pool, struct jl_conn *conn)
 {
-  struct idle_list *list = find_idle_list (pool, jl_conn_peer (conn));
+  struct remote *remote = find_remote (pool, jl_conn_peer (conn));
   struct idle_conn *idle;
 
-  if (list->count >= pool->idle_conns_max)
+  if (remote->count >= pool->idle_conns_max)
     {
       jl_conn_abort (conn);
       return;
@@ -281,8 +324,8 @@
   idle->conn = conn;
   idle->since_us = jl_now ();
   jl_conn_set_owner (conn, &idle_ops, idle);
-  cds_list_add (&idle->link, &list->conns);
-  list->count++;
+  cds_list_add (&idle->link, &remote->conns);
+  remote->count++;
 }
 
 static void
@@ -292,11 +335,32 @@
   upstream->ops->response (upstream->context, upstream);
 }
 
+static void
+begin_wait (struct jl_upstream *upstream)
+{
+  struct remote *remote = find_remote (upstream->pool, upstream->endpoint);
+
+  upstream->waits = true;
+  if (remote->waiting++ == 0)
+    remote->silent_since_us = jl_now ();
+}
+
+static void
+end_wait (struct jl_upstream *upstream)
+{
+  if (upstream->waits)
+    find_remote (upstream->pool, upstream->endpoint)->waiting--;
+  upstream->waits = false;
+}
+
 static void
 on_head (void *context, struct jl_conn *conn)
 {
-  (void)context;
+  struct jl_upstream *upstream = context;
+
   (void)conn;
+  find_remote (upstream->pool, upstream->endpoint)->silent_since_us = jl_now ();
+  end_wait (upstream);
 }
 
 static void
@@ -377,11 +441,14 @@
                   void *context)
 {
   uint64_t idle_us = 0;
-  struct jl_conn *conn
-      = new_conn ? NULL : take_idle_conn (pool, endpoint, &idle_us);
   struct jl_upstream *upstream;
-  bool reused = conn != NULL;
+  struct jl_conn *conn = NULL;
+  bool reused;
 
+  close_silent_conns (pool, endpoint);
+  if (!new_conn)
+    conn = take_idle_conn (pool, endpoint, &idle_us);
+  reused = conn != NULL;
   if (conn == NULL)
     conn = jl_conn_connect (pool->net, endpoint, &conn_ops, NULL);
   if (conn == NULL)
@@ -397,6 +464,7 @@
   upstream->idle_us = idle_us;
   upstream->start_us = jl_now ();
   upstream->body = g_byte_array_new ();
+  begin_wait (upstream);
   jl_conn_set_owner (conn, &conn_ops, upstream);
   jl_conn_start_request (conn, no_body);
   jl_conn_write (conn, head->str, head->len);
@@ -499,6 +567,7 @@
 void
 jl_upstream_close (struct jl_upstream *upstream)
 {
+  end_wait (upstream);
   if (upstream->conn != NULL && can_reuse_conn (upstream))
     {
       jl_conn_set_read_paused (upstream->conn, false);
--- a/source/proxy/hooks.h
+++ b/source/proxy/hooks.h
@@ -16,6 +16,7 @@
  * - "deadline": the entry does not end requests at their deadline
  * - "poison": contents that end targets are not recognized
  * - "freshness": the age of what is known of the store has no effect
+ * - "silence": idle connections to daemons are used although nothing answers
  * - "learned": calls for each run that were read from the store are ignored
  * - "left": departed incarnations read from the store are ignored
  */
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -29,6 +29,9 @@
 #define SERVER_IDLE_TIMEOUT_US (60 * JL_USEC_PER_SEC)
 /* Maximum number of idle connections to one daemon. */
 #define PEER_IDLE_CONNECTIONS_MAX 64
+/* Time for which requests may wait at a daemon without any response before idle
+ * connections to it are not used. */
+#define PEER_SILENCE_MAX_US (250 * JL_USEC_PER_MSEC)
 /* Share of a target's slots that is left unused, as a target slows down when
  * nearly all slots are in use. */
 #define SLOTS_RESERVED_RATIO 0.06
@@ -505,6 +508,34 @@
                          on_reload_timer, proxy);
 }
 
+static void
+on_silence (void *context,
+            struct jl_endpoint endpoint,
+            uint64_t silent_us,
+            unsigned count)
+{
+  char at[JL_ENDPOINT_TEXT_SIZE];
+
+  (void)context;
+  jl_endpoint_format (endpoint, at);
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_CONNECTIONS_SILENT,
+             "at=%s silent_ms=%" PRIu64 " closed=%u", at,
+             silent_us / JL_USEC_PER_MSEC, count);
+}
+
+static void
+open_pools (struct jl_proxy *proxy)
+{
+  static const struct jl_silence_ops ops = { .closed = on_silence };
+
+  proxy->peer_pool
+      = jl_pool_new (proxy->net, PEER_IDLE_MAX_US, PEER_IDLE_CONNECTIONS_MAX);
+  proxy->target_pool = jl_pool_new (proxy->net, TARGET_IDLE_MAX_US, G_MAXUINT);
+  if (JL_TEST_DISABLED ("silence"))
+    return;
+  jl_pool_set_silence_max (proxy->peer_pool, PEER_SILENCE_MAX_US, &ops, proxy);
+}
+
 static void
 init_modules (struct jl_proxy *proxy)
 {
@@ -523,9 +554,7 @@
   jl_roster_set_zone (&proxy->roster, proxy->self, options->zone);
   proxy->loop = jl_loop_new ();
   proxy->net = jl_net_new (proxy->loop);
-  proxy->peer_pool
-      = jl_pool_new (proxy->net, PEER_IDLE_MAX_US, PEER_IDLE_CONNECTIONS_MAX);
-  proxy->target_pool = jl_pool_new (proxy->net, TARGET_IDLE_MAX_US, G_MAXUINT);
+  open_pools (proxy);
   proxy->leave_requests = g_ptr_array_new ();
   proxy->watch = jl_watch_new (proxy);
   jl_suspects_init (&proxy->suspects, &suspect_limits);
--- a/tests/proxy/net.c
+++ b/tests/proxy/net.c
@@ -400,6 +400,98 @@
   cr_assert_eq (jl_net_counters (fixture.net)->connected, 3);
 }
 
+/* Opens a request and, if it comes on a new connection, accepts that. */
+static struct jl_upstream *
+open_beside (struct fixture *fixture, int *peer)
+{
+  unsigned connected = jl_net_counters (fixture->net)->connected;
+
+  send_request (fixture);
+  if (jl_net_counters (fixture->net)->connected > connected)
+    {
+      accept_request (fixture);
+      *peer = fixture->peer;
+    }
+  return fixture->upstream;
+}
+
+static void
+answer_on (struct fixture *fixture, int peer)
+{
+  fixture->peer = peer;
+  peer_send (fixture, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  run_loop (fixture);
+}
+
+static void
+count_silence (void *context,
+               struct jl_endpoint endpoint,
+               uint64_t silent_us,
+               unsigned count)
+{
+  unsigned *closed = context;
+
+  (void)endpoint;
+  cr_assert_gt (silent_us, 100 * JL_USEC_PER_MSEC);
+  *closed += count;
+}
+
+static const struct jl_silence_ops silence_ops = { .closed = count_silence };
+
+/* Opens two requests at a time and answers both, which leaves two idle
+ * connections; opens one more request, which is not answered yet. */
+static void
+leave_one_waiting (struct fixture *fixture, int peers[2])
+{
+  struct jl_upstream *first;
+  struct jl_upstream *second;
+
+  fixture_open (fixture);
+  first = open_beside (fixture, &peers[0]);
+  second = open_beside (fixture, &peers[1]);
+  answer_on (fixture, peers[0]);
+  answer_on (fixture, peers[1]);
+  jl_upstream_close (second);
+  jl_upstream_close (first);
+  open_beside (fixture, &peers[0]);
+  cr_assert_eq (jl_net_counters (fixture->net)->connected, 2);
+}
+
+Test (net, no_idle_connection_is_used_while_requests_wait_in_vain)
+{
+  struct fixture fixture;
+  unsigned closed = 0;
+  int peers[2];
+  int peer;
+
+  leave_one_waiting (&fixture, peers);
+  jl_pool_set_silence_max (fixture.pool, 100 * JL_USEC_PER_MSEC, &silence_ops,
+                           &closed);
+  g_usleep (150000);
+  open_beside (&fixture, &peer);
+  cr_assert_eq (jl_net_counters (fixture.net)->connected, 3);
+  cr_assert_eq (closed, 1);
+}
+
+Test (net, idle_connections_are_used_while_responses_come)
+{
+  struct fixture fixture;
+  struct jl_upstream *other;
+  unsigned closed = 0;
+  int peers[2];
+
+  leave_one_waiting (&fixture, peers);
+  jl_pool_set_silence_max (fixture.pool, 100 * JL_USEC_PER_MSEC, &silence_ops,
+                           &closed);
+  other = open_beside (&fixture, &peers[1]);
+  g_usleep (150000);
+  answer_on (&fixture, peers[1]);
+  jl_upstream_close (other);
+  open_beside (&fixture, &peers[1]);
+  cr_assert_eq (jl_net_counters (fixture.net)->connected, 2);
+  cr_assert_eq (closed, 0);
+}
+
 /**
  * struct handler_log - callbacks received by the handler of a listener
  */
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,7 +54,7 @@
          "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
          "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
          "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
-LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent"]
+LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent", "peer_links_silent"]
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow",
                        "store_restore", "store_endless"}
@@ -434,6 +434,9 @@
         daemon.store_relay.reset_all()
         await self.apply_relay_fault(daemon.store_relay, "refuse", True, duration_s)
 
+    async def do_peer_links_silent(self, daemon, duration_s):
+        daemon.peer_relay.silence_links()
+
     async def do_store_links_silent(self, daemon, duration_s):
         """Lets nothing pass on the present connections to the store, of this and of some other daemons."""
         for other in self.daemons:
