Exit from a planned stop only after a pause in the requests

Cause: the process exits as soon as nothing is in progress. A refused request is in progress for no time; its body is still unread, so the exit resets the connection. Evidence: tests/proxy/silence.c a_stopping_daemon_exits_after_a_pause_in_the_requests fails before; a second test plays requests that do not end.

--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -45,6 +45,9 @@
 /* Minimum time for which requests are served after the start of a graceful
  * shutdown, as clients learn of it only after a delay. */
 #define STOP_MIN_US (2500 * JL_USEC_PER_MSEC)
+/* Time after that at which the process exits although clients still send
+ * requests, which it refuses, if nothing is in progress. */
+#define STOP_REFUSING_MAX_US (500 * JL_USEC_PER_MSEC)
 /* Time for which the local target still receives work after the start of a
  * graceful shutdown. It is shorter than STOP_MIN_US, so that this work
  * completes within STOP_MIN_US. */
@@ -374,17 +377,33 @@
   jl_beacon_send_soon (proxy->beacon);
 }
 
+/* Whether nothing is in progress, and no request has come since the last check:
+ * the process would exit before the rest of its body is read, and the client
+ * would get a reset in place of the response. */
+static bool
+may_exit (struct jl_proxy *proxy, uint64_t age_us)
+{
+  bool idle
+      = cds_list_empty (&proxy->calls) && cds_list_empty (&proxy->work_items);
+  uint64_t requests = proxy->counters.requests + proxy->counters.calls;
+  bool quiet = proxy->stop_requests == requests;
+
+  proxy->stop_requests = requests;
+  if (JL_TEST_DISABLED ("stop"))
+    return true;
+  return idle && (quiet || age_us >= STOP_MIN_US + STOP_REFUSING_MAX_US);
+}
+
 static void
 on_stop_timer (void *context, struct jl_timer *timer)
 {
   struct jl_proxy *proxy = context;
   uint64_t age_us = jl_now () - proxy->stop_began_us;
-  bool idle
-      = cds_list_empty (&proxy->calls) && cds_list_empty (&proxy->work_items);
+  bool exits = may_exit (proxy, age_us);
 
   if (age_us >= GUARD_OPEN_US && !proxy->guard_closed)
     close_guard (proxy);
-  if (age_us >= STOP_MIN_US && (idle || JL_TEST_DISABLED ("stop")))
+  if (age_us >= STOP_MIN_US && exits)
     {
       jl_loop_stop (proxy->loop);
       return;
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -187,6 +187,7 @@
  *         of this daemon
  * @started_us: monotonic clock at the start
  * @stop_began_us: monotonic time at which the graceful shutdown began
+ * @stop_requests: requests that had come until the last check of the shutdown
  * @stopping: a graceful shutdown has begun
  * @guard_closed: the graceful shutdown has progressed so far that the local
  *                target receives no further work
@@ -260,6 +261,7 @@
   uint64_t epoch;
   uint64_t started_us;
   uint64_t stop_began_us;
+  uint64_t stop_requests;
   bool stopping;
   bool guard_closed;
   int exit_status;
--- a/tests/proxy/silence.c
+++ b/tests/proxy/silence.c
@@ -105,6 +105,50 @@
   assert_is_served (&rig, &far, fd);
 }
 
+static bool
+has_stopped (const struct rig *rig)
+{
+  return rig->proxy->stop_timer.heap_position == 0;
+}
+
+/* Sends requests to a daemon that stops, until some time after the end of the
+ * time for which it serves. */
+static void
+send_to_stopping (struct rig *rig, unsigned ms)
+{
+  raise (SIGTERM);
+  for (unsigned i = 0; i < 100 + ms; i += 20)
+    {
+      if (i == 100)
+        rig->proxy->stop_began_us -= 2600 * JL_USEC_PER_MSEC;
+      close (rig_send_request (rig, ENTRY_PORT, REQUEST));
+      rig_run (rig, 20);
+    }
+}
+
+/* A request that has just been refused still gets its response. */
+Test (silence, a_stopping_daemon_exits_after_a_pause_in_the_requests)
+{
+  struct rig rig;
+  struct far far;
+
+  begin (&rig, &far, 46);
+  send_to_stopping (&rig, 200);
+  cr_assert_not (has_stopped (&rig));
+  rig_run (&rig, 120);
+  cr_assert (has_stopped (&rig));
+}
+
+Test (silence, a_stopping_daemon_exits_although_requests_do_not_end)
+{
+  struct rig rig;
+  struct far far;
+
+  begin (&rig, &far, 47);
+  send_to_stopping (&rig, 800);
+  cr_assert (has_stopped (&rig));
+}
+
 Test (silence,
       a_request_at_a_silent_daemon_is_awaited_if_it_was_its_last_attempt)
 {
