--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 import base64
 import contextlib
 import fcntl
+import gc
 import json
 import os
 import random
@@ -551,8 +552,19 @@
             for daemon in self.daemons:
                 await daemon.stop()
             await self.cancel_tasks()
+            await self.reset_connections()
             self.block_lock.close()
 
+    async def reset_connections(self):
+        """Resets what is left open, since a writer that lives longer than the loop fails when it is freed."""
+        for daemon in self.daemons:
+            for relay in (daemon.peer_relay, daemon.store_relay, daemon.target_relay):
+                relay.reset_all()
+            daemon.target.reset_connections()
+        self.store.reset_connections()
+        gc.collect()
+        await asyncio.sleep(0)
+
     async def cancel_tasks(self):
         """Cancels all other tasks until they have ended.
 
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -69,9 +69,12 @@
         self.server.close()
         for task in list(self.tasks):
             task.cancel()
+        self.reset_connections()
+        self.running = 0
+
+    def reset_connections(self):
         for writer in list(self.writers):
             reset(writer)
-        self.running = 0
 
     def go_dark(self, relay):
         """Stops without closing connections: nothing is answered and no heartbeat sent."""
