Let the end of a response end the silence of its address, too

Cause: found by reading the change. A connection whose response takes long becomes idle after the silence has begun by the pool's count, and would be closed although it has just passed something. Change: the end of a response counts like its begin.

--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -37,8 +37,8 @@
  * @conns: list of struct idle_conn, most recently used first
  * @count: number of entries of @conns
  * @waiting: number of requests whose response has not begun
- * @silent_since_us: time of the last response, or of the start of the first
- *                   request that waits if that is later
+ * @silent_since_us: time at which a response began or ended last, or the first
+ *                   request that waits was started if that is later
  */
 struct remote
 {
@@ -353,13 +353,19 @@
   upstream->waits = false;
 }
 
+static void
+end_silence (const struct jl_upstream *upstream)
+{
+  find_remote (upstream->pool, upstream->endpoint)->silent_since_us = jl_now ();
+}
+
 static void
 on_head (void *context, struct jl_conn *conn)
 {
   struct jl_upstream *upstream = context;
 
   (void)conn;
-  find_remote (upstream->pool, upstream->endpoint)->silent_since_us = jl_now ();
+  end_silence (upstream);
   end_wait (upstream);
 }
 
@@ -389,6 +395,7 @@
   struct jl_upstream *upstream = context;
 
   (void)conn;
+  end_silence (upstream);
   upstream->complete = true;
   if (!upstream->response_reported)
     report_response (upstream);
