--- a/tests/proxy/net.c
+++ b/tests/proxy/net.c
@@ -461,8 +461,8 @@
 {
   struct fixture fixture;
   unsigned closed = 0;
-  int peers[2];
-  int peer;
+  int peers[2] = { -1, -1 };
+  int peer = -1;
 
   leave_one_waiting (&fixture, peers);
   jl_pool_set_silence_max (fixture.pool, 100 * JL_USEC_PER_MSEC, &silence_ops,
@@ -478,7 +478,7 @@
   struct fixture fixture;
   struct jl_upstream *other;
   unsigned closed = 0;
-  int peers[2];
+  int peers[2] = { -1, -1 };
 
   leave_one_waiting (&fixture, peers);
   jl_pool_set_silence_max (fixture.pool, 100 * JL_USEC_PER_MSEC, &silence_ops,
