Test that a restarted daemon takes a newer version of others than the store's

Result: the daemon takes version 2 of another daemon within 0.3 s while the store has version 1, and keeps it when it reads the store itself. Nothing had to be mended.

--- a/tests/proxy/follow.c
+++ b/tests/proxy/follow.c
@@ -51,12 +51,16 @@
 };
 
 static void
-send_freshness (struct rig *rig, int fd, const char *name, unsigned age_ms)
+send_freshness_of (struct rig *rig,
+                   int fd,
+                   const char *name,
+                   unsigned site_version,
+                   unsigned age_ms)
 {
   struct beacon_freshness message = {
     .format = JL_FORMAT_FRESHNESS,
     .name = (char *)name,
-    .site_version = 1,
+    .site_version = site_version,
     .age_ms = age_ms,
   };
   char datagram[JL_DATAGRAM_BYTES_MAX];
@@ -67,6 +71,12 @@
   rig_send_datagram (rig, fd, datagram, xdr_getpos (&xdr));
 }
 
+static void
+send_freshness (struct rig *rig, int fd, const char *name, unsigned age_ms)
+{
+  send_freshness_of (rig, fd, name, 1, age_ms);
+}
+
 static void
 tell_freshness (struct rig *rig, struct others *others)
 {
@@ -101,14 +111,20 @@
     others->members[i] = rig_add_member (rig, names[i], "z1", "front");
 }
 
-static void
-write_configuration (struct rig *rig, unsigned version)
+static char *
+make_configuration (unsigned version)
 {
-  char *text = g_strdup_printf (
+  return g_strdup_printf (
       "{\"version\":\"%08x\",\"routes\":{\"columns\":[\"name\"],\"rows\":[]},"
       "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
       "\"headerTimeoutS\":3,\"idleTimeoutS\":15}}",
       version);
+}
+
+static void
+write_configuration (struct rig *rig, unsigned version)
+{
+  char *text = make_configuration (version);
 
   fake_store_put (&rig->store, "op", "config", text);
   g_free (text);
@@ -165,6 +181,39 @@
   cr_assert_eq (version_in_force (&rig), 2);
 }
 
+static void
+send_configuration (void *context, struct jl_request *request)
+{
+  const char *text = context;
+
+  jl_request_reply (request, 200, "", text, strlen (text));
+}
+
+/* The store has come back from an older copy, nobody has written again, and the
+ * daemon has been restarted. */
+Test (follow, a_daemon_that_starts_takes_a_newer_version_of_others)
+{
+  static const struct jl_handler handler = { .begin = send_configuration };
+  char *text = make_configuration (2);
+  const char *why = NULL;
+  struct rig rig;
+  struct others others;
+
+  begin (&rig, &others, 86, preceding, 100);
+  cr_assert_eq (version_in_force (&rig), 1);
+  cr_assert_not_null (jl_server_open (rig.store.net, rig_at (&rig, OTHER_PORT),
+                                      &handler, text, &why),
+                      "%s", why);
+  send_freshness_of (&rig, others.fd, "d1", 2, 0);
+  others.hear_nothing = true;
+  run_with_others (&rig, &others, 300);
+  cr_assert_eq (version_in_force (&rig), 2);
+  run_with_others (&rig, &others, 2500);
+  cr_assert_gt (rig.proxy->counters.store_checks, 0);
+  cr_assert_eq (version_in_force (&rig), 2);
+  g_free (text);
+}
+
 /* Lets the time pass in which a change must be known, as a ratio. */
 static void
 run_until_known (struct rig *rig, struct others *others)
