Refuse plays of silent daemons without relays; reword who reads the store

A comment said two things of a daemon that does not reach the store. Result: no change of behaviour of the product.

--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -166,9 +166,9 @@
                   on_timer, freshness);
 }
 
-/* Whether the daemon reads the configuration itself. One that did not reach the
- * store leaves it to others for some time, unless it follows the store. It does
- * not wait for them: nobody might tell it that its way to the store is back. */
+/* Whether the daemon reads the configuration itself now. One that did not reach
+ * the store leaves it to others at first, unless it follows the store, but tries
+ * again later: nobody might tell it what they know. */
 static bool
 may_read (const struct jl_freshness *freshness)
 {
--- a/tests/soak/apply.py
+++ b/tests/soak/apply.py
@@ -18,8 +18,9 @@
 
 Each change adds a route. A daemon that runs all the while must know it within the
 bound, by the time in its log, and must serve it then. With --direct what daemons send
-each other does not pass this process, which many daemons would make late. A play of which this process
-itself was late is void, is said to be so, and is played again with the next seed.
+each other does not pass this process, which many daemons would make late. A play of
+which this process itself was late is void, is said to be so, and is played again with
+the next seed.
 """
 
 import argparse
@@ -43,8 +44,10 @@
 
 STATES = ["calm", "silent", "silent-next", "silent-all", "peers-silent",
           "everything-silent", "frozen", "frozen-next", "killed", "slow"]
+# States in which connections between daemons are silent, which needs relays.
+RELAYED = ["peers-silent", "everything-silent"]
 # States that all daemons come into.
-ALL_AFFECTED = ["silent-all", "peers-silent", "everything-silent"]
+ALL_AFFECTED = ["silent-all"] + RELAYED
 # Time after their start in which daemons come to know each other, and the random time
 # after it in which a long poll of the store can begin and end.
 START_S = 4.0
@@ -94,7 +97,7 @@
         state = self.play.state
         if state.startswith("silent") or state == "everything-silent":
             daemon.store_relay.silence_links()
-        if state in ("peers-silent", "everything-silent"):
+        if state in RELAYED:
             daemon.peer_relay.silence_links()
         if state.startswith("frozen"):
             daemon.signal(signal.SIGSTOP)
@@ -185,6 +188,8 @@
     parser.add_argument("--expect-failure", action="store_true", help="succeed only if a change is late")
     parser.add_argument("--keep", default="", help="directory that receives the logs")
     arguments = parser.parse_args()
+    if arguments.direct and arguments.state in RELAYED:
+        parser.error(f"--state {arguments.state} needs relays between daemons")
     arguments.faults = ""
     arguments.seconds = 0
     delays, violations, void = [], [], 0
