--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -167,8 +167,8 @@
 }
 
 /* Whether the daemon reads the configuration itself now. One that did not reach
- * the store leaves it to others at first, unless it follows the store, but tries
- * again later: nobody might tell it what they know. */
+ * the store leaves it to others at first, unless it follows the store, but
+ * tries again later: nobody might tell it what they know. */
 static bool
 may_read (const struct jl_freshness *freshness)
 {
