--- a/tests/soak/apply.py
+++ b/tests/soak/apply.py
@@ -112,8 +112,8 @@
         self.configure()
         self.changes[-1] = (time.time(), self.version)
 
-    async def is_served(self, daemon, route):
-        """Returns whether a daemon has this route, from a request of its own."""
+    async def find_unserved(self, daemon, route):
+        """Returns why a request of its own does not find this route at a daemon, "" if it does."""
         fields = {"Host": "a.example", "X-Jackdawladder-Attempt-Id": f"p{daemon.name}-{route}",
                   "X-Jackdawladder-Deadline-Ms": 1000}
         with contextlib.suppress(OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -121,8 +121,8 @@
             writer.write(encode(f"GET /{route}/x HTTP/1.1", fields))
             answer = await asyncio.wait_for(read_message(reader), 2)
             writer.close()
-            return answer.status != 404
-        return False
+            return "404" if answer.status == 404 else ""
+        return "no answer"
 
     async def run_scenario(self):
         await asyncio.sleep(START_S)
@@ -144,7 +144,7 @@
             watched = [d for d in self.daemons if d not in affected]
         await asyncio.sleep(self.play.bound)
         last = f"added{len(self.changes) - 1}"
-        unserved = [d.name for d in watched if not await self.is_served(d, last)]
+        unserved = [f"{d.name} ({why})" for d in watched if (why := await self.find_unserved(d, last))]
         await asyncio.sleep(AFTER_S - self.play.bound)
         self.delays = [self.apply_delay(daemon, at, version)
                        for at, version in self.changes for daemon in watched]
