--- a/tests/site.sh
+++ b/tests/site.sh
@@ -294,7 +294,7 @@
 platform_control ()
 {
   curl -sf -m 2 -X POST "http://$SITE_PLATFORM_CONTROL/test/$1" > /dev/null \
-    || site_fail "the platform does not take the fault $1"
+    || site_fail "the platform does not take the fault $1 (curl: $?)"
 }
 
 # site_call NAME [caller option...]: sends load to all entry ports. The history
