--- a/include/jackdawladder/base.h
+++ b/include/jackdawladder/base.h
@@ -176,6 +176,7 @@
 #define JL_ENDPOINT_TEXT_SIZE 24
 void jl_endpoint_format (struct jl_endpoint endpoint, char *text);
 
+bool jl_endpoint_equal (struct jl_endpoint a, struct jl_endpoint b);
 bool jl_identity_equal (struct jl_identity a, struct jl_identity b);
 bool jl_attempt_id_equal (struct jl_attempt_id a, struct jl_attempt_id b);
 bool jl_ticket_equal (struct jl_ticket a, struct jl_ticket b);
--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -141,6 +141,12 @@
  */
 bool jl_upstream_is_unsent (const struct jl_upstream *upstream);
 
+/**
+ * jl_upstream_is_reused - whether the request was sent on a connection that had
+ * carried another one
+ */
+bool jl_upstream_is_reused (const struct jl_upstream *upstream);
+
 /**
  * jl_upstream_head - returns the head of the response
  */
--- a/source/base/base.c
+++ b/source/base/base.c
@@ -65,6 +65,12 @@
             endpoint.port);
 }
 
+bool
+jl_endpoint_equal (struct jl_endpoint a, struct jl_endpoint b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
 bool
 jl_identity_equal (struct jl_identity a, struct jl_identity b)
 {
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -34,6 +34,7 @@
   { JL_RECORD_WORK_FAILED, "work failed" },
   { JL_RECORD_WORK_SERVED, "work served" },
   { JL_RECORD_RESPONSE_DROPPED, "answer dropped" },
+  { JL_RECORD_TARGET_REFUSED, "target refused" },
   { JL_RECORD_TARGET_CHANGED, "own target" },
   { JL_RECORD_TARGET_HEARTBEAT_REFUSED, "heartbeat refused" },
   { JL_RECORD_LEAVING_ACKNOWLEDGED, "leaving acknowledged" },
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -512,6 +512,12 @@
   return upstream->conn != NULL && jl_conn_is_unsent (upstream->conn);
 }
 
+bool
+jl_upstream_is_reused (const struct jl_upstream *upstream)
+{
+  return upstream->reused;
+}
+
 const struct jl_head *
 jl_upstream_head (const struct jl_upstream *upstream)
 {
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -162,13 +162,17 @@
 jl_proxy_target_changed (struct jl_proxy *proxy, const char *cause)
 {
   const struct jl_target *target = &proxy->target;
+  char address[JL_ENDPOINT_TEXT_SIZE];
 
+  jl_endpoint_format (target->last.address, address);
   jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_CHANGED,
              "state=%s cause=%s target=%s service=%s slots=%u sequence=%" PRIu64
-             " born=%" PRIu64 " running=%u",
+             " born=%" PRIu64 " running=%u address=%s own=%d settings=%s",
              jl_target_state_name (target->state), cause, target->last.id,
              target->last.service, target->last.slots, target->last.sequence,
-             target->last.started_ms, proxy->lane.running);
+             target->last.started_ms, proxy->lane.running, address,
+             jl_endpoint_equal (target->last.address, proxy->options->target),
+             proxy->options->service);
   proxy->lane.limit = lane_limit (target->last.slots);
   if (target->state != JL_TARGET_UP)
     {
