Reproduce refusals that are taken for the response to another request

A target that writes the refusal of request a in front of its answer to request b, on a kept connection: the guard answers "not run" for b, which runs (E715 id=b echoed=a reused=1). The same with a refusal that names no request, with a response that was there before the request was written, and with a 503, 429 or 408 that does not say that the request has not run.

--- a/tests/proxy/net.c
+++ b/tests/proxy/net.c
@@ -691,3 +691,28 @@
   cr_assert_eq (handled.disconnected, 1);
   cr_assert_eq (handled.end_count, 0);
 }
+
+Test (net, a_response_that_came_before_the_request_is_not_taken_for_its_own)
+{
+  struct fixture fixture;
+  int first;
+
+  fixture_open (&fixture);
+  send_request (&fixture);
+  accept_request (&fixture);
+  peer_send (&fixture, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+  run_loop (&fixture);
+  jl_upstream_close (fixture.upstream);
+  peer_send (&fixture, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+  g_usleep (2000);
+  first = fixture.peer;
+  fixture.response = (struct response_log){ .body = g_string_new (NULL) };
+  send_request (&fixture);
+  cr_assert_not (fixture.response.reported);
+  cr_assert_not (fixture.response.failed);
+  accept_request (&fixture);
+  cr_assert_neq (fixture.peer, first);
+  peer_send (&fixture, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  run_loop (&fixture);
+  cr_assert_eq (fixture.response.status, 200);
+}
