Compare the identifier of a refusal before it is taken for the request's own

Cause: on_response() of the guard asked whether a response states "not run" before it asked whether the response belongs to the request. A target that writes an earlier refusal once more on a kept connection, in front of its answer to the next request, so refused a request that it ran; the entry then sent it to another target, or told its client that it had not run.

Change: responses are matched first, refusals too. One that names another attempt is dropped, and the next response on the connection is awaited. One that names no attempt is believed only on a connection that has carried nothing before; else the outcome is unknown. Only a matched response counts as a sign of life for the requests that ended before it.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -29,6 +29,19 @@
  * of the target. */
 #define STATUS_GATEWAY_TIMEOUT 504
 
+/**
+ * enum match - whether a response belongs to a request
+ * @MATCH_OWN: it does
+ * @MATCH_FOREIGN: it does not
+ * @MATCH_UNKNOWN: it cannot be told
+ */
+enum match
+{
+  MATCH_OWN,
+  MATCH_FOREIGN,
+  MATCH_UNKNOWN,
+};
+
 static void start_work (struct jl_work *work);
 
 /* Returns NULL if @relay is NULL: a request has no data once it is answered. */
@@ -177,19 +190,6 @@
   jl_guard_run_queue (proxy);
 }
 
-/* Whether the response belongs to this request: the target has to echo the
- * attempt identifier if the request has one. */
-static bool
-belongs_to_request (const struct jl_work *work, const struct jl_head *head)
-{
-  const char *asked = jl_head_get (jl_request_head (work->relay.request),
-                                   JL_HEADER_ATTEMPT_ID);
-  const char *echoed = jl_head_get (head, JL_HEADER_ATTEMPT_ID);
-
-  return JL_TEST_DISABLED ("match") || asked == NULL
-         || (echoed != NULL && strcmp (asked, echoed) == 0);
-}
-
 /* Whether the target states that it has not run the request. */
 static bool
 target_did_not_run (const struct jl_head *head)
@@ -198,6 +198,28 @@
          || head->status == STATUS_MISDIRECTED;
 }
 
+/* Returns how certain it is that the response belongs to this request: the
+ * target has to echo the attempt identifier if the request has one. A target
+ * may refuse without reading the identifier, but on a connection that has
+ * carried other requests such a refusal may be of any of them. */
+static enum match
+match_response (const struct jl_work *work)
+{
+  const struct jl_head *head = jl_upstream_head (work->relay.upstream);
+  const char *asked = jl_head_get (jl_request_head (work->relay.request),
+                                   JL_HEADER_ATTEMPT_ID);
+  const char *echoed = jl_head_get (head, JL_HEADER_ATTEMPT_ID);
+
+  if (JL_TEST_DISABLED ("match") || asked == NULL)
+    return MATCH_OWN;
+  if (echoed != NULL)
+    return strcmp (asked, echoed) == 0 ? MATCH_OWN : MATCH_FOREIGN;
+  if (!target_did_not_run (head))
+    return MATCH_FOREIGN;
+  return jl_upstream_is_reused (work->relay.upstream) ? MATCH_UNKNOWN
+                                                      : MATCH_OWN;
+}
+
 /* Drops a response to another request and waits for the next response on the
  * same connection, if there can be one. */
 static void
@@ -206,8 +228,7 @@
   work->proxy->counters.responses_dropped++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_RESPONSE_DROPPED,
              "id=%s echoed=%s status=%u", jl_guard_attempt_id (work),
-             echoed_id (work),
-             jl_upstream_head (work->relay.upstream)->status);
+             echoed_id (work), jl_upstream_head (work->relay.upstream)->status);
   if (!jl_upstream_skip_response (work->relay.upstream))
     fail_work (work, "foreign-answer");
 }
@@ -243,13 +264,16 @@
 {
   struct jl_work *work = work_from_relay (context);
   const struct jl_head *head = jl_upstream_head (upstream);
+  enum match match = match_response (work);
 
-  if (head->status != STATUS_MISDIRECTED)
+  if (match == MATCH_OWN && head->status != STATUS_MISDIRECTED)
     jl_watch_count_response (work->proxy->watch, work->started_us);
-  if (target_did_not_run (head) && jl_upstream_is_complete (upstream))
-    handle_target_refused (work);
-  else if (!belongs_to_request (work, head))
+  if (match == MATCH_FOREIGN)
     drop_mismatched_response (work);
+  else if (match == MATCH_UNKNOWN)
+    fail_work (work, "unnamed-refusal");
+  else if (target_did_not_run (head) && jl_upstream_is_complete (upstream))
+    handle_target_refused (work);
   else if (jl_head_get (head, "Content-Encoding") != NULL)
     fail_work (work, "encoded-answer");
   else
