Do not reuse a connection on which a target has refused or answered amiss

The identifiers are equal, so comparing them does not tell.

Cause: nothing but the connection tells two responses to one attempt apart, and it was kept. Change: the connection is closed after a refusal, and after any response that belonged to another request, so that no later request can meet what is still to come there.

--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -180,12 +180,18 @@
 
 /**
  * jl_upstream_skip_response - discards a response that does not belong to the
- * request and waits for the next one on the same connection
+ * request and waits for the next one on the same connection, which is not
+ * reused afterwards
  *
  * Return: false if no further response can be read from the connection.
  */
 bool jl_upstream_skip_response (struct jl_upstream *upstream);
 
+/**
+ * jl_upstream_forbid_reuse - closes the connection after the request
+ */
+void jl_upstream_forbid_reuse (struct jl_upstream *upstream);
+
 /**
  * jl_upstream_set_read_paused - pauses or resumes reading of the response, for
  * flow control
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -84,6 +84,7 @@
  * @request_complete: the request was written completely
  * @reused: the request was sent on a pooled connection
  * @waits: the response has not begun
+ * @not_reusable: the connection is closed after the request
  * @buffered_bytes_max: the response callback is delayed until the response is
  *                      complete, with a body of at most this size; 0 if not
  * @idle_us: time for which the reused connection had been idle
@@ -103,6 +104,7 @@
   bool request_complete;
   bool reused;
   bool waits;
+  bool not_reusable;
   size_t buffered_bytes_max;
   uint64_t idle_us;
   uint64_t start_us;
@@ -554,6 +556,7 @@
 {
   if (!upstream->complete || !jl_upstream_head (upstream)->keep_alive)
     return false;
+  upstream->not_reusable = true;
   upstream->complete = false;
   upstream->response_reported = false;
   g_byte_array_set_size (upstream->body, 0);
@@ -561,6 +564,12 @@
   return true;
 }
 
+void
+jl_upstream_forbid_reuse (struct jl_upstream *upstream)
+{
+  upstream->not_reusable = true;
+}
+
 void
 jl_upstream_set_read_paused (struct jl_upstream *upstream, bool paused)
 {
@@ -571,7 +580,8 @@
 static bool
 can_reuse_conn (const struct jl_upstream *upstream)
 {
-  return upstream->complete && upstream->request_complete
+  return !upstream->not_reusable && upstream->complete
+         && upstream->request_complete
          && jl_conn_head (upstream->conn)->keep_alive
          && !jl_conn_has_extra_input (upstream->conn)
          && jl_conn_backlog (upstream->conn) == 0;
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -245,6 +245,8 @@
              proxy->target.last.id,
              jl_upstream_is_reused (work->relay.upstream),
              jl_now () - work->started_us);
+  /* The target may write the refusal once more. */
+  jl_upstream_forbid_reuse (work->relay.upstream);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status != STATUS_MISDIRECTED);
   jl_guard_refuse (work, status == STATUS_MISDIRECTED ? "target-changed"
