Send no request on an idle connection that holds unread input

Input on an idle connection closes it, but only once the event loop has read it; a request that is placed before that, in the same turn of the loop, met it. The first response after a request was written cannot be told from one that was there, so it must not be there.

Change: before a connection is reused, the socket is asked for input or its end without waiting (one system call a reuse). It concerns all users of the pool: targets, daemons and the store.

--- a/include/jackdawladder/conn.h
+++ b/include/jackdawladder/conn.h
@@ -211,6 +211,12 @@
  */
 bool jl_conn_has_extra_input (const struct jl_conn *conn);
 
+/**
+ * jl_conn_has_unread_input - whether the kernel holds input, or the end of it,
+ * that was not read yet
+ */
+bool jl_conn_has_unread_input (const struct jl_conn *conn);
+
 /**
  * jl_conn_set_read_paused - pauses or resumes reading, for flow control
  */
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -611,6 +611,18 @@
   return conn->pending_input->len > 0;
 }
 
+bool
+jl_conn_has_unread_input (const struct jl_conn *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    return true;
+  return recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0
+         || (errno != EAGAIN && errno != EINTR);
+}
+
 void
 jl_conn_write (struct jl_conn *conn, const char *data, size_t size)
 {
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -284,6 +284,17 @@
   pool->safe_idle_set_us = now_us;
 }
 
+/* Whether an idle connection can carry a request: input that is there already
+ * would be taken for the response. */
+static bool
+is_usable (const struct jl_pool *pool, const struct idle_conn *idle)
+{
+  uint64_t now_us = jl_now ();
+
+  return now_us - idle->since_us <= current_idle_max_us (pool, now_us)
+         && !jl_conn_has_unread_input (idle->conn);
+}
+
 /* Returns a reusable connection and its idle time, or NULL if there is none. */
 static struct jl_conn *
 take_idle_conn (struct jl_pool *pool,
@@ -291,7 +302,6 @@
                 uint64_t *idle_us)
 {
   struct remote *remote = find_remote (pool, endpoint);
-  uint64_t now_us = jl_now ();
   struct idle_conn *idle;
   struct idle_conn *next;
 
@@ -299,8 +309,8 @@
   {
     struct jl_conn *conn = idle->conn;
 
-    *idle_us = now_us - idle->since_us;
-    if (*idle_us <= current_idle_max_us (pool, now_us))
+    *idle_us = jl_now () - idle->since_us;
+    if (is_usable (pool, idle))
       {
         remove_idle_conn (idle);
         return conn;
