Send requests without an identifier on connections of their own

Cause: the identifier is all that tells responses on one connection apart. Change: such a request goes out on a new connection, on which nothing earlier can come.

refusal::of_an_earlier_request_does_not_reach_one_without_identifier failed before (the kept connection was used) and passes.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -51,11 +51,17 @@
   return relay != NULL ? caa_container_of (relay, struct jl_work, relay) : NULL;
 }
 
+static const char *
+attempt_id (const struct jl_work *work)
+{
+  return jl_head_get (jl_request_head (work->relay.request),
+                      JL_HEADER_ATTEMPT_ID);
+}
+
 const char *
 jl_guard_attempt_id (const struct jl_work *work)
 {
-  const char *id = jl_head_get (jl_request_head (work->relay.request),
-                                JL_HEADER_ATTEMPT_ID);
+  const char *id = attempt_id (work);
 
   return id != NULL ? id : "-";
 }
@@ -206,8 +212,7 @@
 match_response (const struct jl_work *work)
 {
   const struct jl_head *head = jl_upstream_head (work->relay.upstream);
-  const char *asked = jl_head_get (jl_request_head (work->relay.request),
-                                   JL_HEADER_ATTEMPT_ID);
+  const char *asked = attempt_id (work);
   const char *echoed = jl_head_get (head, JL_HEADER_ATTEMPT_ID);
 
   if (JL_TEST_DISABLED ("match") || asked == NULL)
@@ -386,6 +391,10 @@
   GString *text = jl_headers_to_target (
       head, (unsigned)(remaining_us / JL_USEC_PER_MSEC), proxy->target.last.id);
 
+  /* Without an identifier, an earlier response on the connection could not be
+   * told from that of the request. */
+  if (attempt_id (work) == NULL)
+    work->fresh_connection = true;
   work->running = true;
   work->started_us = now_us;
   jl_trial_started (work);
