Do not pass on a refusal that does not say that the request has not run

A target that answers so without the statement that it has not run the request may have run it, and the guard passed the status on (REFUSED).

Cause: the guard told refusals by the statement only, and everything else was the target's answer, whatever its status promised. Change: such a response counts as an unknown outcome, 502; requests that may be repeated are placed again. A refusal is also told by its head alone, however long its body is.

refusal::that_does_not_say_that_the_request_has_not_run_is_no_promise failed before (503 was passed on) and passes. No case of it is known from the users' record.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -28,6 +28,10 @@
 /* Status of a target's response at the deadline. It is not counted as a failure
  * of the target. */
 #define STATUS_GATEWAY_TIMEOUT 504
+/* Further statuses that promise a client that its request has not run. */
+#define STATUS_REQUEST_TIMEOUT 408
+#define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_UNAVAILABLE 503
 
 /**
  * enum match - whether a response belongs to a request
@@ -204,6 +208,15 @@
          || head->status == STATUS_MISDIRECTED;
 }
 
+/* Whether clients take a status for the promise that the request has not run.
+ */
+static bool
+promises_not_run (unsigned status)
+{
+  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_TOO_MANY_REQUESTS
+         || status == STATUS_UNAVAILABLE;
+}
+
 /* Returns how certain it is that the response belongs to this request: the
  * target has to echo the attempt identifier if the request has one. A target
  * may refuse without reading the identifier, but on a connection that has
@@ -279,8 +292,10 @@
     drop_mismatched_response (work);
   else if (match == MATCH_UNKNOWN)
     fail_work (work, "unnamed-refusal");
-  else if (target_did_not_run (head) && jl_upstream_is_complete (upstream))
+  else if (target_did_not_run (head))
     handle_target_refused (work);
+  else if (promises_not_run (head->status))
+    fail_work (work, "unstated-refusal");
   else if (jl_head_get (head, "Content-Encoding") != NULL)
     fail_work (work, "encoded-answer");
   else
