Keep a connection on which a target has refused, but for the same attempts

Cause: closing the connection after each refusal costs callers capacity at a target that is full.

Change: the connection keeps up to eight marks, hashes of the attempts refused on it, and an attempt with one of them goes to another connection; a connection with more refusals, or with one that names no attempt, is closed. Two tests: other attempts use the connection, and a refusal without an identifier ends it.

--- a/include/jackdawladder/conn.h
+++ b/include/jackdawladder/conn.h
@@ -211,6 +211,19 @@
  */
 bool jl_conn_has_extra_input (const struct jl_conn *conn);
 
+/**
+ * jl_conn_mark - keeps a mark with the connection until it ends
+ *
+ * Return: false if it has JL_CONN_MARKS_MAX marks already.
+ */
+#define JL_CONN_MARKS_MAX 8
+bool jl_conn_mark (struct jl_conn *conn, uint64_t mark);
+
+/**
+ * jl_conn_has_mark - whether the connection has this mark
+ */
+bool jl_conn_has_mark (const struct jl_conn *conn, uint64_t mark);
+
 /**
  * jl_conn_has_unread_input - whether the kernel holds input, or the end of it,
  * that was not read yet
--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -102,6 +102,8 @@
 /**
  * jl_upstream_open - starts a request
  * @new_conn: open a new connection instead of reusing an idle one
+ * @avoid: reuse no connection with this mark, see jl_upstream_mark(); 0 for
+ * none
  * @head: the complete request head, including the empty line at its end
  * @no_body: the response has no body, as for a HEAD request
  * @ops: callbacks to the owner, called with @context
@@ -111,6 +113,7 @@
 struct jl_upstream *jl_upstream_open (struct jl_pool *pool,
                                       struct jl_endpoint endpoint,
                                       bool new_conn,
+                                      uint64_t avoid,
                                       const GString *head,
                                       bool no_body,
                                       const struct jl_upstream_ops *ops,
@@ -188,9 +191,12 @@
 bool jl_upstream_skip_response (struct jl_upstream *upstream);
 
 /**
- * jl_upstream_forbid_reuse - closes the connection after the request
+ * jl_upstream_mark - marks the connection, so that later requests can avoid it
+ * @mark: 0 for one that all requests avoid
+ *
+ * A connection with too many marks is not reused either.
  */
-void jl_upstream_forbid_reuse (struct jl_upstream *upstream);
+void jl_upstream_mark (struct jl_upstream *upstream, uint64_t mark);
 
 /**
  * jl_upstream_set_read_paused - pauses or resumes reading of the response, for
--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -65,6 +65,7 @@
  * @last_read_us: time of the last input
  * @last_write_us: time at which output last made progress
  * @idle_timeout_us: idle timeout of this connection; 0 selects that of @net
+ * @marks: marks of the owners, @mark_count of them
  * @output: output not yet passed to the kernel or to libuv
  * @uv_output: output passed to libuv and not yet written
  * @pending_input: input that arrived after the message that is complete
@@ -100,6 +101,8 @@
   uint64_t last_read_us;
   uint64_t last_write_us;
   uint64_t idle_timeout_us;
+  uint64_t marks[JL_CONN_MARKS_MAX];
+  unsigned mark_count;
   GByteArray *output;
   GByteArray *uv_output;
   GByteArray *pending_input;
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -611,6 +611,24 @@
   return conn->pending_input->len > 0;
 }
 
+bool
+jl_conn_mark (struct jl_conn *conn, uint64_t mark)
+{
+  if (conn->mark_count == JL_CONN_MARKS_MAX)
+    return false;
+  conn->marks[conn->mark_count++] = mark;
+  return true;
+}
+
+bool
+jl_conn_has_mark (const struct jl_conn *conn, uint64_t mark)
+{
+  for (unsigned i = 0; i < conn->mark_count; i++)
+    if (conn->marks[i] == mark)
+      return true;
+  return false;
+}
+
 bool
 jl_conn_has_unread_input (const struct jl_conn *conn)
 {
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -284,10 +284,10 @@
   pool->safe_idle_set_us = now_us;
 }
 
-/* Whether an idle connection can carry a request: input that is there already
- * would be taken for the response. */
+/* Whether an idle connection can be kept: input that is there already would be
+ * taken for the response to the next request. */
 static bool
-is_usable (const struct jl_pool *pool, const struct idle_conn *idle)
+is_sound (const struct jl_pool *pool, const struct idle_conn *idle)
 {
   uint64_t now_us = jl_now ();
 
@@ -295,10 +295,12 @@
          && !jl_conn_has_unread_input (idle->conn);
 }
 
-/* Returns a reusable connection and its idle time, or NULL if there is none. */
+/* Returns a reusable connection without the mark @avoid and its idle time, or
+ * NULL if there is none. */
 static struct jl_conn *
 take_idle_conn (struct jl_pool *pool,
                 struct jl_endpoint endpoint,
+                uint64_t avoid,
                 uint64_t *idle_us)
 {
   struct remote *remote = find_remote (pool, endpoint);
@@ -309,8 +311,10 @@
   {
     struct jl_conn *conn = idle->conn;
 
+    if (jl_conn_has_mark (conn, avoid))
+      continue;
     *idle_us = jl_now () - idle->since_us;
-    if (is_usable (pool, idle))
+    if (is_sound (pool, idle))
       {
         remove_idle_conn (idle);
         return conn;
@@ -454,6 +458,7 @@
 jl_upstream_open (struct jl_pool *pool,
                   struct jl_endpoint endpoint,
                   bool new_conn,
+                  uint64_t avoid,
                   const GString *head,
                   bool no_body,
                   const struct jl_upstream_ops *ops,
@@ -466,7 +471,7 @@
 
   close_silent_conns (pool, endpoint);
   if (!new_conn)
-    conn = take_idle_conn (pool, endpoint, &idle_us);
+    conn = take_idle_conn (pool, endpoint, avoid, &idle_us);
   reused = conn != NULL;
   if (conn == NULL)
     conn = jl_conn_connect (pool->net, endpoint, &conn_ops, NULL);
@@ -575,9 +580,10 @@
 }
 
 void
-jl_upstream_forbid_reuse (struct jl_upstream *upstream)
+jl_upstream_mark (struct jl_upstream *upstream, uint64_t mark)
 {
-  upstream->not_reusable = true;
+  if (mark == 0 || !jl_conn_mark (upstream->conn, mark))
+    upstream->not_reusable = true;
 }
 
 void
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -326,7 +326,7 @@
   g_strlcpy (work.service, call->service, sizeof work.service);
   text = jl_headers_to_guard (head, &work, jl_proxy_service (proxy));
   call->relay.upstream = jl_upstream_open (
-      proxy->peer_pool, call->member->peer, false, text,
+      proxy->peer_pool, call->member->peer, false, 0, text,
       strcmp (head->method, "HEAD") == 0, &upstream_ops, &call->relay);
   g_string_free (text, TRUE);
   return call->relay.upstream != NULL;
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -15,6 +15,7 @@
 #include "proxy/watch.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Size of the buffered body of queued work above which the guard stops reading
  * from the sender. */
@@ -62,6 +63,15 @@
                       JL_HEADER_ATTEMPT_ID);
 }
 
+/* Returns a mark for connections on which the attempt was refused. */
+static uint64_t
+attempt_mark (const struct jl_work *work)
+{
+  const char *id = attempt_id (work);
+
+  return id != NULL ? XXH3_64bits (id, strlen (id)) : 0;
+}
+
 const char *
 jl_guard_attempt_id (const struct jl_work *work)
 {
@@ -251,6 +261,19 @@
     fail_work (work, "foreign-answer");
 }
 
+/* Marks the connection of a refusal, which the target may write once more: the
+ * attempt itself must not come there again, and no other attempt if the refusal
+ * names none. */
+static void
+mark_refused (struct jl_work *work)
+{
+  bool named = jl_head_get (jl_upstream_head (work->relay.upstream),
+                            JL_HEADER_ATTEMPT_ID)
+               != NULL;
+
+  jl_upstream_mark (work->relay.upstream, named ? attempt_mark (work) : 0);
+}
+
 static void
 handle_target_refused (struct jl_work *work)
 {
@@ -263,8 +286,7 @@
              proxy->target.last.id,
              jl_upstream_is_reused (work->relay.upstream),
              jl_now () - work->started_us);
-  /* The target may write the refusal once more. */
-  jl_upstream_forbid_reuse (work->relay.upstream);
+  mark_refused (work);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status != STATUS_MISDIRECTED);
   jl_guard_refuse (work, status == STATUS_MISDIRECTED ? "target-changed"
@@ -414,8 +436,9 @@
   work->started_us = now_us;
   jl_trial_started (work);
   work->relay.upstream = jl_upstream_open (
-      proxy->target_pool, proxy->options->target, work->fresh_connection, text,
-      strcmp (head->method, "HEAD") == 0, &upstream_ops, &work->relay);
+      proxy->target_pool, proxy->options->target, work->fresh_connection,
+      attempt_mark (work), text, strcmp (head->method, "HEAD") == 0,
+      &upstream_ops, &work->relay);
   g_string_free (text, TRUE);
   if (work->relay.upstream == NULL)
     {
--- a/source/proxy/sync.c
+++ b/source/proxy/sync.c
@@ -153,9 +153,9 @@
   sync->attempts++;
   sync->began_us = jl_now ();
   head = g_string_new ("GET " JL_SITE_PATH " HTTP/1.1\r\nHost: peer\r\n\r\n");
-  sync->upstream
-      = jl_upstream_open (proxy->peer_pool, sync->member->peer,
-                          sync->attempts > 1, head, false, &upstream_ops, sync);
+  sync->upstream = jl_upstream_open (proxy->peer_pool, sync->member->peer,
+                                     sync->attempts > 1, 0, head, false,
+                                     &upstream_ops, sync);
   g_string_free (head, TRUE);
   if (sync->upstream != NULL)
     {
--- a/tests/proxy/net.c
+++ b/tests/proxy/net.c
@@ -163,8 +163,8 @@
   GString *head = g_string_new ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
 
   fixture->upstream
-      = jl_upstream_open (fixture->pool, fixture->endpoint, false, head, false,
-                          &upstream_ops, &fixture->response);
+      = jl_upstream_open (fixture->pool, fixture->endpoint, false, 0, head,
+                          false, &upstream_ops, &fixture->response);
   jl_upstream_end_body (fixture->upstream, false);
   g_string_free (head, TRUE);
   run_loop (fixture);
@@ -377,8 +377,8 @@
     GString *head = g_string_new ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
 
     fixture.upstream
-        = jl_upstream_open (fixture.pool, fixture.endpoint, false, head, false,
-                            &upstream_ops, &fixture.response);
+        = jl_upstream_open (fixture.pool, fixture.endpoint, false, 0, head,
+                            false, &upstream_ops, &fixture.response);
     g_string_free (head, TRUE);
   }
   uv_run (&fixture.loop->uv, UV_RUN_NOWAIT);
--- a/tests/proxy/refusal.c
+++ b/tests/proxy/refusal.c
@@ -161,6 +161,39 @@
   cr_assert_eq (play.accepted, 2, "the attempt came on the same connection");
 }
 
+Test (refusal, keeps_its_connection_for_some_other_attempts)
+{
+  struct play play;
+
+  begin (&play, 18);
+  for (unsigned i = 0; i <= JL_CONN_MARKS_MAX; i++)
+    {
+      char *id = g_strdup_printf ("a%u", i);
+      char *text = g_strdup_printf (
+          "HTTP/1.1 503 Service Unavailable\r\n"
+          "X-Jackdawladder-Attempt-Id: %s\r\n"
+          "X-Jackdawladder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+          id);
+
+      refuse_work (&play, id, text);
+      g_free (text);
+      g_free (id);
+    }
+  cr_assert_eq (play.accepted, 1);
+  send_work (&play, "b");
+  cr_assert_eq (play.accepted, 2);
+}
+
+Test (refusal, without_an_identifier_ends_its_connection)
+{
+  struct play play;
+
+  begin (&play, 19);
+  refuse_work (&play, "a", ANONYMOUS_REFUSAL);
+  send_work (&play, "b");
+  cr_assert_eq (play.accepted, 2);
+}
+
 Test (refusal, without_an_identifier_on_a_kept_connection_promises_nothing)
 {
   struct play play;
