Move the listener for heartbeats and leaves into a file of its own

It is about to decide which heartbeats are the own target's, and the file of the readiness and metrics pages was among the largest.

--- /dev/null
+++ b/source/proxy/heartbeats.c
@@ -0,0 +1,296 @@
+/**
+ * DOC: HTTP listener for the heartbeats and leaves of the local target.
+ */
+
+#include "proxy/proxy.h"
+
+#include "decode.h"
+#include "names.h"
+#include "proxy/report.h"
+#include "proxy/rows.h"
+#include "proxy/watch.h"
+
+#include <string.h>
+
+/* Maximum size of a heartbeat. Data that would exceed it is dropped, so
+ * that a larger heartbeat is refused as malformed. */
+#define HEARTBEAT_BYTES_MAX 65536
+/* Maximum time for which the response to a leave announcement waits for the
+ * store and for other daemons. The target expects the response within a second
+ * and otherwise asks another daemon. */
+#define LEAVE_ACK_TIMEOUT_US (300 * JL_USEC_PER_MSEC)
+/* The same for a daemon that has just been started: it needs more time to hear
+ * others. */
+#define LEAVE_ACK_START_TIMEOUT_US (700 * JL_USEC_PER_MSEC)
+/* Period of checks whether a leave announcement can be answered. */
+#define LEAVE_CHECK_PERIOD_US (10 * JL_USEC_PER_MSEC)
+/* Period of checks whether other daemons have been heard, longer than they need
+ * to answer the first beacon of a daemon that has been restarted. */
+#define HELD_CHECK_PERIOD_US (40 * JL_USEC_PER_MSEC)
+
+static void
+respond_json (struct jl_request *request, unsigned status)
+{
+  jl_request_reply (request, status, "Content-Type: application/json\r\n", "{}",
+                    2);
+}
+
+/* Returns the identifier in the path of an announcement, NULL for other
+ * paths. */
+static const char *
+announced_id (struct jl_request *request)
+{
+  const char *target = jl_head_target (jl_request_head (request));
+
+  if (!g_str_has_prefix (target, JL_PATH_INSTANCES))
+    return NULL;
+  return target + strlen (JL_PATH_INSTANCES);
+}
+
+/* Tells others of the last leave. Beacons cannot tell it if no heartbeat of the
+ * target has arrived. */
+static void
+tell_leave (struct jl_proxy *proxy)
+{
+  const struct jl_target *target = &proxy->target;
+  unsigned last = (target->departed_next + JL_TARGET_DEPARTED_MAX - 1)
+                  % JL_TARGET_DEPARTED_MAX;
+
+  if (target->state == JL_TARGET_NONE)
+    jl_news_send_own_departure (proxy->news, target->departed[last].id);
+  else
+    jl_beacon_send_now (proxy->beacon);
+}
+
+/* Whether a leave is known to others that outlive this daemon: to the store,
+ * and to other daemons in case the store loses it. */
+static bool
+is_leave_known (const struct jl_proxy *proxy)
+{
+  return proxy->departed_row_acknowledged && jl_proxy_has_heard_others (proxy);
+}
+
+/* Responds to the pending leave announcements. A later incarnation of this
+ * daemon knows that the target has left only if the row was written. */
+static void
+acknowledge_leave (struct jl_proxy *proxy)
+{
+  jl_timer_stop (proxy->loop->timers, &proxy->leave_timer);
+  tell_leave (proxy);
+  for (guint i = 0; i < proxy->leave_requests->len; i++)
+    respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_LEAVING_ACKNOWLEDGED,
+             "target=%s written=%d heartbeats=%u", proxy->target.last.id,
+             proxy->departed_row_acknowledged, proxy->leave_requests->len);
+  g_ptr_array_set_size (proxy->leave_requests, 0);
+}
+
+void
+jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy)
+{
+  if (proxy->leave_requests->len > 0 && is_leave_known (proxy))
+    acknowledge_leave (proxy);
+}
+
+static void
+on_leave_timer (void *context, struct jl_timer *timer)
+{
+  struct jl_proxy *proxy = context;
+
+  if (is_leave_known (proxy) || jl_now () >= proxy->leave_until_us)
+    acknowledge_leave (proxy);
+  else
+    jl_loop_start_timer (proxy->loop, timer, LEAVE_CHECK_PERIOD_US,
+                         on_leave_timer, proxy);
+}
+
+/* Responds to a leave announcement once it is known to others, or after a
+ * timeout. */
+static void
+respond_to_leave (struct jl_proxy *proxy, struct jl_request *request)
+{
+  jl_rows_write_departed (proxy);
+  if (is_leave_known (proxy))
+    {
+      /* Beacons have told it already, unless there was no heartbeat. */
+      if (proxy->target.state == JL_TARGET_NONE)
+        tell_leave (proxy);
+      respond_json (request, 200);
+      return;
+    }
+  if (proxy->leave_requests->len == 0)
+    {
+      proxy->leave_until_us
+          = jl_now ()
+            + (jl_proxy_has_heard_others (proxy) ? LEAVE_ACK_TIMEOUT_US
+                                                 : LEAVE_ACK_START_TIMEOUT_US);
+      jl_loop_start_timer (proxy->loop, &proxy->leave_timer,
+                           LEAVE_CHECK_PERIOD_US, on_leave_timer, proxy);
+    }
+  g_ptr_array_add (proxy->leave_requests, request);
+}
+
+static void
+apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  uint64_t up_since_us = proxy->target.up_since_us;
+
+  if (jl_target_is_replaced_by (&proxy->target, heartbeat))
+    jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
+  if (jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ()))
+    jl_proxy_target_changed (proxy, "heartbeat");
+  if (proxy->target.up_since_us != up_since_us)
+    jl_watch_begin (proxy->watch);
+}
+
+static void
+apply_held_heartbeat (struct jl_proxy *proxy)
+{
+  jl_timer_stop (proxy->loop->timers, &proxy->held_timer);
+  proxy->heartbeat_held = false;
+  apply_heartbeat (proxy, &proxy->held_heartbeat);
+}
+
+static void
+handle_leave (struct jl_proxy *proxy,
+              struct jl_request *request,
+              const char *id)
+{
+  if (proxy->heartbeat_held && strcmp (proxy->held_heartbeat.id, id) == 0)
+    apply_held_heartbeat (proxy);
+  if (jl_target_mark_departed (&proxy->target, id,
+                               (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC))
+    jl_proxy_target_changed (proxy, "left");
+  respond_to_leave (proxy, request);
+}
+
+static void
+on_held_timer (void *context, struct jl_timer *timer)
+{
+  struct jl_proxy *proxy = context;
+
+  if (proxy->others_heard)
+    {
+      apply_held_heartbeat (proxy);
+      return;
+    }
+  proxy->others_heard = jl_proxy_has_heard_others (proxy);
+  jl_loop_start_timer (proxy->loop, timer, HELD_CHECK_PERIOD_US, on_held_timer,
+                       proxy);
+}
+
+/* Whether the target may have left before this daemon started, and others have
+ * not had the time to tell it. */
+static bool
+may_have_left (const struct jl_proxy *proxy,
+               const struct jl_heartbeat *heartbeat)
+{
+  return proxy->target.state == JL_TARGET_NONE && !heartbeat->draining
+         && heartbeat->started_ms < proxy->epoch / JL_USEC_PER_MSEC
+         && (proxy->heartbeat_held || !jl_proxy_has_heard_others (proxy));
+}
+
+static void
+hold_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  if (!proxy->heartbeat_held)
+    {
+      jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_HELD,
+                 "target=%s born=%" PRIu64 " site=%" PRIx64, heartbeat->id,
+                 heartbeat->started_ms,
+                 proxy->site != NULL ? proxy->site->version : 0);
+      jl_loop_start_timer (proxy->loop, &proxy->held_timer,
+                           HELD_CHECK_PERIOD_US, on_held_timer, proxy);
+    }
+  proxy->heartbeat_held = true;
+  proxy->held_heartbeat = *heartbeat;
+}
+
+static void
+handle_heartbeat (struct jl_proxy *proxy,
+                  struct jl_request *request,
+                  const char *id,
+                  const GByteArray *body)
+{
+  struct jl_heartbeat heartbeat;
+  GError *error = NULL;
+
+  if (!jl_platform_decode_heartbeat ((const char *)body->data, body->len,
+                                     &heartbeat, &error))
+    {
+      jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_HEARTBEAT_REFUSED,
+                 "target=%.60s cause=\"%s\"", id, error->message);
+      g_error_free (error);
+      respond_json (request, 400);
+      return;
+    }
+  g_strlcpy (heartbeat.id, id, sizeof heartbeat.id);
+  if (may_have_left (proxy, &heartbeat))
+    hold_heartbeat (proxy, &heartbeat);
+  else
+    apply_heartbeat (proxy, &heartbeat);
+  if (heartbeat.draining)
+    respond_to_leave (proxy, request);
+  else
+    respond_json (request, 200);
+}
+
+static void
+on_announce_begin (void *context, struct jl_request *request)
+{
+  struct jl_proxy *proxy = context;
+  const char *id = announced_id (request);
+  const char *method = jl_request_head (request)->method;
+
+  if (id == NULL || *id == '\0' || strlen (id) >= JL_TEXT_SIZE)
+    respond_json (request, 404);
+  else if (strcmp (method, "DELETE") == 0)
+    handle_leave (proxy, request, id);
+  else if (strcmp (method, "PUT") == 0)
+    jl_request_set_data (request, g_byte_array_new ());
+  else
+    respond_json (request, 405);
+}
+
+static void
+on_announce_body (void *context,
+                  struct jl_request *request,
+                  const char *data,
+                  size_t size)
+{
+  GByteArray *body = jl_request_data (request);
+
+  (void)context;
+  if (body != NULL && body->len + size <= HEARTBEAT_BYTES_MAX)
+    g_byte_array_append (body, (const guint8 *)data, (guint)size);
+}
+
+static void
+on_announce_end (void *context, struct jl_request *request)
+{
+  GByteArray *body = jl_request_data (request);
+
+  if (body == NULL)
+    return;
+  jl_request_set_data (request, NULL);
+  handle_heartbeat (context, request, announced_id (request), body);
+  g_byte_array_free (body, TRUE);
+}
+
+static void
+on_announce_disconnected (void *context, struct jl_request *request)
+{
+  struct jl_proxy *proxy = context;
+  GByteArray *body = jl_request_data (request);
+
+  g_ptr_array_remove (proxy->leave_requests, request);
+  if (body != NULL)
+    g_byte_array_free (body, TRUE);
+}
+
+const struct jl_handler jl_announce_handler = {
+  .begin = on_announce_begin,
+  .body = on_announce_body,
+  .end = on_announce_end,
+  .disconnected = on_announce_disconnected,
+};
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -369,14 +369,18 @@
 /* pages.c */
 
 extern const struct jl_handler jl_ready_handler;
-extern const struct jl_handler jl_announce_handler;
 extern const struct jl_handler jl_metrics_handler;
 
+/* heartbeats.c */
+
+extern const struct jl_handler jl_announce_handler;
+
 /**
- * jl_pages_acknowledge_leave - responds to the pending leave announcements;
- * called when the store has acknowledged the row that records them
+ * jl_heartbeats_acknowledge_leave - responds to the pending leave
+ * announcements; called when the store has acknowledged the row that records
+ * them
  */
-void jl_pages_acknowledge_leave (struct jl_proxy *proxy);
+void jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy);
 
 /* sync.c */
 
