Take heartbeats only of the target that the settings name

Callers saw requests that begin at one machine reach targets with the service of another (UNASKED).

Cause: nothing compared the address and the service of a heartbeat with the settings. Now both have to be those of the settings. As the settings may have changed without a signal, they are read again first, at most every 100 ms.

Tests: proxy-identity. Before, a_heartbeat_of_another_service_changes_nothing failed with status 200, the caller's service "other" in place of "front", i-9 in place of i-1 as own target, i-1 among the departed, and its next heartbeat not counted; the other three tests without a settings file failed likewise (a draining heartbeat set the state to leaving, one replaced a held one).

Two stand-ins sent an address that is not the settings' target and are corrected: rig_heartbeat() and the edges test named 127.0.0.1, and the soak's target its own port in place of the relay before it.

--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -1,5 +1,8 @@
 /**
  * DOC: HTTP listener for the heartbeats and leaves of the local target.
+ *
+ * The own target is the one that the settings name by its address and service.
+ * Nobody else's heartbeat changes anything here or is acknowledged.
  */
 
 #include "proxy/proxy.h"
@@ -15,6 +18,10 @@
 /* Maximum size of a heartbeat. Data that would exceed it is dropped, so
  * that a larger heartbeat is refused as malformed. */
 #define HEARTBEAT_BYTES_MAX 65536
+/* Most bytes of a text of a refused heartbeat that are logged. */
+#define LOGGED_BYTES_MAX 60
+/* Status of the response to a heartbeat of another target. */
+#define STATUS_MISDIRECTED 421
 /* Maximum time for which the response to a leave announcement waits for the
  * store and for other daemons. The target expects the response within a second
  * and otherwise asks another daemon. */
@@ -206,6 +213,34 @@
   proxy->held_heartbeat = *heartbeat;
 }
 
+/* Whether a heartbeat comes from the target that the settings name. */
+static bool
+is_own (const struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  return jl_endpoint_equal (heartbeat->address, proxy->options->target)
+         && strcmp (heartbeat->service, proxy->options->service) == 0;
+}
+
+static void
+refuse_foreign (const struct jl_proxy *proxy,
+                struct jl_request *request,
+                const struct jl_heartbeat *heartbeat)
+{
+  char *service = g_strescape (heartbeat->service, NULL);
+  char address[JL_ENDPOINT_TEXT_SIZE];
+  char target[JL_ENDPOINT_TEXT_SIZE];
+
+  jl_endpoint_format (heartbeat->address, address);
+  jl_endpoint_format (proxy->options->target, target);
+  jl_record (JL_RECORD_FAILURE, JL_RECORD_TARGET_HEARTBEAT_REFUSED,
+             "target=%.*s cause=\"not the own target\" address=%s "
+             "service=\"%.*s\" settings_target=%s settings=%s draining=%d",
+             LOGGED_BYTES_MAX, heartbeat->id, address, LOGGED_BYTES_MAX,
+             service, target, proxy->options->service, heartbeat->draining);
+  g_free (service);
+  respond_json (request, STATUS_MISDIRECTED);
+}
+
 static void
 handle_heartbeat (struct jl_proxy *proxy,
                   struct jl_request *request,
@@ -225,6 +260,13 @@
       return;
     }
   g_strlcpy (heartbeat.id, id, sizeof heartbeat.id);
+  if (!is_own (proxy, &heartbeat))
+    jl_proxy_renew_settings (proxy);
+  if (!is_own (proxy, &heartbeat))
+    {
+      refuse_foreign (proxy, request, &heartbeat);
+      return;
+    }
   if (may_have_left (proxy, &heartbeat))
     hold_heartbeat (proxy, &heartbeat);
   else
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -42,6 +42,8 @@
 #define SWEEP_PERIOD_US (500 * JL_USEC_PER_MSEC)
 /* Period of checks for changed settings. */
 #define RELOAD_PERIOD_US (2 * JL_USEC_PER_SEC)
+/* Minimum time between two reads of the settings because of heartbeats. */
+#define RENEW_GAP_US (100 * JL_USEC_PER_MSEC)
 /* Minimum time for which requests are served after the start of a graceful
  * shutdown, as clients learn of it only after a delay. */
 #define STOP_MIN_US (2500 * JL_USEC_PER_MSEC)
@@ -334,6 +336,7 @@
   GError *error = NULL;
   struct jl_options *options = jl_options_load (proxy->options_path, &error);
 
+  proxy->options_read_us = jl_now ();
   if (options == NULL)
     {
       jl_record (JL_RECORD_CHANGE, JL_RECORD_RELOAD_REFUSED, "cause=\"%s\"",
@@ -361,6 +364,14 @@
   proxy->options = options;
 }
 
+void
+jl_proxy_renew_settings (struct jl_proxy *proxy)
+{
+  if (proxy->options_path != NULL
+      && jl_now () >= proxy->options_read_us + RENEW_GAP_US)
+    reload (proxy, false);
+}
+
 static void
 on_reload_timer (void *context, struct jl_timer *timer)
 {
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -142,7 +142,9 @@
 
 /**
  * struct jl_proxy - state of the process
- * @options_path: settings file, read again periodically and on SIGHUP
+ * @options_path: settings file, read again periodically, on SIGHUP and when a
+ *                heartbeat does not match
+ * @options_read_us: monotonic time at which it was last read
  * @peer_pool: connections to other daemons
  * @target_pool: connections to the local target
  * @site: configuration in force, NULL until the first one is installed
@@ -198,6 +200,7 @@
   struct jl_net *net;
   struct jl_options *options;
   const char *options_path;
+  uint64_t options_read_us;
   struct jl_pool *peer_pool;
   struct jl_pool *target_pool;
   struct jl_store *store;
@@ -300,6 +303,12 @@
  */
 void jl_proxy_target_changed (struct jl_proxy *proxy, const char *cause);
 
+/**
+ * jl_proxy_renew_settings - reads the settings file again, unless that was done
+ * just now
+ */
+void jl_proxy_renew_settings (struct jl_proxy *proxy);
+
 /**
  * jl_proxy_install - parses a configuration and installs it if its version is
  * higher than the installed one's
--- a/tests/proxy/edges.c
+++ b/tests/proxy/edges.c
@@ -13,23 +13,29 @@
 #include "proxy/parts/rig.h"
 
 #define REQUEST "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+#define TARGET "<target>"
 #define DATAGRAMS 4000
 #define REQUESTS 400
 
-/* Sends a heartbeat with this body. Returns the status of the answer. */
+/* Sends a heartbeat with this body, in which TARGET stands for the address of
+ * the target. Returns the status of the answer. */
 static unsigned
 announce (struct rig *rig, const char *body)
 {
-  char *text = g_strdup_printf ("PUT /api/instances/i-1 HTTP/1.1\r\nHost: a\r\n"
-                                "Content-Length: %zu\r\n\r\n%s",
-                                strlen (body), body);
-  int fd = rig_send_request (rig, ANNOUNCE_PORT, text);
+  char address[JL_ENDPOINT_TEXT_SIZE];
+  char **parts = g_strsplit (body, TARGET, 2);
+  char *text;
   unsigned status = 0;
+  int fd;
 
+  jl_endpoint_format (rig->options.target, address);
+  text = g_strjoinv (address, parts);
+  fd = rig_announce (rig, "i-1", text);
   rig_run (rig, 20);
   sscanf (rig_received (fd), "HTTP/1.1 %u", &status);
   close (fd);
   g_free (text);
+  g_strfreev (parts);
   return status;
 }
 
@@ -72,7 +78,7 @@
 }
 
 #define HEARTBEAT(slots, sequence, more)                                       \
-  "{\"service\":\"front\",\"address\":\"127.0.0.1:17006\",\"zone\":\"z1\","    \
+  "{\"service\":\"front\",\"address\":\"" TARGET "\",\"zone\":\"z1\","         \
   "\"version\":\"v1\",\"slots\":" slots ",\"state\":\"ready\","                \
   "\"sequence\":" sequence more "}"
 
--- /dev/null
+++ b/tests/proxy/identity.c
@@ -0,0 +1,306 @@
+/**
+ * DOC: Tests of whom a daemon believes: which heartbeats are its own target's,
+ * and which service the instance runs.
+ *
+ * The heartbeats carry no start time, as those of the users' platform.
+ */
+
+#include <criterion/criterion.h>
+
+#include <string.h>
+#include <unistd.h>
+
+#include "names.h"
+#include "proxy/parts/rig.h"
+
+#define PUT_FORMAT                                                             \
+  "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"v1\"," \
+  "\"slots\":10,\"state\":\"%s\",\"coldLeftS\":0,\"sequence\":%u%s}"
+/* Heartbeats of another target that come together. */
+#define FLOOD 40
+
+/**
+ * struct announced - fields of a heartbeat
+ * @more: further fields, each after a comma; NULL for none
+ */
+struct announced
+{
+  const char *id;
+  const char *service;
+  struct jl_endpoint address;
+  const char *state;
+  unsigned sequence;
+  const char *more;
+};
+
+/* Sends a heartbeat. Returns the status of the answer, 0 for none, and expects
+ * an empty document as its body. */
+static unsigned
+announce (struct rig *rig, const struct announced *announced)
+{
+  char address[JL_ENDPOINT_TEXT_SIZE];
+  char *body;
+  unsigned status = 0;
+  const char *answer;
+  int fd;
+
+  jl_endpoint_format (announced->address, address);
+  body = g_strdup_printf (PUT_FORMAT, announced->service, address,
+                          announced->state, announced->sequence,
+                          announced->more != NULL ? announced->more : "");
+  fd = rig_announce (rig, announced->id, body);
+  rig_run (rig, 30);
+  answer = rig_received (fd);
+  sscanf (answer, "HTTP/1.1 %u", &status);
+  cr_assert (status == 0 || g_str_has_suffix (answer, "\r\n\r\n{}"), "%s",
+             answer);
+  close (fd);
+  g_free (body);
+  return status;
+}
+
+/* A heartbeat as the own target of the rig sends it. */
+static struct announced
+own (const struct rig *rig, const char *id, unsigned sequence)
+{
+  return (struct announced){
+    .id = id,
+    .service = rig->proxy->options->service,
+    .address = rig->proxy->options->target,
+    .state = "ready",
+    .sequence = sequence,
+  };
+}
+
+static void
+expect_target (const struct rig *rig,
+               const char *id,
+               enum jl_target_state state)
+{
+  const struct jl_target *target = &rig->proxy->target;
+
+  cr_expect (strcmp (target->last.id, id) == 0 && target->state == state,
+             "%s is %s, expected %s to be %s", target->last.id,
+             jl_target_state_name (target->state), id,
+             jl_target_state_name (state));
+}
+
+static void
+heartbeat (struct rig *rig, const char *id, unsigned sequence)
+{
+  struct announced announced = own (rig, id, sequence);
+
+  cr_assert_eq (announce (rig, &announced), 200);
+}
+
+/* Handler of a peer that keeps the caller's service of each request. */
+static void
+on_peer_begin (void *context, struct jl_request *request)
+{
+  GPtrArray *services = context;
+
+  g_ptr_array_add (services, g_strdup (jl_head_get (jl_request_head (request),
+                                                    JL_HEADER_CALLER_SERVICE)));
+  jl_request_reply (request, 404, "", "", 0);
+}
+
+/* Opens a daemon beside a target of the service "deep". Returns the callers'
+ * services of the requests that it gets. */
+static GPtrArray *
+open_deep (struct rig *rig)
+{
+  static const struct jl_handler handler = { .begin = on_peer_begin };
+  GPtrArray *services = g_ptr_array_new ();
+  const char *why = NULL;
+
+  rig_install_call_route (rig);
+  rig_add_member (rig, "d6", "z1", "deep");
+  cr_assert_not_null (jl_server_open (rig->store.net, rig_at (rig, OTHER_PORT),
+                                      &handler, services, &why),
+                      "%s", why);
+  return services;
+}
+
+/* Sends a request that begins at the daemon. Returns the caller's service that
+ * it carries. */
+static const char *
+caller_service (struct rig *rig, GPtrArray *services)
+{
+  guint before = services->len;
+  int fd = rig_send_request (rig, ENTRY_PORT,
+                             "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+
+  rig_run (rig, 30);
+  close (fd);
+  cr_assert_gt (services->len, before);
+  return g_ptr_array_index (services, services->len - 1);
+}
+
+/* Writes the settings file of the rig, in place of its options. */
+static void
+write_settings (struct rig *rig, const char *service, struct jl_endpoint target)
+{
+  static char path[] = "/tmp/identity-XXXXXX";
+  char ip[JL_ENDPOINT_TEXT_SIZE];
+  char to[JL_ENDPOINT_TEXT_SIZE];
+  char *text;
+
+  if (rig->settings_path == NULL)
+    close (g_mkstemp (path));
+  rig->settings_path = path;
+  jl_endpoint_format (rig_at (rig, 0), ip);
+  *strchr (ip, ':') = '\0';
+  jl_endpoint_format (target, to);
+  text = g_strdup_printf (
+      "{\"name\":\"d5\",\"zone\":\"z1\",\"address\":\"%s\",\"service\":\"%s\","
+      "\"target\":\"%s\",\"entry\":\"%s:%d\",\"ready\":\"%s:%d\","
+      "\"announce\":\"%s:%d\",\"store\":\"%s:%d\",\"peer_port\":%d,"
+      "\"metrics_port\":%d,\"heartbeat_s\":1,\"grace_s\":6,\"retry_ratio\":0.2,"
+      "\"retry_slack\":30,\"retry_window_s\":10}",
+      ip, service, to, ip, ENTRY_PORT, ip, READY_PORT, ip, ANNOUNCE_PORT, ip,
+      STORE_PORT, PEER_PORT, METRICS_PORT);
+  cr_assert (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+}
+
+/* Starts the rig with a settings file, beside a target of the service "front".
+ */
+static void
+start_with_settings (struct rig *rig)
+{
+  write_settings (rig, "front", rig->options.target);
+  rig_start (rig);
+}
+
+static void
+end_with_settings (struct rig *rig)
+{
+  unlink (rig->settings_path);
+}
+
+/* Guards against requests that carry the service of another machine's target.
+ */
+Test (identity, a_heartbeat_of_another_service_changes_nothing)
+{
+  struct rig rig;
+  struct announced strange;
+  GPtrArray *services;
+
+  rig_prepare (&rig, 101);
+  rig_start (&rig);
+  services = open_deep (&rig);
+  heartbeat (&rig, "i-1", 1);
+  strange = own (&rig, "i-9", 1);
+  strange.service = "other";
+  strange.address.port++;
+  strange.more = ",\"born\":99";
+  cr_expect_eq (announce (&rig, &strange), 421);
+  cr_expect_str_eq (caller_service (&rig, services), "front");
+  cr_expect_eq (strcmp (rig.proxy->self->service, "front"), 0);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  cr_expect_eq (rig.proxy->target.departed_revision, 0);
+  heartbeat (&rig, "i-1", 2);
+  cr_expect_eq (rig.proxy->target.last.sequence, 2, "its heartbeats count");
+}
+
+Test (identity, neither_address_nor_service_alone_makes_a_heartbeat_the_own_one)
+{
+  struct rig rig;
+  struct announced strange;
+
+  rig_prepare (&rig, 102);
+  rig_start (&rig);
+  strange = own (&rig, "i-9", 1);
+  strange.service = "other";
+  cr_expect_eq (announce (&rig, &strange), 421);
+  strange = own (&rig, "i-9", 1);
+  strange.address.port++;
+  cr_expect_eq (announce (&rig, &strange), 421);
+  expect_target (&rig, "", JL_TARGET_NONE);
+  heartbeat (&rig, "i-9", 2);
+  expect_target (&rig, "i-9", JL_TARGET_UP);
+}
+
+/* An acknowledgement would bind this daemon, which does not send the target's
+ * requests. */
+Test (identity, a_leave_of_another_target_is_not_acknowledged)
+{
+  struct rig rig;
+  struct announced strange;
+
+  rig_prepare (&rig, 103);
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 1);
+  strange = own (&rig, "i-9", 1);
+  strange.service = "other";
+  strange.state = "draining";
+  cr_expect_eq (announce (&rig, &strange), 421);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  cr_expect_eq (rig.proxy->target.departed_revision, 0);
+}
+
+/* A daemon that has just started holds the first heartbeat of its target. */
+Test (identity, a_strange_heartbeat_does_not_replace_a_held_one)
+{
+  struct rig rig;
+  struct announced strange;
+
+  rig_prepare (&rig, 104);
+  rig_start_now (&rig);
+  heartbeat (&rig, "i-1", 1);
+  cr_assert (rig.proxy->heartbeat_held);
+  strange = own (&rig, "i-9", 1);
+  strange.service = "other";
+  cr_expect_eq (announce (&rig, &strange), 421);
+  rig.proxy->started_us -= 2 * JL_USEC_PER_SEC;
+  rig_run (&rig, 150);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+}
+
+/* The settings change before the daemon is told, and the new target's heartbeat
+ * may come first. */
+Test (identity, a_heartbeat_that_only_changed_settings_name_is_taken_at_once)
+{
+  struct rig rig;
+  struct announced former;
+  struct announced next;
+
+  rig_prepare (&rig, 105);
+  start_with_settings (&rig);
+  heartbeat (&rig, "i-1", 1);
+  former = own (&rig, "i-1", 2);
+  former.service = "front";
+  next = own (&rig, "i-2", 1);
+  next.service = "back";
+  write_settings (&rig, "back", rig.options.target);
+  cr_expect_eq (announce (&rig, &next), 200);
+  expect_target (&rig, "i-2", JL_TARGET_UP);
+  cr_expect_eq (announce (&rig, &former), 421,
+                "it is no longer the own target");
+  expect_target (&rig, "i-2", JL_TARGET_UP);
+  end_with_settings (&rig);
+}
+
+Test (identity, many_strange_heartbeats_cause_few_reads_of_the_settings)
+{
+  struct rig rig;
+  uint64_t begun_us;
+  uint64_t read_us = 0;
+  unsigned reads = 0;
+
+  rig_prepare (&rig, 106);
+  start_with_settings (&rig);
+  begun_us = jl_now ();
+  for (unsigned i = 0; i < FLOOD; i++)
+    {
+      struct announced strange = own (&rig, "i-9", i);
+
+      strange.service = "other";
+      cr_expect_eq (announce (&rig, &strange), 421);
+      reads += rig.proxy->options_read_us != read_us;
+      read_us = rig.proxy->options_read_us;
+    }
+  cr_expect_leq (reads, (jl_now () - begun_us) / (100 * JL_USEC_PER_MSEC) + 2,
+                 "%u reads", reads);
+  end_with_settings (&rig);
+}
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -62,7 +62,12 @@
 void
 rig_start_now (struct rig *rig)
 {
-  rig->proxy = jl_proxy_new (&rig->options, NULL);
+  struct jl_options *options = &rig->options;
+
+  if (rig->settings_path != NULL)
+    options = jl_options_load (rig->settings_path, NULL);
+  cr_assert_not_null (options);
+  rig->proxy = jl_proxy_new (options, rig->settings_path);
   cr_assert_not_null (rig->proxy);
   rig_run (rig, 100);
 }
@@ -134,26 +139,38 @@
   return answer;
 }
 
+int
+rig_announce (struct rig *rig, const char *id, const char *body)
+{
+  char *text = g_strdup_printf ("PUT /api/instances/%s HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                id, strlen (body), body);
+  int fd = rig_send_request (rig, ANNOUNCE_PORT, text);
+
+  g_free (text);
+  return fd;
+}
+
 void
 rig_heartbeat (struct rig *rig,
                const char *id,
                unsigned born,
                unsigned sequence)
 {
-  char *body = g_strdup_printf (
-      "{\"service\":\"front\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+  char address[JL_ENDPOINT_TEXT_SIZE];
+  char *body;
+  int fd;
+
+  jl_endpoint_format (rig_at (rig, TARGET_PORT), address);
+  body = g_strdup_printf (
+      "{\"service\":\"front\",\"address\":\"%s\",\"zone\":\"z1\","
       "\"version\":\"v1\",\"slots\":10,\"state\":\"ready\",\"coldLeftS\":0,"
       "\"sequence\":%u,\"born\":%u}",
-      TARGET_PORT, sequence, born);
-  char *text = g_strdup_printf ("PUT /api/instances/%s HTTP/1.1\r\nHost: a\r\n"
-                                "Content-Length: %zu\r\n\r\n%s",
-                                id, strlen (body), body);
-  int fd = rig_send_request (rig, ANNOUNCE_PORT, text);
-
+      address, sequence, born);
+  fd = rig_announce (rig, id, body);
   rig_run (rig, 50);
   cr_assert (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
   close (fd);
-  g_free (text);
   g_free (body);
 }
 
--- a/tests/proxy/parts/rig.h
+++ b/tests/proxy/parts/rig.h
@@ -21,10 +21,13 @@
 /**
  * struct rig - a proxy named "d5" in zone z1, beside a target of the service
  * "front", and its store
+ * @settings_path: settings file that the proxy is started with instead of
+ *                 @options, NULL for none
  */
 struct rig
 {
   struct jl_options options;
+  const char *settings_path;
   struct jl_proxy *proxy;
   struct fake_store store;
 };
@@ -83,6 +86,13 @@
  */
 const char *rig_received (int fd);
 
+/**
+ * rig_announce - sends a heartbeat with the given body
+ *
+ * Return: the connection.
+ */
+int rig_announce (struct rig *rig, const char *id, const char *body);
+
 /**
  * rig_heartbeat - sends a heartbeat of the target and expects its
  * acknowledgement
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -122,6 +122,7 @@
         await self.target.start((self.host, self.ports["announce"]))
         self.target_relay = Relay(self.host, (self.host, self.target.port))
         target = await self.target_relay.start()
+        self.target.address = target
         settings = {
             "name": self.name,
             "zone": self.zone,
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -35,6 +35,8 @@
         self.slots = slots
         self.random = random.Random(seed)
         self.port = 0
+        # Where the daemon's settings say that it accepts requests, if not at its own port.
+        self.address = None
         self.running = 0
         self.lost_response_ratio = 0.0
         self.repeated_response_ratio = 0.0
@@ -114,7 +116,7 @@
         self.sequence += 1
         return {
             "service": self.service,
-            "address": f"{self.host}:{self.port}",
+            "address": self.address or f"{self.host}:{self.port}",
             "zone": "z",
             "version": "v1",
             "slots": self.slots,
