Let the settings alone say which service the instance runs

Heartbeats are checked against the settings now, but the two still differed after the settings had changed, until the next target's first heartbeat; and a request that began before the change and was sent to a second daemon after it carried the next service.

Now the service is that of the settings at each moment. A request keeps the one with which it began. When a reload changes target or service, the former target is no longer the own one: its queue is refused as not run, idle connections to it are closed, a held heartbeat of it is dropped, others are told, and it gets work neither for the old nor for the new service; its requests in progress go on. What has left stays recorded, so a late heartbeat does not bring it back when the settings change to and fro. The guard's second try on a new connection is refused too if the settings name another target by then; no test plays that.

Tests: proxy-identity, seven more. Before, six failed: requests that begin after the change carried "front" in place of "back"; a request sent again after it carried "back" in place of "front"; work for the former target was sent there (no answer in place of 503), reason other-service in place of no-target; work after a change of the address went to the former target; a target that had left stayed the current one. The seventh, that other changes leave the target in use, passed.

--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -20,6 +20,7 @@
  * @route: route of @site
  * @content: digest of the request's content
  * @service: service that the request is sent to
+ * @caller_service: service of this instance when the request arrived
  * @zone: preferred zone
  * @from_target: the request's route identifies it as a call of the local target
  * @begun_us: time of arrival
@@ -53,6 +54,7 @@
   const struct jl_route *route;
   struct jl_content content;
   const char *service;
+  const char *caller_service;
   const char *zone;
   bool from_target;
   uint64_t begun_us;
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -324,7 +324,7 @@
   GString *text;
 
   g_strlcpy (work.service, call->service, sizeof work.service);
-  text = jl_headers_to_guard (head, &work, jl_proxy_service (proxy));
+  text = jl_headers_to_guard (head, &work, call->caller_service);
   call->relay.upstream = jl_upstream_open (
       proxy->peer_pool, call->member->peer, false, text,
       strcmp (head->method, "HEAD") == 0, &upstream_ops, &call->relay);
@@ -487,6 +487,7 @@
   jl_content_begin (&call->content, jl_request_head (request));
   call->begun_us = jl_now ();
   call->expires_us = call->begun_us + JL_USEC_PER_SEC;
+  call->caller_service = g_intern_string (jl_proxy_service (proxy));
   call->zone = proxy->roster.local_zone;
   cds_list_add_tail (&call->link, &proxy->calls);
   return call;
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -291,6 +291,22 @@
   return !work->fresh_connection && !work->body_streamed;
 }
 
+/* Sends work again on a new connection, unless the settings name another target
+ * by now. */
+static void
+reconnect (struct jl_work *work)
+{
+  const struct jl_target *target = &work->proxy->target;
+
+  jl_relay_cancel_upstream (&work->relay);
+  work->fresh_connection = true;
+  if (target->state != JL_TARGET_NONE
+      && strcmp (target->last.service, work->header.service) == 0)
+    start_work (work);
+  else
+    jl_guard_refuse (work, "no-target");
+}
+
 static void
 on_failed (void *context,
            struct jl_upstream *upstream,
@@ -314,11 +330,7 @@
       jl_watch_run_lost (proxy->watch, &run);
     }
   else if (can_reconnect (work))
-    {
-      jl_relay_cancel_upstream (&work->relay);
-      work->fresh_connection = true;
-      start_work (work);
-    }
+    reconnect (work);
   else
     {
       jl_guard_refuse (work, "target-unreachable");
--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -150,11 +150,17 @@
     jl_watch_begin (proxy->watch);
 }
 
-static void
-apply_held_heartbeat (struct jl_proxy *proxy)
+void
+jl_heartbeats_forget_held (struct jl_proxy *proxy)
 {
   jl_timer_stop (proxy->loop->timers, &proxy->held_timer);
   proxy->heartbeat_held = false;
+}
+
+static void
+apply_held_heartbeat (struct jl_proxy *proxy)
+{
+  jl_heartbeats_forget_held (proxy);
   apply_heartbeat (proxy, &proxy->held_heartbeat);
 }
 
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -11,7 +11,7 @@
  * struct jl_options - settings of one proxy
  * @name: name of this daemon, unique in the site
  * @zone: availability zone of this daemon
- * @service: service of the local target, until the target announces itself
+ * @service: service of the local target
  * @ip: address of the peer and metrics ports, in host byte order
  * @target: endpoint at which the local target accepts requests
  * @entry: listener for requests of clients and of the local target
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -100,8 +100,6 @@
 const char *
 jl_proxy_service (const struct jl_proxy *proxy)
 {
-  if (proxy->target.state != JL_TARGET_NONE)
-    return proxy->target.last.service;
   return proxy->options->service;
 }
 
@@ -328,6 +326,37 @@
          && a->announce.port == b->announce.port;
 }
 
+/* Whether both settings name the same target. */
+static bool
+has_same_target (const struct jl_options *a, const struct jl_options *b)
+{
+  return jl_endpoint_equal (a->target, b->target)
+         && strcmp (a->service, b->service) == 0;
+}
+
+/* Ends the use of the target that @former names. Its requests in progress go
+ * on, and it gets no further ones. */
+static void
+leave_target (struct jl_proxy *proxy, const struct jl_options *former)
+{
+  jl_heartbeats_forget_held (proxy);
+  jl_target_forget (&proxy->target);
+  jl_fanout_init (&proxy->fanout);
+  jl_pool_close_endpoint (proxy->target_pool, former->target);
+  jl_proxy_target_changed (proxy, "settings");
+}
+
+static void
+replace_options (struct jl_proxy *proxy, struct jl_options *options)
+{
+  struct jl_options *former = proxy->options;
+
+  proxy->options = options;
+  if (!has_same_target (former, options))
+    leave_target (proxy, former);
+  g_free (former);
+}
+
 /* Reloads the settings. @requested: a signal requested the reload, so unchanged
  * settings are logged too. */
 static void
@@ -360,8 +389,7 @@
     }
   jl_record (JL_RECORD_CHANGE, JL_RECORD_RELOADED, "changed=1 service=%s",
              options->service);
-  g_free (proxy->options);
-  proxy->options = options;
+  replace_options (proxy, options);
 }
 
 void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -320,8 +320,10 @@
                        const char *source);
 
 /**
- * jl_proxy_service - returns the local target's service: the announced one, or
- * the one from the settings until the target has announced itself
+ * jl_proxy_service - returns the service of this instance, which the settings
+ * name
+ *
+ * The text is valid until the settings change.
  */
 const char *jl_proxy_service (const struct jl_proxy *proxy);
 
@@ -391,6 +393,11 @@
  */
 void jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy);
 
+/**
+ * jl_heartbeats_forget_held - drops a heartbeat that waits for other daemons
+ */
+void jl_heartbeats_forget_held (struct jl_proxy *proxy);
+
 /* sync.c */
 
 /**
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -167,6 +167,12 @@
   return target->state != before;
 }
 
+void
+jl_target_forget (struct jl_target *target)
+{
+  target->state = JL_TARGET_NONE;
+}
+
 void
 jl_target_mark_down (struct jl_target *target)
 {
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -150,6 +150,12 @@
                                  const char *id,
                                  uint64_t started_ms);
 
+/**
+ * jl_target_forget - ends the use of a target that is no longer the local one;
+ * what has left stays recorded
+ */
+void jl_target_forget (struct jl_target *target);
+
 /**
  * jl_target_mark_down - records that the target refuses connections
  */
--- a/tests/proxy/identity.c
+++ b/tests/proxy/identity.c
@@ -136,6 +136,54 @@
   return g_ptr_array_index (services, services->len - 1);
 }
 
+/* Handler of a peer or target that answers when the test says so. */
+static void
+on_waiting_begin (void *context, struct jl_request *request)
+{
+  g_ptr_array_add (context, request);
+}
+
+/* Opens a peer or target. Returns the requests that wait there. */
+static GPtrArray *
+open_waiting (struct rig *rig, uint16_t port)
+{
+  static const struct jl_handler handler = { .begin = on_waiting_begin };
+  GPtrArray *requests = g_ptr_array_new ();
+  const char *why = NULL;
+
+  cr_assert_not_null (jl_server_open (rig->store.net, rig_at (rig, port),
+                                      &handler, requests, &why),
+                      "%s", why);
+  return requests;
+}
+
+/* Sends work for a service to the guard. Returns the connection. */
+static int
+send_work (struct rig *rig, const char *service)
+{
+  char *text = g_strdup_printf (
+      "GET /x HTTP/1.1\r\nHost: a\r\nX-Jackdawladder-Attempt-Id: 1\r\n%s: "
+      "%s 1 5000 300 00000001 1\r\n\r\n",
+      JL_WORK_FIELD, service);
+  int fd = rig_send_request (rig, PEER_PORT, text);
+
+  g_free (text);
+  rig_run (rig, 30);
+  return fd;
+}
+
+static void
+expect_refused (int fd, const char *reason)
+{
+  const char *answer = rig_received (fd);
+
+  cr_expect (g_str_has_prefix (answer, "HTTP/1.1 503"), "%s", answer);
+  cr_expect_not_null (strstr (answer, JL_OUTCOME_FIELD ": not-run"), "%s",
+                      answer);
+  cr_expect_not_null (strstr (answer, reason), "%s: %s", reason, answer);
+  close (fd);
+}
+
 /* Writes the settings file of the rig, in place of its options. */
 static void
 write_settings (struct rig *rig, const char *service, struct jl_endpoint target)
@@ -156,9 +204,9 @@
       "\"target\":\"%s\",\"entry\":\"%s:%d\",\"ready\":\"%s:%d\","
       "\"announce\":\"%s:%d\",\"store\":\"%s:%d\",\"peer_port\":%d,"
       "\"metrics_port\":%d,\"heartbeat_s\":1,\"grace_s\":6,\"retry_ratio\":0.2,"
-      "\"retry_slack\":30,\"retry_window_s\":10}",
+      "\"retry_slack\":%.0f,\"retry_window_s\":10}",
       ip, service, to, ip, ENTRY_PORT, ip, READY_PORT, ip, ANNOUNCE_PORT, ip,
-      STORE_PORT, PEER_PORT, METRICS_PORT);
+      STORE_PORT, PEER_PORT, METRICS_PORT, rig->options.retry_slack);
   cr_assert (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
 }
@@ -304,3 +352,173 @@
                  "%u reads", reads);
   end_with_settings (&rig);
 }
+
+/* Guards against requests that carry the service of the target that was heard
+ * last, while the settings name another one. */
+Test (identity, requests_carry_the_service_that_the_settings_name_now)
+{
+  struct rig rig;
+  GPtrArray *services;
+
+  rig_prepare (&rig, 107);
+  start_with_settings (&rig);
+  services = open_deep (&rig);
+  heartbeat (&rig, "i-1", 1);
+  cr_expect_str_eq (caller_service (&rig, services), "front");
+  write_settings (&rig, "back", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  cr_expect_str_eq (caller_service (&rig, services), "back");
+  cr_expect_eq (strcmp (rig.proxy->self->service, "back"), 0);
+  cr_expect_eq (rig.proxy->self->state, JL_TARGET_NONE);
+  end_with_settings (&rig);
+}
+
+/* Guards against calls of the earlier target that carry the service of the next
+ * one, since they are sent to a second daemon. */
+Test (identity, a_request_keeps_the_service_with_which_it_began)
+{
+  struct rig rig;
+  GPtrArray *services;
+  GPtrArray *first;
+  int fd;
+
+  rig_prepare (&rig, 108);
+  start_with_settings (&rig);
+  services = open_deep (&rig);
+  first = open_waiting (&rig, OTHER_PORT + 1);
+  rig_add_member (&rig, "d6", "z1", "deep")->state = JL_TARGET_DOWN;
+  rig_add_member (&rig, "d7", "z1", "deep")->peer.port = OTHER_PORT + 1;
+  fd = rig_send_request (&rig, ENTRY_PORT,
+                         "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  rig_run (&rig, 30);
+  cr_assert_eq (first->len, 1);
+  write_settings (&rig, "back", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  rig_add_member (&rig, "d6", "z1", "deep");
+  jl_request_reply (
+      first->pdata[0], 503,
+      JL_OUTCOME_FIELD ": not-run\r\n" JL_REASON_FIELD ": draining\r\n", "", 0);
+  rig_run (&rig, 50);
+  cr_assert_eq (services->len, 1);
+  cr_expect_str_eq (services->pdata[0], "front");
+  close (fd);
+  end_with_settings (&rig);
+}
+
+/* The address is used again by a target of another service. */
+Test (identity, a_target_that_the_settings_no_longer_name_gets_no_further_work)
+{
+  struct rig rig;
+  GPtrArray *requests;
+  int running;
+  int waiting;
+
+  rig_prepare (&rig, 109);
+  start_with_settings (&rig);
+  requests = open_waiting (&rig, TARGET_PORT);
+  heartbeat (&rig, "i-1", 1);
+  running = send_work (&rig, "front");
+  rig.proxy->lane.limit = 1;
+  waiting = send_work (&rig, "front");
+  cr_assert_eq (requests->len, 1);
+  cr_assert_eq (rig.proxy->lane.waiting, 1);
+  write_settings (&rig, "back", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  rig_run (&rig, 30);
+  expect_refused (waiting, "no-target");
+  expect_refused (send_work (&rig, "front"), "no-target");
+  expect_refused (send_work (&rig, "back"), "no-target");
+  heartbeat (&rig, "i-2", 1);
+  expect_refused (send_work (&rig, "front"), "other-service");
+  cr_expect_eq (requests->len, 1, "%u requests", requests->len);
+  jl_request_reply (requests->pdata[0], 200,
+                    "X-Jackdawladder-Attempt-Id: 1\r\n", "", 0);
+  rig_run (&rig, 30);
+  cr_expect (g_str_has_prefix (rig_received (running), "HTTP/1.1 200"),
+             "a request in progress goes on");
+  close (send_work (&rig, "back"));
+  cr_expect_eq (requests->len, 2, "the next target gets work");
+  close (running);
+  end_with_settings (&rig);
+}
+
+Test (identity, a_target_at_another_address_gets_the_work_there)
+{
+  struct rig rig;
+  GPtrArray *former;
+  GPtrArray *next;
+  struct jl_endpoint moved;
+  struct announced late;
+
+  rig_prepare (&rig, 110);
+  start_with_settings (&rig);
+  former = open_waiting (&rig, TARGET_PORT);
+  next = open_waiting (&rig, OTHER_PORT);
+  heartbeat (&rig, "i-1", 1);
+  late = own (&rig, "i-1", 2);
+  moved = rig_at (&rig, OTHER_PORT);
+  write_settings (&rig, "front", moved);
+  jl_proxy_renew_settings (rig.proxy);
+  expect_refused (send_work (&rig, "front"), "no-target");
+  heartbeat (&rig, "i-2", 1);
+  cr_expect_eq (announce (&rig, &late), 421);
+  close (send_work (&rig, "front"));
+  cr_expect_eq (former->len, 0);
+  cr_expect_eq (next->len, 1);
+  end_with_settings (&rig);
+}
+
+Test (identity,
+      a_held_heartbeat_is_dropped_when_the_settings_name_another_target)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 111);
+  write_settings (&rig, "front", rig.options.target);
+  rig_start_now (&rig);
+  heartbeat (&rig, "i-1", 1);
+  cr_assert (rig.proxy->heartbeat_held);
+  write_settings (&rig, "back", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  rig.proxy->started_us -= 2 * JL_USEC_PER_SEC;
+  rig_run (&rig, 150);
+  expect_target (&rig, "", JL_TARGET_NONE);
+  end_with_settings (&rig);
+}
+
+Test (identity, other_changes_of_the_settings_leave_the_target_in_use)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 112);
+  start_with_settings (&rig);
+  heartbeat (&rig, "i-1", 1);
+  rig.options.retry_slack = 31;
+  write_settings (&rig, "front", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  cr_assert_float_eq (rig.proxy->options->retry_slack, 31, 0.1);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  end_with_settings (&rig);
+}
+
+/* The settings go back to the earlier service, and a heartbeat of the target
+ * that has left is late. */
+Test (identity, a_target_that_has_left_does_not_come_back_with_its_settings)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 113);
+  start_with_settings (&rig);
+  heartbeat (&rig, "i-1", 1);
+  close (rig_leave (&rig, "i-1"));
+  rig_run (&rig, 100);
+  write_settings (&rig, "back", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  rig_run (&rig, 150);
+  write_settings (&rig, "front", rig.options.target);
+  jl_proxy_renew_settings (rig.proxy);
+  cr_assert_eq (strcmp (rig.proxy->options->service, "front"), 0);
+  heartbeat (&rig, "i-1", 2);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  end_with_settings (&rig);
+}
