--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -42,6 +42,8 @@
 #define SWEEP_PERIOD_US (500 * JL_USEC_PER_MSEC)
 /* Period of checks for changed settings. */
 #define RELOAD_PERIOD_US (2 * JL_USEC_PER_SEC)
+/* Minimum time between two reads of the settings because of heartbeats. */
+#define RENEW_GAP_US (100 * JL_USEC_PER_MSEC)
 /* Minimum time for which requests are served after the start of a graceful
  * shutdown, as clients learn of it only after a delay. */
 #define STOP_MIN_US (2500 * JL_USEC_PER_MSEC)
@@ -98,8 +100,6 @@
 const char *
 jl_proxy_service (const struct jl_proxy *proxy)
 {
-  if (proxy->target.state != JL_TARGET_NONE)
-    return proxy->target.last.service;
   return proxy->options->service;
 }
 
@@ -326,6 +326,37 @@
          && a->announce.port == b->announce.port;
 }
 
+/* Whether both settings name the same target. */
+static bool
+has_same_target (const struct jl_options *a, const struct jl_options *b)
+{
+  return jl_endpoint_equal (a->target, b->target)
+         && strcmp (a->service, b->service) == 0;
+}
+
+/* Ends the use of the target that @former names. Its requests in progress go
+ * on, and it gets no further ones. */
+static void
+leave_target (struct jl_proxy *proxy, const struct jl_options *former)
+{
+  jl_heartbeats_forget_held (proxy);
+  jl_target_forget (&proxy->target);
+  jl_fanout_init (&proxy->fanout);
+  jl_pool_close_endpoint (proxy->target_pool, former->target);
+  jl_proxy_target_changed (proxy, "settings");
+}
+
+static void
+replace_options (struct jl_proxy *proxy, struct jl_options *options)
+{
+  struct jl_options *former = proxy->options;
+
+  proxy->options = options;
+  if (!has_same_target (former, options))
+    leave_target (proxy, former);
+  g_free (former);
+}
+
 /* Reloads the settings. @requested: a signal requested the reload, so unchanged
  * settings are logged too. */
 static void
@@ -334,6 +365,7 @@
   GError *error = NULL;
   struct jl_options *options = jl_options_load (proxy->options_path, &error);
 
+  proxy->options_read_us = jl_now ();
   if (options == NULL)
     {
       jl_record (JL_RECORD_CHANGE, JL_RECORD_RELOAD_REFUSED, "cause=\"%s\"",
@@ -357,8 +389,15 @@
     }
   jl_record (JL_RECORD_CHANGE, JL_RECORD_RELOADED, "changed=1 service=%s",
              options->service);
-  g_free (proxy->options);
-  proxy->options = options;
+  replace_options (proxy, options);
+}
+
+void
+jl_proxy_renew_settings (struct jl_proxy *proxy)
+{
+  if (proxy->options_path != NULL
+      && jl_now () >= proxy->options_read_us + RENEW_GAP_US)
+    reload (proxy, false);
 }
 
 static void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -142,7 +142,9 @@
 
 /**
  * struct jl_proxy - state of the process
- * @options_path: settings file, read again periodically and on SIGHUP
+ * @options_path: settings file, read again periodically, on SIGHUP and when a
+ *                heartbeat does not match
+ * @options_read_us: monotonic time at which it was last read
  * @peer_pool: connections to other daemons
  * @target_pool: connections to the local target
  * @site: configuration in force, NULL until the first one is installed
@@ -198,6 +200,7 @@
   struct jl_net *net;
   struct jl_options *options;
   const char *options_path;
+  uint64_t options_read_us;
   struct jl_pool *peer_pool;
   struct jl_pool *target_pool;
   struct jl_store *store;
@@ -300,6 +303,12 @@
  */
 void jl_proxy_target_changed (struct jl_proxy *proxy, const char *cause);
 
+/**
+ * jl_proxy_renew_settings - reads the settings file again, unless that was done
+ * just now
+ */
+void jl_proxy_renew_settings (struct jl_proxy *proxy);
+
 /**
  * jl_proxy_install - parses a configuration and installs it if its version is
  * higher than the installed one's
@@ -311,8 +320,10 @@
                        const char *source);
 
 /**
- * jl_proxy_service - returns the local target's service: the announced one, or
- * the one from the settings until the target has announced itself
+ * jl_proxy_service - returns the service of this instance, which the settings
+ * name
+ *
+ * The text is valid until the settings change.
  */
 const char *jl_proxy_service (const struct jl_proxy *proxy);
 
@@ -369,14 +380,23 @@
 /* pages.c */
 
 extern const struct jl_handler jl_ready_handler;
-extern const struct jl_handler jl_announce_handler;
 extern const struct jl_handler jl_metrics_handler;
 
+/* heartbeats.c */
+
+extern const struct jl_handler jl_announce_handler;
+
+/**
+ * jl_heartbeats_acknowledge_leave - responds to the pending leave
+ * announcements; called when the store has acknowledged the row that records
+ * them
+ */
+void jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy);
+
 /**
- * jl_pages_acknowledge_leave - responds to the pending leave announcements;
- * called when the store has acknowledged the row that records them
+ * jl_heartbeats_forget_held - drops a heartbeat that waits for other daemons
  */
-void jl_pages_acknowledge_leave (struct jl_proxy *proxy);
+void jl_heartbeats_forget_held (struct jl_proxy *proxy);
 
 /* sync.c */
 
