Soak: repeated refusals, strange heartbeats, odd rows, cut heads

Four faults of the incident are added. refusal_again: targets refuse requests and write each refusal once more on the kept connection, with its identifier, without one, or one of another connection; while the connection is idle, when the next request arrives, or in front of its response; in one packet or two. strange_heartbeat: a daemon gets heartbeats of a target of another service, late ones of an earlier target at its own address, and leaves of strangers. odd_rows: another writer puts odd rows into the tables that daemons read, also while one starts. head_cut: a response ends within its head, or within the trailers after its last chunk.

New rules: unasked for the caller's service of each request that arrives, and served, that each target gets requests after the faults. Rule refused covers 408 and 421, too. 20 violations of each rule are kept, not 20 in all, and all are counted.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,21 +6,28 @@
 import time
 
 from deadly import CONTACT_S, LATE_ARRIVALS_MAX
-
-# Kinds of faults. Seeds without --faults choose from the first list, so their plans
-# change if it does; later kinds are in the second list.
-KINDS = ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
-         "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
-         "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
-         "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
-LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent", "peer_links_silent"]
+from odd import make_heartbeat, make_row
+
+# Kinds of faults. Seeds with --faults early choose from the first list, others from both,
+# so their plans change if a list does.
+EARLY_KINDS = ["kill", "term", "freeze", "hup", "target_crash", "target_leave", "lose", "extra",
+               "peer_delay", "peer_reset", "peer_silent", "peer_one_way", "store_cut",
+               "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
+               "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
+LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent", "peer_links_silent",
+               "refusal_again", "strange_heartbeat", "odd_rows", "head_cut"]
+# Names of lists of kinds.
+KINDS_BY_NAME = {"early": EARLY_KINDS, "all": EARLY_KINDS + LATER_KINDS}
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow",
-                       "store_restore", "store_endless"}
+                       "store_restore", "store_endless", "strange_heartbeat"}
 # Kinds of faults that break no connection of a daemon.
 FAULTS_WITHOUT_BREAKS = FAULTS_OF_NO_DAEMON | {"hup", "term", "double_term", "beacons_lost", "target_leave"}
 # Time for which the beacons of a daemon are lost: longer than others wait for them.
 BEACONS_LOST_S = 6.0
+# Most heartbeats and rows of a fault.
+HEARTBEATS_MAX = 3
+ODD_ROWS_MAX = 12
 
 
 class Faults:
@@ -114,6 +121,41 @@
         await asyncio.sleep(duration_s)
         daemon.target.endless_response_ratio = 0
 
+    async def do_refusal_again(self, daemon, duration_s):
+        """This target and some others refuse requests, and write these refusals once more."""
+        targets = [other.target for other in self.daemons if other is daemon or self.random.random() < 0.5]
+        for target in targets:
+            target.refusals.ratio = 0.3
+        await asyncio.sleep(duration_s)
+        for target in targets:
+            target.refusals.ratio = 0.0
+
+    async def do_head_cut(self, daemon, duration_s):
+        daemon.target.cut_response_ratio = 0.2
+        await asyncio.sleep(duration_s)
+        daemon.target.cut_response_ratio = 0.0
+
+    async def do_strange_heartbeat(self, daemon, duration_s):
+        """A daemon gets heartbeats of a target of another service, or of an earlier one at its own address."""
+        target = daemon.target
+        for _ in range(self.random.randint(1, HEARTBEATS_MAX)):
+            if target.earlier is not None and self.random.random() < 0.5:
+                await target.announce_state("PUT", target.earlier[1], target.earlier[0])
+            else:
+                method, instance, document = make_heartbeat(
+                    self.random, target.state("ready"), sorted(set(self.history.services.values())))
+                await target.announce_state(method, document, instance)
+            await asyncio.sleep(duration_s / HEARTBEATS_MAX)
+
+    async def do_odd_rows(self, daemon, duration_s):
+        """Another writer puts odd rows into the store; in half of the cases a daemon starts meanwhile."""
+        names = [other.name for other in self.daemons]
+        if self.random.random() < 0.5:
+            daemon.signal(signal.SIGKILL)
+        for _ in range(self.random.randint(1, ODD_ROWS_MAX)):
+            self.store.put(*make_row(self.random, names))
+            await asyncio.sleep(duration_s / ODD_ROWS_MAX)
+
     async def apply_relay_fault(self, relay, name, value, duration_s):
         relay.impair(**{name: value})
         await asyncio.sleep(duration_s)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -18,16 +18,23 @@
 # Time before the end of a planned stop in which a request may meet the closing of
 # its connection.
 CLOSING_S = 0.05
+# Violations of a rule that are kept.
+VIOLATIONS_MAX = 20
+# Statuses that promise that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
 # Minimum ratio of successful requests after the last fault.
 RECOVERED_RATIO = 0.9
 
 
 class History:
-    """Observations of one seed; `violations` holds the first 20 violated rules."""
+    """Observations of one seed; `violations` holds the first 20 of each rule."""
 
     def __init__(self):
         self.runs = defaultdict(list)
         self.arrivals = defaultdict(list)
+        # The service of each daemon's machine, and the time of the last arrival at each target.
+        self.services = {}
+        self.last_arrivals = {}
         self.answers = defaultdict(dict)
         # Time at which a target completed each request last, and the daemon beside it.
         self.completed = {}
@@ -38,17 +45,25 @@
         # Times at which each daemon ended a planned stop with nothing in progress.
         self.stops = defaultdict(list)
         self.violations = []
+        self.violated = defaultdict(int)
         self.counts = defaultdict(int)
 
     def fail(self, rule, text):
-        if len(self.violations) < 20:
+        self.violated[rule] += 1
+        if self.violated[rule] <= VIOLATIONS_MAX:
             self.violations.append(f"{rule}: {text}")
 
     def draining_acknowledged(self, target):
         self.drain_acks[target] = time.monotonic()
 
-    def arrived(self, number, service):
-        self.arrivals[service].append((time.monotonic(), number))
+    def arrived(self, number, service, host, fields):
+        now = time.monotonic()
+        self.arrivals[service].append((now, number))
+        self.last_arrivals[host] = now
+        sent = self.sent.get(number)
+        caller = fields.get("x-jackdawladder-caller-service")
+        if sent is not None and caller != self.services[sent["entry"]]:
+            self.fail("unasked", f"{number} from {sent['entry']} arrives in the name of service {caller}")
 
     def ran(self, number, target, service, message):
         now = time.monotonic()
@@ -103,7 +118,7 @@
             self.fail("late", f"{number} at {sent['entry']} gets status {status} after {took:.1f} s")
         if status == 200:
             self.check_success(number, fields, body)
-        if status in (429, 503):
+        if status in PROMISES:
             sent["reported_not_run"] = True
             if not sent["idempotent"] and self.runs[number]:
                 self.fail("refused", f"{number} was reported as not run, but ran at {self.runs[number]}")
@@ -182,6 +197,12 @@
                    for stop in self.stops[sent["entry"]]):
                 self.fail("cut", f"{number} at {sent['entry']} is cut off by a planned stop")
 
+    def check_served(self, hosts, since):
+        """Checks that each of these targets has got requests since a time."""
+        for host in hosts:
+            if self.last_arrivals.get(host, 0.0) < since:
+                self.fail("served", f"the target at {host} gets no request after the faults")
+
     def check_recovery(self, since):
         finished = [s for s in self.sent.values() if s["at"] >= since and "status" in s]
         successful = sum(s["status"] == 200 for s in finished)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,7 +29,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from deadly import DeadlyContents  # noqa: E402
-from faults import KINDS, LATER_KINDS, Faults  # noqa: E402
+from faults import KINDS_BY_NAME, Faults  # noqa: E402
 from history import LATE_RESPONSE_S, History  # noqa: E402
 from lag import Lag, play_until_decided  # noqa: E402
 from relay import Relay  # noqa: E402
@@ -96,6 +96,7 @@
         self.run = 0
         # Time before which an ended process is not started again.
         self.hold_until = 0.0
+        site.history.services[self.name] = self.service
         self.target.entry = (self.host, self.ports["entry"])
         self.target.entry_name = self.name
 
@@ -202,9 +203,7 @@
         # Times of the faults at each daemon, as lists of begin and end.
         self.impairments = defaultdict(list)
         self.breaks = defaultdict(list)
-        self.kinds = arguments.faults.split(",") if arguments.faults else KINDS
-        if arguments.faults == "all":
-            self.kinds = KINDS + LATER_KINDS
+        self.kinds = KINDS_BY_NAME.get(arguments.faults or "all") or arguments.faults.split(",")
         self.number = 0
 
     def routes(self, moving_service):
@@ -404,6 +403,7 @@
             daemon.check_memory()
         self.history.check_given_up(self.is_undisturbed)
         self.history.check_cut(self.is_undisturbed)
+        self.history.check_served([daemon.host for daemon in self.daemons], calm_since)
         return self.history.finish(calm_since)
 
 
@@ -425,7 +425,8 @@
     print(f"  {counts}; {len(site.faults)} faults")
     print(f"  {site.summary}")
     if violations:
-        for line in violations + ["faults:"] + site.faults:
+        rules = " ".join(f"{rule}={count}" for rule, count in sorted(site.history.violated.items()))
+        for line in [f"violations: {rules}"] + violations + ["faults:"] + site.faults:
             print("  " + line)
 
 
@@ -471,7 +472,7 @@
     parser.add_argument("--seeds", default="1-3", type=read_seeds)
     parser.add_argument("--seconds", default=8.0, type=float)
     parser.add_argument("--daemons", default=6, type=int)
-    parser.add_argument("--faults", default="", help="comma-separated kinds of faults to choose from, or all")
+    parser.add_argument("--faults", default="", help="comma-separated kinds of faults to choose from, all or early")
     parser.add_argument("--off", default="")
     parser.add_argument("--expect-failure", default="", help="succeed only if a seed violates this rule")
     arguments = parser.parse_args()
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -7,6 +7,7 @@
 import time
 
 from endless import KINDS, send_without_end
+from faulty import RefusalRepeater, cut_short
 from wire import close, encode, read_message, reset
 
 INSTANCE_NUMBERS = itertools.count(1)
@@ -25,7 +26,8 @@
     time, 10 ms later.
     split_repeated_responses: the second one comes in two packets 10 ms apart.
     endless_response_ratio: ratio of the requests that run and get a response
-    without end.
+    without end; cut_response_ratio: the same with a response that ends within its
+    head or trailers.
     """
 
     def __init__(self, history, host, service, slots, seed):
@@ -37,11 +39,16 @@
         self.port = 0
         # Where the daemon's settings say that it accepts requests, if not at its own port.
         self.address = None
+        self.server = None
         self.running = 0
         self.lost_response_ratio = 0.0
         self.repeated_response_ratio = 0.0
         self.split_repeated_responses = False
         self.endless_response_ratio = 0.0
+        self.cut_response_ratio = 0.0
+        self.refusals = RefusalRepeater(seed)
+        # The identifier and the last heartbeat of the incarnation before.
+        self.earlier = None
         self.draining_since = None
         self.tasks = set()
         self.lock = asyncio.Lock()
@@ -52,6 +59,8 @@
 
     async def start(self, announce, instance=None):
         """Starts the target, under the given instance id or a new one."""
+        if self.server is not None:
+            self.earlier = (self.id, self.state("ready"))
         self.id = instance or f"i-{next(INSTANCE_NUMBERS)}"
         self.announce = announce
         self.dark = False
@@ -126,12 +135,12 @@
             "born": self.born,
         }
 
-    async def announce_state(self, method, document):
-        """Sends a document to the daemon; returns whether the daemon accepted it."""
+    async def announce_state(self, method, document, instance=None):
+        """Sends a document to the daemon, in the name of this target or another; returns whether it accepted it."""
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.announce), 1)
             body = json.dumps(document).encode()
-            writer.write(encode(f"{method} /api/instances/{self.id} HTTP/1.1", {"Host": "x"}, body))
+            writer.write(encode(f"{method} /api/instances/{instance or self.id} HTTP/1.1", {"Host": "x"}, body))
             response = await asyncio.wait_for(read_message(reader), 1)
             await close(writer)
             return response.status // 100 == 2
@@ -153,6 +162,7 @@
         except (EOFError, OSError, asyncio.IncompleteReadError):
             writer.close()
         finally:
+            self.refusals.forget(writer)
             self.writers.discard(writer)
 
     async def call(self, path, number):
@@ -180,8 +190,11 @@
             writer.write(encode("HTTP/1.1 421 Other", echo))
             return
         path = message.first.split(" ")[1]
-        self.history.arrived(number, self.service)
+        self.history.arrived(number, self.service, self.host, fields)
         self.on_arrival(self, path, number)
+        await self.refusals.write(writer, ["idle", "arrival"])
+        if self.refusals.refuse(writer, echo):
+            return
         if self.running >= self.slots:
             echo["X-Jackdawladder-Not-Executed"] = "1"
             writer.write(encode("HTTP/1.1 503 Full", echo))
@@ -206,6 +219,11 @@
             await send_without_end(writer, self.random.choice(KINDS), self.random.random() < 0.5,
                                    "HTTP/1.1 200 X", {**echo, "X-Jackdawladder-Server-Seal": seal})
             raise EOFError
+        await self.refusals.write(writer, ["response"])
+        if self.cut_response_ratio and self.random.random() < self.cut_response_ratio:
+            writer.write(cut_short(self.random, "HTTP/1.1 200 X", {**echo, "X-Jackdawladder-Server-Seal": seal}, b"cut"))
+            await close(writer)
+            raise EOFError
         body = (f"{number} by {self.id} " * self.random.randint(1, 60)).encode()
         self.history.answered(number, seal, body, self.entry_name)
         response = encode(f"HTTP/1.1 {status} X", {**echo, "X-Jackdawladder-Server-Seal": seal}, body)
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -37,10 +37,12 @@
     if fields.get("transfer-encoding") == "chunked":
         while True:
             size = int(await reader.readuntil(b"\r\n"), 16)
-            body += await reader.readexactly(size)
-            await reader.readexactly(2)
             if size == 0:
                 break
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        while await reader.readuntil(b"\r\n") != b"\r\n":
+            pass
     elif "content-length" in fields:
         body = await reader.readexactly(int(fields["content-length"]))
     return Message(lines[0], fields, body)
