Use no connection again on which a refusal without an identifier came

What callers see: a request waits behind one that was given up. On a kept connection a refusal without an identifier ends the work with an unknown outcome, but the connection stayed in the pool, although the target may still run the request and answer it there.

refusal::without_an_identifier_on_a_kept_connection_ends_it failed before (c came on the first connection) and passes: the connection is marked as one that all requests avoid, as after a refusal without an identifier on a new one.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -294,6 +294,15 @@
   jl_guard_run_queue (proxy);
 }
 
+/* Ends work whose outcome is unknown. The target may still answer it, on a
+ * connection that no other request must use. */
+static void
+fail_unnamed_refusal (struct jl_work *work)
+{
+  jl_upstream_mark (work->relay.upstream, 0);
+  fail_work (work, "unnamed-refusal");
+}
+
 static void
 start_response (struct jl_work *work)
 {
@@ -313,7 +322,7 @@
   if (match == MATCH_FOREIGN)
     drop_mismatched_response (work);
   else if (match == MATCH_UNKNOWN)
-    fail_work (work, "unnamed-refusal");
+    fail_unnamed_refusal (work);
   else if (target_did_not_run (head))
     handle_target_refused (work);
   else if (promises_not_run (head->status))
--- a/tests/proxy/refusal.c
+++ b/tests/proxy/refusal.c
@@ -207,6 +207,18 @@
                       received);
 }
 
+Test (refusal, without_an_identifier_on_a_kept_connection_ends_it)
+{
+  struct play play;
+
+  begin (&play, 20);
+  serve_work (&play);
+  answer (&play, ANONYMOUS_REFUSAL, send_work (&play, "b"));
+  send_work (&play, "c");
+  cr_assert_eq (play.accepted, 2,
+                "the connection on which b may still be answered is used");
+}
+
 Test (refusal, without_an_identifier_on_a_new_connection_is_believed)
 {
   struct play play;
