Soak: heartbeats of the own service from another address; a switch for the check

strange_heartbeat also sends heartbeats with the daemon's own service and another address, and the hook "own" lets a daemon take all of them: rule served then fails (soak-sees-own-off).

--- a/source/proxy/hooks.h
+++ b/source/proxy/hooks.h
@@ -19,6 +19,7 @@
  * - "silence": idle connections to daemons are used although nothing answers
  * - "learned": calls for each run that were read from the store are ignored
  * - "left": departed incarnations read from the store are ignored
+ * - "own": heartbeats of targets that the settings do not name are taken
  */
 
 #ifdef JL_TEST_HOOKS
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -138,7 +138,7 @@
         daemon.target.cut_response_ratio = 0.0
 
     async def do_strange_heartbeat(self, daemon, duration_s):
-        """A daemon gets heartbeats of a target of another service, or of an earlier one at its own address."""
+        """A daemon gets heartbeats of a target of another machine, or of an earlier one at its own address."""
         target = daemon.target
         for _ in range(self.random.randint(1, HEARTBEATS_MAX)):
             if target.earlier is not None and self.random.random() < 0.5:
--- a/tests/soak/odd.py
+++ b/tests/soak/odd.py
@@ -33,14 +33,14 @@
 
 
 def make_heartbeat(choice, heartbeat, services):
-    """Returns the method, the identifier and the document of a heartbeat of a target of another service.
+    """Returns the method, the identifier and the document of a heartbeat of a target of another machine.
 
     heartbeat: document of the target whose daemon gets it; services: those of the site.
+    Its service differs, or its address, or both.
     """
-    others = [service for service in services if service != heartbeat["service"]]
-    document = {**heartbeat, "service": choice.choice([INVENTED_SERVICE, *others]),
+    document = {**heartbeat, "service": choice.choice([INVENTED_SERVICE, *services]),
                 "state": choice.choice(["ready", "ready", "draining"]), "sequence": choice.randint(1, 9)}
-    if choice.random() < 0.5:
+    if document["service"] == heartbeat["service"] or choice.random() < 0.5:
         document["address"] = f"127.0.0.1:{choice.randint(1, 65535)}"
     if choice.random() < 0.3:
         del document["born"]
--- a/tests/soak/test_faulty.py
+++ b/tests/soak/test_faulty.py
@@ -82,15 +82,16 @@
     return {table for table, _, _ in rows} == set(FORMS) and all(len(key) <= 200 for _, key, _ in rows)
 
 
-async def strange_heartbeats_name_another_service():
+async def strange_heartbeats_name_another_service_or_address():
     choice = random.Random(1)
     own = {"service": "front", "address": "127.0.0.1:80", "state": "ready", "sequence": 1, "born": 1}
     made = [make_heartbeat(choice, own, ["front", "deep"])[2] for _ in range(ROUNDS)]
-    return {document["service"] for document in made} == {"deep", "stranger"} and own["service"] == "front"
+    named = {(document["service"], document["address"] == own["address"]) for document in made}
+    return named == {("deep", True), ("deep", False), ("stranger", True), ("stranger", False), ("front", False)}
 
 
 TESTS = [cut_responses_end_early, trailers_are_read_to_their_end, refusals_are_written_twice, odd_rows_are_rows,
-         strange_heartbeats_name_another_service]
+         strange_heartbeats_name_another_service_or_address]
 
 
 def main():
