Compare refusals of two kinds with refusals without an order

Cause: the rule importance-order asks that the refused share of a more important kind is not larger than that of a less important one, by a tolerance of 0.1. Without importances the shares are equal, which it allows. Before it counted repeated refusals of reservations, which made their share larger by accident.

Change: the rule keeps what it asks for, and asks for more. In each window, the refusals of a kind must be nearer to their number in order (it is refused only once all of the less important one is, as docs/DESIGN.md has it) than to their mean without an order (hypergeometric). A window is judged only if the limit halfway is three standard deviations or more from that mean, so that chance does not decide. Decisions are compared within slots of the level's control window, and counted alike for kinds with and without keys: a caller's request once, and again when it comes back after Retry-After.

Three made-up histories that must be reported fail with the rule before (they report nothing): all refused alike, important ones hardly less, and the same while requests without a key are sent again; five that must not be stay unreported.

--- a/tests/history/rules.py
+++ b/tests/history/rules.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import sqrt
 
 from history import group
 
@@ -23,6 +24,10 @@
     order_requests_min: least number of requests of a kind in a window to be compared
     order_share_tolerance: by how much the refused share of a more important kind may
         exceed that of a less important one
+    order_slot_us: time within which decisions on two kinds are compared; the length
+        of a control window of the admission level (source/core/level.h)
+    order_deviations_min: least distance of the limit of refusals from their mean
+        without an order, in standard deviations
     config_bound_us: how long a version may take to reach all daemons
     crashes_max: number of targets that one request may crash
     """
@@ -33,6 +38,8 @@
     order_window_us: int = SECOND_US
     order_requests_min: int = 20
     order_share_tolerance: float = 0.1
+    order_slot_us: int = 50 * MSEC_US
+    order_deviations_min: float = 3
     config_bound_us: int = 15 * SECOND_US
     crashes_max: int = 2
 
@@ -178,32 +185,81 @@
     )
 
 
-def decided_sendings(history):
-    """Returns the answered sendings without those that repeat a refusal."""
+def decided_sendings(history, identity):
+    """Returns the answered sendings without those that repeat a refusal.
+
+    identity returns what sendings of one request have in common.
+    """
     decided = []
-    for sendings in history.sendings_by_request().values():
+    for sendings in group(history.sendings, identity).values():
         for number, sending in enumerate(sendings):
             if sending.answer and not repeats_refusal(sending, sendings[:number]):
                 decided.append(sending)
     return decided
 
 
+def caller_request(sending):
+    """Returns what identifies a caller's request, also if each sending has an id."""
+    return sending.send["who"], sending.send["request"]
+
+
+def run_starts(history):
+    """Returns the times at which runs of each request started, without its calls."""
+    runs = group(filter(lambda run: run.hop == "0", history.runs), lambda run: run.request)
+    return {request: [run.at for run in found] for request, found in runs.items()}
+
+
+def order_windows(sendings, options):
+    """Yields the sendings of each window; the windows overlap by half."""
+    half = options.order_window_us // 2
+    halves = group(sendings, lambda sending: sending.send["at"] // half)
+    for number in sorted(halves):
+        yield halves[number] + halves.get(number + 1, [])
+
+
+def compared_kinds(window, services):
+    """Yields the sendings of each two kinds of which the second must give way.
+
+    It is less important and needs all services of the first. Kinds that need only
+    some of the services may still be served: refusing them need not free the
+    capacity that the refused kind lacked.
+    """
+    kinds = group(window, lambda sending: sending.send["kind"])
+    for kind, sendings in sorted(kinds.items()):
+        if kind not in services or not any(map(is_shed, sendings)):
+            continue
+        for other, others in kinds.items():
+            if (
+                others[0].send["importance"] > sendings[0].send["importance"]
+                and services.get(other, set()) >= services[kind]
+            ):
+                yield sendings, others
+
+
 def importance_order(history, options):
     """More important requests are refused only if less important ones are.
 
-    A request that is sent again before its Retry-After has passed counts once,
-    with its first refusal. Windows overlap by half. In each window, a kind may be refused for overload
-    only if every less important kind that needs all of its services was refused
-    too, with at least the same share. Kinds that need only some of the services
-    may still be served: refusing them need not free the capacity that the
-    refused kind lacked.
+    In each window, a kind may be refused for overload only if every less important
+    kind that competes with it was refused too, with at least the same share; see
+    check_share(). Of two kinds the less important one gives way first, so a kind
+    must also be refused clearly less often than chance would have it; see
+    check_chance().
+
+    A request that is sent again before its Retry-After has passed counts once, with
+    its first refusal. For shares, each sending without a key is a request of its
+    own. For chance it is one with the caller's other sendings of that request, so
+    that kinds with and without keys are counted alike.
     """
     services = services_of_kinds(history)
-    half = options.order_window_us // 2
-    halves = group(decided_sendings(history), lambda sending: sending.send["at"] // half)
-    for number in sorted(halves):
-        window = halves[number] + halves.get(number + 1, [])
-        yield from check_window(window, services, options)
+    decided = decided_sendings(history, lambda sending: sending.request)
+    for window in order_windows(decided, options):
+        for sendings, others in compared_kinds(window, services):
+            yield from check_share(sendings, others, options)
+    starts = run_starts(history)
+    decided = decided_sendings(history, caller_request)
+    for window in order_windows(decided, options):
+        for sendings, others in compared_kinds(window, services):
+            yield from check_chance(sendings, others, starts, options)
 
 
 def share_of(predicate, sendings):
@@ -215,31 +271,109 @@
     return not sending.good
 
 
-def check_window(window, services, options):
-    kinds = group(window, lambda sending: sending.send["kind"])
-    for kind, sendings in sorted(kinds.items()):
-        shed = [sending for sending in sendings if is_shed(sending)]
-        if not shed or kind not in services:
-            continue
-        for other, others in kinds.items():
-            if (
-                others[0].send["importance"] <= sendings[0].send["importance"]
-                or len(others) < options.order_requests_min
-                or not services.get(other, set()) >= services[kind]
-            ):
-                continue
-            share = (
-                share_of(is_shed, sendings)
-                if len(sendings) >= options.order_requests_min
-                else 0
-            )
-            other_share = share_of(is_failed, others)
-            if other_share == 0 or share > other_share + options.order_share_tolerance:
-                yield (
-                    f"{kind} was refused ({share:.0%}) "
-                    f"while {other} was less ({other_share:.0%})",
-                    shed[:3],
-                )
+def check_share(sendings, others, options):
+    """A kind is not refused with a larger share than a less important one."""
+    if len(others) < options.order_requests_min:
+        return
+    share = (
+        share_of(is_shed, sendings)
+        if len(sendings) >= options.order_requests_min
+        else 0
+    )
+    other_share = share_of(is_failed, others)
+    if other_share == 0 or share > other_share + options.order_share_tolerance:
+        yield (
+            f"{sendings[0].send['kind']} was refused ({share:.0%}) "
+            f"while {others[0].send['kind']} was less ({other_share:.0%})",
+            list(filter(is_shed, sendings))[:3],
+        )
+
+
+@dataclass
+class OrderCount:
+    """Refusals of a kind beside a less important one.
+
+    refused, other_refused: what was seen
+    in_order: refusals if the kind is refused only once all of the other one is
+    by_chance, variance: mean and variance if all decisions are refused alike, by
+        the hypergeometric distribution
+    """
+
+    refused: int = 0
+    other_refused: int = 0
+    in_order: int = 0
+    by_chance: float = 0
+    variance: float = 0
+
+    def add(self, sendings, others):
+        """Adds decisions on both kinds at about the same time."""
+        count, other_count = len(sendings), len(others)
+        total = count + other_count
+        refused = sum(map(is_shed, sendings))
+        other_refused = sum(map(is_failed, others))
+        share = (refused + other_refused) / total
+        self.refused += refused
+        self.other_refused += other_refused
+        self.in_order += max(0, refused + other_refused - other_count)
+        self.by_chance += share * count
+        self.variance += share * (1 - share) * count * other_count / max(1, total - 1)
+
+
+def open_at(sendings, at_us, starts):
+    """Returns the sendings without those that were served and ran before a time.
+
+    A target keeps what it has admitted, also when more important requests come.
+    """
+    return [
+        sending
+        for sending in sendings
+        if not sending.good
+        or all(start >= at_us for start in starts.get(sending.request, []))
+    ]
+
+
+def count_order(sendings, others, starts, options):
+    """Counts the decisions on a kind, and on a less important one beside it.
+
+    Decisions are compared within short slots, since at different times different
+    loads are refused, and from the first refusal of the more important kind on.
+    """
+
+    def slot(sending):
+        return sending.send["at"] // options.order_slot_us
+
+    count = OrderCount()
+    other_slots = group(others, slot)
+    for number, in_slot in group(sendings, slot).items():
+        shed = filter(is_shed, in_slot)
+        first_us = min((sending.answer["at"] for sending in shed), default=0)
+        compared = open_at(in_slot, first_us, starts)
+        compared_others = open_at(other_slots.get(number, []), first_us, starts)
+        if compared and compared_others:
+            count.add(compared, compared_others)
+    return count
+
+
+def check_chance(sendings, others, starts, options):
+    """A kind is refused clearly less often than by refusals without an order.
+
+    It breaks the rule if its refusals are nearer to their mean without an order
+    than to their number in order. A window counts only if the limit between both
+    is order_deviations_min standard deviations or more from the mean, so that
+    chance does not decide.
+    """
+    count = count_order(sendings, others, starts, options)
+    distance = (count.by_chance - count.in_order) / 2
+    if (
+        distance >= options.order_deviations_min * sqrt(count.variance)
+        and count.refused > count.in_order + distance
+    ):
+        yield (
+            f"{sendings[0].send['kind']} was refused {count.refused} times beside "
+            f"{others[0].send['kind']} {count.other_refused} times, as if without "
+            f"order ({count.in_order} in order, {count.by_chance:.0f} by chance)",
+            list(filter(is_shed, sendings))[:3],
+        )
 
 
 def nothing_after_leaving(history, options):
--- a/tests/history/test_rules.py
+++ b/tests/history/test_rules.py
@@ -183,11 +183,15 @@
             answer(9, "a", outcome="unknown", status=504, whole=False, own=False)]
 
 
-def overload(shed, services=("listings",) * 3):
+SPREAD = 37
+
+
+def overload(shed, services=("listings",) * 3, stride=1):
     """Returns a history with 100 requests in each of three classes.
 
     shed holds the number of refused requests of each class, services the
-    service that each class needs.
+    service that each class needs. Each class has its refusals first, or spread
+    over its requests with the stride SPREAD.
     """
     records = []
     for importance, count in enumerate(shed):
@@ -196,7 +200,7 @@
             at = n * MSEC_US + importance
             number = importance * 1000 + n
             request = f"{importance}-{n}"
-            if n % 100 < count:
+            if n * stride % 100 < count:
                 records.append(send(at, request, request=number, **values))
                 records.append(not_run(at + 9, request, request=number))
             else:
@@ -225,6 +229,72 @@
     return overload([0, 50, 100])
 
 
+@case()
+def important_refused_after_all_others():
+    return overload([10, 60, 100])
+
+
+@case()
+def none_served_for_a_while():
+    return overload([50, 50, 50])
+
+
+@case("importance-order")
+def all_refused_alike():
+    return overload([50, 50, 50], stride=SPREAD)
+
+
+@case("importance-order")
+def important_refused_hardly_less():
+    return overload([70, 76, 76], stride=SPREAD)
+
+
+@case()
+def nearly_all_refused():
+    return overload([95, 98, 99], stride=SPREAD)
+
+
+@case()
+def burst_that_takes_the_free_places_before_it_is_refused():
+    records = []
+    for importance, (served, count) in enumerate(((2, 180), (10, 310))):
+        values = {"importance": importance, "kind": f"kind-{importance}"}
+        for n in range(count):
+            request = f"{importance}-{n}"
+            number = importance * 1000 + n
+            if n < served:
+                records += exchange(n, request, number, **values)
+            else:
+                records.append(send(n, request, request=number, **values))
+                records.append(not_run(n + 500 * MSEC_US, request, request=number))
+    return records
+
+
+@case()
+def too_few_refused_to_tell_an_order():
+    return overload([2, 2, 2], stride=SPREAD)
+
+
+@case("importance-order")
+def refused_alike_while_requests_without_key_are_resent():
+    records = []
+    for importance in (0, 1):
+        values = {"importance": importance, "kind": f"kind-{importance}"}
+        for n in range(100):
+            at = n * MSEC_US + importance
+            number = importance * 1000 + n
+            refused = 6 if n % 5 == 0 else 0
+            for sending in range(1, refused + 1):
+                numbers = {"request": number, "sending": sending}
+                request = f"{number}" if importance == 0 else f"{number}/{sending}"
+                sent = at + sending * 10
+                records.append(send(sent, request, **numbers, **values))
+                records.append(not_run(sent + 5, request, retry_after_ms=600, **numbers))
+            if refused == 0:
+                records += exchange(at, f"{number}", number, **values)
+    return records
+
+
 def refused_again(at):
     """Returns a history in which an important request is refused twice.
 
