Drop what a document holds beside the known fields before it is parsed

What callers saw: nothing of a later configuration. An unknown field of 1 MB of empty objects took 269 MB, more than a daemon may use.

Cause: json-c parses all of a document before anything is known to be wanted, refuses all of it beyond 32 levels, and keeps 800 bytes for "{}".

Evidence: tests/proxy/odd-rows.c with each field of a row and of the answer missing, of a wrong type, deep, too large a number, too long.

The filter runs once over the text without recursion: members of other names, and containers beyond fixed bounds of depth and number, become null. Half a million levels, as many as a document can have, are a test.

--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -4,13 +4,13 @@
 
 #include "proxy/rows.h"
 
+#include "json.h"
 #include "policy/content.h"
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/learned.h"
 #include "proxy/report.h"
 
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -58,11 +58,11 @@
 static struct json_object *
 parse_row (const struct jl_row *row)
 {
-  struct json_tokener *tokener = json_tokener_new ();
-  struct json_object *document
-      = json_tokener_parse_ex (tokener, row->value, (int)row->size);
+  static const char *const names[]
+      = { "peer", "zone",   "refused", "content", "ends",
+          "left", "target", "born_ms", "calls",   NULL };
+  struct json_object *document = jl_json_parse (row->value, row->size, names);
 
-  json_tokener_free (tokener);
   if (json_object_is_type (document, json_type_object))
     return document;
   json_object_put (document);
--- /dev/null
+++ b/tests/proxy/odd-rows.c
@@ -0,0 +1,518 @@
+/**
+ * DOC: Tests of odd entries among those that the daemon reads from the store:
+ * they end nothing, hide no other entry, stop no following, cause no flood of
+ * calls, and nothing of them is believed.
+ */
+
+#include <criterion/criterion.h>
+
+#include <string.h>
+#include <sys/resource.h>
+
+#include "decode.h"
+#include "proxy/parts/rig.h"
+
+/* Time within which a configuration must be in force, and time given to the
+ * rows of daemons, which are read in batches. */
+#define APPLY_MS 2000
+#define STEP_MS 20
+/* Most calls to the store in 500 ms by a daemon whose calls all fail. */
+#define FAILING_CALLS_MAX 30
+/* Levels of nesting: more than a JSON library takes by default, and more than
+ * a stack of 8 MB takes at 500 bytes each. */
+#define SOME_LEVELS 40
+#define MANY_LEVELS 20000
+/* Maximum size of a document in the store. */
+#define DOCUMENT_BYTES_MAX ((size_t)1 << 20)
+/* Memory that a daemon may use. */
+#define MEMORY_KB_MAX (256L << 10)
+
+static const char sound_row[] = "{\"peer\":\"127.0.0.1:9\",\"zone\":\"z1\"}";
+
+/* Returns @levels arrays, each in the other. */
+static char *
+nest (size_t levels)
+{
+  char *text = g_malloc (2 * levels + 1);
+
+  memset (text, '[', levels);
+  memset (text + levels, ']', levels);
+  text[2 * levels] = '\0';
+  return text;
+}
+
+static char *
+quote (size_t length)
+{
+  char *letters = g_strnfill (length, 'x');
+  char *text = g_strconcat ("\"", letters, "\"", NULL);
+
+  g_free (letters);
+  return text;
+}
+
+/* Returns JSON values that no field of the store has, NULL-terminated. */
+static char **
+odd_values (void)
+{
+  static const char *const fixed[] = {
+    "null",
+    "true",
+    "7",
+    "-1",
+    "1e30",
+    "1e999",
+    "9223372036854775808",
+    "1000000000000000000000000000000",
+    "\"\"",
+    "[]",
+    "{}",
+    "[{\"key\":[]}]",
+    "\"%%%\"",
+    "\"k\\u0000x\"",
+    "\"config\\u0000x\"",
+    "\"127.0.0.1:99999\"",
+  };
+  GPtrArray *list = g_ptr_array_new ();
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (fixed); i++)
+    g_ptr_array_add (list, g_strdup (fixed[i]));
+  g_ptr_array_add (list, nest (SOME_LEVELS));
+  g_ptr_array_add (list, nest (MANY_LEVELS));
+  g_ptr_array_add (list, quote (200));
+  g_ptr_array_add (list, quote (100000));
+  g_ptr_array_add (list, NULL);
+  return (char **)g_ptr_array_free (list, FALSE);
+}
+
+/* Returns a configuration of one route. @extra are further members. */
+static char *
+configuration (unsigned version, const char *extra)
+{
+  return g_strdup_printf (
+      "{\"version\":\"%08x\",%s\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"prefix\",\"kind\",\"timeoutS\",\"service\"],\"rows\":[[\"r1\",\"a\","
+      "\"/x/\",\"idempotent\",5,\"s1\"]]},\"limits\":{\"maxHeaderBytes\":16384,"
+      "\"maxBodyBytes\":1000,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}",
+      version, extra);
+}
+
+static void
+put_configuration (struct rig *rig, unsigned version)
+{
+  char *text = configuration (version, "");
+
+  fake_store_put (&rig->store, "op", "config", text);
+  g_free (text);
+}
+
+static bool
+is_in_force (const struct rig *rig, unsigned version)
+{
+  return rig->proxy->site != NULL && rig->proxy->site->version == version;
+}
+
+static bool
+knows (const struct rig *rig, const char *name)
+{
+  return g_hash_table_contains (rig->proxy->roster.by_name, name);
+}
+
+/* Changes the configuration and adds a daemon; expects both to be followed. */
+static void
+expect_followed (struct rig *rig, const char *what)
+{
+  static unsigned version = 100;
+  char *name = g_strdup_printf ("sound%u", ++version);
+
+  fake_store_put (&rig->store, "daemons", name, sound_row);
+  put_configuration (rig, version);
+  for (unsigned ms = 0;
+       ms < APPLY_MS && !(is_in_force (rig, version) && knows (rig, name));
+       ms += STEP_MS)
+    rig_run (rig, STEP_MS);
+  cr_expect (is_in_force (rig, version), "configuration not in force: %.120s",
+             what);
+  cr_expect (knows (rig, name), "daemon not known: %.120s", what);
+  g_free (name);
+}
+
+/* Returns a row as the store gives it, with @odd in place of the value of the
+ * member @field, or without that member if @odd is NULL. */
+static char *
+raw_row (const char *table,
+         const char *key,
+         const char *value,
+         const char *field,
+         const char *odd)
+{
+  const char *const names[]
+      = { "table", "part", "key", "value", "ver", "deleted", "other" };
+  char *base64 = g_base64_encode ((const guchar *)value, strlen (value));
+  char *values[] = { g_strdup_printf ("\"%s\"", table),
+                     g_strdup ("\"\""),
+                     g_strdup_printf ("\"%s\"", key),
+                     g_strdup_printf ("\"%s\"", base64),
+                     g_strdup ("3"),
+                     g_strdup ("false"),
+                     g_strdup ("7") };
+  GString *row = g_string_new ("{");
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      const char *text = strcmp (names[i], field) == 0 ? odd : values[i];
+
+      if (text != NULL)
+        g_string_append_printf (row, "%s\"%s\":%s", row->len > 1 ? "," : "",
+                                names[i], text);
+      g_free (values[i]);
+    }
+  g_free (base64);
+  return g_string_free (g_string_append_c (row, '}'), FALSE);
+}
+
+static const char *const row_fields[]
+    = { "table", "part", "key", "value", "ver", "deleted", "other" };
+
+/* Puts a row of each odd kind into a table, under names of its own. */
+static void
+put_odd_rows (struct rig *rig, const char *table, const char *key)
+{
+  char **odd = odd_values ();
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (row_fields); i++)
+    for (unsigned j = 0; odd[j] != NULL; j++)
+      {
+        char *name = g_strdup_printf ("%s-%s-%u", key, row_fields[i], j);
+        char *raw = raw_row (table, key, sound_row, row_fields[i], odd[j]);
+
+        fake_store_put_raw (&rig->store, table, name, raw);
+        g_free (raw);
+        g_free (name);
+      }
+  g_strfreev (odd);
+}
+
+Test (odd_rows,
+      an_odd_field_in_a_row_keeps_no_other_row_from_being_read_at_start)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 100);
+  put_odd_rows (&rig, "daemons", "d7");
+  put_odd_rows (&rig, "daemons", "d5");
+  put_odd_rows (&rig, "op", "other");
+  fake_store_put (&rig.store, "daemons", "sound", sound_row);
+  put_configuration (&rig, 9);
+  rig_start (&rig);
+  rig_run (&rig, 1000);
+  cr_expect (is_in_force (&rig, 9));
+  cr_expect (knows (&rig, "sound"));
+  cr_expect_not_null (fake_store_get (&rig.store, "daemons", "d5"));
+  expect_followed (&rig, "rows at start");
+  rig_heartbeat (&rig, "t1", 1, 1);
+}
+
+/* Puts odd rows into a table, one after the other, while the daemon follows. */
+static void
+play_odd_changes (unsigned host, const char *table, const char *key)
+{
+  char **odd = odd_values ();
+  struct rig rig;
+
+  rig_prepare (&rig, host);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  expect_followed (&rig, "before");
+  for (unsigned i = 0; i < G_N_ELEMENTS (row_fields); i++)
+    {
+      for (unsigned j = 0; odd[j] != NULL; j++)
+        {
+          char *name = g_strdup_printf ("odd%u-%u", i, j);
+          char *raw = raw_row (table, key, sound_row, row_fields[i], odd[j]);
+
+          fake_store_put_raw (&rig.store, table, name, raw);
+          rig_run (&rig, STEP_MS);
+          g_free (raw);
+          g_free (name);
+        }
+      expect_followed (&rig, row_fields[i]);
+    }
+  g_strfreev (odd);
+}
+
+Test (odd_rows, an_odd_row_of_a_daemon_ends_no_following)
+{
+  play_odd_changes (101, "daemons", "d7");
+}
+
+Test (odd_rows, an_odd_row_of_the_configuration_ends_no_following)
+{
+  play_odd_changes (102, "op", "other");
+}
+
+/* Gives an answer to each call for some time; expects no flood of calls. */
+static void
+give_answer (struct rig *rig, const char *answer, unsigned ms)
+{
+  unsigned calls = rig->store.calls;
+
+  rig->store.raw_answer = answer;
+  rig->store.raw_status = 200;
+  fake_store_put (&rig->store, "op", "other", "");
+  rig_run (rig, ms);
+  rig->store.raw_answer = NULL;
+  cr_expect_leq (rig->store.calls - calls, FAILING_CALLS_MAX,
+                 "%u calls: %.120s", rig->store.calls - calls, answer);
+}
+
+/* Gives answers with an odd member, and then right ones. */
+static void
+play_odd_answers (struct rig *rig, const char *field)
+{
+  bool no_rows = strcmp (field, "rows") == 0;
+  bool no_version = strcmp (field, "ver") == 0;
+  char **odd = odd_values ();
+
+  for (unsigned i = 0; odd[i] != NULL; i++)
+    {
+      char *answer
+          = g_strdup_printf ("{\"%s\":%s%s%s,\"nowS\":5}", field, odd[i],
+                             no_rows ? "" : ",\"rows\":[{\"key\":\"x\"}]",
+                             no_version ? "" : ",\"ver\":2");
+
+      give_answer (rig, answer, 100);
+      g_free (answer);
+    }
+  expect_followed (rig, field);
+  g_strfreev (odd);
+}
+
+Test (odd_rows, an_odd_member_of_an_answer_ends_no_following)
+{
+  static const char *const fields[]
+      = { "rows", "ver", "nowS", "morePages", "other" };
+  struct rig rig;
+
+  rig_prepare (&rig, 104);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned i = 0; i < G_N_ELEMENTS (fields); i++)
+    play_odd_answers (&rig, fields[i]);
+}
+
+/* Returns a document with the member @name of an odd value. */
+static char *
+with_member (const char *name, const char *odd, const char *rest)
+{
+  return g_strdup_printf ("{\"%s\":%s,%s}", name, odd, rest);
+}
+
+Test (odd_rows, odd_values_of_rows_end_no_daemon_at_start_or_later)
+{
+  static const char *const members[][3] = {
+    { "daemons", "peer", "\"zone\":\"z1\"" },
+    { "daemons", "zone", "\"peer\":\"127.0.0.1:9\"" },
+    { "daemons", "other", "\"peer\":\"127.0.0.1:9\",\"zone\":\"z1\"" },
+    { "refused", "refused", "\"a\":1" },
+    { "refused", "other", "\"refused\":[]" },
+    { "op", "version", "\"routes\":{}" },
+    { "op", "routes", "\"version\":\"0000ffff\"" },
+    { "op", "limits", "\"version\":\"0000ffff\"" },
+  };
+  char **odd = odd_values ();
+  struct rig rig;
+
+  rig_prepare (&rig, 108);
+  for (unsigned pass = 0; pass < 2; pass++)
+    {
+      for (unsigned i = 0; i < G_N_ELEMENTS (members); i++)
+        for (unsigned j = 0; odd[j] != NULL; j++)
+          {
+            bool refused = strcmp (members[i][0], "refused") == 0;
+            char *key
+                = g_strdup_printf ("%sm%u-%u", refused ? "refused/" : "", i, j);
+            char *value = with_member (members[i][1], odd[j], members[i][2]);
+
+            fake_store_put (&rig.store, refused ? "daemons" : members[i][0],
+                            strcmp (members[i][0], "op") == 0 ? "config" : key,
+                            value);
+            if (pass > 0)
+              rig_run (&rig, 10);
+            g_free (value);
+            g_free (key);
+          }
+      if (pass == 0)
+        {
+          put_configuration (&rig, 9);
+          fake_store_put (&rig.store, "daemons", "zsound", sound_row);
+          rig_start (&rig);
+          rig_run (&rig, 1000);
+          cr_expect (is_in_force (&rig, 9));
+          cr_expect (knows (&rig, "zsound"));
+        }
+      expect_followed (&rig, pass == 0 ? "at start" : "later");
+    }
+  cr_expect_eq (rig.proxy->suspects.open_count, 0);
+  rig_heartbeat (&rig, "t1", 1, 1);
+  g_strfreev (odd);
+}
+
+/* Starts a daemon whose earlier incarnation seems to have written a row of its
+ * target. */
+static void
+start_with_target_row (struct rig *rig, unsigned host, const char *row)
+{
+  rig_prepare (rig, host);
+  fake_store_put (&rig->store, "targets", "d5", row);
+  rig_start (rig);
+  rig_run (rig, 300);
+}
+
+/* The sound entry of a row stands behind an odd member. */
+Test (odd_rows, a_departed_target_is_known_although_the_row_is_odd)
+{
+  char *deep = nest (MANY_LEVELS);
+  char *row = with_member ("other", deep,
+                           "\"left\":[{\"target\":\"t0\",\"born_ms\":5}]");
+  struct rig rig;
+
+  start_with_target_row (&rig, 113, row);
+  rig_heartbeat (&rig, "t0", 5, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  g_free (row);
+  g_free (deep);
+}
+
+Test (odd_rows, a_configuration_with_an_odd_unknown_field_is_in_force)
+{
+  char **odd = odd_values ();
+  struct rig rig;
+  unsigned version = 1;
+
+  rig_prepare (&rig, 116);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned j = 0; odd[j] != NULL; j++)
+    {
+      char *extra = g_strdup_printf ("\"other\":%s,", odd[j]);
+      char *text = configuration (++version, extra);
+
+      fake_store_put (&rig.store, "op", "config", text);
+      rig_run (&rig, 100);
+      cr_expect (is_in_force (&rig, version), "unknown field: %.60s", odd[j]);
+      g_free (text);
+      g_free (extra);
+    }
+  g_strfreev (odd);
+}
+
+/* Unknown columns, members of limits and of parts of a split. */
+Test (odd_rows, a_configuration_with_odd_unknown_fields_inside_is_decoded)
+{
+  char **odd = odd_values ();
+
+  for (unsigned j = 0; odd[j] != NULL; j++)
+    {
+      char *text = g_strdup_printf (
+          "{\"version\":\"00000002\",\"routes\":{\"other\":%s,\"columns\":["
+          "\"name\",\"other\",\"host\",\"prefix\",\"kind\",\"timeoutS\","
+          "\"split\"],\"rows\":[[\"r1\",%s,\"a\",\"/x/\",\"idempotent\",5,[{"
+          "\"service\":\"s1\",\"other\":%s,\"weight\":1}]]]},\"limits\":{"
+          "\"other\":%s,\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
+          "\"headerTimeoutS\":3,\"idleTimeoutS\":15}}",
+          odd[j], odd[j], odd[j], odd[j]);
+      struct jl_site *site
+          = jl_platform_decode_site (text, strlen (text), NULL);
+
+      cr_expect_not_null (site, "%.60s", odd[j]);
+      if (site != NULL)
+        cr_expect_not_null (jl_site_find_route (site, "a", "/x/"));
+      jl_site_drop (site);
+      g_free (text);
+    }
+  g_strfreev (odd);
+}
+
+/* Decodes a configuration with an unknown field of 1 MB of a repeated text. */
+static void
+expect_decoded_within_memory (const char *repeated, bool in_cell)
+{
+  GString *field = g_string_new ("[");
+  struct rusage before;
+  struct rusage after;
+  struct jl_site *site;
+  char *text;
+
+  while (field->len + strlen (repeated) + 1000 < DOCUMENT_BYTES_MAX)
+    g_string_append_printf (field, "%s,", repeated);
+  g_string_append (field, "0]");
+  text = g_strdup_printf (
+      "{\"other\":%s,\"version\":\"00000002\",\"routes\":{\"columns\":["
+      "\"other\",\"name\",\"host\",\"prefix\",\"kind\",\"timeoutS\",\"split\"],"
+      "\"rows\":[[%s,\"r1\",\"a\",\"/x/"
+      "\",\"idempotent\",5,[{\"service\":\"s1\","
+      "\"weight\":1}]]]},\"limits\":{\"maxHeaderBytes\":16384,"
+      "\"maxBodyBytes\":1000,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}",
+      in_cell ? "0" : field->str, in_cell ? field->str : "0");
+  getrusage (RUSAGE_SELF, &before);
+  site = jl_platform_decode_site (text, strlen (text), NULL);
+  getrusage (RUSAGE_SELF, &after);
+  cr_expect_not_null (site, "%s", repeated);
+  cr_expect_lt (after.ru_maxrss - before.ru_maxrss, MEMORY_KB_MAX / 2,
+                "%ld KB for 1 MB of %s", after.ru_maxrss - before.ru_maxrss,
+                repeated);
+  jl_site_drop (site);
+  g_free (text);
+  g_string_free (field, TRUE);
+}
+
+Test (odd_rows, a_large_unknown_field_uses_little_memory)
+{
+  expect_decoded_within_memory ("{}", false);
+  expect_decoded_within_memory ("[]", false);
+  expect_decoded_within_memory ("{\"a\":{}}", false);
+}
+
+Test (odd_rows, a_large_cell_of_an_unknown_column_uses_little_memory)
+{
+  expect_decoded_within_memory ("{}", true);
+  expect_decoded_within_memory ("[]", true);
+}
+
+/* As many levels as a document can have. */
+Test (odd_rows, a_configuration_of_half_a_million_levels_is_decoded)
+{
+  char *deep = nest (DOCUMENT_BYTES_MAX / 2);
+  char *extra = g_strdup_printf ("\"other\":%s,", deep);
+  char *text = configuration (2, extra);
+  struct jl_site *site = jl_platform_decode_site (text, strlen (text), NULL);
+
+  cr_expect_not_null (site);
+  jl_site_drop (site);
+  g_free (text);
+  g_free (extra);
+  g_free (deep);
+}
+
+Test (odd_rows, a_heartbeat_with_an_odd_unknown_field_is_taken)
+{
+  char **odd = odd_values ();
+
+  for (unsigned j = 0; odd[j] != NULL; j++)
+    {
+      char *text = g_strdup_printf (
+          "{\"other\":%s,\"service\":\"s\",\"address\":\"127.0.0.1:9\","
+          "\"zone\":%s,\"slots\":10,\"state\":\"ready\",\"coldLeftS\":%s,"
+          "\"sequence\":4}",
+          odd[j], odd[j], odd[j]);
+      struct jl_heartbeat heartbeat;
+
+      cr_expect (
+          jl_platform_decode_heartbeat (text, strlen (text), &heartbeat, NULL),
+          "%.60s", odd[j]);
+      cr_expect_eq (heartbeat.slots, 10);
+      g_free (text);
+    }
+  g_strfreev (odd);
+}
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -11,6 +11,7 @@
 /**
  * struct fake_store_row - a row of a table
  * @value: decoded, zero-terminated
+ * @raw: JSON text of the row in answers instead of the right one, NULL for none
  * @version: store's version after the row's last change
  */
 struct fake_store_row
@@ -18,6 +19,7 @@
   char *table;
   char *key;
   char *value;
+  char *raw;
   uint64_t version;
 };
 
@@ -29,6 +31,7 @@
   g_free (row->table);
   g_free (row->key);
   g_free (row->value);
+  g_free (row->raw);
   g_free (row);
 }
 
@@ -44,6 +47,9 @@
   json_object_object_add (object, "value", json_object_new_string (value));
   json_object_object_add (object, "ver",
                           json_object_new_int64 ((int64_t)row->version));
+  if (row->raw != NULL)
+    json_object_set_serializer (object, json_object_userdata_to_json_string,
+                                g_strdup (row->raw), json_object_free_userdata);
   g_free (value);
   return object;
 }
@@ -425,17 +431,20 @@
       jl_server_open (store->net, endpoint, &handler, store, &why), "%s", why);
 }
 
-void
-fake_store_put (struct fake_store *store,
-                const char *table,
-                const char *key,
-                const char *value)
+/* Replaces a row, and answers the feed calls that wait for it. */
+static void
+put_row (struct fake_store *store,
+         const char *table,
+         const char *key,
+         const char *value,
+         const char *raw)
 {
   struct fake_store_row *row = g_new0 (struct fake_store_row, 1);
 
   row->table = g_strdup (table);
   row->key = g_strdup (key);
   row->value = g_strdup (value);
+  row->raw = g_strdup (raw);
   row->version = ++store->version;
   g_hash_table_replace (store->rows, row_name (table, key), row);
   for (guint i = store->waiting_feeds->len; i > 0; i--)
@@ -447,6 +456,24 @@
     }
 }
 
+void
+fake_store_put (struct fake_store *store,
+                const char *table,
+                const char *key,
+                const char *value)
+{
+  put_row (store, table, key, value, NULL);
+}
+
+void
+fake_store_put_raw (struct fake_store *store,
+                    const char *table,
+                    const char *key,
+                    const char *raw)
+{
+  put_row (store, table, key, "", raw);
+}
+
 void
 fake_store_restore (struct fake_store *store, uint64_t version)
 {
--- a/tests/proxy/parts/fake-store.h
+++ b/tests/proxy/parts/fake-store.h
@@ -63,6 +63,14 @@
                      const char *key,
                      const char *value);
 
+/**
+ * fake_store_put_raw - changes a row whose JSON text in answers is @raw
+ */
+void fake_store_put_raw (struct fake_store *store,
+                         const char *table,
+                         const char *key,
+                         const char *raw);
+
 /**
  * fake_store_restore - loses all rows, goes back to @version and begins the
  * next era; closes the connections of waiting calls
