--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -251,6 +251,40 @@
   play_odd_changes (102, "op", "other");
 }
 
+/* A row whose key is not that of the configuration, or that is of another part
+ * or table, is no configuration. */
+Test (odd_rows, only_the_row_of_the_configuration_is_one)
+{
+  static const char *const fields[][2] = {
+    { "key", "\"config\\u0000x\"" },
+    { "key", "[\"config\"]" },
+    { "part", "\"x\"" },
+    { "part", "7" },
+    { "table", "\"daemons\"" },
+    { "table", "{}" },
+    { "value", "{}" },
+  };
+  char *odd = configuration (0x7000, "");
+  struct rig rig;
+
+  rig_prepare (&rig, 103);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      char *raw = raw_row ("op", "config", odd, fields[i][0], fields[i][1]);
+
+      fake_store_put_raw (&rig.store, "op", "odd", raw);
+      rig_run (&rig, 200);
+      cr_expect_null (rig.proxy->site, "%s: %s", fields[i][0], fields[i][1]);
+      g_free (raw);
+    }
+  put_configuration (&rig, 9);
+  rig_run (&rig, 500);
+  cr_expect (is_in_force (&rig, 9));
+  g_free (odd);
+}
+
 /* Gives an answer to each call for some time; expects no flood of calls. */
 static void
 give_answer (struct rig *rig, const char *answer, unsigned ms)
