Keep an acknowledged leave although leaves of strangers follow

A daemon could send requests to a target after it had acknowledged its leave (DRAIN). Each leave of an identifier that is not the current one took a place in the ring of the eight departed incarnations. Eight of them pushed out one that had left by its own word, also from the row in the store; a late heartbeat then made it the own target again. And a leave of another daemon's target was acknowledged, though that daemon goes on to send it work. A draining heartbeat older than the last one was acknowledged, too, and not recorded.

Now leaves of targets of which no heartbeat has come have eight places of their own, and take none that is younger than an hour. A leave for which there is no place, or whose target runs beside another known daemon, is answered 421: not acknowledged, nothing changed (E722, leave=1). A repeated leave takes one place. A draining heartbeat that comes late is recorded as a leave. While the own target is unknown, others are told of the identifier that the leave names, not of the last entry of the ring.

Tests: proxy-identity and proxy-target. Before, in leaves_of_other_targets_do_not_push_out_one_that_has_left i-1 was up again after its acknowledged leave and was missing in the row, and the ninth and further strangers were acknowledged; leaves of i-6 and i-7, beside d6 and d7, were answered 200. The tests of the ring and of the late draining heartbeat use what did not exist before, or fail by the same cause; they were not run on the code before. An acknowledgement may take 200 ms where the row was written by an earlier incarnation of the daemon: the first write is refused for its version and repeated after a pause, so the tests wait as long as a target does, a second.

--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -54,17 +54,13 @@
   return target + strlen (JL_PATH_INSTANCES);
 }
 
-/* Tells others of the last leave. Beacons cannot tell it if no heartbeat of the
- * target has arrived. */
+/* Tells others of a leave. Beacons cannot tell it if no heartbeat of the target
+ * has arrived. */
 static void
-tell_leave (struct jl_proxy *proxy)
+tell_leave (struct jl_proxy *proxy, struct jl_request *request)
 {
-  const struct jl_target *target = &proxy->target;
-  unsigned last = (target->departed_next + JL_TARGET_DEPARTED_MAX - 1)
-                  % JL_TARGET_DEPARTED_MAX;
-
-  if (target->state == JL_TARGET_NONE)
-    jl_news_send_own_departure (proxy->news, target->departed[last].id);
+  if (proxy->target.state == JL_TARGET_NONE)
+    jl_news_send_own_departure (proxy->news, announced_id (request));
   else
     jl_beacon_send_now (proxy->beacon);
 }
@@ -83,9 +79,11 @@
 acknowledge_leave (struct jl_proxy *proxy)
 {
   jl_timer_stop (proxy->loop->timers, &proxy->leave_timer);
-  tell_leave (proxy);
   for (guint i = 0; i < proxy->leave_requests->len; i++)
-    respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
+    {
+      tell_leave (proxy, g_ptr_array_index (proxy->leave_requests, i));
+      respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
+    }
   jl_record (JL_RECORD_CHANGE, JL_RECORD_LEAVING_ACKNOWLEDGED,
              "target=%s written=%d heartbeats=%u", proxy->target.last.id,
              proxy->departed_row_acknowledged, proxy->leave_requests->len);
@@ -121,7 +119,7 @@
     {
       /* Beacons have told it already, unless there was no heartbeat. */
       if (proxy->target.state == JL_TARGET_NONE)
-        tell_leave (proxy);
+        tell_leave (proxy, request);
       respond_json (request, 200);
       return;
     }
@@ -164,15 +162,69 @@
   apply_heartbeat (proxy, &proxy->held_heartbeat);
 }
 
+/* Whether a target with this identifier runs beside another daemon. Digests of
+ * other zones tell only its key, here of one without a start time. */
+static bool
+is_beside_other (const struct jl_proxy *proxy, const char *id)
+{
+  uint64_t now_us = jl_now ();
+
+  for (guint i = 0; i < proxy->roster.members->len; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (proxy->roster.members, i);
+
+      if (member != proxy->self && jl_member_is_alive (member, now_us)
+          && (strcmp (member->target, id) == 0
+              || member->target_key == jl_target_make_key (member->key, id, 0)))
+        return true;
+    }
+  return false;
+}
+
+/* Returns why a leave cannot be acknowledged, NULL if it can. */
+static const char *
+leave_refusal (const struct jl_proxy *proxy, const char *id, uint64_t now_ms)
+{
+  const struct jl_target *target = &proxy->target;
+
+  if (target->state != JL_TARGET_NONE && strcmp (target->last.id, id) == 0)
+    return NULL;
+  if (is_beside_other (proxy, id))
+    return "beside another daemon";
+  if (!jl_target_can_mark_departed (target, id, now_ms))
+    return "too many unknown targets left";
+  return NULL;
+}
+
+static void
+refuse_leave (struct jl_request *request, const char *id, const char *cause)
+{
+  char *text = g_strescape (id, NULL);
+
+  jl_record (JL_RECORD_FAILURE, JL_RECORD_TARGET_HEARTBEAT_REFUSED,
+             "target=%.*s cause=\"%s\" leave=1", LOGGED_BYTES_MAX, text, cause);
+  g_free (text);
+  respond_json (request, STATUS_MISDIRECTED);
+}
+
 static void
 handle_leave (struct jl_proxy *proxy,
               struct jl_request *request,
               const char *id)
 {
+  uint64_t now_ms = (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
+  const char *refusal;
+
   if (proxy->heartbeat_held && strcmp (proxy->held_heartbeat.id, id) == 0)
     apply_held_heartbeat (proxy);
-  if (jl_target_mark_departed (&proxy->target, id,
-                               (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC))
+  refusal = leave_refusal (proxy, id, now_ms);
+  if (refusal != NULL)
+    {
+      refuse_leave (request, id, refusal);
+      return;
+    }
+  if (jl_target_mark_departed (&proxy->target, id, now_ms))
     jl_proxy_target_changed (proxy, "left");
   respond_to_leave (proxy, request);
 }
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -185,11 +185,16 @@
 {
   struct json_object *id = json_object_object_get (departed, "target");
   struct json_object *born = json_object_object_get (departed, "born_ms");
+  struct jl_departed_incarnation left = { 0 };
 
-  if (id == NULL || born == NULL || JL_TEST_DISABLED ("left"))
+  if (!json_object_is_type (id, json_type_string) || born == NULL
+      || JL_TEST_DISABLED ("left"))
     return;
-  if (jl_target_restore_departed (&proxy->target, json_object_get_string (id),
-                                  (uint64_t)json_object_get_int64 (born)))
+  g_strlcpy (left.id, json_object_get_string (id), sizeof left.id);
+  left.started_ms = (uint64_t)json_object_get_int64 (born);
+  left.unheard
+      = json_object_get_boolean (json_object_object_get (departed, "unheard"));
+  if (jl_target_restore_departed (&proxy->target, &left))
     jl_proxy_target_changed (proxy, "left-before");
 }
 
@@ -294,25 +299,36 @@
   g_free (value);
 }
 
+static void
+add_departed (struct json_object *list,
+              const struct jl_departed_incarnation *left)
+{
+  struct json_object *departed;
+
+  if (left->id[0] == '\0')
+    return;
+  departed = json_object_new_object ();
+  json_object_object_add (departed, "target",
+                          json_object_new_string (left->id));
+  json_object_object_add (departed, "born_ms",
+                          json_object_new_int64 ((int64_t)left->started_ms));
+  if (left->unheard)
+    json_object_object_add (departed, "unheard",
+                            json_object_new_boolean (true));
+  json_object_array_add (list, departed);
+}
+
+/* Older daemons read the last entries only, so those of the daemon's own
+ * targets come last. */
 static struct json_object *
 departed_list (const struct jl_target *target)
 {
   struct json_object *list = json_object_new_array ();
 
+  for (size_t i = 0; i < G_N_ELEMENTS (target->unheard); i++)
+    add_departed (list, &target->unheard[i]);
   for (size_t i = 0; i < G_N_ELEMENTS (target->departed); i++)
-    {
-      struct json_object *departed;
-
-      if (target->departed[i].id[0] == '\0')
-        continue;
-      departed = json_object_new_object ();
-      json_object_object_add (departed, "target",
-                              json_object_new_string (target->departed[i].id));
-      json_object_object_add (
-          departed, "born_ms",
-          json_object_new_int64 ((int64_t)target->departed[i].started_ms));
-      json_object_array_add (list, departed);
-    }
+    add_departed (list, &target->departed[i]);
   return list;
 }
 
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -54,17 +54,21 @@
 
 /* Maximum number of departed incarnations that are recorded. */
 #define JL_TARGET_DEPARTED_MAX 8
+/* Maximum number of further ones of which no heartbeat has come. */
+#define JL_TARGET_UNHEARD_MAX 8
 
 /**
  * struct jl_departed_incarnation - an incarnation that has left
  * @id: "" for none
  * @started_ms: wall clock at its start; heartbeats with this @id and a later
  *              start belong to a new incarnation
+ * @unheard: no heartbeat of it has come; @started_ms is the time of its leave
  */
 struct jl_departed_incarnation
 {
   char id[JL_TEXT_SIZE];
   uint64_t started_ms;
+  bool unheard;
 };
 
 /**
@@ -78,7 +82,10 @@
  * @departed_keys: ring of keys of further incarnations that have left, of which
  *                 other daemons have told; 0 for none
  * @departed_keys_next: index in @departed_keys of the next one to write
- * @departed_revision: number of entries written to @departed so far
+ * @unheard: incarnations that have left without a heartbeat before; they may
+ *           be other daemons' targets, and take no place in @departed
+ * @departed_revision: number of entries written to @departed and @unheard so
+ *                     far
  */
 struct jl_target
 {
@@ -91,12 +98,15 @@
   unsigned departed_next;
   uint32_t departed_keys[JL_TARGET_DEPARTED_MAX];
   unsigned departed_keys_next;
+  struct jl_departed_incarnation unheard[JL_TARGET_UNHEARD_MAX];
   unsigned departed_revision;
 };
 
 /**
  * jl_target_apply_heartbeat - applies a heartbeat unless it is stale
  *
+ * A stale one that announces a leave counts: the leave will be acknowledged.
+ *
  * Return: whether the state, the incarnation or the number of slots has
  * changed.
  */
@@ -112,6 +122,13 @@
  */
 uint32_t jl_target_key (const struct jl_target *target);
 
+/**
+ * jl_target_make_key - returns the key of an incarnation beside the daemon with
+ * this key of its name
+ */
+uint32_t
+jl_target_make_key (uint32_t name_key, const char *id, uint64_t started_ms);
+
 /**
  * jl_target_restore_departed_key - records an incarnation that left before this
  * daemon started, by its key
@@ -127,6 +144,17 @@
 bool jl_target_is_replaced_by (const struct jl_target *target,
                                const struct jl_heartbeat *heartbeat);
 
+/**
+ * jl_target_can_mark_departed - whether there is room to record that the target
+ * with identifier @id leaves
+ *
+ * An incarnation of which no heartbeat has come takes the place of none that
+ * left within the last hour.
+ */
+bool jl_target_can_mark_departed (const struct jl_target *target,
+                                  const char *id,
+                                  uint64_t now_ms);
+
 /**
  * jl_target_mark_departed - records that the target with identifier @id leaves
  * @now_ms: wall clock
@@ -146,9 +174,9 @@
  *
  * Return: whether that changes the state.
  */
-bool jl_target_restore_departed (struct jl_target *target,
-                                 const char *id,
-                                 uint64_t started_ms);
+bool
+jl_target_restore_departed (struct jl_target *target,
+                            const struct jl_departed_incarnation *departed);
 
 /**
  * jl_target_forget - ends the use of a target that is no longer the local one;
--- a/tests/proxy/identity.c
+++ b/tests/proxy/identity.c
@@ -16,6 +16,8 @@
 #define PUT_FORMAT                                                             \
   "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"version\":\"v1\"," \
   "\"slots\":10,\"state\":\"%s\",\"coldLeftS\":0,\"sequence\":%u%s}"
+/* Time within which a target expects the answer to its leave. */
+#define ANSWER_MAX_MS 1000
 /* Heartbeats of another target that come together. */
 #define FLOOD 40
 
@@ -522,3 +524,81 @@
   cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
   end_with_settings (&rig);
 }
+
+/* Sends a leave. Returns the status of the answer, 0 for none. */
+static unsigned
+leave (struct rig *rig, const char *id)
+{
+  int fd = rig_leave (rig, id);
+  unsigned status = 0;
+
+  for (unsigned i = 0; i < ANSWER_MAX_MS / 10 && status == 0; i++)
+    {
+      rig_run (rig, 10);
+      sscanf (rig_received (fd), "HTTP/1.1 %u", &status);
+    }
+  close (fd);
+  return status;
+}
+
+/* Guards against work for a target whose leave was acknowledged. */
+Test (identity, leaves_of_other_targets_do_not_push_out_one_that_has_left)
+{
+  struct rig rig;
+  char id[16];
+
+  rig_prepare (&rig, 114);
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 1);
+  cr_assert_eq (leave (&rig, "i-1"), 200);
+  heartbeat (&rig, "i-2", 1);
+  for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX + 4; i++)
+    {
+      g_snprintf (id, sizeof id, "x-%u", i);
+      cr_expect_eq (leave (&rig, id), i < JL_TARGET_UNHEARD_MAX ? 200 : 421,
+                    "leave %u", i);
+    }
+  heartbeat (&rig, "i-1", 2);
+  expect_target (&rig, "i-2", JL_TARGET_UP);
+  cr_expect_not_null (
+      strstr (fake_store_get (&rig.store, "targets", "d5"), "\"i-1\""));
+  cr_expect_eq (leave (&rig, "i-2"), 200, "its own target can leave");
+}
+
+/* The other daemon goes on to send it work. */
+Test (identity, the_leave_of_a_target_beside_another_daemon_is_not_acknowledged)
+{
+  struct rig rig;
+  struct jl_member *other;
+
+  rig_prepare (&rig, 115);
+  rig_start (&rig);
+  other = rig_add_member (&rig, "d6", "z1", "front");
+  g_strlcpy (other->target, "i-6", sizeof other->target);
+  other = rig_add_member (&rig, "d7", "z2", "front");
+  other->target_key = jl_target_make_key (other->key, "i-7", 0);
+  cr_expect_eq (leave (&rig, "i-6"), 421);
+  cr_expect_eq (leave (&rig, "i-7"), 421);
+  cr_expect_eq (rig.proxy->target.departed_revision, 0);
+  cr_expect_eq (leave (&rig, "i-8"), 200, "it may be the own one");
+  heartbeat (&rig, "i-8", 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+}
+
+/* The daemon is restarted after it has acknowledged the leave of a target of
+ * which it had heard nothing. */
+Test (identity, a_leave_without_a_heartbeat_holds_after_a_restart)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 116);
+  fake_store_put (&rig.store, "targets", "d5",
+                  "{\"left\":[{\"target\":\"i-1\",\"born_ms\":99,"
+                  "\"unheard\":true}]}");
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 7);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  cr_expect_eq (leave (&rig, "i-2"), 200);
+  cr_expect_not_null (
+      strstr (fake_store_get (&rig.store, "targets", "d5"), "\"unheard\""));
+}
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -155,15 +155,70 @@
   cr_assert (jl_target_mark_departed (&before, "a", 9));
   cr_assert_eq (before.departed_revision, 1,
                 "the incarnation is recorded once");
-  cr_assert_not (jl_target_restore_departed (
-      &restored_first, before.departed[0].id, before.departed[0].started_ms));
+  cr_assert_not (
+      jl_target_restore_departed (&restored_first, &before.departed[0]));
   cr_assert_not (apply (&restored_first, heartbeat ("a", 5, 2, false)));
   cr_assert_eq (restored_first.state, JL_TARGET_NONE);
   apply (&heartbeat_first, heartbeat ("a", 5, 2, false));
-  cr_assert (jl_target_restore_departed (
-      &heartbeat_first, before.departed[0].id, before.departed[0].started_ms));
+  cr_assert (
+      jl_target_restore_departed (&heartbeat_first, &before.departed[0]));
   cr_assert_eq (heartbeat_first.state, JL_TARGET_LEAVING);
   cr_assert (apply (&heartbeat_first, heartbeat ("a", 6, 1, false)),
              "a new incarnation");
   cr_assert_eq (heartbeat_first.state, JL_TARGET_UP);
 }
+
+/* The leave is acknowledged, although the heartbeat that announces it is older
+ * than the last one. */
+Test (target, a_leave_counts_although_its_heartbeat_is_late)
+{
+  struct jl_target target = { 0 };
+
+  apply (&target, heartbeat ("a", 0, 5, false));
+  cr_assert (apply (&target, heartbeat ("a", 0, 4, true)));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+  apply (&target, heartbeat ("b", 9, 1, false));
+  cr_assert_not (apply (&target, heartbeat ("c", 7, 1, true)));
+  cr_assert_str_eq (target.last.id, "b");
+  cr_assert_eq (target.state, JL_TARGET_UP);
+  jl_target_mark_departed (&target, "b", 9);
+  cr_assert_not (apply (&target, heartbeat ("c", 7, 2, false)));
+}
+
+/* Guards against the loss of an acknowledged leave. */
+Test (target, leaves_of_unknown_targets_take_no_place_of_the_own_ones)
+{
+  struct jl_target target = { 0 };
+  char id[16];
+  uint64_t now_ms = 1000;
+  uint64_t hour_ms = 3600000;
+
+  apply (&target, heartbeat ("a", 0, 1, false));
+  jl_target_mark_departed (&target, "a", now_ms);
+  apply (&target, heartbeat ("b", 0, 1, false));
+  for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX; i++)
+    {
+      g_snprintf (id, sizeof id, "x%u", i);
+      cr_assert (jl_target_can_mark_departed (&target, id, now_ms));
+      jl_target_mark_departed (&target, id, now_ms);
+    }
+  cr_assert_not (jl_target_can_mark_departed (&target, "y", now_ms));
+  cr_assert (jl_target_can_mark_departed (&target, "x0", now_ms),
+             "it is recorded already");
+  cr_assert (jl_target_can_mark_departed (&target, "b", now_ms));
+  cr_assert_not (apply (&target, heartbeat ("a", 0, 2, false)));
+  cr_assert_not (apply (&target, heartbeat ("x0", 0, 2, false)));
+  cr_assert_str_eq (target.last.id, "b");
+  cr_assert (jl_target_can_mark_departed (&target, "y", now_ms + hour_ms + 1));
+}
+
+/* A leave is sent again as long as no acknowledgement comes. */
+Test (target, a_repeated_leave_takes_one_place)
+{
+  struct jl_target target = { 0 };
+
+  for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX * 2; i++)
+    jl_target_mark_departed (&target, "x", i + 1);
+  cr_assert (jl_target_can_mark_departed (&target, "y", 1));
+  cr_assert_not (apply (&target, heartbeat ("x", 3, 1, false)));
+}
