Reinstate a target that only a late heartbeat had replaced

Callers got 503 from a sound target until it ended: its daemon sent it only requests that named another incarnation. Heartbeats of the users' platform carry no start time, so a heartbeat that a partition has delayed, of an incarnation that ended before its daemon was restarted, looked like a new incarnation's. The current one was put among the departed, and its further heartbeats counted as late for ever.

An incarnation that was replaced only by another one's heartbeat is now marked so (also in the row in the store) and reinstated on either of two signs of life: the target answers 421 under its own identifier, which X-Jackdawladder-Instance-Id names; or its heartbeats go on with rising numbers, two at least at half of their period or more, while the other one sends none for two periods. Delayed heartbeats that come together count once. The other one then counts as replaced, so a wrong decision is undone in the same way; no request runs at the wrong incarnation meanwhile, since each names one. Others hear of it by the next beacon at once: they know as departed only those whose leave was announced. One that has announced draining or its leave, here, in the row or by the word of others, is never reinstated, nor by heartbeats one with an earlier start. A recorded replacement no longer ends the current incarnation after a restart.

Tests: proxy-identity and proxy-target.

Not undone: what was in progress at i-1 when it was replaced was reported as in progress at the end of a target, so a content may be suspect for no reason until it is answered again.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -206,8 +206,7 @@
   work->proxy->counters.responses_dropped++;
   jl_record (JL_RECORD_FAILURE, JL_RECORD_RESPONSE_DROPPED,
              "id=%s echoed=%s status=%u", jl_guard_attempt_id (work),
-             echoed_id (work),
-             jl_upstream_head (work->relay.upstream)->status);
+             echoed_id (work), jl_upstream_head (work->relay.upstream)->status);
   if (!jl_upstream_skip_response (work->relay.upstream))
     fail_work (work, "foreign-answer");
 }
@@ -226,6 +225,10 @@
              jl_now () - work->started_us);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status != STATUS_MISDIRECTED);
+  if (status == STATUS_MISDIRECTED)
+    jl_heartbeats_reinstate (
+        proxy, jl_head_get (jl_upstream_head (work->relay.upstream),
+                            JL_HEADER_INSTANCE_ID));
   jl_guard_refuse (work, status == STATUS_MISDIRECTED ? "target-changed"
                                                       : "target-refused");
   jl_guard_run_queue (proxy);
--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -135,19 +135,42 @@
   g_ptr_array_add (proxy->leave_requests, request);
 }
 
+/* Acts on a reinstatement: the entries and the next incarnation of this daemon
+ * have to know it. */
+static void
+handle_reinstated (struct jl_proxy *proxy)
+{
+  jl_proxy_target_changed (proxy, "reinstated");
+  jl_rows_write_departed (proxy);
+}
+
 static void
 apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
 {
   uint64_t up_since_us = proxy->target.up_since_us;
+  unsigned reinstated = proxy->target.reinstated;
+  bool changed;
 
   if (jl_target_is_replaced_by (&proxy->target, heartbeat))
     jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
-  if (jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ()))
+  changed = jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ());
+  if (proxy->target.reinstated != reinstated)
+    handle_reinstated (proxy);
+  else if (changed)
     jl_proxy_target_changed (proxy, "heartbeat");
   if (proxy->target.up_since_us != up_since_us)
     jl_watch_begin (proxy->watch);
 }
 
+void
+jl_heartbeats_reinstate (struct jl_proxy *proxy, const char *id)
+{
+  if (id == NULL || !jl_target_reinstate (&proxy->target, id, jl_now ()))
+    return;
+  handle_reinstated (proxy);
+  jl_watch_begin (proxy->watch);
+}
+
 void
 jl_heartbeats_forget_held (struct jl_proxy *proxy)
 {
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -352,6 +352,7 @@
   struct jl_options *former = proxy->options;
 
   proxy->options = options;
+  proxy->target.heartbeat_us = options->heartbeat_us;
   if (!has_same_target (former, options))
     leave_target (proxy, former);
   g_free (former);
@@ -606,6 +607,7 @@
   CDS_INIT_LIST_HEAD (&proxy->calls);
   CDS_INIT_LIST_HEAD (&proxy->work_items);
   proxy->target.name_key = jl_name_key (options->name);
+  proxy->target.heartbeat_us = options->heartbeat_us;
   jl_lane_init (&proxy->lane);
   jl_load_shedder_init (&proxy->load_shedder);
   jl_fanout_init (&proxy->fanout);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -393,6 +393,14 @@
  */
 void jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy);
 
+/**
+ * jl_heartbeats_reinstate - makes the target with this identifier the own one
+ * again if only another one's heartbeat had replaced it
+ * @id: identifier that a target has named at the own target's address, NULL for
+ *      none
+ */
+void jl_heartbeats_reinstate (struct jl_proxy *proxy, const char *id);
+
 /**
  * jl_heartbeats_forget_held - drops a heartbeat that waits for other daemons
  */
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -194,6 +194,8 @@
   left.started_ms = (uint64_t)json_object_get_int64 (born);
   left.unheard
       = json_object_get_boolean (json_object_object_get (departed, "unheard"));
+  left.replaced
+      = json_object_get_boolean (json_object_object_get (departed, "replaced"));
   if (jl_target_restore_departed (&proxy->target, &left))
     jl_proxy_target_changed (proxy, "left-before");
 }
@@ -315,6 +317,9 @@
   if (left->unheard)
     json_object_object_add (departed, "unheard",
                             json_object_new_boolean (true));
+  if (left->replaced)
+    json_object_object_add (departed, "replaced",
+                            json_object_new_boolean (true));
   json_object_array_add (list, departed);
 }
 
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -11,6 +11,13 @@
  * longer than a heartbeat may be late. */
 #define UNHEARD_KEPT_MS UINT64_C (3600000)
 
+/* Number of heartbeats, and number of intervals in which the current
+ * incarnation sends none, after which a replaced one is reinstated. A target
+ * that has ended sends no series of heartbeats, but delayed ones may come
+ * together. */
+#define REINSTATE_HEARTBEATS 2
+#define REINSTATE_SILENT_INTERVALS 2
+
 static bool
 has_entry (const struct jl_departed_incarnation *entries,
            size_t count,
@@ -82,19 +89,151 @@
   return heartbeat->started_ms < last->started_ms;
 }
 
-/* Adds an incarnation to the ring of those that have left, once. */
-static void
-add_departed (struct jl_target *target, const char *id, uint64_t started_ms)
+/* Returns the entry of a replaced incarnation, NULL if there is none. */
+static struct jl_departed_incarnation *
+find_replaced (struct jl_target *target, const char *id)
+{
+  for (size_t i = 0; i < JL_TARGET_DEPARTED_MAX; i++)
+    if (target->departed[i].replaced
+        && strcmp (target->departed[i].id, id) == 0)
+      return &target->departed[i];
+  return NULL;
+}
+
+/* Adds an entry to the ring of those that have left. */
+static struct jl_departed_incarnation *
+push_departed (struct jl_target *target, const char *id, uint64_t started_ms)
 {
   struct jl_departed_incarnation *departed
       = &target->departed[target->departed_next];
 
-  if (has_departed (target, id, started_ms))
-    return;
+  *departed = (struct jl_departed_incarnation){ .started_ms = started_ms };
   g_strlcpy (departed->id, id, sizeof departed->id);
-  departed->started_ms = started_ms;
   target->departed_next = (target->departed_next + 1) % JL_TARGET_DEPARTED_MAX;
   target->departed_revision++;
+  return departed;
+}
+
+/* Records an incarnation that has left, once. */
+static void
+add_departed (struct jl_target *target, const char *id, uint64_t started_ms)
+{
+  struct jl_departed_incarnation *replaced = find_replaced (target, id);
+
+  if (replaced != NULL && replaced->started_ms <= started_ms)
+    {
+      replaced->replaced = false;
+      target->departed_revision++;
+    }
+  if (!has_departed (target, id, started_ms))
+    push_departed (target, id, started_ms);
+}
+
+/* Records an incarnation that has only been replaced. */
+static void
+add_replaced (struct jl_target *target,
+              const char *id,
+              uint64_t started_ms,
+              uint64_t sequence)
+{
+  struct jl_departed_incarnation *replaced;
+
+  if (has_departed (target, id, started_ms))
+    return;
+  replaced = push_departed (target, id, started_ms);
+  replaced->replaced = true;
+  replaced->sequence = sequence;
+}
+
+/* Makes @next the current incarnation, in place of the one that @entry names.
+ */
+static void
+reinstate (struct jl_target *target,
+           struct jl_departed_incarnation *entry,
+           const struct jl_heartbeat *next,
+           uint64_t now_us)
+{
+  struct jl_heartbeat last = target->last;
+
+  memset (entry, 0, sizeof *entry);
+  if (target->state != JL_TARGET_NONE)
+    add_replaced (target, last.id, last.started_ms, last.sequence);
+  target->last = *next;
+  target->state = JL_TARGET_UP;
+  target->up_since_us = now_us;
+  target->last_heartbeat_us = now_us;
+  target->departed_revision++;
+  target->reinstated++;
+}
+
+/* Whether a replaced incarnation has announced its leave elsewhere. */
+static bool
+has_left_otherwise (const struct jl_target *target,
+                    const struct jl_departed_incarnation *entry)
+{
+  return has_entry (target->unheard, JL_TARGET_UNHEARD_MAX, entry->id,
+                    entry->started_ms)
+         || has_departed_key (target,
+                              jl_target_make_key (target->name_key, entry->id,
+                                                  entry->started_ms));
+}
+
+bool
+jl_target_reinstate (struct jl_target *target, const char *id, uint64_t now_us)
+{
+  struct jl_departed_incarnation *entry = find_replaced (target, id);
+  struct jl_heartbeat next = target->last;
+
+  if (entry == NULL || target->state == JL_TARGET_NONE
+      || has_left_otherwise (target, entry))
+    return false;
+  g_strlcpy (next.id, id, sizeof next.id);
+  next.started_ms = entry->started_ms;
+  next.sequence = entry->sequence;
+  next.warmup_us = 0;
+  next.draining = false;
+  reinstate (target, entry, &next, now_us);
+  return true;
+}
+
+/* Counts a heartbeat of a replaced incarnation. Returns whether it lives and
+ * the current one does not. */
+static bool
+count_replaced_heartbeat (const struct jl_target *target,
+                          struct jl_departed_incarnation *entry,
+                          uint64_t now_us)
+{
+  if (entry->heard_us <= target->last_heartbeat_us)
+    entry->heartbeats = 0;
+  else if (now_us < entry->heard_us + target->heartbeat_us / 2)
+    return false;
+  entry->heartbeats++;
+  entry->heard_us = now_us;
+  return entry->heartbeats >= REINSTATE_HEARTBEATS
+         && now_us >= target->last_heartbeat_us
+                          + REINSTATE_SILENT_INTERVALS * target->heartbeat_us;
+}
+
+/* Handles a heartbeat of an incarnation that has left or was replaced. Returns
+ * whether it was reinstated. */
+static bool
+apply_stale_heartbeat (struct jl_target *target,
+                       const struct jl_heartbeat *heartbeat,
+                       uint64_t now_us)
+{
+  struct jl_departed_incarnation *entry = find_replaced (target, heartbeat->id);
+
+  if (entry == NULL || entry->started_ms != heartbeat->started_ms
+      || heartbeat->sequence <= entry->sequence || target->heartbeat_us == 0
+      || has_left_otherwise (target, entry)
+      || (heartbeat->started_ms != 0
+          && heartbeat->started_ms < target->last.started_ms))
+    return false;
+  entry->sequence = heartbeat->sequence;
+  if (!count_replaced_heartbeat (target, entry, now_us))
+    return false;
+  reinstate (target, entry, heartbeat, now_us);
+  return true;
 }
 
 /* Records the leave that a stale heartbeat announces. Returns whether the state
@@ -122,11 +261,14 @@
   bool changed;
 
   if (is_stale (target, heartbeat))
-    return heartbeat->draining && apply_stale_leave (target, heartbeat);
+    return heartbeat->draining
+               ? apply_stale_leave (target, heartbeat)
+               : apply_stale_heartbeat (target, heartbeat, now_us);
   new_incarnation = before == JL_TARGET_NONE
                     || !is_same_incarnation (&target->last, heartbeat);
   if (new_incarnation && before != JL_TARGET_NONE)
-    add_departed (target, target->last.id, target->last.started_ms);
+    add_replaced (target, target->last.id, target->last.started_ms,
+                  target->last.sequence);
   changed = new_incarnation || heartbeat->slots != target->last.slots;
   if (heartbeat->draining || (!new_incarnation && before == JL_TARGET_LEAVING))
     target->state = JL_TARGET_LEAVING;
@@ -237,12 +379,13 @@
   struct jl_departed_incarnation *known = find_departed (target, id);
 
   if (known == NULL)
-    add_unheard (target, id, now_ms);
-  else if (known->started_ms < now_ms)
     {
-      known->started_ms = now_ms;
-      target->departed_revision++;
+      add_unheard (target, id, now_ms);
+      return;
     }
+  known->replaced = false;
+  known->started_ms = MAX (known->started_ms, now_ms);
+  target->departed_revision++;
 }
 
 bool
@@ -266,6 +409,12 @@
 {
   enum jl_target_state before = target->state;
 
+  if (departed->replaced)
+    {
+      if (!is_current (target, departed->id))
+        add_replaced (target, departed->id, departed->started_ms, 0);
+      return false;
+    }
   if (departed->unheard)
     add_unheard (target, departed->id, departed->started_ms);
   else
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -63,17 +63,28 @@
  * @started_ms: wall clock at its start; heartbeats with this @id and a later
  *              start belong to a new incarnation
  * @unheard: no heartbeat of it has come; @started_ms is the time of its leave
+ * @replaced: it has not announced a leave, but another one's heartbeat came
+ *            after its own; it may still live
+ * @sequence: of a replaced one: sequence number of its last heartbeat
+ * @heartbeats: of a replaced one: its heartbeats, at their usual distance,
+ *              since the last one of the current incarnation
+ * @heard_us: time of the last one that was counted
  */
 struct jl_departed_incarnation
 {
   char id[JL_TEXT_SIZE];
   uint64_t started_ms;
   bool unheard;
+  bool replaced;
+  uint64_t sequence;
+  unsigned heartbeats;
+  uint64_t heard_us;
 };
 
 /**
  * struct jl_target - state of the local target
  * @name_key: key of the name of the daemon beside it
+ * @heartbeat_us: interval of heartbeats
  * @last: the last heartbeat that was applied
  * @last_heartbeat_us: time at which it was applied
  * @up_since_us: time at which it last became JL_TARGET_UP
@@ -84,12 +95,14 @@
  * @departed_keys_next: index in @departed_keys of the next one to write
  * @unheard: incarnations that have left without a heartbeat before; they may
  *           be other daemons' targets, and take no place in @departed
- * @departed_revision: number of entries written to @departed and @unheard so
- *                     far
+ * @departed_revision: number of changes of @departed and @unheard so far
+ * @reinstated: number of replaced incarnations that became the current one
+ *              again
  */
 struct jl_target
 {
   uint32_t name_key;
+  uint64_t heartbeat_us;
   enum jl_target_state state;
   struct jl_heartbeat last;
   uint64_t last_heartbeat_us;
@@ -100,6 +113,7 @@
   unsigned departed_keys_next;
   struct jl_departed_incarnation unheard[JL_TARGET_UNHEARD_MAX];
   unsigned departed_revision;
+  unsigned reinstated;
 };
 
 /**
@@ -107,6 +121,10 @@
  *
  * A stale one that announces a leave counts: the leave will be acknowledged.
  *
+ * Without start times, a late heartbeat of an incarnation that has ended looks
+ * like one of a new incarnation. The one that it replaced is reinstated if its
+ * heartbeats go on while those of the other one do not.
+ *
  * Return: whether the state, the incarnation or the number of slots has
  * changed.
  */
@@ -114,6 +132,17 @@
                                 const struct jl_heartbeat *heartbeat,
                                 uint64_t now_us);
 
+/**
+ * jl_target_reinstate - makes a replaced incarnation the current one again,
+ * after it has responded itself
+ *
+ * One that has announced a leave is never reinstated.
+ *
+ * Return: whether it was.
+ */
+bool
+jl_target_reinstate (struct jl_target *target, const char *id, uint64_t now_us);
+
 /**
  * jl_target_key - returns a key of the current incarnation, which differs
  * between instances
--- a/tests/proxy/identity.c
+++ b/tests/proxy/identity.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "names.h"
+#include "proxy/announce.h"
 #include "proxy/parts/rig.h"
 
 #define PUT_FORMAT                                                             \
@@ -18,6 +19,8 @@
   "\"slots\":10,\"state\":\"%s\",\"coldLeftS\":0,\"sequence\":%u%s}"
 /* Time within which a target expects the answer to its leave. */
 #define ANSWER_MAX_MS 1000
+/* Period of heartbeats in the tests that wait for some. */
+#define HEARTBEAT_MS 200
 /* Heartbeats of another target that come together. */
 #define FLOOD 40
 
@@ -602,3 +605,212 @@
   cr_expect_not_null (
       strstr (fake_store_get (&rig.store, "targets", "d5"), "\"unheard\""));
 }
+
+/* Handler of a target "i-1", which runs only what names it. */
+static void
+on_target_begin (void *context, struct jl_request *request)
+{
+  unsigned *runs = context;
+  const char *asked
+      = jl_head_get (jl_request_head (request), JL_HEADER_TARGET_INSTANCE);
+
+  if (strcmp (asked, "i-1") == 0)
+    {
+      (*runs)++;
+      jl_request_reply (request, 200, JL_HEADER_ATTEMPT_ID ": 1\r\n", "", 0);
+      return;
+    }
+  jl_request_reply (request, 421,
+                    JL_HEADER_ATTEMPT_ID ": 1\r\n" JL_HEADER_NOT_EXECUTED
+                                         ": 1\r\n" JL_HEADER_INSTANCE_ID
+                                         ": i-1\r\n",
+                    "", 0);
+}
+
+/* Starts a rig beside the target "i-1". A heartbeat of "i-0", which ended
+ * before this daemon started, arrives late. Returns the number of runs. */
+static const unsigned *
+start_with_late_heartbeat (struct rig *rig)
+{
+  static const struct jl_handler handler = { .begin = on_target_begin };
+  unsigned *runs = g_new0 (unsigned, 1);
+  const char *why = NULL;
+
+  rig->options.heartbeat_us = HEARTBEAT_MS * JL_USEC_PER_MSEC;
+  rig_start (rig);
+  cr_assert_not_null (jl_server_open (rig->store.net, rig_at (rig, TARGET_PORT),
+                                      &handler, runs, &why),
+                      "%s", why);
+  heartbeat (rig, "i-1", 5);
+  heartbeat (rig, "i-0", 9);
+  expect_target (rig, "i-0", JL_TARGET_UP);
+  return runs;
+}
+
+/* Sends heartbeats at their period. */
+static void
+go_on (struct rig *rig, const char *id, unsigned sequence, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      rig_run (rig, HEARTBEAT_MS - 30);
+      heartbeat (rig, id, sequence + i);
+    }
+}
+
+/* Guards against a target that gets only requests for another one until it
+ * ends. */
+Test (identity,
+      a_target_that_names_itself_replaces_one_whose_heartbeat_was_late)
+{
+  struct rig rig;
+  const unsigned *runs;
+  int fd;
+
+  rig_prepare (&rig, 117);
+  runs = start_with_late_heartbeat (&rig);
+  expect_refused (send_work (&rig, "front"), "target-changed");
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  fd = send_work (&rig, "front");
+  cr_expect (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
+  cr_expect_eq (*runs, 1);
+  close (fd);
+  heartbeat (&rig, "i-1", 6);
+  cr_expect_eq (rig.proxy->target.last.sequence, 6, "its heartbeats count");
+  heartbeat (&rig, "i-0", 10);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+}
+
+Test (identity, a_target_whose_heartbeats_go_on_replaces_one_heard_once)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 118);
+  start_with_late_heartbeat (&rig);
+  go_on (&rig, "i-1", 6, 4);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  cr_expect_eq (rig.proxy->target.last.sequence, 9);
+}
+
+/* Sends three heartbeats at once. */
+static void
+send_together (struct rig *rig, const char *id, unsigned sequence)
+{
+  char address[JL_ENDPOINT_TEXT_SIZE];
+
+  jl_endpoint_format (rig->options.target, address);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      char *body = g_strdup_printf (PUT_FORMAT, "front", address, "ready",
+                                    sequence + i, "");
+
+      rig_announce (rig, id, body);
+      g_free (body);
+    }
+  rig_run (rig, 30);
+}
+
+/* A partition has delayed the heartbeats of a target that has crashed. */
+Test (identity, late_heartbeats_do_not_bring_back_a_target_while_the_next_lives)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 119);
+  start_with_late_heartbeat (&rig);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      go_on (&rig, "i-1", 6 + i, 1);
+      heartbeat (&rig, "i-0", 10 + i);
+    }
+  expect_target (&rig, "i-0", JL_TARGET_UP);
+  rig_run (&rig, 3 * HEARTBEAT_MS);
+  send_together (&rig, "i-1", 10);
+  expect_target (&rig, "i-0", JL_TARGET_UP);
+}
+
+Test (identity, a_target_that_announced_its_leave_is_never_reinstated)
+{
+  struct rig rig;
+  struct announced draining;
+
+  rig_prepare (&rig, 120);
+  start_with_late_heartbeat (&rig);
+  draining = own (&rig, "i-1", 6);
+  draining.state = "draining";
+  cr_expect_eq (announce (&rig, &draining), 200);
+  go_on (&rig, "i-1", 7, 4);
+  expect_target (&rig, "i-0", JL_TARGET_UP);
+  expect_refused (send_work (&rig, "front"), "target-changed");
+  expect_target (&rig, "i-0", JL_TARGET_UP);
+}
+
+Test (identity, a_target_that_has_left_is_never_reinstated)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 121);
+  start_with_late_heartbeat (&rig);
+  cr_expect_eq (leave (&rig, "i-1"), 200);
+  go_on (&rig, "i-1", 7, 4);
+  expect_refused (send_work (&rig, "front"), "target-changed");
+  expect_target (&rig, "i-0", JL_TARGET_UP);
+}
+
+/* Whether a daemon that hears the next beacon of the rig sends work to its
+ * target. */
+static bool
+is_used_by_other (struct rig *rig, struct jl_roster *roster)
+{
+  char bytes[JL_DATAGRAM_BYTES_MAX];
+  unsigned hops;
+  size_t size;
+
+  rig->proxy->self->sequence++;
+  size = jl_announce_encode (rig->proxy->self, JL_NONE, 0, jl_now (), bytes);
+  jl_announce_read (roster, jl_roster_get_or_add (roster, "d6"), bytes, size,
+                    jl_now (), &hops);
+  return jl_member_accepts_work (jl_roster_get_or_add (roster, "d5"), "front",
+                                 jl_now ());
+}
+
+/* The late heartbeats end with a leave, which is acknowledged. Others have
+ * heard of it. */
+Test (identity, a_target_is_reinstated_after_the_leave_of_the_earlier_one)
+{
+  struct rig rig;
+  struct jl_roster other;
+
+  rig_prepare (&rig, 122);
+  jl_roster_init (&other, "z1");
+  start_with_late_heartbeat (&rig);
+  cr_expect (is_used_by_other (&rig, &other));
+  cr_expect_eq (leave (&rig, "i-0"), 200);
+  expect_target (&rig, "i-0", JL_TARGET_LEAVING);
+  cr_expect_not (is_used_by_other (&rig, &other));
+  go_on (&rig, "i-1", 6, 4);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  cr_expect (is_used_by_other (&rig, &other));
+  heartbeat (&rig, "i-0", 10);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  jl_roster_clear (&other);
+}
+
+/* An earlier incarnation of this daemon has recorded the replacement. */
+Test (identity, a_replaced_target_is_reinstated_after_a_restart_of_the_daemon)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 123);
+  rig.options.heartbeat_us = HEARTBEAT_MS * JL_USEC_PER_MSEC;
+  fake_store_put (&rig.store, "targets", "d5",
+                  "{\"left\":[{\"target\":\"i-1\",\"born_ms\":0,"
+                  "\"replaced\":true}]}");
+  rig_start (&rig);
+  heartbeat (&rig, "i-1", 7);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  go_on (&rig, "i-1", 8, 3);
+  expect_target (&rig, "i-1", JL_TARGET_UP);
+  cr_expect_eq (leave (&rig, "i-1"), 200);
+  cr_expect_null (
+      strstr (fake_store_get (&rig.store, "targets", "d5"), "\"replaced\""));
+}
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -222,3 +222,105 @@
   cr_assert (jl_target_can_mark_departed (&target, "y", 1));
   cr_assert_not (apply (&target, heartbeat ("x", 3, 1, false)));
 }
+
+/* Heartbeats at the given times, one interval apart being 100. */
+static bool
+apply_at (struct jl_target *target,
+          const char *id,
+          uint64_t sequence,
+          uint64_t now_us)
+{
+  struct jl_heartbeat received = heartbeat (id, 0, sequence, false);
+
+  return jl_target_apply_heartbeat (target, &received, now_us);
+}
+
+/* Guards against a target that stays replaced by a late heartbeat of one that
+ * has ended. */
+Test (target, a_replaced_one_whose_heartbeats_go_on_is_reinstated)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply_at (&target, "a", 1, 1000);
+  apply_at (&target, "old", 9, 1010);
+  cr_assert_not (apply_at (&target, "a", 2, 1100));
+  cr_assert_not (apply_at (&target, "a", 3, 1200), "too early");
+  cr_assert (apply_at (&target, "a", 4, 1300));
+  cr_assert_str_eq (target.last.id, "a");
+  cr_assert_eq (target.last.sequence, 4);
+  cr_assert_eq (target.state, JL_TARGET_UP);
+  cr_assert_not (apply_at (&target, "old", 10, 1310));
+  cr_assert_str_eq (target.last.id, "a");
+}
+
+Test (target, late_heartbeats_that_come_together_reinstate_nothing)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply_at (&target, "a", 1, 1000);
+  apply_at (&target, "b", 1, 1010);
+  for (unsigned i = 0; i < 10; i++)
+    cr_assert_not (apply_at (&target, "a", 2 + i, 2000 + i));
+  cr_assert_not (apply_at (&target, "a", 2, 2100), "not a later heartbeat");
+  cr_assert_str_eq (target.last.id, "b");
+}
+
+Test (target, a_replaced_one_is_not_reinstated_while_the_next_sends_heartbeats)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply_at (&target, "a", 1, 1000);
+  for (unsigned i = 1; i < 10; i++)
+    {
+      apply_at (&target, "b", i, 1000 + 100 * i);
+      cr_assert_not (apply_at (&target, "a", 1 + i, 1050 + 100 * i));
+    }
+  cr_assert_str_eq (target.last.id, "b");
+}
+
+Test (target, one_with_an_earlier_start_is_not_reinstated_by_heartbeats)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply (&target, heartbeat ("a", 5, 1, false));
+  apply (&target, heartbeat ("b", 9, 1, false));
+  for (unsigned i = 1; i < 10; i++)
+    {
+      struct jl_heartbeat late = heartbeat ("a", 5, 1 + i, false);
+
+      cr_assert_not (
+          jl_target_apply_heartbeat (&target, &late, 1000 + 100 * i));
+    }
+}
+
+/* The keys of those that others heard leave count too. */
+Test (target, one_that_has_left_is_never_reinstated)
+{
+  struct jl_target left = { .heartbeat_us = 100 };
+  struct jl_target told = { .heartbeat_us = 100 };
+
+  apply_at (&left, "a", 1, 1000);
+  apply_at (&left, "b", 1, 1010);
+  jl_target_mark_departed (&left, "a", 5);
+  cr_assert_not (jl_target_reinstate (&left, "a", 1100));
+  cr_assert_not (jl_target_reinstate (&left, "c", 1100), "it is not known");
+  cr_assert_not (jl_target_reinstate (&left, "b", 1100),
+                 "it is the current one");
+  apply_at (&told, "a", 1, 1000);
+  apply_at (&told, "b", 1, 1010);
+  jl_target_restore_departed_key (&told, jl_target_make_key (0, "a", 0));
+  cr_assert_not (jl_target_reinstate (&told, "a", 1100));
+}
+
+/* The row was written while a late heartbeat had replaced the current one. */
+Test (target, a_recorded_replacement_does_not_end_the_current_one)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+  struct jl_departed_incarnation replaced = { .id = "a", .replaced = true };
+
+  apply_at (&target, "a", 1, 1000);
+  cr_assert_not (jl_target_restore_departed (&target, &replaced));
+  cr_assert_eq (target.state, JL_TARGET_UP);
+  apply_at (&target, "a", 2, 1100);
+  cr_assert_eq (target.last.sequence, 2);
+}
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -177,7 +177,7 @@
         number = fields["x-jackdawladder-attempt-id"]
         echo = {"X-Jackdawladder-Attempt-Id": number}
         if fields.get("x-jackdawladder-target-instance") not in (None, self.id):
-            writer.write(encode("HTTP/1.1 421 Other", echo))
+            writer.write(encode("HTTP/1.1 421 Other", {**echo, "X-Jackdawladder-Instance-Id": self.id}))
             return
         path = message.first.split(" ")[1]
         self.history.arrived(number, self.service)
