--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -289,6 +289,10 @@
   mark_refused (work);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status != STATUS_MISDIRECTED);
+  if (status == STATUS_MISDIRECTED)
+    jl_heartbeats_reinstate (
+        proxy, jl_head_get (jl_upstream_head (work->relay.upstream),
+                            JL_HEADER_INSTANCE_ID));
   jl_guard_refuse (work, status == STATUS_MISDIRECTED ? "target-changed"
                                                       : "target-refused");
   jl_guard_run_queue (proxy);
--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -55,17 +55,13 @@
   return target + strlen (JL_PATH_INSTANCES);
 }
 
-/* Tells others of the last leave. Beacons cannot tell it if no heartbeat of the
- * target has arrived. */
+/* Tells others of a leave. Beacons cannot tell it if no heartbeat of the target
+ * has arrived. */
 static void
-tell_leave (struct jl_proxy *proxy)
+tell_leave (struct jl_proxy *proxy, struct jl_request *request)
 {
-  const struct jl_target *target = &proxy->target;
-  unsigned last = (target->departed_next + JL_TARGET_DEPARTED_MAX - 1)
-                  % JL_TARGET_DEPARTED_MAX;
-
-  if (target->state == JL_TARGET_NONE)
-    jl_news_send_own_departure (proxy->news, target->departed[last].id);
+  if (proxy->target.state == JL_TARGET_NONE)
+    jl_news_send_own_departure (proxy->news, announced_id (request));
   else
     jl_beacon_send_now (proxy->beacon);
 }
@@ -84,9 +80,11 @@
 acknowledge_leave (struct jl_proxy *proxy)
 {
   jl_timer_stop (proxy->loop->timers, &proxy->leave_timer);
-  tell_leave (proxy);
   for (guint i = 0; i < proxy->leave_requests->len; i++)
-    respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
+    {
+      tell_leave (proxy, g_ptr_array_index (proxy->leave_requests, i));
+      respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
+    }
   jl_record (JL_RECORD_CHANGE, JL_RECORD_LEAVING_ACKNOWLEDGED,
              "target=%s written=%d heartbeats=%u", proxy->target.last.id,
              proxy->departed_row_acknowledged, proxy->leave_requests->len);
@@ -122,7 +120,7 @@
     {
       /* Beacons have told it already, unless there was no heartbeat. */
       if (proxy->target.state == JL_TARGET_NONE)
-        tell_leave (proxy);
+        tell_leave (proxy, request);
       respond_json (request, 200);
       return;
     }
@@ -138,19 +136,42 @@
   g_ptr_array_add (proxy->leave_requests, request);
 }
 
+/* Acts on a reinstatement: the entries and the next incarnation of this daemon
+ * have to know it. */
+static void
+handle_reinstated (struct jl_proxy *proxy)
+{
+  jl_proxy_target_changed (proxy, "reinstated");
+  jl_rows_write_departed (proxy);
+}
+
 static void
 apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
 {
   uint64_t up_since_us = proxy->target.up_since_us;
+  unsigned reinstated = proxy->target.reinstated;
+  bool changed;
 
   if (jl_target_is_replaced_by (&proxy->target, heartbeat))
     jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
-  if (jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ()))
+  changed = jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ());
+  if (proxy->target.reinstated != reinstated)
+    handle_reinstated (proxy);
+  else if (changed)
     jl_proxy_target_changed (proxy, "heartbeat");
   if (proxy->target.up_since_us != up_since_us)
     jl_watch_begin (proxy->watch);
 }
 
+void
+jl_heartbeats_reinstate (struct jl_proxy *proxy, const char *id)
+{
+  if (id == NULL || !jl_target_reinstate (&proxy->target, id, jl_now ()))
+    return;
+  handle_reinstated (proxy);
+  jl_watch_begin (proxy->watch);
+}
+
 void
 jl_heartbeats_forget_held (struct jl_proxy *proxy)
 {
@@ -165,15 +186,69 @@
   apply_heartbeat (proxy, &proxy->held_heartbeat);
 }
 
+/* Whether a target with this identifier runs beside another daemon. Digests of
+ * other zones tell only its key, here of one without a start time. */
+static bool
+is_beside_other (const struct jl_proxy *proxy, const char *id)
+{
+  uint64_t now_us = jl_now ();
+
+  for (guint i = 0; i < proxy->roster.members->len; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (proxy->roster.members, i);
+
+      if (member != proxy->self && jl_member_is_alive (member, now_us)
+          && (strcmp (member->target, id) == 0
+              || member->target_key == jl_target_make_key (member->key, id, 0)))
+        return true;
+    }
+  return false;
+}
+
+/* Returns why a leave cannot be acknowledged, NULL if it can. */
+static const char *
+leave_refusal (const struct jl_proxy *proxy, const char *id, uint64_t now_ms)
+{
+  const struct jl_target *target = &proxy->target;
+
+  if (target->state != JL_TARGET_NONE && strcmp (target->last.id, id) == 0)
+    return NULL;
+  if (is_beside_other (proxy, id))
+    return "beside another daemon";
+  if (!jl_target_can_mark_departed (target, id, now_ms))
+    return "too many unknown targets left";
+  return NULL;
+}
+
+static void
+refuse_leave (struct jl_request *request, const char *id, const char *cause)
+{
+  char *text = g_strescape (id, NULL);
+
+  jl_record (JL_RECORD_FAILURE, JL_RECORD_TARGET_HEARTBEAT_REFUSED,
+             "target=%.*s cause=\"%s\" leave=1", LOGGED_BYTES_MAX, text, cause);
+  g_free (text);
+  respond_json (request, STATUS_MISDIRECTED);
+}
+
 static void
 handle_leave (struct jl_proxy *proxy,
               struct jl_request *request,
               const char *id)
 {
+  uint64_t now_ms = (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
+  const char *refusal;
+
   if (proxy->heartbeat_held && strcmp (proxy->held_heartbeat.id, id) == 0)
     apply_held_heartbeat (proxy);
-  if (jl_target_mark_departed (&proxy->target, id,
-                               (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC))
+  refusal = leave_refusal (proxy, id, now_ms);
+  if (refusal != NULL)
+    {
+      refuse_leave (request, id, refusal);
+      return;
+    }
+  if (jl_target_mark_departed (&proxy->target, id, now_ms))
     jl_proxy_target_changed (proxy, "left");
   respond_to_leave (proxy, request);
 }
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -54,22 +54,37 @@
 
 /* Maximum number of departed incarnations that are recorded. */
 #define JL_TARGET_DEPARTED_MAX 8
+/* Maximum number of further ones of which no heartbeat has come. */
+#define JL_TARGET_UNHEARD_MAX 8
 
 /**
  * struct jl_departed_incarnation - an incarnation that has left
  * @id: "" for none
  * @started_ms: wall clock at its start; heartbeats with this @id and a later
  *              start belong to a new incarnation
+ * @unheard: no heartbeat of it has come; @started_ms is the time of its leave
+ * @replaced: it has not announced a leave, but another one's heartbeat came
+ *            after its own; it may still live
+ * @sequence: of a replaced one: sequence number of its last heartbeat
+ * @heartbeats: of a replaced one: its heartbeats, at their usual distance,
+ *              since the last one of the current incarnation
+ * @heard_us: time of the last one that was counted
  */
 struct jl_departed_incarnation
 {
   char id[JL_TEXT_SIZE];
   uint64_t started_ms;
+  bool unheard;
+  bool replaced;
+  uint64_t sequence;
+  unsigned heartbeats;
+  uint64_t heard_us;
 };
 
 /**
  * struct jl_target - state of the local target
  * @name_key: key of the name of the daemon beside it
+ * @heartbeat_us: interval of heartbeats
  * @last: the last heartbeat that was applied
  * @last_heartbeat_us: time at which it was applied
  * @up_since_us: time at which it last became JL_TARGET_UP
@@ -78,11 +93,16 @@
  * @departed_keys: ring of keys of further incarnations that have left, of which
  *                 other daemons have told; 0 for none
  * @departed_keys_next: index in @departed_keys of the next one to write
- * @departed_revision: number of entries written to @departed so far
+ * @unheard: incarnations that have left without a heartbeat before; they may
+ *           be other daemons' targets, and take no place in @departed
+ * @departed_revision: number of changes of @departed and @unheard so far
+ * @reinstated: number of replaced incarnations that became the current one
+ *              again
  */
 struct jl_target
 {
   uint32_t name_key;
+  uint64_t heartbeat_us;
   enum jl_target_state state;
   struct jl_heartbeat last;
   uint64_t last_heartbeat_us;
@@ -91,12 +111,20 @@
   unsigned departed_next;
   uint32_t departed_keys[JL_TARGET_DEPARTED_MAX];
   unsigned departed_keys_next;
+  struct jl_departed_incarnation unheard[JL_TARGET_UNHEARD_MAX];
   unsigned departed_revision;
+  unsigned reinstated;
 };
 
 /**
  * jl_target_apply_heartbeat - applies a heartbeat unless it is stale
  *
+ * A stale one that announces a leave counts: the leave will be acknowledged.
+ *
+ * Without start times, a late heartbeat of an incarnation that has ended looks
+ * like one of a new incarnation. The one that it replaced is reinstated if its
+ * heartbeats go on while those of the other one do not.
+ *
  * Return: whether the state, the incarnation or the number of slots has
  * changed.
  */
@@ -104,6 +132,17 @@
                                 const struct jl_heartbeat *heartbeat,
                                 uint64_t now_us);
 
+/**
+ * jl_target_reinstate - makes a replaced incarnation the current one again,
+ * after it has responded itself
+ *
+ * One that has announced a leave is never reinstated.
+ *
+ * Return: whether it was.
+ */
+bool
+jl_target_reinstate (struct jl_target *target, const char *id, uint64_t now_us);
+
 /**
  * jl_target_key - returns a key of the current incarnation, which differs
  * between instances
@@ -112,6 +151,13 @@
  */
 uint32_t jl_target_key (const struct jl_target *target);
 
+/**
+ * jl_target_make_key - returns the key of an incarnation beside the daemon with
+ * this key of its name
+ */
+uint32_t
+jl_target_make_key (uint32_t name_key, const char *id, uint64_t started_ms);
+
 /**
  * jl_target_restore_departed_key - records an incarnation that left before this
  * daemon started, by its key
@@ -127,6 +173,17 @@
 bool jl_target_is_replaced_by (const struct jl_target *target,
                                const struct jl_heartbeat *heartbeat);
 
+/**
+ * jl_target_can_mark_departed - whether there is room to record that the target
+ * with identifier @id leaves
+ *
+ * An incarnation of which no heartbeat has come takes the place of none that
+ * left within the last hour.
+ */
+bool jl_target_can_mark_departed (const struct jl_target *target,
+                                  const char *id,
+                                  uint64_t now_ms);
+
 /**
  * jl_target_mark_departed - records that the target with identifier @id leaves
  * @now_ms: wall clock
@@ -146,9 +203,9 @@
  *
  * Return: whether that changes the state.
  */
-bool jl_target_restore_departed (struct jl_target *target,
-                                 const char *id,
-                                 uint64_t started_ms);
+bool
+jl_target_restore_departed (struct jl_target *target,
+                            const struct jl_departed_incarnation *departed);
 
 /**
  * jl_target_forget - ends the use of a target that is no longer the local one;
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -155,15 +155,172 @@
   cr_assert (jl_target_mark_departed (&before, "a", 9));
   cr_assert_eq (before.departed_revision, 1,
                 "the incarnation is recorded once");
-  cr_assert_not (jl_target_restore_departed (
-      &restored_first, before.departed[0].id, before.departed[0].started_ms));
+  cr_assert_not (
+      jl_target_restore_departed (&restored_first, &before.departed[0]));
   cr_assert_not (apply (&restored_first, heartbeat ("a", 5, 2, false)));
   cr_assert_eq (restored_first.state, JL_TARGET_NONE);
   apply (&heartbeat_first, heartbeat ("a", 5, 2, false));
-  cr_assert (jl_target_restore_departed (
-      &heartbeat_first, before.departed[0].id, before.departed[0].started_ms));
+  cr_assert (
+      jl_target_restore_departed (&heartbeat_first, &before.departed[0]));
   cr_assert_eq (heartbeat_first.state, JL_TARGET_LEAVING);
   cr_assert (apply (&heartbeat_first, heartbeat ("a", 6, 1, false)),
              "a new incarnation");
   cr_assert_eq (heartbeat_first.state, JL_TARGET_UP);
 }
+
+/* The leave is acknowledged, although the heartbeat that announces it is older
+ * than the last one. */
+Test (target, a_leave_counts_although_its_heartbeat_is_late)
+{
+  struct jl_target target = { 0 };
+
+  apply (&target, heartbeat ("a", 0, 5, false));
+  cr_assert (apply (&target, heartbeat ("a", 0, 4, true)));
+  cr_assert_eq (target.state, JL_TARGET_LEAVING);
+  apply (&target, heartbeat ("b", 9, 1, false));
+  cr_assert_not (apply (&target, heartbeat ("c", 7, 1, true)));
+  cr_assert_str_eq (target.last.id, "b");
+  cr_assert_eq (target.state, JL_TARGET_UP);
+  jl_target_mark_departed (&target, "b", 9);
+  cr_assert_not (apply (&target, heartbeat ("c", 7, 2, false)));
+}
+
+/* Guards against the loss of an acknowledged leave. */
+Test (target, leaves_of_unknown_targets_take_no_place_of_the_own_ones)
+{
+  struct jl_target target = { 0 };
+  char id[16];
+  uint64_t now_ms = 1000;
+  uint64_t hour_ms = 3600000;
+
+  apply (&target, heartbeat ("a", 0, 1, false));
+  jl_target_mark_departed (&target, "a", now_ms);
+  apply (&target, heartbeat ("b", 0, 1, false));
+  for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX; i++)
+    {
+      g_snprintf (id, sizeof id, "x%u", i);
+      cr_assert (jl_target_can_mark_departed (&target, id, now_ms));
+      jl_target_mark_departed (&target, id, now_ms);
+    }
+  cr_assert_not (jl_target_can_mark_departed (&target, "y", now_ms));
+  cr_assert (jl_target_can_mark_departed (&target, "x0", now_ms),
+             "it is recorded already");
+  cr_assert (jl_target_can_mark_departed (&target, "b", now_ms));
+  cr_assert_not (apply (&target, heartbeat ("a", 0, 2, false)));
+  cr_assert_not (apply (&target, heartbeat ("x0", 0, 2, false)));
+  cr_assert_str_eq (target.last.id, "b");
+  cr_assert (jl_target_can_mark_departed (&target, "y", now_ms + hour_ms + 1));
+}
+
+/* A leave is sent again as long as no acknowledgement comes. */
+Test (target, a_repeated_leave_takes_one_place)
+{
+  struct jl_target target = { 0 };
+
+  for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX * 2; i++)
+    jl_target_mark_departed (&target, "x", i + 1);
+  cr_assert (jl_target_can_mark_departed (&target, "y", 1));
+  cr_assert_not (apply (&target, heartbeat ("x", 3, 1, false)));
+}
+
+/* Heartbeats at the given times, one interval apart being 100. */
+static bool
+apply_at (struct jl_target *target,
+          const char *id,
+          uint64_t sequence,
+          uint64_t now_us)
+{
+  struct jl_heartbeat received = heartbeat (id, 0, sequence, false);
+
+  return jl_target_apply_heartbeat (target, &received, now_us);
+}
+
+/* Guards against a target that stays replaced by a late heartbeat of one that
+ * has ended. */
+Test (target, a_replaced_one_whose_heartbeats_go_on_is_reinstated)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply_at (&target, "a", 1, 1000);
+  apply_at (&target, "old", 9, 1010);
+  cr_assert_not (apply_at (&target, "a", 2, 1100));
+  cr_assert_not (apply_at (&target, "a", 3, 1200), "too early");
+  cr_assert (apply_at (&target, "a", 4, 1300));
+  cr_assert_str_eq (target.last.id, "a");
+  cr_assert_eq (target.last.sequence, 4);
+  cr_assert_eq (target.state, JL_TARGET_UP);
+  cr_assert_not (apply_at (&target, "old", 10, 1310));
+  cr_assert_str_eq (target.last.id, "a");
+}
+
+Test (target, late_heartbeats_that_come_together_reinstate_nothing)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply_at (&target, "a", 1, 1000);
+  apply_at (&target, "b", 1, 1010);
+  for (unsigned i = 0; i < 10; i++)
+    cr_assert_not (apply_at (&target, "a", 2 + i, 2000 + i));
+  cr_assert_not (apply_at (&target, "a", 2, 2100), "not a later heartbeat");
+  cr_assert_str_eq (target.last.id, "b");
+}
+
+Test (target, a_replaced_one_is_not_reinstated_while_the_next_sends_heartbeats)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply_at (&target, "a", 1, 1000);
+  for (unsigned i = 1; i < 10; i++)
+    {
+      apply_at (&target, "b", i, 1000 + 100 * i);
+      cr_assert_not (apply_at (&target, "a", 1 + i, 1050 + 100 * i));
+    }
+  cr_assert_str_eq (target.last.id, "b");
+}
+
+Test (target, one_with_an_earlier_start_is_not_reinstated_by_heartbeats)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+
+  apply (&target, heartbeat ("a", 5, 1, false));
+  apply (&target, heartbeat ("b", 9, 1, false));
+  for (unsigned i = 1; i < 10; i++)
+    {
+      struct jl_heartbeat late = heartbeat ("a", 5, 1 + i, false);
+
+      cr_assert_not (
+          jl_target_apply_heartbeat (&target, &late, 1000 + 100 * i));
+    }
+}
+
+/* The keys of those that others heard leave count too. */
+Test (target, one_that_has_left_is_never_reinstated)
+{
+  struct jl_target left = { .heartbeat_us = 100 };
+  struct jl_target told = { .heartbeat_us = 100 };
+
+  apply_at (&left, "a", 1, 1000);
+  apply_at (&left, "b", 1, 1010);
+  jl_target_mark_departed (&left, "a", 5);
+  cr_assert_not (jl_target_reinstate (&left, "a", 1100));
+  cr_assert_not (jl_target_reinstate (&left, "c", 1100), "it is not known");
+  cr_assert_not (jl_target_reinstate (&left, "b", 1100),
+                 "it is the current one");
+  apply_at (&told, "a", 1, 1000);
+  apply_at (&told, "b", 1, 1010);
+  jl_target_restore_departed_key (&told, jl_target_make_key (0, "a", 0));
+  cr_assert_not (jl_target_reinstate (&told, "a", 1100));
+}
+
+/* The row was written while a late heartbeat had replaced the current one. */
+Test (target, a_recorded_replacement_does_not_end_the_current_one)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+  struct jl_departed_incarnation replaced = { .id = "a", .replaced = true };
+
+  apply_at (&target, "a", 1, 1000);
+  cr_assert_not (jl_target_restore_departed (&target, &replaced));
+  cr_assert_eq (target.state, JL_TARGET_UP);
+  apply_at (&target, "a", 2, 1100);
+  cr_assert_eq (target.last.sequence, 2);
+}
