--- a/tests/proxy/cut.c
+++ b/tests/proxy/cut.c
@@ -49,20 +49,20 @@
 
 /**
  * struct response - a complete response of the cut peer
- * @until_close: its body ends with the connection
- * @status: status that the client gets for the whole response
  * @body: body that the client gets
- * @refused: the whole response states that the request has not run
  * @method: method of the request; NULL for GET
+ * @status: status that the client gets for the whole response
+ * @until_close: its body ends with the connection
+ * @refused: the whole response states that the request has not run
  */
 struct response
 {
   const char *text;
-  bool until_close;
-  unsigned status;
   const char *body;
-  bool refused;
   const char *method;
+  unsigned status;
+  bool until_close;
+  bool refused;
 };
 
 static const struct response target_responses[] = {
@@ -221,21 +221,6 @@
   return true;
 }
 
-/* Forgets the failures of the cases before. */
-static void
-forget_failures (struct rig *rig)
-{
-  const GPtrArray *members = rig->proxy->roster.members;
-
-  for (guint i = 0; i < members->len; i++)
-    {
-      struct jl_member *member = g_ptr_array_index (members, i);
-
-      member->failed_us = 0;
-      member->last_beacon_us = jl_now ();
-    }
-}
-
 static bool
 is_whole (const struct response *response,
           size_t text_size,
@@ -303,7 +288,7 @@
                          text_size, ending, (int)size, response->text);
   int fd;
 
-  forget_failures (&play->rig);
+  raw_forget_failures (&play->rig);
   fd = send_request (play, response);
   if (!answer_and_end (play, response->text, size, ending))
     {
@@ -449,3 +434,203 @@
 {
   play_guard (219, JL_RETRY_POLICY_DOWNLOAD);
 }
+
+/* A peer that resets a connection may take back bytes that it has written, so
+ * large responses are cut only by closing in order. */
+static GString *
+large_response (bool chunked, bool until_close, size_t *head_size)
+{
+  GString *text = g_string_new (OK);
+  char *body = g_strnfill (LARGE_BYTES / 4, 'x');
+
+  if (chunked)
+    g_string_append (text, "Transfer-Encoding: chunked\r\n");
+  else if (!until_close)
+    g_string_append_printf (text, "Content-Length: %d\r\n", LARGE_BYTES);
+  g_string_append (text, "\r\n");
+  *head_size = text->len;
+  for (unsigned i = 0; i < 4; i++)
+    if (chunked)
+      g_string_append_printf (text, "%x\r\n%s\r\n", LARGE_BYTES / 4, body);
+    else
+      g_string_append (text, body);
+  if (chunked)
+    g_string_append (text, "0\r\nA: b\r\nB: c\r\n\r\n");
+  g_free (body);
+  return text;
+}
+
+/* A part of a large response is passed on before it is known that the rest is
+ * missing. */
+static void
+play_large_case (struct play *play,
+                 const GString *response,
+                 size_t size,
+                 bool whole)
+{
+  static const struct response get = { .method = "GET" };
+  GString *text = g_string_new (NULL);
+  struct raw_answer answer;
+  int fd;
+
+  raw_forget_failures (&play->rig);
+  fd = send_request (play, &get);
+  cr_assert (answer_and_end (play, response->str, size, ENDING_CLOSE));
+  cr_expect (raw_read_all (&play->rig, fd, text), "%zu", size);
+  answer = raw_parse (text, false);
+  cr_expect_not (answer.extra, "%zu", size);
+  if (whole)
+    cr_expect_eq (answer.status, 200, "%zu: %u", size, answer.status);
+  if (answer.status == 200)
+    cr_expect_eq (answer.complete, whole, "%zu of %zu", size, response->len);
+  else
+    cr_expect_eq (answer.status, 502, "%zu: %u", size, answer.status);
+  raw_reset (fd);
+  raw_turn (&play->rig);
+  raw_answer_clear (&answer);
+  g_string_free (text, TRUE);
+}
+
+static size_t
+next_cut (size_t size, size_t response_size)
+{
+  if (size < LARGE_EDGE_BYTES || size >= response_size - LARGE_EDGE_BYTES)
+    return size + 1;
+  return MIN (size + LARGE_STEP_BYTES, response_size - LARGE_EDGE_BYTES);
+}
+
+static void
+play_large (unsigned host, bool chunked, bool until_close)
+{
+  struct play play;
+  size_t head_size;
+  GString *response = large_response (chunked, until_close, &head_size);
+  size_t size = 0;
+
+  start_beside_target (&play, host);
+  install_route (&play.rig, "front", JL_RETRY_POLICY_DOWNLOAD);
+  play.port = ENTRY_PORT;
+  while (size <= response->len)
+    {
+      play_large_case (&play, response, size,
+                       until_close ? size >= head_size : size == response->len);
+      size = next_cut (size, response->len);
+    }
+  g_string_free (response, TRUE);
+}
+
+Test (cut, large_download_with_a_length)
+{
+  play_large (220, false, false);
+}
+
+Test (cut, large_download_in_chunks)
+{
+  play_large (221, true, false);
+}
+
+Test (cut, large_download_until_close)
+{
+  play_large (222, false, true);
+}
+
+#define PAGE                                                                   \
+  "{\"rows\":[{\"table\":\"t\",\"key\":\"k\",\"value\":\"dA==\",\"ver\":4}],"  \
+  "\"ver\":5,\"morePages\":false}"
+
+static void
+on_row (void *context, const struct jl_row *row)
+{
+  unsigned *rows = context;
+
+  (void)row;
+  (*rows)++;
+}
+
+static void
+on_reachability (void *context, bool reachable, const char *why)
+{
+  (void)context;
+  (void)reachable;
+  (void)why;
+}
+
+static void
+on_written (void *context, const char *table)
+{
+  (void)context;
+  (void)table;
+}
+
+static void
+on_restored (void *context, uint64_t before, uint64_t era)
+{
+  (void)context;
+  (void)before;
+  (void)era;
+}
+
+static const struct jl_store_ops store_ops = {
+  .row = on_row,
+  .reachable = on_reachability,
+  .written = on_written,
+  .restored = on_restored,
+};
+
+/* Answers one read of a table by the first @size bytes. Returns the number of
+ * rows that the reader takes from it. */
+static unsigned
+read_cut_page (struct rig *rig,
+               struct raw_peer *peer,
+               const char *text,
+               size_t size,
+               bool reset)
+{
+  struct jl_proxy proxy = { .loop = jl_loop_new () };
+  struct jl_proxy *before = rig->proxy;
+  GString *request = g_string_new (NULL);
+  unsigned rows = 0;
+  struct jl_store *store;
+  int fd;
+
+  rig->proxy = &proxy;
+  store = jl_store_new (proxy.loop, jl_net_new (proxy.loop),
+                        rig_at (rig, OTHER_PORT), &store_ops, &rows);
+  jl_store_watch (store, "t", 0, 1000, 0);
+  fd = raw_accept_request (rig, peer, request);
+  cr_assert_geq (fd, 0);
+  raw_send (fd, text, size);
+  if (reset)
+    raw_reset (fd);
+  else
+    close (fd);
+  for (unsigned i = 0; i < 3; i++)
+    raw_turn (rig);
+  rig->proxy = before;
+  g_string_free (request, TRUE);
+  return rows;
+}
+
+/* The store and its loop are left alone then, as the process ends soon. */
+Test (cut, answer_of_the_store)
+{
+  char *with_length = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen (PAGE), PAGE);
+  char *in_chunks = g_strdup_printf ("HTTP/1.1 200 OK\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n%zx\r\n"
+                                     "%s\r\n0\r\nA: b\r\n\r\n",
+                                     strlen (PAGE), PAGE);
+  char *const texts[] = { with_length, in_chunks };
+  struct raw_peer peer;
+  struct rig rig;
+
+  rig_prepare (&rig, 223);
+  raw_peer_open (&peer, &rig, OTHER_PORT);
+  for (unsigned i = 0; i < G_N_ELEMENTS (texts); i++)
+    for (size_t size = 0; size <= strlen (texts[i]); size++)
+      for (unsigned reset = 0; reset < 2; reset++)
+        cr_expect_eq (read_cut_page (&rig, &peer, texts[i], size, reset > 0),
+                      size == strlen (texts[i]), "%zu of %s", size, texts[i]);
+  g_free (with_length);
+  g_free (in_chunks);
+}
--- a/tests/proxy/parts/raw.c
+++ b/tests/proxy/parts/raw.c
@@ -45,9 +45,8 @@
     }
 }
 
-/* Appends what has arrived. Returns false at the end of the connection. */
-static bool
-read_some (int fd, GString *text)
+bool
+raw_read_available (int fd, GString *text)
 {
   char data[16384];
   ssize_t size = recv (fd, data, sizeof data, MSG_DONTWAIT);
@@ -73,7 +72,7 @@
   for (guint i = peer->waiting->len; i > 0; i--)
     {
       int fd = g_array_index (peer->waiting, int, i - 1);
-      bool is_open = read_some (fd, request);
+      bool is_open = raw_read_available (fd, request);
 
       if (is_open && request->len == 0)
         continue;
@@ -85,6 +84,14 @@
   return -1;
 }
 
+int
+raw_poll_request (struct rig *rig, struct raw_peer *peer, GString *request)
+{
+  raw_turn (rig);
+  accept_waiting (peer);
+  return find_request (peer, request);
+}
+
 int
 raw_accept_request (struct rig *rig, struct raw_peer *peer, GString *request)
 {
@@ -92,16 +99,12 @@
   int fd = -1;
 
   while (fd < 0 && jl_now () < end_us)
-    {
-      raw_turn (rig);
-      accept_waiting (peer);
-      fd = find_request (peer, request);
-    }
+    fd = raw_poll_request (rig, peer, request);
   while (fd >= 0 && strstr (request->str, "\r\n\r\n") == NULL
          && jl_now () < end_us)
     {
       raw_turn (rig);
-      read_some (fd, request);
+      raw_read_available (fd, request);
     }
   return fd;
 }
@@ -111,7 +114,7 @@
 {
   uint64_t end_us = jl_now () + WAIT_US;
 
-  while (read_some (fd, text))
+  while (raw_read_available (fd, text))
     {
       if (jl_now () > end_us)
         return false;
@@ -205,3 +208,17 @@
   g_free (answer->head);
   g_string_free (answer->body, TRUE);
 }
+
+void
+raw_forget_failures (struct rig *rig)
+{
+  const GPtrArray *members = rig->proxy->roster.members;
+
+  for (guint i = 0; i < members->len; i++)
+    {
+      struct jl_member *member = g_ptr_array_index (members, i);
+
+      member->failed_us = 0;
+      member->last_beacon_us = jl_now ();
+    }
+}
--- a/tests/proxy/parts/raw.h
+++ b/tests/proxy/parts/raw.h
@@ -59,6 +59,18 @@
 int
 raw_accept_request (struct rig *rig, struct raw_peer *peer, GString *request);
 
+/**
+ * raw_poll_request - like raw_accept_request(), without waiting
+ */
+int raw_poll_request (struct rig *rig, struct raw_peer *peer, GString *request);
+
+/**
+ * raw_read_available - appends what has arrived to @text
+ *
+ * Return: false at the end of the connection.
+ */
+bool raw_read_available (int fd, GString *text);
+
 /**
  * raw_read_all - reads until the connection ends, and appends it to @text
  *
@@ -66,6 +78,11 @@
  */
 bool raw_read_all (struct rig *rig, int fd, GString *text);
 
+/**
+ * raw_forget_failures - lets the proxy send requests to all daemons again
+ */
+void raw_forget_failures (struct rig *rig);
+
 /**
  * raw_send - sends without waiting; all must fit into the socket's buffer
  */
