Reject messages that can be read in two ways, at the parser's edge

The end of a head or of trailers written as CR and any byte made what follows a request of its own, also "GET /smuggled". Likewise accepted: the end of a chunk or of the line of its size in any two bytes, LF in a chunk's extension, zero bytes at the beginning of values, tabs and form feeds in a request target, a request target without version, two Host fields, "Transfer-Encoding: gzip, chunked", whose coding was dropped while the body was passed on coded. A target's "Content-Length : 2" was passed to the entry beside the guard's own and lost the answer; status "20", versions 0.9 and 2.0 and an unasked 101 were passed on.

Cause: the library is the build of http-parser that is not strict. It takes a space for a part of a name and does not look at some bytes at all.

The fix is where input enters: each line is checked before the parser gets it, and a head before its owner does. In a request white space around a name, and a folded line, gets 400; in a response white space before the colon is removed, as RFC 9112 (5.1) asks, and other such messages are no answer (502).

--- a/include/jackdawladder/head.h
+++ b/include/jackdawladder/head.h
@@ -92,6 +92,11 @@
  */
 const char *jl_head_get (const struct jl_head *head, const char *name);
 
+/**
+ * jl_head_count - returns the number of fields named @name
+ */
+unsigned jl_head_count (const struct jl_head *head, const char *name);
+
 /**
  * jl_head_get_number - reads the value of a field as an unsigned integer
  *
--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -13,6 +13,41 @@
 /* Maximum number of bytes read from a socket at once. */
 #define READ_BUFFER_BYTES 16384
 
+/**
+ * enum jl_line_kind - which line of a message is being read
+ * @JL_LINE_START: the request line or status line
+ * @JL_LINE_FIELD: a field of the head, or of the trailers of a chunked body
+ * @JL_LINE_CHUNK_SIZE: the size of a chunk
+ * @JL_LINE_CHUNK_END: the end of a chunk's line, after its data
+ * @JL_LINE_NONE: a body that is not chunked
+ */
+enum jl_line_kind
+{
+  JL_LINE_START,
+  JL_LINE_FIELD,
+  JL_LINE_CHUNK_SIZE,
+  JL_LINE_CHUNK_END,
+  JL_LINE_NONE,
+};
+
+/**
+ * struct jl_lines - position in the lines of a message
+ * @is_request: the message is a request
+ * @at_begin: no byte of the line's text was read
+ * @after_cr: the last byte was CR
+ * @after_start: the line follows the request line or status line
+ * @chunk_left: bytes of a chunk's data that precede the line
+ */
+struct jl_lines
+{
+  enum jl_line_kind kind;
+  bool is_request;
+  bool at_begin;
+  bool after_cr;
+  bool after_start;
+  uint64_t chunk_left;
+};
+
 /**
  * struct jl_net - state shared by all connections of the process
  * @conns: the open connections
@@ -41,6 +76,7 @@
  * struct jl_conn - one connection
  * @link: link in the list of open connections
  * @flush_link: link in the flush queue, valid if @flush_queued
+ * @lines: position in the lines of the message that is being read
  * @head: the message head that is being read
  * @is_client: this process opened the connection
  * @connecting: the connection is not yet established
@@ -78,6 +114,7 @@
   struct cds_list_head link;
   struct cds_list_head flush_link;
   http_parser parser;
+  struct jl_lines lines;
   struct jl_head head;
   struct jl_endpoint peer;
   bool is_client;
@@ -108,6 +145,31 @@
   uv_connect_t connect_request;
 };
 
+/* lines.c */
+
+/**
+ * jl_lines_init - starts with the first line of a message
+ */
+void jl_lines_init (struct jl_lines *lines, bool is_request);
+
+/**
+ * jl_lines_begin_body - continues after the head of a message with a body
+ */
+void jl_lines_begin_body (struct jl_lines *lines, bool chunked);
+
+/**
+ * jl_lines_begin_chunk - continues after the size of a chunk
+ * @size: size of the chunk's data; 0 if trailers follow
+ */
+void jl_lines_begin_chunk (struct jl_lines *lines, uint64_t size);
+
+/**
+ * jl_lines_take - checks the next part of a message, up to the end of a line
+ *
+ * Return: size of the part, 0 if it is malformed.
+ */
+size_t jl_lines_take (struct jl_lines *lines, const char *data, size_t size);
+
 /* parse.c */
 
 /**
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -369,7 +369,7 @@
       return;
     }
   if (status == UV_EOF && !conn->message_complete && conn->in_body)
-    jl_conn_parse (conn, NULL, 0);
+    jl_conn_parse (conn, "", 0);
   if (!conn->closing && !conn->closing_after_flush)
     jl_conn_fail (conn, status == UV_EOF ? JL_CONN_CLOSED : JL_CONN_RESET);
 }
--- a/source/net/head.c
+++ b/source/net/head.c
@@ -84,6 +84,16 @@
   return NULL;
 }
 
+unsigned
+jl_head_count (const struct jl_head *head, const char *name)
+{
+  unsigned count = 0;
+
+  for (size_t i = 0; i < head->fields->len; i++)
+    count += g_ascii_strcasecmp (jl_head_name (head, i), name) == 0;
+  return count;
+}
+
 bool
 jl_head_get_number (const struct jl_head *head,
                     const char *name,
--- a/source/net/parse.c
+++ b/source/net/parse.c
@@ -74,6 +74,10 @@
 {
   struct jl_conn *conn = parser->data;
 
+  /* White space around a name makes it another one, but some recipients
+   * ignore it. */
+  if (!conn->is_client && memchr (data, ' ', size) != NULL)
+    return -1;
   /* Fields after the body are trailers, which are ignored. */
   if (conn->in_body)
     return 0;
@@ -82,6 +86,15 @@
   return append_text (conn, data, size);
 }
 
+/* Ends the name of a field. Returns false if it contains white space, other
+ * than at its end in a response, where that is removed. */
+static bool
+end_name (struct jl_conn *conn, const struct jl_field *field)
+{
+  terminate_text (conn);
+  return strchr (conn->head.text->str + field->name, ' ') == NULL;
+}
+
 static int
 on_field_value (http_parser *parser, const char *data, size_t size)
 {
@@ -94,7 +107,8 @@
       struct jl_field *field = &g_array_index (
           conn->head.fields, struct jl_field, conn->head.fields->len - 1);
 
-      g_string_append_c (conn->head.text, '\0');
+      if (!end_name (conn, field))
+        return -1;
       field->value = (uint32_t)conn->head.text->len;
       conn->in_field_value = true;
     }
@@ -134,24 +148,73 @@
     head->keep_alive = false;
 }
 
+/* Whether the length of the body, if there is one, can be read in one way only.
+ * http-parser has checked what it did not ignore. */
+static bool
+is_framing_valid (const struct jl_conn *conn)
+{
+  const struct jl_head *head = &conn->head;
+  unsigned codings = 0;
+
+  for (size_t i = 0; i < head->fields->len; i++)
+    {
+      const char *name = jl_head_name (head, i);
+      const char *value = jl_head_value (head, i);
+
+      if (g_ascii_strcasecmp (name, "Content-Length") == 0
+          && (*value == '\0' || value[strspn (value, "0123456789")] != '\0'))
+        return false;
+      if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0
+          && (g_ascii_strcasecmp (value, "chunked") != 0 || codings++ > 0))
+        return false;
+    }
+  return codings == 0 || conn->is_client || conn->parser.http_minor > 0;
+}
+
+/* No request asks for another protocol, so that no response can begin one. */
+static bool
+is_head_valid (const struct jl_conn *conn)
+{
+  const http_parser *parser = &conn->parser;
+
+  if (parser->http_major != 1 || !is_framing_valid (conn))
+    return false;
+  if (!conn->is_client)
+    return jl_head_count (&conn->head, "Host") <= 1;
+  return parser->status_code >= 100
+         && parser->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS;
+}
+
 static int
 on_head_complete (http_parser *parser)
 {
   struct jl_conn *conn = parser->data;
 
   terminate_text (conn);
+  if (!is_head_valid (conn))
+    return -1;
   if (is_informational (conn))
     return ++conn->interim_count <= INTERIM_RESPONSES_MAX ? 1 : -1;
   fill_head (conn);
   parser->upgrade = 0;
   conn->in_head = false;
   conn->in_body = true;
+  jl_lines_begin_body (&conn->lines, (parser->flags & F_CHUNKED) != 0);
   conn->ops->head (conn->context, conn);
   if (conn->closing)
     return -1;
   return conn->is_client && conn->no_body ? 1 : 0;
 }
 
+static int
+on_chunk_header (http_parser *parser)
+{
+  struct jl_conn *conn = parser->data;
+
+  jl_lines_begin_chunk (&conn->lines, parser->content_length);
+  return 0;
+}
+
 static int
 on_body (http_parser *parser, const char *data, size_t size)
 {
@@ -181,6 +244,7 @@
   .on_header_field = on_field_name,
   .on_header_value = on_field_value,
   .on_headers_complete = on_head_complete,
+  .on_chunk_header = on_chunk_header,
   .on_body = on_body,
   .on_message_complete = on_message_complete,
 };
@@ -191,6 +255,7 @@
   http_parser_init (&conn->parser,
                     conn->is_client ? HTTP_RESPONSE : HTTP_REQUEST);
   conn->parser.data = conn;
+  jl_lines_init (&conn->lines, !conn->is_client);
   conn->in_head = false;
   conn->in_body = false;
   conn->message_complete = false;
@@ -226,20 +291,42 @@
  * the next message from it.
  */
 static void
-finish_parse (struct jl_conn *conn, const char *data, size_t size, size_t used)
+finish_message (struct jl_conn *conn, const char *data, size_t size)
 {
-  if (conn->closing || conn->closing_after_flush)
-    return;
-  if (!conn->message_complete)
+  if (size > 0)
+    g_byte_array_append (conn->pending_input, (const guint8 *)data,
+                         (guint)size);
+  conn->ops->end (conn->context, conn);
+}
+
+static bool
+has_ended (const struct jl_conn *conn)
+{
+  return conn->closing || conn->closing_after_flush;
+}
+
+/* Passes the input to the parser line by line, up to the end of the message.
+ * Returns the number of bytes, or fails the connection. */
+static size_t
+parse_lines (struct jl_conn *conn, const char *data, size_t size)
+{
+  size_t used = 0;
+
+  do
     {
-      if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
-        jl_conn_fail (conn, parse_error (conn));
-      return;
+      size_t part = jl_lines_take (&conn->lines, data + used, size - used);
+
+      if (part == 0 && size > 0)
+        {
+          jl_conn_fail (conn, JL_CONN_MALFORMED);
+          return used;
+        }
+      used
+          += http_parser_execute (&conn->parser, &callbacks, data + used, part);
     }
-  if (used < size)
-    g_byte_array_append (conn->pending_input, (const guint8 *)data + used,
-                         (guint)(size - used));
-  conn->ops->end (conn->context, conn);
+  while (used < size && !conn->message_complete && !has_ended (conn)
+         && HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK);
+  return used;
 }
 
 void
@@ -253,6 +340,11 @@
         buffer_input (conn, data, size);
       return;
     }
-  used = http_parser_execute (&conn->parser, &callbacks, data, size);
-  finish_parse (conn, data, size, used);
+  used = parse_lines (conn, data, size);
+  if (has_ended (conn))
+    return;
+  if (conn->message_complete)
+    finish_message (conn, data + used, size - used);
+  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
+    jl_conn_fail (conn, parse_error (conn));
 }
