Expect no body after a 204 or 304 that has a length

Callers of a target whose 304 or 204 names a length, as a 304 may, waited for a body that never comes, and got 502 or 504 at last.

Cause: the parser was told only of HEAD that no body follows, and http-parser reads the named length after any status. The test failed before: 502 in place of 204 and 304 when the target closes.

--- a/source/net/parse.c
+++ b/source/net/parse.c
@@ -189,6 +189,7 @@
 on_head_complete (http_parser *parser)
 {
   struct jl_conn *conn = parser->data;
+  bool has_no_body = conn->is_client && response_has_no_body (conn);
 
   terminate_text (conn);
   if (!is_head_valid (conn))
@@ -203,7 +204,7 @@
   conn->ops->head (conn->context, conn);
   if (conn->closing)
     return -1;
-  return conn->is_client && conn->no_body ? 1 : 0;
+  return has_no_body ? 1 : 0;
 }
 
 static int
--- a/tests/proxy/spelling.c
+++ b/tests/proxy/spelling.c
@@ -471,6 +471,15 @@
   { HEAD "A: b\r\n c\r\nContent-Length: 2\r\n\r\nok", 200, "\r\nA: b c\r\n" },
   { "HTTP/1.1 200 OK\nX-Jackdawladder-Attempt-Id: 1\nContent-Length: 2\n\nok",
     200, "\r\nContent-Length: 2\r\n\r\nok" },
+  { "HTTP/1.1 204 None\r\nX-Jackdawladder-Attempt-Id: 1\r\n"
+    "Content-Length: 5\r\n\r\n",
+    204, "" },
+  { "HTTP/1.1 204 None\r\nX-Jackdawladder-Attempt-Id: 1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n",
+    204, "" },
+  { "HTTP/1.1 304 Same\r\nX-Jackdawladder-Attempt-Id: 1\r\n"
+    "Content-Length: 5\r\n\r\n",
+    304, "" },
 };
 
 Test (spelling, a_valid_response_is_passed_back)
