Pass on what is for both ends although a Connection field lists it

A client that sent "Connection: X-Jackdawladder-Attempt-Id" reached the target without its identifier, and without Host by "Connection: Host"; the guard then took any response for the request's own. A target that listed X-Jackdawladder-Server-Seal made a 200 without its seal.

Cause: all names that the field lists were dropped. RFC 9110 (7.6.1) forbids to list a field that is meant for all recipients, and does not say what to do with one. Now Host, the identifier, the seal and the statement of a refusal are always passed on. Besides, all Connection fields are read; a field that only the second one listed was passed on. The tests failed before for each of these.

--- a/source/net/head.c
+++ b/source/net/head.c
@@ -107,14 +107,12 @@
                                      NULL);
 }
 
-/* Whether the Connection field lists @name as a hop-by-hop field. */
 static bool
-is_connection_option (const struct jl_head *head, const char *name)
+lists_name (const char *list, const char *name)
 {
-  const char *list = jl_head_get (head, "Connection");
   size_t length = strlen (name);
 
-  while (list != NULL && *list != '\0')
+  while (*list != '\0')
     {
       list += strspn (list, " ,\t");
       if (g_ascii_strncasecmp (list, name, length) == 0
@@ -125,6 +123,17 @@
   return false;
 }
 
+/* Whether a Connection field lists @name as a hop-by-hop field. */
+static bool
+is_connection_option (const struct jl_head *head, const char *name)
+{
+  for (size_t i = 0; i < head->fields->len; i++)
+    if (g_ascii_strcasecmp (jl_head_name (head, i), "Connection") == 0
+        && lists_name (jl_head_value (head, i), name))
+      return true;
+  return false;
+}
+
 bool
 jl_head_is_hop_by_hop (const struct jl_head *head, size_t index)
 {
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -28,6 +28,25 @@
          || g_ascii_strcasecmp (name, JL_HEADER_TARGET_INSTANCE) == 0;
 }
 
+/* Whether a field is for client and target even if the Connection field lists
+ * its name. */
+static bool
+is_end_to_end (const char *name)
+{
+  return g_ascii_strcasecmp (name, "Host") == 0
+         || g_ascii_strcasecmp (name, JL_HEADER_ATTEMPT_ID) == 0
+         || g_ascii_strcasecmp (name, JL_HEADER_SERVER_SEAL) == 0
+         || g_ascii_strcasecmp (name, JL_HEADER_NOT_EXECUTED) == 0;
+}
+
+/* Whether a field concerns only one connection. */
+static bool
+is_hop_by_hop (const struct jl_head *head, size_t index)
+{
+  return !is_end_to_end (jl_head_name (head, index))
+         && jl_head_is_hop_by_hop (head, index);
+}
+
 static void
 append_field (GString *text, const struct jl_head *head, size_t index)
 {
@@ -66,8 +85,7 @@
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_set_by_entry (jl_head_name (head, i))
-        && !jl_head_is_hop_by_hop (head, i))
+    if (!is_set_by_entry (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CALLER_SERVICE, caller);
   g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d\r\n", JL_WORK_FIELD,
@@ -87,8 +105,7 @@
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_internal_field (jl_head_name (head, i))
-        && !jl_head_is_hop_by_hop (head, i))
+    if (!is_internal_field (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %u\r\n%s: %s\r\n", JL_HEADER_DEADLINE_MS,
                           remaining_ms, JL_HEADER_TARGET_INSTANCE, target);
@@ -120,8 +137,7 @@
   GString *text = g_string_sized_new (256);
 
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_internal_field (jl_head_name (head, i))
-        && !jl_head_is_hop_by_hop (head, i))
+    if (!is_internal_field (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   return text;
 }
--- a/tests/proxy/spelling.c
+++ b/tests/proxy/spelling.c
@@ -168,6 +168,8 @@
     "X-Jackdawladder-Caller-Service: evil",
     false },
   { "Connection: Jl-Work\r\nJl-Work: evil", false },
+  { "Connection: Host, X-Jackdawladder-Attempt-Id", false },
+  { "Connection: close\r\nConnection: Evil\r\nEvil: evil", false },
   { "Connection: X-Jackdawladder-Deadline-Ms, X-Jackdawladder-Target-Instance",
     false },
 };
@@ -468,6 +470,9 @@
   { HEAD "Jl-Outcome : not-run\r\nJl-Reason : expired\r\n"
          "Content-Length: 2\r\n\r\nok",
     200, "\r\nContent-Length: 2\r\n\r\nok" },
+  { HEAD "Connection: X-Jackdawladder-Server-Seal\r\nContent-Length: 2\r\n\r\n"
+         "ok",
+    200, "\r\nX-Jackdawladder-Server-Seal: s\r\n" },
   { HEAD "A: b\r\n c\r\nContent-Length: 2\r\n\r\nok", 200, "\r\nA: b c\r\n" },
   { "HTTP/1.1 200 OK\nX-Jackdawladder-Attempt-Id: 1\nContent-Length: 2\n\nok",
     200, "\r\nContent-Length: 2\r\n\r\nok" },
