Drop fields of the system's own names with underscores; answer two ids with 400

A client's "X_Jackdawladder_Caller_Service: x" reached the target beside the daemon's own field. Targets that keep fields as variables of their environment do not tell '_' from '-', and may read the client's value. Two attempt identifiers in one request were both passed on: the guard compared the first, while a target may run the request under the second.

Names are compared with '_' as '-' for all fields that the system sets, and for the identifier; a request with two identifiers gets 400, as one with two Host fields does.

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -517,6 +517,11 @@
       jl_call_respond (call, 404, "", "no-route");
       return;
     }
+  if (jl_head_count (head, JL_HEADER_ATTEMPT_ID) > 1)
+    {
+      jl_call_respond (call, 400, "", "two-ids");
+      return;
+    }
   if (head->has_length && head->length > call->site->body_bytes_max)
     {
       jl_call_respond (call, 413, "", "too-large");
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -9,12 +9,37 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Whether a name begins with @prefix, or is equal to it if @whole. Case is
+ * ignored. '_' stands for '-' too, since some targets do not tell them apart.
+ */
+static bool
+matches (const char *name, const char *prefix, bool whole)
+{
+  while (*prefix != '\0'
+         && (g_ascii_tolower (*name) == g_ascii_tolower (*prefix)
+             || (*name == '_' && *prefix == '-')))
+    {
+      name++;
+      prefix++;
+    }
+  return *prefix == '\0' && (!whole || *name == '\0');
+}
+
 /* Whether a field is internal to the proxies. Such fields are never passed on:
  * a proxy sets them itself. */
 static bool
 is_internal_field (const char *name)
 {
-  return g_ascii_strncasecmp (name, "Jl-", 3) == 0;
+  return matches (name, "Jl-", false);
+}
+
+/* Whether a field has the name of the attempt identifier in a spelling that
+ * only some targets recognize. */
+static bool
+is_misspelled_id (const char *name)
+{
+  return matches (name, JL_HEADER_ATTEMPT_ID, true)
+         && g_ascii_strcasecmp (name, JL_HEADER_ATTEMPT_ID) != 0;
 }
 
 /* Whether the entry or the guard sets a field itself and drops the client's
@@ -22,10 +47,10 @@
 static bool
 is_set_by_entry (const char *name)
 {
-  return is_internal_field (name)
-         || g_ascii_strcasecmp (name, JL_HEADER_CALLER_SERVICE) == 0
-         || g_ascii_strcasecmp (name, JL_HEADER_DEADLINE_MS) == 0
-         || g_ascii_strcasecmp (name, JL_HEADER_TARGET_INSTANCE) == 0;
+  return is_internal_field (name) || is_misspelled_id (name)
+         || matches (name, JL_HEADER_CALLER_SERVICE, true)
+         || matches (name, JL_HEADER_DEADLINE_MS, true)
+         || matches (name, JL_HEADER_TARGET_INSTANCE, true);
 }
 
 /* Whether a field is for client and target even if the Connection field lists
