--- a/source/net/lines.c
+++ b/source/net/lines.c
@@ -103,6 +103,18 @@
   return true;
 }
 
+/* Returns the number of bytes at the beginning of @data that neither end the
+ * text of a line nor need a check. */
+static size_t
+plain_size (const char *data, size_t size)
+{
+  size_t i = 0;
+
+  while (i < size && !is_control (data[i]))
+    i++;
+  return i;
+}
+
 size_t
 jl_lines_take (struct jl_lines *lines, const char *data, size_t size)
 {
@@ -116,6 +128,10 @@
     }
   for (size_t i = 0; i < size; i++)
     {
+      if (!lines->at_begin && !lines->after_cr)
+        i += plain_size (data + i, size - i);
+      if (i == size)
+        break;
       if (!take_byte (lines, data[i]))
         return 0;
       if (data[i] == '\n')
