--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -9,12 +9,37 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Whether a name begins with @prefix, or is equal to it if @whole. Case is
+ * ignored. '_' stands for '-' too, since some targets do not tell them apart.
+ */
+static bool
+matches (const char *name, const char *prefix, bool whole)
+{
+  while (*prefix != '\0'
+         && (g_ascii_tolower (*name) == g_ascii_tolower (*prefix)
+             || (*name == '_' && *prefix == '-')))
+    {
+      name++;
+      prefix++;
+    }
+  return *prefix == '\0' && (!whole || *name == '\0');
+}
+
 /* Whether a field is internal to the proxies. Such fields are never passed on:
  * a proxy sets them itself. */
 static bool
 is_internal_field (const char *name)
 {
-  return g_ascii_strncasecmp (name, "Jl-", 3) == 0;
+  return matches (name, "Jl-", false);
+}
+
+/* Whether a field has the name of the attempt identifier in a spelling that
+ * only some targets recognize. */
+static bool
+is_misspelled_id (const char *name)
+{
+  return matches (name, JL_HEADER_ATTEMPT_ID, true)
+         && g_ascii_strcasecmp (name, JL_HEADER_ATTEMPT_ID) != 0;
 }
 
 /* Whether the entry or the guard sets a field itself and drops the client's
@@ -22,10 +47,29 @@
 static bool
 is_set_by_entry (const char *name)
 {
-  return is_internal_field (name)
-         || g_ascii_strcasecmp (name, JL_HEADER_CALLER_SERVICE) == 0
-         || g_ascii_strcasecmp (name, JL_HEADER_DEADLINE_MS) == 0
-         || g_ascii_strcasecmp (name, JL_HEADER_TARGET_INSTANCE) == 0;
+  return is_internal_field (name) || is_misspelled_id (name)
+         || matches (name, JL_HEADER_CALLER_SERVICE, true)
+         || matches (name, JL_HEADER_DEADLINE_MS, true)
+         || matches (name, JL_HEADER_TARGET_INSTANCE, true);
+}
+
+/* Whether a field is for client and target even if the Connection field lists
+ * its name. */
+static bool
+is_end_to_end (const char *name)
+{
+  return g_ascii_strcasecmp (name, "Host") == 0
+         || g_ascii_strcasecmp (name, JL_HEADER_ATTEMPT_ID) == 0
+         || g_ascii_strcasecmp (name, JL_HEADER_SERVER_SEAL) == 0
+         || g_ascii_strcasecmp (name, JL_HEADER_NOT_EXECUTED) == 0;
+}
+
+/* Whether a field concerns only one connection. */
+static bool
+is_hop_by_hop (const struct jl_head *head, size_t index)
+{
+  return !is_end_to_end (jl_head_name (head, index))
+         && jl_head_is_hop_by_hop (head, index);
 }
 
 static void
@@ -66,8 +110,7 @@
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_set_by_entry (jl_head_name (head, i))
-        && !jl_head_is_hop_by_hop (head, i))
+    if (!is_set_by_entry (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CALLER_SERVICE, caller);
   g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d\r\n", JL_WORK_FIELD,
@@ -87,8 +130,7 @@
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_internal_field (jl_head_name (head, i))
-        && !jl_head_is_hop_by_hop (head, i))
+    if (!is_internal_field (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %u\r\n%s: %s\r\n", JL_HEADER_DEADLINE_MS,
                           remaining_ms, JL_HEADER_TARGET_INSTANCE, target);
@@ -120,8 +162,7 @@
   GString *text = g_string_sized_new (256);
 
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_internal_field (jl_head_name (head, i))
-        && !jl_head_is_hop_by_hop (head, i))
+    if (!is_internal_field (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   return text;
 }
