--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -335,6 +335,68 @@
     play_odd_answers (&rig, fields[i]);
 }
 
+Test (odd_rows, an_odd_member_of_the_first_answers_ends_no_following)
+{
+  static const char *const answers[] = {
+    "{\"rows\":[],\"ver\":9007199254740991}",
+    "{\"rows\":[],\"ver\":9223372036854775807}",
+    "{\"rows\":[],\"ver\":1e30}",
+    "{\"rows\":[],\"ver\":1e999}",
+    "{\"rows\":[{\"key\":\"k\"}],\"ver\":1,\"morePages\":true}",
+    "{\"rows\":[{\"key\":\"k\"},{\"key\":7}],\"ver\":1,\"morePages\":\"no\"}",
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      struct rig rig;
+
+      rig_prepare (&rig, 105);
+      rig.store.raw_answer = answers[i];
+      rig.store.raw_status = 200;
+      rig_start (&rig);
+      give_answer (&rig, answers[i], 500);
+      expect_followed (&rig, answers[i]);
+    }
+}
+
+/* The store gives pages of 3 rows, of which the last one is odd. */
+Test (odd_rows, an_odd_row_at_the_end_of_a_page_hides_no_later_page)
+{
+  static const char *const keys[]
+      = { "null", "7", "[]", "\"\"", "\"a\\u0000\"" };
+  char *long_key = quote (100000);
+  struct rig rig;
+
+  rig_prepare (&rig, 106);
+  rig.store.page_rows = 3;
+  for (unsigned i = 0; i <= G_N_ELEMENTS (keys); i++)
+    {
+      char *name = g_strdup_printf ("a%u", i);
+      char *raw = raw_row ("daemons", name, sound_row, "key",
+                           i < G_N_ELEMENTS (keys) ? keys[i] : long_key);
+
+      for (unsigned j = 0; j < 2; j++)
+        {
+          char *sound = g_strdup_printf ("a%u%c", i, 'a' + (char)j);
+
+          fake_store_put (&rig.store, "daemons", sound, sound_row);
+          g_free (sound);
+        }
+      g_free (name);
+      name = g_strdup_printf ("a%uz", i);
+      fake_store_put_raw (&rig.store, "daemons", name, raw);
+      g_free (name);
+      g_free (raw);
+    }
+  fake_store_put (&rig.store, "daemons", "sound", sound_row);
+  rig_start (&rig);
+  rig_run (&rig, 1500);
+  cr_expect (knows (&rig, "sound"));
+  cr_expect (knows (&rig, "a0a"));
+  cr_expect (knows (&rig, "a5b"));
+  g_free (long_key);
+}
+
 /* Returns a document with the member @name of an odd value. */
 static char *
 with_member (const char *name, const char *odd, const char *rest)
