--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -397,6 +397,20 @@
   g_free (long_key);
 }
 
+/* An answer has named a version that the store has not reached. The store lets
+ * calls for later changes wait. */
+Test (odd_rows, a_version_ahead_of_the_store_ends_no_following)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 118);
+  rig.store.hold_ahead = true;
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  give_answer (&rig, "{\"rows\":[],\"ver\":4000000000}", 100);
+  expect_followed (&rig, "after a version ahead");
+}
+
 /* Returns a document with the member @name of an odd value. */
 static char *
 with_member (const char *name, const char *odd, const char *rest)
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -239,7 +239,7 @@
   struct json_object *rows = changed_rows (store, request);
   bool changed = json_object_array_length (rows) > 0;
 
-  if (after > store->version)
+  if (after > store->version && !store->hold_ahead)
     {
       json_object_put (rows);
       reply (store, request, 410, NULL);
--- a/tests/proxy/parts/fake-store.h
+++ b/tests/proxy/parts/fake-store.h
@@ -17,6 +17,8 @@
  * @away: closes each connection at once
  * @late_ms: time by which answers to feed calls are late
  * @silent_table: table whose reads are never answered, NULL for none
+ * @hold_ahead: feed calls after a version that does not exist yet wait, instead
+ *              of being answered with 410
  * @raw_answer: body of all answers instead of the right ones, NULL for none
  * @raw_status: status of these answers
  * @hold_writes: apply writes, but answer them only on
@@ -39,6 +41,7 @@
   bool away;
   unsigned late_ms;
   const char *silent_table;
+  bool hold_ahead;
   const char *raw_answer;
   unsigned raw_status;
   bool hold_writes;
