Take no peer from a row with the own address, and no zone with a long name

What callers saw: nothing yet. A row of another name with the daemon's own address, as an instance leaves it whose address is used again, or with an address of no single machine (0.0.0.0, 224.0.0.1, 255.255.255.255), became a daemon to which beacons, reports and digests were sent for as long as the daemon ran; with the own address it received its own. A zone with a name longer than 207 bytes was added to the list of zones each time that its row was read, so that the list grew without bound.

Cause: only the form of the address was checked; the zone was taken as whatever text its JSON value gives, cut in the list and compared uncut.

Evidence: a_row_with_the_own_address_or_none_of_a_daemon_adds_no_peer failed for five of its ten addresses, and "beacons_received == 0 is false"; a_zone_with_a_long_name_adds_no_zone_each_time with more than one zone after five reads. Ports 0, -1, 65536 and 99999 were refused before, too.

--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -44,6 +44,8 @@
 /* Time for which a daemon that could not reach the store leaves it to others.
  */
 #define STORE_LOST_KEPT_US (5 * JL_USEC_PER_SEC)
+/* First byte of the lowest addresses that are of no single machine. */
+#define FIRST_MULTICAST_NETWORK 224
 
 /* Most of the writes of a daemon when the store was restored, the ratio of the
  * store's rate of writes that they may use, and the least and the most time
@@ -69,18 +71,31 @@
   return NULL;
 }
 
+/* Whether a daemon can have this address: neither the own one, which another
+ * daemon may have had before, nor one that is of no single machine. */
+static bool
+is_of_other_daemon (const struct jl_proxy *proxy, struct jl_endpoint endpoint)
+{
+  unsigned network = endpoint.ip >> 24;
+
+  return network > 0 && network < FIRST_MULTICAST_NETWORK
+         && !jl_endpoint_equal (endpoint, proxy->self->peer);
+}
+
 /* Adds a daemon that no beacon has announced yet. */
 static void
 handle_daemon_row (struct jl_proxy *proxy, const struct jl_row *row)
 {
   struct json_object *document = parse_row (row);
-  struct json_object *peer = json_object_object_get (document, "peer");
-  struct json_object *zone = json_object_object_get (document, "zone");
+  const char *peer = jl_json_text (jl_json_member (document, "peer"),
+                                   JL_ENDPOINT_TEXT_SIZE - 1);
+  const char *zone
+      = jl_json_text (jl_json_member (document, "zone"), JL_TEXT_SIZE - 1);
   struct jl_endpoint endpoint;
-  size_t name_size = strlen (row->key);
 
-  if (peer != NULL && zone != NULL && name_size > 0 && name_size < JL_TEXT_SIZE
-      && jl_endpoint_parse (json_object_get_string (peer), &endpoint))
+  if (peer != NULL && zone != NULL && strlen (row->key) < JL_TEXT_SIZE
+      && jl_endpoint_parse (peer, &endpoint)
+      && is_of_other_daemon (proxy, endpoint))
     {
       struct jl_member *member
           = jl_roster_get_or_add (&proxy->roster, row->key);
@@ -88,8 +103,7 @@
       if (member != proxy->self && member->last_beacon_us == 0)
         {
           member->peer = endpoint;
-          jl_roster_set_zone (&proxy->roster, member,
-                              json_object_get_string (zone));
+          jl_roster_set_zone (&proxy->roster, member, zone);
           if (!member->in_other_zone)
             jl_beacon_send_soon (proxy->beacon);
         }
--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -468,6 +468,65 @@
   g_strfreev (odd);
 }
 
+/* A row names as the address of another daemon the own one, as after the reuse
+ * of an address, or one that is of no daemon. */
+Test (odd_rows, a_row_with_the_own_address_or_none_of_a_daemon_adds_no_peer)
+{
+  static const char *const peers[]
+      = { "0.0.0.0:17004",   "255.255.255.255:17004", "224.0.0.1:17004",
+          "127.0.0.1:0",     "127.0.0.1:65536",       "127.0.0.1:-1",
+          "127.0.0.1:99999", "127.0.0.1:17004 ",      "240.0.0.1:17004" };
+  char own[JL_ENDPOINT_TEXT_SIZE];
+  struct rig rig;
+
+  rig_prepare (&rig, 109);
+  jl_endpoint_format (rig.options.advertise, own);
+  for (unsigned i = 0; i <= G_N_ELEMENTS (peers); i++)
+    {
+      char *key = g_strdup_printf ("bogus%u", i);
+      char *value = g_strdup_printf ("{\"peer\":\"%s\",\"zone\":\"z1\"}",
+                                     i < G_N_ELEMENTS (peers) ? peers[i] : own);
+
+      fake_store_put (&rig.store, "daemons", key, value);
+      g_free (value);
+      g_free (key);
+    }
+  fake_store_put (&rig.store, "daemons", "sound", sound_row);
+  rig_start (&rig);
+  rig_run (&rig, 1500);
+  cr_expect (knows (&rig, "sound"));
+  for (unsigned i = 0; i <= G_N_ELEMENTS (peers); i++)
+    {
+      char *key = g_strdup_printf ("bogus%u", i);
+
+      cr_expect_not (knows (&rig, key), "%s",
+                     i < G_N_ELEMENTS (peers) ? peers[i] : own);
+      g_free (key);
+    }
+  cr_expect_eq (rig.proxy->counters.beacons_received, 0);
+}
+
+/* Names of zones have a maximum length. A longer one was a new zone each time
+ * that it was read. */
+Test (odd_rows, a_zone_with_a_long_name_adds_no_zone_each_time)
+{
+  char *zone = quote ((size_t)2 * JL_TEXT_SIZE);
+  char *value = with_member ("zone", zone, "\"peer\":\"127.0.0.1:9\"");
+  struct rig rig;
+
+  rig_prepare (&rig, 110);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      fake_store_put (&rig.store, "daemons", "d7", value);
+      rig_run (&rig, 200);
+    }
+  cr_expect_leq (rig.proxy->roster.zones->len, 1);
+  g_free (value);
+  g_free (zone);
+}
+
 /* Starts a daemon whose earlier incarnation seems to have written a row of its
  * target. */
 static void
