Take no odd entry of the row of departed targets

What callers saw: an instance whose target takes no requests, or one that takes requests after its leave. An entry with a start of -1, 10^30 or 2^63-1, or one that is no number, kept each incarnation with its identifier out for as long as the daemon and its successors ran, although heartbeats were answered 200. An entry whose identifier is empty, too long or no text was added again each time; eight of them displaced the sound ones, so that a target that had left was taken back (DRAIN).

Cause: numbers were cast to uint64_t unchecked, identifiers of any type were serialized, cut in the list and compared uncut.

Evidence: an_odd_entry_of_a_departed_target_keeps_no_target_out failed with "(rig.proxy->target.state) == (JL_TARGET_UP) is false", odd_entries_of_departed_targets_displace_no_sound_one with "... == (JL_TARGET_NONE) is false". Now such entries are left out.

--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -194,16 +194,20 @@
     jl_rows_write_refused (proxy);
 }
 
+/* A start out of range, which the parser reads as the largest integer, would
+ * make an entry hold for all incarnations of its identifier. */
 static void
 restore_departed (struct jl_proxy *proxy, struct json_object *departed)
 {
-  struct json_object *id = json_object_object_get (departed, "target");
-  struct json_object *born = json_object_object_get (departed, "born_ms");
+  const char *id
+      = jl_json_text (jl_json_member (departed, "target"), JL_TEXT_SIZE - 1);
+  uint64_t started_ms;
 
-  if (id == NULL || born == NULL || JL_TEST_DISABLED ("left"))
+  if (id == NULL || JL_TEST_DISABLED ("left")
+      || !jl_json_read_integer (jl_json_member (departed, "born_ms"),
+                                G_MAXINT64 - 1, &started_ms))
     return;
-  if (jl_target_restore_departed (&proxy->target, json_object_get_string (id),
-                                  (uint64_t)json_object_get_int64 (born)))
+  if (jl_target_restore_departed (&proxy->target, id, started_ms))
     jl_proxy_target_changed (proxy, "left-before");
 }
 
@@ -220,12 +224,7 @@
                      : 0;
 
   for (size_t i = 0; i < count; i++)
-    {
-      struct json_object *departed = json_object_array_get_idx (list, i);
-
-      if (json_object_is_type (departed, json_type_object))
-        restore_departed (proxy, departed);
-    }
+    restore_departed (proxy, json_object_array_get_idx (list, i));
   jl_learned_restore (proxy, json_object_object_get (document, "calls"));
   json_object_put (document);
   if (proxy->departed_row_acknowledged)
--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -538,6 +538,52 @@
   rig_run (rig, 300);
 }
 
+Test (odd_rows, an_odd_entry_of_a_departed_target_keeps_no_target_out)
+{
+  static const char *const odd[] = { "-1",
+                                     "-9223372036854775808",
+                                     "1e30",
+                                     "1e999",
+                                     "9223372036854775807",
+                                     "1000000000000000000000000000000",
+                                     "\"9\"",
+                                     "[]",
+                                     "{}",
+                                     "true" };
+  GString *row = g_string_new ("{\"left\":[");
+  struct rig rig;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (odd); i++)
+    g_string_append_printf (row, "{\"target\":\"t1\",\"born_ms\":%s},", odd[i]);
+  g_string_append (row, "{\"target\":\"t0\",\"born_ms\":5}]}");
+  start_with_target_row (&rig, 111, row->str);
+  rig_heartbeat (&rig, "t0", 5, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  rig_heartbeat (&rig, "t1", 7, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_UP);
+  g_string_free (row, TRUE);
+}
+
+Test (odd_rows, odd_entries_of_departed_targets_displace_no_sound_one)
+{
+  GString *row = g_string_new ("{\"left\":[{\"target\":\"t0\",\"born_ms\":5}");
+  char *long_id = quote (2 * JL_TEXT_SIZE);
+  char *deep = nest (SOME_LEVELS / 2);
+  const char *const odd[] = { "\"\"", "7", "{}", deep, long_id };
+  struct rig rig;
+
+  for (unsigned i = 0; i < 20; i++)
+    g_string_append_printf (row, ",{\"target\":%s,\"born_ms\":%u}",
+                            odd[i % G_N_ELEMENTS (odd)], 6 + i);
+  g_string_append (row, "]}");
+  start_with_target_row (&rig, 112, row->str);
+  rig_heartbeat (&rig, "t0", 5, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  g_free (deep);
+  g_free (long_id);
+  g_string_free (row, TRUE);
+}
+
 /* The sound entry of a row stands behind an odd member. */
 Test (odd_rows, a_departed_target_is_known_although_the_row_is_odd)
 {
