Take no odd entry of the learned calls

What callers saw: after a start, requests planned by calls that nobody makes.

Cause: numbers of any type were converted, and odd entries counted.

Evidence: odd_entries_of_learned_calls_are_not_believed failed with "(fanout_count) == (1) is false" and the sound entry missing. Now an entry holds only whole numbers in range, and 32 sound ones are read.

--- a/source/proxy/learned.c
+++ b/source/proxy/learned.c
@@ -5,6 +5,7 @@
 
 #include "proxy/learned.h"
 
+#include "json.h"
 #include "proxy/hooks.h"
 
 #include <math.h>
@@ -17,7 +18,7 @@
  * 1000 runs. */
 #define ENTRY_NUMBERS 3
 /* Most calls that a run can make. */
-#define CALLS_MAX 100.0
+#define CALLS_MAX 100
 
 /* Whether no other daemon of the same service in the zone comes before this
  * one. */
@@ -76,41 +77,57 @@
   return list;
 }
 
+/* Reads number @index of an entry, from 1 to @max. */
+static bool
+read_number (struct json_object *numbers,
+             size_t index,
+             uint64_t max,
+             uint64_t *number)
+{
+  return jl_json_read_integer (json_object_array_get_idx (numbers, index), max,
+                               number)
+         && *number > 0;
+}
+
 /* Returns false if an entry of a row is malformed. */
 static bool
 read_entry (struct json_object *numbers, struct jl_fanout_entry *entry)
 {
-  double calls;
+  uint64_t run;
+  uint64_t call;
+  uint64_t calls_milli;
 
   if (!json_object_is_type (numbers, json_type_array)
-      || json_object_array_length (numbers) != ENTRY_NUMBERS)
+      || json_object_array_length (numbers) != ENTRY_NUMBERS
+      || !read_number (numbers, 0, UINT32_MAX, &run)
+      || !read_number (numbers, 1, UINT32_MAX, &call)
+      || !read_number (numbers, 2, CALLS_MAX * 1000, &calls_milli))
     return false;
-  entry->run = (uint32_t)json_object_get_int64 (
-      json_object_array_get_idx (numbers, 0));
-  entry->call = (uint32_t)json_object_get_int64 (
-      json_object_array_get_idx (numbers, 1));
-  calls
-      = json_object_get_double (json_object_array_get_idx (numbers, 2)) / 1000;
-  entry->calls = calls;
-  return calls > 0 && calls <= CALLS_MAX;
+  entry->run = (uint32_t)run;
+  entry->call = (uint32_t)call;
+  entry->calls = (double)calls_milli / 1000;
+  return true;
 }
 
 void
 jl_learned_restore (struct jl_proxy *proxy, struct json_object *list)
 {
   unsigned restored = 0;
+  unsigned read = 0;
   size_t count;
 
   if (!json_object_is_type (list, json_type_array)
       || JL_TEST_DISABLED ("learned"))
     return;
-  count = MIN (json_object_array_length (list), JL_MEMBER_FANOUT_MAX);
-  for (size_t i = 0; i < count; i++)
+  count = json_object_array_length (list);
+  for (size_t i = 0; i < count && read < JL_MEMBER_FANOUT_MAX; i++)
     {
       struct jl_fanout_entry entry;
 
-      if (read_entry (json_object_array_get_idx (list, i), &entry))
-        restored += jl_fanout_restore (&proxy->fanout, &entry);
+      if (!read_entry (json_object_array_get_idx (list, i), &entry))
+        continue;
+      read++;
+      restored += jl_fanout_restore (&proxy->fanout, &entry);
     }
   if (restored == 0)
     return;
--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -599,6 +599,27 @@
   g_free (deep);
 }
 
+Test (odd_rows, odd_entries_of_learned_calls_are_not_believed)
+{
+  static const char *const odd[]
+      = { "[-1,-1,4000]",         "[1e30,22,4000]",   "[11,1e999,4000]",
+          "[4294967307,22,4000]", "[\"11\",22,4000]", "[null,null,4000]",
+          "[11,22,1e999]",        "[11,22,-4000]",    "[11,22,\"4000\"]",
+          "[11,22,4000,5]",       "[[],{},4000]",     "[0,0,4000]",
+          "[true,true,4000]",     "[1.5,2.5,4000]" };
+  GString *row = g_string_new ("{\"left\":[],\"calls\":[");
+  struct rig rig;
+
+  for (unsigned i = 0; i < 4 * G_N_ELEMENTS (odd); i++)
+    g_string_append_printf (row, "%s,", odd[i % G_N_ELEMENTS (odd)]);
+  g_string_append (row, "[33,44,3000]]}");
+  start_with_target_row (&rig, 114, row->str);
+  cr_expect_eq (rig.proxy->self->fanout_count, 1);
+  cr_expect_eq (rig.proxy->self->fanout[0].run, 33);
+  cr_expect_eq (rig.proxy->self->fanout[0].call, 44);
+  g_string_free (row, TRUE);
+}
+
 Test (odd_rows, a_configuration_with_an_odd_unknown_field_is_in_force)
 {
   char **odd = odd_values ();
