Take no odd entry of the row of refused contents

What callers saw: nothing yet. Of contents that are no identity ("x", "-1", a number) and of ends with odd numbers, 11 were held for contents that end targets; one whose end lies in the year 287396, or before 1970, counted as of now each time that a daemon read it, so it would have been refused for ever. A sound content after 16 odd ones was not read, and a request that ends targets was then tried on more of them (BUDGET).

Cause: identities were read up to the first letter that is no digit, numbers of any type were cast unchecked, and odd entries counted against the bounds.

Evidence: odd_entries_of_refused_contents_are_not_believed failed with "11 open" and the sound content missing. Now an entry holds an identity of 16 digits, and an end whole numbers in range and a time no further in the future than ends count; only sound ones count against the bounds.

--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -11,7 +11,6 @@
 #include "proxy/learned.h"
 #include "proxy/report.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 /* Tables of the store: the operators' configuration; the endpoint of each
@@ -26,6 +25,8 @@
 #define REFUSED_PREFIX "refused/"
 /* Maximum number of contents in such a row. */
 #define REFUSED_CONTENTS_MAX 16
+/* Length of the identity of a content in such a row. */
+#define CONTENT_DIGITS 16
 /* Time for which a long poll of the store waits for a change. The first
  * follower waits for a configuration as long as proxy/freshness.h says.
  */
@@ -117,54 +118,97 @@
   return (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
 }
 
-/* Applies one end of a target during a trial, "[target, wall clock, inferred,
- * service]". Older daemons write no service. */
-static void
-restore_end (struct jl_proxy *proxy, uint64_t content, struct json_object *end)
+/* Reads when an end was, as time on this machine. Returns false if it does not
+ * count any more, or is as far in the future: clocks of machines differ. */
+static bool
+read_end_time (const struct jl_proxy *proxy,
+               struct json_object *value,
+               uint64_t *at_us)
 {
+  uint64_t expiry_us = proxy->suspects.limits.expiry_us;
   uint64_t now_us = jl_now ();
   uint64_t now_ms = wall_clock_ms ();
   uint64_t ended_ms;
   uint64_t age_us;
-  struct jl_report report = {
-    .kind = JL_REPORT_STRIKE,
-    .trial = true,
-    .count = 1,
-    .contents = &content,
-  };
+
+  if (!jl_json_read_integer (value, JL_JSON_INTEGER_MAX, &ended_ms)
+      || ended_ms > now_ms + expiry_us / JL_USEC_PER_MSEC)
+    return false;
+  age_us = now_ms > ended_ms ? (now_ms - ended_ms) * JL_USEC_PER_MSEC : 0;
+  *at_us = now_us > age_us ? now_us - age_us : 1;
+  return age_us <= expiry_us;
+}
+
+/* Reads an end of a target during a trial, "[target, wall clock, inferred,
+ * service]". Older daemons write no service. Returns false if it is malformed
+ * or does not count any more. */
+static bool
+read_end (const struct jl_proxy *proxy,
+          struct json_object *end,
+          struct jl_report *report)
+{
+  struct json_object *inferred;
+  uint64_t target;
+  uint64_t service = JL_ANY_SERVICE;
 
   if (!json_object_is_type (end, json_type_array)
       || json_object_array_length (end) < 3)
-    return;
-  report.inferred
-      = json_object_get_boolean (json_object_array_get_idx (end, 2));
-  report.target
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (end, 0));
-  report.service
-      = (uint32_t)json_object_get_int64 (json_object_array_get_idx (end, 3));
-  ended_ms
-      = (uint64_t)json_object_get_int64 (json_object_array_get_idx (end, 1));
-  age_us = now_ms > ended_ms ? (now_ms - ended_ms) * JL_USEC_PER_MSEC : 0;
-  if (age_us > proxy->suspects.limits.expiry_us)
-    return;
-  report.at_us = now_us > age_us ? now_us - age_us : 1;
-  jl_report_apply (proxy, &report, "store");
+    return false;
+  inferred = json_object_array_get_idx (end, 2);
+  if (!jl_json_read_integer (json_object_array_get_idx (end, 0), UINT32_MAX,
+                             &target)
+      || !read_end_time (proxy, json_object_array_get_idx (end, 1),
+                         &report->at_us)
+      || !json_object_is_type (inferred, json_type_boolean)
+      || (json_object_array_length (end) > 3
+          && !jl_json_read_integer (json_object_array_get_idx (end, 3),
+                                    UINT32_MAX, &service)))
+    return false;
+  report->target = (uint32_t)target;
+  report->service = (uint32_t)service;
+  report->inferred = json_object_get_boolean (inferred);
+  return true;
 }
 
-static void
+/* Reads an identity of a content, of 16 hexadecimal digits. */
+static bool
+read_content (struct json_object *value, uint64_t *content)
+{
+  const char *text = jl_json_text (value, CONTENT_DIGITS);
+
+  return text != NULL && strspn (text, "0123456789abcdef") == CONTENT_DIGITS
+         && g_ascii_string_to_unsigned (text, 16, 1, G_MAXUINT64, content,
+                                        NULL);
+}
+
+/* Applies the ends by one content. Returns whether there is any. */
+static bool
 restore_refused (struct jl_proxy *proxy, struct json_object *refused)
 {
-  struct json_object *content = json_object_object_get (refused, "content");
-  struct json_object *ends = json_object_object_get (refused, "ends");
+  struct json_object *ends = jl_json_member (refused, "ends");
   size_t count = json_object_is_type (ends, json_type_array)
                      ? json_object_array_length (ends)
                      : 0;
+  unsigned applied = 0;
+  uint64_t content;
 
-  if (!json_object_is_type (content, json_type_string))
-    return;
-  for (size_t i = 0; i < MIN (count, JL_STRIKES_MAX); i++)
-    restore_end (proxy, strtoull (json_object_get_string (content), NULL, 16),
-                 json_object_array_get_idx (ends, i));
+  if (!read_content (jl_json_member (refused, "content"), &content))
+    return false;
+  for (size_t i = 0; i < count && applied < JL_STRIKES_MAX; i++)
+    {
+      struct jl_report report = {
+        .kind = JL_REPORT_STRIKE,
+        .trial = true,
+        .count = 1,
+        .contents = &content,
+      };
+
+      if (!read_end (proxy, json_object_array_get_idx (ends, i), &report))
+        continue;
+      applied++;
+      jl_report_apply (proxy, &report, "store");
+    }
+  return applied > 0;
 }
 
 /* Applies the refused contents that a daemon has written, and tells them to the
@@ -178,16 +222,12 @@
   size_t count = json_object_is_type (list, json_type_array)
                      ? json_object_array_length (list)
                      : 0;
+  unsigned restored = 0;
 
-  for (size_t i = 0; i < MIN (count, REFUSED_CONTENTS_MAX); i++)
-    {
-      struct json_object *refused = json_object_array_get_idx (list, i);
-
-      if (json_object_is_type (refused, json_type_object))
-        restore_refused (proxy, refused);
-    }
+  for (size_t i = 0; i < count && restored < REFUSED_CONTENTS_MAX; i++)
+    restored += restore_refused (proxy, json_object_array_get_idx (list, i));
   json_object_put (document);
-  if (count > 0 && proxy->follows_store)
+  if (restored > 0 && proxy->follows_store)
     jl_news_send_open (proxy->news, NULL, true);
   if (proxy->refused_row_pending
       && strcmp (row->key + strlen (REFUSED_PREFIX), proxy->options->name) == 0)
--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -620,6 +620,72 @@
   g_string_free (row, TRUE);
 }
 
+/* Puts a row of refused contents and starts a daemon. */
+static void
+start_with_refused (struct rig *rig, unsigned host, const char *list)
+{
+  char *row = g_strdup_printf ("{\"refused\":[%s]}", list);
+
+  rig_prepare (rig, host);
+  fake_store_put (&rig->store, "daemons", "refused/d7", row);
+  rig_start (rig);
+  rig_run (rig, 1000);
+  g_free (row);
+}
+
+Test (odd_rows, odd_entries_of_refused_contents_are_not_believed)
+{
+  int64_t now_ms = g_get_real_time () / 1000;
+  GString *list = g_string_new ("");
+  const char *const contents[] = { "\"x\"",
+                                   "\"\"",
+                                   "\"-1\"",
+                                   "7",
+                                   "{}",
+                                   "\"0000000000000000\"",
+                                   "\"ffffffffffffffffffff\"",
+                                   "\"12 \"" };
+  const char *const ends[] = {
+    "[7,-1,false,1]",
+    "[7,9007199254740991,false,1]",
+    "[7,1e30,false,1]",
+    "[7,1e999,false,1]",
+    "[-1,%" PRId64 ",false,1]",
+    "[1e999,%" PRId64 ",false,1]",
+    "[4294967296,%" PRId64 ",false,1]",
+    "[\"7\",%" PRId64 ",false,1]",
+    "[7,\"%" PRId64 "\",false,1]",
+    "[7,%" PRId64 ",false,-1]",
+    "[7,%" PRId64 ",false,\"s\"]",
+    "[7,%" PRId64 ",[],1]",
+  };
+  struct rig rig;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (contents); i++)
+    g_string_append_printf (
+        list, "{\"content\":%s,\"ends\":[[7,%" PRId64 ",false,1]]},",
+        contents[i], now_ms);
+  for (unsigned i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      g_string_append_printf (list,
+                              "{\"content\":\"00000001000000%02x\","
+                              "\"ends\":[",
+                              i + 1);
+      /* NOLINTNEXTLINE(clang-diagnostic-format-nonliteral) */
+      g_string_append_printf (list, ends[i], now_ms);
+      g_string_append (list, "]},");
+    }
+  g_string_append_printf (list,
+                          "{\"content\":\"00000002000000ff\",\"ends\":["
+                          "7,[7,%" PRId64 ",false,1]]}",
+                          now_ms);
+  start_with_refused (&rig, 115, list->str);
+  cr_expect_not_null (jl_suspects_find (&rig.proxy->suspects, 0x2000000ffULL));
+  cr_expect_eq (rig.proxy->suspects.open_count, 1, "%u open",
+                rig.proxy->suspects.open_count);
+  g_string_free (list, TRUE);
+}
+
 Test (odd_rows, a_configuration_with_an_odd_unknown_field_is_in_force)
 {
   char **odd = odd_values ();
