--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -736,6 +736,33 @@
   g_strfreev (odd);
 }
 
+/* A version has eight hexadecimal digits; a longer one would keep all later
+ * ones from being used. */
+Test (odd_rows, a_configuration_with_a_version_out_of_range_hides_no_later_one)
+{
+  static const char *const versions[]
+      = { "ffffffffffffffff", "7fffffffffffffff", "100000000" };
+  struct rig rig;
+
+  rig_prepare (&rig, 117);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      char *sound = configuration (i + 1, "");
+      char *odd = g_strdup_printf ("{\"version\":\"%s\"%s", versions[i],
+                                   strchr (sound, ','));
+
+      fake_store_put (&rig.store, "op", "config", odd);
+      rig_run (&rig, 100);
+      fake_store_put (&rig.store, "op", "config", sound);
+      rig_run (&rig, 100);
+      cr_expect (is_in_force (&rig, i + 1), "%s", versions[i]);
+      g_free (odd);
+      g_free (sound);
+    }
+}
+
 /* Decodes a configuration with an unknown field of 1 MB of a repeated text. */
 static void
 expect_decoded_within_memory (const char *repeated, bool in_cell)
