--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -412,6 +412,20 @@
   expect_followed (&rig, "the same page");
 }
 
+/* An answer has named a version that the store has not reached. The store lets
+ * calls for later changes wait. */
+Test (odd_rows, a_version_ahead_of_the_store_ends_no_following)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 118);
+  rig.store.hold_ahead = true;
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  give_answer (&rig, "{\"rows\":[],\"ver\":4000000000}", 100);
+  expect_followed (&rig, "after a version ahead");
+}
+
 /* Returns a document with the member @name of an odd value. */
 static char *
 with_member (const char *name, const char *odd, const char *rest)
@@ -469,6 +483,65 @@
   g_strfreev (odd);
 }
 
+/* A row names as the address of another daemon the own one, as after the reuse
+ * of an address, or one that is of no daemon. */
+Test (odd_rows, a_row_with_the_own_address_or_none_of_a_daemon_adds_no_peer)
+{
+  static const char *const peers[]
+      = { "0.0.0.0:17004",   "255.255.255.255:17004", "224.0.0.1:17004",
+          "127.0.0.1:0",     "127.0.0.1:65536",       "127.0.0.1:-1",
+          "127.0.0.1:99999", "127.0.0.1:17004 ",      "240.0.0.1:17004" };
+  char own[JL_ENDPOINT_TEXT_SIZE];
+  struct rig rig;
+
+  rig_prepare (&rig, 109);
+  jl_endpoint_format (rig.options.advertise, own);
+  for (unsigned i = 0; i <= G_N_ELEMENTS (peers); i++)
+    {
+      char *key = g_strdup_printf ("bogus%u", i);
+      char *value = g_strdup_printf ("{\"peer\":\"%s\",\"zone\":\"z1\"}",
+                                     i < G_N_ELEMENTS (peers) ? peers[i] : own);
+
+      fake_store_put (&rig.store, "daemons", key, value);
+      g_free (value);
+      g_free (key);
+    }
+  fake_store_put (&rig.store, "daemons", "sound", sound_row);
+  rig_start (&rig);
+  rig_run (&rig, 1500);
+  cr_expect (knows (&rig, "sound"));
+  for (unsigned i = 0; i <= G_N_ELEMENTS (peers); i++)
+    {
+      char *key = g_strdup_printf ("bogus%u", i);
+
+      cr_expect_not (knows (&rig, key), "%s",
+                     i < G_N_ELEMENTS (peers) ? peers[i] : own);
+      g_free (key);
+    }
+  cr_expect_eq (rig.proxy->counters.beacons_received, 0);
+}
+
+/* Names of zones have a maximum length. A longer one was a new zone each time
+ * that it was read. */
+Test (odd_rows, a_zone_with_a_long_name_adds_no_zone_each_time)
+{
+  char *zone = quote ((size_t)2 * JL_TEXT_SIZE);
+  char *value = with_member ("zone", zone, "\"peer\":\"127.0.0.1:9\"");
+  struct rig rig;
+
+  rig_prepare (&rig, 110);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      fake_store_put (&rig.store, "daemons", "d7", value);
+      rig_run (&rig, 200);
+    }
+  cr_expect_leq (rig.proxy->roster.zones->len, 1);
+  g_free (value);
+  g_free (zone);
+}
+
 /* Starts a daemon whose earlier incarnation seems to have written a row of its
  * target. */
 static void
@@ -480,6 +553,52 @@
   rig_run (rig, 300);
 }
 
+Test (odd_rows, an_odd_entry_of_a_departed_target_keeps_no_target_out)
+{
+  static const char *const odd[] = { "-1",
+                                     "-9223372036854775808",
+                                     "1e30",
+                                     "1e999",
+                                     "9223372036854775807",
+                                     "1000000000000000000000000000000",
+                                     "\"9\"",
+                                     "[]",
+                                     "{}",
+                                     "true" };
+  GString *row = g_string_new ("{\"left\":[");
+  struct rig rig;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (odd); i++)
+    g_string_append_printf (row, "{\"target\":\"t1\",\"born_ms\":%s},", odd[i]);
+  g_string_append (row, "{\"target\":\"t0\",\"born_ms\":5}]}");
+  start_with_target_row (&rig, 111, row->str);
+  rig_heartbeat (&rig, "t0", 5, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  rig_heartbeat (&rig, "t1", 7, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_UP);
+  g_string_free (row, TRUE);
+}
+
+Test (odd_rows, odd_entries_of_departed_targets_displace_no_sound_one)
+{
+  GString *row = g_string_new ("{\"left\":[{\"target\":\"t0\",\"born_ms\":5}");
+  char *long_id = quote (2 * JL_TEXT_SIZE);
+  char *deep = nest (SOME_LEVELS / 2);
+  const char *const odd[] = { "\"\"", "7", "{}", deep, long_id };
+  struct rig rig;
+
+  for (unsigned i = 0; i < 20; i++)
+    g_string_append_printf (row, ",{\"target\":%s,\"born_ms\":%u}",
+                            odd[i % G_N_ELEMENTS (odd)], 6 + i);
+  g_string_append (row, "]}");
+  start_with_target_row (&rig, 112, row->str);
+  rig_heartbeat (&rig, "t0", 5, 1);
+  cr_expect_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  g_free (deep);
+  g_free (long_id);
+  g_string_free (row, TRUE);
+}
+
 /* The sound entry of a row stands behind an odd member. */
 Test (odd_rows, a_departed_target_is_known_although_the_row_is_odd)
 {
@@ -495,6 +614,93 @@
   g_free (deep);
 }
 
+Test (odd_rows, odd_entries_of_learned_calls_are_not_believed)
+{
+  static const char *const odd[]
+      = { "[-1,-1,4000]",         "[1e30,22,4000]",   "[11,1e999,4000]",
+          "[4294967307,22,4000]", "[\"11\",22,4000]", "[null,null,4000]",
+          "[11,22,1e999]",        "[11,22,-4000]",    "[11,22,\"4000\"]",
+          "[11,22,4000,5]",       "[[],{},4000]",     "[0,0,4000]",
+          "[true,true,4000]",     "[1.5,2.5,4000]" };
+  GString *row = g_string_new ("{\"left\":[],\"calls\":[");
+  struct rig rig;
+
+  for (unsigned i = 0; i < 4 * G_N_ELEMENTS (odd); i++)
+    g_string_append_printf (row, "%s,", odd[i % G_N_ELEMENTS (odd)]);
+  g_string_append (row, "[33,44,3000]]}");
+  start_with_target_row (&rig, 114, row->str);
+  cr_expect_eq (rig.proxy->self->fanout_count, 1);
+  cr_expect_eq (rig.proxy->self->fanout[0].run, 33);
+  cr_expect_eq (rig.proxy->self->fanout[0].call, 44);
+  g_string_free (row, TRUE);
+}
+
+/* Puts a row of refused contents and starts a daemon. */
+static void
+start_with_refused (struct rig *rig, unsigned host, const char *list)
+{
+  char *row = g_strdup_printf ("{\"refused\":[%s]}", list);
+
+  rig_prepare (rig, host);
+  fake_store_put (&rig->store, "daemons", "refused/d7", row);
+  rig_start (rig);
+  rig_run (rig, 1000);
+  g_free (row);
+}
+
+Test (odd_rows, odd_entries_of_refused_contents_are_not_believed)
+{
+  int64_t now_ms = g_get_real_time () / 1000;
+  GString *list = g_string_new ("");
+  const char *const contents[] = { "\"x\"",
+                                   "\"\"",
+                                   "\"-1\"",
+                                   "7",
+                                   "{}",
+                                   "\"0000000000000000\"",
+                                   "\"ffffffffffffffffffff\"",
+                                   "\"12 \"" };
+  const char *const ends[] = {
+    "[7,-1,false,1]",
+    "[7,9007199254740991,false,1]",
+    "[7,1e30,false,1]",
+    "[7,1e999,false,1]",
+    "[-1,%" PRId64 ",false,1]",
+    "[1e999,%" PRId64 ",false,1]",
+    "[4294967296,%" PRId64 ",false,1]",
+    "[\"7\",%" PRId64 ",false,1]",
+    "[7,\"%" PRId64 "\",false,1]",
+    "[7,%" PRId64 ",false,-1]",
+    "[7,%" PRId64 ",false,\"s\"]",
+    "[7,%" PRId64 ",[],1]",
+  };
+  struct rig rig;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (contents); i++)
+    g_string_append_printf (
+        list, "{\"content\":%s,\"ends\":[[7,%" PRId64 ",false,1]]},",
+        contents[i], now_ms);
+  for (unsigned i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      g_string_append_printf (list,
+                              "{\"content\":\"00000001000000%02x\","
+                              "\"ends\":[",
+                              i + 1);
+      /* NOLINTNEXTLINE(clang-diagnostic-format-nonliteral) */
+      g_string_append_printf (list, ends[i], now_ms);
+      g_string_append (list, "]},");
+    }
+  g_string_append_printf (list,
+                          "{\"content\":\"00000002000000ff\",\"ends\":["
+                          "7,[7,%" PRId64 ",false,1]]}",
+                          now_ms);
+  start_with_refused (&rig, 115, list->str);
+  cr_expect_not_null (jl_suspects_find (&rig.proxy->suspects, 0x2000000ffULL));
+  cr_expect_eq (rig.proxy->suspects.open_count, 1, "%u open",
+                rig.proxy->suspects.open_count);
+  g_string_free (list, TRUE);
+}
+
 Test (odd_rows, a_configuration_with_an_odd_unknown_field_is_in_force)
 {
   char **odd = odd_values ();
@@ -545,6 +751,33 @@
   g_strfreev (odd);
 }
 
+/* A version has eight hexadecimal digits; a longer one would keep all later
+ * ones from being used. */
+Test (odd_rows, a_configuration_with_a_version_out_of_range_hides_no_later_one)
+{
+  static const char *const versions[]
+      = { "ffffffffffffffff", "7fffffffffffffff", "100000000" };
+  struct rig rig;
+
+  rig_prepare (&rig, 117);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  for (unsigned i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      char *sound = configuration (i + 1, "");
+      char *odd = g_strdup_printf ("{\"version\":\"%s\"%s", versions[i],
+                                   strchr (sound, ','));
+
+      fake_store_put (&rig.store, "op", "config", odd);
+      rig_run (&rig, 100);
+      fake_store_put (&rig.store, "op", "config", sound);
+      rig_run (&rig, 100);
+      cr_expect (is_in_force (&rig, i + 1), "%s", versions[i]);
+      g_free (odd);
+      g_free (sound);
+    }
+}
+
 /* Decodes a configuration with an unknown field of 1 MB of a repeated text. */
 static void
 expect_decoded_within_memory (const char *repeated, bool in_cell)
