Believe a 421 without an identifier that names another instance

What callers would see: a request that may run once gets 502 in place of being placed again, when its connection turns out to lead to another instance than the one it names, and that instance's 421 names no attempt, as in the platform's examples. Which process is at the other end does not change while a connection lasts, so such a 421 is true of each request that names another instance, whichever request it was written for. One that names the very instance that was asked for promises nothing.

refusal::by_another_instance_needs_no_identifier failed before (502) and passes; by_the_instance_that_was_asked_for_promises_nothing passed before, too.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -63,13 +63,19 @@
                       JL_HEADER_ATTEMPT_ID);
 }
 
+static uint64_t
+hash_text (const char *text)
+{
+  return XXH3_64bits (text, strlen (text));
+}
+
 /* Returns a mark for connections on which the attempt was refused. */
 static uint64_t
 attempt_mark (const struct jl_work *work)
 {
   const char *id = attempt_id (work);
 
-  return id != NULL ? XXH3_64bits (id, strlen (id)) : 0;
+  return id != NULL ? hash_text (id) : 0;
 }
 
 const char *
@@ -227,6 +233,18 @@
          || status == STATUS_UNAVAILABLE;
 }
 
+/* Whether a response says that another instance than the one that the request
+ * names is at the other end of the connection, for which this holds as long as
+ * the connection lasts. */
+static bool
+is_of_other_instance (const struct jl_work *work, const struct jl_head *head)
+{
+  const char *instance = jl_head_get (head, JL_HEADER_INSTANCE_ID);
+
+  return head->status == STATUS_MISDIRECTED && instance != NULL
+         && hash_text (instance) != work->target_hash;
+}
+
 /* Returns how certain it is that the response belongs to this request: the
  * target has to echo the attempt identifier if the request has one. A target
  * may refuse without reading the identifier, but on a connection that has
@@ -244,6 +262,8 @@
     return strcmp (asked, echoed) == 0 ? MATCH_OWN : MATCH_FOREIGN;
   if (!target_did_not_run (head))
     return MATCH_FOREIGN;
+  if (is_of_other_instance (work, head))
+    return MATCH_OWN;
   return jl_upstream_is_reused (work->relay.upstream) ? MATCH_UNKNOWN
                                                       : MATCH_OWN;
 }
@@ -457,6 +477,7 @@
    * told from that of the request. */
   if (attempt_id (work) == NULL)
     work->fresh_connection = true;
+  work->target_hash = hash_text (proxy->target.last.id);
   work->running = true;
   work->started_us = now_us;
   jl_trial_started (work);
--- a/tests/proxy/refusal.c
+++ b/tests/proxy/refusal.c
@@ -19,6 +19,9 @@
 #define ANONYMOUS_REFUSAL                                                      \
   "HTTP/1.1 503 Service Unavailable\r\nX-Jackdawladder-Not-Executed: 1\r\n"    \
   "Content-Length: 0\r\n\r\n"
+#define MISDIRECTED(instance)                                                  \
+  "HTTP/1.1 421 Misdirected Request\r\nX-Jackdawladder-Instance-Id: " instance \
+  "\r\nContent-Length: 0\r\n\r\n"
 #define SUCCESS(id)                                                            \
   "HTTP/1.1 200 OK\r\nX-Jackdawladder-Attempt-Id: " id                         \
   "\r\nContent-Length: 2\r\n\r\nok"
@@ -219,6 +222,30 @@
                 "the connection on which b may still be answered is used");
 }
 
+Test (refusal, by_another_instance_needs_no_identifier)
+{
+  struct play play;
+  const char *received;
+
+  begin (&play, 21);
+  serve_work (&play);
+  received = answer (&play, MISDIRECTED ("i-9"), send_work (&play, "b"));
+  cr_assert (g_str_has_prefix (received, "HTTP/1.1 503"), "%s", received);
+  cr_assert_not_null (strstr (received, JL_OUTCOME_FIELD ": not-run"), "%s",
+                      received);
+}
+
+Test (refusal, by_the_instance_that_was_asked_for_promises_nothing)
+{
+  struct play play;
+  const char *received;
+
+  begin (&play, 22);
+  serve_work (&play);
+  received = answer (&play, MISDIRECTED ("i-1"), send_work (&play, "b"));
+  cr_assert (g_str_has_prefix (received, "HTTP/1.1 502"), "%s", received);
+}
+
 Test (refusal, without_an_identifier_on_a_new_connection_is_believed)
 {
   struct play play;
