--- a/source/proxy/learned.c
+++ b/source/proxy/learned.c
@@ -18,7 +18,7 @@
  * 1000 runs. */
 #define ENTRY_NUMBERS 3
 /* Most calls that a run can make. */
-#define CALLS_MAX 100
+#define CALLS_MAX UINT64_C (100)
 
 /* Whether no other daemon of the same service in the zone comes before this
  * one. */
--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -10,6 +10,7 @@
 #include <sys/resource.h>
 
 #include "decode.h"
+#include "json.h"
 #include "proxy/parts/rig.h"
 
 /* Time within which a configuration must be in force, and time given to the
@@ -24,6 +25,9 @@
 #define MANY_LEVELS 20000
 /* Maximum size of a document in the store. */
 #define DOCUMENT_BYTES_MAX ((size_t)1 << 20)
+#define SPOILED_DOCUMENTS 20000
+/* Version that raw_row() gives to its rows. */
+#define OWN_ROW_VERSION 3
 /* Memory that a daemon may use. */
 #define MEMORY_KB_MAX (256L << 10)
 
@@ -567,7 +571,7 @@
 Test (odd_rows, odd_entries_of_departed_targets_displace_no_sound_one)
 {
   GString *row = g_string_new ("{\"left\":[{\"target\":\"t0\",\"born_ms\":5}");
-  char *long_id = quote (2 * JL_TEXT_SIZE);
+  char *long_id = quote ((size_t)2 * JL_TEXT_SIZE);
   char *deep = nest (SOME_LEVELS / 2);
   const char *const odd[] = { "\"\"", "7", "{}", deep, long_id };
   struct rig rig;
@@ -845,3 +849,99 @@
     }
   g_strfreev (odd);
 }
+
+/* Letters that mean something in JSON are texts within strings. */
+Test (odd_rows, what_is_known_is_kept_as_it_is)
+{
+  static const char *const names[] = { "a", "b", "rows", NULL };
+  static const char *const texts[][2] = {
+    { "{\"a\":\"]},{[\\\\\",\"b\":[1,\"\\\"\",{\"a\":null}]}",
+      "{\"a\":\"]},{[\\\\\",\"b\":[1,\"\\\"\",{\"a\":null}]}" },
+    { "{\"x\":\"}\\\"]\",\"a\":1 , \"y\" : [ { \"a\" : 2 } ] ,\"b\":2}",
+      "{\"\":null,\"a\":1,\"b\":2}" },
+    { " [ \"x\" , {\"x\":[\"y\",{}],\"b\":\"x\"} ] ",
+      "[\"x\",{\"\":null,\"b\":\"x\"}]" },
+    { "{\"rows\":[{\"a\":{\"b\":[]}},{\"a\":7}]}",
+      "{\"rows\":[{\"a\":{\"b\":[]}},{\"a\":7}]}" },
+    { "{\"a\":[[[[[[1]]]]],2],\"b\":3}", "{\"a\":[[[[[null]]]],2],\"b\":3}" },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      struct json_object *document
+          = jl_json_parse (texts[i][0], strlen (texts[i][0]), names);
+
+      cr_assert_str_eq (
+          json_object_to_json_string_ext (document, JSON_C_TO_STRING_PLAIN),
+          texts[i][1]);
+      json_object_put (document);
+    }
+}
+
+/* Documents that are cut short or changed anywhere. */
+Test (odd_rows, spoiled_documents_end_nothing)
+{
+  static const char letters[] = "{}[],:\"\\01-e.nx \n";
+  char *sound = configuration (2, "\"other\":[{\"a\":[\"\\\\\\\"\",{}]}],");
+  size_t size = strlen (sound);
+
+  g_random_set_seed (118);
+  for (unsigned i = 0; i < SPOILED_DOCUMENTS; i++)
+    {
+      size_t length = (size_t)g_random_int_range (0, (gint32)size + 1);
+      char *text = g_strdup (sound);
+
+      for (int j = g_random_int_range (0, 5); j > 0; j--)
+        text[g_random_int_range (0, (gint32)size)]
+            = letters[g_random_int_range (0, sizeof letters)];
+      /* An exact copy, so that a read beyond the end is seen. */
+      text = g_realloc (text, MAX (length, 1));
+      jl_site_drop (jl_platform_decode_site (text, length, NULL));
+      g_free (text);
+    }
+  g_free (sound);
+}
+
+/* An odd row stands under the daemon's own name when it starts. */
+Test (odd_rows, an_odd_own_row_is_replaced_at_the_start)
+{
+  char *deep = nest (MANY_LEVELS);
+  char *long_text = quote (100000);
+  const char *const odd[] = { "7", "1e999", deep, long_text, "\"%%%\"", "{}" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      char *raw = raw_row ("daemons", "d5", "", "value", odd[i]);
+      struct rig rig;
+
+      rig_prepare (&rig, 119);
+      rig.store.version = OWN_ROW_VERSION - 1;
+      fake_store_put_raw (&rig.store, "daemons", "d5", raw);
+      rig_start (&rig);
+      rig_run (&rig, 700);
+      cr_expect_neq (strlen (fake_store_get (&rig.store, "daemons", "d5")), 0,
+                     "%.60s", odd[i]);
+      cr_expect_leq (rig.store.writes, 2, "%u writes", rig.store.writes);
+      g_free (raw);
+    }
+  g_free (long_text);
+  g_free (deep);
+}
+
+/* The settings are read by a strict reader, which refuses what is odd. */
+Test (odd_rows, odd_settings_are_refused)
+{
+  char **odd = odd_values ();
+
+  for (unsigned j = 0; odd[j] != NULL; j++)
+    {
+      char *text = g_strdup_printf ("{\"name\":%s}", odd[j]);
+      GError *error = NULL;
+
+      cr_expect_null (jl_options_parse (text, strlen (text), &error));
+      cr_expect_not_null (error);
+      g_clear_error (&error);
+      g_free (text);
+    }
+  g_strfreev (odd);
+}
