Refuse beacons whose port is out of range

What callers saw: nothing yet. A beacon with the port 65545 was taken for one of a daemon at port 9, to which requests were then sent.

Cause: the port is 32 bits wide on the wire and was cut to 16.

Evidence: a_beacon_with_a_port_out_of_range_adds_no_daemon failed for each of its four ports. JSON is read nowhere between daemons but in the configuration itself, which goes through the same decoder; beacons, digests and reports have fixed bounds (edges, digest).

--- a/source/proxy/announce.c
+++ b/source/proxy/announce.c
@@ -357,7 +357,8 @@
 {
   return (message->format == JL_FORMAT_BEACON
           || message->format == JL_FORMAT_BRIEF)
-         && message->state <= JL_TARGET_DOWN && message->name[0] != '\0';
+         && message->state <= JL_TARGET_DOWN && message->port <= UINT16_MAX
+         && message->name[0] != '\0';
 }
 
 struct jl_applied
--- a/tests/proxy/edges.c
+++ b/tests/proxy/edges.c
@@ -11,6 +11,7 @@
 
 #include "proxy/announce.h"
 #include "proxy/parts/rig.h"
+#include "rpc/gen/beacon.h"
 
 #define REQUEST "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 #define DATAGRAMS 4000
@@ -163,6 +164,52 @@
   rig_heartbeat (&rig, "i-1", 1, 1);
 }
 
+static size_t
+encode_beacon (const char *name, unsigned port, char *datagram)
+{
+  struct beacon_message message = {
+    .format = JL_FORMAT_BEACON,
+    .name = (char *)name,
+    .zone = "z1",
+    .service = "front",
+    .target = "t",
+    .ip = INADDR_LOOPBACK,
+    .port = port,
+    .epoch = 1,
+    .sequence = 1,
+    .state = JL_TARGET_UP,
+  };
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, JL_DATAGRAM_BYTES_MAX, XDR_ENCODE);
+  cr_assert (xdr_beacon_message (&xdr, &message));
+  return xdr_getpos (&xdr);
+}
+
+/* A port was cut to 16 bits, so that 65545 was port 9. */
+Test (edges, a_beacon_with_a_port_out_of_range_adds_no_daemon)
+{
+  static const unsigned ports[] = { 65536, 65545, 99999, UINT32_MAX, 9 };
+  struct rig rig;
+  int fd;
+
+  rig_prepare (&rig, 99);
+  rig_start (&rig);
+  fd = rig_open_datagrams (&rig, OTHER_PORT);
+  for (unsigned i = 0; i < G_N_ELEMENTS (ports); i++)
+    {
+      char *name = g_strdup_printf ("d%u", 10 + i);
+      char bytes[JL_DATAGRAM_BYTES_MAX];
+
+      rig_send_datagram (&rig, fd, bytes,
+                         encode_beacon (name, ports[i], bytes));
+      rig_run (&rig, 50);
+      cr_expect_eq (g_hash_table_contains (rig.proxy->roster.by_name, name),
+                    ports[i] == 9, "port %u", ports[i]);
+      g_free (name);
+    }
+}
+
 /* Requests at all ports, cut short or changed anywhere. */
 Test (edges, spoiled_requests_end_nothing)
 {
