--- a/tests/proxy/odd-rows.c
+++ b/tests/proxy/odd-rows.c
@@ -12,6 +12,7 @@
 #include "decode.h"
 #include "json.h"
 #include "proxy/parts/rig.h"
+#include "proxy/rows.h"
 
 /* Time within which a configuration must be in force, and time given to the
  * rows of daemons, which are read in batches. */
@@ -945,3 +946,25 @@
     }
   g_strfreev (odd);
 }
+
+/* The store refuses each write, and names a version of the row that is not the
+ * one that it expects. */
+Test (odd_rows, an_odd_version_in_a_refusal_makes_no_flood_of_writes)
+{
+  char *raw
+      = raw_row ("daemons", "refused/d5", "{\"refused\":[]}", "ver", "\"x\"");
+  struct rig rig;
+  unsigned calls;
+
+  rig_prepare (&rig, 120);
+  rig_start (&rig);
+  rig_run (&rig, 700);
+  fake_store_put_raw (&rig.store, "daemons", "refused/d5", raw);
+  rig_run (&rig, 300);
+  calls = rig.store.calls;
+  jl_rows_write_refused (rig.proxy);
+  rig_run (&rig, 500);
+  cr_expect_leq (rig.store.calls - calls, FAILING_CALLS_MAX, "%u calls",
+                 rig.store.calls - calls);
+  g_free (raw);
+}
