--- a/Makefile
+++ b/Makefile
@@ -126,6 +126,10 @@
 $(BUILD)/scripted-run: $(call OBJECT,$(SCRIPTED_SOURCES) $(SUPPORT_SOURCES)) $(LIBRARY)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
 
+$(BUILD)/fuzz/http: $(BUILD)/tests/fuzz/http.o $(call OBJECT,$(wildcard source/net/*.c)) $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) $^ -lhttp_parser $(LIBS) -o $@
+
 $(BUILD)/fuzz/%: $(BUILD)/tests/fuzz/%.o $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) $^ $(LIBS) -o $@
