Give no request of a client the configuration in place of an answer

A client's request for /jl/site on a route whose prefix holds it got 200 with the daemon's configuration and without the target's seal, and no target had it.

Cause: the guard tells requests of daemons for the configuration by their path alone. Those have no Jl-Work field, and what an entry sends always has one. The test failed before: the client got the configuration.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -592,7 +592,8 @@
   const struct jl_head *head = jl_request_head (request);
   struct jl_work *work;
 
-  if (strcmp (jl_head_target (head), JL_SITE_PATH) == 0)
+  if (strcmp (jl_head_target (head), JL_SITE_PATH) == 0
+      && jl_head_get (head, JL_WORK_FIELD) == NULL)
     {
       jl_sync_reply (proxy, request);
       return;
--- a/tests/proxy/spelling.c
+++ b/tests/proxy/spelling.c
@@ -514,3 +514,14 @@
             play.response->str);
       }
 }
+
+Test (spelling, a_request_for_the_path_of_the_configuration_goes_to_the_target)
+{
+  struct play play;
+
+  start (&play, 236);
+  exchange (&play, "GET " JL_SITE_PATH " HTTP/1.1\r\nHost: a\r\n" ID "\r\n", 1);
+  cr_assert_not_null (strstr (play.response->str, "Server-Seal: s"), "%s",
+                      play.response->str);
+  cr_assert_gt (play.requests->len, 0);
+}
