Soak: heartbeats without a start time, odd rows beside the configuration, cuts between daemons

Heartbeats of the users' targets carry no start time, those of the soak's all did, so the soak could not see a late heartbeat take the place of the present target.

odd_rows writes to the operator's table, too: a sound configuration without routes under keys that only begin like the right one, and in another part; rows of another part; rows with further, deeply nested fields; addresses of the daemons themselves. The stand-in of the store keeps rows of a part apart, and tells of all parts in its feed, as the users' store does.

peer_cut: a part of what a daemon sends to another one passes before the connection is closed in order.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,7 +15,7 @@
                "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
                "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
 LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent", "peer_links_silent",
-               "refusal_again", "strange_heartbeat", "odd_rows", "head_cut"]
+               "refusal_again", "strange_heartbeat", "odd_rows", "head_cut", "peer_cut"]
 # Names of lists of kinds.
 KINDS_BY_NAME = {"early": EARLY_KINDS, "all": EARLY_KINDS + LATER_KINDS}
 # Kinds of faults that impair no single daemon.
@@ -152,10 +152,12 @@
     async def do_odd_rows(self, daemon, duration_s):
         """Another writer puts odd rows into the store; in half of the cases a daemon starts meanwhile."""
         names = [other.name for other in self.daemons]
+        peers = [other.advertise for other in self.daemons]
         if self.random.random() < 0.5:
             daemon.signal(signal.SIGKILL)
         for _ in range(self.random.randint(1, ODD_ROWS_MAX)):
-            self.store.put(*make_row(self.random, names))
+            table, key, value, part, more = make_row(self.random, names, peers)
+            self.store.put(table, key, value, part, **more)
             await asyncio.sleep(duration_s / ODD_ROWS_MAX)
 
     async def apply_relay_fault(self, relay, name, value, duration_s):
@@ -175,6 +177,9 @@
     async def do_peer_one_way(self, daemon, duration_s):
         await self.apply_relay_fault(daemon.peer_relay, "one_way", True, duration_s)
 
+    async def do_peer_cut(self, daemon, duration_s):
+        await self.apply_relay_fault(daemon.peer_relay, "cut_ratio", 0.1, duration_s)
+
     async def do_store_cut(self, daemon, duration_s):
         daemon.store_relay.reset_all()
         await self.apply_relay_fault(daemon.store_relay, "refuse", True, duration_s)
--- a/tests/soak/odd.py
+++ b/tests/soak/odd.py
@@ -1,16 +1,24 @@
 """Heartbeats and rows of the store that no daemon or target of the site has written."""
 
 import base64
+import json
 import time
 
 INVENTED_SERVICE = "stranger"
 DEEP = 20000
+# How much more often a value is the address of a daemon than each other one.
+PEERS_WEIGHT = 4
 # JSON values of wrong types and sizes.
 VALUES = ['""', "0", "-1", "1e999", "-1e999", "1" + "0" * 30, "Infinity", "null", "true", "[]", "{}", "[null]",
           '[{"target":[],"born_ms":{}}]', '"' + "x" * 5000 + '"', '"127.0.0.1:99999"', '"127.0.0.1:-1"',
           '"127.0.0.1:9"', '":"', '"\\u0000"', "[" * 30 + "]" * 30]
+# A sound configuration without routes, of a version above all others.
+ROUTELESS = ('{"version":"0fffffff","routes":{"columns":["name"],"rows":[]},'
+             '"services":{"columns":["name"],"rows":[]},"limits":{"maxHeaderBytes":16384,'
+             '"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15}}')
 # Documents of the rows that daemons read, with a place for each value.
 FORMS = {
+    "op": [ROUTELESS],
     "daemons": ['{"peer":%s,"zone":%s}', '{"refused":%s}', '{"refused":[%s,{"content":%s,"ends":%s}]}',
                 '{"refused":[{"content":"0123456789abcdef","ends":[%s,[%s,%s,%s,%s]]}]}'],
     "targets": ['{"left":%s,"calls":%s}', '{"left":[%s,{"target":%s,"born_ms":%s}]}',
@@ -20,16 +28,30 @@
              "\u00ff", "x" * 30000, *VALUES]
 
 
-def make_row(choice, names):
-    """Returns the table, the key and the value of an odd row, as the store keeps it."""
+# Fields that no row has, and the ratio of the rows that have them.
+MORE = [{"more": [[[]]]}, {"more": json.loads("[" * 40 + "]" * 40)}, {"deleted": "no"}, {"more": "x" * 1000}]
+MORE_RATIO = 0.2
+
+
+def make_row(choice, names, peers):
+    """Returns the table, the key, the value, the part and further fields of an odd row, as the store keeps it.
+
+    names, peers: names and addresses of the daemons.
+    """
     table = choice.choice(list(FORMS))
     name = choice.choice([*names, *names, "", "odd", "x" * 200])
     prefix = choice.choice(["", "refused/"]) if table == "daemons" else ""
+    part = choice.choice(["", "", "x"])
+    if table == "op":
+        name = choice.choice(["odd", "config\0", "config/"]) if part == "" else "config"
     document = choice.choice(DOCUMENTS)
     if choice.random() < 0.7:
         form = choice.choice(FORMS[table])
-        document = form % tuple(choice.choice(VALUES) for _ in range(form.count("%s")))
-    return table, (prefix + name)[:200], base64.b64encode(document.encode("latin-1")).decode()
+        values = VALUES + [f'"{choice.choice(peers)}"'] * PEERS_WEIGHT
+        document = form % tuple(choice.choice(values) for _ in range(form.count("%s")))
+    value = base64.b64encode(document.encode("latin-1")).decode()
+    more = choice.choice(MORE) if choice.random() < MORE_RATIO else {}
+    return table, (prefix + name)[:200], value, part, more
 
 
 def make_heartbeat(choice, heartbeat, services):
@@ -43,7 +65,7 @@
     if document["service"] == heartbeat["service"] or choice.random() < 0.5:
         document["address"] = f"127.0.0.1:{choice.randint(1, 65535)}"
     if choice.random() < 0.3:
-        del document["born"]
+        document.pop("born", None)
     else:
         document["born"] = int(time.time() * 1000) + choice.choice([0, 0, 1000])
     method = "DELETE" if choice.random() < 0.15 else "PUT"
--- a/tests/soak/poison.py
+++ b/tests/soak/poison.py
@@ -207,9 +207,9 @@
     async def lose_rows(self):
         """Removes what the daemons have written on contents, and restarts two of them."""
         await asyncio.sleep(self.play.lose_rows_at)
-        for table, key in list(self.store.rows):
-            if key.startswith("refused/"):
-                del self.store.rows[table, key]
+        for row in list(self.store.rows):
+            if row[-1].startswith("refused/"):
+                del self.store.rows[row]
         self.store.compact()
         for daemon in random.Random(f"{self.seed}-rows").sample(self.daemons, 2):
             daemon.signal(signal.SIGKILL)
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -1,6 +1,7 @@
 """Loopback relay that injects network faults into the connections of a daemon."""
 
 import asyncio
+import random
 
 from wire import reset
 
@@ -22,7 +23,9 @@
 
     Faults are set by impair(). delay: seconds by which each chunk of TCP data is
     delayed; silent: no data passes in either direction; one_way: no TCP data
-    passes from `to` back to the client; refuse: new TCP connections are reset;
+    passes from `to` back to the client; cut_ratio: ratio of the chunks from `to` of
+    which only a part passes before the connection is closed in order; refuse: new
+    TCP connections are reset;
     cut: a function that says whether nothing passes from and to a source address;
     reset_delay: seconds after which connections are reset if `to` accepts none;
     no_datagrams: no datagram passes.
@@ -44,7 +47,7 @@
         self.clear_faults()
 
     def clear_faults(self):
-        self.impair(delay=0.0, silent=False, one_way=False, refuse=False)
+        self.impair(delay=0.0, silent=False, one_way=False, cut_ratio=0.0, refuse=False)
 
     def impair(self, **faults):
         for name, value in faults.items():
@@ -110,6 +113,9 @@
                     await asyncio.sleep(self.delay)
                 while self.is_held(is_response, link):
                     await self.changed.wait()
+                if is_response and self.cut_ratio and random.random() < self.cut_ratio:
+                    writer.write(data[:random.randrange(1, len(data) + 1)])
+                    break
                 writer.write(data)
                 await writer.drain()
             writer.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -96,15 +96,16 @@
         self.run = 0
         # Time before which an ended process is not started again.
         self.hold_until = 0.0
+        self.target.tells_start = site.targets_tell_start
         site.history.services[self.name] = self.service
         self.target.entry = (self.host, self.ports["entry"])
         self.target.entry_name = self.name
 
     async def prepare(self):
         self.peer_relay = Relay(self.host, (self.host, self.ports["peer"]))
-        advertise = f"{self.host}:{self.ports['peer']}"
+        self.advertise = f"{self.host}:{self.ports['peer']}"
         if self.site.relays_peers:
-            advertise = await self.peer_relay.start(datagrams=True)
+            self.advertise = await self.peer_relay.start(datagrams=True)
         self.store_relay = Relay(self.host, self.site.store_address)
         store = await self.store_relay.start()
         await self.target.start((self.host, self.ports["announce"]))
@@ -115,7 +116,7 @@
             "name": self.name,
             "zone": self.zone,
             "address": self.host,
-            "advertise": advertise,
+            "advertise": self.advertise,
             "service": self.service,
             "target": target,
             "entry": f"{self.host}:{self.ports['entry']}",
@@ -204,6 +205,9 @@
         self.impairments = defaultdict(list)
         self.breaks = defaultdict(list)
         self.kinds = KINDS_BY_NAME.get(arguments.faults or "all") or arguments.faults.split(",")
+        # The users' targets do not tell when they started, so their heartbeats have no order.
+        self.targets_tell_start = ("strange_heartbeat" not in self.kinds
+                                   or random.Random(f"{seed}-start").random() < 0.5)
         self.number = 0
 
     def routes(self, moving_service):
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -40,10 +40,11 @@
         server = await asyncio.start_server(self.serve, host, 0)
         return (host, server.sockets[0].getsockname()[1])
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, part="", **more):
+        """Writes a row; `more` are fields that no row should have."""
         self.version += 1
-        row = {"table": table, "part": "", "key": key, "value": value, "ver": self.version}
-        self.rows[table, key] = row
+        row = {"table": table, "part": part, "key": key, "value": value, "ver": self.version, **more}
+        self.rows[table, part, key] = row
         self.history.append(row)
         now = time.monotonic()
         self.copies = [copy for copy in self.copies if copy[0] > now - COPIES_KEPT_S]
@@ -60,7 +61,7 @@
         """Goes back to the last copy before a time; the operator writes its rows again."""
         _, rows, version = max((copy for copy in self.copies if copy[0] <= at),
                                default=(0, {}, 0), key=lambda copy: copy[0])
-        written = [row for (table, _), row in self.rows.items() if table == "op"]
+        written = [row for (table, part, _), row in self.rows.items() if (table, part) == ("op", "")]
         self.rows, self.version = dict(rows), version
         self.compact()
         self.era += 1
@@ -73,7 +74,7 @@
 
     def run_transaction(self, body):
         for row in body["expectedRevision"]:
-            present = self.rows.get((row["table"], row["key"]))
+            present = self.rows.get((row["table"], "", row["key"]))
             if (present["ver"] if present else 0) != row["ver"]:
                 return 412, {"rows": [present] if present else []}
         for row in body["puts"]:
@@ -81,7 +82,8 @@
         return 200, {}
 
     def get(self, query):
-        rows = [row for (table, _), row in sorted(self.rows.items()) if table == query["table"]]
+        rows = [row for (table, part, _), row in sorted(self.rows.items())
+                if table == query["table"] and part == query.get("part", "")]
         return 200, {"rows": rows, "morePages": False}
 
     async def feed(self, query):
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -47,6 +47,8 @@
         self.endless_response_ratio = 0.0
         self.cut_response_ratio = 0.0
         self.refusals = RefusalRepeater(seed)
+        # Whether heartbeats tell the start time.
+        self.tells_start = True
         # The identifier and the last heartbeat of the incarnation before.
         self.earlier = None
         self.draining_since = None
@@ -123,7 +125,7 @@
     def state(self, state):
         """Returns the document of the next heartbeat."""
         self.sequence += 1
-        return {
+        document = {
             "service": self.service,
             "address": self.address or f"{self.host}:{self.port}",
             "zone": "z",
@@ -132,8 +134,8 @@
             "state": state,
             "coldLeftS": 0,
             "sequence": self.sequence,
-            "born": self.born,
         }
+        return {**document, "born": self.born} if self.tells_start else document
 
     async def announce_state(self, method, document, instance=None):
         """Sends a document to the daemon, in the name of this target or another; returns whether it accepted it."""
--- a/tests/soak/test_faulty.py
+++ b/tests/soak/test_faulty.py
@@ -76,10 +76,10 @@
 
 async def odd_rows_are_rows():
     choice = random.Random(1)
-    rows = [make_row(choice, ["d1", "d2"]) for _ in range(ROUNDS)]
-    for _, _, value in rows:
+    rows = [make_row(choice, ["d1", "d2"], ["127.0.0.1:1"]) for _ in range(ROUNDS)]
+    for _, _, value, _, _ in rows:
         base64.b64decode(value, validate=True)
-    return {table for table, _, _ in rows} == set(FORMS) and all(len(key) <= 200 for _, key, _ in rows)
+    return {row[0] for row in rows} == set(FORMS) and all(len(key) <= 200 for _, key, _, _, _ in rows)
 
 
 async def strange_heartbeats_name_another_service_or_address():
