Take free entries of the ring of departed targets before the oldest

What callers would see: requests at a target that has left (DRAIN). Two targets that replace each other in turns, each reinstated by its 421, took a new entry of the ring each time, and after eight turns one that had left was pushed out; its late heartbeat made it the own target again. A reinstatement empties its entry, which was not used.

--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -100,16 +100,28 @@
   return NULL;
 }
 
+/* Returns an entry that is free, as after a reinstatement, or the oldest one.
+ */
+static struct jl_departed_incarnation *
+take_entry (struct jl_target *target)
+{
+  unsigned oldest = target->departed_next;
+
+  for (size_t i = 0; i < JL_TARGET_DEPARTED_MAX; i++)
+    if (target->departed[i].id[0] == '\0')
+      return &target->departed[i];
+  target->departed_next = (oldest + 1) % JL_TARGET_DEPARTED_MAX;
+  return &target->departed[oldest];
+}
+
 /* Adds an entry to the ring of those that have left. */
 static struct jl_departed_incarnation *
 push_departed (struct jl_target *target, const char *id, uint64_t started_ms)
 {
-  struct jl_departed_incarnation *departed
-      = &target->departed[target->departed_next];
+  struct jl_departed_incarnation *departed = take_entry (target);
 
   *departed = (struct jl_departed_incarnation){ .started_ms = started_ms };
   g_strlcpy (departed->id, id, sizeof departed->id);
-  target->departed_next = (target->departed_next + 1) % JL_TARGET_DEPARTED_MAX;
   target->departed_revision++;
   return departed;
 }
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -89,7 +89,7 @@
  * @last_heartbeat_us: time at which it was applied
  * @up_since_us: time at which it last became JL_TARGET_UP
  * @departed: ring of the incarnations that have left
- * @departed_next: index in @departed of the next entry to write
+ * @departed_next: index in @departed of the oldest entry, if none is free
  * @departed_keys: ring of keys of further incarnations that have left, of which
  *                 other daemons have told; 0 for none
  * @departed_keys_next: index in @departed_keys of the next one to write
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -324,3 +324,23 @@
   apply_at (&target, "a", 2, 1100);
   cr_assert_eq (target.last.sequence, 2);
 }
+
+Test (target, incarnations_that_take_turns_push_out_none_that_has_left)
+{
+  struct jl_target target = { .heartbeat_us = 100 };
+  struct jl_heartbeat heartbeat = { .slots = 1, .sequence = 1 };
+
+  g_strlcpy (heartbeat.id, "left", sizeof heartbeat.id);
+  jl_target_apply_heartbeat (&target, &heartbeat, 1);
+  jl_target_mark_departed (&target, "left", 5);
+  g_strlcpy (heartbeat.id, "a", sizeof heartbeat.id);
+  jl_target_apply_heartbeat (&target, &heartbeat, 10);
+  g_strlcpy (heartbeat.id, "b", sizeof heartbeat.id);
+  jl_target_apply_heartbeat (&target, &heartbeat, 20);
+  for (unsigned i = 0; i < JL_TARGET_DEPARTED_MAX; i++)
+    cr_assert (jl_target_reinstate (&target, i % 2 == 0 ? "a" : "b", 30 + i));
+  g_strlcpy (heartbeat.id, "left", sizeof heartbeat.id);
+  heartbeat.sequence = 9;
+  jl_target_apply_heartbeat (&target, &heartbeat, 50);
+  cr_assert_str_neq (target.last.id, "left", "it gets requests again");
+}
