--- a/tests/proxy/store.c
+++ b/tests/proxy/store.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "proxy/parts/address.h"
 #include "proxy/parts/fake-store.h"
@@ -124,3 +125,59 @@
   cr_assert_eq (fixture.owner.rows, 1);
   cr_assert_str_eq (fixture.owner.value, "there");
 }
+
+static void
+run_loop (struct jl_loop *loop)
+{
+  for (unsigned i = 0; i < 20; i++)
+    {
+      uv_run (&loop->uv, UV_RUN_NOWAIT);
+      g_usleep (1000);
+    }
+}
+
+static int
+open_listener (struct jl_endpoint endpoint)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  int on = 1;
+
+  address.sin_addr.s_addr = htonl (endpoint.ip);
+  address.sin_port = htons (endpoint.port);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  cr_assert_eq (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  cr_assert_eq (listen (fd, 8), 0);
+  return fd;
+}
+
+/* The copy arrives after the next request was written. */
+Test (store, a_second_copy_of_an_answer_acknowledges_no_other_write)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\":5}";
+  struct jl_endpoint endpoint = { .ip = test_address (246), .port = 17007 };
+  struct owner owner = { 0 };
+  int listener = open_listener (endpoint);
+  struct jl_loop *loop = jl_loop_new ();
+  struct jl_store *store
+      = jl_store_new (loop, jl_net_new (loop), endpoint, &ops, &owner);
+  char request[4096];
+  int fd;
+
+  jl_store_write (store, "t", "k", "one");
+  run_loop (loop);
+  fd = accept (listener, NULL, NULL);
+  cr_assert_geq (fd, 0);
+  cr_assert_gt (recv (fd, request, sizeof request, MSG_DONTWAIT), 0);
+  send (fd, answer, strlen (answer), MSG_NOSIGNAL);
+  run_loop (loop);
+  cr_assert_eq (owner.written, 1);
+  jl_store_write (store, "t", "k", "two");
+  run_loop (loop);
+  cr_assert_gt (recv (fd, request, sizeof request, MSG_DONTWAIT), 0,
+                "on the same connection");
+  send (fd, answer, strlen (answer), MSG_NOSIGNAL);
+  run_loop (loop);
+  cr_expect_eq (owner.written, 1, "the second write counts as done");
+}
