Pass on heads as large as the limit; no promise of a daemon that makes none

A client's head of up to 40 bytes below the configuration's limit got 431, which clients do not repeat: the entry adds its own fields, and the next daemon applied the same limit to the sum.

A 503, 429, 421 or 408 without the field by which a daemon says what became of a request was passed on by the entry as a target's, although it is a promise to clients. Now it counts as an unknown outcome (503, 429 and 421 were passed on; now 502).

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -186,6 +186,8 @@
   jl_infer_member_answered (call->proxy, call->member);
   if (outcome == NULL && head->status >= 500 && prepare_failure_retry (call))
     place_again (call, "target-failed");
+  else if (outcome == NULL && jl_headers_promise_not_run (head))
+    handle_unknown_outcome (call, "unstated-refusal");
   else if (outcome == NULL)
     start_response (call);
   else if (strcmp (outcome, "not-run") != 0)
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -29,10 +29,6 @@
 /* Status of a target's response at the deadline. It is not counted as a failure
  * of the target. */
 #define STATUS_GATEWAY_TIMEOUT 504
-/* Further statuses that promise a client that its request has not run. */
-#define STATUS_REQUEST_TIMEOUT 408
-#define STATUS_TOO_MANY_REQUESTS 429
-#define STATUS_UNAVAILABLE 503
 
 /**
  * enum match - whether a response belongs to a request
@@ -224,15 +220,6 @@
          || head->status == STATUS_MISDIRECTED;
 }
 
-/* Whether clients take a status for the promise that the request has not run.
- */
-static bool
-promises_not_run (unsigned status)
-{
-  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_TOO_MANY_REQUESTS
-         || status == STATUS_UNAVAILABLE;
-}
-
 /* Whether a response says that another instance than the one that the request
  * names is at the other end of the connection, for which this holds as long as
  * the connection lasts. */
@@ -349,7 +336,7 @@
     fail_unnamed_refusal (work);
   else if (target_did_not_run (head))
     handle_target_refused (work);
-  else if (promises_not_run (head->status))
+  else if (jl_headers_promise_not_run (head))
     fail_work (work, "unstated-refusal");
   else if (jl_head_get (head, "Content-Encoding") != NULL)
     fail_work (work, "encoded-answer");
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -25,6 +25,12 @@
   return *prefix == '\0' && (!whole || *name == '\0');
 }
 
+/* Statuses that promise a client that its request has not run. */
+#define STATUS_REQUEST_TIMEOUT 408
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_UNAVAILABLE 503
+
 /* Whether a field is internal to the proxies. Such fields are never passed on:
  * a proxy sets them itself. */
 static bool
@@ -156,6 +162,15 @@
   return true;
 }
 
+bool
+jl_headers_promise_not_run (const struct jl_head *head)
+{
+  return head->status == STATUS_REQUEST_TIMEOUT
+         || head->status == STATUS_MISDIRECTED
+         || head->status == STATUS_TOO_MANY_REQUESTS
+         || head->status == STATUS_UNAVAILABLE;
+}
+
 GString *
 jl_headers_to_client (const struct jl_head *head)
 {
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -40,6 +40,9 @@
 #define QUEUE_PERIOD_US (20 * JL_USEC_PER_MSEC)
 /* Period of checks for idle connections. */
 #define SWEEP_PERIOD_US (500 * JL_USEC_PER_MSEC)
+/* Size of the fields that daemons add to the head of a request, which may be as
+ * large as the configuration allows a client's. */
+#define OWN_FIELDS_BYTES_MAX 1024
 /* Period of checks for changed settings. */
 #define RELOAD_PERIOD_US (2 * JL_USEC_PER_SEC)
 /* Minimum time between two reads of the settings because of heartbeats. */
@@ -203,6 +206,15 @@
     }
 }
 
+void
+jl_proxy_apply_limits (struct jl_proxy *proxy)
+{
+  const struct jl_site *site = proxy->site;
+
+  jl_net_set_limits (proxy->net, site->head_bytes_max + OWN_FIELDS_BYTES_MAX,
+                     site->head_timeout_us, site->idle_timeout_us);
+}
+
 void
 jl_proxy_install (struct jl_proxy *proxy,
                   const char *text,
@@ -238,8 +250,7 @@
   proxy->site_size = size;
   jl_freshness_installed (proxy->freshness);
   jl_beacon_send_soon (proxy->beacon);
-  jl_net_set_limits (proxy->net, site->head_bytes_max, site->head_timeout_us,
-                     site->idle_timeout_us);
+  jl_proxy_apply_limits (proxy);
 }
 
 static void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -319,6 +319,12 @@
                        size_t size,
                        const char *source);
 
+/**
+ * jl_proxy_apply_limits - applies the limits of the configuration in force to
+ * all connections
+ */
+void jl_proxy_apply_limits (struct jl_proxy *proxy);
+
 /**
  * jl_proxy_service - returns the service of this instance, which the settings
  * name
@@ -539,6 +545,12 @@
 bool jl_headers_read_work (const struct jl_head *head,
                            struct jl_work_header *work);
 
+/**
+ * jl_headers_promise_not_run - whether a response's status is one that clients
+ * take for the promise that their request has not run
+ */
+bool jl_headers_promise_not_run (const struct jl_head *head);
+
 /**
  * jl_headers_to_client - builds the header lines of a response that is passed
  * back, without internal and hop-by-hop fields
