--- a/source/net/lines.c
+++ b/source/net/lines.c
@@ -54,7 +54,7 @@
   if (lines->at_begin && (byte == ' ' || byte == '\t'))
     return may_be_folded (lines);
   if (byte == '\t')
-    return lines->kind != JL_LINE_START;
+    return lines->kind != JL_LINE_START || !lines->is_request;
   return !is_control (byte);
 }
 
