--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -146,7 +146,8 @@
             else:
                 method, instance, document = make_heartbeat(
                     self.random, target.state("ready"), sorted(set(self.history.services.values())))
-                await target.announce_state(method, document, instance)
+                if await target.announce_state(method, document, instance) and method == "PUT":
+                    self.history.fail("strange", f"{daemon.name} acknowledges a heartbeat of {document}")
             await asyncio.sleep(duration_s / HEARTBEATS_MAX)
 
     async def do_odd_rows(self, daemon, duration_s):
