--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -329,7 +329,10 @@
   enum match match = match_response (work);
 
   if (match == MATCH_OWN && head->status != STATUS_MISDIRECTED)
-    jl_watch_count_response (work->proxy->watch, work->started_us);
+    {
+      jl_watch_count_response (work->proxy->watch, work->started_us);
+      jl_notice_heard (work, head);
+    }
   if (match == MATCH_FOREIGN)
     drop_mismatched_response (work);
   else if (match == MATCH_UNKNOWN)
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -17,6 +17,7 @@
 #include "policy/lane.h"
 #include "policy/load-shedder.h"
 #include "policy/suspect.h"
+#include "proxy/notice.h"
 #include "proxy/options.h"
 #include "proxy/plan.h"
 
@@ -153,6 +154,7 @@
  * @self: this daemon in @roster
  * @watch: whether the local target has ended
  * @suspects: contents that are suspected of ending targets
+ * @notice: what the last response of the local target has said of it
  * @trial_work: the trial in progress at the local target, NULL for none
  * @infer: requests that were lost at other daemons
  * @news: sender of reports on suspect contents
@@ -211,6 +213,7 @@
   struct jl_roster roster;
   struct jl_member *self;
   struct jl_target target;
+  struct jl_target_notice notice;
   struct jl_watch *watch;
   struct jl_suspects suspects;
   struct jl_work *trial_work;
