Keep the limit of requests that a target names in its answers

Cause: a target's load was bounded by its slots alone; nothing read the limit.

Change: the guard, through which all requests to a target pass, reads the limit from each answer that belongs to its request and keeps it with a token bucket (half a second of burst, so that 4.5 s of requests at most fall into 4 s; 6 and 5 requests are allowed). Lower limits count at once, higher ones after 0.5 s without a lower one. Half a request a second always goes, since only an answer can tell that a limit has ended. The limit belongs to the incarnation that has answered. After a restart the guard is told by the requests of entries, which remember the limits of answers that they have passed on: these are just the daemons that the rule binds. The limit lowers the capacity that the guard announces, so that entries plan with it; what cannot get its turn soon is refused by the guard before its body is read (target-limit), and is placed elsewhere without cost to the retry budget. A target of far lower capacity is compared with another one only as often as its capacity says: with two targets it would else get whatever it has no requests in progress of.

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -40,7 +40,7 @@
   { JL_RECORD_LEAVING_ACKNOWLEDGED, "leaving acknowledged" },
   { JL_RECORD_TARGET_ENDED, "target ended" },
   { JL_RECORD_TARGET_HELD, "own target held" },
-  { JL_RECORD_TARGET_NOTICE, "target notice" },
+  { JL_RECORD_TARGET_LIMIT, "target limit" },
   { JL_RECORD_MEMBER_CHANGED, "member" },
   { JL_RECORD_SUSPICION, "suspicion" },
   { JL_RECORD_TRIAL_BEGUN, "trial begun" },
--- a/source/policy/lane.c
+++ b/source/policy/lane.c
@@ -4,15 +4,20 @@
 
 #include "policy/lane.h"
 
-/* Share of an item's time until it expires that it may spend in the queue. */
+#include <math.h>
+
+/* Share of an item's time until it expires that it may spend in the queue; of
+ * its time until it is due, if the target limits its rate. */
 #define WAIT_SHARE_MAX 0.5
 
 void
 jl_lane_init (struct jl_lane *lane)
 {
   lane->limit = 0;
+  lane->rate = INFINITY;
   lane->running = 0;
   lane->waiting = 0;
+  lane->waiting_rank_zero = 0;
   CDS_INIT_LIST_HEAD (&lane->rank_zero);
   CDS_INIT_LIST_HEAD (&lane->by_due_time);
 }
@@ -31,21 +36,44 @@
   cds_list_add (&item->link, after);
 }
 
-bool
-jl_lane_submit (struct jl_lane *lane, struct jl_lane_item *item)
+void
+jl_lane_queue (struct jl_lane *lane, struct jl_lane_item *item)
 {
-  item->waiting = lane->waiting > 0 || lane->running >= lane->limit;
-  if (!item->waiting)
+  item->waiting = true;
+  lane->waiting++;
+  if (item->rank == 0)
     {
-      lane->running++;
-      return true;
+      lane->waiting_rank_zero++;
+      cds_list_add_tail (&item->link, &lane->rank_zero);
     }
-  if (item->rank == 0)
-    cds_list_add_tail (&item->link, &lane->rank_zero);
   else
     insert_by_due_time (&lane->by_due_time, item);
-  lane->waiting++;
-  return false;
+}
+
+bool
+jl_lane_submit (struct jl_lane *lane, struct jl_lane_item *item)
+{
+  item->waiting = false;
+  if (lane->waiting > 0 || lane->running >= lane->limit)
+    {
+      jl_lane_queue (lane, item);
+      return false;
+    }
+  lane->running++;
+  return true;
+}
+
+/* Whether an item would wait too long for its turn at the target's rate. */
+static bool
+is_too_long_for_rate (const struct jl_lane *lane,
+                      const struct jl_lane_item *item)
+{
+  unsigned before = item->rank == 0 ? lane->waiting_rank_zero : lane->waiting;
+  uint64_t until_us = MIN (item->due_us, item->expires_us);
+  double remaining_us = (double)(until_us - MIN (item->arrived_us, until_us));
+  double wait_us = (before + 1) * (double)JL_USEC_PER_SEC / lane->rate;
+
+  return wait_us > WAIT_SHARE_MAX * remaining_us;
 }
 
 bool
@@ -56,6 +84,8 @@
   double remaining_us = (double)(item->expires_us - item->arrived_us);
   double wait_us;
 
+  if (isfinite (lane->rate) && is_too_long_for_rate (lane, item))
+    return true;
   if (item->rank == 0 || lane->limit == 0)
     return false;
   wait_us = (double)lane->waiting * (double)held_us / lane->limit;
@@ -76,6 +106,8 @@
   cds_list_del (&item->link);
   item->waiting = false;
   lane->waiting--;
+  if (item->rank == 0)
+    lane->waiting_rank_zero--;
 }
 
 static struct jl_lane_item *
--- a/source/policy/lane.h
+++ b/source/policy/lane.h
@@ -11,7 +11,8 @@
  * Load shedding happens at the entries; the queue smooths the load that is
  * admitted. A request that can no longer end in time is removed from the queue
  * and refused, so that its caller learns of it at once. A request that arrives
- * at too long a queue is refused as well.
+ * at too long a queue is refused as well. While the target limits the rate of
+ * its requests, the queue moves at that rate.
  */
 
 #include "jackdawladder/site.h"
@@ -39,16 +40,21 @@
 /**
  * struct jl_lane - the limit and the queue
  * @limit: items that may run at once
+ * @rate: items that may start in a second, infinite for no limit; the caller
+ *        keeps it
  * @running: items that run now
  * @waiting: items in the queue
+ * @waiting_rank_zero: those of rank 0
  * @rank_zero: queued items of rank 0, in order of arrival
  * @by_due_time: queued items of all other ranks, in order of their due times
  */
 struct jl_lane
 {
   unsigned limit;
+  double rate;
   unsigned running;
   unsigned waiting;
+  unsigned waiting_rank_zero;
   struct cds_list_head rank_zero;
   struct cds_list_head by_due_time;
 };
@@ -62,6 +68,11 @@
  */
 bool jl_lane_submit (struct jl_lane *lane, struct jl_lane_item *item);
 
+/**
+ * jl_lane_queue - queues a new item, also if it could run now
+ */
+void jl_lane_queue (struct jl_lane *lane, struct jl_lane_item *item);
+
 /**
  * jl_lane_is_too_long - whether @item would spend too much of its time in the
  * queue
@@ -69,7 +80,8 @@
  *
  * A target that has just joined or has become slow may receive more requests
  * than it can run until the entries learn of it. Another target may still
- * complete the refused requests in time.
+ * complete the refused requests in time. An item of rank 0 waits however long
+ * the queue is, unless the target limits its rate.
  */
 bool jl_lane_is_too_long (const struct jl_lane *lane,
                           const struct jl_lane_item *item,
--- a/source/policy/load-shedder.c
+++ b/source/policy/load-shedder.c
@@ -5,6 +5,7 @@
 
 #include "policy/load-shedder.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Weight of a new hold time in the moving average. */
@@ -15,8 +16,8 @@
 #define SPARE_UTILIZATION 0.85
 /* Time in which the queue should reach the desired length, in seconds. */
 #define QUEUE_CORRECTION_S 0.5
-/* Desired queue length for each slot. It keeps the target busy while arrivals
- * fluctuate. */
+/* Desired queue length for each slot that the capacity uses. It keeps the
+ * target busy while arrivals fluctuate. */
 #define QUEUE_PER_SLOT 0.6
 /* Fraction of the difference to the computed share by which one window raises
  * or lowers the shed share. */
@@ -34,6 +35,7 @@
   memset (shedder, 0, sizeof *shedder);
   shedder->spare_share = 1;
   shedder->admitted_share = 1;
+  shedder->rate_limit = INFINITY;
   for (unsigned i = 0; i < JL_CONTROL_DELAY_WINDOWS; i++)
     shedder->admitted_history[i] = 1;
 }
@@ -58,16 +60,31 @@
 double
 jl_load_shedder_capacity (const struct jl_load_shedder *shedder, unsigned limit)
 {
-  if (shedder->hold_us <= 0)
-    return 0;
-  return limit * (double)JL_USEC_PER_SEC / shedder->hold_us;
+  double capacity = INFINITY;
+
+  if (shedder->hold_us > 0)
+    capacity = limit * (double)JL_USEC_PER_SEC / shedder->hold_us;
+  capacity = fmin (capacity, shedder->rate_limit);
+  return isfinite (capacity) ? capacity : 0;
+}
+
+unsigned
+jl_load_shedder_used_slots (const struct jl_load_shedder *shedder,
+                            unsigned limit)
+{
+  double used
+      = ceil (shedder->rate_limit * shedder->hold_us / (double)JL_USEC_PER_SEC);
+
+  if (!isfinite (shedder->rate_limit))
+    return limit;
+  return (unsigned)CLAMP (used, 1, MAX (limit, 1));
 }
 
 /* Returns the arrivals a second that bring the queue to the desired length. */
 static double
-desired_rate (double capacity, unsigned limit, unsigned waiting)
+desired_rate (double capacity, unsigned used_slots, unsigned waiting)
 {
-  double backlog = waiting - QUEUE_PER_SLOT * limit;
+  double backlog = waiting - QUEUE_PER_SLOT * used_slots;
 
   return MAX (capacity - backlog / QUEUE_CORRECTION_S, 0);
 }
@@ -112,7 +129,10 @@
   update_admitted_share (shedder);
   if (capacity <= 0)
     return;
-  update_shed_share (shedder, desired_rate (capacity, limit, waiting));
+  update_shed_share (shedder,
+                     desired_rate (capacity,
+                                   jl_load_shedder_used_slots (shedder, limit),
+                                   waiting));
   shedder->spare_share
       = CLAMP (SPARE_UTILIZATION - shedder->arrival_rate / capacity, 0, 1);
 }
--- a/source/policy/load-shedder.h
+++ b/source/policy/load-shedder.h
@@ -10,7 +10,8 @@
  * ago. Dividing by that share gives the whole demand. The demand and the
  * target's capacity (its limit divided by the time for which a request holds a
  * slot) give the share to refuse. A long queue reduces the capacity until the
- * queue is short.
+ * queue is short. A limit of the rate that the target has named limits its
+ * capacity.
  */
 
 #include "jackdawladder/base.h"
@@ -28,6 +29,7 @@
  * @spare_share: share of the capacity that is free for other zones, 0 to 1
  * @hold_us: exponential moving average of the time for which a request holds a
  *           slot
+ * @rate_limit: requests a second that the target takes, infinite for no limit
  * @arrival_rate: exponential moving average of the arrivals a second
  * @admitted_share: admitted share of the demand, averaged like @arrival_rate
  * @admitted_history: ring of the admitted shares of past windows that do not
@@ -41,6 +43,7 @@
   double shed_share;
   double spare_share;
   double hold_us;
+  double rate_limit;
   double arrival_rate;
   double admitted_share;
   double admitted_history[JL_CONTROL_DELAY_WINDOWS];
@@ -80,4 +83,12 @@
 double jl_load_shedder_capacity (const struct jl_load_shedder *shedder,
                                  unsigned limit);
 
+/**
+ * jl_load_shedder_used_slots - returns the number of slots in use at the
+ * target's capacity: fewer than @limit, but at least one, if the rate limit is
+ * what limits the capacity
+ */
+unsigned jl_load_shedder_used_slots (const struct jl_load_shedder *shedder,
+                                     unsigned limit);
+
 #endif
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -147,7 +147,7 @@
 static void
 start_response (struct jl_call *call)
 {
-  if (jl_relay_start_response (&call->relay))
+  if (jl_relay_start_response (&call->relay, ""))
     finish_response (call);
 }
 
@@ -184,6 +184,8 @@
   g_strlcpy (reason, field != NULL ? field : "", sizeof reason);
   call->member->last_answer_us = jl_now ();
   jl_infer_member_answered (call->proxy, call->member);
+  if (outcome == NULL)
+    jl_notice_passed_on (call, head);
   if (outcome == NULL && head->status >= 500 && prepare_failure_retry (call))
     place_again (call, "target-failed");
   else if (outcome == NULL && jl_headers_promise_not_run (head))
@@ -322,6 +324,8 @@
     .route_key = call->route->key,
     .idempotent = jl_route_is_idempotent (call->route),
     .trial = call->on_trial,
+    .limited_key = call->member->limited_key,
+    .limit = call->member->stated_limit,
   };
   GString *text;
 
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -314,10 +314,12 @@
   fail_work (work, "unnamed-refusal");
 }
 
+/* Passes on a response of the target. @target_line: what it says of the target,
+ * for the entry */
 static void
-start_response (struct jl_work *work)
+start_response (struct jl_work *work, const char *target_line)
 {
-  if (jl_relay_start_response (&work->relay))
+  if (jl_relay_start_response (&work->relay, target_line))
     finish_response (work);
 }
 
@@ -327,11 +329,12 @@
   struct jl_work *work = work_from_relay (context);
   const struct jl_head *head = jl_upstream_head (upstream);
   enum match match = match_response (work);
+  char target_line[JL_TARGET_LINE_SIZE] = "";
 
   if (match == MATCH_OWN && head->status != STATUS_MISDIRECTED)
     {
       jl_watch_count_response (work->proxy->watch, work->started_us);
-      jl_notice_heard (work, head);
+      jl_notice_heard (work, head, target_line);
     }
   if (match == MATCH_FOREIGN)
     drop_mismatched_response (work);
@@ -344,7 +347,7 @@
   else if (jl_head_get (head, "Content-Encoding") != NULL)
     fail_work (work, "encoded-answer");
   else
-    start_response (work);
+    start_response (work, target_line);
 }
 
 static void
@@ -467,6 +470,7 @@
    * told from that of the request. */
   if (attempt_id (work) == NULL)
     work->fresh_connection = true;
+  work->target_key = jl_target_key (&proxy->target);
   work->target_hash = hash_text (proxy->target.last.id);
   work->running = true;
   work->started_us = now_us;
@@ -494,6 +498,21 @@
   return caa_container_of (item, struct jl_work, item);
 }
 
+/* Whether the target's limit allows a request now. */
+static bool
+may_send (struct jl_proxy *proxy)
+{
+  return jl_rate_limit_allows (&proxy->target_limit.rate, jl_now ());
+}
+
+/* Sends work that has got its turn. */
+static void
+send_work (struct jl_work *work)
+{
+  jl_rate_limit_count (&work->proxy->target_limit.rate);
+  start_work (work);
+}
+
 void
 jl_guard_run_queue (struct jl_proxy *proxy)
 {
@@ -503,8 +522,8 @@
   while ((item = jl_lane_take_expired (&proxy->lane, jl_now (), needed_us))
          != NULL)
     jl_guard_refuse (work_from_item (item), "expired");
-  while ((item = jl_lane_take_next (&proxy->lane)) != NULL)
-    start_work (work_from_item (item));
+  while (may_send (proxy) && (item = jl_lane_take_next (&proxy->lane)) != NULL)
+    send_work (work_from_item (item));
 }
 
 void
@@ -538,11 +557,27 @@
   return NULL;
 }
 
+/* Returns the reason to refuse work because of the queue, NULL if there is
+ * none. @at_once: the target's limit allows a request now */
+static const char *
+queue_refusal_reason (const struct jl_proxy *proxy,
+                      const struct jl_work *work,
+                      bool at_once)
+{
+  if ((at_once && proxy->lane.waiting == 0)
+      || !jl_lane_is_too_long (&proxy->lane, &work->item,
+                               (uint64_t)proxy->load_shedder.hold_us))
+    return NULL;
+  return jl_rate_limit_is_set (&proxy->target_limit.rate) ? "target-limit"
+                                                          : "queue-long";
+}
+
 void
 jl_guard_start (struct jl_work *work)
 {
   struct jl_proxy *proxy = work->proxy;
   const char *reason = refusal_reason (proxy, &work->header);
+  bool at_once;
 
   if (reason != NULL)
     {
@@ -551,15 +586,19 @@
     }
   proxy->counters.work++;
   jl_load_shedder_count_arrival (&proxy->load_shedder);
-  if (jl_lane_is_too_long (&proxy->lane, &work->item,
-                           (uint64_t)proxy->load_shedder.hold_us))
+  jl_notice_told (proxy, &work->header);
+  at_once = may_send (proxy);
+  reason = queue_refusal_reason (proxy, work, at_once);
+  if (reason != NULL)
     {
-      jl_guard_refuse (work, "queue-long");
+      jl_guard_refuse (work, reason);
       return;
     }
   jl_fanout_count_run (&proxy->fanout, work->header.route_key);
-  if (jl_lane_submit (&proxy->lane, &work->item))
-    start_work (work);
+  if (!at_once)
+    jl_lane_queue (&proxy->lane, &work->item);
+  else if (jl_lane_submit (&proxy->lane, &work->item))
+    send_work (work);
 }
 
 static void
--- a/source/proxy/guard.h
+++ b/source/proxy/guard.h
@@ -24,6 +24,7 @@
  * @on_trial: the request is a trial of its content
  * @trial_reported_us: time at which the trial was last reported
  * @held_until_us: time until which the request waits until a trial may begin
+ * @target_key: key of the target's incarnation that the request names
  * @target_hash: hash of the target's identifier that the request names
  * @started_us: time at which the request was sent to the target
  * @timer: connection timeout
@@ -42,6 +43,7 @@
   bool on_trial;
   uint64_t trial_reported_us;
   uint64_t held_until_us;
+  uint32_t target_key;
   uint64_t target_hash;
   uint64_t started_us;
   struct jl_timer timer;
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -119,10 +119,13 @@
     if (!is_set_by_entry (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CALLER_SERVICE, caller);
-  g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d\r\n", JL_WORK_FIELD,
+  g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d", JL_WORK_FIELD,
                           work->service, work->rank, work->remaining_ms,
                           work->latency_goal_ms, work->route_key,
                           work->idempotent, work->trial);
+  if (work->limited_key != 0)
+    g_string_append_printf (text, " %08x %.3f", work->limited_key, work->limit);
+  g_string_append (text, "\r\n");
   append_framing (text, head);
   return text;
 }
@@ -150,15 +153,19 @@
   const char *value = jl_head_get (head, JL_WORK_FIELD);
   int idempotent;
   int trial = 0;
+  unsigned limited_key = 0;
+  double limit = -1;
 
   if (value == NULL
-      || sscanf (value, "%207s %u %u %u %8x %d %d", work->service, &work->rank,
-                 &work->remaining_ms, &work->latency_goal_ms, &work->route_key,
-                 &idempotent, &trial)
+      || sscanf (value, "%207s %u %u %u %8x %d %d %8x %lf", work->service,
+                 &work->rank, &work->remaining_ms, &work->latency_goal_ms,
+                 &work->route_key, &idempotent, &trial, &limited_key, &limit)
              < 6)
     return false;
   work->idempotent = idempotent != 0;
   work->trial = trial != 0;
+  work->limited_key = limit >= 0 ? limited_key : 0;
+  work->limit = limit;
   return true;
 }
 
--- a/source/proxy/notice.h
+++ b/source/proxy/notice.h
@@ -5,13 +5,26 @@
  * DOC: What a target's responses say of the target itself.
  *
  * A target may name in its responses a limit of requests a second, for all
- * daemons together, and that it leaves.
+ * daemons together, and that it leaves. A limit holds for the incarnation that
+ * has responded, and its guard keeps it. The entries to which such responses
+ * are passed on remember it: their requests name it to the guard, which has
+ * forgotten it after a restart.
  */
 
-#include "jackdawladder/base.h"
+#include "policy/rate-limit.h"
 
+struct jl_call;
 struct jl_head;
+struct jl_member;
+struct jl_proxy;
 struct jl_work;
+struct jl_work_header;
+
+/* Header field of a target's responses that a guard passes on: what they say of
+ * the target. */
+#define JL_TARGET_FIELD "Jl-Target"
+/* Maximum size of the line of that field. */
+#define JL_TARGET_LINE_SIZE 64
 
 /**
  * enum jl_stated_limit - what a response says of the target's limit
@@ -41,10 +54,54 @@
 };
 
 /**
- * jl_notice_heard - handles what a response says of the target
+ * struct jl_target_limit - limit of the local target
+ * @key: key of the incarnation that it belongs to, 0 for none
+ * @heard: this daemon has had a response of that incarnation
+ * @rate: the limit, and the requests that it allows now
+ * @logged: limit that was logged last
+ */
+struct jl_target_limit
+{
+  uint32_t key;
+  bool heard;
+  struct jl_rate_limit rate;
+  double logged;
+};
+
+/**
+ * jl_notice_init - begins without a target
+ */
+void jl_notice_init (struct jl_target_limit *limit);
+
+/**
+ * jl_notice_heard - handles what a response says of the local target
  * @work: the request that the response belongs to
  * @head: head of the response
+ * @line: receives the header line with JL_TARGET_FIELD for the entry, "" if
+ *        there is nothing to tell
+ */
+void jl_notice_heard (struct jl_work *work,
+                      const struct jl_head *head,
+                      char line[JL_TARGET_LINE_SIZE]);
+
+/**
+ * jl_notice_told - handles the limit that an entry names in a request
+ *
+ * It counts until the local target itself has responded.
+ */
+void jl_notice_told (struct jl_proxy *proxy,
+                     const struct jl_work_header *header);
+
+/**
+ * jl_notice_target_changed - forgets what another incarnation has said
+ */
+void jl_notice_target_changed (struct jl_proxy *proxy);
+
+/**
+ * jl_notice_passed_on - remembers what a target's response, which comes from a
+ * guard, says of the target
+ * @call: the request that the response belongs to
  */
-void jl_notice_heard (struct jl_work *work, const struct jl_head *head);
+void jl_notice_passed_on (struct jl_call *call, const struct jl_head *head);
 
 #endif
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -286,7 +286,9 @@
 /*
  * Chooses the less loaded one of two candidates that are drawn at random. The
  * best one of all would be the same for all entries, which see the same beacons
- * and have few requests of their own at each target.
+ * and have few requests of their own at each target. One whose capacity is far
+ * below the first one's is rarely compared with it, however idle it is: all
+ * entries together would send it too much.
  */
 static struct jl_member *
 choose_candidate (struct candidates *candidates)
@@ -300,6 +302,8 @@
   if (candidates->list->len == 0)
     return first.member;
   second = take_candidate (candidates);
+  if (second.capacity < first.capacity * g_random_double ())
+    return first.member;
   return load_of (second.member) < load_of (first.member) ? second.member
                                                           : first.member;
 }
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -152,7 +152,8 @@
     self->state = JL_TARGET_UP;
   if (proxy->guard_closed && self->state == JL_TARGET_UP)
     self->state = JL_TARGET_LEAVING;
-  self->limit = proxy->lane.limit;
+  self->limit
+      = jl_load_shedder_used_slots (&proxy->load_shedder, proxy->lane.limit);
   self->capacity
       = jl_load_shedder_capacity (&proxy->load_shedder, proxy->lane.limit);
   self->shed_share = proxy->load_shedder.shed_share;
@@ -161,6 +162,17 @@
   self->last_beacon_us = jl_now ();
 }
 
+void
+jl_proxy_limit_changed (struct jl_proxy *proxy)
+{
+  const struct jl_rate_limit *limit = &proxy->target_limit.rate;
+
+  proxy->lane.rate = jl_rate_limit_rate (limit);
+  proxy->load_shedder.rate_limit = proxy->lane.rate;
+  update_self (proxy);
+  jl_beacon_send_soon (proxy->beacon);
+}
+
 void
 jl_proxy_target_changed (struct jl_proxy *proxy, const char *cause)
 {
@@ -177,6 +189,7 @@
              jl_endpoint_equal (target->last.address, proxy->options->target),
              proxy->options->service);
   proxy->lane.limit = lane_limit (target->last.slots);
+  jl_notice_target_changed (proxy);
   if (target->state != JL_TARGET_UP)
     {
       jl_pool_close_endpoint (proxy->target_pool, proxy->options->target);
@@ -621,6 +634,7 @@
   proxy->target.heartbeat_us = options->heartbeat_us;
   jl_lane_init (&proxy->lane);
   jl_load_shedder_init (&proxy->load_shedder);
+  jl_notice_init (&proxy->target_limit);
   jl_fanout_init (&proxy->fanout);
   jl_roster_init (&proxy->roster, options->zone);
   proxy->self = jl_roster_get_or_add (&proxy->roster, options->name);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -154,7 +154,7 @@
  * @self: this daemon in @roster
  * @watch: whether the local target has ended
  * @suspects: contents that are suspected of ending targets
- * @notice: what the last response of the local target has said of it
+ * @target_limit: limit that the local target has named in its responses
  * @trial_work: the trial in progress at the local target, NULL for none
  * @infer: requests that were lost at other daemons
  * @news: sender of reports on suspect contents
@@ -213,7 +213,7 @@
   struct jl_roster roster;
   struct jl_member *self;
   struct jl_target target;
-  struct jl_target_notice notice;
+  struct jl_target_limit target_limit;
   struct jl_watch *watch;
   struct jl_suspects suspects;
   struct jl_work *trial_work;
@@ -306,6 +306,11 @@
  */
 void jl_proxy_target_changed (struct jl_proxy *proxy, const char *cause);
 
+/**
+ * jl_proxy_limit_changed - applies a change of the local target's limit
+ */
+void jl_proxy_limit_changed (struct jl_proxy *proxy);
+
 /**
  * jl_proxy_renew_settings - reads the settings file again, unless that was done
  * just now
@@ -499,8 +504,12 @@
  * @latency_goal_ms: target latency of the route
  * @route_key: key of the route
  * @idempotent: whether the request is idempotent
- * @trial: whether the request is a trial of a suspect content; older daemons
- *         neither send nor read it
+ * @trial: whether the request is a trial of a suspect content
+ * @limited_key: key of the target's incarnation whose limit the entry knows, 0
+ *               for none
+ * @limit: that limit in requests a second
+ *
+ * Older daemons neither send nor read @trial and what follows it.
  */
 struct jl_work_header
 {
@@ -511,6 +520,8 @@
   uint32_t route_key;
   bool idempotent;
   bool trial;
+  uint32_t limited_key;
+  double limit;
 };
 
 /* Header field that carries a struct jl_work_header. */
--- a/source/proxy/relay.c
+++ b/source/proxy/relay.c
@@ -40,13 +40,14 @@
 }
 
 bool
-jl_relay_start_response (struct jl_relay *relay)
+jl_relay_start_response (struct jl_relay *relay, const char *own_lines)
 {
   const struct jl_head *head = jl_upstream_head (relay->upstream);
   const GByteArray *body = jl_upstream_buffered_body (relay->upstream);
   GString *fields = jl_headers_to_client (head);
   bool complete = jl_upstream_is_complete (relay->upstream);
 
+  g_string_append (fields, own_lines);
   relay->response_started = true;
   jl_request_start_response (relay->request, head->status, fields->str,
                              head->has_length || complete,
--- a/source/proxy/relay.h
+++ b/source/proxy/relay.h
@@ -62,11 +62,12 @@
 /**
  * jl_relay_start_response - passes on the head of the response and the part of
  * its body received so far
+ * @own_lines: header lines of this daemon that are added, "" for none
  *
  * Return: whether the whole response was passed on; the caller then has to
  * finish the request.
  */
-bool jl_relay_start_response (struct jl_relay *relay);
+bool jl_relay_start_response (struct jl_relay *relay, const char *own_lines);
 
 /**
  * jl_relay_hold_body - buffers a part of the body of a held request, and stops
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -82,6 +82,9 @@
  * @shed_share: share of the demand that entries should refuse
  * @spare_share: share of its capacity that is free for other zones
  * @failure_rate: share of its requests that its target itself fails
+ * @limited_key: key of the incarnation of its target whose limit this daemon
+ *               knows from a response, 0 for none
+ * @stated_limit: that limit in requests a second
  * @site_version: version of the configuration that it uses
  * @departed: its target itself has announced its leave; a state "leaving" may
  *            also mean that the daemon stops
@@ -127,6 +130,8 @@
   double shed_share;
   double spare_share;
   double failure_rate;
+  uint32_t limited_key;
+  double stated_limit;
   uint64_t site_version;
   bool store_lost;
   bool in_other_zone;
