Send nothing more to a target whose answers say that it leaves

Cause: a leave was known from heartbeats alone.

Change: the guard treats such an answer like a heartbeat that announces the leave: it sends nothing more to this incarnation, whatever its heartbeats say, tells the others at once and writes the row that outlives its restart. The entries to which the answer is passed on know the incarnation from the guard's own field and send nothing more to it either, so a guard that has been restarted, and is cut off from the store and the others, gets no requests for it from a daemon that the rule binds.

--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -163,6 +163,18 @@
     jl_watch_begin (proxy->watch);
 }
 
+void
+jl_heartbeats_note_leave (struct jl_proxy *proxy,
+                          const char *id,
+                          const char *cause)
+{
+  uint64_t now_ms = (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
+
+  if (jl_target_mark_departed (&proxy->target, id, now_ms))
+    jl_proxy_target_changed (proxy, cause);
+  jl_rows_write_departed (proxy);
+}
+
 void
 jl_heartbeats_reinstate (struct jl_proxy *proxy, const char *id)
 {
--- a/source/proxy/notice.c
+++ b/source/proxy/notice.c
@@ -50,6 +50,16 @@
   jl_proxy_limit_changed (proxy);
 }
 
+/* Handles the leave of the incarnation with this key. */
+static void
+handle_leave (struct jl_proxy *proxy, uint32_t key)
+{
+  if (key != jl_target_key (&proxy->target))
+    jl_target_restore_departed_key (&proxy->target, key);
+  else if (proxy->target.state != JL_TARGET_LEAVING)
+    jl_heartbeats_note_leave (proxy, proxy->target.last.id, "answer");
+}
+
 /* Writes what the entry has to know. */
 static void
 format_line (const struct jl_target_notice *notice,
@@ -72,6 +82,8 @@
   struct jl_target_notice notice = jl_platform_decode_notice (head);
 
   format_line (&notice, work->target_key, line);
+  if (notice.leaving && !JL_TEST_DISABLED ("leaving"))
+    handle_leave (proxy, work->target_key);
   if (work->target_key != proxy->target_limit.key || JL_TEST_DISABLED ("limit"))
     return;
   proxy->target_limit.heard = true;
@@ -101,6 +113,15 @@
   jl_proxy_limit_changed (proxy);
 }
 
+/* Sends nothing more to the incarnation with this key. */
+static void
+leave_member (struct jl_member *member, uint32_t key)
+{
+  jl_member_add_departed (member, key);
+  if (member->target_key == key && member->state == JL_TARGET_UP)
+    member->state = JL_TARGET_LEAVING;
+}
+
 void
 jl_notice_passed_on (struct jl_call *call, const struct jl_head *head)
 {
@@ -119,4 +140,6 @@
     }
   else if (member->limited_key == key)
     member->limited_key = 0;
+  if (leaving && !JL_TEST_DISABLED ("leaving"))
+    leave_member (member, key);
 }
--- a/source/proxy/notice.h
+++ b/source/proxy/notice.h
@@ -5,10 +5,13 @@
  * DOC: What a target's responses say of the target itself.
  *
  * A target may name in its responses a limit of requests a second, for all
- * daemons together, and that it leaves. A limit holds for the incarnation that
- * has responded, and its guard keeps it. The entries to which such responses
- * are passed on remember it: their requests name it to the guard, which has
- * forgotten it after a restart.
+ * daemons together, and that it leaves. Both hold for the incarnation that has
+ * responded. Its guard keeps the limit and sends nothing more to a target that
+ * leaves.
+ *
+ * The entries to which such responses are passed on remember them: they send
+ * nothing more to an incarnation that leaves, and their requests name the limit
+ * to the guard, which has forgotten it after a restart.
  */
 
 #include "policy/rate-limit.h"
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -407,6 +407,15 @@
  */
 void jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy);
 
+/**
+ * jl_heartbeats_note_leave - records a leave that the target with this
+ * identifier has announced, also for the next incarnation of this daemon
+ * @cause: how it was announced, for the log
+ */
+void jl_heartbeats_note_leave (struct jl_proxy *proxy,
+                               const char *id,
+                               const char *cause);
+
 /**
  * jl_heartbeats_reinstate - makes the target with this identifier the own one
  * again if only another one's heartbeat had replaced it
