Take no call that may outlast a planned stop, and answer what is left at its end

Cause: late in the grace the entry refuses requests of clients but not calls of the own target, whatever time they have left; and whether a request is a call is inferred from its route, so a client's request on a new route counts as one. At the end the process exited with whatever was in progress.

Change: a call that is new late in the grace is taken only if its deadline comes before the end, else it gets 503 at once and has not run; so a request that was taken for a call by mistake gets the same. 0.4 s before the end of the grace, 0.1 s before the exit, all that is in progress is answered: 503 if nothing of it was sent, else 502.

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -262,12 +262,19 @@
   .failed = on_failed,
 };
 
+/* Records that a target may have run the request if any of it was sent. */
 static void
-expire_call (struct jl_call *call)
+note_possible_run (struct jl_call *call)
 {
   if (call->relay.upstream != NULL
       && !jl_upstream_is_unsent (call->relay.upstream))
     call->may_have_run = true;
+}
+
+static void
+expire_call (struct jl_call *call)
+{
+  note_possible_run (call);
   jl_call_cancel_upstream (call);
   jl_call_fail (call, 504, "deadline");
 }
@@ -434,12 +441,20 @@
   call->expires_us = call->begun_us + wait_us;
 }
 
+/* Starts a call of the local target. Late in a graceful shutdown it is taken
+ * only if it ends before the process does. */
 static void
 start_target_call (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
 
   proxy->counters.calls++;
+  if (jl_proxy_is_ending (proxy)
+      && !jl_proxy_lasts_until (proxy, call->expires_us))
+    {
+      jl_call_refuse (call, "stopping");
+      return;
+    }
   jl_fanout_count_call (&proxy->fanout, call->route->key);
   call->zone
       = jl_demand_choose_call_zone (proxy, call->service, g_random_double ());
@@ -649,6 +664,26 @@
   place_again (call, "member-silent");
 }
 
+bool
+jl_entry_end_all (struct jl_proxy *proxy)
+{
+  bool any = !cds_list_empty (&proxy->calls);
+  struct jl_call *call;
+  struct jl_call *next;
+
+  cds_list_for_each_entry_safe (call, next, &proxy->calls, link)
+  {
+    if (call->relay.response_started)
+      abort_call (call, "stopping");
+    else
+      {
+        note_possible_run (call);
+        jl_call_give_up (call, "stopping");
+      }
+  }
+  return any;
+}
+
 void
 jl_entry_check_members (struct jl_proxy *proxy)
 {
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -57,9 +57,10 @@
  * graceful shutdown. It is shorter than STOP_MIN_US, so that this work
  * completes within STOP_MIN_US. */
 #define GUARD_OPEN_US (1700 * JL_USEC_PER_MSEC)
-/* Time before the end of the grace period at which the process exits although
- * requests are in progress. */
-#define STOP_MARGIN_US (400 * JL_USEC_PER_MSEC)
+/* Time before the end of the grace period at which the requests in progress are
+ * answered, and at which the process exits in any case. */
+#define STOP_ANSWER_MARGIN_US (400 * JL_USEC_PER_MSEC)
+#define STOP_EXIT_MARGIN_US (300 * JL_USEC_PER_MSEC)
 /* Period of checks whether a graceful shutdown is complete. */
 #define STOP_CHECK_PERIOD_US (50 * JL_USEC_PER_MSEC)
 /* Time after the start at which a daemon becomes ready, and believes its
@@ -128,6 +129,14 @@
   return proxy->stopping && jl_now () > proxy->stop_began_us + STOP_MIN_US;
 }
 
+bool
+jl_proxy_lasts_until (const struct jl_proxy *proxy, uint64_t time_us)
+{
+  return !proxy->stopping
+         || time_us + STOP_ANSWER_MARGIN_US
+                <= proxy->stop_began_us + proxy->options->grace_us;
+}
+
 /* Returns the number of requests that may run at a target with @slots. */
 static unsigned
 lane_limit (unsigned slots)
@@ -469,6 +478,8 @@
   uint64_t age_us = jl_now () - proxy->stop_began_us;
   bool exits = may_exit (proxy, age_us);
 
+  if (!jl_proxy_lasts_until (proxy, jl_now ()) && jl_entry_end_all (proxy))
+    proxy->exit_status = EXIT_REQUESTS_CANCELLED;
   if (age_us >= GUARD_OPEN_US && !proxy->guard_closed)
     close_guard (proxy);
   if (age_us >= STOP_MIN_US && exits)
@@ -476,7 +487,7 @@
       jl_loop_stop (proxy->loop);
       return;
     }
-  if (age_us + STOP_MARGIN_US >= proxy->options->grace_us)
+  if (age_us + STOP_EXIT_MARGIN_US >= proxy->options->grace_us)
     {
       proxy->exit_status = EXIT_REQUESTS_CANCELLED;
       jl_loop_stop (proxy->loop);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -358,6 +358,14 @@
  */
 bool jl_proxy_is_ending (const struct jl_proxy *proxy);
 
+/**
+ * jl_proxy_lasts_until - whether requests may be in progress at @time_us
+ *
+ * A graceful shutdown answers what is in progress shortly before the end of the
+ * grace period.
+ */
+bool jl_proxy_lasts_until (const struct jl_proxy *proxy, uint64_t time_us);
+
 /**
  * jl_histogram_add - adds a sample of @time_us microseconds
  */
@@ -375,6 +383,14 @@
  */
 void jl_entry_check_members (struct jl_proxy *proxy);
 
+/**
+ * jl_entry_end_all - answers all requests in progress, because the process is
+ * about to exit
+ *
+ * Return: whether there were any.
+ */
+bool jl_entry_end_all (struct jl_proxy *proxy);
+
 /* guard.c */
 
 extern const struct jl_handler jl_guard_handler;
