--- a/tests/proxy/lane.c
+++ b/tests/proxy/lane.c
@@ -82,6 +82,29 @@
                  "the hold time is not known yet");
 }
 
+/* The target has named a limit of 10 requests a second. */
+Test (lane, sends_on_what_would_wait_too_long_for_its_turn)
+{
+  struct jl_lane lane;
+  struct jl_lane_item waiting = item (1, 0, JL_USEC_PER_SEC);
+  struct jl_lane_item next = item (1, 0, JL_USEC_PER_SEC);
+  struct jl_lane_item urgent = item (0, 0, JL_USEC_PER_SEC);
+
+  waiting.due_us = next.due_us = urgent.due_us = 300 * JL_USEC_PER_MSEC;
+  jl_lane_init (&lane);
+  lane.limit = 100;
+  lane.rate = 10;
+  cr_assert_not (jl_lane_is_too_long (&lane, &waiting, 0));
+  jl_lane_queue (&lane, &waiting);
+  cr_assert (jl_lane_is_too_long (&lane, &next, 0));
+  cr_assert_not (jl_lane_is_too_long (&lane, &urgent, 0),
+                 "it does not wait for the other one");
+  jl_lane_queue (&lane, &urgent);
+  cr_assert (jl_lane_is_too_long (&lane, &urgent, 0));
+  cr_assert_eq (jl_lane_take_next (&lane), &urgent);
+  cr_assert_eq (lane.waiting_rank_zero, 0);
+}
+
 Test (lane, a_request_behind_waiting_ones_does_not_overtake_them)
 {
   struct jl_lane lane;
--- a/tests/proxy/load.c
+++ b/tests/proxy/load.c
@@ -97,6 +97,29 @@
   struct model far;
 };
 
+/* The entries learn within a second that the target takes less than its slots
+ * could run. */
+Test (load, a_limit_that_the_target_names_is_lost_capacity)
+{
+  struct model model;
+  double rate = 100;
+
+  g_random_set_seed (39);
+  model_init (&model, 14, 24000);
+  model_run (&model, 2 * rate, 2);
+  cr_assert_eq (model.refused, 0);
+  model.shedder.rate_limit = rate;
+  model_run (&model, 2 * rate, 1);
+  model.offered = model.refused = 0;
+  model_run (&model, 2 * rate, 10);
+  cr_assert_float_eq ((double)model.refused / (double)model.offered, 0.5, 0.05,
+                      "%" PRIu64 " of %" PRIu64 " refused", model.refused,
+                      model.offered);
+  cr_assert_eq (jl_load_shedder_used_slots (&model.shedder, 14), 3);
+  cr_assert_float_eq (jl_load_shedder_capacity (&model.shedder, 14), rate,
+                      1e-9);
+}
+
 /* Stores a target's state in the roster, as its beacon would. */
 static void
 announce_zone (struct zones *zones, const char *zone, const struct model *model)
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -140,6 +140,32 @@
   jl_roster_clear (&roster);
 }
 
+/* A target has named a limit of 24 requests a second; the other one completes
+ * 2,000. All requests end at once, so that neither has any in progress. */
+Test (place, a_target_of_far_lower_capacity_is_chosen_rarely)
+{
+  struct jl_roster roster;
+  struct jl_member *sound;
+  struct jl_member *limited;
+  unsigned limited_count = 0;
+
+  g_random_set_seed (39);
+  jl_roster_init (&roster, "z1");
+  sound = add_member (&roster, "sound", "z1", "s");
+  sound->limit = 113;
+  sound->capacity = 2000;
+  sound->outstanding = 1;
+  limited = add_member (&roster, "limited", "z1", "s");
+  limited->limit = 2;
+  limited->capacity = 24;
+  for (unsigned i = 0; i < 2000; i++)
+    limited_count
+        += jl_place_choose_daemon (&roster, "s", "z1", NULL, 0, NOW) == limited;
+  cr_assert_leq (limited_count, 3 * 24, "%u of 2000", limited_count);
+  cr_assert_gt (limited_count, 0, "nothing can tell that its limit has ended");
+  jl_roster_clear (&roster);
+}
+
 static struct jl_demand
 demand (uint32_t route, unsigned rank, double rate, double runs)
 {
