Let a zone's daemons send a request every 2 s to a target of very low capacity

What callers saw: less capacity than there was. A target that had named the limit 0, and then none, got no request for 13 s and more: others of its zone had 350 times its capacity, requests were few, and only an answer can tell that a limit has ended.

Each daemon sends to a candidate of less than an eighth of the mean capacity once it has sent it nothing for 2 s times the daemons of the zone.

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -391,6 +391,7 @@
   call->loss_inferred = false;
   call->trial_heard_us = now_us;
   call->trial_running = false;
+  member->asked_us = now_us;
   member->outstanding++;
   if (strcmp (member->zone, proxy->roster.local_zone) != 0)
     proxy->counters.other_zone++;
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -16,6 +16,12 @@
 /* Failure rate at which a target in the preferred zone loses its
  * preference over targets of other zones. */
 #define FAILURE_RATE_MAX 0.2
+/* Share of the candidates' mean capacity below which a target may get nothing
+ * for long. Requests that it answers are needed to learn that its limit has
+ * ended. */
+#define LOW_CAPACITY_SHARE 0.125
+/* Time in which the daemons of a zone together send such a target a request. */
+#define NEGLECT_US (2 * JL_USEC_PER_SEC)
 
 /* Adds @runs to the node of @service below @parent. Returns the node's index,
  * or JL_NONE if the tree is full. */
@@ -291,14 +297,11 @@
  * entries together would send it too much.
  */
 static struct jl_member *
-choose_candidate (struct candidates *candidates)
+choose_loaded_least (struct candidates *candidates)
 {
-  struct candidate first;
+  struct candidate first = take_candidate (candidates);
   struct candidate second;
 
-  if (candidates->list->len == 0)
-    return NULL;
-  first = take_candidate (candidates);
   if (candidates->list->len == 0)
     return first.member;
   second = take_candidate (candidates);
@@ -308,6 +311,57 @@
                                                           : first.member;
 }
 
+static unsigned
+count_local_daemons (const struct jl_roster *roster, uint64_t now_us)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+
+      if (!member->in_other_zone && jl_member_is_alive (member, now_us))
+        count++;
+    }
+  return count;
+}
+
+/* Returns a candidate of low capacity to which this daemon has sent nothing for
+ * its part of the time, NULL if there is none. */
+static struct jl_member *
+find_neglected (const struct candidates *candidates,
+                const struct jl_roster *roster,
+                uint64_t now_us)
+{
+  double low
+      = LOW_CAPACITY_SHARE * candidates->capacity / candidates->list->len;
+
+  for (guint i = 0; i < candidates->list->len; i++)
+    {
+      const struct candidate *candidate
+          = &g_array_index (candidates->list, struct candidate, i);
+
+      if (candidate->capacity < low
+          && now_us >= candidate->member->asked_us
+                           + NEGLECT_US * count_local_daemons (roster, now_us))
+        return candidate->member;
+    }
+  return NULL;
+}
+
+static struct jl_member *
+choose_candidate (struct candidates *candidates,
+                  const struct jl_roster *roster,
+                  uint64_t now_us)
+{
+  struct jl_member *neglected;
+
+  if (candidates->list->len == 0)
+    return NULL;
+  neglected = find_neglected (candidates, roster, now_us);
+  return neglected != NULL ? neglected : choose_loaded_least (candidates);
+}
+
 struct jl_member *
 jl_place_choose_daemon (const struct jl_roster *roster,
                         const char *service,
@@ -331,7 +385,7 @@
       add_candidate (&candidates, member, slot_rate,
                      preference_of (member, zone));
     }
-  chosen = choose_candidate (&candidates);
+  chosen = choose_candidate (&candidates, roster, now_us);
   g_array_free (candidates.list, TRUE);
   return chosen;
 }
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -100,6 +100,7 @@
  *                  zone, which sends beacons itself and needs those of this one
  * @told: of a daemon of the local zone: what other zones were told
  * @relayed_us: time at which its last full beacon was passed on to other zones
+ * @asked_us: time at which this daemon last sent a request to it, 0 for none
  * @last_answer_us: time of its last response to a request, 0 for none
  * @failed_us: time at which a request to it failed last, 0 for none
  * @outstanding: requests that this daemon has sent to it, without a response so
@@ -142,6 +143,7 @@
   uint64_t older_until_us;
   struct jl_told told;
   uint64_t relayed_us;
+  uint64_t asked_us;
   uint64_t last_answer_us;
   uint64_t failed_us;
   unsigned outstanding;
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -158,11 +158,33 @@
   limited = add_member (&roster, "limited", "z1", "s");
   limited->limit = 2;
   limited->capacity = 24;
+  limited->asked_us = NOW;
   for (unsigned i = 0; i < 2000; i++)
     limited_count
         += jl_place_choose_daemon (&roster, "s", "z1", NULL, 0, NOW) == limited;
   cr_assert_leq (limited_count, 3 * 24, "%u of 2000", limited_count);
-  cr_assert_gt (limited_count, 0, "nothing can tell that its limit has ended");
+  cr_assert_gt (limited_count, 0);
+  jl_roster_clear (&roster);
+}
+
+/* Of few requests none would reach a target that takes nearly none, and nothing
+ * would tell that its limit has ended. */
+Test (place, a_target_that_takes_nearly_nothing_is_not_forgotten)
+{
+  struct jl_roster roster;
+  struct jl_member *limited;
+  struct jl_member *chosen;
+
+  jl_roster_init (&roster, "z1");
+  add_member (&roster, "sound", "z1", "s")->capacity = 2000;
+  limited = add_member (&roster, "limited", "z1", "s");
+  limited->capacity = 0.01;
+  limited->asked_us = NOW - 3 * JL_USEC_PER_SEC;
+  chosen = jl_place_choose_daemon (&roster, "s", "z1", NULL, 0, NOW);
+  cr_assert_neq (chosen, limited, "two daemons share the requests");
+  limited->asked_us = NOW - 5 * JL_USEC_PER_SEC;
+  chosen = jl_place_choose_daemon (&roster, "s", "z1", NULL, 0, NOW);
+  cr_assert_eq (chosen, limited);
   jl_roster_clear (&roster);
 }
 
