Soak: limits and leaves that targets tell by their answers alone

Faults target_limit (0 to 15 requests a second, for 8 to 12 s, also of several targets and after a start meanwhile) and target_says_leaving (heartbeats go on as ready), in overlap with the others; rules limit and leaving, judged from what clients have got and what reaches targets.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 
 from deadly import CONTACT_S, LATE_ARRIVALS_MAX
 from odd import make_heartbeat, make_row
+from target import DRAIN_WAIT_S
 
 # Kinds of faults. Seeds with --faults early choose from the first list, others from both,
 # so their plans change if a list does.
@@ -15,16 +16,20 @@
                "target_reset", "store_busy", "store_silent", "store_lost", "store_slow",
                "compact", "configure", "configure", "double_term", "poison", "beacons_lost", "store_restore"]
 LATER_KINDS = ["endless", "extra_split", "store_endless", "store_links_silent", "peer_links_silent",
-               "refusal_again", "strange_heartbeat", "odd_rows", "head_cut", "peer_cut"]
+               "refusal_again", "strange_heartbeat", "odd_rows", "head_cut", "peer_cut", "target_limit",
+               "target_says_leaving"]
 # Names of lists of kinds.
 KINDS_BY_NAME = {"early": EARLY_KINDS, "all": EARLY_KINDS + LATER_KINDS}
 # Kinds of faults that impair no single daemon.
 FAULTS_OF_NO_DAEMON = {"poison", "compact", "configure", "store_busy", "store_silent", "store_lost", "store_slow",
-                       "store_restore", "store_endless", "strange_heartbeat"}
+                       "store_restore", "store_endless", "strange_heartbeat", "target_limit", "target_says_leaving"}
 # Kinds of faults that break no connection of a daemon.
 FAULTS_WITHOUT_BREAKS = FAULTS_OF_NO_DAEMON | {"hup", "term", "double_term", "beacons_lost", "target_leave"}
 # Time for which the beacons of a daemon are lost: longer than others wait for them.
 BEACONS_LOST_S = 6.0
+# Limits of requests a second that targets name, and the least time for which they do.
+LIMITS = [0, 0.3, 2, 6, 15]
+LIMIT_S = 8.0
 # Most heartbeats and rows of a fault.
 HEARTBEATS_MAX = 3
 ODD_ROWS_MAX = 12
@@ -101,6 +106,26 @@
             await asyncio.sleep(duration_s / 2)
             await daemon.target.start(daemon.target.announce)
 
+    async def do_target_limit(self, daemon, duration_s):
+        """This target and some others name a limit, each its own, also after a start meanwhile."""
+        limited = [other.target for other in self.daemons if other is daemon or self.random.random() < 0.2]
+        for target in limited:
+            target.limit = self.random.choice(LIMITS)
+        await asyncio.sleep(LIMIT_S + duration_s)
+        for target in limited:
+            target.limit = None
+
+    async def do_target_says_leaving(self, daemon, duration_s):
+        """Leaves without another word than that of its answers."""
+        if daemon.target.lock.locked():
+            return
+        async with daemon.target.lock:
+            daemon.target.says_leaving = True
+            await asyncio.sleep(DRAIN_WAIT_S + duration_s)
+            daemon.target.crash()
+            await asyncio.sleep(duration_s / 2)
+            await daemon.target.start(daemon.target.announce)
+
     async def do_lose(self, daemon, duration_s):
         daemon.target.lost_response_ratio = 0.2
         await asyncio.sleep(duration_s)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -18,6 +18,14 @@
 # Time before the end of a planned stop in which a request may meet the closing of
 # its connection.
 CLOSING_S = 0.05
+# A target may get, in any span of LIMIT_SPAN_S that begins later than LIMIT_AFTER_S after it
+# named its limit first, LIMIT_FACTOR times what the limit allows and LIMIT_SLACK more, from
+# daemons that passed its answer on LIMIT_TOLD_S before or earlier.
+LIMIT_SPAN_S = 4.0
+LIMIT_AFTER_S = 3.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_TOLD_S = 0.5
 # Violations of a rule that are kept.
 VIOLATIONS_MAX = 20
 # Statuses that promise that a request has not run and never will.
@@ -26,6 +34,76 @@
 RECOVERED_RATIO = 0.9
 
 
+class Limits:
+    """What answers have said of their targets, and to which run of which daemon's process."""
+
+    def __init__(self):
+        self.arrivals = defaultdict(list)
+        # For each target, the spans in which it named a limit: begin, end, the highest limit,
+        # and whether the span lasts.
+        self.spans = defaultdict(list)
+        # By target, daemon and its run: when answers that name a limit were passed on, and the
+        # first one that says that the target leaves.
+        self.told = defaultdict(list)
+        self.leaving = {}
+
+    def named(self, target, limit):
+        """Records that an answer names a limit, or none."""
+        spans = self.spans[target]
+        now = time.monotonic()
+        lasts = bool(spans) and spans[-1][3]
+        if limit is not None and not lasts:
+            spans.append([now, now, limit, True])
+        elif limit is not None:
+            spans[-1][1:3] = now, max(limit, spans[-1][2])
+        elif lasts:
+            spans[-1][3] = False
+
+    def arrived(self, target, number):
+        self.arrivals[target].append((time.monotonic(), number))
+
+    def passed_on(self, sent, fields):
+        target = fields.get("x-jackdawladder-server-seal", "").partition(".")[0]
+        for prefix in ("", "x-jackdawladder-"):
+            if prefix + "server-limit" in fields:
+                self.told[target, sent["entry"], sent["run"]].append(sent["ended"])
+            if prefix + "server-leaving" in fields:
+                self.leaving.setdefault((target, sent["entry"], sent["run"]), sent["ended"])
+
+    def counts(self, target, at, sent, impairments):
+        """Returns whether the daemon of a request knew the limit, with no fault there since."""
+        since = 0.0
+        for begin, end in impairments[sent["entry"]]:
+            if begin <= at:
+                since = max(since, min(end, at))
+        return any(since < told <= at - LIMIT_TOLD_S
+                   for told in self.told[target, sent["entry"], sent["run"]])
+
+    def exceeded(self, sent, impairments):
+        """Yields a line for each target that got more than its limit allows."""
+        for target, (first, last, limit, _) in [(target, span) for target in self.spans for span in self.spans[target]]:
+            allowed = LIMIT_FACTOR * limit * LIMIT_SPAN_S + LIMIT_SLACK
+            times = [at for at, number in self.arrivals[target]
+                     if first + LIMIT_AFTER_S <= at <= last and number in sent
+                     and self.counts(target, at, sent[number], impairments)]
+            for start in times:
+                count = sum(start <= at < start + LIMIT_SPAN_S for at in times)
+                if count > allowed:
+                    yield f"{target} got {count} requests in {LIMIT_SPAN_S:.0f} s, {allowed:.0f} allowed, limit {limit}"
+                    break
+
+    def after_leaving(self, sent, freezes):
+        """Yields a line for each request that reached a target after its daemon knew that it leaves."""
+        for target, arrivals in self.arrivals.items():
+            for at, number in arrivals:
+                request = sent.get(number)
+                told = request and self.leaving.get((target, request["entry"], request["run"]))
+                if not told or request["at"] <= told + DRAIN_S:
+                    continue
+                if not any(begin <= at and end > told for begin, end in freezes[request["entry"]]):
+                    yield f"{number} from {request['entry']} reaches {target} {at - told:.1f} s after it said it leaves"
+
+
 class History:
     """Observations of one seed; `violations` holds the first 20 of each rule."""
 
@@ -35,6 +113,7 @@
         # The service of each daemon's machine, and the time of the last arrival at each target.
         self.services = {}
         self.last_arrivals = {}
+        self.limits = Limits()
         self.answers = defaultdict(dict)
         # Time at which a target completed each request last, and the daemon beside it.
         self.completed = {}
@@ -56,8 +135,9 @@
     def draining_acknowledged(self, target):
         self.drain_acks[target] = time.monotonic()
 
-    def arrived(self, number, service, host, fields):
+    def arrived(self, number, target, service, host, fields):
         now = time.monotonic()
+        self.limits.arrived(target, number)
         self.arrivals[service].append((now, number))
         self.last_arrivals[host] = now
         sent = self.sent.get(number)
@@ -116,6 +196,7 @@
         took = sent["ended"] - sent["at"]
         if status and took > sent["deadline"] + LATE_RESPONSE_S and not self.was_frozen(sent):
             self.fail("late", f"{number} at {sent['entry']} gets status {status} after {took:.1f} s")
+        self.limits.passed_on(sent, fields)
         if status == 200:
             self.check_success(number, fields, body)
         if status in PROMISES:
@@ -197,6 +278,16 @@
                    for stop in self.stops[sent["entry"]]):
                 self.fail("cut", f"{number} at {sent['entry']} is cut off by a planned stop")
 
+    def check_limits(self, impairments):
+        """Checks what reached targets after daemons had passed on answers that name a limit, or a leave.
+
+        impairments: of each daemon, the spans of its faults.
+        """
+        for text in self.limits.exceeded(self.sent, impairments):
+            self.fail("limit", text)
+        for text in self.limits.after_leaving(self.sent, self.freezes):
+            self.fail("leaving", text)
+
     def check_served(self, hosts, since):
         """Checks that each of these targets has got requests since a time."""
         for host in hosts:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -407,6 +407,7 @@
             daemon.check_memory()
         self.history.check_given_up(self.is_undisturbed)
         self.history.check_cut(self.is_undisturbed)
+        self.history.check_limits(self.impairments)
         self.history.check_served([daemon.host for daemon in self.daemons], calm_since)
         return self.history.finish(calm_since)
 
--- a/tests/soak/target.py
+++ b/tests/soak/target.py
@@ -28,6 +28,8 @@
     endless_response_ratio: ratio of the requests that run and get a response
     without end; cut_response_ratio: the same with a response that ends within its
     head or trailers.
+    limit: requests a second that its answers name, None for none; says_leaving: its
+    answers say that it leaves, while its heartbeats go on.
     """
 
     def __init__(self, history, host, service, slots, seed):
@@ -46,6 +48,10 @@
         self.split_repeated_responses = False
         self.endless_response_ratio = 0.0
         self.cut_response_ratio = 0.0
+        self.limit = None
+        self.says_leaving = False
+        # The page of the users does not show how the names are spelled.
+        self.prefix = self.random.choice(["", "X-Jackdawladder-"])
         self.refusals = RefusalRepeater(seed)
         # Whether heartbeats tell the start time.
         self.tells_start = True
@@ -70,6 +76,7 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.draining_since = None
+        self.says_leaving = False
         self.writers = set()
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
@@ -184,6 +191,16 @@
         self.history.end(call, answer.status, answer.fields, answer.body)
         return 200 if answer.status == 200 else 500
 
+    def notices(self):
+        """Returns what its answers say of it."""
+        fields = {}
+        if self.limit is not None:
+            fields[self.prefix + "Server-Limit"] = str(self.limit)
+        self.history.limits.named(self.id, self.limit)
+        if self.says_leaving:
+            fields[self.prefix + "Server-Leaving"] = "1"
+        return fields
+
     async def run(self, message, writer):
         fields = message.fields
         number = fields["x-jackdawladder-attempt-id"]
@@ -192,7 +209,8 @@
             writer.write(encode("HTTP/1.1 421 Other", {**echo, "X-Jackdawladder-Instance-Id": self.id}))
             return
         path = message.first.split(" ")[1]
-        self.history.arrived(number, self.service, self.host, fields)
+        self.history.arrived(number, self.id, self.service, self.host, fields)
+        echo.update(self.notices())
         self.on_arrival(self, path, number)
         await self.refusals.write(writer, ["idle", "arrival"])
         if self.refusals.refuse(writer, echo):
@@ -216,6 +234,8 @@
             self.running = max(0, self.running - 1)
         if self.crashed or self.born != born:
             raise EOFError
+        # The answer says what holds now, not what held when the request arrived.
+        echo = {"X-Jackdawladder-Attempt-Id": number, **self.notices()}
         seal = f"{self.id}.{number}"
         if self.random.random() < self.endless_response_ratio:
             await send_without_end(writer, self.random.choice(KINDS), self.random.random() < 0.5,
