--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -88,6 +88,13 @@
  */
 uint64_t jl_call_age_ms (const struct jl_call *call);
 
+/**
+ * jl_call_choose_daemon - chooses the daemon that a request is sent to next
+ *
+ * Return: the daemon, NULL if there is none.
+ */
+struct jl_member *jl_call_choose_daemon (struct jl_call *call, uint64_t now_us);
+
 /**
  * jl_call_cancel_upstream - cancels the upstream request, if there is one
  */
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -345,39 +345,12 @@
   return call->relay.upstream != NULL;
 }
 
-/* Chooses a daemon for a trial: another one than this daemon if possible, which
- * could not report the loss of the whole instance. */
-static struct jl_member *
-choose_daemon_for_trial (struct jl_call *call, uint64_t now_us)
-{
-  struct jl_proxy *proxy = call->proxy;
-  struct jl_member *excluded[JL_PLACEMENTS_MAX + 1];
-
-  memcpy (excluded, call->tried, sizeof call->tried);
-  excluded[call->tried_count] = proxy->self;
-  return jl_place_choose_daemon (&proxy->roster, call->service, call->zone,
-                                 excluded, call->tried_count + 1, now_us);
-}
-
-static struct jl_member *
-choose_daemon (struct jl_call *call, uint64_t now_us)
-{
-  struct jl_member *member
-      = call->on_trial ? choose_daemon_for_trial (call, now_us) : NULL;
-
-  if (member != NULL)
-    return member;
-  return jl_place_choose_daemon (&call->proxy->roster, call->service,
-                                 call->zone, call->tried, call->tried_count,
-                                 now_us);
-}
-
 static void
 place_call (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   uint64_t now_us = jl_now ();
-  struct jl_member *member = choose_daemon (call, now_us);
+  struct jl_member *member = jl_call_choose_daemon (call, now_us);
 
   if (member == NULL || now_us >= call->expires_us)
     {
@@ -652,7 +625,7 @@
 static void
 leave_silent_member (struct jl_call *call, uint64_t now_us)
 {
-  if (choose_daemon (call, now_us) == NULL)
+  if (jl_call_choose_daemon (call, now_us) == NULL)
     return;
   call->targets_reached++;
   if (!prepare_repeat (call))
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -10,12 +10,12 @@
 
 #include "names.h"
 #include "proxy/hooks.h"
+#include "proxy/match.h"
 #include "proxy/report.h"
 #include "proxy/trial.h"
 #include "proxy/watch.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* Size of the buffered body of queued work above which the guard stops reading
  * from the sender. */
@@ -23,26 +23,10 @@
 /* Timeout for sending the first byte of a request to the target, which is on
  * the same instance. */
 #define CONNECT_TIMEOUT_US (250 * JL_USEC_PER_MSEC)
-/* Status of a target's response if the request was sent to another incarnation
- * of the target. The request has not run. */
-#define STATUS_MISDIRECTED 421
 /* Status of a target's response at the deadline. It is not counted as a failure
  * of the target. */
 #define STATUS_GATEWAY_TIMEOUT 504
 
-/**
- * enum match - whether a response belongs to a request
- * @MATCH_OWN: it does
- * @MATCH_FOREIGN: it does not
- * @MATCH_UNKNOWN: it cannot be told
- */
-enum match
-{
-  MATCH_OWN,
-  MATCH_FOREIGN,
-  MATCH_UNKNOWN,
-};
-
 static void start_work (struct jl_work *work);
 
 /* Returns NULL if @relay is NULL: a request has no data once it is answered. */
@@ -59,19 +43,13 @@
                       JL_HEADER_ATTEMPT_ID);
 }
 
-static uint64_t
-hash_text (const char *text)
-{
-  return XXH3_64bits (text, strlen (text));
-}
-
 /* Returns a mark for connections on which the attempt was refused. */
 static uint64_t
 attempt_mark (const struct jl_work *work)
 {
   const char *id = attempt_id (work);
 
-  return id != NULL ? hash_text (id) : 0;
+  return id != NULL ? jl_match_hash (id) : 0;
 }
 
 const char *
@@ -212,49 +190,6 @@
   jl_guard_run_queue (proxy);
 }
 
-/* Whether the target states that it has not run the request. */
-static bool
-target_did_not_run (const struct jl_head *head)
-{
-  return jl_head_get (head, JL_HEADER_NOT_EXECUTED) != NULL
-         || head->status == STATUS_MISDIRECTED;
-}
-
-/* Whether a response says that another instance than the one that the request
- * names is at the other end of the connection, for which this holds as long as
- * the connection lasts. */
-static bool
-is_of_other_instance (const struct jl_work *work, const struct jl_head *head)
-{
-  const char *instance = jl_head_get (head, JL_HEADER_INSTANCE_ID);
-
-  return head->status == STATUS_MISDIRECTED && instance != NULL
-         && hash_text (instance) != work->target_hash;
-}
-
-/* Returns how certain it is that the response belongs to this request: the
- * target has to echo the attempt identifier if the request has one. A target
- * may refuse without reading the identifier, but on a connection that has
- * carried other requests such a refusal may be of any of them. */
-static enum match
-match_response (const struct jl_work *work)
-{
-  const struct jl_head *head = jl_upstream_head (work->relay.upstream);
-  const char *asked = attempt_id (work);
-  const char *echoed = jl_head_get (head, JL_HEADER_ATTEMPT_ID);
-
-  if (JL_TEST_DISABLED ("match") || asked == NULL)
-    return MATCH_OWN;
-  if (echoed != NULL)
-    return strcmp (asked, echoed) == 0 ? MATCH_OWN : MATCH_FOREIGN;
-  if (!target_did_not_run (head))
-    return MATCH_FOREIGN;
-  if (is_of_other_instance (work, head))
-    return MATCH_OWN;
-  return jl_upstream_is_reused (work->relay.upstream) ? MATCH_UNKNOWN
-                                                      : MATCH_OWN;
-}
-
 /* Drops a response to another request and waits for the next response on the
  * same connection, if there can be one. */
 static void
@@ -295,13 +230,13 @@
              jl_now () - work->started_us);
   mark_refused (work);
   jl_failure_rate_count_run (&proxy->failure_rate,
-                             status != STATUS_MISDIRECTED);
-  if (status == STATUS_MISDIRECTED)
+                             status != JL_STATUS_MISDIRECTED);
+  if (status == JL_STATUS_MISDIRECTED)
     jl_heartbeats_reinstate (
         proxy, jl_head_get (jl_upstream_head (work->relay.upstream),
                             JL_HEADER_INSTANCE_ID));
-  jl_guard_refuse (work, status == STATUS_MISDIRECTED ? "target-changed"
-                                                      : "target-refused");
+  jl_guard_refuse (work, status == JL_STATUS_MISDIRECTED ? "target-changed"
+                                                         : "target-refused");
   jl_guard_run_queue (proxy);
 }
 
@@ -328,19 +263,19 @@
 {
   struct jl_work *work = work_from_relay (context);
   const struct jl_head *head = jl_upstream_head (upstream);
-  enum match match = match_response (work);
+  enum jl_match match = jl_match_response (work);
   char target_line[JL_TARGET_LINE_SIZE] = "";
 
-  if (match == MATCH_OWN && head->status != STATUS_MISDIRECTED)
+  if (match == JL_MATCH_OWN && head->status != JL_STATUS_MISDIRECTED)
     {
       jl_watch_count_response (work->proxy->watch, work->started_us);
       jl_notice_heard (work, head, target_line);
     }
-  if (match == MATCH_FOREIGN)
+  if (match == JL_MATCH_FOREIGN)
     drop_mismatched_response (work);
-  else if (match == MATCH_UNKNOWN)
+  else if (match == JL_MATCH_UNKNOWN)
     fail_unnamed_refusal (work);
-  else if (target_did_not_run (head))
+  else if (jl_match_says_not_run (head))
     handle_target_refused (work);
   else if (jl_headers_promise_not_run (head))
     fail_work (work, "unstated-refusal");
@@ -471,7 +406,7 @@
   if (attempt_id (work) == NULL)
     work->fresh_connection = true;
   work->target_key = jl_target_key (&proxy->target);
-  work->target_hash = hash_text (proxy->target.last.id);
+  work->target_hash = jl_match_hash (proxy->target.last.id);
   work->running = true;
   work->started_us = now_us;
   jl_trial_started (work);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -1,5 +1,5 @@
 /**
- * DOC: Start, control windows, graceful shutdown and reload of the proxy.
+ * DOC: Start, control windows and reload of the proxy.
  */
 
 #include "proxy/proxy.h"
@@ -47,30 +47,11 @@
 #define RELOAD_PERIOD_US (2 * JL_USEC_PER_SEC)
 /* Minimum time between two reads of the settings because of heartbeats. */
 #define RENEW_GAP_US (100 * JL_USEC_PER_MSEC)
-/* Minimum time for which requests are served after the start of a graceful
- * shutdown, as clients learn of it only after a delay. */
-#define STOP_MIN_US (2500 * JL_USEC_PER_MSEC)
-/* Time after that at which the process exits although clients still send
- * requests, which it refuses, if nothing is in progress. */
-#define STOP_REFUSING_MAX_US (500 * JL_USEC_PER_MSEC)
-/* Time for which the local target still receives work after the start of a
- * graceful shutdown. It is shorter than STOP_MIN_US, so that this work
- * completes within STOP_MIN_US. */
-#define GUARD_OPEN_US (1700 * JL_USEC_PER_MSEC)
-/* Time before the end of the grace period at which the requests in progress are
- * answered, and at which the process exits in any case. */
-#define STOP_ANSWER_MARGIN_US (400 * JL_USEC_PER_MSEC)
-#define STOP_EXIT_MARGIN_US (300 * JL_USEC_PER_MSEC)
-/* Period of checks whether a graceful shutdown is complete. */
-#define STOP_CHECK_PERIOD_US (50 * JL_USEC_PER_MSEC)
 /* Time after the start at which a daemon becomes ready, and believes its
  * target, even if it receives no beacons of other daemons. */
 #define ALONE_US (1500 * JL_USEC_PER_MSEC)
 /* Number of control windows between two estimates of the call graph. */
 #define FANOUT_PERIOD_WINDOWS 3
-/* Exit status if the grace period ended with requests in progress. */
-#define EXIT_REQUESTS_CANCELLED 4
-
 /* Two targets end before a content is suspect, since all that is in progress at
  * the end of one target would be otherwise; and two in trials before it is
  * refused, since a target may end during a trial for another reason. A content
@@ -123,20 +104,6 @@
          && jl_proxy_has_heard_others (proxy);
 }
 
-bool
-jl_proxy_is_ending (const struct jl_proxy *proxy)
-{
-  return proxy->stopping && jl_now () > proxy->stop_began_us + STOP_MIN_US;
-}
-
-bool
-jl_proxy_lasts_until (const struct jl_proxy *proxy, uint64_t time_us)
-{
-  return !proxy->stopping
-         || time_us + STOP_ANSWER_MARGIN_US
-                <= proxy->stop_began_us + proxy->options->grace_us;
-}
-
 /* Returns the number of requests that may run at a target with @slots. */
 static unsigned
 lane_limit (unsigned slots)
@@ -146,9 +113,8 @@
   return slots > unused ? slots - unused : 1;
 }
 
-/* Copies the local state into this daemon's entry of the roster. */
-static void
-update_self (struct jl_proxy *proxy)
+void
+jl_proxy_update_self (struct jl_proxy *proxy)
 {
   struct jl_member *self = proxy->self;
 
@@ -178,7 +144,7 @@
 
   proxy->lane.rate = jl_rate_limit_rate (limit);
   proxy->load_shedder.rate_limit = proxy->lane.rate;
-  update_self (proxy);
+  jl_proxy_update_self (proxy);
   jl_beacon_send_soon (proxy->beacon);
 }
 
@@ -205,7 +171,7 @@
       jl_guard_refuse_waiting (
           proxy, target->state == JL_TARGET_LEAVING ? "draining" : "no-target");
     }
-  update_self (proxy);
+  jl_proxy_update_self (proxy);
   if (target->state == JL_TARGET_LEAVING)
     jl_beacon_send_now (proxy->beacon);
   else
@@ -328,7 +294,7 @@
   log_shed (proxy, before);
   jl_rows_update_following (proxy);
   jl_rows_write_learned (proxy);
-  update_self (proxy);
+  jl_proxy_update_self (proxy);
   jl_demand_end_window (proxy);
   jl_entry_check_members (proxy);
   jl_trial_check (proxy);
@@ -444,74 +410,6 @@
                        proxy);
 }
 
-/* Announces that the target takes no more work, because the daemon is about to
- * exit. */
-static void
-close_guard (struct jl_proxy *proxy)
-{
-  proxy->guard_closed = true;
-  update_self (proxy);
-  jl_beacon_send_soon (proxy->beacon);
-}
-
-/* Whether nothing is in progress, and no request has come since the last check:
- * the process would exit before the rest of its body is read, and the client
- * would get a reset in place of the response. */
-static bool
-may_exit (struct jl_proxy *proxy, uint64_t age_us)
-{
-  bool idle
-      = cds_list_empty (&proxy->calls) && cds_list_empty (&proxy->work_items);
-  uint64_t requests = proxy->counters.requests + proxy->counters.calls;
-  bool quiet = proxy->stop_requests == requests;
-
-  proxy->stop_requests = requests;
-  if (JL_TEST_DISABLED ("stop"))
-    return true;
-  return idle && (quiet || age_us >= STOP_MIN_US + STOP_REFUSING_MAX_US);
-}
-
-static void
-on_stop_timer (void *context, struct jl_timer *timer)
-{
-  struct jl_proxy *proxy = context;
-  uint64_t age_us = jl_now () - proxy->stop_began_us;
-  bool exits = may_exit (proxy, age_us);
-
-  if (!jl_proxy_lasts_until (proxy, jl_now ()) && jl_entry_end_all (proxy))
-    proxy->exit_status = EXIT_REQUESTS_CANCELLED;
-  if (age_us >= GUARD_OPEN_US && !proxy->guard_closed)
-    close_guard (proxy);
-  if (age_us >= STOP_MIN_US && exits)
-    {
-      jl_loop_stop (proxy->loop);
-      return;
-    }
-  if (age_us + STOP_EXIT_MARGIN_US >= proxy->options->grace_us)
-    {
-      proxy->exit_status = EXIT_REQUESTS_CANCELLED;
-      jl_loop_stop (proxy->loop);
-      return;
-    }
-  jl_loop_start_timer (proxy->loop, timer, STOP_CHECK_PERIOD_US, on_stop_timer,
-                       proxy);
-}
-
-/* Begins a graceful shutdown. The entry closes each connection after its
- * response, so that clients reconnect to other daemons. */
-static void
-begin_stop (struct jl_proxy *proxy)
-{
-  if (proxy->stopping)
-    return;
-  proxy->stopping = true;
-  proxy->stop_began_us = jl_now ();
-  jl_record (JL_RECORD_CHANGE, JL_RECORD_STOPPING, "grace_ms=%" PRIu64,
-             proxy->options->grace_us / JL_USEC_PER_MSEC);
-  jl_server_close_after_response (proxy->entry);
-  on_stop_timer (proxy, &proxy->stop_timer);
-}
-
 static void
 on_signal (uv_signal_t *handle, int number)
 {
@@ -520,7 +418,7 @@
   if (number == SIGHUP)
     reload (proxy, true);
   else
-    begin_stop (proxy);
+    jl_proxy_begin_stop (proxy);
 }
 
 static const int handled_signals[] = { SIGTERM, SIGINT, SIGHUP };
@@ -680,7 +578,7 @@
       jl_record_flush ();
       return NULL;
     }
-  update_self (proxy);
+  jl_proxy_update_self (proxy);
   watch_signals (proxy);
   start_timers (proxy);
   jl_record (JL_RECORD_CHANGE, JL_RECORD_STARTED,
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -299,6 +299,12 @@
  */
 int jl_proxy_run (struct jl_proxy *proxy);
 
+/**
+ * jl_proxy_update_self - copies the local state into this daemon's entry of the
+ * roster, which beacons announce
+ */
+void jl_proxy_update_self (struct jl_proxy *proxy);
+
 /**
  * jl_proxy_target_changed - applies a change of the local target's state,
  * identity or number of slots
@@ -352,6 +358,21 @@
  */
 bool jl_proxy_is_ready (const struct jl_proxy *proxy);
 
+/**
+ * jl_histogram_add - adds a sample of @time_us microseconds
+ */
+void jl_histogram_add (struct jl_histogram *histogram, uint64_t time_us);
+
+/* stop.c */
+
+/**
+ * jl_proxy_begin_stop - begins a graceful shutdown
+ *
+ * The entry closes each connection after its response, so that clients
+ * reconnect to other daemons.
+ */
+void jl_proxy_begin_stop (struct jl_proxy *proxy);
+
 /**
  * jl_proxy_is_ending - whether a graceful shutdown may terminate the process
  * before a request accepted now has completed
@@ -366,11 +387,6 @@
  */
 bool jl_proxy_lasts_until (const struct jl_proxy *proxy, uint64_t time_us);
 
-/**
- * jl_histogram_add - adds a sample of @time_us microseconds
- */
-void jl_histogram_add (struct jl_histogram *histogram, uint64_t time_us);
-
 /* entry.c */
 
 extern const struct jl_handler jl_entry_handler;
