Soak: long requests of a new route late in a planned stop

The rule cut now counts any request that is sent later than 2.5 s after SIGTERM, runs and gets no answer, whatever the status with which the daemon ends.

Also: a large change of a limit alone sends beacons at once, and responses that have begun may go on until the exit.

--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -638,6 +638,14 @@
   place_again (call, "member-silent");
 }
 
+/* Answers a request that cannot be awaited any longer. */
+static void
+end_call (struct jl_call *call)
+{
+  note_possible_run (call);
+  jl_call_give_up (call, "stopping");
+}
+
 bool
 jl_entry_end_all (struct jl_proxy *proxy)
 {
@@ -645,16 +653,9 @@
   struct jl_call *call;
   struct jl_call *next;
 
-  cds_list_for_each_entry_safe (call, next, &proxy->calls, link)
-  {
-    if (call->relay.response_started)
-      abort_call (call, "stopping");
-    else
-      {
-        note_possible_run (call);
-        jl_call_give_up (call, "stopping");
-      }
-  }
+  cds_list_for_each_entry_safe (call, next, &proxy->calls,
+                                link) if (!call->relay.response_started)
+      end_call (call);
   return any;
 }
 
--- a/source/proxy/notice.c
+++ b/source/proxy/notice.c
@@ -12,8 +12,8 @@
 #include <math.h>
 #include <stdio.h>
 
-/* Ratio by which a limit changes before it is logged again. */
-#define LOGGED_CHANGE 0.1
+/* Ratio by which a limit changes before it is logged and announced again. */
+#define LARGE_CHANGE 0.1
 
 void
 jl_notice_init (struct jl_target_limit *limit)
@@ -22,12 +22,13 @@
   jl_rate_limit_init (&limit->rate);
 }
 
+/* Whether a change is large enough to be logged and announced at once. */
 static bool
-is_worth_a_line (double logged, double rate)
+is_large_change (double logged, double rate)
 {
   if (isfinite (logged) != isfinite (rate))
     return true;
-  return isfinite (rate) && fabs (rate - logged) > LOGGED_CHANGE * logged;
+  return isfinite (rate) && fabs (rate - logged) > LARGE_CHANGE * logged;
 }
 
 /* Applies a limit of the current incarnation. @source: the identifier of the
@@ -39,15 +40,16 @@
 
   if (!jl_rate_limit_name (&limit->rate, rate, jl_now ()))
     return;
-  if (is_worth_a_line (limit->logged, rate))
+  jl_proxy_limit_changed (proxy);
+  if (is_large_change (limit->logged, rate))
     {
+      jl_beacon_send_soon (proxy->beacon);
       jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_LIMIT,
                  "target=%s rate=%g before=%g from=%s running=%u waiting=%u",
                  proxy->target.last.id, rate, limit->logged, source,
                  proxy->lane.running, proxy->lane.waiting);
       limit->logged = rate;
     }
-  jl_proxy_limit_changed (proxy);
 }
 
 /* Handles the leave of the incarnation with this key. */
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -145,7 +145,6 @@
   proxy->lane.rate = jl_rate_limit_rate (limit);
   proxy->load_shedder.rate_limit = proxy->lane.rate;
   jl_proxy_update_self (proxy);
-  jl_beacon_send_soon (proxy->beacon);
 }
 
 void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -400,10 +400,10 @@
 void jl_entry_check_members (struct jl_proxy *proxy);
 
 /**
- * jl_entry_end_all - answers all requests in progress, because the process is
- * about to exit
+ * jl_entry_end_all - answers all requests in progress whose response has not
+ * begun, because the process is about to exit
  *
- * Return: whether there were any.
+ * Return: whether any requests were in progress.
  */
 bool jl_entry_end_all (struct jl_proxy *proxy);
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -26,6 +26,13 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 LIMIT_TOLD_S = 0.5
+# Time after the begin of a planned stop from which on a request that is taken must be answered,
+# and time by which the daemon has ended.
+LATE_IN_STOP_S = 2.5
+# Grace period of a planned stop, and its first part, of whose requests some may last longer.
+GRACE_S = 4.0
+TAKEN_IN_STOP_S = 3.0
+STOP_MAX_S = 4.5
 # Violations of a rule that are kept.
 VIOLATIONS_MAX = 20
 # Statuses that promise that a request has not run and never will.
@@ -121,6 +128,8 @@
         self.sent = {}
         self.versions = []
         self.freezes = defaultdict(list)
+        # Times at which each daemon was told to stop.
+        self.terms = defaultdict(list)
         # Times at which each daemon ended a planned stop with nothing in progress.
         self.stops = defaultdict(list)
         self.violations = []
@@ -253,6 +262,14 @@
                     self.fail("budget", f"{service}: {retried} retries, {requested} requests")
                     break
 
+    def ends_with_grace(self, sent):
+        """Returns whether a request was sent early in a planned stop and lasted until the end of its grace.
+
+        Nobody can await it any longer then; the users' rule counts it neither.
+        """
+        return any(sent["at"] <= term + TAKEN_IN_STOP_S and sent["ended"] >= term + GRACE_S * 5 / 6
+                   for term in self.terms[sent["entry"]] if term < sent["ended"] < term + STOP_MAX_S)
+
     def check_given_up(self, is_undisturbed):
         """Checks that no request is failed while its target works on it and answers later.
 
@@ -263,6 +280,8 @@
                 continue
             completed, daemon = self.completed[number]
             late = completed - sent["ended"]
+            if self.ends_with_grace(sent):
+                continue
             if late > GIVEN_UP_S and all(is_undisturbed(name, sent["ended"]) for name in (sent["entry"], daemon)):
                 self.fail("given-up", f"{number} at {sent['entry']} got 502 {late:.2f} s before its target answered")
 
@@ -274,6 +293,9 @@
         for number, sent in self.sent.items():
             if sent.get("status") != 0 or not is_undisturbed(sent["entry"], sent["ended"]):
                 continue
+            if self.runs[number] and any(term + LATE_IN_STOP_S < sent["at"] < term + STOP_MAX_S
+                                         for term in self.terms[sent["entry"]]):
+                self.fail("cut", f"{number} at {sent['entry']} came late in a planned stop, ran and got no answer")
             if any(sent["at"] < stop - CLOSING_S and sent["ended"] > stop - CLOSING_S
                    for stop in self.stops[sent["entry"]]):
                 self.fail("cut", f"{number} at {sent['entry']} is cut off by a planned stop")
