--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -123,12 +123,12 @@
   g_string_append_printf (
       text,
       "# state: site=%" PRIx64 " target=%s/%s running=%u waiting=%u limit=%u "
-      "shed=%.3f room=%.3f hold_ms=%.1f stopping=%d\n",
+      "shed=%.3f room=%.3f hold_ms=%.1f rate_limit=%g stopping=%d\n",
       proxy->site != NULL ? proxy->site->version : 0, proxy->target.last.id,
       jl_target_state_name (proxy->target.state), proxy->lane.running,
       proxy->lane.waiting, proxy->lane.limit, proxy->load_shedder.shed_share,
       proxy->load_shedder.spare_share, proxy->load_shedder.hold_us / 1000,
-      proxy->stopping);
+      proxy->target_limit.rate.rate, proxy->stopping);
   for (guint i = 0; i < proxy->roster.members->len; i++)
     {
       const struct jl_member *member
