--- a/source/proxy/stop.c
+++ b/source/proxy/stop.c
@@ -17,8 +17,8 @@
 #define GUARD_OPEN_US (1700 * JL_USEC_PER_MSEC)
 /* Time before the end of the grace period at which the requests in progress are
  * answered, and at which the process exits in any case. */
-#define STOP_ANSWER_MARGIN_US (400 * JL_USEC_PER_MSEC)
-#define STOP_EXIT_MARGIN_US (300 * JL_USEC_PER_MSEC)
+#define STOP_ANSWER_MARGIN_US (500 * JL_USEC_PER_MSEC)
+#define STOP_EXIT_MARGIN_US (400 * JL_USEC_PER_MSEC)
 /* Period of checks whether a graceful shutdown is complete. */
 #define STOP_CHECK_PERIOD_US (50 * JL_USEC_PER_MSEC)
 /* Exit status if the grace period ended with requests in progress. */
