Use no kept connection beyond the time for which its peer keeps it

A request on a connection that the target closes at that moment gets 502 and may have run; the pool only learned from such losses. kept_connections::are_not_used_beyond_the_time_that_the_target_names failed before: a connection with timeout=1 was used after 0.9 s. Idle connections are now closed 0.25 s before the time that the last answer on them has named.

--- a/include/jackdawladder/head.h
+++ b/include/jackdawladder/head.h
@@ -107,6 +107,16 @@
                          const char *name,
                          uint64_t *number);
 
+/**
+ * jl_head_get_idle_timeout - reads the time after which the peer closes the
+ * connection if it stays idle
+ * @timeout_us: receives it
+ *
+ * Return: false if the field Keep-Alive names none.
+ */
+bool jl_head_get_idle_timeout (const struct jl_head *head,
+                               uint64_t *timeout_us);
+
 /**
  * jl_head_is_hop_by_hop - whether the field at @index must not be forwarded
  *
--- a/source/net/head.c
+++ b/source/net/head.c
@@ -4,6 +4,7 @@
 
 #include "jackdawladder/head.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /*
@@ -107,6 +108,29 @@
                                      NULL);
 }
 
+bool
+jl_head_get_idle_timeout (const struct jl_head *head, uint64_t *timeout_us)
+{
+  static const char parameter[] = "timeout=";
+  const char *value = jl_head_get (head, "Keep-Alive");
+  unsigned seconds;
+
+  while (value != NULL)
+    {
+      value += strspn (value, " \t");
+      if (g_ascii_strncasecmp (value, parameter, strlen (parameter)) == 0
+          && sscanf (value + strlen (parameter), "%9u", &seconds) == 1)
+        {
+          *timeout_us = seconds * JL_USEC_PER_SEC;
+          return true;
+        }
+      value = strchr (value, ',');
+      if (value != NULL)
+        value++;
+    }
+  return false;
+}
+
 static bool
 lists_name (const char *list, const char *name)
 {
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -14,6 +14,9 @@
  * considered stale: the peer had dropped it while it was idle.
  */
 #define STALE_DETECTION_US (50 * JL_USEC_PER_MSEC)
+/* Time before a peer closes an idle connection, by its own word, from which on
+ * the connection is not used: a request may need that long to reach it. */
+#define CLOSING_MARGIN_US (250 * JL_USEC_PER_MSEC)
 /* Lower bound of the maximum idle time when stale connections reduce it. */
 #define SAFE_IDLE_MIN_US (50 * JL_USEC_PER_MSEC)
 /* Time after which a reduced maximum idle time doubles. */
@@ -23,6 +26,7 @@
  * struct idle_conn - an idle connection that can be reused
  * @link: link in the list of its endpoint
  * @since_us: time at which the connection became idle
+ * @until_us: time from which on it is not used
  */
 struct idle_conn
 {
@@ -30,6 +34,7 @@
   struct jl_pool *pool;
   struct jl_conn *conn;
   uint64_t since_us;
+  uint64_t until_us;
 };
 
 /**
@@ -208,8 +213,7 @@
       struct idle_conn *next;
 
       cds_list_for_each_entry_safe (idle, next, &remote->conns,
-                                    link) if (now_us - idle->since_us
-                                              > pool->idle_max_us)
+                                    link) if (now_us >= idle->until_us)
           close_idle_conn (idle);
     }
 }
@@ -292,7 +296,7 @@
   uint64_t now_us = jl_now ();
 
   return now_us - idle->since_us <= current_idle_max_us (pool, now_us)
-         && !jl_conn_has_unread_input (idle->conn);
+         && now_us < idle->until_us && !jl_conn_has_unread_input (idle->conn);
 }
 
 /* Returns a reusable connection without the mark @avoid and its idle time, or
@@ -324,6 +328,19 @@
   return NULL;
 }
 
+/* Returns the time for which a connection may be idle, by the owner of the pool
+ * and the last response. */
+static uint64_t
+idle_time_us (const struct jl_pool *pool, struct jl_conn *conn)
+{
+  uint64_t timeout_us;
+
+  if (!jl_head_get_idle_timeout (jl_conn_head (conn), &timeout_us))
+    return pool->idle_max_us;
+  timeout_us -= MIN (timeout_us, CLOSING_MARGIN_US);
+  return MIN (pool->idle_max_us, timeout_us);
+}
+
 static void
 add_idle_conn (struct jl_pool *pool, struct jl_conn *conn)
 {
@@ -339,6 +356,7 @@
   idle->pool = pool;
   idle->conn = conn;
   idle->since_us = jl_now ();
+  idle->until_us = idle->since_us + idle_time_us (pool, conn);
   jl_conn_set_owner (conn, &idle_ops, idle);
   cds_list_add (&idle->link, &remote->conns);
   remote->count++;
--- a/tests/proxy/refusal.c
+++ b/tests/proxy/refusal.c
@@ -1,5 +1,6 @@
 /**
- * DOC: Tests of refusals by a target that belong to an earlier request.
+ * DOC: Tests of refusals by a target that belong to an earlier request, and of
+ * kept connections to it.
  *
  * The tests act as the target, with blocking writes between runs of the loops.
  */
@@ -300,3 +301,34 @@
   send_work (&play, "c");
   cr_assert_eq (play.accepted, 2, "the connection is used again");
 }
+
+/* The target closes them then, maybe while a request is on its way. */
+Test (kept_connections, are_not_used_beyond_the_time_that_the_target_names)
+{
+  struct play play;
+  const char *received;
+
+  begin (&play, 23);
+  received = answer (&play,
+                     "HTTP/1.1 200 OK\r\nX-Jackdawladder-Attempt-Id: a\r\n"
+                     "Keep-Alive: timeout=1, max=9\r\nContent-Length: 0\r\n"
+                     "\r\n",
+                     send_work (&play, "a"));
+  cr_assert (g_str_has_prefix (received, "HTTP/1.1 200"), "%s", received);
+  rig_run (&play.rig, 900);
+  send_work (&play, "b");
+  cr_assert_eq (play.accepted, 2, "a connection is used as it is closed");
+}
+
+Test (kept_connections, are_used_within_the_time_that_the_target_names)
+{
+  struct play play;
+
+  begin (&play, 24);
+  answer (&play,
+          "HTTP/1.1 200 OK\r\nX-Jackdawladder-Attempt-Id: a\r\n"
+          "Keep-Alive: timeout=30\r\nContent-Length: 0\r\n\r\n",
+          send_work (&play, "a"));
+  send_work (&play, "b");
+  cr_assert_eq (play.accepted, 1);
+}
