Trace two tests that failed at a high load, and let a third wait for what it expects

daemon::the_others_gather_changes: daemons that were heard once count for 1.4 s, and the play lasts 1.15 s; with 50 ms more for each step of 100 ms the daemon follows the store itself (E763) and 2 of 2 runs fail with 3 calls.

--- a/tests/proxy/daemon.c
+++ b/tests/proxy/daemon.c
@@ -16,6 +16,9 @@
 #include "proxy/rows.h"
 
 /* Number of daemons, half of them in each of two zones. */
+/* Times that a busy machine may need to fetch the configuration, 100 ms each.
+ */
+#define FETCH_WAITS_MAX 30
 #define MEMBERS 60
 
 Test (daemon, a_leaving_is_acknowledged_when_it_is_written)
@@ -155,8 +158,21 @@
   cr_assert_leq (sent, MEMBERS * 3 / 4, "%" PRIu64 " sent", sent);
 }
 
-/* Changes the configuration ten times in a second and returns the number of
- * feed calls in this time. */
+/* Lets a beacon of each other daemon come. */
+static void
+hear_others (struct rig *rig)
+{
+  for (guint i = 0; i < rig->proxy->roster.members->len; i++)
+    {
+      struct jl_member *member
+          = g_ptr_array_index (rig->proxy->roster.members, i);
+
+      member->last_beacon_us = jl_now ();
+    }
+}
+
+/* Changes the configuration ten times in a second, while the others are heard,
+ * and returns the number of feed calls in this time. */
 static unsigned
 feed_calls_for_ten_changes (struct rig *rig)
 {
@@ -168,6 +184,7 @@
 
       g_snprintf (text, sizeof text, "no configuration %u", i);
       fake_store_put (&rig->store, "op", "config", text);
+      hear_others (rig);
       rig_run (rig, 100);
     }
   return rig->store.feeds - before;
@@ -239,7 +256,11 @@
   other = rig_add_member (&rig, "d7", "z1", "deep");
   other->site_version = 9;
   jl_sync_fetch (rig.proxy, stuck);
-  rig_run (&rig, 600);
+  for (unsigned i = 0; i < FETCH_WAITS_MAX && request_count == 0; i++)
+    {
+      hear_others (&rig);
+      rig_run (&rig, 100);
+    }
   cr_assert_geq (request_count, 1);
   close (fd);
 }
--- a/tests/proxy/download.c
+++ b/tests/proxy/download.c
@@ -16,6 +16,8 @@
 #include "proxy/parts/rig.h"
 
 #define REQUEST "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+/* Timeout of the route of most tests. */
+#define ROUTE_TIMEOUT_US (500 * JL_USEC_PER_MSEC)
 /* Downloads at once, and the memory that they may take in a daemon that is both
  * their entry and their guard. */
 #define DOWNLOADS 200
@@ -101,7 +103,7 @@
   rig_prepare (rig, host);
   rig->options.retry_slack = 100;
   rig_start (rig);
-  install_route (rig, "deep", 500 * JL_USEC_PER_MSEC);
+  install_route (rig, "deep", ROUTE_TIMEOUT_US);
   open_sender (rig, OTHER_PORT, first);
   rig_add_member (rig, "d7", "z1", "deep");
 }
@@ -181,14 +183,16 @@
 {
   struct rig rig;
   struct sender sender = { .body_bytes = 200000, .length = 400000 };
+  uint64_t due_us;
   bool ended;
   int fd;
 
   begin (&rig, 62, &sender);
+  due_us = jl_now () + ROUTE_TIMEOUT_US;
   fd = rig_send_request (&rig, ENTRY_PORT, REQUEST);
   rig_run (&rig, 200);
   receive_all (&rig, fd, &ended);
-  cr_assert_not (ended);
+  cr_assert (!ended || jl_now () >= due_us, "it is broken off too soon");
   rig_run (&rig, 500);
   receive_all (&rig, fd, &ended);
   cr_assert (ended);
