--- a/tests/proxy/limit.c
+++ b/tests/proxy/limit.c
@@ -186,21 +186,11 @@
 
 Test (limit, that_is_no_number_changes_nothing)
 {
+  static const char many_digits[]
+      = "9999999999999999999999999999999999999999999999999999999999999999999";
   static const char *const values[]
-      = { "",
-          "-1",
-          "+4",
-          "nan",
-          "inf",
-          "1e999",
-          "0x10",
-          "5,6",
-          "5 6",
-          ".5",
-          "5.",
-          "99999999999999999999999999999999999999999999999999999999999"
-          "999999999",
-          "many" };
+      = { "",    "-1",  "+4", "nan", "inf",       "1e999", "0x10",
+          "5,6", "5 6", ".5", "5.",  many_digits, "many" };
   struct play play;
 
   begin (&play, 133);
--- a/tests/proxy/rate-limit.c
+++ b/tests/proxy/rate-limit.c
@@ -80,7 +80,7 @@
 
   jl_rate_limit_init (&limit);
   jl_rate_limit_name (&limit, 0, START_US);
-  for (unsigned i = 0; i < 5; i++)
+  for (uint64_t i = 0; i < 5; i++)
     {
       uint64_t now_us = START_US + i * 3 * JL_USEC_PER_SEC;
 
@@ -114,7 +114,7 @@
   unsigned sent = 0;
 
   jl_rate_limit_init (&limit);
-  for (unsigned i = 0; i < SPAN_S * 100; i++)
+  for (uint64_t i = 0; i < SPAN_S * 100; i++)
     {
       uint64_t now_us = START_US + i * 10 * JL_USEC_PER_MSEC;
 
