--- a/tests/proxy/rate-limit.c
+++ b/tests/proxy/rate-limit.c
@@ -11,7 +11,7 @@
 #define START_US (10 * JL_USEC_PER_SEC)
 #define STEP_US (5 * JL_USEC_PER_MSEC)
 /* The rule counts the requests of spans of this length. */
-#define SPAN_S 4
+#define SPAN_S UINT64_C (4)
 
 static double
 allowed (double rate)
