Soak: know each SIGTERM, so that the end of a grace is told from a given-up request

The users' rule excuses a request that is sent in the first 3 s and is still worked on in the last sixth of the grace, and the check has the same bound, but it knew only the signals of term_late.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -64,7 +64,6 @@
 
     async def do_term_late(self, daemon, duration_s):
         """Sends long requests of a route that nobody else uses late in a planned stop."""
-        self.history.terms[daemon.name].append(time.monotonic())
         daemon.signal(signal.SIGTERM)
         await asyncio.sleep(LATE_AFTER_S)
         sending = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -167,6 +167,8 @@
         Process.send_signal() may take the exit status that wait() is to return.
         """
         if self.process is not None and self.process.returncode is None:
+            if number == signal.SIGTERM:
+                self.site.history.terms[self.name].append(time.monotonic())
             with contextlib.suppress(ProcessLookupError):
                 signal.pidfd_send_signal(self.pidfd, number)
 
