--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -262,13 +262,18 @@
                     self.fail("budget", f"{service}: {retried} retries, {requested} requests")
                     break
 
+    def stops_begun(self, entry):
+        """Returns when planned stops of a daemon began: a frozen process gets the signal when it goes on."""
+        return [max([term] + [end for begin, end in self.freezes[entry] if begin <= term < end])
+                for term in self.terms[entry]]
+
     def ends_with_grace(self, sent):
         """Returns whether a request was sent early in a planned stop and lasted until the end of its grace.
 
         Nobody can await it any longer then; the users' rule counts it neither.
         """
         return any(sent["at"] <= term + TAKEN_IN_STOP_S and sent["ended"] >= term + GRACE_S * 5 / 6
-                   for term in self.terms[sent["entry"]] if term < sent["ended"] < term + STOP_MAX_S)
+                   for term in self.stops_begun(sent["entry"]) if term < sent["ended"] < term + STOP_MAX_S)
 
     def check_given_up(self, is_undisturbed):
         """Checks that no request is failed while its target works on it and answers later.
@@ -294,7 +299,7 @@
             if sent.get("status") != 0 or not is_undisturbed(sent["entry"], sent["ended"]):
                 continue
             if self.runs[number] and any(term + LATE_IN_STOP_S < sent["at"] < term + STOP_MAX_S
-                                         for term in self.terms[sent["entry"]]):
+                                         for term in self.stops_begun(sent["entry"])):
                 self.fail("cut", f"{number} at {sent['entry']} came late in a planned stop, ran and got no answer")
             if any(sent["at"] < stop - CLOSING_S and sent["ended"] > stop - CLOSING_S
                    for stop in self.stops[sent["entry"]]):
