Review: an activation runs twice after additional bytes of a faulty server

Additional bytes that a server sends after a complete answer, here the beginning of a refusal, are read as the beginning of its next answer on the connection: jl_conn_parse() in source/net/parse.c joins both into one head, in which jl_match_response() finds the identifier of the request that has just run and the field that says it has not. The entry sends the request to a second server.

--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+from email.utils import formatdate
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "soak"))
@@ -124,6 +125,10 @@
         except (EOFError, OSError, asyncio.IncompleteReadError):
             writer.close()
 
+    def write_answer(self, writer, data):
+        """Writes a whole answer; faulty servers override this."""
+        writer.write(data)
+
     async def answer(self, message, writer):
         number = message.fields["x-jackdawladder-attempt-id"]
         echo = {"X-Jackdawladder-Attempt-Id": number}
@@ -132,7 +137,10 @@
             writer.write(encode("HTTP/1.1 421 Other", {**echo, "X-Jackdawladder-Instance-Id": self.id}))
             return
         if self.running >= self.slots:
-            writer.write(encode("HTTP/1.1 503 Full", {**echo, "X-Jackdawladder-Not-Executed": "1"}))
+            self.write_answer(writer, encode("HTTP/1.1 503 Service Unavailable", {
+                "X-Jackdawladder-Not-Executed": "1", "Date": formatdate(usegmt=True),
+                "Content-Type": "text/plain", **echo}))
+            self.fleet.refused(self, number)
             return
         self.running += 1
         self.fleet.ran(self, number, message)
@@ -141,7 +149,9 @@
         finally:
             self.running -= 1
         self.fleet.answered(self, number, status, body)
-        writer.write(encode(f"HTTP/1.1 {status} X", {**echo, "X-Jackdawladder-Server-Seal": f"{self.id}.{number}"}, body))
+        self.write_answer(writer, encode(f"HTTP/1.1 {status} {'OK' if status == 200 else 'Failed'}", {
+            "Date": formatdate(usegmt=True), "Content-Type": "text/plain", **echo,
+            "X-Jackdawladder-Server-Seal": f"{self.id}.{number}"}, body))
         await writer.drain()
 
 
@@ -154,7 +164,7 @@
         self.host = f"127.{fleet.block}.0.{number + 1}"
         self.zone = zone
         self.service = service
-        self.server = Server(fleet, self.host, service)
+        self.server = fleet.make_server(self.host, service)
         self.server.zone = zone
         self.process = None
         self.runs = 0
@@ -235,6 +245,9 @@
         self.runs = {}
         self.bodies = {}
 
+    def make_server(self, host, service):
+        return Server(self, host, service)
+
     async def run_request(self, server, message):
         await asyncio.sleep(0.05)
         return 200, b"done"
@@ -243,6 +256,9 @@
         self.runs.setdefault(number, []).append((time.monotonic(), server.id))
         self.record.write(f"{number}: run by {server.id} of {server.service}: {message.first}")
 
+    def refused(self, server, number):
+        self.record.write(f"{number}: {server.id} is full: 503, not executed")
+
     def answered(self, server, number, status, body):
         self.bodies[number] = (status, body)
         self.record.write(f"{number}: {server.id} answers {status} with {len(body)} bytes")
