Review: a lower idle time cuts the ends of answers that clients read slowly

close_if_expired() in source/net/conn.c closes a connection as idle although the end of an answer still waits in it, and drops that end. A change of the config that lowers idleTimeoutS does so to all connections at once.

--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -266,13 +266,15 @@
     def ended(self, daemon, status):
         pass
 
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 8 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15}
+
     def configure(self):
         import base64
         self.version += random.randint(1, 3)
         document = {"version": f"{self.version:08x}",
                     "routes": {"columns": COLUMNS, "rows": self.routes},
                     "services": {"columns": ["name"], "rows": [[name] for name in self.services]},
-                    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 8 << 20, "headerTimeoutS": 5, "idleTimeoutS": 20}}
+                    "limits": self.limits}
         self.store.put("op", "config", base64.b64encode(json.dumps(document).encode()).decode())
 
     async def __aenter__(self):
