--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -82,6 +82,8 @@
         self.sequence = 0
         self.reports = True
         self.state = "ready"
+        # Fields of all its answers, as "Server-Leaving: 1" of a server that leaves.
+        self.notices = {}
         self.running = 0
 
     async def start(self, control, identity):
@@ -151,7 +153,7 @@
         self.fleet.answered(self, number, status, body)
         self.write_answer(writer, encode(f"HTTP/1.1 {status} {'OK' if status == 200 else 'Failed'}", {
             "Date": formatdate(usegmt=True), "Content-Type": "text/plain", **echo,
-            "X-Jackdawladder-Server-Seal": f"{self.id}.{number}"}, body))
+            "X-Jackdawladder-Server-Seal": f"{self.id}.{number}", **self.notices}, body))
         await writer.drain()
 
 
