--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -304,7 +304,7 @@
         for daemon in self.daemons:
             daemon.signal(signal.SIGCONT)
             daemon.signal(signal.SIGKILL)
-        for daemon in self.daemons:
+        for daemon in [daemon for daemon in self.daemons if daemon.process is not None]:
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(daemon.process.wait(), 5)
         if os.environ.get("REVIEW_LOGS"):
@@ -326,10 +326,12 @@
     """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     async def limited():
         task = asyncio.ensure_future(coroutine)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(task, limit_s)
     try:
         status = asyncio.run(limited())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         print(f"the case could not run: {error!r}")
         status = 2
     sys.stdout.flush()
