Identify customers by their API keys at the entry

Cause: sites may list customers with API keys, ranks and usage caps; the key was passed on to targets, and unknown keys ran.

Change: the configuration names customers, of whose keys only digests are kept. The entry responds with 401 to a request that needs a key and has none that is known, sends the customer's name to the target and removes the key. Settings name the zones, the bounds of keys and caps, and optional features.

--- a/include/jackdawladder/site.h
+++ b/include/jackdawladder/site.h
@@ -11,6 +11,7 @@
  */
 
 #include "jackdawladder/base.h"
+#include "jackdawladder/customers.h"
 
 /* Size of a host, prefix or name in bytes, including the final NUL. */
 #define JL_TEXT_SIZE 208
@@ -55,6 +56,7 @@
  * @latency_goal_us: a response within this time has its full value
  * @rank: priority; 0 is the most important
  * @attempts_max: number of targets that one request may be sent to
+ * @public: requests need no API key, also on a site with customers
  */
 struct jl_route
 {
@@ -67,6 +69,7 @@
   uint64_t latency_goal_us;
   unsigned rank;
   unsigned attempts_max;
+  bool public;
   unsigned split_count;
   struct jl_split split[JL_SPLIT_MAX];
 };
@@ -84,6 +87,7 @@
  * @body_bytes_max: size of the largest body of a request
  * @head_timeout_us: longest time from the first byte of a head to its end
  * @idle_timeout_us: longest time between two messages on a connection
+ * @customers: customers of the site, NULL if its requests need no API keys
  * @routes: array of struct jl_route, owned
  * @by_host: arrays of routes, by host in lower case
  * @by_key: routes by key
@@ -98,6 +102,7 @@
   uint64_t body_bytes_max;
   uint64_t head_timeout_us;
   uint64_t idle_timeout_us;
+  struct jl_customers *customers;
   GPtrArray *routes;
   GHashTable *by_host;
   GHashTable *by_key;
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -30,6 +30,7 @@
   { JL_RECORD_REQUEST_PLACED_AGAIN, "request placed again" },
   { JL_RECORD_CLIENT_LEFT, "client left" },
   { JL_RECORD_REQUEST_HELD, "request held" },
+  { JL_RECORD_REQUEST_UNAUTHORIZED, "request without a known API key" },
   { JL_RECORD_WORK_REFUSED, "work refused" },
   { JL_RECORD_WORK_FAILED, "work failed" },
   { JL_RECORD_WORK_SERVED, "work served" },
--- a/source/policy/site.c
+++ b/source/policy/site.c
@@ -53,6 +53,7 @@
 {
   if (site == NULL || --site->references > 0)
     return;
+  jl_customers_free (site->customers);
   g_hash_table_destroy (site->by_host);
   g_hash_table_destroy (site->by_key);
   g_ptr_array_free (site->routes, TRUE);
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -19,6 +19,7 @@
  * @site: configuration in force when the request arrived; holds a reference
  * @route: route of @site
  * @content: digest of the request's content
+ * @customer: customer of @site whose API key the request carries, NULL for none
  * @service: service that the request is sent to
  * @caller_service: service of this instance when the request arrived
  * @zone: preferred zone
@@ -52,6 +53,7 @@
   struct jl_relay relay;
   struct jl_site *site;
   const struct jl_route *route;
+  const struct jl_customer *customer;
   struct jl_content content;
   const char *service;
   const char *caller_service;
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -13,6 +13,7 @@
 #include "proxy/call.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
+#include "proxy/identify.h"
 #include "proxy/infer.h"
 #include "proxy/report.h"
 #include "proxy/trial.h"
@@ -317,13 +318,22 @@
   handle_not_delivered (call, "connect-timeout");
 }
 
+/* A customer's rank goes before the rank of the route. */
+static unsigned
+rank_of (const struct jl_call *call)
+{
+  unsigned customer_rank = call->customer != NULL ? call->customer->rank : 0;
+
+  return customer_rank * JL_RANK_COUNT + call->route->rank;
+}
+
 static bool
 open_upstream (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   const struct jl_head *head = jl_request_head (call->relay.request);
   struct jl_work_header work = {
-    .rank = call->route->rank,
+    .rank = rank_of (call),
     .remaining_ms
     = (unsigned)((call->expires_us - jl_now ()) / JL_USEC_PER_MSEC),
     .latency_goal_ms
@@ -333,6 +343,8 @@
     .trial = call->on_trial,
     .limited_key = call->member->limited_key,
     .limit = call->member->stated_limit,
+    .has_customers = call->site->customers != NULL,
+    .customer = call->customer != NULL ? call->customer->name : NULL,
   };
   GString *text;
 
@@ -513,6 +525,8 @@
       jl_call_respond (call, 404, "", "no-route");
       return;
     }
+  if (!jl_identify_call (call))
+    return;
   if (jl_head_count (head, JL_HEADER_ATTEMPT_ID) > 1)
     {
       jl_call_respond (call, 400, "", "two-ids");
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -59,6 +59,14 @@
          || matches (name, JL_HEADER_TARGET_INSTANCE, true);
 }
 
+/* Whether a field carries an API key or names a customer. */
+static bool
+is_of_customer (const char *name)
+{
+  return matches (name, JL_AUTHORIZATION_FIELD, true)
+         || matches (name, JL_HEADER_CUSTOMER, true);
+}
+
 /* Whether a field is for client and target even if the Connection field lists
  * its name. */
 static bool
@@ -116,8 +124,12 @@
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_set_by_entry (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
+    if (!is_set_by_entry (jl_head_name (head, i)) && !is_hop_by_hop (head, i)
+        && !(work->has_customers && is_of_customer (jl_head_name (head, i))))
       append_field (text, head, i);
+  if (work->customer != NULL)
+    g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CUSTOMER,
+                            work->customer);
   g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CALLER_SERVICE, caller);
   g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d", JL_WORK_FIELD,
                           work->service, work->rank, work->remaining_ms,
--- a/source/proxy/options.c
+++ b/source/proxy/options.c
@@ -5,9 +5,11 @@
 #include "proxy/options.h"
 
 #include "config/reader.h"
+#include "feature-names.h"
 
 #include <arpa/inet.h>
 #include <math.h>
+#include <string.h>
 #include <xxhash.h>
 
 /* Limits of the settings. */
@@ -21,17 +23,25 @@
  */
 #define CONFIG_APPLY_MIN_S 0.5
 #define CONFIG_APPLY_DEFAULT_US (2 * JL_USEC_PER_SEC)
+/* Defaults and limits of the settings of API keys and usage caps. */
+#define REVOKE_DEFAULT_US (5 * JL_USEC_PER_SEC)
+#define CAP_WINDOW_DEFAULT_US (5 * JL_USEC_PER_SEC)
+#define CAP_WINDOW_MIN_S 1
+#define CAP_OVER_RATIO_DEFAULT 0.1
+#define CAP_OVER_RATIO_MAX 100.0
+#define CAP_SLACK_DEFAULT 20
+#define CAP_SLACK_MAX 1e9
 
-static const char *const keys[] = { "name",           "zone",
-                                    "address",        "service",
-                                    "target",         "entry",
-                                    "ready",          "announce",
-                                    "peer_port",      "advertise",
-                                    "store",          "metrics_port",
-                                    "heartbeat_s",    "grace_s",
-                                    "retry_ratio",    "retry_slack",
-                                    "retry_window_s", "store_writes_per_s",
-                                    "config_apply_s", NULL };
+static const char *const keys[]
+    = { "name",           "zone",           "address",
+        "service",        "target",         "entry",
+        "ready",          "announce",       "peer_port",
+        "advertise",      "store",          "metrics_port",
+        "heartbeat_s",    "grace_s",        "retry_ratio",
+        "retry_slack",    "retry_window_s", "store_writes_per_s",
+        "config_apply_s", "strict_revoke",  "revoke_s",
+        "cap_window_s",   "cap_over_ratio", "cap_slack",
+        "zones",          "features",       NULL };
 
 /* Reads a number from 0 to @max, which may have a fraction. */
 static double
@@ -94,6 +104,105 @@
   return ntohl (address.s_addr);
 }
 
+static bool
+read_flag (struct jl_reader *reader,
+           struct json_object *document,
+           const char *key)
+{
+  struct json_object *value = NULL;
+
+  json_object_object_get_ex (document, key, &value);
+  if (!json_object_is_type (value, json_type_boolean))
+    jl_reader_fail (reader, key, JL_CONFIG_ERROR_TYPE, "must be a boolean");
+  return json_object_get_boolean (value);
+}
+
+static void
+read_caps (struct jl_reader *reader,
+           struct json_object *document,
+           struct jl_options *options)
+{
+  struct jl_cap_policy *cap = &options->cap;
+
+  cap->window_us = CAP_WINDOW_DEFAULT_US;
+  cap->over_ratio = CAP_OVER_RATIO_DEFAULT;
+  cap->slack = CAP_SLACK_DEFAULT;
+  options->revoke_us = REVOKE_DEFAULT_US;
+  if (jl_read_has_key (document, "strict_revoke"))
+    options->strict_revoke = read_flag (reader, document, "strict_revoke");
+  if (jl_read_has_key (document, "revoke_s"))
+    options->revoke_us = read_seconds (reader, document, "revoke_s");
+  if (jl_read_has_key (document, "cap_window_s"))
+    cap->window_us = read_seconds (reader, document, "cap_window_s");
+  if (cap->window_us < CAP_WINDOW_MIN_S * JL_USEC_PER_SEC)
+    jl_reader_fail (reader, "cap_window_s", JL_CONFIG_ERROR_RANGE,
+                    "must be at least %d", CAP_WINDOW_MIN_S);
+  if (jl_read_has_key (document, "cap_over_ratio"))
+    cap->over_ratio
+        = read_ratio (reader, document, "cap_over_ratio", CAP_OVER_RATIO_MAX);
+  if (jl_read_has_key (document, "cap_slack"))
+    cap->slack = read_ratio (reader, document, "cap_slack", CAP_SLACK_MAX);
+}
+
+/* Returns the list at @key, NULL if there is none or it is no list. */
+static struct json_object *
+read_list (struct jl_reader *reader,
+           struct json_object *document,
+           const char *key)
+{
+  struct json_object *list = NULL;
+
+  if (!json_object_object_get_ex (document, key, &list))
+    return NULL;
+  if (json_object_is_type (list, json_type_array))
+    return list;
+  jl_reader_fail (reader, key, JL_CONFIG_ERROR_TYPE, "must be a list");
+  return NULL;
+}
+
+static void
+read_zones (struct jl_reader *reader,
+            struct json_object *document,
+            struct jl_options *options)
+{
+  struct json_object *list = read_list (reader, document, "zones");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  if (count > JL_OPTIONS_ZONES_MAX)
+    jl_reader_fail (reader, "zones", JL_CONFIG_ERROR_RANGE,
+                    "must have at most %d entries", JL_OPTIONS_ZONES_MAX);
+  for (size_t i = 0; i < MIN (count, JL_OPTIONS_ZONES_MAX); i++)
+    {
+      const char *zone
+          = json_object_get_string (json_object_array_get_idx (list, i));
+
+      if (zone == NULL || zone[0] == '\0' || strlen (zone) >= JL_TEXT_SIZE)
+        jl_reader_fail (reader, "zones", JL_CONFIG_ERROR_RANGE,
+                        "must be names of zones");
+      else
+        g_strlcpy (options->zones[options->zone_count++], zone, JL_TEXT_SIZE);
+    }
+}
+
+/* Unknown words are ignored, since newer settings may name more. */
+static void
+read_features (struct jl_reader *reader,
+               struct json_object *document,
+               struct jl_options *options)
+{
+  struct json_object *list = read_list (reader, document, "features");
+  size_t count = list != NULL ? json_object_array_length (list) : 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *word
+          = json_object_get_string (json_object_array_get_idx (list, i));
+
+      if (g_strcmp0 (word, JL_FEATURE_LOAD_REPORTS) == 0)
+        options->load_reports = true;
+    }
+}
+
 static void
 read_fields (struct jl_reader *reader,
              struct json_object *document,
@@ -128,6 +237,9 @@
   options->retry_slack
       = read_ratio (reader, document, "retry_slack", RETRY_SLACK_MAX);
   options->retry_window_us = read_seconds (reader, document, "retry_window_s");
+  read_caps (reader, document, options);
+  read_zones (reader, document, options);
+  read_features (reader, document, options);
   if (options->retry_window_us < JL_USEC_PER_SEC)
     jl_reader_fail (reader, "retry_window_s", JL_CONFIG_ERROR_RANGE,
                     "must be at least 1");
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -7,6 +7,25 @@
 
 #include "jackdawladder/site.h"
 
+/* Maximum number of availability zones that the settings name. */
+#define JL_OPTIONS_ZONES_MAX 16
+
+/**
+ * struct jl_cap_policy - how strictly usage caps are kept
+ * @window_us: length of the sliding window in which requests are counted
+ * @over_ratio: share of the allowance by which it may be exceeded
+ * @slack: requests in a window that are allowed in addition
+ *
+ * In any window, the requests of a customer that targets run are at most
+ * (rate * window + burst) * (1 + @over_ratio) + @slack, over all daemons.
+ */
+struct jl_cap_policy
+{
+  uint64_t window_us;
+  double over_ratio;
+  double slack;
+};
+
 /**
  * struct jl_options - settings of one proxy
  * @name: name of this daemon, unique in the site
@@ -31,6 +50,14 @@
  * @retry_ratio: retries allowed for each request to a service
  * @retry_slack: retries allowed in addition, shared by all daemons
  * @retry_window_us: sliding window of @retry_ratio and @retry_slack
+ * @strict_revoke: requests that need an API key are refused once the
+ *                 configuration is older than @revoke_us
+ * @revoke_us: see @strict_revoke
+ * @cap: how strictly usage caps are kept
+ * @zone_count: number of @zones, 0 if the settings do not name them
+ * @zones: all availability zones of the site
+ * @load_reports: guards report their load to entries, which place requests by
+ *                expected completion; a guard hands waiting requests back
  * @digest: hash of the settings text, to detect changes
  */
 struct jl_options
@@ -54,6 +81,12 @@
   double retry_ratio;
   double retry_slack;
   uint64_t retry_window_us;
+  bool strict_revoke;
+  uint64_t revoke_us;
+  struct jl_cap_policy cap;
+  unsigned zone_count;
+  char zones[JL_OPTIONS_ZONES_MAX][JL_TEXT_SIZE];
+  bool load_reports;
   uint64_t digest;
 };
 
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -53,6 +53,7 @@
  * @calls: requests received from the local target
  * @served: requests whose response from a target was passed on completely
  * @refused: requests that were refused and have not run
+ * @unauthorized: requests without an API key that the configuration knows
  * @failed: requests that may have run, passed their deadline or lost their
  *          response
  * @clients_left: requests whose client closed the connection before the
@@ -88,6 +89,7 @@
   uint64_t calls;
   uint64_t served;
   uint64_t refused;
+  uint64_t unauthorized;
   uint64_t failed;
   uint64_t clients_left;
   uint64_t placed_again;
@@ -540,7 +542,8 @@
 /**
  * struct jl_work_header - header field that an entry sends to a guard
  * @service: service that the request is for
- * @rank: importance, 0 is the highest
+ * @rank: importance, 0 is the highest; on a site with customers the customer's
+ *        rank goes before the route's
  * @remaining_ms: time left until the deadline
  * @latency_goal_ms: target latency of the route
  * @route_key: key of the route
@@ -549,6 +552,9 @@
  * @limited_key: key of the target's incarnation whose limit the entry knows, 0
  *               for none
  * @limit: that limit in requests a second
+ * @has_customers: the site has customers, so that API keys are not passed on
+ * @customer: name of the request's customer, NULL for none; sent as a header
+ *            field of its own
  *
  * Older daemons neither send nor read @trial and what follows it.
  */
@@ -563,8 +569,12 @@
   bool trial;
   uint32_t limited_key;
   double limit;
+  bool has_customers;
+  const char *customer;
 };
 
+/* Header field with the API key of a request. */
+#define JL_AUTHORIZATION_FIELD "Authorization"
 /* Header field that carries a struct jl_work_header. */
 #define JL_WORK_FIELD "Jl-Work"
 /* Header field of responses that a guard generates itself: "not-run", or
