Give calls of the local target the rank of the run that made them

Cause: a call had the rank of its own route, so the most urgent requests, whose calls are many, waited behind those of the least urgent ones.

Change: the deadline that a target passes on identifies the run in progress that made the call; the call inherits its rank.

--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -24,6 +24,7 @@
  * @caller_service: service of this instance when the request arrived
  * @zone: preferred zone
  * @from_target: the request's route identifies it as a call of the local target
+ * @rank: importance, 0 is the highest
  * @begun_us: time of arrival
  * @expires_us: deadline: the earlier of the client's and the route's timeout
  * @body_not_buffered: the body exceeds the buffer, so the request cannot be
@@ -59,6 +60,7 @@
   const char *caller_service;
   const char *zone;
   bool from_target;
+  unsigned rank;
   uint64_t begun_us;
   uint64_t expires_us;
   bool body_not_buffered;
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -27,6 +27,9 @@
 /* Time after a request's deadline in which a response that has begun may end.
  */
 #define RESPONSE_GRACE_US (200 * JL_USEC_PER_MSEC)
+/* Upper bound of the time that a call of the local target is believed to have.
+ */
+#define CALL_DEADLINE_MS_MAX 3600000
 /* Status of a target's response when the request's deadline has passed. */
 #define STATUS_GATEWAY_TIMEOUT 504
 
@@ -318,22 +321,13 @@
   handle_not_delivered (call, "connect-timeout");
 }
 
-/* A customer's rank goes before the rank of the route. */
-static unsigned
-rank_of (const struct jl_call *call)
-{
-  unsigned customer_rank = call->customer != NULL ? call->customer->rank : 0;
-
-  return customer_rank * JL_RANK_COUNT + call->route->rank;
-}
-
 static bool
 open_upstream (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   const struct jl_head *head = jl_request_head (call->relay.request);
   struct jl_work_header work = {
-    .rank = rank_of (call),
+    .rank = call->rank,
     .remaining_ms
     = (unsigned)((call->expires_us - jl_now ()) / JL_USEC_PER_MSEC),
     .latency_goal_ms
@@ -427,6 +421,35 @@
   call->expires_us = call->begun_us + wait_us;
 }
 
+/* A customer's rank goes before the rank of the route. */
+static unsigned
+rank_of (const struct jl_call *call)
+{
+  unsigned customer_rank = call->customer != NULL ? call->customer->rank : 0;
+
+  return customer_rank * JL_RANK_COUNT + call->route->rank;
+}
+
+/* Sets the rank of a call of the local target: that of the run that made it, or
+ * its route's if the run is not known. */
+static void
+inherit_rank (struct jl_call *call)
+{
+  struct jl_proxy *proxy = call->proxy;
+  const struct jl_run *run;
+  uint64_t remaining_ms;
+
+  if (!proxy->options->load_reports
+      || !jl_head_get_number (jl_request_head (call->relay.request),
+                              JL_HEADER_DEADLINE_MS, &remaining_ms))
+    return;
+  remaining_ms = MIN (remaining_ms, CALL_DEADLINE_MS_MAX);
+  run = jl_lineage_find (&proxy->lineage, call->route->key,
+                         call->begun_us + remaining_ms * JL_USEC_PER_MSEC);
+  if (run != NULL)
+    call->rank = run->rank;
+}
+
 /* Starts a call of the local target. Late in a graceful shutdown it is taken
  * only if it ends before the process does. */
 static void
@@ -442,6 +465,7 @@
       return;
     }
   jl_fanout_count_call (&proxy->fanout, call->route->key);
+  inherit_rank (call);
   call->zone
       = jl_demand_choose_call_zone (proxy, call->service, g_random_double ());
   place_call (call);
@@ -538,6 +562,7 @@
       return;
     }
   call->service = choose_service (call->route);
+  call->rank = rank_of (call);
   set_deadline (call);
   jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
   call->from_target = jl_demand_is_call_route (proxy, call->route->key);
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -68,6 +68,7 @@
   if (!work->running)
     return;
   work->running = false;
+  jl_lineage_end_run (&work->run);
   jl_lane_finish (&proxy->lane);
 }
 
@@ -389,6 +390,16 @@
   jl_watch_target_ended (proxy->watch, JL_TARGET_END_UNREACHABLE);
 }
 
+/* Notes the run, so that calls of the target are known to belong to it. */
+static void
+begin_run (struct jl_work *work)
+{
+  jl_lineage_end_run (&work->run);
+  work->run.expires_us = work->item.expires_us;
+  work->run.rank = work->header.rank;
+  jl_lineage_begin_run (&work->proxy->lineage, &work->run);
+}
+
 /* Sends work to the target; the caller has taken a slot for it. */
 static void
 start_work (struct jl_work *work)
@@ -409,6 +420,7 @@
   work->target_hash = jl_match_hash (proxy->target.last.id);
   work->running = true;
   work->started_us = now_us;
+  begin_run (work);
   jl_trial_started (work);
   work->relay.upstream = jl_upstream_open (
       proxy->target_pool, proxy->options->target, work->fresh_connection,
--- a/source/proxy/guard.h
+++ b/source/proxy/guard.h
@@ -16,6 +16,7 @@
  * @relay: the entry's request and the upstream request to the target
  * @header: parsed header field of the entry
  * @content: digest of the request's content
+ * @run: the request as a run in progress at the target
  * @running: the request holds a slot of the target
  * @fresh_connection: the request is sent on a new connection, not on one that
  *                    was kept open
@@ -37,6 +38,7 @@
   struct jl_relay relay;
   struct jl_work_header header;
   struct jl_content content;
+  struct jl_run run;
   bool running;
   bool fresh_connection;
   bool body_streamed;
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -73,6 +73,8 @@
 
   append_counter (text, "requests_total", counters->requests);
   append_counter (text, "calls_total", counters->calls);
+  append_counter (text, "calls_of_known_runs_total", proxy->lineage.found);
+  append_counter (text, "calls_of_unknown_runs_total", proxy->lineage.unknown);
   append_counter (text, "served_total", counters->served);
   append_counter (text, "refused_total", counters->refused);
   append_counter (text, "failed_total", counters->failed);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include "policy/budget.h"
 #include "policy/failure-rate.h"
 #include "policy/lane.h"
+#include "policy/lineage.h"
 #include "policy/load-shedder.h"
 #include "policy/suspect.h"
 #include "proxy/notice.h"
@@ -161,6 +162,7 @@
  * @infer: requests that were lost at other daemons
  * @news: sender of reports on suspect contents
  * @lane: queue in front of the local target
+ * @lineage: runs in progress at the local target, to find those of its calls
  * @demands: demand and admission plan of each route used by clients
  * @plans_computed_us: monotonic time at which the plans of @demands were
  *                     computed
@@ -222,6 +224,7 @@
   struct jl_infer *infer;
   struct jl_news *news;
   struct jl_lane lane;
+  struct jl_lineage lineage;
   struct jl_load_shedder load_shedder;
   struct jl_failure_rate failure_rate;
   struct jl_fanout fanout;
