--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -5,6 +5,7 @@
 #include "proxy/call.h"
 
 #include "names.h"
+#include "policy/completion.h"
 #include "proxy/trial.h"
 
 #include <string.h>
@@ -95,6 +96,21 @@
              : 0;
 }
 
+/* Returns the time that the client waits for, which may be longer than the
+ * route's timeout. */
+static uint64_t
+client_remaining_ms (const struct jl_call *call)
+{
+  uint64_t deadline_ms;
+
+  if (!jl_head_get_number (jl_request_head (call->relay.request),
+                           JL_HEADER_DEADLINE_MS, &deadline_ms))
+    return remaining_ms (call);
+  return deadline_ms > jl_call_age_ms (call)
+             ? deadline_ms - jl_call_age_ms (call)
+             : 0;
+}
+
 /* Refuses a request with a Retry-After of @after_ms. */
 static void
 refuse (struct jl_call *call, const char *reason, uint64_t after_ms)
@@ -131,6 +147,14 @@
           MIN (after_ms, remaining_ms (call) / RETRY_AFTER_DIVISOR));
 }
 
+void
+jl_call_refuse_late (struct jl_call *call, const char *reason)
+{
+  refuse (call, reason,
+          jl_completion_retry_after_ms (client_remaining_ms (call),
+                                        g_random_double ()));
+}
+
 void
 jl_call_refuse_until (struct jl_call *call,
                       const char *reason,
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -126,6 +126,12 @@
  */
 void jl_call_refuse (struct jl_call *call, const char *reason);
 
+/**
+ * jl_call_refuse_late - like jl_call_refuse(), with a Retry-After that is as
+ * late as clients follow
+ */
+void jl_call_refuse_late (struct jl_call *call, const char *reason);
+
 /**
  * jl_call_refuse_until - like jl_call_refuse(), with the Retry-After that ends
  * at @until_us
--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -54,6 +54,7 @@
   demand->route_key = route->key;
   demand->plan.zone = proxy->roster.local_zone;
   demand->plan.admit_share = 1;
+  demand->plan.chance = 1;
   demand->plan.limiting_service = "";
   return demand;
 }
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -10,6 +10,7 @@
 #include "proxy/proxy.h"
 
 #include "names.h"
+#include "policy/completion.h"
 #include "proxy/call.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
@@ -471,6 +472,13 @@
   place_call (call);
 }
 
+static bool
+is_worthwhile (const struct jl_proxy *proxy, const struct jl_plan *plan)
+{
+  return !proxy->options->load_reports
+         || jl_completion_is_worthwhile (plan->chance, g_random_double ());
+}
+
 static void
 start_client_request (struct jl_call *call)
 {
@@ -495,6 +503,8 @@
     }
   if (call->zone == NULL)
     jl_call_refuse (call, "overload");
+  else if (demand != NULL && !is_worthwhile (proxy, &demand->plan))
+    jl_call_refuse_late (call, "calls-fail");
   else
     place_call (call);
 }
--- a/source/proxy/plan.c
+++ b/source/proxy/plan.c
@@ -5,6 +5,8 @@
 
 #include "proxy/plan.h"
 
+#include "policy/completion.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -396,6 +398,40 @@
   plan->other_zone_share = difference;
 }
 
+/* Returns the lowest failure rate among the targets of a service. Requests are
+ * sent to sound targets first, in any zone. */
+static double
+lowest_failure_rate (const struct jl_roster *roster,
+                     const char *service,
+                     uint64_t now_us)
+{
+  double lowest = 1;
+
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+
+      if (member->failure_rate < lowest
+          && jl_member_accepts_work (member, service, now_us))
+        lowest = member->failure_rate;
+    }
+  return lowest;
+}
+
+double
+jl_plan_chance (const struct jl_roster *roster,
+                const struct jl_call_tree *tree,
+                uint64_t now_us)
+{
+  double chance = 1;
+
+  for (unsigned i = 0; i < tree->count; i++)
+    chance *= jl_completion_after_runs (
+        lowest_failure_rate (roster, tree->nodes[i].service, now_us),
+        tree->nodes[i].runs);
+  return chance;
+}
+
 struct jl_plan
 jl_plan_compute (const struct jl_roster *roster,
                  const struct jl_demand *demands,
@@ -405,6 +441,7 @@
 {
   struct jl_plan plan = { .admit_share = 1, .limiting_service = "" };
 
+  plan.chance = jl_plan_chance (roster, &demand->tree, now_us);
   plan.zone = cheapest_zone (roster, demand, now_us);
   limit_to_zone_capacity (&plan, roster, demands, demand_count, demand, now_us);
   if (plan.admit_share < 1)
--- a/source/proxy/plan.h
+++ b/source/proxy/plan.h
@@ -28,6 +28,8 @@
  * @other_zone: zone that has capacity left or refuses less, NULL for none
  * @other_zone_share: share of the requests not admitted in @zone that goes to
  *                    @other_zone
+ * @chance: chance that all runs of a request succeed, as far as targets fail or
+ *          turn away requests whatever their load is
  */
 struct jl_plan
 {
@@ -37,6 +39,7 @@
   double shed_share;
   const char *other_zone;
   double other_zone_share;
+  double chance;
 };
 
 /**
@@ -68,6 +71,13 @@
                                 const struct jl_demand *demand,
                                 uint64_t now_us);
 
+/**
+ * jl_plan_chance - returns the chance that all runs of a call tree succeed
+ */
+double jl_plan_chance (const struct jl_roster *roster,
+                       const struct jl_call_tree *tree,
+                       uint64_t now_us);
+
 /**
  * jl_plan_choose_zone - chooses the zone of one request
  * @draw: random number, uniform from 0 to 1
