--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -164,6 +164,8 @@
   jl_load_shedder_record_hold (&proxy->load_shedder, held_us);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status >= 500 && status != STATUS_GATEWAY_TIMEOUT);
+  if (status >= 500)
+    proxy->counters.runs_in_vain++;
   jl_histogram_add (&proxy->counters.target_time, held_us);
   jl_histogram_add (&proxy->counters.lane_time,
                     work->started_us - work->item.arrived_us);
@@ -641,6 +643,7 @@
     {
       struct jl_ended_run run = jl_watch_end_run (work);
 
+      proxy->counters.runs_in_vain++;
       jl_watch_run_cancelled (proxy->watch, &run);
     }
   jl_record (JL_RECORD_FAILURE, JL_RECORD_CLIENT_LEFT,
