--- a/tests/proxy/lineage.c
+++ b/tests/proxy/lineage.c
@@ -27,7 +27,8 @@
   for (unsigned i = 0; i < RUNS; i++)
     {
       fixture->runs[i]
-          = (struct jl_run){ .expires_us = 10 * JL_USEC_PER_SEC + i * 15 * MSEC,
+          = (struct jl_run){ .expires_us
+                             = 10 * JL_USEC_PER_SEC + (uint64_t)i * 15 * MSEC,
                              .rank = i % 3 };
       jl_lineage_begin_run (&fixture->lineage, &fixture->runs[i]);
     }
