--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -68,6 +68,7 @@
   if (!work->running)
     return;
   work->running = false;
+  jl_lineage_end_run (&work->run);
   jl_lane_finish (&proxy->lane);
 }
 
@@ -163,6 +164,8 @@
   jl_load_shedder_record_hold (&proxy->load_shedder, held_us);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status >= 500 && status != STATUS_GATEWAY_TIMEOUT);
+  if (status >= 500)
+    proxy->counters.runs_in_vain++;
   jl_histogram_add (&proxy->counters.target_time, held_us);
   jl_histogram_add (&proxy->counters.lane_time,
                     work->started_us - work->item.arrived_us);
@@ -389,6 +392,16 @@
   jl_watch_target_ended (proxy->watch, JL_TARGET_END_UNREACHABLE);
 }
 
+/* Notes the run, so that calls of the target are known to belong to it. */
+static void
+begin_run (struct jl_work *work)
+{
+  jl_lineage_end_run (&work->run);
+  work->run.expires_us = work->item.expires_us;
+  work->run.rank = work->header.rank;
+  jl_lineage_begin_run (&work->proxy->lineage, &work->run);
+}
+
 /* Sends work to the target; the caller has taken a slot for it. */
 static void
 start_work (struct jl_work *work)
@@ -409,6 +422,7 @@
   work->target_hash = jl_match_hash (proxy->target.last.id);
   work->running = true;
   work->started_us = now_us;
+  begin_run (work);
   jl_trial_started (work);
   work->relay.upstream = jl_upstream_open (
       proxy->target_pool, proxy->options->target, work->fresh_connection,
@@ -629,6 +643,7 @@
     {
       struct jl_ended_run run = jl_watch_end_run (work);
 
+      proxy->counters.runs_in_vain++;
       jl_watch_run_cancelled (proxy->watch, &run);
     }
   jl_record (JL_RECORD_FAILURE, JL_RECORD_CLIENT_LEFT,
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -73,6 +73,8 @@
 
   append_counter (text, "requests_total", counters->requests);
   append_counter (text, "calls_total", counters->calls);
+  append_counter (text, "calls_of_known_runs_total", proxy->lineage.found);
+  append_counter (text, "calls_of_unknown_runs_total", proxy->lineage.unknown);
   append_counter (text, "served_total", counters->served);
   append_counter (text, "refused_total", counters->refused);
   append_counter (text, "failed_total", counters->failed);
@@ -82,6 +84,7 @@
   append_counter (text, "work_total", counters->work);
   append_counter (text, "work_refused_total", counters->work_refused);
   append_counter (text, "work_lost_total", counters->work_lost);
+  append_counter (text, "runs_in_vain_total", counters->runs_in_vain);
   append_counter (text, "answers_dropped_total", counters->responses_dropped);
   append_counter (text, "targets_ended_total", counters->targets_ended);
   append_counter (text, "target_probes_total", counters->target_probes);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -15,6 +15,7 @@
 #include "policy/budget.h"
 #include "policy/failure-rate.h"
 #include "policy/lane.h"
+#include "policy/lineage.h"
 #include "policy/load-shedder.h"
 #include "policy/suspect.h"
 #include "proxy/notice.h"
@@ -64,6 +65,8 @@
  * @work_refused: requests that the guard refused
  * @work_lost: requests sent to the local target for which the guard could not
  *             pass on a complete response
+ * @runs_in_vain: runs at the local target that ended with a server error, or
+ *                whose request was given up: the work was of no use
  * @responses_dropped: responses of the local target that belong to another
  *                     request
  * @targets_ended: ends of the local target that it had not announced
@@ -97,6 +100,7 @@
   uint64_t work;
   uint64_t work_refused;
   uint64_t work_lost;
+  uint64_t runs_in_vain;
   uint64_t responses_dropped;
   uint64_t targets_ended;
   uint64_t strikes;
@@ -161,6 +165,7 @@
  * @infer: requests that were lost at other daemons
  * @news: sender of reports on suspect contents
  * @lane: queue in front of the local target
+ * @lineage: runs in progress at the local target, to find those of its calls
  * @demands: demand and admission plan of each route used by clients
  * @plans_computed_us: monotonic time at which the plans of @demands were
  *                     computed
@@ -222,6 +227,7 @@
   struct jl_infer *infer;
   struct jl_news *news;
   struct jl_lane lane;
+  struct jl_lineage lineage;
   struct jl_load_shedder load_shedder;
   struct jl_failure_rate failure_rate;
   struct jl_fanout fanout;
