--- /dev/null
+++ b/source/policy/quota-issuer.c
@@ -0,0 +1,244 @@
+/**
+ * DOC: The issuer of a zone: support by the zone's daemons, and the buckets.
+ */
+
+#include "policy/quota-issuer.h"
+
+#include <math.h>
+
+/* Time over which demand is averaged. */
+#define DEMAND_US (2 * JL_USEC_PER_SEC)
+/* A customer whose demand is below this part of the zone's rate is far from its
+ * cap. */
+#define FAR_RATIO 0.75
+/* What a daemon that loses contact may use at most, of the part of the zone's
+ * bucket and of its rate that is one daemon's: see policy/quota-stock.c. */
+#define LOST_DEPTH_RATIO 0.5
+#define LOST_RATE_S (2 * 1.25 * FAR_RATIO)
+/* Bound of the time for which tokens are promised by Retry-After. */
+#define PROMISED_MAX_US (10 * JL_USEC_PER_SEC)
+
+void
+jl_quota_issuer_init (struct jl_quota_issuer *issuer)
+{
+  issuer->supporters
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  issuer->customers
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+}
+
+void
+jl_quota_issuer_clear (struct jl_quota_issuer *issuer)
+{
+  g_hash_table_destroy (issuer->supporters);
+  g_hash_table_destroy (issuer->customers);
+}
+
+void
+jl_quota_issuer_support (struct jl_quota_issuer *issuer,
+                         uint32_t daemon,
+                         uint64_t stamp_us,
+                         uint64_t now_us)
+{
+  uint64_t until_us = stamp_us + JL_QUOTA_SUPPORT_US;
+  uint64_t *known
+      = g_hash_table_lookup (issuer->supporters, GUINT_TO_POINTER (daemon));
+
+  if (stamp_us > now_us || until_us <= now_us)
+    return;
+  if (known == NULL)
+    {
+      known = g_new0 (uint64_t, 1);
+      g_hash_table_insert (issuer->supporters, GUINT_TO_POINTER (daemon),
+                           known);
+    }
+  *known = MAX (*known, until_us);
+}
+
+/* Drops the support that has ended, and returns the number of supporters.
+ * @lost: receives the number of daemons that have not left and whose support
+ *        has ended */
+static unsigned
+count_supporters (struct jl_quota_issuer *issuer,
+                  bool (*counts) (const void *context, uint32_t key),
+                  const void *context,
+                  uint64_t now_us,
+                  unsigned *lost)
+{
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+  unsigned count = 0;
+
+  g_hash_table_iter_init (&iterator, issuer->supporters);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      bool counted = counts (context, GPOINTER_TO_UINT (key));
+
+      if (*(const uint64_t *)value > now_us)
+        count += counted;
+      else
+        {
+          *lost += counted;
+          g_hash_table_iter_remove (&iterator);
+        }
+    }
+  return count;
+}
+
+/* Withholds the tokens in place of which @lost of @known_count daemons may have
+ * run requests. */
+static void
+withhold (struct jl_quota_issuer *issuer, unsigned lost, unsigned known_count)
+{
+  GHashTableIter iterator;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, issuer->customers);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct jl_quota_account *account = value;
+      double tokens = LOST_DEPTH_RATIO * account->cap.depth
+                      + LOST_RATE_S * account->cap.rate;
+
+      jl_quota_bucket_withhold (&account->bucket, &account->cap,
+                                tokens * lost / known_count);
+    }
+}
+
+bool
+jl_quota_issuer_update (struct jl_quota_issuer *issuer,
+                        unsigned known_count,
+                        bool (*counts) (const void *context, uint32_t key),
+                        const void *context,
+                        uint64_t now_us)
+{
+  unsigned lost = 0;
+  unsigned supporters
+      = count_supporters (issuer, counts, context, now_us, &lost);
+  bool active = 2 * supporters > known_count;
+
+  if (active && !issuer->active)
+    {
+      /* Tokens of the issuer before may be used up to that time. */
+      issuer->since_us = now_us + JL_QUOTA_VALID_US;
+      g_hash_table_remove_all (issuer->customers);
+    }
+  else if (active && lost > 0)
+    withhold (issuer, lost, known_count);
+  issuer->active = active;
+  return active;
+}
+
+void
+jl_quota_issuer_resign (struct jl_quota_issuer *issuer)
+{
+  g_hash_table_remove_all (issuer->supporters);
+  issuer->active = false;
+}
+
+static struct jl_quota_account *
+get_account (struct jl_quota_issuer *issuer, uint32_t customer, uint64_t now_us)
+{
+  struct jl_quota_account *account
+      = g_hash_table_lookup (issuer->customers, GUINT_TO_POINTER (customer));
+
+  if (account == NULL)
+    {
+      account = g_new0 (struct jl_quota_account, 1);
+      account->bucket.updated_us = issuer->since_us;
+      account->demand_us = now_us;
+      g_hash_table_insert (issuer->customers, GUINT_TO_POINTER (customer),
+                           account);
+    }
+  account->seen_us = now_us;
+  return account;
+}
+
+static void
+note_demand (struct jl_quota_account *account,
+             unsigned count,
+             unsigned refused,
+             uint64_t now_us)
+{
+  double kept = exp (-(double)(now_us - account->demand_us) / DEMAND_US);
+
+  account->demand = account->demand * kept + count * 1e6 / DEMAND_US;
+  account->refused_rate
+      = account->refused_rate * kept + refused * 1e6 / DEMAND_US;
+  account->demand_us = now_us;
+}
+
+/* Returns the time after which the last one of @refused requests finds a token,
+ * and promises the tokens up to then. */
+static uint64_t
+promise (struct jl_quota_account *account,
+         const struct jl_quota_cap *cap,
+         unsigned refused,
+         uint64_t now_us)
+{
+  uint64_t wait_us = jl_quota_bucket_wait_us (&account->bucket, cap, 1);
+  uint64_t begin_us;
+
+  if (wait_us > PROMISED_MAX_US)
+    return PROMISED_MAX_US;
+  begin_us = MAX (account->promised_us, now_us + wait_us);
+  if (refused > 1 || account->promised_us > now_us + wait_us)
+    begin_us += (uint64_t)(refused * 1e6 / cap->rate);
+  account->promised_us = MIN (begin_us, now_us + PROMISED_MAX_US);
+  return account->promised_us - now_us;
+}
+
+struct jl_quota_grant
+jl_quota_issuer_grant (struct jl_quota_issuer *issuer,
+                       uint32_t customer,
+                       const struct jl_quota_cap *cap,
+                       unsigned count,
+                       unsigned waiting,
+                       uint64_t now_us)
+{
+  struct jl_quota_account *account = get_account (issuer, customer, now_us);
+  struct jl_quota_grant grant = { 0 };
+  unsigned refused;
+
+  account->cap = *cap;
+  if (issuer->active && now_us >= issuer->since_us)
+    grant.granted = jl_quota_bucket_take (&account->bucket, cap, count, now_us);
+  refused = waiting > grant.granted ? waiting - grant.granted : 0;
+  /* Prefetched tokens that are not granted are no demand. */
+  note_demand (account, MAX (waiting, grant.granted), refused, now_us);
+  grant.none_us = jl_quota_bucket_wait_us (&account->bucket, cap, 1);
+  if (refused > 0)
+    grant.wait_us = promise (account, cap, refused, now_us);
+  grant.far = account->demand < FAR_RATIO * cap->rate;
+  grant.level = account->bucket.fraction * cap->depth;
+  issuer->issued += grant.granted;
+  issuer->refused += refused;
+  return grant;
+}
+
+void
+jl_quota_issuer_expire (struct jl_quota_issuer *issuer,
+                        struct jl_quota_cap (*cap_of) (const void *context,
+                                                       uint32_t customer),
+                        const void *context,
+                        uint64_t now_us)
+{
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iterator, issuer->customers);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      struct jl_quota_account *account = value;
+      struct jl_quota_cap cap = cap_of (context, GPOINTER_TO_UINT (key));
+
+      jl_quota_bucket_update (&account->bucket, &cap, now_us);
+      /* A bucket that is not full yet would be too full when it is made
+       * again. */
+      if (now_us > account->seen_us + JL_QUOTA_UNSEEN_US
+          && (cap.rate <= 0 || account->bucket.fraction >= 1))
+        g_hash_table_iter_remove (&iterator);
+    }
+}
--- /dev/null
+++ b/source/policy/quota-issuer.h
@@ -0,0 +1,142 @@
+#ifndef JACKDAWLADDER_POLICY_QUOTA_ISSUER_H
+#define JACKDAWLADDER_POLICY_QUOTA_ISSUER_H
+
+/**
+ * DOC: The issuer of a zone: support by the zone's daemons, and the buckets.
+ *
+ * A daemon issues tokens while more than half of all known daemons of its zone
+ * support it. Each supports at most one daemon at a time (policy/quota-vote.h),
+ * so that two daemons that know the same daemons never issue at the same time.
+ * Support is counted from the time of this daemon's own answer that the
+ * supporter returns, hence neither delays of datagrams nor a suspended process
+ * lengthen it.
+ *
+ * A daemon that loses contact runs some requests without tokens for a short
+ * time (policy/quota-stock.h). Once its support ends, the buckets withhold as
+ * many tokens, since it may be cut off while this daemon still issues.
+ */
+
+#include "policy/quota-bucket.h"
+
+/* Time after an answer for which a daemon that returns its stamp supports no
+ * other issuer. */
+#define JL_QUOTA_SUPPORT_US (1200 * JL_USEC_PER_MSEC)
+/* Time after which the state of a customer without requests is dropped. */
+#define JL_QUOTA_UNSEEN_US (60 * JL_USEC_PER_SEC)
+
+/**
+ * struct jl_quota_issuer - state of the issuer
+ * @supporters: time until which each daemon supports this one, by its key
+ * @customers: struct jl_quota_account by the customer's key
+ * @active: this daemon issues
+ * @since_us: time from which it issues, if @active
+ * @issued: total of tokens issued
+ * @refused: total of requests for a token that were refused
+ */
+struct jl_quota_issuer
+{
+  GHashTable *supporters;
+  GHashTable *customers;
+  bool active;
+  uint64_t since_us;
+  uint64_t issued;
+  uint64_t refused;
+};
+
+/**
+ * struct jl_quota_account - a customer at the issuer
+ * @demand: requests a second that asked for a token, recently
+ * @refused_rate: those that were refused
+ * @demand_us: time of @demand and @refused_rate
+ * @promised_us: time up to which tokens were promised by Retry-After
+ * @seen_us: time of the last request for a token
+ * @cap: cap at that time
+ */
+struct jl_quota_account
+{
+  struct jl_quota_bucket bucket;
+  struct jl_quota_cap cap;
+  double demand;
+  double refused_rate;
+  uint64_t demand_us;
+  uint64_t promised_us;
+  uint64_t seen_us;
+};
+
+/**
+ * struct jl_quota_grant - answer to a request for tokens
+ * @granted: number of tokens
+ * @none_us: time for which the bucket has no token after this answer
+ * @wait_us: time after which a refused request finds a token, after those that
+ *           were refused before
+ * @far: the zone's demand is far below its cap
+ * @level: tokens left
+ */
+struct jl_quota_grant
+{
+  unsigned granted;
+  uint64_t none_us;
+  uint64_t wait_us;
+  bool far;
+  double level;
+};
+
+void jl_quota_issuer_init (struct jl_quota_issuer *issuer);
+void jl_quota_issuer_clear (struct jl_quota_issuer *issuer);
+
+/**
+ * jl_quota_issuer_support - counts a daemon as a supporter
+ * @stamp_us: time of this daemon's answer that the supporter has returned
+ */
+void jl_quota_issuer_support (struct jl_quota_issuer *issuer,
+                              uint32_t daemon,
+                              uint64_t stamp_us,
+                              uint64_t now_us);
+
+/**
+ * jl_quota_issuer_update - decides whether this daemon issues
+ * @known_count: number of daemons of the zone that have not left, with this one
+ * @counts: whether the daemon with a key is one of them
+ *
+ * Has to be called before support is counted, so that a suspended process
+ * notices that its support has ended.
+ *
+ * Return: whether it issues.
+ */
+bool jl_quota_issuer_update (struct jl_quota_issuer *issuer,
+                             unsigned known_count,
+                             bool (*counts) (const void *context, uint32_t key),
+                             const void *context,
+                             uint64_t now_us);
+
+/**
+ * jl_quota_issuer_resign - ends issuing, before another daemon begins
+ */
+void jl_quota_issuer_resign (struct jl_quota_issuer *issuer);
+
+/**
+ * jl_quota_issuer_grant - takes up to @count tokens of a customer
+ * @customer: key of the customer
+ * @waiting: how many of them are for requests that wait
+ *
+ * A customer that was not seen has the tokens that its bucket would hold if it
+ * had been empty when this daemon began to issue.
+ */
+struct jl_quota_grant jl_quota_issuer_grant (struct jl_quota_issuer *issuer,
+                                             uint32_t customer,
+                                             const struct jl_quota_cap *cap,
+                                             unsigned count,
+                                             unsigned waiting,
+                                             uint64_t now_us);
+
+/**
+ * jl_quota_issuer_expire - drops the state of customers that were not seen
+ * @cap_of: returns the cap of a customer in this zone
+ */
+void jl_quota_issuer_expire (struct jl_quota_issuer *issuer,
+                             struct jl_quota_cap (*cap_of) (const void *context,
+                                                            uint32_t customer),
+                             const void *context,
+                             uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/source/policy/quota-vote.c
@@ -0,0 +1,158 @@
+/**
+ * DOC: Which daemon of the zone a daemon takes as the issuer, and its support.
+ */
+
+#include "policy/quota-vote.h"
+
+#include "policy/quota-issuer.h"
+
+#include <string.h>
+
+/* Time without an answer after which another daemon is asked. */
+#define SILENT_US (500 * JL_USEC_PER_MSEC)
+/* Time after which another daemon is asked if the chosen one does not issue. It
+ * is longer than the support of an earlier issuer lasts. */
+#define INACTIVE_US (2500 * JL_USEC_PER_MSEC)
+/* Time for which such a daemon is not asked again. */
+#define AVOIDED_US (3000 * JL_USEC_PER_MSEC)
+/* Time without an answer after which the issuer counts as unreachable: two
+ * waits of a request. */
+#define CONTACT_LOST_US (60 * JL_USEC_PER_MSEC)
+
+void
+jl_quota_vote_init (struct jl_quota_vote *vote, uint64_t started_us)
+{
+  memset (vote, 0, sizeof *vote);
+  vote->promised_until_us = started_us + JL_QUOTA_SUPPORT_US;
+}
+
+static bool
+contains (const uint32_t *candidates, unsigned count, uint32_t key)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (candidates[i] == key)
+      return true;
+  return false;
+}
+
+static bool
+is_avoided (const struct jl_quota_vote *vote, uint32_t key, uint64_t now_us)
+{
+  for (unsigned i = 0; i < JL_QUOTA_AVOIDED_MAX; i++)
+    if (vote->avoided[i] == key && now_us < vote->avoided_until_us[i])
+      return true;
+  return false;
+}
+
+/* Passes over the chosen daemon for a while, in place of the one that was
+ * passed over the longest time ago. */
+static void
+avoid_chosen (struct jl_quota_vote *vote, uint64_t now_us)
+{
+  unsigned oldest = 0;
+
+  for (unsigned i = 1; i < JL_QUOTA_AVOIDED_MAX; i++)
+    if (vote->avoided_until_us[i] < vote->avoided_until_us[oldest])
+      oldest = i;
+  vote->avoided[oldest] = vote->chosen;
+  vote->avoided_until_us[oldest] = now_us + AVOIDED_US;
+}
+
+static uint32_t
+first_candidate (const struct jl_quota_vote *vote,
+                 const uint32_t *candidates,
+                 unsigned count,
+                 uint64_t now_us)
+{
+  for (unsigned i = 0; i < count; i++)
+    if (!is_avoided (vote, candidates[i], now_us))
+      return candidates[i];
+  return count > 0 ? candidates[0] : 0;
+}
+
+bool
+jl_quota_vote_choose (struct jl_quota_vote *vote,
+                      const uint32_t *candidates,
+                      unsigned count,
+                      uint64_t now_us)
+{
+  bool silent
+      = vote->unanswered_us != 0 && now_us > vote->unanswered_us + SILENT_US;
+  bool inactive = now_us > MAX (vote->chosen_us, vote->active_us) + INACTIVE_US;
+  uint32_t chosen;
+
+  if (vote->chosen != 0 && (silent || inactive))
+    avoid_chosen (vote, now_us);
+  else if (contains (candidates, count, vote->chosen) && vote->active_us != 0)
+    return false;
+  chosen = first_candidate (vote, candidates, count, now_us);
+  if (chosen == vote->chosen)
+    return false;
+  vote->chosen = chosen;
+  vote->chosen_us = now_us;
+  vote->epoch = 0;
+  vote->stamp_us = 0;
+  vote->active_us = 0;
+  vote->unanswered_us = 0;
+  return true;
+}
+
+uint64_t
+jl_quota_vote_asked (struct jl_quota_vote *vote, uint64_t now_us)
+{
+  uint64_t until_us = vote->stamp_heard_us + JL_QUOTA_SUPPORT_US;
+
+  vote->asked_us = now_us;
+  if (vote->unanswered_us == 0)
+    vote->unanswered_us = now_us;
+  if (vote->stamp_us == 0 || until_us <= now_us)
+    return 0;
+  if (vote->promised != vote->chosen && now_us < vote->promised_until_us)
+    return 0;
+  vote->promised = vote->chosen;
+  vote->promised_until_us = MAX (vote->promised_until_us, until_us);
+  return vote->stamp_us;
+}
+
+void
+jl_quota_vote_answered (struct jl_quota_vote *vote,
+                        uint64_t epoch,
+                        uint64_t stamp_us,
+                        bool active,
+                        uint64_t now_us)
+{
+  if (epoch == vote->epoch && stamp_us < vote->stamp_us)
+    return;
+  vote->epoch = epoch;
+  vote->stamp_us = stamp_us;
+  vote->stamp_heard_us = now_us;
+  vote->unanswered_us = 0;
+  if (active)
+    vote->active_us = now_us;
+}
+
+void
+jl_quota_vote_release (struct jl_quota_vote *vote,
+                       uint32_t daemon,
+                       uint64_t now_us)
+{
+  if (vote->promised == daemon)
+    vote->promised_until_us = now_us;
+  if (vote->chosen == daemon)
+    {
+      avoid_chosen (vote, now_us);
+      vote->chosen = 0;
+      vote->active_us = 0;
+      vote->stamp_us = 0;
+      vote->unanswered_us = 0;
+    }
+}
+
+bool
+jl_quota_vote_in_contact (const struct jl_quota_vote *vote, uint64_t now_us)
+{
+  return vote->chosen != 0 && vote->active_us != 0
+         && vote->active_us == vote->stamp_heard_us
+         && (vote->unanswered_us == 0
+             || now_us < vote->unanswered_us + CONTACT_LOST_US);
+}
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -15,6 +15,7 @@
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/infer.h"
+#include "proxy/quota.h"
 #include "proxy/report.h"
 
 #include <arpa/inet.h>
@@ -237,6 +238,10 @@
     case JL_FORMAT_FRESHNESS:
       jl_freshness_read (beacon->proxy->freshness, buffer->base, (size_t)size);
       break;
+    case JL_FORMAT_QUOTA_ASK:
+    case JL_FORMAT_QUOTA_ANSWER:
+      jl_quota_read (beacon->proxy->quota, buffer->base, (size_t)size);
+      break;
     }
 }
 
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -5,6 +5,7 @@
 #include "proxy/call.h"
 
 #include "names.h"
+#include "proxy/quota.h"
 #include "proxy/trial.h"
 
 #include <string.h>
@@ -31,6 +32,28 @@
   return (jl_now () - call->begun_us) / JL_USEC_PER_MSEC;
 }
 
+const char *
+jl_call_choose_service (const struct jl_route *route)
+{
+  uint64_t total = 0;
+  uint64_t draw;
+
+  if (route->split_count == 1)
+    return route->split[0].service;
+  for (unsigned i = 0; i < route->split_count; i++)
+    total += route->split[i].weight;
+  if (total == 0)
+    return route->split[0].service;
+  draw = (uint64_t)(g_random_double () * (double)total);
+  for (unsigned i = 0; i < route->split_count; i++)
+    {
+      if (draw < route->split[i].weight)
+        return route->split[i].service;
+      draw -= route->split[i].weight;
+    }
+  return route->split[0].service;
+}
+
 void
 jl_call_cancel_upstream (struct jl_call *call)
 {
@@ -45,6 +68,7 @@
 {
   jl_timer_stop (call->proxy->loop->timers, &call->timer);
   jl_trial_end_call (call);
+  jl_quota_end_call (call);
   jl_call_cancel_upstream (call);
   cds_list_del (&call->link);
   jl_site_drop (call->site);
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -40,6 +40,10 @@
  * @trial_running: it reported that the trial runs at its target
  * @loss_inferred: @member was lost while it had the request, which was reported
  * @held_until_us: time until which the request waits for the result of a trial
+ * @token_link: in the list of requests that wait for a token of their customer
+ * @token_ask: sequence number of the last datagram that asked for a token for
+ *             it, 0 for none
+ * @token_wait_us: time at which it began to wait
  * @targets_reached: number of targets that the request has, or may have,
  *                   reached
  * @may_have_run: a target may have run the request
@@ -73,6 +77,9 @@
   bool trial_running;
   bool loss_inferred;
   uint64_t held_until_us;
+  struct cds_list_head token_link;
+  uint32_t token_ask;
+  uint64_t token_wait_us;
   unsigned targets_reached;
   bool may_have_run;
   char reason[32];
@@ -97,6 +104,12 @@
  */
 struct jl_member *jl_call_choose_daemon (struct jl_call *call, uint64_t now_us);
 
+/**
+ * jl_call_choose_service - chooses a service at random, by the weights of the
+ * route's split
+ */
+const char *jl_call_choose_service (const struct jl_route *route);
+
 /**
  * jl_call_cancel_upstream - cancels the upstream request, if there is one
  */
@@ -152,4 +165,10 @@
  */
 void jl_entry_start (struct jl_call *call);
 
+/**
+ * jl_entry_continue - continues a client's request that its customer's usage
+ * cap allows
+ */
+void jl_entry_continue (struct jl_call *call);
+
 #endif
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -15,6 +15,7 @@
 #include "proxy/hooks.h"
 #include "proxy/identify.h"
 #include "proxy/infer.h"
+#include "proxy/quota.h"
 #include "proxy/report.h"
 #include "proxy/trial.h"
 
@@ -392,29 +393,6 @@
   jl_relay_send_buffered_body (&call->relay);
 }
 
-/* Chooses a service at random, by the weights of the route's split. */
-static const char *
-choose_service (const struct jl_route *route)
-{
-  uint64_t total = 0;
-  uint64_t draw;
-
-  if (route->split_count == 1)
-    return route->split[0].service;
-  for (unsigned i = 0; i < route->split_count; i++)
-    total += route->split[i].weight;
-  if (total == 0)
-    return route->split[0].service;
-  draw = (uint64_t)(g_random_double () * (double)total);
-  for (unsigned i = 0; i < route->split_count; i++)
-    {
-      if (draw < route->split[i].weight)
-        return route->split[i].service;
-      draw -= route->split[i].weight;
-    }
-  return route->split[0].service;
-}
-
 static void
 set_deadline (struct jl_call *call)
 {
@@ -447,8 +425,8 @@
   place_call (call);
 }
 
-static void
-start_client_request (struct jl_call *call)
+void
+jl_entry_continue (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   struct jl_demand *demand = jl_demand_track (proxy, call->route);
@@ -456,12 +434,6 @@
   struct jl_retry_budget *budget
       = jl_demand_retry_budget (proxy, call->service);
 
-  proxy->counters.requests++;
-  if (jl_proxy_is_ending (proxy))
-    {
-      jl_call_refuse (call, "stopping");
-      return;
-    }
   if (budget != NULL)
     jl_retry_budget_count_request (budget, &policy, jl_now ());
   if (demand != NULL)
@@ -475,6 +447,18 @@
     place_call (call);
 }
 
+static void
+start_client_request (struct jl_call *call)
+{
+  struct jl_proxy *proxy = call->proxy;
+
+  proxy->counters.requests++;
+  if (jl_proxy_is_ending (proxy))
+    jl_call_refuse (call, "stopping");
+  else if (jl_quota_take (proxy, call) == JL_QUOTA_GRANTED)
+    jl_entry_continue (call);
+}
+
 void
 jl_entry_start (struct jl_call *call)
 {
@@ -537,7 +521,7 @@
       jl_call_respond (call, 413, "", "too-large");
       return;
     }
-  call->service = choose_service (call->route);
+  call->service = jl_call_choose_service (call->route);
   set_deadline (call);
   jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
   call->from_target = jl_demand_is_call_route (proxy, call->route->key);
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -7,6 +7,7 @@
 #include "names.h"
 #include "proxy/digest.h"
 #include "proxy/freshness.h"
+#include "proxy/quota.h"
 #include "proxy/report.h"
 
 #include <string.h>
@@ -110,6 +111,7 @@
   append_counter (text, "connections_made_total", net->connected);
   append_counter (text, "bytes_received_total", net->bytes_in);
   append_counter (text, "bytes_sent_total", net->bytes_out);
+  jl_quota_append_metrics (proxy->quota, text);
   append_histogram (text, "request", &counters->request_time);
   append_histogram (text, "lane", &counters->lane_time);
   append_histogram (text, "target", &counters->target_time);
@@ -181,6 +183,7 @@
     {
       append_state (text, proxy);
       append_suspects (text, proxy);
+      jl_quota_append_state (proxy->quota, text);
     }
   if (text->len > 0)
     respond_text (request, 200, text->str);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -9,6 +9,7 @@
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/infer.h"
+#include "proxy/quota.h"
 #include "proxy/report.h"
 #include "proxy/rows.h"
 #include "proxy/trial.h"
@@ -558,6 +559,7 @@
   proxy->infer = jl_infer_new (proxy);
   proxy->news = jl_news_new (proxy);
   proxy->freshness = jl_freshness_new (proxy);
+  proxy->quota = jl_quota_new (proxy);
 }
 
 struct jl_proxy *
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -128,6 +128,7 @@
 struct jl_freshness;
 struct jl_infer;
 struct jl_news;
+struct jl_quota;
 struct jl_sync;
 struct jl_watch;
 struct jl_work;
@@ -186,6 +187,7 @@
  * @refused_row_pending: this daemon's row of refused contents was written and
  * is not acknowledged yet
  * @freshness: age of what this daemon knows of the configuration in the store
+ * @quota: usage caps of customers
  * @era_heard_from: daemon whose beacon named a new era of the store before the
  *                  store itself did, NULL for none
  * @window_count: number of control windows since the start
@@ -262,6 +264,7 @@
   uint64_t store_lost_us;
   bool refused_row_pending;
   struct jl_freshness *freshness;
+  struct jl_quota *quota;
   const struct jl_member *era_heard_from;
   struct jl_sync *sync;
   uv_signal_t signals[3];
--- /dev/null
+++ b/source/proxy/quota-ask.c
@@ -0,0 +1,219 @@
+/**
+ * DOC: Requests for tokens and their answers as datagrams.
+ */
+
+#include "proxy/announce.h"
+#include "proxy/quota-impl.h"
+
+/* Minimum time between two requests; what is asked for in between goes into one
+ * datagram. */
+#define ASK_GAP_US (4 * JL_USEC_PER_MSEC)
+/* Bound of the tokens that one request asks for, per customer. */
+#define COUNT_MAX 1000u
+/* Time after which a prefetch without an answer is requested again. */
+#define PREFETCH_RETRY_US (20 * JL_USEC_PER_MSEC)
+
+static void
+on_ask_timer (void *context, struct jl_timer *timer)
+{
+  (void)timer;
+  jl_quota_ask (context, jl_now ());
+}
+
+void
+jl_quota_ask_soon (struct jl_quota *quota, struct jl_quota_line *line)
+{
+  struct jl_proxy *proxy = quota->proxy;
+  uint64_t now_us = jl_now ();
+  uint64_t due_us = quota->vote.asked_us + ASK_GAP_US;
+
+  if (!line->is_pending)
+    {
+      line->is_pending = true;
+      cds_list_add_tail (&line->pending, &quota->pending);
+    }
+  if (now_us >= due_us)
+    jl_quota_ask (quota, now_us);
+  else if (quota->ask_timer.heap_position == 0)
+    jl_timer_start (proxy->loop->timers, &quota->ask_timer, due_us,
+                    on_ask_timer, quota);
+}
+
+/* Counts the requests that wait and that no request for tokens covers, which
+ * the next one does, and the tokens to prefetch. */
+static struct beacon_quota_want
+want_of (struct jl_quota *quota, struct jl_quota_line *line, uint64_t now_us)
+{
+  struct beacon_quota_want want = { .customer = line->stock.customer };
+  struct jl_call *call;
+
+  cds_list_for_each_entry (call, &line->waiting, token_link)
+  {
+    if (call->token_ask != 0 || want.waiting == COUNT_MAX)
+      continue;
+    call->token_ask = quota->sequence;
+    want.waiting++;
+  }
+  want.count = want.waiting;
+  if (now_us >= line->prefetch_us + PREFETCH_RETRY_US)
+    {
+      unsigned wants = jl_quota_stock_wants (&line->stock, now_us);
+
+      want.count += MIN (wants, COUNT_MAX);
+      line->prefetch_us = wants > 0 ? now_us : 0;
+    }
+  return want;
+}
+
+/* Moves as many pending customers as a datagram has room for into @ask. */
+static void
+fill_wants (struct jl_quota *quota,
+            struct beacon_quota_ask *ask,
+            uint64_t now_us)
+{
+  struct jl_quota_line *line;
+  struct jl_quota_line *next;
+
+  cds_list_for_each_entry_safe (line, next, &quota->pending, pending)
+  {
+    struct beacon_quota_want want;
+
+    if (ask->wants.wants_len == BEACON_QUOTA_MAX)
+      return;
+    cds_list_del (&line->pending);
+    line->is_pending = false;
+    want = want_of (quota, line, now_us);
+    if (want.count == 0)
+      continue;
+    quota->asked += want.count;
+    ask->wants.wants_val[ask->wants.wants_len++] = want;
+  }
+}
+
+static void
+send_datagram (struct jl_quota *quota,
+               struct jl_endpoint peer,
+               bool (*encode) (XDR *xdr, void *message),
+               void *message)
+{
+  char datagram[JL_DATAGRAM_BYTES_MAX];
+  XDR xdr;
+
+  xdrmem_create (&xdr, datagram, sizeof datagram, XDR_ENCODE);
+  if (!encode (&xdr, message))
+    return;
+  quota->datagrams++;
+  jl_beacon_send_datagram (quota->proxy->beacon, peer, datagram,
+                           xdr_getpos (&xdr));
+}
+
+static bool
+encode_ask (XDR *xdr, void *message)
+{
+  return xdr_beacon_quota_ask (xdr, message);
+}
+
+static bool
+encode_answer (XDR *xdr, void *message)
+{
+  return xdr_beacon_quota_answer (xdr, message);
+}
+
+/* Asks this daemon itself. */
+static void
+ask_self (struct jl_quota *quota,
+          const struct beacon_quota_ask *ask,
+          uint64_t now_us)
+{
+  struct beacon_quota_grant grants[BEACON_QUOTA_MAX];
+  struct beacon_quota_answer answer = { .grants.grants_val = grants };
+  uint32_t key = quota->proxy->self->key;
+
+  jl_quota_serve (quota, key, ask, &answer, now_us);
+  jl_quota_answered (quota, key, &answer, now_us);
+}
+
+static void
+ask_once (struct jl_quota *quota, uint64_t now_us)
+{
+  struct jl_proxy *proxy = quota->proxy;
+  struct beacon_quota_want wants[BEACON_QUOTA_MAX];
+  struct beacon_quota_ask ask = {
+    .format = JL_FORMAT_QUOTA_ASK,
+    .name = proxy->self->name,
+    .epoch = quota->vote.epoch,
+    .wants.wants_val = wants,
+  };
+  const struct jl_member *issuer;
+
+  quota->sequence = quota->sequence == G_MAXUINT32 ? 1 : quota->sequence + 1;
+  quota->asked_us[quota->sequence % JL_QUOTA_ASKS] = now_us;
+  ask.sequence = quota->sequence;
+  ask.stamp = jl_quota_vote_asked (&quota->vote, now_us);
+  fill_wants (quota, &ask, now_us);
+  issuer = jl_roster_find_key (&proxy->roster, quota->vote.chosen);
+  if (issuer == proxy->self)
+    ask_self (quota, &ask, now_us);
+  else if (issuer != NULL)
+    send_datagram (quota, issuer->peer, encode_ask, &ask);
+}
+
+void
+jl_quota_ask (struct jl_quota *quota, uint64_t now_us)
+{
+  jl_timer_stop (quota->proxy->loop->timers, &quota->ask_timer);
+  if (quota->vote.chosen == 0)
+    return;
+  do
+    ask_once (quota, now_us);
+  while (!cds_list_empty (&quota->pending) && quota->vote.chosen != 0);
+}
+
+static void
+read_ask (struct jl_quota *quota, XDR *xdr)
+{
+  struct jl_proxy *proxy = quota->proxy;
+  struct beacon_quota_grant grants[BEACON_QUOTA_MAX];
+  struct beacon_quota_answer answer = { .grants.grants_val = grants };
+  struct beacon_quota_ask ask = { 0 };
+  const struct jl_member *member;
+
+  if (xdr_beacon_quota_ask (xdr, &ask))
+    {
+      member = g_hash_table_lookup (proxy->roster.by_name, ask.name);
+      if (member != NULL && member != proxy->self && member->peer.port != 0
+          && member->contact == NULL)
+        {
+          jl_quota_serve (quota, member->key, &ask, &answer, jl_now ());
+          send_datagram (quota, member->peer, encode_answer, &answer);
+        }
+    }
+  xdr_free ((xdrproc_t)xdr_beacon_quota_ask, &ask);
+}
+
+static void
+read_answer (struct jl_quota *quota, XDR *xdr)
+{
+  struct beacon_quota_answer answer = { 0 };
+  const struct jl_member *member;
+
+  if (xdr_beacon_quota_answer (xdr, &answer))
+    {
+      member = g_hash_table_lookup (quota->proxy->roster.by_name, answer.name);
+      if (member != NULL && member != quota->proxy->self)
+        jl_quota_answered (quota, member->key, &answer, jl_now ());
+    }
+  xdr_free ((xdrproc_t)xdr_beacon_quota_answer, &answer);
+}
+
+void
+jl_quota_read (struct jl_quota *quota, const char *datagram, size_t size)
+{
+  XDR xdr;
+
+  xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
+  if (jl_announce_format (datagram, size) == JL_FORMAT_QUOTA_ASK)
+    read_ask (quota, &xdr);
+  else
+    read_answer (quota, &xdr);
+}
--- /dev/null
+++ b/source/proxy/quota-impl.h
@@ -0,0 +1,156 @@
+#ifndef JACKDAWLADDER_PROXY_QUOTA_IMPL_H
+#define JACKDAWLADDER_PROXY_QUOTA_IMPL_H
+
+/**
+ * DOC: State of usage caps that the files source/proxy/quota*.c share.
+ */
+
+#include "policy/quota-issuer.h"
+#include "policy/quota-stock.h"
+#include "policy/quota-vote.h"
+#include "proxy/quota.h"
+#include "rpc/gen/beacon.h"
+
+/* Number of requests for tokens whose time is remembered: those of more than
+ * the time for which a token is valid. */
+#define JL_QUOTA_ASKS 128
+
+/**
+ * struct jl_quota_line - a customer at this daemon
+ * @waiting: requests that wait for a token, of struct jl_call
+ * @pending: in the list of customers that the next datagram asks for
+ * @is_pending: it is in that list
+ * @prefetch_us: time of the last request for a prefetch that is unanswered, 0
+ *               for none
+ */
+struct jl_quota_line
+{
+  struct jl_quota_stock stock;
+  struct cds_list_head waiting;
+  struct cds_list_head pending;
+  bool is_pending;
+  uint64_t prefetch_us;
+};
+
+/**
+ * struct jl_quota - usage caps
+ * @lines: struct jl_quota_line by the customer's key
+ * @pending: customers that the next datagram asks for
+ * @site_version: version of the configuration that @has_caps is of
+ * @has_caps: the configuration has customers with a cap
+ * @sequence: number of the last request for tokens
+ * @asked_us: times of the last requests, by their sequence number
+ * @in_contact: the issuer answers
+ * @lost_us: time at which it ceased to answer, or this daemon's start
+ * @known_count: number of daemons of the zone that have not left
+ * @zone_count: number of zones of the site that are known
+ * @updated_us: time of the last update of @issuer
+ * @expired_us: time at which old state was last dropped
+ * @refused: requests refused with 429
+ * @asked: tokens that this daemon requested
+ * @fallback: requests that ran without a token, as no issuer answered
+ * @datagrams: datagrams sent
+ */
+struct jl_quota
+{
+  struct jl_proxy *proxy;
+  struct jl_quota_vote vote;
+  struct jl_quota_issuer issuer;
+  GHashTable *lines;
+  struct cds_list_head pending;
+  struct jl_timer tick_timer;
+  struct jl_timer ask_timer;
+  uint64_t site_version;
+  bool has_caps;
+  uint32_t sequence;
+  uint64_t asked_us[JL_QUOTA_ASKS];
+  bool in_contact;
+  uint64_t lost_us;
+  unsigned known_count;
+  unsigned zone_count;
+  uint64_t updated_us;
+  uint64_t expired_us;
+  uint64_t refused;
+  uint64_t asked;
+  uint64_t fallback;
+  uint64_t datagrams;
+};
+
+/* quota-issue.c */
+
+/**
+ * jl_quota_allowance_of - returns the parts of a customer's allowance
+ *
+ * Return: whether the configuration in force has the customer with a cap.
+ */
+bool jl_quota_allowance_of (const struct jl_quota *quota,
+                            uint32_t customer,
+                            struct jl_quota_allowance *allowance);
+
+/**
+ * jl_quota_share_of - returns the local zone's share of a customer's cap
+ */
+double jl_quota_share_of (const struct jl_quota *quota, uint32_t customer);
+
+/**
+ * jl_quota_update_issuer - decides whether this daemon issues
+ */
+void jl_quota_update_issuer (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_list_candidates - lists the keys of the daemons of the zone that may
+ * issue, in order
+ *
+ * Return: their number, at most @max.
+ */
+unsigned jl_quota_list_candidates (const struct jl_quota *quota,
+                                   uint32_t *keys,
+                                   unsigned max,
+                                   uint64_t now_us);
+
+/**
+ * jl_quota_count_zone - counts the daemons and zones that are known
+ */
+void jl_quota_count_zone (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_serve - answers a request for tokens
+ * @daemon: key of the daemon that asks
+ * @answer: receives the answer; its list of grants has BEACON_QUOTA_MAX places
+ */
+void jl_quota_serve (struct jl_quota *quota,
+                     uint32_t daemon,
+                     const struct beacon_quota_ask *ask,
+                     struct beacon_quota_answer *answer,
+                     uint64_t now_us);
+
+/**
+ * jl_quota_expire_accounts - drops old state of the issuer
+ */
+void jl_quota_expire_accounts (struct jl_quota *quota, uint64_t now_us);
+
+/* quota-ask.c */
+
+/**
+ * jl_quota_ask - asks the issuer for what is pending, at least with a datagram
+ * that supports it
+ */
+void jl_quota_ask (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_ask_soon - asks at once, or after the minimum interval
+ */
+void jl_quota_ask_soon (struct jl_quota *quota, struct jl_quota_line *line);
+
+/* quota.c */
+
+/**
+ * jl_quota_answered - applies an answer
+ * @daemon: key of the daemon that has sent it
+ */
+void jl_quota_answered (struct jl_quota *quota,
+                        uint32_t daemon,
+                        const struct beacon_quota_answer *answer,
+                        uint64_t now_us);
+
+#endif
--- a/source/proxy/relay.h
+++ b/source/proxy/relay.h
@@ -17,12 +17,14 @@
  * @JL_HOLD_NONE: it is not held
  * @JL_HOLD_BODY: its content has to be known first
  * @JL_HOLD_RESULT: a trial of a suspect content has to end first
+ * @JL_HOLD_TOKEN: it waits for a token of its customer's usage cap
  */
 enum jl_hold
 {
   JL_HOLD_NONE,
   JL_HOLD_BODY,
   JL_HOLD_RESULT,
+  JL_HOLD_TOKEN,
 };
 
 /**
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -9,6 +9,7 @@
 const BEACON_REPORTS_MAX = 64;
 const BEACON_CONTENTS_MAX = 150;
 const BEACON_DIGEST_MAX = 38;
+const BEACON_QUOTA_MAX = 40;
 
 struct beacon_fanout
 {
@@ -144,3 +145,48 @@
 {
   unsigned int services<BEACON_REPORTS_MAX>;
 };
+
+/* Asks the issuer of the zone for tokens of usage caps. epoch: incarnation of the
+ * issuer that stamp is of. stamp: of the issuer's last answer, which supports it; 0
+ * for no support. waiting: how many of count are for requests that wait. */
+struct beacon_quota_want
+{
+  unsigned int customer;
+  unsigned int count;
+  unsigned int waiting;
+};
+
+struct beacon_quota_ask
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  unsigned int sequence;
+  unsigned hyper epoch;
+  unsigned hyper stamp;
+  beacon_quota_want wants<BEACON_QUOTA_MAX>;
+};
+
+/* Answers a beacon_quota_ask. state: 0 the sender does not issue, 1 it issues, 2 it
+ * has resigned for good. none_us: time for which there are no more tokens. wait_ms:
+ * time after which a refused request finds a token. far: the demand is far below the
+ * cap. level_centi: tokens left. */
+struct beacon_quota_grant
+{
+  unsigned int customer;
+  unsigned int granted;
+  unsigned int none_us;
+  unsigned int wait_ms;
+  unsigned int far;
+  unsigned int level_centi;
+};
+
+struct beacon_quota_answer
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  unsigned int sequence;
+  unsigned int state;
+  unsigned hyper epoch;
+  unsigned hyper stamp;
+  beacon_quota_grant grants<BEACON_QUOTA_MAX>;
+};
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -19,6 +19,7 @@
 #define BEACON_REPORTS_MAX 64
 #define BEACON_CONTENTS_MAX 150
 #define BEACON_DIGEST_MAX 38
+#define BEACON_QUOTA_MAX 40
 
 struct beacon_fanout {
 	u_int run;
@@ -151,6 +152,50 @@
 };
 typedef struct beacon_reports_extension beacon_reports_extension;
 
+struct beacon_quota_want {
+	u_int customer;
+	u_int count;
+	u_int waiting;
+};
+typedef struct beacon_quota_want beacon_quota_want;
+
+struct beacon_quota_ask {
+	u_int format;
+	char *name;
+	u_int sequence;
+	u_quad_t epoch;
+	u_quad_t stamp;
+	struct {
+		u_int wants_len;
+		beacon_quota_want *wants_val;
+	} wants;
+};
+typedef struct beacon_quota_ask beacon_quota_ask;
+
+struct beacon_quota_grant {
+	u_int customer;
+	u_int granted;
+	u_int none_us;
+	u_int wait_ms;
+	u_int far;
+	u_int level_centi;
+};
+typedef struct beacon_quota_grant beacon_quota_grant;
+
+struct beacon_quota_answer {
+	u_int format;
+	char *name;
+	u_int sequence;
+	u_int state;
+	u_quad_t epoch;
+	u_quad_t stamp;
+	struct {
+		u_int grants_len;
+		beacon_quota_grant *grants_val;
+	} grants;
+};
+typedef struct beacon_quota_answer beacon_quota_answer;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -167,6 +212,10 @@
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
+extern  bool_t xdr_beacon_quota_want (XDR *, beacon_quota_want*);
+extern  bool_t xdr_beacon_quota_ask (XDR *, beacon_quota_ask*);
+extern  bool_t xdr_beacon_quota_grant (XDR *, beacon_quota_grant*);
+extern  bool_t xdr_beacon_quota_answer (XDR *, beacon_quota_answer*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
@@ -182,6 +231,10 @@
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
 extern bool_t xdr_beacon_reports_extension ();
+extern bool_t xdr_beacon_quota_want ();
+extern bool_t xdr_beacon_quota_ask ();
+extern bool_t xdr_beacon_quota_grant ();
+extern bool_t xdr_beacon_quota_answer ();
 
 #endif /* K&R C */
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -449,3 +449,132 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_beacon_quota_want (XDR *xdrs, beacon_quota_want *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_quota_ask (XDR *xdrs, beacon_quota_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wants.wants_val, (u_int *) &objp->wants.wants_len, BEACON_QUOTA_MAX,
+		sizeof (beacon_quota_want), (xdrproc_t) xdr_beacon_quota_want))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_quota_grant (XDR *xdrs, beacon_quota_grant *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->customer))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->granted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->none_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->far))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level_centi))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->customer);
+			IXDR_PUT_U_LONG(buf, objp->granted);
+			IXDR_PUT_U_LONG(buf, objp->none_us);
+			IXDR_PUT_U_LONG(buf, objp->wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->far);
+			IXDR_PUT_U_LONG(buf, objp->level_centi);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->customer))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->granted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->none_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->far))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level_centi))
+				 return FALSE;
+		} else {
+			objp->customer = IXDR_GET_U_LONG(buf);
+			objp->granted = IXDR_GET_U_LONG(buf);
+			objp->none_us = IXDR_GET_U_LONG(buf);
+			objp->wait_ms = IXDR_GET_U_LONG(buf);
+			objp->far = IXDR_GET_U_LONG(buf);
+			objp->level_centi = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->none_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->far))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level_centi))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_quota_answer (XDR *xdrs, beacon_quota_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, BEACON_QUOTA_MAX,
+		sizeof (beacon_quota_grant), (xdrproc_t) xdr_beacon_quota_grant))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/tests/proxy/parts/quota-model.c
@@ -0,0 +1,537 @@
+/**
+ * DOC: Many daemons, issuers and zones in virtual time.
+ */
+
+#include "proxy/parts/quota-model.h"
+
+#include <criterion/criterion.h>
+
+#include <math.h>
+
+#define OVER_RATIO 0.1
+#define SLACK 20.0
+#define BEACON_US (1000 * JL_USEC_PER_MSEC)
+#define ALIVE_US (2500 * JL_USEC_PER_MSEC)
+#define TICK_US (50 * JL_USEC_PER_MSEC)
+#define WAIT_US (30 * JL_USEC_PER_MSEC)
+#define AGAIN_US (10 * JL_USEC_PER_MSEC)
+#define INBOX_MAX 2000u
+
+/**
+ * struct message - a datagram: a request for tokens, or an answer
+ */
+struct message
+{
+  unsigned from;
+  bool is_answer;
+  uint32_t sequence;
+  uint64_t epoch;
+  uint64_t stamp_us;
+  bool active;
+  unsigned count[MODEL_CUSTOMERS_MAX];
+  unsigned waiting[MODEL_CUSTOMERS_MAX];
+  struct jl_quota_grant grants[MODEL_CUSTOMERS_MAX];
+};
+
+/**
+ * struct waiter - a request that waits for a token
+ */
+struct waiter
+{
+  uint64_t since_us;
+  uint64_t asked_us;
+  uint32_t sequence;
+};
+
+static uint32_t
+key_of (unsigned daemon)
+{
+  return daemon + 1;
+}
+
+static struct jl_quota_allowance
+allowance_of (const struct model_customer *customer)
+{
+  return jl_quota_divide (customer->rate, customer->rate, MODEL_WINDOW_US,
+                          OVER_RATIO, SLACK);
+}
+
+static struct jl_quota_cap
+zone_cap (const struct quota_model *model, unsigned customer, unsigned zone)
+{
+  struct jl_quota_allowance allowance
+      = allowance_of (&model->customers[customer]);
+
+  return jl_quota_zone_cap (&allowance, model->customers[customer].share[zone],
+                            model->zone_count);
+}
+
+static bool
+passes (struct quota_model *model, unsigned from, unsigned to)
+{
+  return from == to
+         || ((model->linked == NULL || model->linked (model, from, to))
+             && g_rand_double (model->random) >= model->loss);
+}
+
+static void
+send_message (struct quota_model *model,
+              unsigned to,
+              const struct message *message)
+{
+  struct model_daemon *daemon = &model->daemons[to];
+
+  if (!daemon->down && passes (model, message->from, to)
+      && daemon->inbox.length < INBOX_MAX)
+    g_queue_push_tail (&daemon->inbox, g_memdup2 (message, sizeof *message));
+}
+
+static void
+run_request (struct quota_model *model, unsigned customer)
+{
+  g_array_append_val (model->customers[customer].runs, model->now_us);
+}
+
+static void
+init_daemon (struct quota_model *model, unsigned index)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+
+  daemon->epoch = model->now_us + index + 1;
+  daemon->lost_us = model->now_us;
+  daemon->in_contact = false;
+  daemon->sequence = g_rand_int (model->random);
+  jl_quota_vote_init (&daemon->vote, model->now_us);
+  jl_quota_issuer_init (&daemon->issuer);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    {
+      jl_quota_stock_init (&daemon->lines[i].stock, i + 1, model->now_us);
+      daemon->lines[i].waiting
+          = g_array_new (FALSE, FALSE, sizeof (struct waiter));
+      daemon->lines[i].pending = false;
+    }
+  g_queue_init (&daemon->inbox);
+}
+
+static void
+clear_daemon (struct quota_model *model, unsigned index)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+
+  jl_quota_issuer_clear (&daemon->issuer);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    g_array_free (daemon->lines[i].waiting, TRUE);
+  g_queue_clear_full (&daemon->inbox, g_free);
+}
+
+struct quota_model *
+quota_model_new (unsigned daemons,
+                 unsigned zones,
+                 unsigned customers,
+                 unsigned seed)
+{
+  struct quota_model *model = g_new0 (struct quota_model, 1);
+
+  model->daemon_count = daemons;
+  model->zone_count = zones;
+  model->customer_count = customers;
+  model->now_us = 100 * JL_USEC_PER_SEC;
+  model->random = g_rand_new_with_seed (seed);
+  for (unsigned i = 0; i < daemons; i++)
+    {
+      model->daemons[i].zone = i % zones;
+      init_daemon (model, i);
+    }
+  for (unsigned i = 0; i < customers; i++)
+    {
+      model->customers[i].runs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+      for (unsigned zone = 0; zone < zones; zone++)
+        model->customers[i].share[zone] = 1.0 / zones;
+    }
+  return model;
+}
+
+void
+quota_model_free (struct quota_model *model)
+{
+  for (unsigned i = 0; i < model->daemon_count; i++)
+    clear_daemon (model, i);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    g_array_free (model->customers[i].runs, TRUE);
+  g_rand_free (model->random);
+  g_free (model);
+}
+
+void
+quota_model_restart (struct quota_model *model, unsigned daemon)
+{
+  clear_daemon (model, daemon);
+  init_daemon (model, daemon);
+}
+
+static bool
+counts_all (const void *context, uint32_t key)
+{
+  (void)context;
+  (void)key;
+  return true;
+}
+
+static void
+update_issuer (struct quota_model *model, struct model_daemon *daemon)
+{
+  unsigned known = 0;
+
+  for (unsigned i = 0; i < model->daemon_count; i++)
+    known += model->daemons[i].zone == daemon->zone;
+  jl_quota_issuer_update (&daemon->issuer, known, counts_all, NULL,
+                          model->now_us);
+}
+
+static void
+note_contact (struct quota_model *model, struct model_daemon *daemon)
+{
+  bool in_contact = jl_quota_vote_in_contact (&daemon->vote, model->now_us);
+
+  if (daemon->in_contact && !in_contact)
+    daemon->lost_us = model->now_us;
+  daemon->in_contact = in_contact;
+}
+
+static void
+fall_back (struct quota_model *model, unsigned index, unsigned customer)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  struct jl_quota_allowance allowance
+      = allowance_of (&model->customers[customer]);
+  struct jl_quota_fallback fallback = {
+    .lost_us = daemon->in_contact ? model->now_us - WAIT_US : daemon->lost_us,
+    .zone_daemons = model->daemon_count / model->zone_count,
+    .window_us = MODEL_WINDOW_US,
+    .floor_rate = allowance.floor * 1e6 / MODEL_WINDOW_US / model->daemon_count,
+  };
+
+  if (jl_quota_stock_fall_back (&daemon->lines[customer].stock, &fallback,
+                                g_rand_double (model->random), model->now_us))
+    run_request (model, customer);
+  else
+    model->customers[customer].refused++;
+}
+
+static void
+serve (struct quota_model *model, unsigned index, const struct message *ask)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  struct message answer = { .from = index,
+                            .is_answer = true,
+                            .sequence = ask->sequence,
+                            .epoch = daemon->epoch,
+                            .stamp_us = model->now_us };
+
+  update_issuer (model, daemon);
+  if (ask->epoch == daemon->epoch)
+    jl_quota_issuer_support (&daemon->issuer, key_of (ask->from), ask->stamp_us,
+                             model->now_us);
+  answer.active
+      = daemon->issuer.active && model->now_us >= daemon->issuer.since_us;
+  for (unsigned i = 0; answer.active && i < model->customer_count; i++)
+    {
+      struct jl_quota_cap cap = zone_cap (model, i, daemon->zone);
+
+      if (ask->count[i] > 0)
+        answer.grants[i] = jl_quota_issuer_grant (
+            &daemon->issuer, i + 1, &cap, ask->count[i], ask->waiting[i],
+            model->now_us);
+      answer.count[i] = ask->count[i];
+    }
+  send_message (model, ask->from, &answer);
+}
+
+static void
+apply_grant (struct quota_model *model,
+             struct model_daemon *daemon,
+             unsigned customer,
+             const struct message *answer,
+             uint64_t asked_us)
+{
+  struct model_line *line = &daemon->lines[customer];
+  const struct jl_quota_grant *grant = &answer->grants[customer];
+
+  line->stock.far = grant->far;
+  line->stock.level = grant->level;
+  line->stock.none_until_us
+      = model->now_us + MIN (grant->none_us, 250 * JL_USEC_PER_MSEC);
+  jl_quota_stock_add (&line->stock, grant->granted, asked_us, model->now_us);
+  for (guint i = 0; i < line->waiting->len;)
+    {
+      const struct waiter *waiter
+          = &g_array_index (line->waiting, struct waiter, i);
+
+      if (jl_quota_stock_take (&line->stock, model->now_us))
+        run_request (model, customer);
+      else if (waiter->sequence == answer->sequence)
+        model->customers[customer].refused++;
+      else
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (line->waiting, i);
+    }
+}
+
+static void
+read_answer (struct quota_model *model,
+             unsigned index,
+             const struct message *answer)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  uint64_t asked_us = daemon->asked_us[answer->sequence % 256];
+
+  if (daemon->sequence - answer->sequence >= 256)
+    return;
+  if (key_of (answer->from) == daemon->vote.chosen)
+    jl_quota_vote_answered (&daemon->vote, answer->epoch, answer->stamp_us,
+                            answer->active, model->now_us);
+  note_contact (model, daemon);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    if (answer->count[i] > 0)
+      apply_grant (model, daemon, i, answer, asked_us);
+}
+
+static void
+ask (struct quota_model *model, unsigned index)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  struct message message = { .from = index, .epoch = daemon->vote.epoch };
+
+  if (daemon->vote.chosen == 0)
+    return;
+  message.sequence = ++daemon->sequence;
+  daemon->asked_us[message.sequence % 256] = model->now_us;
+  message.stamp_us = jl_quota_vote_asked (&daemon->vote, model->now_us);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    {
+      struct model_line *line = &daemon->lines[i];
+
+      for (guint j = 0; j < line->waiting->len; j++)
+        {
+          struct waiter *waiter
+              = &g_array_index (line->waiting, struct waiter, j);
+
+          if (waiter->sequence != 0
+              && model->now_us < waiter->asked_us + AGAIN_US)
+            continue;
+          waiter->sequence = message.sequence;
+          waiter->asked_us = model->now_us;
+          message.waiting[i]++;
+        }
+      message.count[i] = message.waiting[i]
+                         + jl_quota_stock_wants (&line->stock, model->now_us);
+      line->pending = false;
+    }
+  send_message (model, daemon->vote.chosen - 1, &message);
+}
+
+static void
+arrive (struct quota_model *model, unsigned index, unsigned customer)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  struct model_line *line = &daemon->lines[customer];
+  struct waiter waiter = { .since_us = model->now_us };
+
+  jl_quota_stock_arrive (&line->stock, model->now_us);
+  if (line->waiting->len == 0
+      && jl_quota_stock_take (&line->stock, model->now_us))
+    {
+      run_request (model, customer);
+      line->pending |= jl_quota_stock_wants (&line->stock, model->now_us) > 0;
+    }
+  else if (model->now_us < line->stock.none_until_us)
+    model->customers[customer].refused++;
+  else if (daemon->in_contact)
+    {
+      g_array_append_val (line->waiting, waiter);
+      line->pending = true;
+    }
+  else
+    fall_back (model, index, customer);
+}
+
+static void
+end_waits (struct quota_model *model, unsigned index)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+
+  for (unsigned i = 0; i < model->customer_count; i++)
+    {
+      struct model_line *line = &daemon->lines[i];
+
+      for (guint j = line->waiting->len; j > 0; j--)
+        {
+          const struct waiter *waiter
+              = &g_array_index (line->waiting, struct waiter, j - 1);
+
+          line->pending |= model->now_us >= waiter->asked_us + AGAIN_US;
+          if (model->now_us < waiter->since_us + WAIT_US)
+            continue;
+          g_array_remove_index (line->waiting, j - 1);
+          note_contact (model, daemon);
+          fall_back (model, index, i);
+        }
+    }
+}
+
+static void
+tick (struct quota_model *model, unsigned index)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  uint32_t candidates[MODEL_DAEMONS_MAX];
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < model->daemon_count; i++)
+    if (model->daemons[i].zone == daemon->zone
+        && (i == index || model->now_us < daemon->heard_us[i] + ALIVE_US))
+      candidates[count++] = key_of (i);
+  update_issuer (model, daemon);
+  jl_quota_vote_choose (&daemon->vote, candidates, count, model->now_us);
+  note_contact (model, daemon);
+  if (!daemon->in_contact
+      || model->now_us >= daemon->vote.asked_us + 250 * JL_USEC_PER_MSEC
+      || (daemon->vote.unanswered_us != 0
+          && model->now_us >= daemon->vote.unanswered_us + AGAIN_US))
+    ask (model, index);
+}
+
+static void
+send_beacon (struct quota_model *model, unsigned index)
+{
+  for (unsigned i = 0; i < model->daemon_count; i++)
+    if (model->daemons[i].zone == model->daemons[index].zone
+        && passes (model, index, i))
+      model->daemons[i].heard_us[index] = model->now_us;
+}
+
+/* Number of arrivals in a step, by Poisson's distribution. */
+static unsigned
+draw_arrivals (struct quota_model *model, double mean)
+{
+  double limit = exp (-mean);
+  double product = g_rand_double (model->random);
+  unsigned count = 0;
+
+  while (product > limit)
+    {
+      product *= g_rand_double (model->random);
+      count++;
+    }
+  return count;
+}
+
+static void
+step_daemon (struct quota_model *model, unsigned index)
+{
+  struct model_daemon *daemon = &model->daemons[index];
+  uint64_t phase_us = index * MODEL_STEP_US;
+  bool runs = !daemon->down && model->now_us >= daemon->frozen_until_us;
+  bool asks = false;
+  struct message *message;
+
+  while (runs && (message = g_queue_pop_head (&daemon->inbox)) != NULL)
+    {
+      if (message->is_answer)
+        read_answer (model, index, message);
+      else
+        serve (model, index, message);
+      g_free (message);
+    }
+  for (unsigned i = 0; !daemon->down && i < model->customer_count; i++)
+    {
+      unsigned count
+          = draw_arrivals (model, model->customers[i].demand (model, index)
+                                      * MODEL_STEP_US / 1e6);
+
+      for (unsigned j = 0; runs && j < count; j++)
+        arrive (model, index, i);
+    }
+  if (!runs)
+    return;
+  end_waits (model, index);
+  if ((model->now_us + phase_us) % TICK_US == 0)
+    tick (model, index);
+  if ((model->now_us + phase_us * 5) % BEACON_US == 0)
+    send_beacon (model, index);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    asks |= daemon->lines[i].pending;
+  if (asks && model->now_us >= daemon->vote.asked_us + 2 * MODEL_STEP_US)
+    ask (model, index);
+}
+
+void
+quota_model_run (struct quota_model *model, uint64_t time_us)
+{
+  uint64_t end_us = model->now_us + time_us;
+
+  for (; model->now_us < end_us; model->now_us += MODEL_STEP_US)
+    for (unsigned i = 0; i < model->daemon_count; i++)
+      step_daemon (model, i);
+}
+
+unsigned
+quota_model_issuer (struct quota_model *model, unsigned zone)
+{
+  unsigned found = G_MAXUINT;
+
+  for (unsigned i = 0; i < model->daemon_count; i++)
+    {
+      struct model_daemon *daemon = &model->daemons[i];
+
+      if (daemon->zone != zone || daemon->down
+          || model->now_us < daemon->frozen_until_us)
+        continue;
+      update_issuer (model, daemon);
+      if (!daemon->issuer.active)
+        continue;
+      cr_assert_eq (found, G_MAXUINT, "two issuers: %u and %u", found, i);
+      found = i;
+    }
+  return found;
+}
+
+double
+quota_model_worst (const struct quota_model *model, unsigned customer)
+{
+  const struct model_customer *checked = &model->customers[customer];
+  double rate = checked->rate;
+  double allowed
+      = (rate * MODEL_WINDOW_US / 1e6 + rate) * (1 + OVER_RATIO) + SLACK;
+  unsigned worst = 0;
+  guint first = 0;
+
+  for (guint i = 0; i < checked->runs->len; i++)
+    {
+      uint64_t at_us = g_array_index (checked->runs, uint64_t, i);
+
+      while (g_array_index (checked->runs, uint64_t, first) + MODEL_WINDOW_US
+                 <= at_us
+             || (first < i
+                 && g_array_index (checked->runs, uint64_t, first)
+                        < checked->changed_us))
+        first++;
+      if (at_us >= checked->changed_us)
+        worst = MAX (worst, i - first + 1);
+    }
+  return worst / allowed;
+}
+
+double
+quota_model_refused_ratio (struct quota_model *model, unsigned customer)
+{
+  struct model_customer *checked = &model->customers[customer];
+  unsigned refused = checked->refused;
+  unsigned all = refused + checked->runs->len;
+
+  checked->refused = 0;
+  g_array_set_size (checked->runs, 0);
+  return all > 0 ? (double)refused / all : 0;
+}
--- /dev/null
+++ b/tests/proxy/quota-entry.c
@@ -0,0 +1,214 @@
+/**
+ * DOC: Tests of usage caps with real daemons: requests at the entry, and the
+ * takeover of the issuer.
+ */
+
+#include <criterion/criterion.h>
+
+#include <string.h>
+#include <unistd.h>
+
+#include "proxy/parts/rig.h"
+#include "proxy/quota-impl.h"
+
+#define DAEMONS 3
+#define RATE 2
+#define REQUEST                                                                \
+  "GET / HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\n"                   \
+  "Connection: close\r\n\r\n"
+
+/* Installs a site with one route to the service "deep", and a customer "c" with
+ * the key "k" and a usage cap. */
+static void
+install_cap (struct rig *rig, double rate)
+{
+  struct jl_customer customer = { .name = "c", .rate = rate, .burst = 4 };
+  struct jl_site *site;
+
+  rig_install_call_route (rig);
+  rig->proxy->call_route_count = 0;
+  site = rig->proxy->site;
+  site->customers = jl_customers_new ();
+  jl_customers_add_api_key (
+      site->customers, jl_customers_add (site->customers, &customer), "k", 1);
+}
+
+static void
+prepare (struct rig *rig, unsigned host, const char *name)
+{
+  struct jl_cap_policy policy = { 5 * JL_USEC_PER_SEC, 0.1, 20 };
+
+  rig_prepare (rig, host);
+  rig->options.cap = policy;
+  rig->options.zone_count = 2;
+  g_strlcpy (rig->options.zones[0], "z1", JL_TEXT_SIZE);
+  g_strlcpy (rig->options.zones[1], "z2", JL_TEXT_SIZE);
+  g_strlcpy (rig->options.name, name, sizeof rig->options.name);
+}
+
+/* Runs all daemons that are not NULL, beside each other. The targets of zone z2
+ * count as heard. */
+static void
+run_all (struct rig *const *rigs, unsigned ms)
+{
+  uint64_t end_us = jl_now () + ms * JL_USEC_PER_MSEC;
+
+  while (jl_now () < end_us)
+    for (unsigned i = 0; i < DAEMONS; i++)
+      {
+        struct jl_member *member;
+
+        if (rigs[i] == NULL)
+          continue;
+        member = jl_roster_get_or_add (&rigs[i]->proxy->roster, "e1");
+        member->last_beacon_us = jl_now ();
+        rig_run (rigs[i], 1);
+      }
+}
+
+static bool
+issues (const struct rig *rig)
+{
+  const struct jl_quota *quota = rig->proxy->quota;
+
+  return quota->issuer.active && jl_now () >= quota->issuer.since_us;
+}
+
+/* Runs the daemons until the one with index @issuer issues and all that run
+ * know that. */
+static void
+run_until_issuer (struct rig *const *rigs, unsigned issuer)
+{
+  uint64_t end_us = jl_now () + 20 * JL_USEC_PER_SEC;
+  bool done = false;
+
+  while (!done && jl_now () < end_us)
+    {
+      run_all (rigs, 20);
+      done = issues (rigs[issuer]);
+      for (unsigned i = 0; i < DAEMONS; i++)
+        done &= rigs[i] == NULL || rigs[i]->proxy->quota->in_contact;
+    }
+  cr_assert (done, "daemon %u does not issue", issuer);
+}
+
+/* Sends a request and returns the status of the response. */
+static unsigned
+request (struct rig *const *rigs, struct rig *rig, double *retry_after_s)
+{
+  int fd = rig_send_request (rig, ENTRY_PORT, REQUEST);
+  uint64_t end_us = jl_now () + 5 * JL_USEC_PER_SEC;
+  unsigned status = 0;
+
+  while (status == 0 && jl_now () < end_us)
+    {
+      const char *text;
+      const char *field;
+
+      run_all (rigs, 2);
+      text = rig_received (fd);
+      sscanf (text, "HTTP/1.1 %u", &status);
+      field = strstr (text, "Retry-After: ");
+      *retry_after_s = field != NULL ? g_ascii_strtod (field + 13, NULL) : 0;
+    }
+  close (fd);
+  return status;
+}
+
+/* A daemon alone in its zone issues. Requests over the cap must reach no
+ * target. */
+Test (quota_entry, requests_over_the_cap_get_429)
+{
+  struct rig rig;
+  struct rig *rigs[DAEMONS] = { &rig };
+  unsigned reached;
+  unsigned passed = 0;
+  unsigned refused = 0;
+  uint64_t begun_us;
+  double elapsed_s;
+
+  prepare (&rig, 180, "d1");
+  rig_start (&rig);
+  rig_open_peer (&rig, OTHER_PORT, &reached);
+  rig_add_member (&rig, "e1", "z2", "deep");
+  install_cap (&rig, RATE);
+  run_until_issuer (rigs, 0);
+  rig.proxy->quota->issuer.since_us -= 100 * JL_USEC_PER_SEC;
+  begun_us = jl_now ();
+  for (unsigned i = 0; i < 40; i++)
+    {
+      double retry_after_s;
+      unsigned status = request (rigs, &rig, &retry_after_s);
+
+      passed += status == 404;
+      refused += status == 429 && retry_after_s > 0 && retry_after_s < 30;
+    }
+  elapsed_s = (double)(jl_now () - begun_us) / 1e6;
+  cr_assert_eq (passed + refused, 40, "%u and %u", passed, refused);
+  cr_assert_eq (reached, passed);
+  /* Half of the burst of 4 and of the additional depth of 17 belong to z2. */
+  cr_assert_geq (passed, 10);
+  cr_assert_leq (passed, 10.5 + elapsed_s * RATE / 2 + 1);
+}
+
+Test (quota_entry, without_a_cap_no_datagram_is_sent)
+{
+  struct rig rig;
+  struct rig *rigs[DAEMONS] = { &rig };
+  double retry_after_s;
+  unsigned reached;
+
+  prepare (&rig, 181, "d1");
+  rig_start (&rig);
+  rig_open_peer (&rig, OTHER_PORT, &reached);
+  rig_add_member (&rig, "e1", "z2", "deep");
+  rig_add_member (&rig, "d2", "z1", "front");
+  install_cap (&rig, 0);
+  run_all (rigs, 500);
+  for (unsigned i = 0; i < 30; i++)
+    cr_assert_eq (request (rigs, &rig, &retry_after_s), 404);
+  cr_assert_eq (rig.proxy->quota->datagrams, 0);
+}
+
+/* An issuer that does not run is replaced, never issues beside the new one, and
+ * all daemons get tokens from the new one. */
+Test (quota_entry, another_daemon_takes_over)
+{
+  struct rig site[DAEMONS];
+  struct rig *rigs[DAEMONS] = { &site[0], &site[1], &site[2] };
+  static const char *const names[] = { "d1", "d2", "d3" };
+  unsigned reached[DAEMONS];
+  double retry_after_s;
+
+  for (unsigned i = 0; i < DAEMONS; i++)
+    {
+      prepare (&site[i], 182 + i, names[i]);
+      rig_start (&site[i]);
+      rig_open_peer (&site[i], OTHER_PORT, &reached[i]);
+      rig_add_member (&site[i], "e1", "z2", "deep");
+      install_cap (&site[i], 20);
+    }
+  for (unsigned i = 0; i < DAEMONS; i++)
+    for (unsigned j = 0; j < DAEMONS; j++)
+      if (i != j)
+        rig_add_member (&site[i], names[j], "z1", "front")->peer
+            = site[j].options.advertise;
+  run_until_issuer (rigs, 0);
+  run_all (rigs, 500);
+  cr_assert_eq (request (rigs, rigs[2], &retry_after_s), 404);
+  cr_assert_gt (site[0].proxy->quota->issuer.issued, 0);
+  rigs[0] = NULL;
+  run_until_issuer (rigs, 1);
+  run_all (rigs, 500);
+  cr_assert_eq (request (rigs, rigs[2], &retry_after_s), 404);
+  cr_assert_gt (site[1].proxy->quota->issuer.issued, 0);
+  rigs[0] = &site[0];
+  run_all (rigs, 300);
+  cr_assert_not (issues (rigs[0]));
+  cr_assert (issues (rigs[1]));
+  /* A planned stop hands over at once. */
+  jl_proxy_begin_stop (site[1].proxy);
+  run_all (rigs, 1000);
+  cr_assert_not (issues (rigs[1]));
+  cr_assert (issues (rigs[0]) || issues (rigs[2]));
+}
