Decide on shares of zones and on tokens that zones lend each other

Change: pure modules only. Shares are whole units and follow the demand with its statistical error. A bucket that runs empty borrows tokens from another zone's bucket, which gives them up first; this makes up for random arrivals without a write to the store.

Result: tests/proxy/quota.c.

--- a/source/policy/quota-issuer.c
+++ b/source/policy/quota-issuer.c
@@ -6,8 +6,9 @@
 
 #include <math.h>
 
-/* Time over which demand is averaged. */
+/* Times over which demand is averaged. */
 #define DEMAND_US (2 * JL_USEC_PER_SEC)
+#define STEADY_US (10 * JL_USEC_PER_SEC)
 /* A customer whose demand is below this part of the zone's rate is far from its
  * cap. */
 #define FAR_RATIO 0.75
@@ -15,6 +16,11 @@
  * bucket and of its rate that is one daemon's: see policy/quota-stock.c. */
 #define LOST_DEPTH_RATIO 0.5
 #define LOST_RATE_S (2 * 1.25 * FAR_RATIO)
+/* Parts of the depth: level below which tokens are borrowed, level up to which
+ * they are, and level down to which they are lent. */
+#define SHORTAGE_RATIO 0.4
+#define BORROW_RATIO 0.8
+#define LEND_RATIO 0.5
 /* Bound of the time for which tokens are promised by Retry-After. */
 #define PROMISED_MAX_US (10 * JL_USEC_PER_SEC)
 
@@ -148,24 +154,23 @@
       account = g_new0 (struct jl_quota_account, 1);
       account->bucket.updated_us = issuer->since_us;
       account->demand_us = now_us;
+      account->begun_us = now_us;
+      account->seen_us = now_us;
       g_hash_table_insert (issuer->customers, GUINT_TO_POINTER (customer),
                            account);
     }
-  account->seen_us = now_us;
   return account;
 }
 
 static void
-note_demand (struct jl_quota_account *account,
-             unsigned count,
-             unsigned refused,
-             uint64_t now_us)
+note_demand (struct jl_quota_account *account, unsigned count, uint64_t now_us)
 {
-  double kept = exp (-(double)(now_us - account->demand_us) / DEMAND_US);
+  double elapsed_us = (double)(now_us - account->demand_us);
 
-  account->demand = account->demand * kept + count * 1e6 / DEMAND_US;
-  account->refused_rate
-      = account->refused_rate * kept + refused * 1e6 / DEMAND_US;
+  account->demand = account->demand * exp (-elapsed_us / DEMAND_US)
+                    + count * 1e6 / DEMAND_US;
+  account->steady = account->steady * exp (-elapsed_us / STEADY_US)
+                    + count * 1e6 / STEADY_US;
   account->demand_us = now_us;
 }
 
@@ -202,11 +207,12 @@
   unsigned refused;
 
   account->cap = *cap;
+  account->seen_us = now_us;
   if (issuer->active && now_us >= issuer->since_us)
     grant.granted = jl_quota_bucket_take (&account->bucket, cap, count, now_us);
   refused = waiting > grant.granted ? waiting - grant.granted : 0;
   /* Prefetched tokens that are not granted are no demand. */
-  note_demand (account, MAX (waiting, grant.granted), refused, now_us);
+  note_demand (account, MAX (waiting, grant.granted), now_us);
   grant.none_us = jl_quota_bucket_wait_us (&account->bucket, cap, 1);
   if (refused > 0)
     grant.wait_us = promise (account, cap, refused, now_us);
@@ -217,6 +223,88 @@
   return grant;
 }
 
+bool
+jl_quota_issuer_use (const struct jl_quota_issuer *issuer,
+                     uint32_t customer,
+                     double rate,
+                     uint64_t now_us,
+                     struct jl_quota_use *use)
+{
+  const struct jl_quota_account *account
+      = g_hash_table_lookup (issuer->customers, GUINT_TO_POINTER (customer));
+  double elapsed_us;
+
+  use->rate = rate;
+  use->recent = 0;
+  use->steady = 0;
+  use->recent_s = DEMAND_US / 1e6;
+  use->steady_s = STEADY_US / 1e6;
+  if (!issuer->active || now_us < issuer->since_us + STEADY_US)
+    return false;
+  if (account == NULL)
+    return true;
+  elapsed_us = (double)(now_us - account->demand_us);
+  use->recent = account->demand * exp (-elapsed_us / DEMAND_US);
+  use->steady = account->steady * exp (-elapsed_us / STEADY_US);
+  return now_us >= account->begun_us + STEADY_US / 2;
+}
+
+unsigned
+jl_quota_issuer_shortage (struct jl_quota_issuer *issuer,
+                          uint32_t customer,
+                          const struct jl_quota_cap *cap,
+                          uint64_t now_us)
+{
+  struct jl_quota_account *account
+      = g_hash_table_lookup (issuer->customers, GUINT_TO_POINTER (customer));
+  double level;
+
+  if (account == NULL || !issuer->active || now_us < issuer->since_us)
+    return 0;
+  level = jl_quota_bucket_update (&account->bucket, cap, now_us);
+  if (level >= SHORTAGE_RATIO * cap->depth)
+    return 0;
+  return (unsigned)ceil (BORROW_RATIO * cap->depth - MAX (level, 0.0));
+}
+
+unsigned
+jl_quota_issuer_lend (struct jl_quota_issuer *issuer,
+                      uint32_t customer,
+                      const struct jl_quota_cap *cap,
+                      unsigned wanted,
+                      uint64_t now_us)
+{
+  struct jl_quota_account *account;
+  double spare;
+
+  if (!issuer->active || now_us < issuer->since_us)
+    return 0;
+  account = get_account (issuer, customer, now_us);
+  spare = jl_quota_bucket_update (&account->bucket, cap, now_us)
+          - LEND_RATIO * cap->depth;
+  if (spare < 1)
+    return 0;
+  return jl_quota_bucket_take (&account->bucket, cap,
+                               MIN (wanted, (unsigned)spare), now_us);
+}
+
+void
+jl_quota_issuer_borrow (struct jl_quota_issuer *issuer,
+                        uint32_t customer,
+                        const struct jl_quota_cap *cap,
+                        unsigned count,
+                        uint64_t now_us)
+{
+  struct jl_quota_account *account
+      = g_hash_table_lookup (issuer->customers, GUINT_TO_POINTER (customer));
+
+  if (account == NULL || !issuer->active || cap->depth <= 0)
+    return;
+  jl_quota_bucket_update (&account->bucket, cap, now_us);
+  account->bucket.fraction
+      = MIN (1.0, account->bucket.fraction + count / cap->depth);
+}
+
 void
 jl_quota_issuer_expire (struct jl_quota_issuer *issuer,
                         struct jl_quota_cap (*cap_of) (const void *context,
--- a/source/policy/quota-issuer.h
+++ b/source/policy/quota-issuer.h
@@ -17,6 +17,7 @@
  */
 
 #include "policy/quota-bucket.h"
+#include "policy/quota-share.h"
 
 /* Time after an answer for which a daemon that returns its stamp supports no
  * other issuer. */
@@ -46,8 +47,9 @@
 /**
  * struct jl_quota_account - a customer at the issuer
  * @demand: requests a second that asked for a token, recently
- * @refused_rate: those that were refused
- * @demand_us: time of @demand and @refused_rate
+ * @steady: the same over a longer time
+ * @begun_us: time since which @steady is known
+ * @demand_us: time of @demand and @steady
  * @promised_us: time up to which tokens were promised by Retry-After
  * @seen_us: time of the last request for a token
  * @cap: cap at that time
@@ -57,7 +59,8 @@
   struct jl_quota_bucket bucket;
   struct jl_quota_cap cap;
   double demand;
-  double refused_rate;
+  double steady;
+  uint64_t begun_us;
   uint64_t demand_us;
   uint64_t promised_us;
   uint64_t seen_us;
@@ -129,6 +132,53 @@
                                              unsigned waiting,
                                              uint64_t now_us);
 
+/**
+ * jl_quota_issuer_use - returns the demand of a customer in this zone
+ * @rate: cap of the customer for the whole site
+ *
+ * Return: false if the demand is not known well enough yet.
+ */
+bool jl_quota_issuer_use (const struct jl_quota_issuer *issuer,
+                          uint32_t customer,
+                          double rate,
+                          uint64_t now_us,
+                          struct jl_quota_use *use);
+
+/**
+ * jl_quota_issuer_shortage - returns how many tokens to borrow from another
+ * zone for a customer whose bucket runs empty, 0 for none
+ *
+ * Lent tokens leave one bucket before they enter another, so the sum of all
+ * zones stays within the cap. They make up for random arrivals at customers
+ * with small caps; a lasting difference of demand moves shares.
+ */
+unsigned jl_quota_issuer_shortage (struct jl_quota_issuer *issuer,
+                                   uint32_t customer,
+                                   const struct jl_quota_cap *cap,
+                                   uint64_t now_us);
+
+/**
+ * jl_quota_issuer_lend - takes tokens for another zone out of a bucket that is
+ * more than half full
+ *
+ * Return: the number of tokens, at most @wanted.
+ */
+unsigned jl_quota_issuer_lend (struct jl_quota_issuer *issuer,
+                               uint32_t customer,
+                               const struct jl_quota_cap *cap,
+                               unsigned wanted,
+                               uint64_t now_us);
+
+/**
+ * jl_quota_issuer_borrow - adds tokens that another zone has lent; those above
+ * the depth are lost
+ */
+void jl_quota_issuer_borrow (struct jl_quota_issuer *issuer,
+                             uint32_t customer,
+                             const struct jl_quota_cap *cap,
+                             unsigned count,
+                             uint64_t now_us);
+
 /**
  * jl_quota_issuer_expire - drops the state of customers that were not seen
  * @cap_of: returns the cap of a customer in this zone
--- a/tests/proxy/parts/quota-model.c
+++ b/tests/proxy/parts/quota-model.c
@@ -15,6 +15,7 @@
 #define TICK_US (50 * JL_USEC_PER_MSEC)
 #define WAIT_US (30 * JL_USEC_PER_MSEC)
 #define AGAIN_US (10 * JL_USEC_PER_MSEC)
+#define EXCHANGE_US (500 * JL_USEC_PER_MSEC)
 #define INBOX_MAX 2000u
 
 /**
@@ -62,7 +63,9 @@
   struct jl_quota_allowance allowance
       = allowance_of (&model->customers[customer]);
 
-  return jl_quota_zone_cap (&allowance, model->customers[customer].share[zone],
+  return jl_quota_zone_cap (&allowance,
+                            (double)model->customers[customer].units[zone]
+                                / JL_QUOTA_SHARE_UNITS,
                             model->zone_count);
 }
 
@@ -146,7 +149,7 @@
     {
       model->customers[i].runs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
       for (unsigned zone = 0; zone < zones; zone++)
-        model->customers[i].share[zone] = 1.0 / zones;
+        model->customers[i].units[zone] = jl_quota_share_default (zones);
     }
   return model;
 }
@@ -467,14 +470,98 @@
     ask (model, index);
 }
 
+/* Moves units of a customer to @to from the zones that can give. */
+static void
+move_units (struct quota_model *model, unsigned customer, unsigned to)
+{
+  struct model_customer *moved = &model->customers[customer];
+  unsigned issuer = quota_model_issuer (model, to);
+  struct jl_quota_use use;
+  unsigned wanted;
+
+  moved->units[to] += moved->arriving[to];
+  moved->arriving[to] = 0;
+  if (issuer == G_MAXUINT
+      || !jl_quota_issuer_use (&model->daemons[issuer].issuer, customer + 1,
+                               moved->rate, model->now_us, &use))
+    return;
+  wanted = jl_quota_share_wanted (&use, moved->units[to]);
+  for (unsigned from = 0; wanted > 0 && from < model->zone_count; from++)
+    {
+      unsigned giver = quota_model_issuer (model, from);
+      unsigned given;
+
+      if (from == to || giver == G_MAXUINT
+          || !jl_quota_issuer_use (&model->daemons[giver].issuer, customer + 1,
+                                   moved->rate, model->now_us, &use))
+        continue;
+      given = jl_quota_share_given (&use, moved->units[from], wanted,
+                                    model->zone_count);
+      moved->units[from] -= given;
+      moved->arriving[to] += given;
+      model->moves += given > 0;
+    }
+}
+
+/* Borrows tokens of a customer for zone @to from another zone. */
+static void
+borrow (struct quota_model *model, unsigned customer, unsigned to)
+{
+  unsigned from = (to + 1
+                   + (unsigned)g_rand_int_range (model->random, 0,
+                                                 (gint32)model->zone_count - 1))
+                  % model->zone_count;
+  unsigned borrower = quota_model_issuer (model, to);
+  unsigned lender = quota_model_issuer (model, from);
+  struct jl_quota_cap cap = zone_cap (model, customer, to);
+  unsigned count;
+
+  if (borrower == G_MAXUINT || lender == G_MAXUINT)
+    return;
+  count = jl_quota_issuer_shortage (&model->daemons[borrower].issuer,
+                                    customer + 1, &cap, model->now_us);
+  if (count == 0)
+    return;
+  model->exchanges++;
+  cap = zone_cap (model, customer, from);
+  count = jl_quota_issuer_lend (&model->daemons[lender].issuer, customer + 1,
+                                &cap, count, model->now_us);
+  cap = zone_cap (model, customer, to);
+  jl_quota_issuer_borrow (&model->daemons[borrower].issuer, customer + 1, &cap,
+                          count, model->now_us);
+}
+
+static void
+exchange_shares (struct quota_model *model)
+{
+  for (unsigned i = 0; i < model->customer_count; i++)
+    {
+      unsigned sum = 0;
+
+      for (unsigned zone = 0; zone < model->zone_count; zone++)
+        {
+          borrow (model, i, zone);
+          move_units (model, i, zone);
+        }
+      for (unsigned zone = 0; zone < model->zone_count; zone++)
+        sum += model->customers[i].units[zone]
+               + model->customers[i].arriving[zone];
+      cr_assert_leq (sum, JL_QUOTA_SHARE_UNITS);
+    }
+}
+
 void
 quota_model_run (struct quota_model *model, uint64_t time_us)
 {
   uint64_t end_us = model->now_us + time_us;
 
   for (; model->now_us < end_us; model->now_us += MODEL_STEP_US)
-    for (unsigned i = 0; i < model->daemon_count; i++)
-      step_daemon (model, i);
+    {
+      if (model->shares_move && model->now_us % EXCHANGE_US == 0)
+        exchange_shares (model);
+      for (unsigned i = 0; i < model->daemon_count; i++)
+        step_daemon (model, i);
+    }
 }
 
 unsigned
--- a/tests/proxy/parts/quota-model.h
+++ b/tests/proxy/parts/quota-model.h
@@ -24,7 +24,8 @@
  * @demand: requests a second at one daemon now
  * @runs: times of requests that run
  * @refused: number of requests that were refused
- * @share: share of each zone
+ * @units: share of each zone
+ * @arriving: units that a zone gets at the next exchange
  */
 struct model_customer
 {
@@ -33,7 +34,8 @@
   double (*demand) (const struct quota_model *model, unsigned daemon);
   GArray *runs;
   unsigned refused;
-  double share[8];
+  unsigned units[8];
+  unsigned arriving[8];
 };
 
 /**
@@ -73,6 +75,9 @@
 /**
  * struct quota_model - the site
  * @linked: whether a datagram passes from one daemon to another, NULL if all do
+ * @moves: number of moves of shares so far
+ * @exchanges: number of requests to lend tokens so far
+ * @shares_move: shares of zones move
  * @loss: share of the datagrams that are lost
  */
 struct quota_model
@@ -82,6 +87,9 @@
   unsigned customer_count;
   uint64_t now_us;
   bool (*linked) (const struct quota_model *model, unsigned from, unsigned to);
+  unsigned moves;
+  unsigned exchanges;
+  bool shares_move;
   double loss;
   GRand *random;
   struct model_daemon daemons[MODEL_DAEMONS_MAX];
--- a/tests/proxy/quota.c
+++ b/tests/proxy/quota.c
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include <math.h>
 #include <stdio.h>
 
 #include "proxy/parts/quota-model.h"
@@ -42,6 +43,7 @@
   model->customers[0].demand = even_demand;
   model->customers[1].rate = uneven_rate;
   model->customers[1].demand = uneven_demand;
+  model->shares_move = true;
   busy_zone = seed % 4;
   return model;
 }
@@ -242,3 +244,51 @@
   cr_assert_lt (ratio, 0.05, "%.4f", ratio);
   quota_model_free (model);
 }
+
+/* Demand whose share of each zone varies by half with shifted phases. */
+static double
+moving_demand (const struct quota_model *model, unsigned daemon)
+{
+  double phase = (double)(daemon % model->zone_count) / model->zone_count
+                 + (double)model->now_us / (150.0 * S);
+
+  return load * model->customers[0].rate / model->daemon_count
+         * (1 + 0.5 * sin (2 * G_PI * phase));
+}
+
+Test (quota, shares_follow_a_load_that_moves_between_zones)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      struct quota_model *model = make_model (rates[i], 100, i);
+      double ratio;
+
+      model->customers[0].demand = moving_demand;
+      model->customers[1].demand = no_demand;
+      load = 1 / 1.6;
+      quota_model_run (model, 40 * S);
+      quota_model_refused_ratio (model, 0);
+      quota_model_run (model, rates[i] < 10 ? 2000 * S : 200 * S);
+      check_rule (model, "moving", rates[i]);
+      ratio = quota_model_refused_ratio (model, 0);
+      fprintf (stderr, "moving rate=%g refused=%.5f moves=%u exchanges=%u\n",
+               rates[i], ratio, model->moves, model->exchanges);
+      cr_expect_lt (ratio, 0.005, "rate %g: %.5f", rates[i], ratio);
+      quota_model_free (model);
+    }
+}
+
+Test (quota, a_zone_that_has_all_load_gets_most_of_the_cap)
+{
+  struct quota_model *model = make_model (400, 200, 1);
+
+  load = 1 / 1.6;
+  model->customers[0].demand = no_demand;
+  quota_model_run (model, 40 * S);
+  quota_model_refused_ratio (model, 1);
+  quota_model_run (model, 40 * S);
+  check_rule (model, "one zone", 200);
+  cr_assert_gt (model->customers[1].units[busy_zone], 800000);
+  cr_assert_lt (quota_model_refused_ratio (model, 1), 0.3);
+  quota_model_free (model);
+}
