Move shares of usage caps between zones, and lend tokens

Cause: shares of zones were equal, whatever their demand.

Tokens are lent by datagram. Units move by one conditional transaction on the rows of both zones in the table caps: the giver lowers its share first, the receiver raises its own after it has read its row. An issuer claims its row by writing it again, so that a transaction of an earlier issuer or of unknown outcome cannot be applied later. The issuer tells its zone the shares for its successor.

Result: tests/proxy/quota-share.c: units move once when the store's answer is lost, come back when the store was away, and a store that comes back from an older copy raises no share; at no time do the shares sum to more than the whole.

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -57,6 +57,7 @@
   { JL_RECORD_CALLS_RESTORED, "calls restored" },
   { JL_RECORD_ISSUER_CONTACT, "issuer of usage caps" },
   { JL_RECORD_ISSUER_CHANGED, "issues usage caps" },
+  { JL_RECORD_SHARES_GIVEN, "shares given" },
   { JL_RECORD_STORE_REACHABILITY, "store" },
   { JL_RECORD_STORE_RESTORED, "store restored" },
   { JL_RECORD_STORE_FOLLOWED, "store followed" },
--- a/source/policy/quota-share.c
+++ b/source/policy/quota-share.c
@@ -61,6 +61,5 @@
 
   if (units_of (use, likely) >= GIVE_RATIO * units || kept >= units)
     return 0;
-  /* Others give, too. */
-  return (unsigned)MIN (units - kept, (wanted + 1) / 2);
+  return (unsigned)MIN (units - kept, wanted);
 }
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -240,6 +240,7 @@
       break;
     case JL_FORMAT_QUOTA_ASK:
     case JL_FORMAT_QUOTA_ANSWER:
+    case JL_FORMAT_QUOTA_SHARES:
       jl_quota_read (beacon->proxy->quota, buffer->base, (size_t)size);
       break;
     }
--- a/source/proxy/quota-ask.c
+++ b/source/proxy/quota-ask.c
@@ -212,8 +212,15 @@
   XDR xdr;
 
   xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
-  if (jl_announce_format (datagram, size) == JL_FORMAT_QUOTA_ASK)
-    read_ask (quota, &xdr);
-  else
-    read_answer (quota, &xdr);
+  switch (jl_announce_format (datagram, size))
+    {
+    case JL_FORMAT_QUOTA_ASK:
+      read_ask (quota, &xdr);
+      break;
+    case JL_FORMAT_QUOTA_ANSWER:
+      read_answer (quota, &xdr);
+      break;
+    default:
+      jl_quota_read_shares (quota, &xdr);
+    }
 }
--- a/source/proxy/quota-impl.h
+++ b/source/proxy/quota-impl.h
@@ -32,6 +32,8 @@
   uint64_t prefetch_us;
 };
 
+struct jl_quota_shares;
+
 /**
  * struct jl_quota - usage caps
  * @lines: struct jl_quota_line by the customer's key
@@ -50,6 +52,14 @@
  * @asked: tokens that this daemon requested
  * @fallback: requests that ran without a token, as no issuer answered
  * @datagrams: datagrams sent
+ * @shares: shares of the local zone
+ * @listed_us: time at which the zone was last told its shares
+ * @exchanged_us: time of the last request to another zone
+ * @lent_us: time of the last request that another zone has answered
+ * @units_given: units of shares given to other zones
+ * @tokens_lent: tokens lent to other zones
+ * @tokens_borrowed: tokens that other zones have lent
+ * @zone_bytes: bytes sent to other zones
  */
 struct jl_quota
 {
@@ -74,6 +84,14 @@
   uint64_t asked;
   uint64_t fallback;
   uint64_t datagrams;
+  struct jl_quota_shares *shares;
+  uint64_t listed_us;
+  uint64_t exchanged_us;
+  uint64_t lent_us;
+  uint64_t units_given;
+  uint64_t tokens_lent;
+  uint64_t tokens_borrowed;
+  uint64_t zone_bytes;
 };
 
 /* quota-issue.c */
@@ -88,9 +106,10 @@
                             struct jl_quota_allowance *allowance);
 
 /**
- * jl_quota_share_of - returns the local zone's share of a customer's cap
+ * jl_quota_cap_of - returns the cap of a customer's bucket in the local zone
  */
-double jl_quota_share_of (const struct jl_quota *quota, uint32_t customer);
+struct jl_quota_cap jl_quota_cap_of (const struct jl_quota *quota,
+                                     uint32_t customer);
 
 /**
  * jl_quota_update_issuer - decides whether this daemon issues
@@ -129,6 +148,86 @@
  */
 void jl_quota_expire_accounts (struct jl_quota *quota, uint64_t now_us);
 
+/* quota-share.c */
+
+/**
+ * jl_quota_share_of - returns the local zone's share of a customer's cap, from
+ * 0 to 1
+ */
+double jl_quota_share_of (const struct jl_quota *quota, uint32_t customer);
+
+/**
+ * jl_quota_units_of - returns that share in units
+ */
+unsigned jl_quota_units_of (const struct jl_quota *quota, uint32_t customer);
+
+/**
+ * jl_quota_shares_tick - follows whether this daemon issues, and reads or
+ * writes rows if that is due
+ */
+void jl_quota_shares_tick (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_shares_give - gives units to another zone
+ * @zone: name of the zone
+ * @list: units that it wants
+ *
+ * Does nothing while an earlier transaction is in progress; the zone asks
+ * again.
+ */
+void jl_quota_shares_give (struct jl_quota *quota,
+                           const char *zone,
+                           const struct beacon_share *list,
+                           unsigned count,
+                           uint64_t now_us);
+
+/**
+ * jl_quota_shares_heard - applies a list of the issuer of the own zone
+ */
+void jl_quota_shares_heard (struct jl_quota *quota,
+                            const struct beacon_share *list,
+                            unsigned count,
+                            uint64_t now_us);
+
+/**
+ * jl_quota_shares_moved - notes that the row of the own zone has changed
+ */
+void jl_quota_shares_moved (struct jl_quota *quota);
+
+/**
+ * jl_quota_shares_list - lists the shares that differ or have differed from the
+ * equal ones
+ *
+ * Return: the number of entries; those from @first on are filled in, at most
+ * @max.
+ */
+unsigned jl_quota_shares_list (const struct jl_quota *quota,
+                               unsigned first,
+                               struct beacon_share *list,
+                               unsigned max);
+
+/* quota-exchange.c */
+
+/**
+ * jl_quota_exchange_tick - sends lists to the zone and needs to other zones
+ */
+void jl_quota_exchange_tick (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_send_list - tells the zone its shares
+ */
+void jl_quota_send_list (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_send_moved - tells another zone that its row has changed
+ */
+void jl_quota_send_moved (struct jl_quota *quota, const char *zone);
+
+/**
+ * jl_quota_read_shares - reads a datagram with shares
+ */
+void jl_quota_read_shares (struct jl_quota *quota, XDR *xdr);
+
 /* quota-ask.c */
 
 /**
--- a/source/proxy/quota-issue.c
+++ b/source/proxy/quota-issue.c
@@ -33,17 +33,9 @@
   return true;
 }
 
-double
-jl_quota_share_of (const struct jl_quota *quota, uint32_t customer)
+struct jl_quota_cap
+jl_quota_cap_of (const struct jl_quota *quota, uint32_t customer)
 {
-  (void)customer;
-  return 1.0 / quota->zone_count;
-}
-
-static struct jl_quota_cap
-cap_of (const void *context, uint32_t customer)
-{
-  const struct jl_quota *quota = context;
   struct jl_quota_allowance allowance;
   struct jl_quota_cap none = { 0 };
 
@@ -53,6 +45,12 @@
                             quota->zone_count);
 }
 
+static struct jl_quota_cap
+cap_of (const void *context, uint32_t customer)
+{
+  return jl_quota_cap_of (context, customer);
+}
+
 /* Whether a daemon is in the local zone and has not left. */
 static bool
 is_known (const struct jl_quota *quota,
--- /dev/null
+++ b/source/proxy/quota-share.c
@@ -0,0 +1,649 @@
+/**
+ * DOC: Shares of the local zone in usage caps, and the rows that hold them.
+ *
+ * The table has a row for each zone, with the shares that differ from the equal
+ * ones. Units move in one transaction that changes the rows of giver and
+ * receiver. The giver lowers its own share first, and the receiver raises its
+ * share after it has read its row.
+ *
+ * A transaction whose outcome is unknown, or that an earlier issuer of the zone
+ * has begun, may still be applied. So the issuer first claims its row: it reads
+ * the row and writes it again under the condition that it has not changed.
+ * After that, no transaction that expects an older version can be applied.
+ */
+
+#include "json.h"
+#include "proxy/quota-impl.h"
+#include "store-tx.h"
+
+#include <string.h>
+
+#define TABLE "caps"
+/* Time after which an issuer that cannot reach the store uses the shares that
+ * the issuer before has told. */
+#define CLAIM_WAIT_US (1 * JL_USEC_PER_SEC)
+/* Time between two attempts. */
+#define RETRY_US (1 * JL_USEC_PER_SEC)
+/* Version that no row has: nothing is given to a zone whose row cannot be read.
+ */
+#define VERSION_NONE JL_JSON_INTEGER_MAX
+/* Minimum time between two transactions that give units. */
+#define GIVE_PERIOD_US (1 * JL_USEC_PER_SEC)
+
+/**
+ * enum share_state - state of the own row
+ * @SHARE_UNCLAIMED: it has to be claimed
+ * @SHARE_CLAIM_READ: it is read in order to claim it
+ * @SHARE_CLAIM_WRITE: it is written in order to claim it
+ * @SHARE_READY: it is claimed
+ * @SHARE_READ: it is read, as it has changed
+ * @SHARE_GIVE: a transaction that gives units is in progress
+ */
+enum share_state
+{
+  SHARE_UNCLAIMED,
+  SHARE_CLAIM_READ,
+  SHARE_CLAIM_WRITE,
+  SHARE_READY,
+  SHARE_READ,
+  SHARE_GIVE,
+};
+
+/**
+ * struct zone_row - row of a zone as it was last read
+ * @units: units by the customer's key
+ */
+struct zone_row
+{
+  uint64_t version;
+  GHashTable *units;
+};
+
+/**
+ * struct jl_quota_shares - shares
+ * @own: units of the local zone by the customer's key
+ * @heard: @own was read from the store, or told by an issuer of this zone
+ * @claimed: the row was claimed since this daemon issues
+ * @restored: the store has come back from an older copy, and the row was not
+ *            written since
+ * @in_doubt: it is not known whether the receiver has got the last gifts
+ * @changed: the row has changed, and has to be read
+ * @issues_since_us: time since which this daemon issues, 0 if it does not
+ * @rows: rows of zones, by the zone's name
+ * @invalid: the own row does not hold shares
+ * @next: units of the local zone once the claim is written
+ * @receiver: zone that units are given to
+ * @wanted: array of struct beacon_share, what that zone wants
+ * @gifts: array of struct beacon_share, what is given in the transaction in
+ *         progress
+ */
+struct jl_quota_shares
+{
+  struct jl_quota *quota;
+  struct jl_store_tx *tx;
+  enum share_state state;
+  GHashTable *own;
+  bool heard;
+  bool claimed;
+  bool restored;
+  bool in_doubt;
+  bool changed;
+  uint64_t issues_since_us;
+  uint64_t retry_us;
+  uint64_t gave_us;
+  GHashTable *rows;
+  bool invalid;
+  GHashTable *next;
+  char receiver[JL_TEXT_SIZE];
+  GArray *wanted;
+  GArray *gifts;
+};
+
+static void
+free_row (gpointer data)
+{
+  struct zone_row *row = data;
+
+  g_hash_table_destroy (row->units);
+  g_free (row);
+}
+
+static struct jl_quota_shares *
+get_shares (struct jl_quota *quota)
+{
+  struct jl_quota_shares *shares = quota->shares;
+
+  if (shares != NULL)
+    return shares;
+  shares = g_new0 (struct jl_quota_shares, 1);
+  shares->quota = quota;
+  shares->own = g_hash_table_new (g_direct_hash, g_direct_equal);
+  shares->rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_row);
+  shares->wanted = g_array_new (FALSE, FALSE, sizeof (struct beacon_share));
+  shares->gifts = g_array_new (FALSE, FALSE, sizeof (struct beacon_share));
+  quota->shares = shares;
+  return shares;
+}
+
+/* Whether the settings name the zones, the local one among them. */
+static bool
+has_zone (const struct jl_quota *quota, const char *zone)
+{
+  const struct jl_options *options = quota->proxy->options;
+
+  for (unsigned i = 0; i < options->zone_count; i++)
+    if (strcmp (options->zones[i], zone) == 0)
+      return true;
+  return false;
+}
+
+/* Whether shares move. A single zone has all, and zones that the settings do
+ * not name have equal shares. */
+static bool
+shares_move (const struct jl_quota *quota)
+{
+  return quota->proxy->options->zone_count > 1
+         && has_zone (quota, quota->proxy->roster.local_zone);
+}
+
+static unsigned
+units_in (GHashTable *table, const struct jl_quota *quota, uint32_t customer)
+{
+  gpointer units;
+
+  if (table != NULL
+      && g_hash_table_lookup_extended (table, GUINT_TO_POINTER (customer), NULL,
+                                       &units))
+    return GPOINTER_TO_UINT (units);
+  return jl_quota_share_default (quota->zone_count);
+}
+
+static void
+set_units (GHashTable *table, uint32_t customer, unsigned units)
+{
+  g_hash_table_insert (table, GUINT_TO_POINTER (customer),
+                       GUINT_TO_POINTER (units));
+}
+
+/* Whether the shares of the local zone are known. */
+static bool
+is_known (const struct jl_quota *quota)
+{
+  const struct jl_quota_shares *shares = quota->shares;
+
+  if (shares == NULL)
+    return false;
+  return shares->claimed
+         || (shares->heard
+             && jl_now () >= shares->issues_since_us + CLAIM_WAIT_US);
+}
+
+unsigned
+jl_quota_units_of (const struct jl_quota *quota, uint32_t customer)
+{
+  const struct jl_options *options = quota->proxy->options;
+
+  /* The settings of the other zones do not name this one either. */
+  if (options->zone_count > 0
+      && !has_zone (quota, quota->proxy->roster.local_zone))
+    return 0;
+  if (!shares_move (quota))
+    return jl_quota_share_default (quota->zone_count);
+  if (quota->issuer.active && !is_known (quota))
+    return 0;
+  return units_in (quota->shares != NULL ? quota->shares->own : NULL, quota,
+                   customer);
+}
+
+double
+jl_quota_share_of (const struct jl_quota *quota, uint32_t customer)
+{
+  return (double)jl_quota_units_of (quota, customer) / JL_QUOTA_SHARE_UNITS;
+}
+
+unsigned
+jl_quota_shares_list (const struct jl_quota *quota,
+                      unsigned first,
+                      struct beacon_share *list,
+                      unsigned max)
+{
+  const struct jl_quota_shares *shares = quota->shares;
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer units;
+  unsigned index = 0;
+
+  if (shares == NULL)
+    return 0;
+  g_hash_table_iter_init (&iterator, shares->own);
+  while (g_hash_table_iter_next (&iterator, &key, &units))
+    {
+      if (index >= first && index - first < max)
+        {
+          list[index - first].customer = GPOINTER_TO_UINT (key);
+          list[index - first].units = GPOINTER_TO_UINT (units);
+          list[index - first].tokens = 0;
+        }
+      index++;
+    }
+  return index;
+}
+
+void
+jl_quota_shares_heard (struct jl_quota *quota,
+                       const struct beacon_share *list,
+                       unsigned count,
+                       uint64_t now_us)
+{
+  struct jl_quota_shares *shares = get_shares (quota);
+
+  (void)now_us;
+  if (quota->issuer.active)
+    return;
+  shares->heard = true;
+  for (unsigned i = 0; i < count; i++)
+    set_units (shares->own, list[i].customer,
+               MIN (list[i].units, JL_QUOTA_SHARE_UNITS));
+}
+
+void
+jl_quota_shares_moved (struct jl_quota *quota)
+{
+  get_shares (quota)->changed = true;
+}
+
+void
+jl_quota_store_restored (struct jl_quota *quota)
+{
+  if (quota->shares == NULL)
+    return;
+  quota->shares->restored = true;
+  /* A call in progress is of the former era. */
+  quota->shares->state = SHARE_UNCLAIMED;
+}
+
+/* Reads pairs of a customer's key and its units. */
+static bool
+read_units (const struct jl_row *row, GHashTable *units)
+{
+  static const char *const names[] = { "shares", NULL };
+  struct json_object *document = jl_json_parse (row->value, row->size, names);
+  struct json_object *list = jl_json_member (document, "shares");
+  size_t count = json_object_is_type (list, json_type_array)
+                     ? json_object_array_length (list)
+                     : 0;
+  bool valid = json_object_is_type (list, json_type_array) && count % 2 == 0;
+
+  for (size_t i = 0; valid && i < count; i += 2)
+    {
+      uint64_t customer;
+      uint64_t value;
+
+      valid = jl_json_read_integer (json_object_array_get_idx (list, i),
+                                    G_MAXUINT32, &customer)
+              && jl_json_read_integer (json_object_array_get_idx (list, i + 1),
+                                       JL_QUOTA_SHARE_UNITS, &value);
+      if (valid)
+        set_units (units, (uint32_t)customer, (unsigned)value);
+    }
+  json_object_put (document);
+  return valid;
+}
+
+static void
+on_row (void *context, const struct jl_row *row, uint64_t version)
+{
+  struct jl_quota_shares *shares = context;
+  struct zone_row *read = g_new0 (struct zone_row, 1);
+
+  read->version = version;
+  read->units = g_hash_table_new (g_direct_hash, g_direct_equal);
+  if (!read_units (row, read->units))
+    {
+      g_hash_table_remove_all (read->units);
+      read->version = VERSION_NONE;
+      shares->invalid
+          |= strcmp (row->key, shares->quota->proxy->roster.local_zone) == 0;
+    }
+  g_hash_table_replace (shares->rows, g_strdup (row->key), read);
+}
+
+static char *
+format_units (GHashTable *units)
+{
+  struct json_object *document = json_object_new_object ();
+  struct json_object *list = json_object_new_array ();
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+  char *text;
+
+  g_hash_table_iter_init (&iterator, units);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      json_object_array_add (list,
+                             json_object_new_int64 (GPOINTER_TO_UINT (key)));
+      json_object_array_add (list,
+                             json_object_new_int64 (GPOINTER_TO_UINT (value)));
+    }
+  json_object_object_add (document, "shares", list);
+  text = g_strdup (json_object_to_json_string (document));
+  json_object_put (document);
+  return text;
+}
+
+static const struct zone_row *
+own_row (const struct jl_quota_shares *shares)
+{
+  return g_hash_table_lookup (shares->rows,
+                              shares->quota->proxy->roster.local_zone);
+}
+
+/* Returns the shares of the own row as it was read. After the store came back
+ * from an older copy, the smaller of the known and the read share applies. */
+static GHashTable *
+shares_read (const struct jl_quota_shares *shares)
+{
+  const struct zone_row *row = own_row (shares);
+  GHashTable *read = row != NULL ? row->units : NULL;
+  GHashTable *units = g_hash_table_new (g_direct_hash, g_direct_equal);
+  GHashTable *const tables[] = { read, shares->own };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (tables); i++)
+    {
+      GHashTableIter iterator;
+      gpointer key;
+
+      if (tables[i] == NULL)
+        continue;
+      g_hash_table_iter_init (&iterator, tables[i]);
+      while (g_hash_table_iter_next (&iterator, &key, NULL))
+        {
+          uint32_t customer = GPOINTER_TO_UINT (key);
+          unsigned count = units_in (read, shares->quota, customer);
+
+          if (shares->restored && shares->heard)
+            count
+                = MIN (count, units_in (shares->own, shares->quota, customer));
+          set_units (units, customer, count);
+        }
+    }
+  return units;
+}
+
+static void
+replace_own (struct jl_quota_shares *shares, GHashTable *units)
+{
+  g_hash_table_destroy (shares->own);
+  shares->own = units;
+  shares->heard = true;
+  jl_quota_send_list (shares->quota, jl_now ());
+}
+
+static void
+begin_read (struct jl_quota_shares *shares, enum share_state state)
+{
+  shares->state = state;
+  shares->changed = false;
+  shares->invalid = false;
+  g_hash_table_remove_all (shares->rows);
+  jl_store_tx_read (shares->tx);
+}
+
+/* Claims the own row with the shares that apply from then on. */
+static void
+write_claim (struct jl_quota_shares *shares)
+{
+  const struct zone_row *row = own_row (shares);
+  struct jl_store_put put = {
+    .key = shares->quota->proxy->roster.local_zone,
+    .version = row != NULL ? row->version : 0,
+  };
+  char *value;
+
+  if (shares->next != NULL)
+    g_hash_table_destroy (shares->next);
+  shares->next = shares_read (shares);
+  value = format_units (shares->next);
+  put.value = value;
+  shares->state = SHARE_CLAIM_WRITE;
+  jl_store_tx_write (shares->tx, &put, 1);
+  g_free (value);
+}
+
+static void
+retry_later (struct jl_quota_shares *shares, enum share_state state)
+{
+  shares->state = state;
+  shares->retry_us = jl_now () + RETRY_US;
+}
+
+/* Chooses what to give of what the receiver wants. */
+static void
+choose_gifts (struct jl_quota_shares *shares, uint64_t now_us)
+{
+  struct jl_quota *quota = shares->quota;
+
+  g_array_set_size (shares->gifts, 0);
+  for (guint i = 0; i < shares->wanted->len; i++)
+    {
+      struct beacon_share gift
+          = g_array_index (shares->wanted, struct beacon_share, i);
+      unsigned units = jl_quota_units_of (quota, gift.customer);
+      struct jl_quota_allowance allowance;
+      struct jl_quota_use use;
+
+      if (gift.units == 0
+          || !jl_quota_allowance_of (quota, gift.customer, &allowance)
+          || !jl_quota_issuer_use (&quota->issuer, gift.customer,
+                                   allowance.rate, now_us, &use))
+        continue;
+      gift.units = jl_quota_share_given (&use, units,
+                                         MIN (gift.units, JL_QUOTA_SHARE_UNITS),
+                                         quota->zone_count);
+      if (gift.units > 0)
+        g_array_append_val (shares->gifts, gift);
+    }
+  g_array_set_size (shares->wanted, 0);
+}
+
+/* Adds the gifts to the units in a table, or takes them from it. */
+static void
+add_gifts (const struct jl_quota_shares *shares, GHashTable *table, bool take)
+{
+  for (guint i = 0; i < shares->gifts->len; i++)
+    {
+      const struct beacon_share *gift
+          = &g_array_index (shares->gifts, struct beacon_share, i);
+      unsigned units = units_in (table, shares->quota, gift->customer);
+
+      set_units (table, gift->customer,
+                 take ? units - gift->units : units + gift->units);
+    }
+}
+
+/* Lowers the own shares, and then writes the rows of both zones. */
+static void
+write_gifts (struct jl_quota_shares *shares, uint64_t now_us)
+{
+  const char *zone = shares->quota->proxy->roster.local_zone;
+  const struct zone_row *row = own_row (shares);
+  struct zone_row *receiver
+      = g_hash_table_lookup (shares->rows, shares->receiver);
+  GHashTable *units = receiver != NULL
+                          ? g_hash_table_ref (receiver->units)
+                          : g_hash_table_new (g_direct_hash, g_direct_equal);
+  char *own_value;
+  char *receiver_value;
+
+  shares->gave_us = now_us;
+  add_gifts (shares, shares->own, true);
+  jl_quota_send_list (shares->quota, now_us);
+  add_gifts (shares, units, false);
+  own_value = format_units (shares->own);
+  receiver_value = format_units (units);
+  {
+    const struct jl_store_put puts[] = {
+      { zone, row != NULL ? row->version : 0, own_value },
+      { shares->receiver, receiver != NULL ? receiver->version : 0,
+        receiver_value },
+    };
+
+    shares->state = SHARE_GIVE;
+    jl_store_tx_write (shares->tx, puts, G_N_ELEMENTS (puts));
+  }
+  g_hash_table_unref (units);
+  g_free (own_value);
+  g_free (receiver_value);
+}
+
+static void
+on_read (void *context, bool complete)
+{
+  struct jl_quota_shares *shares = context;
+  uint64_t now_us = jl_now ();
+
+  if (shares->state != SHARE_READ && shares->state != SHARE_CLAIM_READ)
+    return;
+  if (!complete || shares->invalid)
+    {
+      shares->changed = true;
+      g_array_set_size (shares->wanted, 0);
+      retry_later (shares,
+                   shares->state == SHARE_READ ? SHARE_READY : SHARE_UNCLAIMED);
+      return;
+    }
+  if (shares->state == SHARE_CLAIM_READ)
+    {
+      write_claim (shares);
+      return;
+    }
+  shares->state = SHARE_READY;
+  replace_own (shares, shares_read (shares));
+  choose_gifts (shares, now_us);
+  if (shares->gifts->len > 0)
+    write_gifts (shares, now_us);
+}
+
+static void
+on_claim_written (struct jl_quota_shares *shares, enum jl_store_result result)
+{
+  if (result != JL_STORE_DONE)
+    {
+      retry_later (shares, SHARE_UNCLAIMED);
+      /* Another issuer, or a giver, has changed the row. */
+      if (result == JL_STORE_REFUSED)
+        shares->retry_us = 0;
+      return;
+    }
+  shares->state = SHARE_READY;
+  shares->claimed = true;
+  shares->restored = false;
+  replace_own (shares, g_steal_pointer (&shares->next));
+  if (shares->in_doubt)
+    jl_quota_send_moved (shares->quota, shares->receiver);
+  shares->in_doubt = false;
+}
+
+static void
+on_gifts_written (struct jl_quota_shares *shares, enum jl_store_result result)
+{
+  struct jl_quota *quota = shares->quota;
+  unsigned units = 0;
+
+  for (guint i = 0; i < shares->gifts->len; i++)
+    units += g_array_index (shares->gifts, struct beacon_share, i).units;
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_SHARES_GIVEN,
+             "to=%s customers=%u units=%u result=%s", shares->receiver,
+             shares->gifts->len, units,
+             result == JL_STORE_DONE      ? "done"
+             : result == JL_STORE_REFUSED ? "refused"
+                                          : "unknown");
+  shares->state = SHARE_READY;
+  if (result == JL_STORE_DONE)
+    {
+      quota->units_given += units;
+      jl_quota_send_moved (quota, shares->receiver);
+    }
+  else if (result == JL_STORE_REFUSED)
+    {
+      add_gifts (shares, shares->own, false);
+      shares->changed = true;
+    }
+  else
+    {
+      shares->state = SHARE_UNCLAIMED;
+      shares->in_doubt = true;
+    }
+}
+
+static void
+on_written (void *context, enum jl_store_result result, uint64_t version)
+{
+  struct jl_quota_shares *shares = context;
+
+  (void)version;
+  if (shares->state == SHARE_CLAIM_WRITE)
+    on_claim_written (shares, result);
+  else if (shares->state == SHARE_GIVE)
+    on_gifts_written (shares, result);
+}
+
+static const struct jl_store_tx_ops tx_ops = {
+  .row = on_row,
+  .read = on_read,
+  .written = on_written,
+};
+
+void
+jl_quota_shares_give (struct jl_quota *quota,
+                      const char *zone,
+                      const struct beacon_share *list,
+                      unsigned count,
+                      uint64_t now_us)
+{
+  struct jl_quota_shares *shares = get_shares (quota);
+
+  if (shares->state != SHARE_READY || !has_zone (quota, zone)
+      || strcmp (zone, quota->proxy->roster.local_zone) == 0
+      || now_us < shares->gave_us + GIVE_PERIOD_US || now_us < shares->retry_us)
+    return;
+  g_array_set_size (shares->wanted, 0);
+  g_array_append_vals (shares->wanted, list, count);
+  choose_gifts (shares, now_us);
+  if (shares->gifts->len == 0)
+    return;
+  g_array_append_vals (shares->wanted, list, count);
+  g_strlcpy (shares->receiver, zone, sizeof shares->receiver);
+  begin_read (shares, SHARE_READ);
+}
+
+void
+jl_quota_shares_tick (struct jl_quota *quota, uint64_t now_us)
+{
+  struct jl_quota_shares *shares = get_shares (quota);
+
+  if (!shares_move (quota))
+    return;
+  if (!quota->issuer.active)
+    {
+      shares->issues_since_us = 0;
+      shares->claimed = false;
+      shares->state = SHARE_UNCLAIMED;
+      return;
+    }
+  if (shares->tx == NULL)
+    shares->tx = jl_store_tx_new (quota->proxy->store, TABLE, &tx_ops, shares);
+  if (shares->issues_since_us == 0)
+    {
+      shares->issues_since_us = now_us;
+      shares->retry_us = 0;
+    }
+  if (now_us < shares->retry_us)
+    return;
+  if (shares->state == SHARE_UNCLAIMED)
+    begin_read (shares, SHARE_CLAIM_READ);
+  else if (shares->state == SHARE_READY && shares->changed)
+    begin_read (shares, SHARE_READ);
+}
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -420,6 +420,8 @@
     return;
   jl_quota_count_zone (quota, now_us);
   jl_quota_update_issuer (quota, now_us);
+  jl_quota_shares_tick (quota, now_us);
+  jl_quota_exchange_tick (quota, now_us);
   choose_issuer (quota, now_us);
   if (is_ask_due (quota, now_us))
     jl_quota_ask (quota, now_us);
@@ -448,7 +450,7 @@
   quota->lost_us = proxy->started_us;
   /* So that no late answer to a former incarnation matches. */
   quota->sequence = g_random_int ();
-  quota->zone_count = 1;
+  quota->zone_count = MAX (1u, proxy->options->zone_count);
   quota->known_count = 1;
   CDS_INIT_LIST_HEAD (&quota->pending);
   jl_quota_vote_init (&quota->vote, proxy->started_us);
@@ -473,6 +475,10 @@
   append (text, "quota_requests_refused_total", quota->refused);
   append (text, "quota_fallback_total", quota->fallback);
   append (text, "quota_datagrams_sent_total", quota->datagrams);
+  append (text, "quota_units_given_total", quota->units_given);
+  append (text, "quota_tokens_lent_total", quota->tokens_lent);
+  append (text, "quota_tokens_borrowed_total", quota->tokens_borrowed);
+  append (text, "quota_zone_bytes_sent_total", quota->zone_bytes);
   append (text, "quota_issues", quota->issuer.active);
   append (text, "quota_in_contact", quota->in_contact);
 }
--- a/source/proxy/quota.h
+++ b/source/proxy/quota.h
@@ -45,6 +45,12 @@
  */
 void jl_quota_read (struct jl_quota *quota, const char *datagram, size_t size);
 
+/**
+ * jl_quota_store_restored - reads the shares of zones again, as the store has
+ * come back from an older copy
+ */
+void jl_quota_store_restored (struct jl_quota *quota);
+
 /**
  * jl_quota_append_metrics - appends the totals to the metrics page
  */
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -9,6 +9,7 @@
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/learned.h"
+#include "proxy/quota.h"
 #include "proxy/report.h"
 
 #include <string.h>
@@ -522,6 +523,7 @@
   if (has_refused)
     jl_rows_write_refused (proxy);
   proxy->era_heard_from = NULL;
+  jl_quota_store_restored (proxy->quota);
   jl_beacon_send_soon (proxy->beacon);
 }
 
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -10,6 +10,7 @@
 const BEACON_CONTENTS_MAX = 150;
 const BEACON_DIGEST_MAX = 38;
 const BEACON_QUOTA_MAX = 40;
+const BEACON_SHARES_MAX = 60;
 
 struct beacon_fanout
 {
@@ -190,3 +191,32 @@
   unsigned hyper stamp;
   beacon_quota_grant grants<BEACON_QUOTA_MAX>;
 };
+
+/* Shares of usage caps, by kind. BEACON_SHARES_LIST: the issuer tells its zone the
+ * shares that the zone has. BEACON_SHARES_NEED: the issuer asks that of another zone
+ * for units of shares and for tokens. BEACON_SHARES_LENT: the answer with tokens.
+ * BEACON_SHARES_MOVED: the row of the receiver's zone has changed. hops: 1 if passed
+ * on to the issuer of the zone. epoch, stamp: of the request, in a need and in its
+ * answer. */
+const BEACON_SHARES_LIST = 0;
+const BEACON_SHARES_NEED = 1;
+const BEACON_SHARES_LENT = 2;
+const BEACON_SHARES_MOVED = 3;
+
+struct beacon_share
+{
+  unsigned int customer;
+  unsigned int units;
+  unsigned int tokens;
+};
+
+struct beacon_shares
+{
+  unsigned int format;
+  unsigned int kind;
+  unsigned int hops;
+  string name<BEACON_TEXT_MAX>;
+  unsigned hyper epoch;
+  unsigned hyper stamp;
+  beacon_share shares<BEACON_SHARES_MAX>;
+};
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -20,6 +20,7 @@
 #define BEACON_CONTENTS_MAX 150
 #define BEACON_DIGEST_MAX 38
 #define BEACON_QUOTA_MAX 40
+#define BEACON_SHARES_MAX 60
 
 struct beacon_fanout {
 	u_int run;
@@ -195,6 +196,31 @@
 	} grants;
 };
 typedef struct beacon_quota_answer beacon_quota_answer;
+#define BEACON_SHARES_LIST 0
+#define BEACON_SHARES_NEED 1
+#define BEACON_SHARES_LENT 2
+#define BEACON_SHARES_MOVED 3
+
+struct beacon_share {
+	u_int customer;
+	u_int units;
+	u_int tokens;
+};
+typedef struct beacon_share beacon_share;
+
+struct beacon_shares {
+	u_int format;
+	u_int kind;
+	u_int hops;
+	char *name;
+	u_quad_t epoch;
+	u_quad_t stamp;
+	struct {
+		u_int shares_len;
+		beacon_share *shares_val;
+	} shares;
+};
+typedef struct beacon_shares beacon_shares;
 
 /* the xdr functions */
 
@@ -216,6 +242,8 @@
 extern  bool_t xdr_beacon_quota_ask (XDR *, beacon_quota_ask*);
 extern  bool_t xdr_beacon_quota_grant (XDR *, beacon_quota_grant*);
 extern  bool_t xdr_beacon_quota_answer (XDR *, beacon_quota_answer*);
+extern  bool_t xdr_beacon_share (XDR *, beacon_share*);
+extern  bool_t xdr_beacon_shares (XDR *, beacon_shares*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
@@ -235,6 +263,8 @@
 extern bool_t xdr_beacon_quota_ask ();
 extern bool_t xdr_beacon_quota_grant ();
 extern bool_t xdr_beacon_quota_answer ();
+extern bool_t xdr_beacon_share ();
+extern bool_t xdr_beacon_shares ();
 
 #endif /* K&R C */
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -578,3 +578,93 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_beacon_share (XDR *xdrs, beacon_share *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->units))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_shares (XDR *xdrs, beacon_shares *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->format))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hops))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->format);
+		IXDR_PUT_U_LONG(buf, objp->kind);
+		IXDR_PUT_U_LONG(buf, objp->hops);
+		}
+		 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->stamp))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BEACON_SHARES_MAX,
+			sizeof (beacon_share), (xdrproc_t) xdr_beacon_share))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->format))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hops))
+				 return FALSE;
+
+		} else {
+		objp->format = IXDR_GET_U_LONG(buf);
+		objp->kind = IXDR_GET_U_LONG(buf);
+		objp->hops = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->stamp))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BEACON_SHARES_MAX,
+			sizeof (beacon_share), (xdrproc_t) xdr_beacon_share))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, BEACON_SHARES_MAX,
+		sizeof (beacon_share), (xdrproc_t) xdr_beacon_share))
+		 return FALSE;
+	return TRUE;
+}
--- a/tests/proxy/parts/fake-store.c
+++ b/tests/proxy/parts/fake-store.c
@@ -353,7 +353,9 @@
   struct fake_store *store = context;
   GString *body = jl_request_data (request);
   struct json_object *document;
-  struct fake_store_row *conflict;
+  struct fake_store_row *conflict = NULL;
+  struct json_object *expected;
+  struct json_object *puts;
   struct json_object *rows;
 
   if (body == NULL)
@@ -369,9 +371,11 @@
     }
   document = json_tokener_parse (body->str);
   cr_assert_not_null (document, "%s", body->str);
-  conflict = conflict_of (
-      store, json_object_array_get_idx (
-                 json_object_object_get (document, "expectedRevision"), 0));
+  expected = json_object_object_get (document, "expectedRevision");
+  puts = json_object_object_get (document, "puts");
+  for (size_t i = 0;
+       conflict == NULL && i < json_object_array_length (expected); i++)
+    conflict = conflict_of (store, json_object_array_get_idx (expected, i));
   jl_request_set_data (request, NULL);
   g_string_free (body, TRUE);
   if (conflict != NULL)
@@ -382,8 +386,8 @@
     }
   else
     {
-      write_row (store, json_object_array_get_idx (
-                            json_object_object_get (document, "puts"), 0));
+      for (size_t i = 0; i < json_object_array_length (puts); i++)
+        write_row (store, json_object_array_get_idx (puts, i));
       if (store->hold_writes)
         g_ptr_array_add (store->held_writes, request);
       else
--- a/tests/proxy/parts/quota-model.c
+++ b/tests/proxy/parts/quota-model.c
@@ -470,14 +470,19 @@
     ask (model, index);
 }
 
-/* Moves units of a customer to @to from the zones that can give. */
+/* Moves units of a customer to @to from another zone. */
 static void
-move_units (struct quota_model *model, unsigned customer, unsigned to)
+move_units (struct quota_model *model,
+            unsigned customer,
+            unsigned to,
+            unsigned from)
 {
   struct model_customer *moved = &model->customers[customer];
   unsigned issuer = quota_model_issuer (model, to);
   struct jl_quota_use use;
   unsigned wanted;
+  unsigned giver;
+  unsigned given;
 
   moved->units[to] += moved->arriving[to];
   moved->arriving[to] = 0;
@@ -486,31 +491,25 @@
                                moved->rate, model->now_us, &use))
     return;
   wanted = jl_quota_share_wanted (&use, moved->units[to]);
-  for (unsigned from = 0; wanted > 0 && from < model->zone_count; from++)
-    {
-      unsigned giver = quota_model_issuer (model, from);
-      unsigned given;
-
-      if (from == to || giver == G_MAXUINT
-          || !jl_quota_issuer_use (&model->daemons[giver].issuer, customer + 1,
-                                   moved->rate, model->now_us, &use))
-        continue;
-      given = jl_quota_share_given (&use, moved->units[from], wanted,
-                                    model->zone_count);
-      moved->units[from] -= given;
-      moved->arriving[to] += given;
-      model->moves += given > 0;
-    }
+  giver = quota_model_issuer (model, from);
+  if (wanted == 0 || giver == G_MAXUINT
+      || !jl_quota_issuer_use (&model->daemons[giver].issuer, customer + 1,
+                               moved->rate, model->now_us, &use))
+    return;
+  given = jl_quota_share_given (&use, moved->units[from], wanted,
+                                model->zone_count);
+  moved->units[from] -= given;
+  moved->arriving[to] += given;
+  model->moves += given > 0;
 }
 
 /* Borrows tokens of a customer for zone @to from another zone. */
 static void
-borrow (struct quota_model *model, unsigned customer, unsigned to)
+borrow (struct quota_model *model,
+        unsigned customer,
+        unsigned to,
+        unsigned from)
 {
-  unsigned from = (to + 1
-                   + (unsigned)g_rand_int_range (model->random, 0,
-                                                 (gint32)model->zone_count - 1))
-                  % model->zone_count;
   unsigned borrower = quota_model_issuer (model, to);
   unsigned lender = quota_model_issuer (model, from);
   struct jl_quota_cap cap = zone_cap (model, customer, to);
@@ -540,8 +539,13 @@
 
       for (unsigned zone = 0; zone < model->zone_count; zone++)
         {
-          borrow (model, i, zone);
-          move_units (model, i, zone);
+          unsigned from = (zone + 1
+                           + (unsigned)g_rand_int_range (
+                               model->random, 0, (gint32)model->zone_count - 1))
+                          % model->zone_count;
+
+          borrow (model, i, zone, from);
+          move_units (model, i, zone, from);
         }
       for (unsigned zone = 0; zone < model->zone_count; zone++)
         sum += model->customers[i].units[zone]
--- a/tests/proxy/quota-entry.c
+++ b/tests/proxy/quota-entry.c
@@ -8,8 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "proxy/parts/rig.h"
-#include "proxy/quota-impl.h"
+#include "proxy/parts/quota-rig.h"
 
 #define DAEMONS 3
 #define RATE 2
@@ -17,35 +16,6 @@
   "GET / HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\n"                   \
   "Connection: close\r\n\r\n"
 
-/* Installs a site with one route to the service "deep", and a customer "c" with
- * the key "k" and a usage cap. */
-static void
-install_cap (struct rig *rig, double rate)
-{
-  struct jl_customer customer = { .name = "c", .rate = rate, .burst = 4 };
-  struct jl_site *site;
-
-  rig_install_call_route (rig);
-  rig->proxy->call_route_count = 0;
-  site = rig->proxy->site;
-  site->customers = jl_customers_new ();
-  jl_customers_add_api_key (
-      site->customers, jl_customers_add (site->customers, &customer), "k", 1);
-}
-
-static void
-prepare (struct rig *rig, unsigned host, const char *name)
-{
-  struct jl_cap_policy policy = { 5 * JL_USEC_PER_SEC, 0.1, 20 };
-
-  rig_prepare (rig, host);
-  rig->options.cap = policy;
-  rig->options.zone_count = 2;
-  g_strlcpy (rig->options.zones[0], "z1", JL_TEXT_SIZE);
-  g_strlcpy (rig->options.zones[1], "z2", JL_TEXT_SIZE);
-  g_strlcpy (rig->options.name, name, sizeof rig->options.name);
-}
-
 /* Runs all daemons that are not NULL, beside each other. The targets of zone z2
  * count as heard. */
 static void
@@ -127,11 +97,11 @@
   uint64_t begun_us;
   double elapsed_s;
 
-  prepare (&rig, 180, "d1");
+  quota_rig_prepare (&rig, 180, "d1", "z1");
   rig_start (&rig);
   rig_open_peer (&rig, OTHER_PORT, &reached);
   rig_add_member (&rig, "e1", "z2", "deep");
-  install_cap (&rig, RATE);
+  quota_rig_install (&rig, RATE);
   run_until_issuer (rigs, 0);
   rig.proxy->quota->issuer.since_us -= 100 * JL_USEC_PER_SEC;
   begun_us = jl_now ();
@@ -158,12 +128,12 @@
   double retry_after_s;
   unsigned reached;
 
-  prepare (&rig, 181, "d1");
+  quota_rig_prepare (&rig, 181, "d1", "z1");
   rig_start (&rig);
   rig_open_peer (&rig, OTHER_PORT, &reached);
   rig_add_member (&rig, "e1", "z2", "deep");
   rig_add_member (&rig, "d2", "z1", "front");
-  install_cap (&rig, 0);
+  quota_rig_install (&rig, 0);
   run_all (rigs, 500);
   for (unsigned i = 0; i < 30; i++)
     cr_assert_eq (request (rigs, &rig, &retry_after_s), 404);
@@ -182,11 +152,11 @@
 
   for (unsigned i = 0; i < DAEMONS; i++)
     {
-      prepare (&site[i], 182 + i, names[i]);
+      quota_rig_prepare (&site[i], 182 + i, names[i], "z1");
       rig_start (&site[i]);
       rig_open_peer (&site[i], OTHER_PORT, &reached[i]);
       rig_add_member (&site[i], "e1", "z2", "deep");
-      install_cap (&site[i], 20);
+      quota_rig_install (&site[i], 20);
     }
   for (unsigned i = 0; i < DAEMONS; i++)
     for (unsigned j = 0; j < DAEMONS; j++)
--- /dev/null
+++ b/tests/proxy/quota-share.c
@@ -0,0 +1,181 @@
+/**
+ * DOC: Tests of the shares of two zones: moves, lost answers of the store, and
+ * a store that comes back from an older copy. The shares must never sum to more
+ * than the whole.
+ */
+
+#include <criterion/criterion.h>
+
+#include "proxy/parts/quota-rig.h"
+
+#define GIFT 300000
+#define HALF (JL_QUOTA_SHARE_UNITS / 2)
+
+/* Two daemons, each alone in its zone, with the store of the first one. */
+struct pair
+{
+  struct rig rigs[2];
+};
+
+static unsigned
+units (const struct pair *pair, unsigned i)
+{
+  return jl_quota_units_of (pair->rigs[i].proxy->quota, jl_name_key ("c"));
+}
+
+static void
+run (struct pair *pair, unsigned ms)
+{
+  uint64_t end_us = jl_now () + ms * JL_USEC_PER_MSEC;
+
+  while (jl_now () < end_us)
+    for (unsigned i = 0; i < 2; i++)
+      {
+        struct jl_roster *roster = &pair->rigs[i].proxy->roster;
+
+        jl_roster_get_or_add (roster, i == 0 ? "d2" : "d1")->last_beacon_us
+            = jl_now ();
+        fake_store_run (&pair->rigs[0].store, pair->rigs[i].proxy->loop, 1);
+        cr_assert_leq (units (pair, 0) + units (pair, 1), JL_QUOTA_SHARE_UNITS);
+      }
+}
+
+/* Runs until the zones have these shares. */
+static void
+run_until (struct pair *pair, unsigned first, unsigned second)
+{
+  uint64_t end_us = jl_now () + 20 * JL_USEC_PER_SEC;
+
+  while ((units (pair, 0) != first || units (pair, 1) != second)
+         && jl_now () < end_us)
+    run (pair, 10);
+  cr_assert_eq (units (pair, 0), first, "%u", units (pair, 0));
+  cr_assert_eq (units (pair, 1), second, "%u", units (pair, 1));
+}
+
+static void
+start (struct pair *pair, unsigned host)
+{
+  static const char *const names[] = { "d1", "d2" };
+  static const char *const zones[] = { "z1", "z2" };
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      quota_rig_prepare (&pair->rigs[i], host + i, names[i], zones[i]);
+      pair->rigs[i].options.store = pair->rigs[0].options.store;
+    }
+  for (unsigned i = 0; i < 2; i++)
+    {
+      pair->rigs[i].proxy = jl_proxy_new (&pair->rigs[i].options, NULL);
+      cr_assert_not_null (pair->rigs[i].proxy);
+      quota_rig_install (&pair->rigs[i], 100);
+    }
+  for (unsigned i = 0; i < 2; i++)
+    rig_add_member (&pair->rigs[i], names[1 - i], zones[1 - i], "front")->peer
+        = pair->rigs[1 - i].options.advertise;
+  run (pair, 100);
+  run_until (pair, HALF, HALF);
+  run (pair, 2000);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      struct jl_quota *quota = pair->rigs[i].proxy->quota;
+
+      cr_assert (quota->issuer.active);
+      /* So that the demand, which is none, counts as known. */
+      quota->issuer.since_us -= 60 * JL_USEC_PER_SEC;
+    }
+}
+
+/* Lets the second zone give units to the first one. */
+static void
+give (struct pair *pair)
+{
+  struct beacon_share wanted = { jl_name_key ("c"), GIFT, 0 };
+
+  jl_quota_shares_give (pair->rigs[1].proxy->quota, "z1", &wanted, 1,
+                        jl_now ());
+}
+
+Test (quota_share, units_move_with_both_rows)
+{
+  struct pair pair;
+
+  start (&pair, 190);
+  give (&pair);
+  run_until (&pair, HALF + GIFT, HALF - GIFT);
+  cr_assert_not_null (fake_store_get (&pair.rigs[0].store, "caps", "z1"));
+  cr_assert_not_null (fake_store_get (&pair.rigs[0].store, "caps", "z2"));
+}
+
+/* The giver must not use what it may have given, and the receiver gets it. */
+Test (quota_share, an_answer_that_is_lost_gives_the_units_once)
+{
+  struct pair pair;
+
+  start (&pair, 192);
+  pair.rigs[0].store.hold_writes = true;
+  give (&pair);
+  run (&pair, 300);
+  cr_assert_eq (units (&pair, 1), HALF - GIFT);
+  cr_assert_eq (units (&pair, 0), HALF);
+  pair.rigs[0].store.hold_writes = false;
+  run_until (&pair, HALF + GIFT, HALF - GIFT);
+}
+
+/* A transaction that was not applied must not take the units for good. */
+Test (quota_share, a_store_that_is_away_moves_nothing)
+{
+  struct pair pair;
+  unsigned calls;
+
+  start (&pair, 194);
+  pair.rigs[0].store.silent_table = "none";
+  give (&pair);
+  calls = pair.rigs[0].store.writes;
+  for (unsigned i = 0; i < 100 && pair.rigs[0].store.writes == calls; i++)
+    {
+      /* The read has been answered, and the write is not. */
+      if (units (&pair, 1) < HALF)
+        pair.rigs[0].store.away = true;
+      run (&pair, 2);
+    }
+  pair.rigs[0].store.away = true;
+  run (&pair, 500);
+  pair.rigs[0].store.away = false;
+  run (&pair, 6000);
+  cr_assert_eq (units (&pair, 0) + units (&pair, 1), JL_QUOTA_SHARE_UNITS);
+}
+
+/* The smaller of the known and the read share applies. */
+Test (quota_share, a_restored_store_raises_no_share)
+{
+  struct pair pair;
+
+  start (&pair, 196);
+  pair.rigs[0].store.era = 1;
+  give (&pair);
+  run_until (&pair, HALF + GIFT, HALF - GIFT);
+  run (&pair, 300);
+  fake_store_restore (&pair.rigs[0].store, 1);
+  run_until (&pair, HALF, HALF - GIFT);
+  cr_assert_not_null (fake_store_get (&pair.rigs[0].store, "caps", "z2"));
+}
+
+/* A transaction that the issuer before has begun must not be applied after the
+ * next one has read the row. */
+Test (quota_share, a_claim_refuses_an_earlier_transaction)
+{
+  struct pair pair;
+  struct fake_store *store;
+  uint64_t version;
+
+  start (&pair, 198);
+  store = &pair.rigs[0].store;
+  version = store->version;
+  pair.rigs[1].proxy->quota->issuer.active = false;
+  jl_quota_shares_tick (pair.rigs[1].proxy->quota, jl_now ());
+  pair.rigs[1].proxy->quota->issuer.active = true;
+  run_until (&pair, HALF, HALF);
+  run (&pair, 500);
+  cr_assert_gt (store->version, version);
+}
