Give units again that a restored store has lost

Cause: after the store came back from an older copy the smaller of the known and the read share applies, so units that moved before belonged to no zone for good.

Change: rows name the era in which their zone wrote them. Once all zones have done so, a giver adds what belongs to no zone, under the condition that no row has changed. A daemon elects an issuer as soon as the configuration lists customers, so that a cap that is added finds one.

Result: a test of the restored store; a claim is now shown to refuse a transaction on the versions before.

--- a/source/proxy/quota-impl.h
+++ b/source/proxy/quota-impl.h
@@ -38,8 +38,8 @@
  * struct jl_quota - usage caps
  * @lines: struct jl_quota_line by the customer's key
  * @pending: customers that the next datagram asks for
- * @site_version: version of the configuration that @has_caps is of
- * @has_caps: the configuration has customers with a cap
+ * @site_version: version of the configuration that @has_customers is of
+ * @has_customers: the configuration lists customers
  * @sequence: number of the last request for tokens
  * @asked_us: times of the last requests, by their sequence number
  * @in_contact: the issuer answers
@@ -71,7 +71,7 @@
   struct jl_timer tick_timer;
   struct jl_timer ask_timer;
   uint64_t site_version;
-  bool has_caps;
+  bool has_customers;
   uint32_t sequence;
   uint64_t asked_us[JL_QUOTA_ASKS];
   bool in_contact;
--- a/source/proxy/quota-issue.c
+++ b/source/proxy/quota-issue.c
@@ -181,7 +181,7 @@
   to->none_us = (u_int)MIN (grant.none_us, TIME_MAX_US);
   to->wait_ms = (u_int)(MIN (grant.wait_us, TIME_MAX_US) / JL_USEC_PER_MSEC);
   to->far = grant.far;
-  to->level_centi = (u_int)lround (MIN (grant.level, 1e6) * 100);
+  to->level_centi = (u_int)lround (CLAMP (grant.level, 0.0, 1e6) * 100);
 }
 
 void
--- a/source/proxy/quota-share.c
+++ b/source/proxy/quota-share.c
@@ -10,6 +10,10 @@
  * has begun, may still be applied. So the issuer first claims its row: it reads
  * the row and writes it again under the condition that it has not changed.
  * After that, no transaction that expects an older version can be applied.
+ *
+ * Units that a store lost when it came back from an older copy belong to no
+ * zone. Once all zones have written their rows in its new era, a giver adds
+ * them to what it gives.
  */
 
 #include "json.h"
@@ -51,11 +55,13 @@
 
 /**
  * struct zone_row - row of a zone as it was last read
+ * @era: era of the store in which the zone's issuer has written it
  * @units: units by the customer's key
  */
 struct zone_row
 {
   uint64_t version;
+  uint64_t era;
   GHashTable *units;
 };
 
@@ -265,9 +271,9 @@
 
 /* Reads pairs of a customer's key and its units. */
 static bool
-read_units (const struct jl_row *row, GHashTable *units)
+read_units (const struct jl_row *row, GHashTable *units, uint64_t *era)
 {
-  static const char *const names[] = { "shares", NULL };
+  static const char *const names[] = { "shares", "era", NULL };
   struct json_object *document = jl_json_parse (row->value, row->size, names);
   struct json_object *list = jl_json_member (document, "shares");
   size_t count = json_object_is_type (list, json_type_array)
@@ -275,6 +281,8 @@
                      : 0;
   bool valid = json_object_is_type (list, json_type_array) && count % 2 == 0;
 
+  *era = jl_json_number (document, "era");
+
   for (size_t i = 0; valid && i < count; i += 2)
     {
       uint64_t customer;
@@ -299,7 +307,7 @@
 
   read->version = version;
   read->units = g_hash_table_new (g_direct_hash, g_direct_equal);
-  if (!read_units (row, read->units))
+  if (!read_units (row, read->units, &read->era))
     {
       g_hash_table_remove_all (read->units);
       read->version = VERSION_NONE;
@@ -310,7 +318,7 @@
 }
 
 static char *
-format_units (GHashTable *units)
+format_units (GHashTable *units, uint64_t era)
 {
   struct json_object *document = json_object_new_object ();
   struct json_object *list = json_object_new_array ();
@@ -328,11 +336,19 @@
                              json_object_new_int64 (GPOINTER_TO_UINT (value)));
     }
   json_object_object_add (document, "shares", list);
+  json_object_object_add (document, "era",
+                          json_object_new_int64 ((int64_t)era));
   text = g_strdup (json_object_to_json_string (document));
   json_object_put (document);
   return text;
 }
 
+static uint64_t
+store_era (const struct jl_quota_shares *shares)
+{
+  return jl_store_era (shares->quota->proxy->store);
+}
+
 static const struct zone_row *
 own_row (const struct jl_quota_shares *shares)
 {
@@ -405,7 +421,7 @@
   if (shares->next != NULL)
     g_hash_table_destroy (shares->next);
   shares->next = shares_read (shares);
-  value = format_units (shares->next);
+  value = format_units (shares->next, store_era (shares));
   put.value = value;
   shares->state = SHARE_CLAIM_WRITE;
   jl_store_tx_write (shares->tx, &put, 1);
@@ -448,6 +464,28 @@
   g_array_set_size (shares->wanted, 0);
 }
 
+/* Returns the units of a customer that belong to no zone, 0 unless all zones
+ * have written their rows in the current era. */
+static unsigned
+lost_units (const struct jl_quota_shares *shares, uint32_t customer)
+{
+  const struct jl_quota *quota = shares->quota;
+  const struct jl_options *options = quota->proxy->options;
+  unsigned all = jl_quota_share_default (quota->zone_count) * quota->zone_count;
+  unsigned sum = 0;
+
+  for (unsigned i = 0; i < options->zone_count; i++)
+    {
+      const struct zone_row *row
+          = g_hash_table_lookup (shares->rows, options->zones[i]);
+
+      if (row == NULL || row->era != store_era (shares))
+        return 0;
+      sum += units_in (row->units, quota, customer);
+    }
+  return sum < all ? all - sum : 0;
+}
+
 /* Adds the gifts to the units in a table, or takes them from it. */
 static void
 add_gifts (const struct jl_quota_shares *shares, GHashTable *table, bool take)
@@ -463,37 +501,78 @@
     }
 }
 
+/* Adds the units that belong to no zone to the row of the receiver. */
+static void
+add_lost_units (const struct jl_quota_shares *shares, GHashTable *units)
+{
+  for (guint i = 0; i < shares->gifts->len; i++)
+    {
+      uint32_t customer
+          = g_array_index (shares->gifts, struct beacon_share, i).customer;
+
+      set_units (units, customer,
+                 units_in (units, shares->quota, customer)
+                     + lost_units (shares, customer));
+    }
+}
+
+/* Lists the rows that a transaction with gifts depends on: those of all zones,
+ * since what belongs to no zone is known from all. */
+static unsigned
+list_puts (const struct jl_quota_shares *shares,
+           const char *own_value,
+           const char *receiver_value,
+           struct jl_store_put *puts)
+{
+  const struct jl_proxy *proxy = shares->quota->proxy;
+  const struct jl_options *options = proxy->options;
+
+  for (unsigned i = 0; i < options->zone_count; i++)
+    {
+      const struct zone_row *row
+          = g_hash_table_lookup (shares->rows, options->zones[i]);
+
+      puts[i].key = options->zones[i];
+      puts[i].version = row != NULL ? row->version : 0;
+      puts[i].value = NULL;
+      if (strcmp (puts[i].key, proxy->roster.local_zone) == 0)
+        puts[i].value = own_value;
+      else if (strcmp (puts[i].key, shares->receiver) == 0)
+        puts[i].value = receiver_value;
+    }
+  return options->zone_count;
+}
+
+static void
+copy_units (gpointer key, gpointer units, gpointer table)
+{
+  g_hash_table_insert (table, key, units);
+}
+
 /* Lowers the own shares, and then writes the rows of both zones. */
 static void
 write_gifts (struct jl_quota_shares *shares, uint64_t now_us)
 {
-  const char *zone = shares->quota->proxy->roster.local_zone;
-  const struct zone_row *row = own_row (shares);
-  struct zone_row *receiver
+  struct jl_store_put puts[JL_OPTIONS_ZONES_MAX];
+  const struct zone_row *receiver
       = g_hash_table_lookup (shares->rows, shares->receiver);
-  GHashTable *units = receiver != NULL
-                          ? g_hash_table_ref (receiver->units)
-                          : g_hash_table_new (g_direct_hash, g_direct_equal);
+  GHashTable *units = g_hash_table_new (g_direct_hash, g_direct_equal);
   char *own_value;
   char *receiver_value;
 
   shares->gave_us = now_us;
   add_gifts (shares, shares->own, true);
   jl_quota_send_list (shares->quota, now_us);
+  if (receiver != NULL)
+    g_hash_table_foreach (receiver->units, copy_units, units);
   add_gifts (shares, units, false);
-  own_value = format_units (shares->own);
-  receiver_value = format_units (units);
-  {
-    const struct jl_store_put puts[] = {
-      { zone, row != NULL ? row->version : 0, own_value },
-      { shares->receiver, receiver != NULL ? receiver->version : 0,
-        receiver_value },
-    };
-
-    shares->state = SHARE_GIVE;
-    jl_store_tx_write (shares->tx, puts, G_N_ELEMENTS (puts));
-  }
-  g_hash_table_unref (units);
+  add_lost_units (shares, units);
+  own_value = format_units (shares->own, store_era (shares));
+  receiver_value = format_units (units, receiver != NULL ? receiver->era : 0);
+  shares->state = SHARE_GIVE;
+  jl_store_tx_write (shares->tx, puts,
+                     list_puts (shares, own_value, receiver_value, puts));
+  g_hash_table_destroy (units);
   g_free (own_value);
   g_free (receiver_value);
 }
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -347,7 +347,7 @@
     fall_back_all (quota, now_us);
 }
 
-/* Notes whether the configuration in force has caps. */
+/* Notes whether the configuration in force has customers. */
 static void
 check_site (struct jl_quota *quota)
 {
@@ -356,15 +356,9 @@
   if (site == NULL || site->version == quota->site_version)
     return;
   quota->site_version = site->version;
-  quota->has_caps = false;
-  for (guint i = 0; site->customers != NULL && i < site->customers->list->len;
-       i++)
-    {
-      const struct jl_customer *customer
-          = g_ptr_array_index (site->customers->list, i);
-
-      quota->has_caps |= customer->rate > 0;
-    }
+  /* Also without caps, so that there is an issuer when a cap is added. */
+  quota->has_customers
+      = site->customers != NULL && site->customers->list->len > 0;
 }
 
 static gboolean
@@ -416,7 +410,7 @@
 tick (struct jl_quota *quota, uint64_t now_us)
 {
   check_site (quota);
-  if (!quota->has_caps)
+  if (!quota->has_customers)
     return;
   jl_quota_count_zone (quota, now_us);
   jl_quota_update_issuer (quota, now_us);
@@ -494,7 +488,7 @@
   gpointer value;
   unsigned listed = 0;
 
-  if (!quota->has_caps)
+  if (!quota->has_customers)
     return;
   g_string_append_printf (
       text,
--- a/tests/proxy/quota-entry.c
+++ b/tests/proxy/quota-entry.c
@@ -121,7 +121,7 @@
   cr_assert_leq (passed, 10.5 + elapsed_s * RATE / 2 + 1);
 }
 
-Test (quota_entry, without_a_cap_no_datagram_is_sent)
+Test (quota_entry, without_customers_no_datagram_is_sent)
 {
   struct rig rig;
   struct rig *rigs[DAEMONS] = { &rig };
@@ -134,6 +134,8 @@
   rig_add_member (&rig, "e1", "z2", "deep");
   rig_add_member (&rig, "d2", "z1", "front");
   quota_rig_install (&rig, 0);
+  jl_customers_free (rig.proxy->site->customers);
+  rig.proxy->site->customers = NULL;
   run_all (rigs, 500);
   for (unsigned i = 0; i < 30; i++)
     cr_assert_eq (request (rigs, &rig, &retry_after_s), 404);
--- a/tests/proxy/quota-share.c
+++ b/tests/proxy/quota-share.c
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include "proxy/parts/quota-rig.h"
+#include "store-tx.h"
 
 #define GIFT 300000
 #define HALF (JL_QUOTA_SHARE_UNITS / 2)
@@ -53,6 +54,22 @@
   cr_assert_eq (units (pair, 1), second, "%u", units (pair, 1));
 }
 
+/* Runs until both zones have written their rows. */
+static void
+run_until_claimed (struct pair *pair)
+{
+  struct fake_store *store = &pair->rigs[0].store;
+  uint64_t end_us = jl_now () + 20 * JL_USEC_PER_SEC;
+
+  while (jl_now () < end_us
+         && (fake_store_get (store, "caps", "z1") == NULL
+             || fake_store_get (store, "caps", "z2") == NULL))
+    run (pair, 10);
+  run (pair, 200);
+  cr_assert_not_null (fake_store_get (store, "caps", "z1"));
+  cr_assert_not_null (fake_store_get (store, "caps", "z2"));
+}
+
 static void
 start (struct pair *pair, unsigned host)
 {
@@ -86,11 +103,13 @@
     }
 }
 
+static unsigned wanted_units = GIFT;
+
 /* Lets the second zone give units to the first one. */
 static void
 give (struct pair *pair)
 {
-  struct beacon_share wanted = { jl_name_key ("c"), GIFT, 0 };
+  struct beacon_share wanted = { jl_name_key ("c"), wanted_units, 0 };
 
   jl_quota_shares_give (pair->rigs[1].proxy->quota, "z1", &wanted, 1,
                         jl_now ());
@@ -158,24 +177,82 @@
   run (&pair, 300);
   fake_store_restore (&pair.rigs[0].store, 1);
   run_until (&pair, HALF, HALF - GIFT);
-  cr_assert_not_null (fake_store_get (&pair.rigs[0].store, "caps", "z2"));
+  run_until_claimed (&pair);
+  run_until (&pair, HALF, HALF - GIFT);
+}
+
+/* Units that belong to no zone after that are used again. */
+Test (quota_share, units_that_a_restored_store_lost_are_given_again)
+{
+  struct pair pair;
+
+  start (&pair, 200);
+  pair.rigs[0].store.era = 1;
+  give (&pair);
+  run_until (&pair, HALF + GIFT, HALF - GIFT);
+  run (&pair, 300);
+  fake_store_restore (&pair.rigs[0].store, 1);
+  run_until_claimed (&pair);
+  run (&pair, 1500);
+  wanted_units = 1000;
+  give (&pair);
+  run_until (&pair, HALF + GIFT + 1000, HALF - GIFT - 1000);
+}
+
+/* Versions of the rows that a read has found, and the result of a write. */
+struct access
+{
+  uint64_t versions[2];
+  bool read;
+  int result;
+};
+
+static void
+on_row (void *context, const struct jl_row *row, uint64_t version)
+{
+  struct access *access = context;
+
+  access->versions[row->key[1] - '1'] = version;
+}
+
+static void
+on_read (void *context, bool complete)
+{
+  ((struct access *)context)->read = complete;
+}
+
+static void
+on_written (void *context, enum jl_store_result result, uint64_t version)
+{
+  (void)version;
+  ((struct access *)context)->result = result;
 }
 
 /* A transaction that the issuer before has begun must not be applied after the
  * next one has read the row. */
 Test (quota_share, a_claim_refuses_an_earlier_transaction)
 {
+  static const struct jl_store_tx_ops ops
+      = { .row = on_row, .read = on_read, .written = on_written };
   struct pair pair;
-  struct fake_store *store;
-  uint64_t version;
+  struct access access = { .result = -1 };
+  struct jl_store_tx *tx;
 
   start (&pair, 198);
-  store = &pair.rigs[0].store;
-  version = store->version;
+  tx = jl_store_tx_new (pair.rigs[0].proxy->store, "caps", &ops, &access);
+  jl_store_tx_read (tx);
+  run (&pair, 200);
+  cr_assert (access.read);
   pair.rigs[1].proxy->quota->issuer.active = false;
   jl_quota_shares_tick (pair.rigs[1].proxy->quota, jl_now ());
   pair.rigs[1].proxy->quota->issuer.active = true;
-  run_until (&pair, HALF, HALF);
-  run (&pair, 500);
-  cr_assert_gt (store->version, version);
+  run (&pair, 1000);
+  jl_store_tx_write (
+      tx,
+      (const struct jl_store_put[]){ { "z1", access.versions[0], "{}" },
+                                     { "z2", access.versions[1], "{}" } },
+      2);
+  run (&pair, 200);
+  cr_assert_eq (access.result, JL_STORE_REFUSED);
+  cr_assert_str_neq (fake_store_get (&pair.rigs[0].store, "caps", "z1"), "{}");
 }
