Elect an issuer where former daemons are known and two begin in isolation

Cause: daemons known from rows alone counted for good, so a zone whose instances were replaced had no issuer.

Change: a daemon that was never heard counts for 10 s, and while nobody of the zone was heard. A choice lasts a random time and begins anew when another daemon is heard; an elected daemon that waits for old tokens to expire keeps its support.

--- a/source/policy/quota-issuer.c
+++ b/source/policy/quota-issuer.c
@@ -216,7 +216,9 @@
   grant.none_us = jl_quota_bucket_wait_us (&account->bucket, cap, 1);
   if (refused > 0)
     grant.wait_us = promise (account, cap, refused, now_us);
-  grant.far = account->demand < FAR_RATIO * cap->rate;
+  /* The average of a new account is too low. */
+  grant.far = now_us >= account->begun_us + 2 * DEMAND_US
+              && account->demand < FAR_RATIO * cap->rate;
   grant.level = account->bucket.fraction * cap->depth;
   issuer->issued += grant.granted;
   issuer->refused += refused;
--- a/source/policy/quota-vote.c
+++ b/source/policy/quota-vote.c
@@ -10,8 +10,10 @@
 
 /* Time without an answer after which another daemon is asked. */
 #define SILENT_US (500 * JL_USEC_PER_MSEC)
-/* Time after which another daemon is asked if the chosen one does not issue. It
- * is longer than the support of an earlier issuer lasts. */
+/* Minimum time after which another daemon is asked if the chosen one does not
+ * issue; up to as much again is added at random, since daemons that change
+ * their choices at the same times may never agree. It is longer than the
+ * support of an earlier issuer lasts. */
 #define INACTIVE_US (2500 * JL_USEC_PER_MSEC)
 /* Time for which such a daemon is not asked again. */
 #define AVOIDED_US (3000 * JL_USEC_PER_MSEC)
@@ -44,6 +46,13 @@
   return false;
 }
 
+/* Returns a number below INACTIVE_US that differs between daemons. */
+static uint64_t
+scatter_us (uint64_t seed)
+{
+  return (seed * UINT64_C (0x9E3779B97F4A7C15) >> 32) % INACTIVE_US;
+}
+
 /* Passes over the chosen daemon for a while, in place of the one that was
  * passed over the longest time ago. */
 static void
@@ -55,7 +64,8 @@
     if (vote->avoided_until_us[i] < vote->avoided_until_us[oldest])
       oldest = i;
   vote->avoided[oldest] = vote->chosen;
-  vote->avoided_until_us[oldest] = now_us + AVOIDED_US;
+  vote->avoided_until_us[oldest]
+      = now_us + AVOIDED_US + scatter_us (now_us ^ ~vote->chosen);
 }
 
 static uint32_t
@@ -70,6 +80,14 @@
   return count > 0 ? candidates[0] : 0;
 }
 
+/* A daemon that has just been heard may give the support that was missing. */
+static void
+begin_anew (struct jl_quota_vote *vote, uint64_t now_us)
+{
+  vote->chosen_us = now_us;
+  memset (vote->avoided, 0, sizeof vote->avoided);
+}
+
 bool
 jl_quota_vote_choose (struct jl_quota_vote *vote,
                       const uint32_t *candidates,
@@ -78,20 +96,27 @@
 {
   bool silent
       = vote->unanswered_us != 0 && now_us > vote->unanswered_us + SILENT_US;
-  bool inactive = now_us > MAX (vote->chosen_us, vote->active_us) + INACTIVE_US;
+  bool inactive;
   uint32_t chosen;
 
+  if (count > vote->candidate_count)
+    begin_anew (vote, now_us);
+  vote->candidate_count = count;
+  inactive
+      = now_us > MAX (vote->chosen_us, vote->elected_us) + vote->patience_us;
   if (vote->chosen != 0 && (silent || inactive))
     avoid_chosen (vote, now_us);
-  else if (contains (candidates, count, vote->chosen) && vote->active_us != 0)
+  else if (contains (candidates, count, vote->chosen) && vote->elected_us != 0)
     return false;
   chosen = first_candidate (vote, candidates, count, now_us);
   if (chosen == vote->chosen)
     return false;
   vote->chosen = chosen;
   vote->chosen_us = now_us;
+  vote->patience_us = INACTIVE_US + scatter_us (now_us ^ chosen);
   vote->epoch = 0;
   vote->stamp_us = 0;
+  vote->elected_us = 0;
   vote->active_us = 0;
   vote->unanswered_us = 0;
   return true;
@@ -118,6 +143,7 @@
 jl_quota_vote_answered (struct jl_quota_vote *vote,
                         uint64_t epoch,
                         uint64_t stamp_us,
+                        bool elected,
                         bool active,
                         uint64_t now_us)
 {
@@ -127,6 +153,8 @@
   vote->stamp_us = stamp_us;
   vote->stamp_heard_us = now_us;
   vote->unanswered_us = 0;
+  if (elected)
+    vote->elected_us = now_us;
   if (active)
     vote->active_us = now_us;
 }
@@ -142,6 +170,7 @@
     {
       avoid_chosen (vote, now_us);
       vote->chosen = 0;
+      vote->elected_us = 0;
       vote->active_us = 0;
       vote->stamp_us = 0;
       vote->unanswered_us = 0;
--- a/source/policy/quota-vote.h
+++ b/source/policy/quota-vote.h
@@ -20,9 +20,13 @@
  * struct jl_quota_vote - the daemon that is asked for tokens
  * @chosen: key of that daemon, 0 for none
  * @chosen_us: time at which it was chosen
+ * @patience_us: time for which it is asked although it does not issue
+ * @candidate_count: number of candidates at the last choice
  * @epoch: incarnation of that daemon that has answered, 0 for none
  * @stamp_us: stamp of its last answer, on its own clock
  * @stamp_heard_us: time at which that answer came
+ * @elected_us: time of its last answer in which it had enough support, 0 for
+ *              none
  * @active_us: time of its last answer as the issuer, 0 for none
  * @asked_us: time at which it was last asked
  * @unanswered_us: time of the first request to it since its last answer, 0 if
@@ -34,9 +38,12 @@
 {
   uint32_t chosen;
   uint64_t chosen_us;
+  uint64_t patience_us;
+  unsigned candidate_count;
   uint64_t epoch;
   uint64_t stamp_us;
   uint64_t stamp_heard_us;
+  uint64_t elected_us;
   uint64_t active_us;
   uint64_t asked_us;
   uint64_t unanswered_us;
@@ -74,11 +81,13 @@
 
 /**
  * jl_quota_vote_answered - records an answer of the chosen daemon
+ * @elected: it has enough support
  * @active: it issues
  */
 void jl_quota_vote_answered (struct jl_quota_vote *vote,
                              uint64_t epoch,
                              uint64_t stamp_us,
+                             bool elected,
                              bool active,
                              uint64_t now_us);
 
--- a/source/proxy/quota-impl.h
+++ b/source/proxy/quota-impl.h
@@ -15,6 +15,17 @@
  * the time for which a token is valid. */
 #define JL_QUOTA_ASKS 128
 
+/**
+ * enum jl_quota_state - what a daemon answers of itself, as in beacon.x
+ */
+enum jl_quota_state
+{
+  JL_QUOTA_INACTIVE = 0,
+  JL_QUOTA_ISSUES = 1,
+  JL_QUOTA_RESIGNED = 2,
+  JL_QUOTA_ELECTED = 3,
+};
+
 /**
  * struct jl_quota_line - a customer at this daemon
  * @waiting: requests that wait for a token, of struct jl_call
@@ -45,6 +56,7 @@
  * @in_contact: the issuer answers
  * @lost_us: time at which it ceased to answer, or this daemon's start
  * @known_count: number of daemons of the zone that have not left
+ * @zone_heard: another daemon of the zone was heard since the start
  * @zone_count: number of zones of the site that are known
  * @updated_us: time of the last update of @issuer
  * @expired_us: time at which old state was last dropped
@@ -77,6 +89,7 @@
   bool in_contact;
   uint64_t lost_us;
   unsigned known_count;
+  bool zone_heard;
   unsigned zone_count;
   uint64_t updated_us;
   uint64_t expired_us;
--- a/source/proxy/quota-issue.c
+++ b/source/proxy/quota-issue.c
@@ -11,6 +11,10 @@
 
 /* Time between two decisions whether this daemon issues. */
 #define UPDATE_PERIOD_US (10 * JL_USEC_PER_MSEC)
+/* Time after the start in which daemons that are known from their rows only, as
+ * those of instances that were replaced long ago are, count as daemons of the
+ * zone in any case. */
+#define UNHEARD_US (10 * JL_USEC_PER_SEC)
 /* Bound of the times in an answer. */
 #define TIME_MAX_US (10 * JL_USEC_PER_SEC)
 
@@ -51,7 +55,9 @@
   return jl_quota_cap_of (context, customer);
 }
 
-/* Whether a daemon is in the local zone and has not left. */
+/* Whether a daemon is in the local zone and has not left. One that this process
+ * has never heard may have been replaced long ago, unless it hears nobody of
+ * its zone. */
 static bool
 is_known (const struct jl_quota *quota,
           const struct jl_member *member,
@@ -61,8 +67,11 @@
 
   if (strcmp (member->zone, quota->proxy->roster.local_zone) != 0)
     return false;
-  return member == quota->proxy->self || !leaves
-         || jl_member_is_alive (member, now_us);
+  if (member == quota->proxy->self)
+    return true;
+  if (member->last_beacon_us == 0)
+    return !quota->zone_heard || now_us < quota->proxy->started_us + UNHEARD_US;
+  return !leaves || jl_member_is_alive (member, now_us);
 }
 
 void
@@ -71,6 +80,15 @@
   const struct jl_proxy *proxy = quota->proxy;
   unsigned zone_count = proxy->options->zone_count;
 
+  for (guint i = 0; i < proxy->roster.members->len && !quota->zone_heard; i++)
+    {
+      const struct jl_member *member
+          = g_ptr_array_index (proxy->roster.members, i);
+
+      quota->zone_heard
+          = member != proxy->self && member->last_beacon_us != 0
+            && strcmp (member->zone, proxy->roster.local_zone) == 0;
+    }
   quota->known_count = 0;
   for (guint i = 0; i < proxy->roster.members->len; i++)
     if (is_known (quota, g_ptr_array_index (proxy->roster.members, i), now_us))
@@ -202,7 +220,11 @@
   answer->format = JL_FORMAT_QUOTA_ANSWER;
   answer->name = proxy->self->name;
   answer->sequence = ask->sequence;
-  answer->state = proxy->stopping ? 2 : issues;
+  answer->state = JL_QUOTA_INACTIVE;
+  if (proxy->stopping)
+    answer->state = JL_QUOTA_RESIGNED;
+  else if (quota->issuer.active)
+    answer->state = issues ? JL_QUOTA_ISSUES : JL_QUOTA_ELECTED;
   answer->epoch = proxy->epoch;
   answer->stamp = now_us;
   answer->grants.grants_len = 0;
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -334,16 +334,18 @@
 
   if (asked_us == 0)
     return;
-  if (answer->state == 2)
+  if (answer->state == JL_QUOTA_RESIGNED)
     jl_quota_vote_release (&quota->vote, daemon, now_us);
   else if (chosen)
     jl_quota_vote_answered (&quota->vote, answer->epoch, answer->stamp,
-                            answer->state == 1, now_us);
+                            answer->state == JL_QUOTA_ISSUES
+                                || answer->state == JL_QUOTA_ELECTED,
+                            answer->state == JL_QUOTA_ISSUES, now_us);
   note_contact (quota, now_us);
   for (unsigned i = 0; i < answer->grants.grants_len; i++)
     apply_grant (quota, &answer->grants.grants_val[i], answer->sequence,
                  asked_us, now_us);
-  if (chosen && answer->state != 1)
+  if (chosen && answer->state != JL_QUOTA_ISSUES)
     fall_back_all (quota, now_us);
 }
 
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -168,7 +168,7 @@
 };
 
 /* Answers a beacon_quota_ask. state: 0 the sender does not issue, 1 it issues, 2 it
- * has resigned for good. none_us: time for which there are no more tokens. wait_ms:
+ * has resigned for good, 3 it will issue soon. none_us: time for which there are no more tokens. wait_ms:
  * time after which a refused request finds a token. far: the demand is far below the
  * cap. level_centi: tokens left. */
 struct beacon_quota_grant
--- a/tests/proxy/parts/quota-model.c
+++ b/tests/proxy/parts/quota-model.c
@@ -28,6 +28,7 @@
   uint32_t sequence;
   uint64_t epoch;
   uint64_t stamp_us;
+  bool elected;
   bool active;
   unsigned count[MODEL_CUSTOMERS_MAX];
   unsigned waiting[MODEL_CUSTOMERS_MAX];
@@ -235,6 +236,7 @@
   if (ask->epoch == daemon->epoch)
     jl_quota_issuer_support (&daemon->issuer, key_of (ask->from), ask->stamp_us,
                              model->now_us);
+  answer.elected = daemon->issuer.active;
   answer.active
       = daemon->issuer.active && model->now_us >= daemon->issuer.since_us;
   for (unsigned i = 0; answer.active && i < model->customer_count; i++)
@@ -295,7 +297,7 @@
     return;
   if (key_of (answer->from) == daemon->vote.chosen)
     jl_quota_vote_answered (&daemon->vote, answer->epoch, answer->stamp_us,
-                            answer->active, model->now_us);
+                            answer->elected, answer->active, model->now_us);
   note_contact (model, daemon);
   for (unsigned i = 0; i < model->customer_count; i++)
     if (answer->count[i] > 0)
--- a/tests/proxy/quota-entry.c
+++ b/tests/proxy/quota-entry.c
@@ -184,3 +184,31 @@
   cr_assert_not (issues (rigs[1]));
   cr_assert (issues (rigs[0]) || issues (rigs[2]));
 }
+
+/* Rows of daemons that were replaced long ago must not keep a zone from having
+ * an issuer, and a daemon that hears nobody must not issue. */
+Test (quota_entry, daemons_that_were_never_heard_count_while_nobody_is)
+{
+  struct rig site[2];
+  struct rig *rigs[DAEMONS] = { &site[0], &site[1] };
+  static const char *const names[] = { "d1", "d2" };
+  static const char *const former[] = { "a1", "a2", "a3" };
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      quota_rig_prepare (&site[i], 186 + i, names[i], "z1");
+      rig_start (&site[i]);
+      rig_add_member (&site[i], "e1", "z2", "deep");
+      quota_rig_install (&site[i], 20);
+      for (unsigned j = 0; j < G_N_ELEMENTS (former); j++)
+        rig_add_member (&site[i], former[j], "z1", "front")->last_beacon_us = 0;
+      site[i].proxy->started_us -= 20 * JL_USEC_PER_SEC;
+    }
+  run_all (rigs, 3000);
+  cr_assert_not (site[0].proxy->quota->issuer.active);
+  cr_assert_not (site[1].proxy->quota->issuer.active);
+  for (unsigned i = 0; i < 2; i++)
+    rig_add_member (&site[i], names[1 - i], "z1", "front")->peer
+        = site[1 - i].options.advertise;
+  run_until_issuer (rigs, 0);
+}
