--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -9,6 +9,8 @@
 const BEACON_REPORTS_MAX = 64;
 const BEACON_CONTENTS_MAX = 150;
 const BEACON_DIGEST_MAX = 38;
+const BEACON_QUOTA_MAX = 40;
+const BEACON_SHARES_MAX = 60;
 
 struct beacon_fanout
 {
@@ -144,3 +146,77 @@
 {
   unsigned int services<BEACON_REPORTS_MAX>;
 };
+
+/* Asks the issuer of the zone for tokens of usage caps. epoch: incarnation of the
+ * issuer that stamp is of. stamp: of the issuer's last answer, which supports it; 0
+ * for no support. waiting: how many of count are for requests that wait. */
+struct beacon_quota_want
+{
+  unsigned int customer;
+  unsigned int count;
+  unsigned int waiting;
+};
+
+struct beacon_quota_ask
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  unsigned int sequence;
+  unsigned hyper epoch;
+  unsigned hyper stamp;
+  beacon_quota_want wants<BEACON_QUOTA_MAX>;
+};
+
+/* Answers a beacon_quota_ask. state: 0 the sender does not issue, 1 it issues, 2 it
+ * has resigned for good, 3 it will issue soon. none_us: time for which there are no more tokens. wait_ms:
+ * time after which a refused request finds a token. far: the demand is far below the
+ * cap. level_centi: tokens left. */
+struct beacon_quota_grant
+{
+  unsigned int customer;
+  unsigned int granted;
+  unsigned int none_us;
+  unsigned int wait_ms;
+  unsigned int far;
+  unsigned int level_centi;
+};
+
+struct beacon_quota_answer
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  unsigned int sequence;
+  unsigned int state;
+  unsigned hyper epoch;
+  unsigned hyper stamp;
+  beacon_quota_grant grants<BEACON_QUOTA_MAX>;
+};
+
+/* Shares of usage caps, by kind. BEACON_SHARES_LIST: the issuer tells its zone the
+ * shares that the zone has. BEACON_SHARES_NEED: the issuer asks that of another zone
+ * for units of shares and for tokens. BEACON_SHARES_LENT: the answer with tokens.
+ * BEACON_SHARES_MOVED: the row of the receiver's zone has changed. hops: 1 if passed
+ * on to the issuer of the zone. epoch, stamp: of the request, in a need and in its
+ * answer. */
+const BEACON_SHARES_LIST = 0;
+const BEACON_SHARES_NEED = 1;
+const BEACON_SHARES_LENT = 2;
+const BEACON_SHARES_MOVED = 3;
+
+struct beacon_share
+{
+  unsigned int customer;
+  unsigned int units;
+  unsigned int tokens;
+};
+
+struct beacon_shares
+{
+  unsigned int format;
+  unsigned int kind;
+  unsigned int hops;
+  string name<BEACON_TEXT_MAX>;
+  unsigned hyper epoch;
+  unsigned hyper stamp;
+  beacon_share shares<BEACON_SHARES_MAX>;
+};
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -19,6 +19,8 @@
 #define BEACON_REPORTS_MAX 64
 #define BEACON_CONTENTS_MAX 150
 #define BEACON_DIGEST_MAX 38
+#define BEACON_QUOTA_MAX 40
+#define BEACON_SHARES_MAX 60
 
 struct beacon_fanout {
 	u_int run;
@@ -151,6 +153,75 @@
 };
 typedef struct beacon_reports_extension beacon_reports_extension;
 
+struct beacon_quota_want {
+	u_int customer;
+	u_int count;
+	u_int waiting;
+};
+typedef struct beacon_quota_want beacon_quota_want;
+
+struct beacon_quota_ask {
+	u_int format;
+	char *name;
+	u_int sequence;
+	u_quad_t epoch;
+	u_quad_t stamp;
+	struct {
+		u_int wants_len;
+		beacon_quota_want *wants_val;
+	} wants;
+};
+typedef struct beacon_quota_ask beacon_quota_ask;
+
+struct beacon_quota_grant {
+	u_int customer;
+	u_int granted;
+	u_int none_us;
+	u_int wait_ms;
+	u_int far;
+	u_int level_centi;
+};
+typedef struct beacon_quota_grant beacon_quota_grant;
+
+struct beacon_quota_answer {
+	u_int format;
+	char *name;
+	u_int sequence;
+	u_int state;
+	u_quad_t epoch;
+	u_quad_t stamp;
+	struct {
+		u_int grants_len;
+		beacon_quota_grant *grants_val;
+	} grants;
+};
+typedef struct beacon_quota_answer beacon_quota_answer;
+#define BEACON_SHARES_LIST 0
+#define BEACON_SHARES_NEED 1
+#define BEACON_SHARES_LENT 2
+#define BEACON_SHARES_MOVED 3
+
+struct beacon_share {
+	u_int customer;
+	u_int units;
+	u_int tokens;
+};
+typedef struct beacon_share beacon_share;
+
+struct beacon_shares {
+	u_int format;
+	u_int kind;
+	u_int hops;
+	char *name;
+	u_quad_t epoch;
+	u_quad_t stamp;
+	struct {
+		u_int shares_len;
+		beacon_share *shares_val;
+	} shares;
+};
+typedef struct beacon_shares beacon_shares;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -167,6 +238,12 @@
 extern  bool_t xdr_beacon_report (XDR *, beacon_report*);
 extern  bool_t xdr_beacon_reports (XDR *, beacon_reports*);
 extern  bool_t xdr_beacon_reports_extension (XDR *, beacon_reports_extension*);
+extern  bool_t xdr_beacon_quota_want (XDR *, beacon_quota_want*);
+extern  bool_t xdr_beacon_quota_ask (XDR *, beacon_quota_ask*);
+extern  bool_t xdr_beacon_quota_grant (XDR *, beacon_quota_grant*);
+extern  bool_t xdr_beacon_quota_answer (XDR *, beacon_quota_answer*);
+extern  bool_t xdr_beacon_share (XDR *, beacon_share*);
+extern  bool_t xdr_beacon_shares (XDR *, beacon_shares*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
@@ -182,6 +259,12 @@
 extern bool_t xdr_beacon_report ();
 extern bool_t xdr_beacon_reports ();
 extern bool_t xdr_beacon_reports_extension ();
+extern bool_t xdr_beacon_quota_want ();
+extern bool_t xdr_beacon_quota_ask ();
+extern bool_t xdr_beacon_quota_grant ();
+extern bool_t xdr_beacon_quota_answer ();
+extern bool_t xdr_beacon_share ();
+extern bool_t xdr_beacon_shares ();
 
 #endif /* K&R C */
 
