Charge requests that ran while the issuer was held up

Change: daemons share out what the bucket held at the last answer, report what ran, and the issuer charges it.

--- a/source/policy/quota-issuer.c
+++ b/source/policy/quota-issuer.c
@@ -14,7 +14,7 @@
 #define FAR_RATIO 0.75
 /* What a daemon that loses contact may use at most, of the part of the zone's
  * bucket and of its rate that is one daemon's: see policy/quota-stock.c. */
-#define LOST_DEPTH_RATIO 0.5
+#define LOST_DEPTH_RATIO 1
 #define LOST_RATE_S (2 * 1.25 * FAR_RATIO)
 /* Parts of the depth: level below which tokens are borrowed, level up to which
  * they are, and level down to which they are lent. */
@@ -251,6 +251,22 @@
   return now_us >= account->begun_us + STEADY_US / 2;
 }
 
+void
+jl_quota_issuer_charge (struct jl_quota_issuer *issuer,
+                        uint32_t customer,
+                        const struct jl_quota_cap *cap,
+                        unsigned count,
+                        uint64_t now_us)
+{
+  struct jl_quota_account *account;
+
+  if (count == 0 || !issuer->active)
+    return;
+  account = get_account (issuer, customer, now_us);
+  jl_quota_bucket_update (&account->bucket, cap, now_us);
+  jl_quota_bucket_withhold (&account->bucket, cap, MIN (count, cap->depth));
+}
+
 unsigned
 jl_quota_issuer_shortage (struct jl_quota_issuer *issuer,
                           uint32_t customer,
--- a/source/policy/quota-issuer.h
+++ b/source/policy/quota-issuer.h
@@ -144,6 +144,16 @@
                           uint64_t now_us,
                           struct jl_quota_use *use);
 
+/**
+ * jl_quota_issuer_charge - takes tokens for requests that have run while this
+ * issuer did not answer
+ */
+void jl_quota_issuer_charge (struct jl_quota_issuer *issuer,
+                             uint32_t customer,
+                             const struct jl_quota_cap *cap,
+                             unsigned count,
+                             uint64_t now_us);
+
 /**
  * jl_quota_issuer_shortage - returns how many tokens to borrow from another
  * zone for a customer whose bucket runs empty, 0 for none
--- a/source/policy/quota-stock.c
+++ b/source/policy/quota-stock.c
@@ -22,9 +22,6 @@
 /* Time for which a daemon goes on with its own rate, and the factor. */
 #define GRACE_US (2 * JL_USEC_PER_SEC)
 #define GRACE_RATIO 1.25
-/* Part of the bucket of an issuer that ended which the zone's daemons may use,
- * as the issuer may still issue to others. */
-#define HEAD_RATIO 0.5
 /* Time for which a token of the floor may be used. */
 #define FLOOR_VALID_US (1 * JL_USEC_PER_SEC)
 
@@ -154,8 +151,14 @@
   if (!stock->far || used_lately)
     return;
   stock->head_us = now_us;
-  stock->head += MIN (1.0, HEAD_RATIO * stock->level
-                               / MAX (1u, fallback->zone_daemons));
+  /* The daemons of the zone share what the issuer can not issue now. */
+  stock->head += stock->level / MAX (1u, fallback->zone_daemons);
+}
+
+void
+jl_quota_stock_charged (struct jl_quota_stock *stock)
+{
+  stock->head_us = 0;
 }
 
 bool
--- a/source/policy/quota-stock.h
+++ b/source/policy/quota-stock.h
@@ -111,6 +111,13 @@
 unsigned jl_quota_stock_wants (const struct jl_quota_stock *stock,
                                uint64_t now_us);
 
+/**
+ * jl_quota_stock_charged - notes that the issuer has charged the requests that
+ * have run while it did not answer, so that its bucket may be used again when
+ * it does not
+ */
+void jl_quota_stock_charged (struct jl_quota_stock *stock);
+
 /**
  * jl_quota_stock_fall_back - decides on a request while no issuer is reachable
  * @draw: random number, uniform from 0 to 1
--- a/source/policy/quota-vote.c
+++ b/source/policy/quota-vote.c
@@ -8,8 +8,10 @@
 
 #include <string.h>
 
-/* Time without an answer after which another daemon is asked. */
-#define SILENT_US (500 * JL_USEC_PER_MSEC)
+/* Time without an answer after which another daemon is asked. The support for
+ * the silent one lasts longer, so an earlier choice would gain nothing, and
+ * would replace an issuer that was only held up. */
+#define SILENT_US (1000 * JL_USEC_PER_MSEC)
 /* Minimum time after which another daemon is asked if the chosen one does not
  * issue; up to as much again is added at random, since daemons that change
  * their choices at the same times may never agree. It is longer than the
--- a/source/proxy/quota-ask.c
+++ b/source/proxy/quota-ask.c
@@ -39,6 +39,19 @@
                     on_ask_timer, quota);
 }
 
+/* Returns the requests to charge. A new issuer has begun with an empty bucket,
+ * and what is older than a window does not count any more. */
+static unsigned
+debt_of (struct jl_quota *quota, struct jl_quota_line *line, uint64_t now_us)
+{
+  uint64_t window_us = quota->proxy->options->cap.window_us;
+
+  if (line->debt_epoch != quota->vote.epoch
+      || now_us > line->debt_us + window_us)
+    line->debt = 0;
+  return line->debt;
+}
+
 /* Counts the requests that wait and that no request for tokens covers, which
  * the next one does, and the tokens to prefetch. */
 static struct beacon_quota_want
@@ -55,6 +68,7 @@
     want.waiting++;
   }
   want.count = want.waiting;
+  want.debt = debt_of (quota, line, now_us);
   if (now_us >= line->prefetch_us + PREFETCH_RETRY_US)
     {
       unsigned wants = jl_quota_stock_wants (&line->stock, now_us);
@@ -83,7 +97,7 @@
     cds_list_del (&line->pending);
     line->is_pending = false;
     want = want_of (quota, line, now_us);
-    if (want.count == 0)
+    if (want.count == 0 && want.debt == 0)
       continue;
     quota->asked += want.count;
     ask->wants.wants_val[ask->wants.wants_len++] = want;
--- a/source/proxy/quota-impl.h
+++ b/source/proxy/quota-impl.h
@@ -31,6 +31,9 @@
  * @waiting: requests that wait for a token, of struct jl_call
  * @pending: in the list of customers that the next datagram asks for
  * @is_pending: it is in that list
+ * @debt: requests that have run without a token since the issuer's last answer
+ * @debt_us: time of the last of them
+ * @debt_epoch: incarnation of the issuer that they are charged to
  * @prefetch_us: time of the last request for a prefetch that is unanswered, 0
  *               for none
  */
@@ -40,6 +43,9 @@
   struct cds_list_head waiting;
   struct cds_list_head pending;
   bool is_pending;
+  unsigned debt;
+  uint64_t debt_us;
+  uint64_t debt_epoch;
   uint64_t prefetch_us;
 };
 
--- a/source/proxy/quota-issue.c
+++ b/source/proxy/quota-issue.c
@@ -189,9 +189,13 @@
             uint64_t now_us)
 {
   struct jl_quota_cap cap = cap_of (quota, want->customer);
-  struct jl_quota_grant grant = jl_quota_issuer_grant (
-      &quota->issuer, want->customer, &cap, want->count,
-      MIN (want->waiting, want->count), now_us);
+  struct jl_quota_grant grant;
+
+  jl_quota_issuer_charge (&quota->issuer, want->customer, &cap, want->debt,
+                          now_us);
+  grant = jl_quota_issuer_grant (&quota->issuer, want->customer, &cap,
+                                 want->count, MIN (want->waiting, want->count),
+                                 now_us);
 
   to->customer = want->customer;
   to->granted
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -128,6 +128,11 @@
   if (allows_without_issuer (quota, line, call, now_us))
     {
       quota->fallback++;
+      if (line->debt_epoch != quota->vote.epoch)
+        line->debt = 0;
+      line->debt++;
+      line->debt_us = now_us;
+      line->debt_epoch = quota->vote.epoch;
       return true;
     }
   refuse (quota, call,
@@ -275,6 +280,9 @@
   struct jl_call *call;
 
   line->prefetch_us = 0;
+  if (line->debt > 0)
+    jl_quota_stock_charged (stock);
+  line->debt = 0;
   stock->far = grant->far != 0;
   stock->level = grant->level_centi / 100.0;
   stock->none_until_us = now_us + MIN (grant->none_us, NONE_MAX_US);
@@ -323,6 +331,18 @@
   return quota->asked_us[sequence % JL_QUOTA_ASKS];
 }
 
+/* Asks for the customers whose requests have run without a token. */
+static void
+report_debts (struct jl_quota *quota)
+{
+  GList *lines = g_hash_table_get_values (quota->lines);
+
+  for (GList *link = lines; link != NULL; link = link->next)
+    if (((struct jl_quota_line *)link->data)->debt > 0)
+      jl_quota_ask_soon (quota, link->data);
+  g_list_free (lines);
+}
+
 void
 jl_quota_answered (struct jl_quota *quota,
                    uint32_t daemon,
@@ -331,6 +351,7 @@
 {
   uint64_t asked_us = asked_at (quota, answer->sequence);
   bool chosen = daemon == quota->vote.chosen;
+  bool was_in_contact = quota->in_contact;
 
   if (asked_us == 0)
     return;
@@ -347,6 +368,8 @@
                  asked_us, now_us);
   if (chosen && answer->state != JL_QUOTA_ISSUES)
     fall_back_all (quota, now_us);
+  else if (quota->in_contact && !was_in_contact)
+    report_debts (quota);
 }
 
 /* Notes whether the configuration in force has customers. */
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -149,12 +149,14 @@
 
 /* Asks the issuer of the zone for tokens of usage caps. epoch: incarnation of the
  * issuer that stamp is of. stamp: of the issuer's last answer, which supports it; 0
- * for no support. waiting: how many of count are for requests that wait. */
+ * for no support. waiting: how many of count are for requests that wait. debt: requests that ran
+ * without a token since the issuer's last answer. */
 struct beacon_quota_want
 {
   unsigned int customer;
   unsigned int count;
   unsigned int waiting;
+  unsigned int debt;
 };
 
 struct beacon_quota_ask
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -157,6 +157,7 @@
 	u_int customer;
 	u_int count;
 	u_int waiting;
+	u_int debt;
 };
 typedef struct beacon_quota_want beacon_quota_want;
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -455,12 +455,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->customer))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->count))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->debt))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->customer);
+			IXDR_PUT_U_LONG(buf, objp->count);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->debt);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->customer))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->count))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->debt))
+				 return FALSE;
+		} else {
+			objp->customer = IXDR_GET_U_LONG(buf);
+			objp->count = IXDR_GET_U_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->debt = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->customer))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->count))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->debt))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/proxy/parts/quota-model.c
+++ b/tests/proxy/parts/quota-model.c
@@ -32,6 +32,7 @@
   bool active;
   unsigned count[MODEL_CUSTOMERS_MAX];
   unsigned waiting[MODEL_CUSTOMERS_MAX];
+  unsigned debt[MODEL_CUSTOMERS_MAX];
   struct jl_quota_grant grants[MODEL_CUSTOMERS_MAX];
 };
 
@@ -113,6 +114,7 @@
       daemon->lines[i].waiting
           = g_array_new (FALSE, FALSE, sizeof (struct waiter));
       daemon->lines[i].pending = false;
+      daemon->lines[i].debt = 0;
     }
   g_queue_init (&daemon->inbox);
 }
@@ -217,7 +219,13 @@
 
   if (jl_quota_stock_fall_back (&daemon->lines[customer].stock, &fallback,
                                 g_rand_double (model->random), model->now_us))
-    run_request (model, customer);
+    {
+      struct model_line *line = &daemon->lines[customer];
+
+      run_request (model, customer);
+      line->debt = line->debt_epoch == daemon->vote.epoch ? line->debt + 1 : 1;
+      line->debt_epoch = daemon->vote.epoch;
+    }
   else
     model->customers[customer].refused++;
 }
@@ -243,11 +251,14 @@
     {
       struct jl_quota_cap cap = zone_cap (model, i, daemon->zone);
 
+      jl_quota_issuer_charge (&daemon->issuer, i + 1, &cap, ask->debt[i],
+                              model->now_us);
       if (ask->count[i] > 0)
         answer.grants[i] = jl_quota_issuer_grant (
             &daemon->issuer, i + 1, &cap, ask->count[i], ask->waiting[i],
             model->now_us);
       answer.count[i] = ask->count[i];
+      answer.debt[i] = ask->debt[i];
     }
   send_message (model, ask->from, &answer);
 }
@@ -299,6 +310,12 @@
     jl_quota_vote_answered (&daemon->vote, answer->epoch, answer->stamp_us,
                             answer->elected, answer->active, model->now_us);
   note_contact (model, daemon);
+  for (unsigned i = 0; i < model->customer_count; i++)
+    if (answer->debt[i] > 0)
+      {
+        daemon->lines[i].debt = 0;
+        jl_quota_stock_charged (&daemon->lines[i].stock);
+      }
   for (unsigned i = 0; i < model->customer_count; i++)
     if (answer->count[i] > 0)
       apply_grant (model, daemon, i, answer, asked_us);
@@ -333,6 +350,8 @@
         }
       message.count[i] = message.waiting[i]
                          + jl_quota_stock_wants (&line->stock, model->now_us);
+      if (line->debt_epoch == daemon->vote.epoch)
+        message.debt[i] = line->debt;
       line->pending = false;
     }
   send_message (model, daemon->vote.chosen - 1, &message);
--- a/tests/proxy/parts/quota-model.h
+++ b/tests/proxy/parts/quota-model.h
@@ -42,11 +42,15 @@
  * struct model_line - a customer at a daemon
  * @waiting: times at which requests began to wait, and the requests for tokens
  *           that cover them
+ * @debt: requests that have run without a token, to be charged to the issuer
+ *        with @debt_epoch
  */
 struct model_line
 {
   struct jl_quota_stock stock;
   GArray *waiting;
+  unsigned debt;
+  uint64_t debt_epoch;
   bool pending;
 };
 
--- a/tests/proxy/quota.c
+++ b/tests/proxy/quota.c
@@ -200,6 +200,67 @@
     }
 }
 
+/* Holds up the issuers of all zones. */
+static void
+freeze_issuers (struct quota_model *model, unsigned ms)
+{
+  for (unsigned zone = 0; zone < model->zone_count; zone++)
+    {
+      unsigned issuer = quota_model_issuer (model, zone);
+
+      if (issuer != G_MAXUINT)
+        model->daemons[issuer].frozen_until_us
+            = model->now_us + ms * JL_USEC_PER_MSEC;
+    }
+}
+
+/* Requests run without tokens then, and the buckets are full afterwards. */
+Test (quota, a_surge_while_all_issuers_are_held_up_breaks_no_rule)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      struct quota_model *model = make_model (rates[i], 100, i);
+
+      for (unsigned ms = 100; ms <= 900; ms += 400)
+        {
+          load = 0.4;
+          quota_model_run (model, 15 * S);
+          freeze_issuers (model, ms);
+          load = 5;
+          quota_model_run (model, 6 * S);
+        }
+      check_rule (model, "held up", rates[i]);
+      quota_model_free (model);
+    }
+}
+
+/* All issuers pause for 60 ms of each second. The daemons share out what the
+ * buckets hold. For small caps that is less than a request for each, so most of
+ * what comes during a pause is refused. */
+Test (quota, short_pauses_of_issuers_refuse_few_requests)
+{
+  load = 1 / 1.6;
+  for (unsigned i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      struct quota_model *model = make_model (rates[i], 100, i);
+      double ratio;
+
+      model->customers[1].demand = no_demand;
+      quota_model_run (model, 15 * S);
+      quota_model_refused_ratio (model, 0);
+      for (unsigned j = 0; j < 60; j++)
+        {
+          freeze_issuers (model, 60);
+          quota_model_run (model, 1 * S);
+        }
+      ratio = quota_model_refused_ratio (model, 0);
+      fprintf (stderr, "pauses rate=%g refused=%.5f\n", rates[i], ratio);
+      cr_expect_lt (ratio, rates[i] < 100 ? 0.1 : 0.01, "rate %g: %.5f",
+                    rates[i], ratio);
+      quota_model_free (model);
+    }
+}
+
 Test (quota, a_restart_of_all_daemons_breaks_no_rule)
 {
   for (unsigned i = 0; i < G_N_ELEMENTS (rates); i++)
