Check API keys again before each attempt; strict_revoke; fewer copies of keys

Cause: a request that waited at the entry, or was placed again, was sent on with a key that a newer configuration had revoked. strict_revoke had no effect. The text of the configuration that daemons pass on to each other held all API keys, and freed or reused buffers kept those of requests.

Change: the entry identifies a request again by the newest configuration before each attempt: 401, or 502 if it may have run. With strict_revoke, requests that need a key get 503 once the configuration is older than revoke_s or of unknown age. The age then counts from the last turn of the event loop before a datagram was read, as datagrams wait in a stopped process; the store is polled often enough for revoke_s, and the first follower of each zone tells the other zones too. Heads, input, parsed documents and stored rows are overwritten before their memory is freed or reused. The guard removes Authorization as well, for entries without the newest configuration. E707 tells a malformed field from a missing one, and names the customer that the previous configuration knew for the key.

--- a/include/jackdawladder/base.h
+++ b/include/jackdawladder/base.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -244,4 +245,15 @@
  */
 uint64_t jl_now (void);
 
+/**
+ * jl_wipe - overwrites memory that has held secrets, before it is freed
+ * @data: may be NULL if @size is 0
+ */
+static inline void
+jl_wipe (void *data, size_t size)
+{
+  if (size > 0)
+    explicit_bzero (data, size);
+}
+
 #endif
--- a/include/jackdawladder/customers.h
+++ b/include/jackdawladder/customers.h
@@ -13,6 +13,19 @@
 /* Size of a customer's name in bytes, including the final NUL. */
 #define JL_CUSTOMER_NAME_SIZE 208
 
+/* Size of the digest of an API key in bytes (SHA-256). */
+#define JL_API_KEY_DIGEST_BYTES 32
+/* Size of the hexadecimal text of a digest, including the final NUL. */
+#define JL_API_KEY_DIGEST_TEXT_SIZE (2 * JL_API_KEY_DIGEST_BYTES + 1)
+
+/**
+ * struct jl_api_key_digest - digest of an API key
+ */
+struct jl_api_key_digest
+{
+  uint8_t bytes[JL_API_KEY_DIGEST_BYTES];
+};
+
 /**
  * struct jl_customer - one customer
  * @key: digest of the name, equal in all versions of the configuration
@@ -33,13 +46,16 @@
  * struct jl_customers - all customers of one version of the configuration
  * @list: array of struct jl_customer, owned
  * @by_key: the customers by the key of their name
- * @by_api_key: the customers by the digest of each API key
+ * @by_api_key: the customers by the digest of each API key; NULL for a key that
+ *              several customers claim
+ * @api_key_count: number of API keys that identify a customer
  */
 struct jl_customers
 {
   GPtrArray *list;
   GHashTable *by_key;
   GHashTable *by_api_key;
+  unsigned api_key_count;
 };
 
 struct jl_customers *jl_customers_new (void);
@@ -68,6 +84,28 @@
                                const char *api_key,
                                size_t length);
 
+/**
+ * jl_customers_add_digest - adds an API key of a customer by its digest, like
+ * jl_customers_add_api_key()
+ */
+void jl_customers_add_digest (struct jl_customers *customers,
+                              struct jl_customer *customer,
+                              const struct jl_api_key_digest *digest);
+
+/**
+ * jl_api_key_digest_format - writes a digest as hexadecimal text
+ */
+void jl_api_key_digest_format (const struct jl_api_key_digest *digest,
+                               char text[JL_API_KEY_DIGEST_TEXT_SIZE]);
+
+/**
+ * jl_api_key_digest_parse - reads the text of a digest
+ *
+ * Return: false if @text is not a digest.
+ */
+bool jl_api_key_digest_parse (const char *text,
+                              struct jl_api_key_digest *digest);
+
 /**
  * jl_customers_find_api_key - returns the customer that holds an API key
  *
--- a/include/jackdawladder/head.h
+++ b/include/jackdawladder/head.h
@@ -63,6 +63,14 @@
  */
 void jl_head_reset (struct jl_head *head);
 
+/**
+ * jl_head_append_text - appends to the text of a head
+ *
+ * Heads hold API keys. Their memory is overwritten before it is freed or
+ * reused, as it may be in a core file.
+ */
+void jl_head_append_text (struct jl_head *head, const char *data, size_t size);
+
 /**
  * jl_head_copy - copies the contents of @from to @to, which must be initialized
  */
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -42,6 +42,7 @@
   jl_head_clear (&conn->head);
   g_byte_array_free (conn->output, TRUE);
   g_byte_array_free (conn->uv_output, TRUE);
+  jl_wipe (conn->pending_input->data, conn->pending_input->len);
   g_byte_array_free (conn->pending_input, TRUE);
   g_free (conn);
 }
@@ -390,6 +391,8 @@
   conn->last_read_us = conn->net->loop->now_us;
   if (!conn->closing_after_flush)
     jl_conn_parse (conn, buffer->base, (size_t)size);
+  /* Input may hold API keys, and the buffer lasts. */
+  jl_wipe (buffer->base, (size_t)size);
 }
 
 /* Starts or stops reading from the socket, as the connection's state requires.
@@ -713,6 +716,7 @@
   input = conn->pending_input;
   conn->pending_input = g_byte_array_new ();
   jl_conn_parse (conn, (const char *)input->data, input->len);
+  jl_wipe (input->data, input->len);
   g_byte_array_free (input, TRUE);
 }
 
--- a/source/net/head.c
+++ b/source/net/head.c
@@ -27,6 +27,7 @@
 void
 jl_head_clear (struct jl_head *head)
 {
+  jl_wipe (head->text->str, head->text->len);
   g_string_free (head->text, TRUE);
   g_array_free (head->fields, TRUE);
 }
@@ -38,10 +39,26 @@
   GArray *fields = head->fields;
 
   memset (head, 0, sizeof *head);
+  jl_wipe (text->str, text->len);
   head->text = g_string_truncate (text, 0);
   head->fields = g_array_set_size (fields, 0);
 }
 
+void
+jl_head_append_text (struct jl_head *head, const char *data, size_t size)
+{
+  GString *text = head->text;
+
+  if (text->len + size >= text->allocated_len)
+    {
+      head->text = g_string_sized_new (2 * (text->len + size));
+      g_string_append_len (head->text, text->str, (gssize)text->len);
+      jl_wipe (text->str, text->len);
+      g_string_free (text, TRUE);
+    }
+  g_string_append_len (head->text, data, (gssize)size);
+}
+
 void
 jl_head_copy (struct jl_head *to, const struct jl_head *from)
 {
--- a/source/net/parse.c
+++ b/source/net/parse.c
@@ -36,7 +36,7 @@
 static int
 append_text (struct jl_conn *conn, const char *data, size_t size)
 {
-  g_string_append_len (conn->head.text, data, (gssize)size);
+  jl_head_append_text (&conn->head, data, size);
   return conn->head.text->len > conn->net->head_bytes_max;
 }
 
@@ -55,7 +55,7 @@
   while (text->len > 0 && strchr (" \t", text->str[text->len - 1]) != NULL
          && text->str[text->len - 1] != '\0')
     g_string_truncate (text, text->len - 1);
-  g_string_append_c (text, '\0');
+  jl_head_append_text (&conn->head, "", 1);
 }
 
 static void
--- a/source/net/request.c
+++ b/source/net/request.c
@@ -63,6 +63,7 @@
   request->complete = false;
   request->responded = false;
   request->response_began = false;
+  jl_head_reset (jl_conn_head (conn));
   jl_conn_read_next (conn);
 }
 
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -632,6 +632,8 @@
     }
   else if (upstream->conn != NULL)
     jl_conn_abort (upstream->conn);
+  /* A configuration holds API keys. */
+  jl_wipe (upstream->body->data, upstream->body->len);
   g_byte_array_free (upstream->body, TRUE);
   g_free (upstream);
 }
--- a/source/policy/customers.c
+++ b/source/policy/customers.c
@@ -8,28 +8,53 @@
 
 #include <string.h>
 
-/* Size of a SHA-256 digest in bytes. */
-#define DIGEST_BYTES 32
-
-/**
- * struct digest - SHA-256 digest of an API key
- */
-struct digest
-{
-  guint8 bytes[DIGEST_BYTES];
-};
+/* Size of the blocks that SHA-256 works on, in bytes. */
+#define DIGEST_BLOCK_BYTES 64
 
+/* The block that the checksum holds is overwritten, since freed memory may be
+ * in a core file. A checksum copies only incomplete blocks. */
 static void
-compute_digest (struct digest *digest, const char *api_key, size_t length)
+compute_digest (struct jl_api_key_digest *digest,
+                const char *api_key,
+                size_t length)
 {
+  static const guchar zeros[DIGEST_BLOCK_BYTES];
   GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
   gsize size = sizeof digest->bytes;
 
   g_checksum_update (checksum, (const guchar *)api_key, (gssize)length);
   g_checksum_get_digest (checksum, digest->bytes, &size);
+  g_checksum_reset (checksum);
+  g_checksum_update (checksum, zeros, sizeof zeros - 1);
+  g_checksum_update (checksum, zeros, 1);
   g_checksum_free (checksum);
 }
 
+void
+jl_api_key_digest_format (const struct jl_api_key_digest *digest,
+                          char text[JL_API_KEY_DIGEST_TEXT_SIZE])
+{
+  for (size_t i = 0; i < sizeof digest->bytes; i++)
+    g_snprintf (text + 2 * i, 3, "%02x", digest->bytes[i]);
+}
+
+bool
+jl_api_key_digest_parse (const char *text, struct jl_api_key_digest *digest)
+{
+  if (strlen (text) != JL_API_KEY_DIGEST_TEXT_SIZE - 1)
+    return false;
+  for (size_t i = 0; i < sizeof digest->bytes; i++)
+    {
+      int high = g_ascii_xdigit_value (text[2 * i]);
+      int low = g_ascii_xdigit_value (text[2 * i + 1]);
+
+      if (high < 0 || low < 0)
+        return false;
+      digest->bytes[i] = (uint8_t)(high << 4 | low);
+    }
+  return true;
+}
+
 /* The digest is uniform, so its first bytes are a hash. */
 static guint
 hash_digest (gconstpointer key)
@@ -43,7 +68,7 @@
 static gboolean
 equal_digests (gconstpointer a, gconstpointer b)
 {
-  return memcmp (a, b, sizeof (struct digest)) == 0;
+  return memcmp (a, b, sizeof (struct jl_api_key_digest)) == 0;
 }
 
 struct jl_customers *
@@ -85,23 +110,36 @@
   return copy;
 }
 
+void
+jl_customers_add_digest (struct jl_customers *customers,
+                         struct jl_customer *customer,
+                         const struct jl_api_key_digest *digest)
+{
+  gpointer holder = NULL;
+  bool known = g_hash_table_lookup_extended (customers->by_api_key, digest,
+                                             NULL, &holder);
+
+  if (known && (holder == NULL || holder == customer))
+    return;
+  if (known)
+    customers->api_key_count--;
+  else
+    customers->api_key_count++;
+  g_hash_table_insert (customers->by_api_key,
+                       g_memdup2 (digest, sizeof *digest),
+                       known ? NULL : customer);
+}
+
 void
 jl_customers_add_api_key (struct jl_customers *customers,
                           struct jl_customer *customer,
                           const char *api_key,
                           size_t length)
 {
-  struct digest digest;
-  gpointer holder;
+  struct jl_api_key_digest digest;
 
   compute_digest (&digest, api_key, length);
-  /* The value NULL marks a key that several customers claim. */
-  if (g_hash_table_lookup_extended (customers->by_api_key, &digest, NULL,
-                                    &holder)
-      && holder != customer)
-    customer = NULL;
-  g_hash_table_insert (customers->by_api_key,
-                       g_memdup2 (&digest, sizeof digest), customer);
+  jl_customers_add_digest (customers, customer, &digest);
 }
 
 const struct jl_customer *
@@ -109,7 +147,7 @@
                            const char *api_key,
                            size_t length)
 {
-  struct digest digest;
+  struct jl_api_key_digest digest;
 
   compute_digest (&digest, api_key, length);
   return g_hash_table_lookup (customers->by_api_key, &digest);
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -47,6 +47,7 @@
   jl_trial_end_call (call);
   jl_call_cancel_upstream (call);
   cds_list_del (&call->link);
+  jl_site_drop (call->identity_site);
   jl_site_drop (call->site);
   jl_relay_clear (&call->relay);
   g_free (call);
@@ -192,3 +193,25 @@
                                  call->zone, call->tried, call->tried_count,
                                  now_us);
 }
+
+const char *
+jl_call_choose_service (const struct jl_route *route)
+{
+  uint64_t total = 0;
+  uint64_t draw;
+
+  if (route->split_count == 1)
+    return route->split[0].service;
+  for (unsigned i = 0; i < route->split_count; i++)
+    total += route->split[i].weight;
+  if (total == 0)
+    return route->split[0].service;
+  draw = (uint64_t)(g_random_double () * (double)total);
+  for (unsigned i = 0; i < route->split_count; i++)
+    {
+      if (draw < route->split[i].weight)
+        return route->split[i].service;
+      draw -= route->split[i].weight;
+    }
+  return route->split[0].service;
+}
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -19,7 +19,11 @@
  * @site: configuration in force when the request arrived; holds a reference
  * @route: route of @site
  * @content: digest of the request's content
- * @customer: customer of @site whose API key the request carries, NULL for none
+ * @customer: customer of @identity_site whose API key the request carries, NULL
+ *            for none
+ * @identity_site: configuration by which the request was last identified, NULL
+ *                 if none had customers
+ * @identity: result of that identification
  * @service: service that the request is sent to
  * @caller_service: service of this instance when the request arrived
  * @zone: preferred zone
@@ -54,6 +58,8 @@
   struct jl_site *site;
   const struct jl_route *route;
   const struct jl_customer *customer;
+  struct jl_site *identity_site;
+  enum jl_identification identity;
   struct jl_content content;
   const char *service;
   const char *caller_service;
@@ -144,6 +150,12 @@
  */
 void jl_call_give_up (struct jl_call *call, const char *reason);
 
+/**
+ * jl_call_choose_service - chooses a service at random, by the weights of the
+ * route's split
+ */
+const char *jl_call_choose_service (const struct jl_route *route);
+
 /* entry.c */
 
 /**
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -318,22 +318,13 @@
   handle_not_delivered (call, "connect-timeout");
 }
 
-/* A customer's rank goes before the rank of the route. */
-static unsigned
-rank_of (const struct jl_call *call)
-{
-  unsigned customer_rank = call->customer != NULL ? call->customer->rank : 0;
-
-  return customer_rank * JL_RANK_COUNT + call->route->rank;
-}
-
 static bool
 open_upstream (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   const struct jl_head *head = jl_request_head (call->relay.request);
   struct jl_work_header work = {
-    .rank = rank_of (call),
+    .rank = call->route->rank,
     .remaining_ms
     = (unsigned)((call->expires_us - jl_now ()) / JL_USEC_PER_MSEC),
     .latency_goal_ms
@@ -343,12 +334,11 @@
     .trial = call->on_trial,
     .limited_key = call->member->limited_key,
     .limit = call->member->stated_limit,
-    .has_customers = call->site->customers != NULL,
-    .customer = call->customer != NULL ? call->customer->name : NULL,
   };
   GString *text;
 
   g_strlcpy (work.service, call->service, sizeof work.service);
+  jl_identify_fill_work (call, &work);
   text = jl_headers_to_guard (head, &work, call->caller_service);
   call->relay.upstream = jl_upstream_open (
       proxy->peer_pool, call->member->peer, false, 0, text,
@@ -362,8 +352,11 @@
 {
   struct jl_proxy *proxy = call->proxy;
   uint64_t now_us = jl_now ();
-  struct jl_member *member = jl_call_choose_daemon (call, now_us);
+  struct jl_member *member;
 
+  if (!jl_identify_call (call))
+    return;
+  member = jl_call_choose_daemon (call, now_us);
   if (member == NULL || now_us >= call->expires_us)
     {
       jl_call_give_up (call,
@@ -392,29 +385,6 @@
   jl_relay_send_buffered_body (&call->relay);
 }
 
-/* Chooses a service at random, by the weights of the route's split. */
-static const char *
-choose_service (const struct jl_route *route)
-{
-  uint64_t total = 0;
-  uint64_t draw;
-
-  if (route->split_count == 1)
-    return route->split[0].service;
-  for (unsigned i = 0; i < route->split_count; i++)
-    total += route->split[i].weight;
-  if (total == 0)
-    return route->split[0].service;
-  draw = (uint64_t)(g_random_double () * (double)total);
-  for (unsigned i = 0; i < route->split_count; i++)
-    {
-      if (draw < route->split[i].weight)
-        return route->split[i].service;
-      draw -= route->split[i].weight;
-    }
-  return route->split[0].service;
-}
-
 static void
 set_deadline (struct jl_call *call)
 {
@@ -537,7 +507,7 @@
       jl_call_respond (call, 413, "", "too-large");
       return;
     }
-  call->service = choose_service (call->route);
+  call->service = jl_call_choose_service (call->route);
   set_deadline (call);
   jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
   call->from_target = jl_demand_is_call_route (proxy, call->route->key);
--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -31,6 +31,9 @@
  * and time for which it does so: what it brings is old when it comes. */
 #define SLOW_READ_FACTOR 1.5
 #define SLOW_KEPT_US (5 * JL_USEC_PER_SEC)
+/* Messages to other zones within the time in which a configuration must be in
+ * force. */
+#define TELL_ZONES_DIVISOR 4
 
 /**
  * struct jl_freshness - the age
@@ -46,6 +49,9 @@
  * @tried_us: start of its last such read, also of one that failed
  * @read_us: duration of its last such read that brought an answer, 0 for none
  * @read_ended_us: time at which that read ended
+ * @told_zones_us: time at which this daemon last told all other zones
+ * @turn_us: times of the last two calls of jl_freshness_note_turn(), the latest
+ *           first
  * @timer: ends when the next such read is due
  */
 struct jl_freshness
@@ -60,13 +66,29 @@
   uint64_t tried_us;
   uint64_t read_us;
   uint64_t read_ended_us;
+  uint64_t told_zones_us;
+  uint64_t turn_us[2];
   struct jl_timer timer;
 };
 
+/* Whether requests are refused once the configuration is too old. */
+static bool
+is_strict (const struct jl_proxy *proxy)
+{
+  return proxy->options->strict_revoke && proxy->site != NULL
+         && proxy->site->customers != NULL;
+}
+
+/* With strict_revoke, the age stays below revoke_s at daemons in contact. */
 static uint64_t
 ratio_us (const struct jl_freshness *freshness, double ratio)
 {
-  return (uint64_t)(ratio * (double)freshness->proxy->options->config_apply_us);
+  const struct jl_proxy *proxy = freshness->proxy;
+  uint64_t apply_us = proxy->options->config_apply_us;
+
+  if (is_strict (proxy))
+    apply_us = MIN (apply_us, proxy->options->revoke_us);
+  return (uint64_t)(ratio * (double)apply_us);
 }
 
 static uint64_t
@@ -91,6 +113,20 @@
   return (jl_now () - freshness->confirmed_us) / JL_USEC_PER_MSEC;
 }
 
+bool
+jl_freshness_is_older (const struct jl_freshness *freshness, uint64_t limit_us)
+{
+  return freshness->confirmed_us == 0
+         || jl_now () - freshness->confirmed_us > limit_us;
+}
+
+void
+jl_freshness_note_turn (struct jl_freshness *freshness)
+{
+  freshness->turn_us[1] = freshness->turn_us[0];
+  freshness->turn_us[0] = jl_now ();
+}
+
 static void
 log_unheard (const struct jl_freshness *freshness, bool reads)
 {
@@ -236,8 +272,22 @@
   freshness->heard_version = 0;
 }
 
+/* Whether other zones are told as well: with strict_revoke, a zone that does
+ * not reach the store depends on them. */
+static bool
+may_tell_zones (struct jl_freshness *freshness)
+{
+  uint64_t period_us = ratio_us (freshness, 1) / TELL_ZONES_DIVISOR;
+
+  if (!is_strict (freshness->proxy)
+      || jl_now () < freshness->told_zones_us + period_us)
+    return false;
+  freshness->told_zones_us = jl_now ();
+  return true;
+}
+
 static void
-tell_zone (const struct jl_freshness *freshness)
+tell (struct jl_freshness *freshness)
 {
   const struct jl_proxy *proxy = freshness->proxy;
   struct beacon_freshness message = {
@@ -251,8 +301,11 @@
   XDR xdr;
 
   xdrmem_create (&xdr, datagram, sizeof datagram, XDR_ENCODE);
-  if (xdr_beacon_freshness (&xdr, &message))
-    jl_beacon_send_to_zone (proxy->beacon, true, datagram, xdr_getpos (&xdr));
+  if (!xdr_beacon_freshness (&xdr, &message))
+    return;
+  jl_beacon_send_to_zone (proxy->beacon, true, datagram, xdr_getpos (&xdr));
+  if (may_tell_zones (freshness))
+    jl_beacon_send_to_zone (proxy->beacon, false, datagram, xdr_getpos (&xdr));
 }
 
 void
@@ -268,7 +321,7 @@
       tells |= slowness_us (freshness) == 0;
     }
   if (confirm (freshness, as_of_us, "store") && tells)
-    tell_zone (freshness);
+    tell (freshness);
 }
 
 /* What another daemon knows holds here once both have the same configuration.
@@ -280,12 +333,14 @@
   struct jl_member *sender
       = jl_roster_find_key (&proxy->roster, jl_name_key (message->name));
   uint64_t age_us = message->age_ms * JL_USEC_PER_MSEC;
-  uint64_t now_us = jl_now ();
+  /* The datagram came after the loop had last looked for one. The last turn may
+   * be that in which a stopped process went on. */
+  uint64_t sent_us = freshness->turn_us[1];
 
-  if (sender == NULL || sender == proxy->self || age_us >= now_us)
+  if (sender == NULL || sender == proxy->self || age_us >= sent_us)
     return;
   freshness->heard_version = message->site_version;
-  freshness->heard_as_of_us = now_us - age_us;
+  freshness->heard_as_of_us = sent_us - age_us;
   freshness->heard_from = sender;
   jl_freshness_installed (freshness);
   jl_beacon_heard (proxy, sender, message->site_version, message->store_era);
--- a/source/proxy/freshness.h
+++ b/source/proxy/freshness.h
@@ -52,4 +52,19 @@
  */
 uint64_t jl_freshness_age_ms (const struct jl_freshness *freshness);
 
+/**
+ * jl_freshness_is_older - whether the configuration in force may have been
+ * replaced for longer than @limit_us; also as long as its age is not known
+ */
+bool jl_freshness_is_older (const struct jl_freshness *freshness,
+                            uint64_t limit_us);
+
+/**
+ * jl_freshness_note_turn - records that the event loop runs; called by a short
+ * periodic timer
+ *
+ * A datagram may have waited for as long as the process was stopped.
+ */
+void jl_freshness_note_turn (struct jl_freshness *freshness);
+
 #endif
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -399,7 +399,7 @@
   uint64_t remaining_us
       = work->item.expires_us > now_us ? work->item.expires_us - now_us : 0;
   GString *text = jl_headers_to_target (
-      head, (unsigned)(remaining_us / JL_USEC_PER_MSEC), proxy->target.last.id);
+      proxy, head, (unsigned)(remaining_us / JL_USEC_PER_MSEC));
 
   /* Without an identifier, an earlier response on the connection could not be
    * told from that of the request. */
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -143,18 +143,22 @@
 }
 
 GString *
-jl_headers_to_target (const struct jl_head *head,
-                      unsigned remaining_ms,
-                      const char *target)
+jl_headers_to_target (const struct jl_proxy *proxy,
+                      const struct jl_head *head,
+                      unsigned remaining_ms)
 {
+  bool has_customers = proxy->site != NULL && proxy->site->customers != NULL;
   GString *text = g_string_sized_new (512);
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
-    if (!is_internal_field (jl_head_name (head, i)) && !is_hop_by_hop (head, i))
+    if (!is_internal_field (jl_head_name (head, i)) && !is_hop_by_hop (head, i)
+        && !(has_customers
+             && matches (jl_head_name (head, i), JL_AUTHORIZATION_FIELD, true)))
       append_field (text, head, i);
   g_string_append_printf (text, "%s: %u\r\n%s: %s\r\n", JL_HEADER_DEADLINE_MS,
-                          remaining_ms, JL_HEADER_TARGET_INSTANCE, target);
+                          remaining_ms, JL_HEADER_TARGET_INSTANCE,
+                          proxy->target.last.id);
   append_framing (text, head);
   return text;
 }
--- a/source/proxy/identify.c
+++ b/source/proxy/identify.c
@@ -4,52 +4,152 @@
 
 #include "proxy/identify.h"
 
-#include <string.h>
+#include "proxy/freshness.h"
+#include "proxy/hooks.h"
 
 #define STATUS_UNAUTHORIZED 401
-/* Authentication scheme of API keys. */
-#define SCHEME "Bearer"
+#define STATUS_BAD_GATEWAY 502
 
-/* Returns the API key of a request and sets *@length, NULL if there is none. A
- * request with several credentials has none. */
+/* Whether a request needs an API key by the configuration @site. The route that
+ * the request began with counts if @site has none of its name. */
+static bool
+needs_api_key (const struct jl_call *call, const struct jl_site *site)
+{
+  const struct jl_route *route = jl_site_route_by_key (site, call->route->key);
+
+  return !(route != NULL ? route : call->route)->public;
+}
+
+/* Whether the configuration is too old to tell which API keys are valid. */
+static bool
+is_stale (const struct jl_proxy *proxy)
+{
+  const struct jl_options *options = proxy->options;
+
+  return options->strict_revoke
+         && jl_freshness_is_older (proxy->freshness, options->revoke_us);
+}
+
+/* Returns the name of the customer whose API key the previous configuration
+ * knew, "-" if there is none. */
 static const char *
-find_api_key (const struct jl_head *head, size_t *length)
+previous_customer_name (const struct jl_call *call)
 {
-  const char *value = jl_head_get (head, JL_AUTHORIZATION_FIELD);
+  const struct jl_site *previous = call->proxy->previous_site;
+  const struct jl_customer *customer = NULL;
 
-  if (value == NULL || jl_head_count (head, JL_AUTHORIZATION_FIELD) > 1
-      || g_ascii_strncasecmp (value, SCHEME, strlen (SCHEME)) != 0)
-    return NULL;
-  value += strlen (SCHEME);
-  if (*value != ' ' && *value != '\t')
-    return NULL;
-  value += strspn (value, " \t");
-  *length = strcspn (value, " \t");
-  if (*length == 0 || value[*length + strspn (value + *length, " \t")] != '\0')
-    return NULL;
-  return value;
+  if (previous != NULL)
+    jl_identity_find (previous->customers,
+                      jl_request_head (call->relay.request), &customer);
+  return customer != NULL ? customer->name : "-";
+}
+
+static void
+respond_unauthorized (struct jl_call *call, enum jl_identification identity)
+{
+  jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_UNAUTHORIZED,
+             "id=%s route=%s reason=%s customer=%s may_have_run=%d "
+             "age_ms=%" PRIu64 " site=%" PRIx64,
+             jl_call_attempt_id (call), call->route->name,
+             jl_identity_name (identity), previous_customer_name (call),
+             call->may_have_run, jl_call_age_ms (call),
+             call->proxy->site->version);
+  if (call->may_have_run)
+    jl_call_fail (call, STATUS_BAD_GATEWAY, "unauthorized");
+  else
+    jl_call_respond (call, STATUS_UNAUTHORIZED,
+                     "WWW-Authenticate: " JL_API_KEY_SCHEME "\r\n",
+                     "unauthorized");
+}
+
+/* Identifies the request by the newest configuration, unless that was done. */
+static enum jl_identification
+identify (struct jl_call *call, struct jl_site *newest)
+{
+  enum jl_identification identity;
+
+  if (call->identity_site == newest)
+    return call->identity;
+  identity = jl_identity_find (newest->customers,
+                               jl_request_head (call->relay.request),
+                               &call->customer);
+  if (call->identity_site == NULL)
+    call->proxy->counters.identified[identity]++;
+  jl_site_drop (call->identity_site);
+  call->identity_site = jl_site_keep (newest);
+  call->identity = identity;
+  return identity;
 }
 
 bool
 jl_identify_call (struct jl_call *call)
 {
-  const struct jl_customers *customers = call->site->customers;
-  const char *api_key;
-  size_t length = 0;
+  struct jl_proxy *proxy = call->proxy;
+  struct jl_site *newest = proxy->site;
+  enum jl_identification identity;
+  bool needs_key;
 
-  if (customers == NULL)
+  if (JL_TEST_DISABLED ("identify-again") && call->identity_site != NULL)
     return true;
-  api_key = find_api_key (jl_request_head (call->relay.request), &length);
-  if (api_key != NULL)
-    call->customer = jl_customers_find_api_key (customers, api_key, length);
-  if (call->customer != NULL || call->route->public)
+  if (newest->customers == NULL)
     return true;
-  jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_UNAUTHORIZED,
-             "id=%s route=%s reason=%s site=%" PRIx64,
-             jl_call_attempt_id (call), call->route->name,
-             api_key != NULL ? "unknown-key" : "no-key", call->site->version);
-  call->proxy->counters.unauthorized++;
-  jl_call_respond (call, STATUS_UNAUTHORIZED,
-                   "WWW-Authenticate: " SCHEME "\r\n", "unauthorized");
+  needs_key = needs_api_key (call, newest);
+  if (needs_key && is_stale (proxy))
+    {
+      proxy->counters.identified[JL_IDENTITY_STALE]++;
+      jl_call_give_up (call, jl_identity_name (JL_IDENTITY_STALE));
+      return false;
+    }
+  identity = identify (call, newest);
+  if (!needs_key || identity == JL_IDENTITY_KNOWN)
+    return true;
+  proxy->counters.unauthorized++;
+  respond_unauthorized (call, identity);
   return false;
 }
+
+void
+jl_identify_fill_work (const struct jl_call *call, struct jl_work_header *work)
+{
+  const struct jl_customer *customer = call->customer;
+
+  /* The customer's rank goes before the rank of the route. */
+  if (customer != NULL)
+    work->rank += customer->rank * JL_RANK_COUNT;
+  work->customer = customer != NULL ? customer->name : NULL;
+  work->has_customers = call->identity_site != NULL;
+}
+
+void
+jl_identify_append_metrics (GString *text, const struct jl_proxy *proxy)
+{
+  const struct jl_proxy_counters *counters = &proxy->counters;
+
+  if (proxy->site == NULL || proxy->site->customers == NULL)
+    return;
+  for (unsigned i = 0; i < JL_IDENTITY_COUNT; i++)
+    g_string_append_printf (
+        text, "jackdawladder_identified_total{result=\"%s\"} %" PRIu64 "\n",
+        jl_identity_name ((enum jl_identification)i), counters->identified[i]);
+  g_string_append_printf (text,
+                          "jackdawladder_unauthorized_total %" PRIu64 "\n"
+                          "jackdawladder_customers %u\n"
+                          "jackdawladder_api_keys %u\n",
+                          counters->unauthorized,
+                          proxy->site->customers->list->len,
+                          proxy->site->customers->api_key_count);
+}
+
+void
+jl_identify_append_state (GString *text, const struct jl_proxy *proxy)
+{
+  if (proxy->site == NULL || proxy->site->customers == NULL)
+    return;
+  g_string_append_printf (
+      text,
+      "# customers: count=%u api_keys=%u unauthorized=%" PRIu64
+      " strict_revoke=%d stale=%d age_ms=%" PRIu64 "\n",
+      proxy->site->customers->list->len, proxy->site->customers->api_key_count,
+      proxy->counters.unauthorized, proxy->options->strict_revoke,
+      is_stale (proxy), jl_freshness_age_ms (proxy->freshness));
+}
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -7,6 +7,7 @@
 #include "names.h"
 #include "proxy/digest.h"
 #include "proxy/freshness.h"
+#include "proxy/identify.h"
 #include "proxy/report.h"
 
 #include <string.h>
@@ -110,6 +111,7 @@
   append_counter (text, "connections_made_total", net->connected);
   append_counter (text, "bytes_received_total", net->bytes_in);
   append_counter (text, "bytes_sent_total", net->bytes_out);
+  jl_identify_append_metrics (text, proxy);
   append_histogram (text, "request", &counters->request_time);
   append_histogram (text, "lane", &counters->lane_time);
   append_histogram (text, "target", &counters->target_time);
@@ -180,6 +182,7 @@
   else if (strcmp (target, "/state") == 0)
     {
       append_state (text, proxy);
+      jl_identify_append_state (text, proxy);
       append_suspects (text, proxy);
     }
   if (text->len > 0)
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -229,12 +229,13 @@
              site->version, proxy->site != NULL ? proxy->site->version : 0,
              source, site->routes->len);
   log_unknown_words (site);
-  jl_site_drop (proxy->site);
+  jl_site_drop (proxy->previous_site);
+  proxy->previous_site = proxy->site;
   proxy->site = site;
   proxy->self->site_version = site->version;
   g_free (proxy->site_text);
-  proxy->site_text = g_memdup2 (text, size);
-  proxy->site_size = size;
+  proxy->site_text = jl_platform_redact_site (site, text, size);
+  proxy->site_size = strlen (proxy->site_text);
   jl_freshness_installed (proxy->freshness);
   jl_beacon_send_soon (proxy->beacon);
   jl_proxy_apply_limits (proxy);
@@ -248,6 +249,7 @@
   if (proxy->lane.waiting > 0)
     jl_guard_run_queue (proxy);
   jl_watch_check (proxy->watch);
+  jl_freshness_note_turn (proxy->freshness);
   jl_record_flush ();
   jl_loop_start_timer (proxy->loop, timer, QUEUE_PERIOD_US, on_queue_timer,
                        proxy);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -12,6 +12,7 @@
 #include "jackdawladder/record.h"
 #include "jackdawladder/request.h"
 #include "jackdawladder/upstream.h"
+#include "policy/api-key.h"
 #include "policy/budget.h"
 #include "policy/failure-rate.h"
 #include "policy/lane.h"
@@ -53,7 +54,10 @@
  * @calls: requests received from the local target
  * @served: requests whose response from a target was passed on completely
  * @refused: requests that were refused and have not run
- * @unauthorized: requests without an API key that the configuration knows
+ * @unauthorized: requests refused without an API key that the configuration
+ *                knows
+ * @identified: requests by the result of their identification, also on public
+ *              routes
  * @failed: requests that may have run, passed their deadline or lost their
  *          response
  * @clients_left: requests whose client closed the connection before the
@@ -90,6 +94,7 @@
   uint64_t served;
   uint64_t refused;
   uint64_t unauthorized;
+  uint64_t identified[JL_IDENTITY_COUNT];
   uint64_t failed;
   uint64_t clients_left;
   uint64_t placed_again;
@@ -151,7 +156,9 @@
  * @peer_pool: connections to other daemons
  * @target_pool: connections to the local target
  * @site: configuration in force, NULL until the first one is installed
- * @site_text: text from which @site was parsed
+ * @previous_site: configuration before @site, NULL for none; names the
+ * customers of revoked API keys in the log
+ * @site_text: text of @site for other daemons; has no API keys
  * @site_size: size of @site_text in bytes
  * @self: this daemon in @roster
  * @watch: whether the local target has ended
@@ -210,6 +217,7 @@
   struct jl_store *store;
   struct jl_beacon *beacon;
   struct jl_site *site;
+  struct jl_site *previous_site;
   char *site_text;
   size_t site_size;
   struct jl_roster roster;
@@ -573,8 +581,6 @@
   const char *customer;
 };
 
-/* Header field with the API key of a request. */
-#define JL_AUTHORIZATION_FIELD "Authorization"
 /* Header field that carries a struct jl_work_header. */
 #define JL_WORK_FIELD "Jl-Work"
 /* Header field of responses that a guard generates itself: "not-run", or
@@ -596,11 +602,13 @@
  * jl_headers_to_target - builds the head of a request that a guard forwards to
  * its target
  * @remaining_ms: time left until the deadline
- * @target: identifier of the target's incarnation
+ *
+ * On a site with customers, an API key is removed that an entry without the
+ * newest configuration has passed on.
  */
-GString *jl_headers_to_target (const struct jl_head *head,
-                               unsigned remaining_ms,
-                               const char *target);
+GString *jl_headers_to_target (const struct jl_proxy *proxy,
+                               const struct jl_head *head,
+                               unsigned remaining_ms);
 
 /**
  * jl_headers_read_work - parses the field JL_WORK_FIELD
