Customers whose names have the same digest; fewer lines of rejected requests

Cause: the second of two customers whose names have the same digest of 32 bits was left out, so its known keys got 401 (1 in 340 sites of 5,000 customers). Clients with unknown keys could use up the lines of the log that other failures need. Datagrams counted from the last turn of the loop on sites without strict_revoke too.

Change: only a name that is taken leaves a customer out; by_key has the first customer of a digest. At most ten lines of E707 are written a second. The age of what a datagram tells is as before without strict_revoke.

--- a/include/jackdawladder/customers.h
+++ b/include/jackdawladder/customers.h
@@ -28,7 +28,8 @@
 
 /**
  * struct jl_customer - one customer
- * @key: digest of the name, equal in all versions of the configuration
+ * @key: digest of the name, equal in all versions of the configuration; two
+ *       customers may have the same one
  * @rank: priority; 0 is the most important
  * @rate: usage cap in requests a second, 0 for no cap
  * @burst: requests that may come at once in addition
@@ -45,7 +46,7 @@
 /**
  * struct jl_customers - all customers of one version of the configuration
  * @list: array of struct jl_customer, owned
- * @by_key: the customers by the key of their name
+ * @by_key: the customers by the key of their name; the first one of several
  * @by_api_key: the customers by the digest of each API key; NULL for a key that
  *              several customers claim
  * @api_key_count: number of API keys that identify a customer
--- a/source/policy/customers.c
+++ b/source/policy/customers.c
@@ -94,19 +94,34 @@
   g_free (customers);
 }
 
+static bool
+has_name (const struct jl_customers *customers, const char *name)
+{
+  for (guint i = 0; i < customers->list->len; i++)
+    {
+      const struct jl_customer *customer = customers->list->pdata[i];
+
+      if (strcmp (customer->name, name) == 0)
+        return true;
+    }
+  return false;
+}
+
 struct jl_customer *
 jl_customers_add (struct jl_customers *customers,
                   const struct jl_customer *customer)
 {
   uint32_t key = jl_name_key (customer->name);
+  const struct jl_customer *first = jl_customers_find (customers, key);
   struct jl_customer *copy;
 
-  if (g_hash_table_contains (customers->by_key, GUINT_TO_POINTER (key)))
+  if (first != NULL && has_name (customers, customer->name))
     return NULL;
   copy = g_memdup2 (customer, sizeof *customer);
   copy->key = key;
   g_ptr_array_add (customers->list, copy);
-  g_hash_table_insert (customers->by_key, GUINT_TO_POINTER (key), copy);
+  if (first == NULL)
+    g_hash_table_insert (customers->by_key, GUINT_TO_POINTER (key), copy);
   return copy;
 }
 
--- a/source/proxy/freshness.c
+++ b/source/proxy/freshness.c
@@ -337,7 +337,8 @@
   uint64_t age_us = message->age_ms * JL_USEC_PER_MSEC;
   /* The datagram came after the loop had last looked for one. The last turn may
    * be that in which a stopped process went on. */
-  uint64_t sent_us = freshness->turn_us[1];
+  uint64_t sent_us
+      = proxy->options->strict_revoke ? freshness->turn_us[1] : jl_now ();
 
   if (sender == NULL || sender == proxy->self || age_us >= sent_us)
     return;
--- a/source/proxy/identify.c
+++ b/source/proxy/identify.c
@@ -9,6 +9,9 @@
 
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_BAD_GATEWAY 502
+/* Lines of rejected requests a second. More would use up the lines of other
+ * failures, and clients with unknown keys can send any number of requests. */
+#define LINES_PER_S_MAX 10
 
 /* Whether a request needs an API key by the configuration @site. The route that
  * the request began with counts if @site has none of its name. */
@@ -44,8 +47,19 @@
   return customer != NULL ? customer->name : "-";
 }
 
+static bool
+may_log (struct jl_proxy *proxy)
+{
+  uint64_t now_s = jl_now () / JL_USEC_PER_SEC;
+
+  if (proxy->unauthorized_log_s != now_s)
+    proxy->unauthorized_lines = 0;
+  proxy->unauthorized_log_s = now_s;
+  return proxy->unauthorized_lines++ < LINES_PER_S_MAX;
+}
+
 static void
-respond_unauthorized (struct jl_call *call, enum jl_identification identity)
+log_unauthorized (const struct jl_call *call, enum jl_identification identity)
 {
   jl_record (JL_RECORD_FAILURE, JL_RECORD_REQUEST_UNAUTHORIZED,
              "id=%s route=%s reason=%s customer=%s may_have_run=%d "
@@ -54,6 +68,13 @@
              jl_identity_name (identity), previous_customer_name (call),
              call->may_have_run, jl_call_age_ms (call),
              call->proxy->site->version);
+}
+
+static void
+respond_unauthorized (struct jl_call *call, enum jl_identification identity)
+{
+  if (may_log (call->proxy))
+    log_unauthorized (call, identity);
   if (call->may_have_run)
     jl_call_fail (call, STATUS_BAD_GATEWAY, "unauthorized");
   else
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -158,6 +158,8 @@
  * @site: configuration in force, NULL until the first one is installed
  * @previous_site: configuration before @site, NULL for none; names the
  * customers of revoked API keys in the log
+ * @unauthorized_log_s: second in which a rejected API key was last logged
+ * @unauthorized_lines: number of such lines in that second
  * @site_text: text of @site for other daemons; has no API keys
  * @site_size: size of @site_text in bytes
  * @self: this daemon in @roster
@@ -218,6 +220,8 @@
   struct jl_beacon *beacon;
   struct jl_site *site;
   struct jl_site *previous_site;
+  uint64_t unauthorized_log_s;
+  unsigned unauthorized_lines;
   char *site_text;
   size_t site_size;
   struct jl_roster roster;
--- a/tests/proxy/customers.c
+++ b/tests/proxy/customers.c
@@ -7,6 +7,7 @@
 
 #include <fcntl.h>
 #include <malloc.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -175,6 +176,46 @@
       LOOKUPS, time_lookups (site), MANY, time_lookups (decode_many (10)));
 }
 
+/* Returns a number whose name "cN" has the same digest as that of a smaller
+ * one, which @other receives. */
+static unsigned
+find_collision (unsigned *other)
+{
+  GHashTable *names = g_hash_table_new (g_direct_hash, g_direct_equal);
+  unsigned found = 0;
+
+  for (unsigned i = 1; found == 0; i++)
+    {
+      char name[24];
+      gpointer key;
+
+      g_snprintf (name, sizeof name, "c%u", i);
+      key = GUINT_TO_POINTER (jl_name_key (name));
+      *other = GPOINTER_TO_UINT (g_hash_table_lookup (names, key));
+      found = *other != 0 ? i : 0;
+      g_hash_table_insert (names, key, GUINT_TO_POINTER (i));
+    }
+  g_hash_table_destroy (names);
+  return found;
+}
+
+/* The digest of a name has 32 bits, so customers may share one. */
+Test (customers, names_with_the_same_digest_are_two_customers)
+{
+  unsigned a;
+  unsigned b = find_collision (&a);
+  char *rows = g_strdup_printf ("[\"c%u\",[\"key-a\"],0,0,0],"
+                                "[\"c%u\",[\"key-b\"],0,0,0],"
+                                "[\"c%u\",[\"key-c\"],0,0,0]",
+                                a, b, b);
+  struct jl_site *site = decode (rows);
+
+  cr_assert_eq (site->customers->list->len, 2);
+  cr_assert_eq (atoi (holder (site, "key-a") + 1), (int)a);
+  cr_assert_eq (atoi (holder (site, "key-b") + 1), (int)b);
+  cr_assert_str_eq (holder (site, "key-c"), "-", "the name is taken");
+}
+
 /* Daemons pass the configuration on to each other. */
 Test (customers, the_text_for_other_daemons_has_no_api_keys)
 {
@@ -566,6 +607,20 @@
   cr_expect_eq (get (&play, "/x", "Authorization: Bearer key-a\r\n"), 200);
 }
 
+/* On a site that allows more time for a configuration than revoke_s, daemons in
+ * contact must not become too old between two answers of the store. */
+Test (customers, the_store_is_asked_often_enough_for_strict_revoke)
+{
+  struct play play;
+
+  begin (&play, 169, true, ACME);
+  play.rig.options.config_apply_us = 15 * JL_USEC_PER_SEC;
+  play.rig.options.revoke_us = 5 * JL_USEC_PER_SEC;
+  cr_expect_lt (jl_freshness_poll_ms (play.rig.proxy->freshness), 2500);
+  play.rig.options.strict_revoke = false;
+  cr_expect_eq (jl_freshness_poll_ms (play.rig.proxy->freshness), 4000);
+}
+
 static unsigned
 count_freshness (int fd)
 {
@@ -735,7 +790,7 @@
 
 /* A configuration and a request whose texts are not on the heap. */
 static char secret_site[2048];
-static char secret_request[2048];
+static char secret_request[4096];
 
 static void
 fill_secret_texts (unsigned version, const char *path)
@@ -767,6 +822,7 @@
   struct play play;
   int datagrams;
   int fd;
+  size_t length;
   char datagram[2048];
   ssize_t size;
 
@@ -785,13 +841,14 @@
   cr_assert_eq (finish (&play, fd, OK), 401);
   /* The second one arrives while the first is in progress. */
   fill_secret_texts (3, "/open");
-  raw_send (fd, secret_request, strlen (secret_request));
-  raw_send (fd, secret_request, strlen (secret_request));
+  length = strlen (secret_request);
+  memcpy (secret_request + length, secret_request, length + 1);
+  raw_send (fd, secret_request, 2 * length);
   cr_assert_eq (finish (&play, fd, OK), 200);
   cr_assert_eq (finish (&play, fd, OK), 200);
   cr_expect_eq (count_secrets_on_heap (), 0, "after a revoked key");
   /* The client closes the connection while a request is in progress. */
-  raw_send (fd, secret_request, strlen (secret_request));
+  raw_send (fd, secret_request, length);
   raw_forget_failures (&play.rig);
   g_string_truncate (play.request, 0);
   close (raw_accept_request (&play.rig, &play.peer, play.request));
@@ -812,6 +869,33 @@
     cr_expect_eq (count_secrets (datagram, datagram + size), 0);
 }
 
+/* Clients with unknown keys must not hide the failures of others in the log. */
+Test (customers, rejected_requests_use_few_lines_of_the_log)
+{
+  char path[] = "/tmp/customers-log-XXXXXX";
+  int log = mkstemp (path);
+  int out = dup (STDOUT_FILENO);
+  unsigned lines = 0;
+  struct play play;
+  uint64_t begun_s;
+  char *text;
+
+  begin (&play, 168, false, ACME);
+  begun_s = jl_now () / JL_USEC_PER_SEC;
+  dup2 (log, STDOUT_FILENO);
+  for (unsigned i = 0; i < 50; i++)
+    cr_expect_eq (get (&play, "/x", "Authorization: Bearer key-z\r\n"), 401);
+  jl_record_flush ();
+  dup2 (out, STDOUT_FILENO);
+  cr_assert (g_file_get_contents (path, &text, NULL, NULL));
+  unlink (path);
+  for (const char *at = text; (at = strstr (at, "E707 ")) != NULL; at++)
+    lines++;
+  cr_expect_gt (lines, 0);
+  cr_expect_leq (lines, 10 * (jl_now () / JL_USEC_PER_SEC - begun_s + 1));
+  cr_expect_eq (play.rig.proxy->counters.unauthorized, 50);
+}
+
 /* The identity of contents goes into logs and datagrams, 32 bits of digest that
  * can be searched for a short key. */
 Test (customers, the_content_of_a_request_does_not_depend_on_its_key)
