--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -339,12 +339,11 @@
     .trial = call->on_trial,
     .limited_key = call->member->limited_key,
     .limit = call->member->stated_limit,
-    .has_customers = call->site->customers != NULL,
-    .customer = call->customer != NULL ? call->customer->name : NULL,
   };
   GString *text;
 
   g_strlcpy (work.service, call->service, sizeof work.service);
+  jl_identify_fill_work (call, &work);
   text = jl_headers_to_guard (head, &work, call->caller_service);
   call->relay.upstream = jl_upstream_open (
       proxy->peer_pool, call->member->peer, false, 0, text,
@@ -358,8 +357,11 @@
 {
   struct jl_proxy *proxy = call->proxy;
   uint64_t now_us = jl_now ();
-  struct jl_member *member = jl_call_choose_daemon (call, now_us);
+  struct jl_member *member;
 
+  if (!jl_identify_call (call))
+    return;
+  member = jl_call_choose_daemon (call, now_us);
   if (member == NULL || now_us >= call->expires_us)
     {
       jl_call_give_up (call,
