Divide scarce capacity over customers by max-min fairness

Cause: a route's plan admits a random share, so the surge of one customer is paid by all; the queue at the guard goes by due time alone, and long runs of low rank fill its slots.

Change, on sites with customers only: the entry keeps the recent demand of each customer and refuses what is above the water-filling level of its rank, with the reason fair-share. Plans are by route and customer rank. The queue serves ranks strictly, and customers of a rank by start-time fair queueing with the hold time of the route as cost. Long runs leave as many slots free as the recent load of higher ranks needs, up to half.

--- a/source/policy/lane.c
+++ b/source/policy/lane.c
@@ -20,6 +20,8 @@
   lane->waiting_rank_zero = 0;
   CDS_INIT_LIST_HEAD (&lane->rank_zero);
   CDS_INIT_LIST_HEAD (&lane->by_due_time);
+  jl_fair_queue_init (&lane->fair);
+  lane->reserve = (struct jl_lane_reserve){ 0 };
 }
 
 /* Inserts @item behind all items that are due no later than it. The search
@@ -41,7 +43,9 @@
 {
   item->waiting = true;
   lane->waiting++;
-  if (item->rank == 0)
+  if (item->fair)
+    jl_fair_queue_add (&lane->fair, item);
+  else if (item->rank == 0)
     {
       lane->waiting_rank_zero++;
       cds_list_add_tail (&item->link, &lane->rank_zero);
@@ -50,11 +54,40 @@
     insert_by_due_time (&lane->by_due_time, item);
 }
 
+/* Takes a slot for an item with @fair set. */
+static void
+start_fair (struct jl_lane *lane, const struct jl_lane_item *item)
+{
+  lane->reserve.ranks[jl_lane_rank (item->rank)].running++;
+  lane->running++;
+}
+
+/* Runs a new item at once only if no waiting one of its rank or a higher rank
+ * may run. Others may wait for slots that are reserved for this one. */
+static bool
+submit_fair (struct jl_lane *lane, struct jl_lane_item *item)
+{
+  const struct jl_lane_item *next;
+
+  if (lane->running >= lane->limit || !cds_list_empty (&lane->rank_zero)
+      || !cds_list_empty (&lane->by_due_time)
+      || !jl_lane_reserve_allows (&lane->reserve, item->rank, item->hold_us,
+                                  lane->limit))
+    return false;
+  next = jl_fair_queue_next (&lane->fair, &lane->reserve, lane->limit);
+  return next == NULL || jl_lane_rank (next->rank) > jl_lane_rank (item->rank);
+}
+
 bool
 jl_lane_submit (struct jl_lane *lane, struct jl_lane_item *item)
 {
   item->waiting = false;
-  if (lane->waiting > 0 || lane->running >= lane->limit)
+  if (item->fair && submit_fair (lane, item))
+    {
+      start_fair (lane, item);
+      return true;
+    }
+  if (item->fair || lane->waiting > 0 || lane->running >= lane->limit)
     {
       jl_lane_queue (lane, item);
       return false;
@@ -63,12 +96,21 @@
   return true;
 }
 
+/* Returns the number of items that are served before a new one. */
+static double
+items_before (const struct jl_lane *lane, const struct jl_lane_item *item)
+{
+  if (item->fair)
+    return jl_fair_queue_before (&lane->fair, item).items;
+  return item->rank == 0 ? lane->waiting_rank_zero : lane->waiting;
+}
+
 /* Whether an item would wait too long for its turn at the target's rate. */
 static bool
 is_too_long_for_rate (const struct jl_lane *lane,
                       const struct jl_lane_item *item)
 {
-  unsigned before = item->rank == 0 ? lane->waiting_rank_zero : lane->waiting;
+  double before = items_before (lane, item);
   uint64_t until_us = MIN (item->due_us, item->expires_us);
   double remaining_us = (double)(until_us - MIN (item->arrived_us, until_us));
   double wait_us = (before + 1) * (double)JL_USEC_PER_SEC / lane->rate;
@@ -76,6 +118,14 @@
   return wait_us > WAIT_SHARE_MAX * remaining_us;
 }
 
+/* Whether an item waits however long the queue is. */
+static bool
+waits_in_any_case (const struct jl_lane *lane, const struct jl_lane_item *item)
+{
+  return item->fair ? jl_lane_reserve_serves_below (&lane->reserve, item->rank)
+                    : item->rank == 0;
+}
+
 bool
 jl_lane_is_too_long (const struct jl_lane *lane,
                      const struct jl_lane_item *item,
@@ -86,9 +136,11 @@
 
   if (isfinite (lane->rate) && is_too_long_for_rate (lane, item))
     return true;
-  if (item->rank == 0 || lane->limit == 0)
+  if (lane->limit == 0 || waits_in_any_case (lane, item))
     return false;
-  wait_us = (double)lane->waiting * (double)held_us / lane->limit;
+  wait_us = item->fair
+                ? jl_fair_queue_before (&lane->fair, item).hold_us / lane->limit
+                : (double)lane->waiting * (double)held_us / lane->limit;
   return wait_us > WAIT_SHARE_MAX * remaining_us;
 }
 
@@ -99,17 +151,35 @@
 }
 
 void
-jl_lane_remove (struct jl_lane *lane, struct jl_lane_item *item)
+jl_lane_end_run (struct jl_lane *lane, const struct jl_lane_item *item)
+{
+  jl_lane_finish (lane);
+  if (item->fair)
+    lane->reserve.ranks[jl_lane_rank (item->rank)].running--;
+}
+
+/* Updates the numbers of a lane for an item that does not wait any longer. */
+static void
+note_removed (struct jl_lane *lane, struct jl_lane_item *item)
 {
-  if (!item->waiting)
-    return;
-  cds_list_del (&item->link);
   item->waiting = false;
   lane->waiting--;
-  if (item->rank == 0)
+  if (item->rank == 0 && !item->fair)
     lane->waiting_rank_zero--;
 }
 
+void
+jl_lane_remove (struct jl_lane *lane, struct jl_lane_item *item)
+{
+  if (!item->waiting)
+    return;
+  if (item->fair)
+    jl_fair_queue_remove (&lane->fair, item);
+  else
+    cds_list_del (&item->link);
+  note_removed (lane, item);
+}
+
 static struct jl_lane_item *
 front (struct cds_list_head *queue)
 {
@@ -118,6 +188,21 @@
   return cds_list_first_entry (queue, struct jl_lane_item, link);
 }
 
+/* Takes the next item with @fair set. */
+static struct jl_lane_item *
+take_fair (struct jl_lane *lane)
+{
+  struct jl_lane_item *item
+      = jl_fair_queue_next (&lane->fair, &lane->reserve, lane->limit);
+
+  if (item == NULL)
+    return NULL;
+  jl_fair_queue_start (&lane->fair, item);
+  note_removed (lane, item);
+  start_fair (lane, item);
+  return item;
+}
+
 struct jl_lane_item *
 jl_lane_take_next (struct jl_lane *lane)
 {
@@ -129,7 +214,7 @@
   if (item == NULL)
     item = front (&lane->by_due_time);
   if (item == NULL)
-    return NULL;
+    return take_fair (lane);
   jl_lane_remove (lane, item);
   lane->running++;
   return item;
@@ -152,8 +237,11 @@
   struct jl_lane_item *item
       = find_expired (&lane->rank_zero, now_us + needed_us);
 
+  jl_lane_reserve_update (&lane->reserve, now_us);
   if (item == NULL)
     item = find_expired (&lane->by_due_time, now_us + needed_us);
+  if (item == NULL)
+    item = jl_fair_queue_find_expired (&lane->fair, now_us);
   if (item != NULL)
     jl_lane_remove (lane, item);
   return item;
--- a/source/policy/lane.h
+++ b/source/policy/lane.h
@@ -13,9 +13,15 @@
  * and refused, so that its caller learns of it at once. A request that arrives
  * at too long a queue is refused as well. While the target limits the rate of
  * its requests, the queue moves at that rate.
+ *
+ * On sites with customers, items have @fair set and wait in a queue of their
+ * own order (policy/lane-fair.h), and long runs of low rank leave slots free
+ * for the higher ranks (policy/lane-reserve.h). Items without it that wait
+ * while the configuration changes go first.
  */
 
 #include "jackdawladder/site.h"
+#include "policy/lane-fair.h"
 
 #include <urcu/list.h>
 
@@ -26,6 +32,9 @@
  * @due_us: time at which the latency goal of its route is reached
  * @expires_us: deadline, after which its response is useless
  * @waiting: whether it is in the queue
+ * @fair: the site has customers; the following fields are valid
+ * @flow: its customer, or its route if it has none
+ * @hold_us: expected time for which its run holds a slot
  */
 struct jl_lane_item
 {
@@ -35,6 +44,9 @@
   uint64_t due_us;
   uint64_t expires_us;
   bool waiting;
+  bool fair;
+  uint64_t flow;
+  double hold_us;
 };
 
 /**
@@ -43,10 +55,12 @@
  * @rate: items that may start in a second, infinite for no limit; the caller
  *        keeps it
  * @running: items that run now
- * @waiting: items in the queue
+ * @waiting: items in the queue, also in @fair
  * @waiting_rank_zero: those of rank 0
  * @rank_zero: queued items of rank 0, in order of arrival
  * @by_due_time: queued items of all other ranks, in order of their due times
+ * @fair: queued items with @fair set
+ * @reserve: recent load of the ranks of such items
  */
 struct jl_lane
 {
@@ -57,6 +71,8 @@
   unsigned waiting_rank_zero;
   struct cds_list_head rank_zero;
   struct cds_list_head by_due_time;
+  struct jl_fair_queue fair;
+  struct jl_lane_reserve reserve;
 };
 
 void jl_lane_init (struct jl_lane *lane);
@@ -81,7 +97,8 @@
  * A target that has just joined or has become slow may receive more requests
  * than it can run until the entries learn of it. Another target may still
  * complete the refused requests in time. An item of rank 0 waits however long
- * the queue is, unless the target limits its rate.
+ * the queue is, unless the target limits its rate. On a site with customers, an
+ * item of the highest rank in use does so while work of lower ranks is served.
  */
 bool jl_lane_is_too_long (const struct jl_lane *lane,
                           const struct jl_lane_item *item,
@@ -92,6 +109,11 @@
  */
 void jl_lane_finish (struct jl_lane *lane);
 
+/**
+ * jl_lane_end_run - like jl_lane_finish(), for a run of @item
+ */
+void jl_lane_end_run (struct jl_lane *lane, const struct jl_lane_item *item);
+
 /**
  * jl_lane_take_next - removes the next item to run from the queue and takes a
  * slot for it
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -80,7 +80,9 @@
   const struct jl_proxy *proxy = call->proxy;
 
   for (unsigned i = 0; call->route != NULL && i < proxy->demand_count; i++)
-    if (proxy->demands[i].route_key == call->route->key)
+    if (proxy->demands[i].route_key == call->route->key
+        && proxy->demands[i].customer_rank
+               == (call->customer != NULL ? call->customer->rank : 0))
       return &proxy->demands[i].plan;
   return &none;
 }
@@ -108,14 +110,16 @@
              "id=%s route=%s reason=%s placements=%u age_ms=%" PRIu64
              " left_ms=%" PRIu64 " retry_after_ms=%" PRIu64 " site=%" PRIx64
              " short_of=%s shed=%.2f keep=%.2f beliefs_age_ms=%" PRIu64
-             " content=%016" PRIx64,
+             " content=%016" PRIx64 "%s%s",
              jl_call_attempt_id (call),
              call->route != NULL ? call->route->name : "-", reason,
              call->tried_count, jl_call_age_ms (call), remaining_ms (call),
              after_ms, call->site != NULL ? call->site->version : 0,
              plan->limiting_service, plan->shed_share, plan->admit_share,
              (jl_now () - proxy->plans_computed_us) / JL_USEC_PER_MSEC,
-             jl_content_id (&call->content));
+             jl_content_id (&call->content),
+             call->customer != NULL ? " customer=" : "",
+             call->customer != NULL ? call->customer->name : "");
   g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
               (double)after_ms / 1000);
   jl_call_respond (call, 503, fields, reason);
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -20,6 +20,7 @@
  * @route: route of @site
  * @content: digest of the request's content
  * @customer: customer of @site whose API key the request carries, NULL for none
+ * @over_share: it was refused because its customer is above its fair share
  * @service: service that the request is sent to
  * @caller_service: service of this instance when the request arrived
  * @zone: preferred zone
@@ -54,6 +55,7 @@
   struct jl_site *site;
   const struct jl_route *route;
   const struct jl_customer *customer;
+  bool over_share;
   struct jl_content content;
   const char *service;
   const char *caller_service;
--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -5,6 +5,8 @@
 
 #include "proxy/demand.h"
 
+#include "proxy/shares.h"
+
 #include <string.h>
 
 /* Weight of a window in the moving average of the demand. */
@@ -41,17 +43,23 @@
 }
 
 struct jl_demand *
-jl_demand_track (struct jl_proxy *proxy, const struct jl_route *route)
+jl_demand_track (struct jl_proxy *proxy,
+                 const struct jl_route *route,
+                 const struct jl_customer *customer)
 {
+  unsigned customer_rank = customer != NULL ? customer->rank : 0;
   struct jl_demand *demand;
 
   for (unsigned i = 0; i < proxy->demand_count; i++)
-    if (proxy->demands[i].route_key == route->key)
+    if (proxy->demands[i].route_key == route->key
+        && proxy->demands[i].customer_rank == customer_rank)
       return &proxy->demands[i];
   if (proxy->demand_count == JL_DEMAND_ROUTES_MAX)
     return NULL;
   demand = &proxy->demands[proxy->demand_count++];
   demand->route_key = route->key;
+  demand->customer_rank = customer_rank;
+  demand->pool = JL_NONE;
   demand->plan.zone = proxy->roster.local_zone;
   demand->plan.admit_share = 1;
   demand->plan.limiting_service = "";
@@ -85,7 +93,7 @@
   demand->tree.count = 0;
   if (route == NULL)
     return;
-  demand->rank = route->rank;
+  demand->rank = demand->customer_rank * JL_RANK_COUNT + route->rank;
   jl_call_tree_estimate (&proxy->roster, proxy->site, route, &demand->tree);
 }
 
@@ -173,6 +181,7 @@
     proxy->demands[i].plan
         = jl_plan_compute (&proxy->roster, proxy->demands, proxy->demand_count,
                            &proxy->demands[i], jl_now ());
+  jl_shares_end_window (proxy);
 }
 
 bool
--- a/source/proxy/demand.h
+++ b/source/proxy/demand.h
@@ -10,13 +10,16 @@
 #include "proxy/proxy.h"
 
 /**
- * jl_demand_track - returns the demand by a route, which it adds if it is new
+ * jl_demand_track - returns the demand by a route of the customers of a rank,
+ * which it adds if it is new
+ * @customer: NULL for none
  *
  * Return: the demand, or NULL if JL_DEMAND_ROUTES_MAX routes are tracked
  * already.
  */
 struct jl_demand *jl_demand_track (struct jl_proxy *proxy,
-                                   const struct jl_route *route);
+                                   const struct jl_route *route,
+                                   const struct jl_customer *customer);
 
 /**
  * jl_demand_is_call_route - whether a route carries calls of targets
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -16,6 +16,7 @@
 #include "proxy/identify.h"
 #include "proxy/infer.h"
 #include "proxy/report.h"
+#include "proxy/shares.h"
 #include "proxy/trial.h"
 
 #include <string.h>
@@ -318,22 +319,13 @@
   handle_not_delivered (call, "connect-timeout");
 }
 
-/* A customer's rank goes before the rank of the route. */
-static unsigned
-rank_of (const struct jl_call *call)
-{
-  unsigned customer_rank = call->customer != NULL ? call->customer->rank : 0;
-
-  return customer_rank * JL_RANK_COUNT + call->route->rank;
-}
-
 static bool
 open_upstream (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
   const struct jl_head *head = jl_request_head (call->relay.request);
   struct jl_work_header work = {
-    .rank = rank_of (call),
+    .rank = jl_shares_rank (call),
     .remaining_ms
     = (unsigned)((call->expires_us - jl_now ()) / JL_USEC_PER_MSEC),
     .latency_goal_ms
@@ -451,7 +443,8 @@
 start_client_request (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
-  struct jl_demand *demand = jl_demand_track (proxy, call->route);
+  struct jl_demand *demand
+      = jl_demand_track (proxy, call->route, call->customer);
   struct jl_retry_budget_policy policy = jl_demand_retry_policy (proxy);
   struct jl_retry_budget *budget
       = jl_demand_retry_budget (proxy, call->service);
@@ -467,10 +460,10 @@
   if (demand != NULL)
     {
       demand->window_requests++;
-      call->zone = jl_plan_choose_zone (&demand->plan, g_random_double ());
+      call->zone = jl_shares_choose_zone (call, demand);
     }
   if (call->zone == NULL)
-    jl_call_refuse (call, "overload");
+    jl_call_refuse (call, jl_shares_refusal_reason (call));
   else
     place_call (call);
 }
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -12,6 +12,7 @@
 #include "proxy/hooks.h"
 #include "proxy/match.h"
 #include "proxy/report.h"
+#include "proxy/shares.h"
 #include "proxy/trial.h"
 #include "proxy/watch.h"
 
@@ -68,7 +69,7 @@
   if (!work->running)
     return;
   work->running = false;
-  jl_lane_finish (&proxy->lane);
+  jl_lane_end_run (&proxy->lane, &work->item);
 }
 
 static void
@@ -160,7 +161,7 @@
   struct jl_proxy *proxy = work->proxy;
   uint64_t held_us = jl_now () - work->started_us;
 
-  jl_load_shedder_record_hold (&proxy->load_shedder, held_us);
+  jl_shares_record_hold (work, held_us);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status >= 500 && status != STATUS_GATEWAY_TIMEOUT);
   jl_histogram_add (&proxy->counters.target_time, held_us);
@@ -539,12 +540,7 @@
 static void
 admit_work (struct jl_work *work)
 {
-  work->item.rank = work->header.rank;
-  work->item.arrived_us = jl_now ();
-  work->item.expires_us
-      = work->item.arrived_us + work->header.remaining_ms * JL_USEC_PER_MSEC;
-  work->item.due_us
-      = work->item.arrived_us + work->header.latency_goal_ms * JL_USEC_PER_MSEC;
+  jl_shares_prepare_work (work);
   if (!jl_trial_hold_work (work))
     jl_guard_start (work);
 }
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -8,6 +8,7 @@
 #include "proxy/digest.h"
 #include "proxy/freshness.h"
 #include "proxy/report.h"
+#include "proxy/shares.h"
 
 #include <string.h>
 
@@ -75,6 +76,9 @@
   append_counter (text, "calls_total", counters->calls);
   append_counter (text, "served_total", counters->served);
   append_counter (text, "refused_total", counters->refused);
+  if (proxy->site != NULL && proxy->site->customers != NULL)
+    append_counter (text, "refused_fair_share_total",
+                    counters->refused_by_share);
   append_counter (text, "failed_total", counters->failed);
   append_counter (text, "clients_left_total", counters->clients_left);
   append_counter (text, "placed_again_total", counters->placed_again);
@@ -180,6 +184,7 @@
   else if (strcmp (target, "/state") == 0)
     {
       append_state (text, proxy);
+      jl_shares_append_state (proxy, text);
       append_suspects (text, proxy);
     }
   if (text->len > 0)
--- a/source/proxy/plan.h
+++ b/source/proxy/plan.h
@@ -42,7 +42,10 @@
 /**
  * struct jl_demand - requests of this daemon's clients by one route
  * @route_key: the route's key
- * @rank: its priority, 0 is the most important
+ * @rank: priority of the requests, 0 is the most important; on a site with
+ *        customers the customer's rank goes before the route's
+ * @customer_rank: rank of their customers, 0 without customers
+ * @pool: number of the pool in which customers compete, JL_NONE for none
  * @window_requests: requests in this window
  * @rate: requests a second, exponential moving average
  * @tree: runs that one request causes
@@ -52,6 +55,8 @@
 {
   uint32_t route_key;
   unsigned rank;
+  unsigned customer_rank;
+  unsigned pool;
   unsigned window_requests;
   double rate;
   struct jl_call_tree tree;
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -541,6 +541,7 @@
   proxy->target.name_key = jl_name_key (options->name);
   proxy->target.heartbeat_us = options->heartbeat_us;
   jl_lane_init (&proxy->lane);
+  jl_fair_share_init (&proxy->fair_share);
   jl_load_shedder_init (&proxy->load_shedder);
   jl_notice_init (&proxy->target_limit);
   jl_fanout_init (&proxy->fanout);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -14,6 +14,8 @@
 #include "jackdawladder/upstream.h"
 #include "policy/budget.h"
 #include "policy/failure-rate.h"
+#include "policy/fair-share.h"
+#include "policy/hold-time.h"
 #include "policy/lane.h"
 #include "policy/load-shedder.h"
 #include "policy/suspect.h"
@@ -53,6 +55,7 @@
  * @calls: requests received from the local target
  * @served: requests whose response from a target was passed on completely
  * @refused: requests that were refused and have not run
+ * @refused_by_share: those refused because their customer is above its share
  * @unauthorized: requests without an API key that the configuration knows
  * @failed: requests that may have run, passed their deadline or lost their
  *          response
@@ -89,6 +92,7 @@
   uint64_t calls;
   uint64_t served;
   uint64_t refused;
+  uint64_t refused_by_share;
   uint64_t unauthorized;
   uint64_t failed;
   uint64_t clients_left;
@@ -123,6 +127,17 @@
   struct jl_retry_budget budget;
 };
 
+/**
+ * struct jl_ranked_pool - demands of one rank that are short of a service
+ * @service: interned
+ */
+struct jl_ranked_pool
+{
+  unsigned rank;
+  const char *service;
+  struct jl_fair_pool pool;
+};
+
 struct jl_beacon;
 struct jl_digest_counters;
 struct jl_freshness;
@@ -162,6 +177,10 @@
  * @news: sender of reports on suspect contents
  * @lane: queue in front of the local target
  * @demands: demand and admission plan of each route used by clients
+ * @fair_share: recent demand of each customer, on sites with customers
+ * @pools: demands whose customers compete for capacity in this window
+ * @hold_times: times for which runs of each route hold a slot of the local
+ *              target, on sites with customers
  * @plans_computed_us: monotonic time at which the plans of @demands were
  *                     computed
  * @call_routes: keys of the routes that carry calls of the local target
@@ -228,6 +247,10 @@
   struct jl_learned learned;
   unsigned demand_count;
   struct jl_demand demands[JL_DEMAND_ROUTES_MAX];
+  struct jl_fair_share fair_share;
+  unsigned pool_count;
+  struct jl_ranked_pool pools[JL_DEMAND_ROUTES_MAX];
+  struct jl_hold_times hold_times;
   uint64_t plans_computed_us;
   unsigned call_route_count;
   uint32_t call_routes[JL_ARRIVAL_ROUTES_MAX];
