--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -48,14 +48,19 @@
                  const struct jl_customer *customer)
 {
   unsigned customer_rank = customer != NULL ? customer->rank : 0;
-  struct jl_demand *demand;
+  struct jl_demand *demand = NULL;
 
   for (unsigned i = 0; i < proxy->demand_count; i++)
-    if (proxy->demands[i].route_key == route->key
-        && proxy->demands[i].customer_rank == customer_rank)
-      return &proxy->demands[i];
+    {
+      if (proxy->demands[i].route_key != route->key)
+        continue;
+      demand = &proxy->demands[i];
+      if (demand->customer_rank == customer_rank)
+        return demand;
+    }
+  /* A plan for another rank of customers is better than none. */
   if (proxy->demand_count == JL_DEMAND_ROUTES_MAX)
-    return NULL;
+    return demand;
   demand = &proxy->demands[proxy->demand_count++];
   demand->route_key = route->key;
   demand->customer_rank = customer_rank;
--- a/source/proxy/demand.h
+++ b/source/proxy/demand.h
@@ -14,8 +14,8 @@
  * which it adds if it is new
  * @customer: NULL for none
  *
- * Return: the demand, or NULL if JL_DEMAND_ROUTES_MAX routes are tracked
- * already.
+ * Return: the demand. If JL_DEMAND_ROUTES_MAX are tracked already, that of
+ * another rank by the same route, or NULL if there is none.
  */
 struct jl_demand *jl_demand_track (struct jl_proxy *proxy,
                                    const struct jl_route *route,
