Play competing customers at the size of the site with customers

Change: the tests play 78 daemons and a capacity of 2,333 requests a second, about 28 at each entry as at the site.

--- a/tests/proxy/fair-share.c
+++ b/tests/proxy/fair-share.c
@@ -10,12 +10,16 @@
 
 #include "proxy/parts/model.h"
 
-#define DAEMONS 20
+/* As many daemons and as large a capacity as at the site with customers, so
+ * that an entry sees about 28 requests a second. */
+#define DAEMONS 78
 #define CUSTOMERS_MAX 82
 #define ROUTE 7
 /* Slots and hold time of the target. */
-#define SLOTS 14
+#define SLOTS 56
 #define HOLD_US 24000.0
+/* Requests that a customer may send in one step. */
+#define SLICES 8
 #define CAPACITY (SLOTS * 1e6 / HOLD_US)
 
 /**
@@ -116,9 +120,10 @@
       uint64_t now_us
           = JL_USEC_PER_SEC + (uint64_t)market->model.step * STEP_US;
 
-      for (unsigned i = 0; i < market->count; i++)
-        if (g_random_double () < market->rates[i] * STEP_US / 1e6)
-          offer (market, i, now_us);
+      for (unsigned i = 0; i < market->count * SLICES; i++)
+        if (g_random_double ()
+            < market->rates[i / SLICES] * STEP_US / 1e6 / SLICES)
+          offer (market, i / SLICES, now_us);
       model_step (&market->model, 0);
       if (market->model.step % (JL_CONTROL_WINDOW_US / STEP_US) != 0)
         continue;
@@ -183,8 +188,8 @@
   market_close (&market);
 }
 
-/* Equal customers have less than a request in three seconds at each daemon, so
- * that estimates of their demand vary by their own size. */
+/* Equal customers have a request in three seconds at each daemon, so that
+ * estimates of their demand vary by a large part of their size. */
 Test (fair_share, others_do_not_notice_a_surge_among_equal_customers)
 {
   struct market market;
@@ -228,7 +233,7 @@
   struct market market;
 
   market_open (&market, 82);
-  set_skewed_rates (&market, 4 * CAPACITY);
+  set_skewed_rates (&market, 1.5 * CAPACITY);
   market.rates[0] *= 6;
   market_run (&market, 20);
   market_run (&market, 40);
