--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -106,7 +106,9 @@
   const struct jl_proxy *proxy = call->proxy;
 
   for (unsigned i = 0; call->route != NULL && i < proxy->demand_count; i++)
-    if (proxy->demands[i].route_key == call->route->key)
+    if (proxy->demands[i].route_key == call->route->key
+        && proxy->demands[i].customer_rank
+               == (call->customer != NULL ? call->customer->rank : 0))
       return &proxy->demands[i].plan;
   return &none;
 }
@@ -149,14 +151,16 @@
              "id=%s route=%s reason=%s placements=%u age_ms=%" PRIu64
              " left_ms=%" PRIu64 " retry_after_ms=%" PRIu64 " site=%" PRIx64
              " short_of=%s shed=%.2f keep=%.2f beliefs_age_ms=%" PRIu64
-             " content=%016" PRIx64,
+             " content=%016" PRIx64 "%s%s",
              jl_call_attempt_id (call),
              call->route != NULL ? call->route->name : "-", reason,
              call->tried_count, jl_call_age_ms (call), remaining_ms (call),
              after_ms, call->site != NULL ? call->site->version : 0,
              plan->limiting_service, plan->shed_share, plan->admit_share,
              (jl_now () - proxy->plans_computed_us) / JL_USEC_PER_MSEC,
-             jl_content_id (&call->content));
+             jl_content_id (&call->content),
+             call->customer != NULL ? " customer=" : "",
+             call->customer != NULL ? call->customer->name : "");
   g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
               (double)after_ms / 1000);
   jl_call_respond (call, 503, fields, reason);
@@ -241,25 +245,3 @@
                                  call->zone, call->tried, call->tried_count,
                                  now_us);
 }
-
-const char *
-jl_call_choose_service (const struct jl_route *route)
-{
-  uint64_t total = 0;
-  uint64_t draw;
-
-  if (route->split_count == 1)
-    return route->split[0].service;
-  for (unsigned i = 0; i < route->split_count; i++)
-    total += route->split[i].weight;
-  if (total == 0)
-    return route->split[0].service;
-  draw = (uint64_t)(g_random_double () * (double)total);
-  for (unsigned i = 0; i < route->split_count; i++)
-    {
-      if (draw < route->split[i].weight)
-        return route->split[i].service;
-      draw -= route->split[i].weight;
-    }
-  return route->split[0].service;
-}
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -24,11 +24,13 @@
  * @identity_site: configuration by which the request was last identified, NULL
  *                 if none had customers
  * @identity: result of that identification
+ * @over_share: it was refused because its customer is above its fair share
  * @service: service that the request is sent to
  * @caller_service: service of this instance when the request arrived
  * @zone: preferred zone
  * @from_target: the request's route identifies it as a call of the local target
- * @rank: importance, 0 is the highest
+ * @inherited_rank: of a call of the local target: rank of the run that made it,
+ *                  JL_NONE if that is not known
  * @begun_us: time of arrival
  * @expires_us: deadline: the earlier of the client's and the route's timeout
  * @body_not_buffered: the body exceeds the buffer, so the request cannot be
@@ -65,12 +67,13 @@
   const struct jl_customer *customer;
   struct jl_site *identity_site;
   enum jl_identification identity;
+  bool over_share;
   struct jl_content content;
   const char *service;
   const char *caller_service;
   const char *zone;
   bool from_target;
-  unsigned rank;
+  unsigned inherited_rank;
   uint64_t begun_us;
   uint64_t expires_us;
   bool body_not_buffered;
@@ -171,12 +174,6 @@
  */
 void jl_call_give_up (struct jl_call *call, const char *reason);
 
-/**
- * jl_call_choose_service - chooses a service at random, by the weights of the
- * route's split
- */
-const char *jl_call_choose_service (const struct jl_route *route);
-
 /* entry.c */
 
 /**
--- a/source/proxy/demand.c
+++ b/source/proxy/demand.c
@@ -5,6 +5,8 @@
 
 #include "proxy/demand.h"
 
+#include "proxy/shares.h"
+
 #include <string.h>
 
 /* Weight of a window in the moving average of the demand. */
@@ -41,17 +43,28 @@
 }
 
 struct jl_demand *
-jl_demand_track (struct jl_proxy *proxy, const struct jl_route *route)
+jl_demand_track (struct jl_proxy *proxy,
+                 const struct jl_route *route,
+                 const struct jl_customer *customer)
 {
-  struct jl_demand *demand;
+  unsigned customer_rank = customer != NULL ? customer->rank : 0;
+  struct jl_demand *demand = NULL;
 
   for (unsigned i = 0; i < proxy->demand_count; i++)
-    if (proxy->demands[i].route_key == route->key)
-      return &proxy->demands[i];
+    {
+      if (proxy->demands[i].route_key != route->key)
+        continue;
+      demand = &proxy->demands[i];
+      if (demand->customer_rank == customer_rank)
+        return demand;
+    }
+  /* A plan for another rank of customers is better than none. */
   if (proxy->demand_count == JL_DEMAND_ROUTES_MAX)
-    return NULL;
+    return demand;
   demand = &proxy->demands[proxy->demand_count++];
   demand->route_key = route->key;
+  demand->customer_rank = customer_rank;
+  demand->pool = JL_NONE;
   demand->plan.zone = proxy->roster.local_zone;
   demand->plan.admit_share = 1;
   demand->plan.chance = 1;
@@ -86,7 +99,7 @@
   demand->tree.count = 0;
   if (route == NULL)
     return;
-  demand->rank = route->rank;
+  demand->rank = demand->customer_rank * JL_RANK_COUNT + route->rank;
   jl_call_tree_estimate (&proxy->roster, proxy->site, route, &demand->tree);
 }
 
@@ -174,6 +187,7 @@
     proxy->demands[i].plan
         = jl_plan_compute (&proxy->roster, proxy->demands, proxy->demand_count,
                            &proxy->demands[i], jl_now ());
+  jl_shares_end_window (proxy);
 }
 
 bool
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -18,6 +18,7 @@
 #include "proxy/infer.h"
 #include "proxy/quota.h"
 #include "proxy/report.h"
+#include "proxy/shares.h"
 #include "proxy/trial.h"
 
 #include <string.h>
@@ -329,7 +330,7 @@
   struct jl_proxy *proxy = call->proxy;
   const struct jl_head *head = jl_request_head (call->relay.request);
   struct jl_work_header work = {
-    .rank = call->rank,
+    .rank = jl_shares_rank (call),
     .remaining_ms
     = (unsigned)((call->expires_us - jl_now ()) / JL_USEC_PER_MSEC),
     .latency_goal_ms
@@ -402,15 +403,6 @@
   call->expires_us = call->begun_us + wait_us;
 }
 
-/* A customer's rank goes before the rank of the route. */
-static unsigned
-rank_of (const struct jl_call *call)
-{
-  unsigned customer_rank = call->customer != NULL ? call->customer->rank : 0;
-
-  return customer_rank * JL_RANK_COUNT + call->route->rank;
-}
-
 /* Sets the rank of a call of the local target: that of the run that made it, or
  * its route's if the run is not known. */
 static void
@@ -428,7 +420,7 @@
   run = jl_lineage_find (&proxy->lineage, call->route->key,
                          call->begun_us + remaining_ms * JL_USEC_PER_MSEC);
   if (run != NULL)
-    call->rank = run->rank;
+    call->inherited_rank = run->rank;
 }
 
 /* Starts a call of the local target. Late in a graceful shutdown it is taken
@@ -463,7 +455,8 @@
 jl_entry_continue (struct jl_call *call)
 {
   struct jl_proxy *proxy = call->proxy;
-  struct jl_demand *demand = jl_demand_track (proxy, call->route);
+  struct jl_demand *demand
+      = jl_demand_track (proxy, call->route, call->customer);
   struct jl_retry_budget_policy policy = jl_demand_retry_policy (proxy);
   struct jl_retry_budget *budget
       = jl_demand_retry_budget (proxy, call->service);
@@ -473,10 +466,10 @@
   if (demand != NULL)
     {
       demand->window_requests++;
-      call->zone = jl_plan_choose_zone (&demand->plan, g_random_double ());
+      call->zone = jl_shares_choose_zone (call, demand);
     }
   if (call->zone == NULL)
-    jl_call_refuse (call, "overload");
+    jl_call_refuse (call, jl_shares_refusal_reason (call));
   else if (demand != NULL && !is_worthwhile (proxy, &demand->plan))
     jl_call_refuse_late (call, "calls-fail");
   else
@@ -514,6 +507,7 @@
   jl_content_begin (&call->content, jl_request_head (request));
   call->begun_us = jl_now ();
   call->expires_us = call->begun_us + JL_USEC_PER_SEC;
+  call->inherited_rank = JL_NONE;
   call->caller_service = g_intern_string (jl_proxy_service (proxy));
   call->zone = proxy->roster.local_zone;
   cds_list_add_tail (&call->link, &proxy->calls);
@@ -558,7 +552,6 @@
       return;
     }
   call->service = jl_call_choose_service (call->route);
-  call->rank = rank_of (call);
   set_deadline (call);
   jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
   call->from_target = jl_demand_is_call_route (proxy, call->route->key);
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -10,6 +10,7 @@
 #include "proxy/identify.h"
 #include "proxy/quota.h"
 #include "proxy/report.h"
+#include "proxy/shares.h"
 
 #include <string.h>
 
@@ -79,6 +80,9 @@
   append_counter (text, "calls_of_unknown_runs_total", proxy->lineage.unknown);
   append_counter (text, "served_total", counters->served);
   append_counter (text, "refused_total", counters->refused);
+  if (proxy->site != NULL && proxy->site->customers != NULL)
+    append_counter (text, "refused_fair_share_total",
+                    counters->refused_by_share);
   append_counter (text, "failed_total", counters->failed);
   append_counter (text, "clients_left_total", counters->clients_left);
   append_counter (text, "placed_again_total", counters->placed_again);
@@ -188,6 +192,7 @@
     {
       append_state (text, proxy);
       jl_identify_append_state (text, proxy);
+      jl_shares_append_state (proxy, text);
       append_suspects (text, proxy);
       jl_quota_append_state (proxy->quota, text);
     }
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -15,6 +15,8 @@
 #include "policy/api-key.h"
 #include "policy/budget.h"
 #include "policy/failure-rate.h"
+#include "policy/fair-share.h"
+#include "policy/hold-time.h"
 #include "policy/lane.h"
 #include "policy/lineage.h"
 #include "policy/load-shedder.h"
@@ -55,6 +57,7 @@
  * @calls: requests received from the local target
  * @served: requests whose response from a target was passed on completely
  * @refused: requests that were refused and have not run
+ * @refused_by_share: those refused because their customer is above its share
  * @unauthorized: requests refused without an API key that the configuration
  *                knows
  * @identified: requests by the result of their identification, also on public
@@ -96,6 +99,7 @@
   uint64_t calls;
   uint64_t served;
   uint64_t refused;
+  uint64_t refused_by_share;
   uint64_t unauthorized;
   uint64_t identified[JL_IDENTITY_COUNT];
   uint64_t failed;
@@ -132,6 +136,17 @@
   struct jl_retry_budget budget;
 };
 
+/**
+ * struct jl_ranked_pool - demands of one rank that are short of a service
+ * @service: interned
+ */
+struct jl_ranked_pool
+{
+  unsigned rank;
+  const char *service;
+  struct jl_fair_pool pool;
+};
+
 struct jl_beacon;
 struct jl_digest_counters;
 struct jl_freshness;
@@ -177,6 +192,10 @@
  * @lane: queue in front of the local target
  * @lineage: runs in progress at the local target, to find those of its calls
  * @demands: demand and admission plan of each route used by clients
+ * @fair_share: recent demand of each customer, on sites with customers
+ * @pools: demands whose customers compete for capacity in this window
+ * @hold_times: times for which runs of each route hold a slot of the local
+ *              target, on sites with customers
  * @plans_computed_us: monotonic time at which the plans of @demands were
  *                     computed
  * @call_routes: keys of the routes that carry calls of the local target
@@ -248,6 +267,10 @@
   struct jl_learned learned;
   unsigned demand_count;
   struct jl_demand demands[JL_DEMAND_ROUTES_MAX];
+  struct jl_fair_share fair_share;
+  unsigned pool_count;
+  struct jl_ranked_pool pools[JL_DEMAND_ROUTES_MAX];
+  struct jl_hold_times hold_times;
   uint64_t plans_computed_us;
   unsigned call_route_count;
   uint32_t call_routes[JL_ARRIVAL_ROUTES_MAX];
