Choose between targets by their load reports

Cause: an entry of a large site has a request or two of its own at each target, and beacons are up to a second old, so it keeps sending to targets that have just become slow.

Change: where load reports are on, guards answer entries that ask with running, waiting, limit and hold time, and beacons within the zone carry the same. Of two targets drawn by capacity, the one with the shorter expected wait is taken, with a probability that falls with the age of the reports. An entry asks a guard of another zone at most every 250 ms.

The wait without the age was not tried on its own.

--- a/source/proxy/announce.c
+++ b/source/proxy/announce.c
@@ -93,6 +93,18 @@
   return hops == JL_NONE || xdr_beacon_relay (xdr, &relay);
 }
 
+/* Beacons that are passed on carry no load report, as it would be too old. */
+static bool
+encode_load (XDR *xdr, const struct jl_member *member, unsigned hops)
+{
+  const struct jl_load_report *report = &member->load.report;
+  struct beacon_load load
+      = { report->running, report->waiting, report->limit, report->hold_ms };
+
+  return hops != JL_NONE || member->load.heard_us == 0
+         || xdr_beacon_load (xdr, &load);
+}
+
 size_t
 jl_announce_encode (const struct jl_member *member,
                     unsigned hops,
@@ -134,7 +146,8 @@
   if (!encode_relay (&xdr, member, hops, now_us)
       || !xdr_beacon_message (&xdr, &message)
       || !xdr_beacon_extension (&xdr, &extension)
-      || !xdr_beacon_notice (&xdr, &notice) || !xdr_beacon_watch (&xdr, &watch))
+      || !xdr_beacon_notice (&xdr, &notice) || !xdr_beacon_watch (&xdr, &watch)
+      || !encode_load (&xdr, member, hops))
     return 0;
   return xdr_getpos (&xdr);
 }
@@ -150,6 +163,7 @@
   struct beacon_extension extension;
   struct beacon_notice notice;
   struct beacon_watch watch;
+  struct beacon_load load;
   bool relayed;
   uint64_t heard_us;
 };
@@ -239,11 +253,24 @@
     jl_member_add_departed (member, target_key);
   if (state == JL_TARGET_UP && jl_member_has_departed (member, target_key))
     state = JL_TARGET_LEAVING;
+  if (member->target_key != target_key)
+    member->load.heard_us = 0;
   member->state = state;
   member->target_key = target_key;
   member->departed = departed;
 }
 
+/* Without a report, the limit is 0 and the report not valid. */
+static void
+update_load (struct jl_member *member, const struct beacon *beacon)
+{
+  struct jl_load_report report = { beacon->load.running, beacon->load.waiting,
+                                   beacon->load.limit, beacon->load.hold_ms };
+
+  if (!beacon->relayed && jl_load_report_is_valid (&report))
+    jl_load_view_hear (&member->load, &report, beacon->heard_us);
+}
+
 static void
 update_state (struct jl_member *member, const struct beacon *beacon)
 {
@@ -257,6 +284,7 @@
   jl_announce_set_load (member, message->limit, message->hold_us,
                         message->shed_milli, message->room_milli,
                         message->failing_milli);
+  update_load (member, beacon);
   member->site_version = message->site_version;
   member->store_lost = beacon->watch.store_lost != 0;
   member->last_beacon_us = MAX (member->last_beacon_us, beacon->heard_us);
@@ -350,6 +378,8 @@
     beacon->notice = (struct beacon_notice){ 0 };
   else if (!xdr_beacon_watch (xdr, &beacon->watch))
     beacon->watch.store_lost = 0;
+  else if (!xdr_beacon_load (xdr, &beacon->load))
+    beacon->load.limit = 0;
 }
 
 static bool
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -46,6 +46,7 @@
  * @sent_shed_share: shed share last sent
  * @sent_spare_share: spare capacity last sent
  * @sent_failure_rate: failure rate last sent
+ * @sent_queue: requests waited at the local target when beacons were last sent
  * @buffer: received datagram
  */
 struct jl_beacon
@@ -60,6 +61,7 @@
   double sent_shed_share;
   double sent_spare_share;
   double sent_failure_rate;
+  bool sent_queue;
   char buffer[JL_DATAGRAM_BYTES_MAX];
 };
 
@@ -296,6 +298,7 @@
   beacon->sent_shed_share = proxy->load_shedder.shed_share;
   beacon->sent_spare_share = proxy->load_shedder.spare_share;
   beacon->sent_failure_rate = proxy->self->failure_rate;
+  beacon->sent_queue = proxy->lane.waiting > 0;
   jl_beacon_send_to_zone (beacon, true, datagram, size);
   jl_news_send_open (proxy->news, NULL, true);
 }
@@ -338,7 +341,9 @@
                 > CHANGE_MIN_RATIO * 3
          || fabs (beacon->proxy->self->failure_rate - beacon->sent_failure_rate)
                 > CHANGE_MIN_RATIO * 2
-         || (shedder->shed_share > 0) != (beacon->sent_shed_share > 0);
+         || (shedder->shed_share > 0) != (beacon->sent_shed_share > 0)
+         || (beacon->proxy->options->load_reports
+             && (beacon->proxy->lane.waiting > 0) != beacon->sent_queue);
 }
 
 static void
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -166,6 +166,28 @@
     jl_call_refuse (call, reason);
 }
 
+const char *
+jl_call_choose_service (const struct jl_route *route)
+{
+  uint64_t total = 0;
+  uint64_t draw;
+
+  if (route->split_count == 1)
+    return route->split[0].service;
+  for (unsigned i = 0; i < route->split_count; i++)
+    total += route->split[i].weight;
+  if (total == 0)
+    return route->split[0].service;
+  draw = (uint64_t)(g_random_double () * (double)total);
+  for (unsigned i = 0; i < route->split_count; i++)
+    {
+      if (draw < route->split[i].weight)
+        return route->split[i].service;
+      draw -= route->split[i].weight;
+    }
+  return route->split[0].service;
+}
+
 /* Chooses a daemon for a trial: another one than this daemon if possible, which
  * could not report the loss of the whole instance. */
 static struct jl_member *
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -90,6 +90,12 @@
  */
 uint64_t jl_call_age_ms (const struct jl_call *call);
 
+/**
+ * jl_call_choose_service - chooses one of the route's services at random, by
+ * the weights of its split
+ */
+const char *jl_call_choose_service (const struct jl_route *route);
+
 /**
  * jl_call_choose_daemon - chooses the daemon that a request is sent to next
  *
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -15,6 +15,7 @@
 #include "proxy/hooks.h"
 #include "proxy/identify.h"
 #include "proxy/infer.h"
+#include "proxy/load-report.h"
 #include "proxy/report.h"
 #include "proxy/trial.h"
 
@@ -185,6 +186,7 @@
   g_strlcpy (reason, field != NULL ? field : "", sizeof reason);
   call->member->last_answer_us = jl_now ();
   jl_infer_member_answered (call->proxy, call->member);
+  jl_load_report_heard (call, head);
   if (outcome == NULL)
     jl_notice_passed_on (call, head);
   if (outcome == NULL && head->status >= 500 && prepare_failure_retry (call))
@@ -349,6 +351,7 @@
   GString *text;
 
   g_strlcpy (work.service, call->service, sizeof work.service);
+  jl_load_report_ask (call, &work);
   text = jl_headers_to_guard (head, &work, call->caller_service);
   call->relay.upstream = jl_upstream_open (
       proxy->peer_pool, call->member->peer, false, 0, text,
@@ -378,6 +381,7 @@
   call->trial_running = false;
   member->asked_us = now_us;
   member->outstanding++;
+  jl_load_report_sent (call);
   if (strcmp (member->zone, proxy->roster.local_zone) != 0)
     proxy->counters.other_zone++;
   if (!open_upstream (call))
@@ -392,29 +396,6 @@
   jl_relay_send_buffered_body (&call->relay);
 }
 
-/* Chooses a service at random, by the weights of the route's split. */
-static const char *
-choose_service (const struct jl_route *route)
-{
-  uint64_t total = 0;
-  uint64_t draw;
-
-  if (route->split_count == 1)
-    return route->split[0].service;
-  for (unsigned i = 0; i < route->split_count; i++)
-    total += route->split[i].weight;
-  if (total == 0)
-    return route->split[0].service;
-  draw = (uint64_t)(g_random_double () * (double)total);
-  for (unsigned i = 0; i < route->split_count; i++)
-    {
-      if (draw < route->split[i].weight)
-        return route->split[i].service;
-      draw -= route->split[i].weight;
-    }
-  return route->split[0].service;
-}
-
 static void
 set_deadline (struct jl_call *call)
 {
@@ -537,7 +518,7 @@
       jl_call_respond (call, 413, "", "too-large");
       return;
     }
-  call->service = choose_service (call->route);
+  call->service = jl_call_choose_service (call->route);
   set_deadline (call);
   jl_arrivals_add (&proxy->self->arrivals, call->route->key, 1);
   call->from_target = jl_demand_is_call_route (proxy, call->route->key);
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -10,6 +10,7 @@
 
 #include "names.h"
 #include "proxy/hooks.h"
+#include "proxy/load-report.h"
 #include "proxy/match.h"
 #include "proxy/report.h"
 #include "proxy/trial.h"
@@ -108,10 +109,11 @@
        const char *reason)
 {
   struct jl_request *request = work->relay.request;
-  char fields[128];
+  char fields[192];
 
   g_snprintf (fields, sizeof fields, "%s: %s\r\n%s: %s\r\n", JL_OUTCOME_FIELD,
               outcome, JL_REASON_FIELD, reason);
+  jl_load_report_add_line (work, fields, sizeof fields);
   jl_request_set_data (request, NULL);
   free_work (work);
   jl_request_reply (request, status, fields, "", 0);
@@ -252,8 +254,9 @@
 /* Passes on a response of the target. @target_line: what it says of the target,
  * for the entry */
 static void
-start_response (struct jl_work *work, const char *target_line)
+start_response (struct jl_work *work, char target_line[JL_TARGET_LINE_SIZE])
 {
+  jl_load_report_add_line (work, target_line, JL_TARGET_LINE_SIZE);
   if (jl_relay_start_response (&work->relay, target_line))
     finish_response (work);
 }
@@ -445,6 +448,7 @@
 send_work (struct jl_work *work)
 {
   jl_rate_limit_count (&work->proxy->target_limit.rate);
+  jl_load_report_count_start (work);
   start_work (work);
 }
 
@@ -461,18 +465,6 @@
     send_work (work_from_item (item));
 }
 
-void
-jl_guard_refuse_waiting (struct jl_proxy *proxy, const char *reason)
-{
-  struct jl_work *work;
-  struct jl_work *next;
-
-  cds_list_for_each_entry_safe (work, next, &proxy->work_items,
-                                link) if (work->item.waiting
-                                          || work->relay.hold != JL_HOLD_NONE)
-      jl_guard_refuse (work, reason);
-}
-
 /* Returns the reason to refuse all work for a service now, NULL if there is
  * none. */
 static const char *
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -5,6 +5,7 @@
 #include "proxy/proxy.h"
 
 #include "names.h"
+#include "proxy/load-report.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -138,6 +139,9 @@
   if (work->limited_key != 0)
     g_string_append_printf (text, " %08x %.3f", work->limited_key, work->limit);
   g_string_append (text, "\r\n");
+  if (work->accepts_load)
+    g_string_append_printf (text, "%s: 1 %u %u\r\n", JL_ACCEPT_LOAD_FIELD,
+                            work->moves_left, work->spent_ms);
   append_framing (text, head);
   return text;
 }
@@ -159,6 +163,27 @@
   return text;
 }
 
+/* Reads what a request says of load reports. A malformed field counts as none.
+ */
+static void
+read_accept_load (const struct jl_head *head, struct jl_work_header *work)
+{
+  const char *value = jl_head_get (head, JL_ACCEPT_LOAD_FIELD);
+  unsigned accepts;
+
+  if (value == NULL
+      || sscanf (value, "%1u %1u %9u", &accepts, &work->moves_left,
+                 &work->spent_ms)
+             != 3
+      || accepts != 1)
+    {
+      work->moves_left = 0;
+      work->spent_ms = 0;
+      return;
+    }
+  work->accepts_load = true;
+}
+
 bool
 jl_headers_read_work (const struct jl_head *head, struct jl_work_header *work)
 {
@@ -178,6 +203,7 @@
   work->trial = trial != 0;
   work->limited_key = limit >= 0 ? limited_key : 0;
   work->limit = limit;
+  read_accept_load (head, work);
   return true;
 }
 
--- /dev/null
+++ b/source/proxy/load-report.c
@@ -0,0 +1,109 @@
+/**
+ * DOC: Load reports between the daemons, where the settings enable them.
+ */
+
+#include "proxy/load-report.h"
+
+#include <string.h>
+
+/* Age of a report after which a guard of another zone is asked again. */
+#define OTHER_ZONE_AGE_US (250 * JL_USEC_PER_MSEC)
+
+static struct jl_load_report
+own_report (const struct jl_proxy *proxy)
+{
+  double hold_ms = proxy->load_shedder.hold_us / (double)JL_USEC_PER_MSEC;
+  struct jl_load_report report = {
+    .running = proxy->lane.running,
+    .waiting = proxy->lane.waiting,
+    .limit
+    = jl_load_shedder_used_slots (&proxy->load_shedder, proxy->lane.limit),
+    .hold_ms = MAX ((unsigned)(hold_ms + 0.5), 1),
+  };
+
+  return report;
+}
+
+/* Whether the local target has a load to report. Nothing is known of its speed
+ * before its first response. */
+static bool
+has_report (const struct jl_proxy *proxy)
+{
+  return proxy->options->load_reports && proxy->lane.limit > 0
+         && proxy->load_shedder.hold_us > 0;
+}
+
+void
+jl_load_report_update_self (struct jl_proxy *proxy)
+{
+  struct jl_load_report report = own_report (proxy);
+
+  proxy->roster.uses_load_reports = proxy->options->load_reports;
+  if (has_report (proxy))
+    jl_load_view_hear (&proxy->self->load, &report, jl_now ());
+}
+
+void
+jl_load_report_add_line (const struct jl_work *work, char *lines, size_t size)
+{
+  struct jl_load_report report = own_report (work->proxy);
+  size_t length = strlen (lines);
+  char text[JL_LOAD_REPORT_SIZE];
+
+  if (!work->header.accepts_load || !has_report (work->proxy))
+    return;
+  jl_load_report_format (&report, text);
+  g_snprintf (lines + length, size - length, "%s: %s\r\n", JL_LOAD_FIELD, text);
+}
+
+void
+jl_load_report_count_start (struct jl_work *work)
+{
+  struct jl_proxy *proxy = work->proxy;
+  uint64_t waited_us = jl_now () - work->item.arrived_us;
+  uint64_t spent_us = waited_us + work->header.spent_ms * JL_USEC_PER_MSEC;
+
+  if (!proxy->options->load_reports)
+    return;
+  proxy->counters.starts++;
+  if (2 * spent_us > work->header.latency_goal_ms * JL_USEC_PER_MSEC)
+    proxy->counters.late_starts++;
+}
+
+void
+jl_load_report_ask (const struct jl_call *call, struct jl_work_header *work)
+{
+  const struct jl_member *member = call->member;
+  uint64_t now_us = jl_now ();
+
+  if (!call->proxy->options->load_reports)
+    return;
+  work->accepts_load = !member->in_other_zone
+                       || now_us > member->load.heard_us + OTHER_ZONE_AGE_US;
+  work->spent_ms = (unsigned)MIN (jl_call_age_ms (call), UINT32_MAX);
+}
+
+void
+jl_load_report_sent (struct jl_call *call)
+{
+  struct jl_proxy *proxy = call->proxy;
+  struct jl_load_view *load = &call->member->load;
+  uint64_t now_us = jl_now ();
+
+  if (!proxy->options->load_reports)
+    return;
+  if (jl_load_view_is_fresh (load, now_us))
+    jl_histogram_add (&proxy->counters.report_age, now_us - load->heard_us);
+  load->sent++;
+}
+
+void
+jl_load_report_heard (struct jl_call *call, const struct jl_head *head)
+{
+  const char *text = jl_head_get (head, JL_LOAD_FIELD);
+  struct jl_load_report report;
+
+  if (call->proxy->options->load_reports && text != NULL
+      && jl_load_report_parse (text, &report))
+    jl_load_view_hear (&call->member->load, &report, jl_now ());
+}
--- a/source/proxy/notice.h
+++ b/source/proxy/notice.h
@@ -26,8 +26,8 @@
 /* Header field of a target's responses that a guard passes on: what they say of
  * the target. */
 #define JL_TARGET_FIELD "Jl-Target"
-/* Maximum size of the line of that field. */
-#define JL_TARGET_LINE_SIZE 64
+/* Maximum size of that line and of the one with a load report. */
+#define JL_TARGET_LINE_SIZE 128
 
 /**
  * enum jl_stated_limit - what a response says of the target's limit
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -62,6 +62,14 @@
                           (guint64)histogram->count);
 }
 
+static void
+append_load_reports (GString *text, const struct jl_proxy_counters *counters)
+{
+  append_counter (text, "starts_total", counters->starts);
+  append_counter (text, "late_starts_total", counters->late_starts);
+  append_histogram (text, "load_report_age", &counters->report_age);
+}
+
 static void
 append_counters (GString *text, const struct jl_proxy *proxy)
 {
@@ -110,11 +118,27 @@
   append_counter (text, "connections_made_total", net->connected);
   append_counter (text, "bytes_received_total", net->bytes_in);
   append_counter (text, "bytes_sent_total", net->bytes_out);
+  if (proxy->options->load_reports)
+    append_load_reports (text, counters);
   append_histogram (text, "request", &counters->request_time);
   append_histogram (text, "lane", &counters->lane_time);
   append_histogram (text, "target", &counters->target_time);
 }
 
+/* Appends the last load report of a daemon. */
+static void
+append_load (GString *text, const struct jl_load_view *load, uint64_t now_us)
+{
+  char report[JL_LOAD_REPORT_SIZE];
+
+  if (load->heard_us == 0)
+    return;
+  jl_load_report_format (&load->report, report);
+  g_string_append_printf (
+      text, "# load: %s sent=%u age_ms=%" PRIu64 "\n", report, load->sent,
+      (now_us - MIN (load->heard_us, now_us)) / JL_USEC_PER_MSEC);
+}
+
 static void
 append_state (GString *text, const struct jl_proxy *proxy)
 {
@@ -142,6 +166,7 @@
           jl_target_state_name (member->state),
           jl_member_is_alive (member, now_us), member->shed_share,
           member->outstanding);
+      append_load (text, &member->load, now_us);
     }
 }
 
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -289,24 +289,50 @@
          * (1 + FAILURE_LOAD_FACTOR * member->failure_rate);
 }
 
+/* Compares the load reports of two candidates. Returns 0 if they do not decide.
+ */
+static int
+compare_reports (const struct jl_roster *roster,
+                 const struct candidate *first,
+                 const struct candidate *second,
+                 uint64_t now_us)
+{
+  const struct jl_load_view *a = &first->member->load;
+  const struct jl_load_view *b = &second->member->load;
+
+  if (!roster->uses_load_reports || !jl_load_view_is_fresh (a, now_us)
+      || !jl_load_view_is_fresh (b, now_us))
+    return 0;
+  return jl_load_view_compare (a, b, now_us, g_random_double ());
+}
+
 /*
  * Chooses the less loaded one of two candidates that are drawn at random. The
  * best one of all would be the same for all entries, which see the same beacons
  * and have few requests of their own at each target. One whose capacity is far
  * below the first one's is rarely compared with it, however idle it is: all
  * entries together would send it too much.
+ *
+ * Where their load reports tell that a request would wait, the expected waits
+ * decide. The draw by capacity already allows for different speeds.
  */
 static struct jl_member *
-choose_loaded_least (struct candidates *candidates)
+choose_loaded_least (struct candidates *candidates,
+                     const struct jl_roster *roster,
+                     uint64_t now_us)
 {
   struct candidate first = take_candidate (candidates);
   struct candidate second;
+  int order;
 
   if (candidates->list->len == 0)
     return first.member;
   second = take_candidate (candidates);
   if (second.capacity < first.capacity * g_random_double ())
     return first.member;
+  order = compare_reports (roster, &first, &second, now_us);
+  if (order != 0)
+    return order > 0 ? second.member : first.member;
   return load_of (second.member) < load_of (first.member) ? second.member
                                                           : first.member;
 }
@@ -359,7 +385,8 @@
   if (candidates->list->len == 0)
     return NULL;
   neglected = find_neglected (candidates, roster, now_us);
-  return neglected != NULL ? neglected : choose_loaded_least (candidates);
+  return neglected != NULL ? neglected
+                           : choose_loaded_least (candidates, roster, now_us);
 }
 
 struct jl_member *
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -9,6 +9,7 @@
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/infer.h"
+#include "proxy/load-report.h"
 #include "proxy/report.h"
 #include "proxy/rows.h"
 #include "proxy/trial.h"
@@ -135,6 +136,7 @@
   self->spare_share = proxy->load_shedder.spare_share;
   self->failure_rate = jl_failure_rate_get (&proxy->failure_rate);
   self->last_beacon_us = jl_now ();
+  jl_load_report_update_self (proxy);
 }
 
 void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -78,6 +78,10 @@
  * too old
  * @beacons_received: datagrams received, including malformed ones
  * @beacons_sent: datagrams sent
+ * @starts: requests that the local target received; this and the following
+ *          members count only where load reports are on
+ * @late_starts: those that had spent more than half of their latency goal
+ * @report_age: age of the load reports of the daemons that were chosen
  * @request_time: time from a request's arrival at the entry to the end of its
  *                response
  * @lane_time: time spent in the guard's queue
@@ -109,6 +113,9 @@
   uint64_t store_checks;
   uint64_t beacons_received;
   uint64_t beacons_sent;
+  uint64_t starts;
+  uint64_t late_starts;
+  struct jl_histogram report_age;
   struct jl_histogram request_time;
   struct jl_histogram lane_time;
   struct jl_histogram target_time;
@@ -409,7 +416,7 @@
  */
 bool jl_entry_end_all (struct jl_proxy *proxy);
 
-/* guard.c */
+/* guard.c, handback.c */
 
 extern const struct jl_handler jl_guard_handler;
 
@@ -555,6 +562,9 @@
  * @has_customers: the site has customers, so that API keys are not passed on
  * @customer: name of the request's customer, NULL for none; sent as a header
  *            field of its own
+ * @accepts_load: the entry asks for a load report
+ * @moves_left: how often the guard may hand the request back
+ * @spent_ms: time since the request's arrival at the entry, 0 if not known
  *
  * Older daemons neither send nor read @trial and what follows it.
  */
@@ -571,6 +581,9 @@
   double limit;
   bool has_customers;
   const char *customer;
+  bool accepts_load;
+  unsigned moves_left;
+  unsigned spent_ms;
 };
 
 /* Header field with the API key of a request. */
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -13,6 +13,7 @@
  * few daemons of each zone, its representatives, send to those of the others.
  */
 
+#include "policy/expected-wait.h"
 #include "policy/fanout.h"
 #include "policy/origin.h"
 #include "proxy/target.h"
@@ -105,6 +106,7 @@
  * @failed_us: time at which a request to it failed last, 0 for none
  * @outstanding: requests that this daemon has sent to it, without a response so
  *               far
+ * @load: last report of its target's load
  * @fanout: calls that runs at its target make
  * @arrivals: requests that it received as an entry
  */
@@ -147,6 +149,7 @@
   uint64_t last_answer_us;
   uint64_t failed_us;
   unsigned outstanding;
+  struct jl_load_view load;
   unsigned fanout_count;
   struct jl_fanout_entry fanout[JL_MEMBER_FANOUT_MAX];
   struct jl_arrivals arrivals;
@@ -159,6 +162,7 @@
  * @by_key: the members by the key of their name
  * @zones: array of struct jl_zone, the other zones that are known
  * @local_zone: availability zone of this daemon
+ * @uses_load_reports: load reports decide between targets
  */
 struct jl_roster
 {
@@ -167,6 +171,7 @@
   GHashTable *by_key;
   GPtrArray *zones;
   char local_zone[JL_TEXT_SIZE];
+  bool uses_load_reports;
 };
 
 void jl_roster_init (struct jl_roster *roster, const char *local_zone);
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -69,6 +69,16 @@
   unsigned int store_lost;
 };
 
+/* Follows a beacon_watch in the same datagram if load reports are on: the load of
+ * the sender's target. */
+struct beacon_load
+{
+  unsigned int running;
+  unsigned int waiting;
+  unsigned int limit;
+  unsigned int hold_ms;
+};
+
 /* What a daemon has last announced of itself, as another one passes it on. key:
  * of its name. epoch, sequence: the low 32 bits of those of its last beacon.
  * limit_state: the limit * 256 + the state; BEACON_DEPARTED is added if the target
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -77,6 +77,14 @@
 	u_int store_lost;
 };
 typedef struct beacon_watch beacon_watch;
+
+struct beacon_load {
+	u_int running;
+	u_int waiting;
+	u_int limit;
+	u_int hold_ms;
+};
+typedef struct beacon_load beacon_load;
 #define BEACON_DEPARTED 128
 
 struct beacon_state {
@@ -160,6 +168,7 @@
 extern  bool_t xdr_beacon_extension (XDR *, beacon_extension*);
 extern  bool_t xdr_beacon_notice (XDR *, beacon_notice*);
 extern  bool_t xdr_beacon_watch (XDR *, beacon_watch*);
+extern  bool_t xdr_beacon_load (XDR *, beacon_load*);
 extern  bool_t xdr_beacon_state (XDR *, beacon_state*);
 extern  bool_t xdr_beacon_digest (XDR *, beacon_digest*);
 extern  bool_t xdr_beacon_relay (XDR *, beacon_relay*);
@@ -175,6 +184,7 @@
 extern bool_t xdr_beacon_extension ();
 extern bool_t xdr_beacon_notice ();
 extern bool_t xdr_beacon_watch ();
+extern bool_t xdr_beacon_load ();
 extern bool_t xdr_beacon_state ();
 extern bool_t xdr_beacon_digest ();
 extern bool_t xdr_beacon_relay ();
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -216,6 +216,61 @@
 	return TRUE;
 }
 
+bool_t
+xdr_beacon_load (XDR *xdrs, beacon_load *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->limit);
+			IXDR_PUT_U_LONG(buf, objp->hold_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->limit))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+		} else {
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->limit = IXDR_GET_U_LONG(buf);
+			objp->hold_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_beacon_state (XDR *xdrs, beacon_state *objp)
 {
--- /dev/null
+++ b/tests/proxy/placement.c
@@ -0,0 +1,186 @@
+/**
+ * DOC: Load tests of placement by load reports, in virtual time.
+ *
+ * 85 entries send to a few targets of one service, of which some are 2.4 times
+ * as fast as others. Targets become 2.5 times slower for 0.6 s at a time, and
+ * the demand swings by half.
+ */
+
+#include <criterion/criterion.h>
+
+#include "proxy/parts/fleet.h"
+
+#define SEEDS 3
+/* Load at 1.7 times a usual load of half of the capacity. */
+#define HEAVY_LOAD 0.85
+#define SWING 0.25
+#define SLOW_MEAN_S 3
+#define SLOWEST_HOLD_US 260000
+#define SPEED_RATIO 2.4
+
+/**
+ * struct load - what targets and callers do
+ * @share: mean demand, relative to the capacity
+ * @even: targets are equal, never slow, and the demand does not swing
+ */
+struct load
+{
+  unsigned target_count;
+  double share;
+  bool even;
+};
+
+/**
+ * struct outcome - what callers get
+ * @in_goal: share of the requests that completed within the goal
+ * @half_spent: share that spent half of the goal before a target had them
+ * @wait_ms: mean wait
+ * @busiest: busiest target, relative to the mean
+ * @moved: share that was handed back
+ */
+struct outcome
+{
+  double in_goal;
+  double half_spent;
+  double wait_ms;
+  double busiest;
+  double moved;
+};
+
+static void
+play_seed (const struct load *load,
+           bool reports,
+           bool moves,
+           unsigned seed,
+           struct outcome *sum)
+{
+  struct fleet *fleet = g_new (struct fleet, 1);
+  double rate;
+
+  g_random_set_seed (seed);
+  fleet_init (fleet, FLEET_ENTRIES_MAX, load->target_count);
+  g_rand_set_seed (fleet->outside, seed);
+  for (unsigned i = 0; i < load->target_count; i++)
+    fleet->targets[i].hold_us = load->even || i % 3 < 2
+                                    ? SLOWEST_HOLD_US
+                                    : SLOWEST_HOLD_US / SPEED_RATIO;
+  fleet->goal_us = 800 * JL_USEC_PER_MSEC;
+  fleet->reports = reports;
+  fleet->moves = moves;
+  fleet->swing = load->even ? 0 : SWING;
+  fleet->slow_mean_s = load->even ? 0 : SLOW_MEAN_S;
+  rate = load->share * fleet_capacity (fleet);
+  fleet_run (fleet, rate, 5);
+  fleet_forget_start (fleet);
+  fleet_run (fleet, rate, 40);
+  sum->in_goal += (double)fleet->in_goal / (double)fleet->sent / SEEDS;
+  sum->half_spent += (double)fleet->half_spent / (double)fleet->sent / SEEDS;
+  sum->wait_ms += (double)fleet->waited_us / 1000 / (double)fleet->sent / SEEDS;
+  sum->moved += (double)fleet->moved / (double)fleet->sent / SEEDS;
+  sum->busiest += fleet_busiest_to_mean (fleet) / SEEDS;
+  fleet_clear (fleet);
+  g_free (fleet);
+}
+
+static struct outcome
+play (const struct load *load, bool reports, bool moves)
+{
+  struct outcome outcome = { 0 };
+
+  for (unsigned seed = 1; seed <= SEEDS; seed++)
+    play_seed (load, reports, moves, seed, &outcome);
+  cr_log_info ("targets %u load %.2f reports %d moves %d: in goal %.4f, half "
+               "spent %.4f, wait %.1f ms, busiest %.3f, moved %.4f",
+               load->target_count, load->share, reports, moves, outcome.in_goal,
+               outcome.half_spent, outcome.wait_ms, outcome.busiest,
+               outcome.moved);
+  return outcome;
+}
+
+/* Without reports, an entry of 85 sees only its own few requests, and sends to
+ * targets that have just become slow. */
+Test (placement, fewer_requests_spend_half_of_their_goal_in_queues)
+{
+  static const unsigned counts[] = { 3, 8 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      struct load load = { counts[i], HEAVY_LOAD, false };
+      struct outcome before = play (&load, false, false);
+      struct outcome after = play (&load, true, false);
+
+      cr_expect_gt (before.half_spent, 0.003);
+      cr_expect_lt (after.half_spent, 0.7 * before.half_spent);
+      cr_expect_gt (after.in_goal, before.in_goal);
+      cr_expect_lt (after.wait_ms, before.wait_ms);
+      cr_expect_lt (after.busiest, 1.1);
+    }
+}
+
+/* Entries that act on the same report at once would make idle targets busy and
+ * busy ones idle. */
+Test (placement, even_targets_and_demand_are_served_as_well_as_before)
+{
+  static const double shares[] = { 0.5, HEAVY_LOAD };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      struct load load = { 8, shares[i], true };
+      struct outcome before = play (&load, false, false);
+      struct outcome after = play (&load, true, false);
+
+      cr_expect_gt (after.in_goal, before.in_goal - 0.001);
+      cr_expect_leq (after.half_spent, before.half_spent);
+      cr_expect_lt (after.wait_ms, before.wait_ms + 1);
+      cr_expect_lt (after.busiest, 1.1);
+    }
+}
+
+static struct jl_load_view
+view_of (unsigned running, unsigned waiting, uint64_t heard_us)
+{
+  struct jl_load_report report = { running, waiting, 10, 100 };
+  struct jl_load_view view = { 0 };
+
+  jl_load_view_hear (&view, &report, heard_us);
+  return view;
+}
+
+Test (placement, an_entry_sends_an_idle_target_no_more_than_its_free_slots)
+{
+  struct jl_load_view idle = view_of (7, 0, 1000);
+  struct jl_load_view other = view_of (5, 0, 1000);
+
+  for (unsigned i = 0; i < 3; i++)
+    {
+      cr_expect_eq (jl_load_view_compare (&idle, &other, 1000, 0.5), 0);
+      idle.sent++;
+    }
+  cr_expect_gt (jl_load_view_compare (&idle, &other, 1000, 0.999), 0);
+  cr_expect_lt (jl_load_view_compare (&other, &idle, 1000, 0.999), 0);
+}
+
+Test (placement, an_old_report_decides_less_often_and_then_not_at_all)
+{
+  uint64_t heard_us = 10 * JL_USEC_PER_SEC;
+  struct jl_load_view busy = view_of (10, 19, heard_us);
+  struct jl_load_view idle = view_of (0, 0, heard_us);
+
+  cr_expect_gt (jl_load_view_compare (&busy, &idle, heard_us, 0.9), 0);
+  cr_expect_lt (jl_load_view_compare (&busy, &idle, heard_us + 400000, 0.9), 0);
+  cr_expect (jl_load_view_is_fresh (&busy, heard_us + JL_USEC_PER_SEC));
+  cr_expect_not (jl_load_view_is_fresh (&busy, heard_us + JL_USEC_PER_SEC + 1));
+}
+
+Test (placement, malformed_reports_are_not_used)
+{
+  static const char *const texts[]
+      = { "",        "1 2 3",    "1 2 0 4",           "1 2 3 0",  "1 2 3 4 5",
+          "a 2 3 4", "1 2 3 4x", "99999999999 1 1 1", "-1 0 10 5" };
+  struct jl_load_report report;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (texts); i++)
+    cr_expect_not (jl_load_report_parse (texts[i], &report), "%s", texts[i]);
+  cr_expect (jl_load_report_parse ("12 3 28 180", &report));
+  cr_expect_eq (report.hold_ms, 180);
+}
