Hand waiting requests back when another target completes them sooner

Cause: a request that waits in the queue of a target that has just become slow stays there, while other targets of the zone have free slots.

Change: every 20 ms a guard compares the expected completion of the last request in its queue with the load reports of the zone's targets without a queue. It removes the request from the queue, answers "not-run", "moved", and claims as many slots there as there are guards with queues. The entry places the request elsewhere without the retry budget, at most twice; a request goes back only to a guard that handed it back before the last one, or where the zone has no other target. The arrival and the run of a moved request count only where it stays. Its time since arrival at the entry counts towards its due time.

tests/proxy/load-report.c loses each message of the exchange.

--- a/source/policy/fanout.c
+++ b/source/policy/fanout.c
@@ -57,6 +57,14 @@
   count_route (fanout->runs, &fanout->run_count, run);
 }
 
+void
+jl_fanout_discount_run (struct jl_fanout *fanout, uint32_t run)
+{
+  for (unsigned i = 0; i < fanout->run_count; i++)
+    if (fanout->runs[i].key == run)
+      fanout->runs[i].window = MAX (fanout->runs[i].window - 1, 0);
+}
+
 void
 jl_fanout_count_call (struct jl_fanout *fanout, uint32_t call)
 {
--- a/source/policy/fanout.h
+++ b/source/policy/fanout.h
@@ -63,6 +63,12 @@
  */
 void jl_fanout_count_run (struct jl_fanout *fanout, uint32_t run);
 
+/**
+ * jl_fanout_discount_run - counts a run less, as the request has left without
+ * having run
+ */
+void jl_fanout_discount_run (struct jl_fanout *fanout, uint32_t run);
+
 /**
  * jl_fanout_count_call - counts a call that the local target makes
  * @call: key of its route
--- a/source/policy/load-shedder.c
+++ b/source/policy/load-shedder.c
@@ -46,6 +46,13 @@
   shedder->arrivals++;
 }
 
+void
+jl_load_shedder_discount_arrival (struct jl_load_shedder *shedder)
+{
+  if (shedder->arrivals > 0)
+    shedder->arrivals--;
+}
+
 void
 jl_load_shedder_record_hold (struct jl_load_shedder *shedder, uint64_t hold_us)
 {
--- a/source/policy/load-shedder.h
+++ b/source/policy/load-shedder.h
@@ -58,6 +58,12 @@
  */
 void jl_load_shedder_count_arrival (struct jl_load_shedder *shedder);
 
+/**
+ * jl_load_shedder_discount_arrival - counts a request that leaves without
+ * having run, and arrives at another target
+ */
+void jl_load_shedder_discount_arrival (struct jl_load_shedder *shedder);
+
 /**
  * jl_load_shedder_record_hold - records that a request held its slot for
  * @hold_us
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -202,6 +202,20 @@
                                  excluded, call->tried_count + 1, now_us);
 }
 
+/* Whether a request goes back to the guard that has handed it back: there is no
+ * other daemon, or only @other in another zone. */
+static bool
+should_return (const struct jl_call *call,
+               const struct jl_member *other,
+               uint64_t now_us)
+{
+  const struct jl_member *from = call->moved_from;
+
+  return from != NULL && call->member != from
+         && (other == NULL || (other->in_other_zone && !from->in_other_zone))
+         && jl_member_accepts_work (from, call->service, now_us);
+}
+
 struct jl_member *
 jl_call_choose_daemon (struct jl_call *call, uint64_t now_us)
 {
@@ -210,7 +224,8 @@
 
   if (member != NULL)
     return member;
-  return jl_place_choose_daemon (&call->proxy->roster, call->service,
-                                 call->zone, call->tried, call->tried_count,
-                                 now_us);
+  member
+      = jl_place_choose_daemon (&call->proxy->roster, call->service, call->zone,
+                                call->tried, call->tried_count, now_us);
+  return should_return (call, member, now_us) ? call->moved_from : member;
 }
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -40,6 +40,9 @@
  * @trial_running: it reported that the trial runs at its target
  * @loss_inferred: @member was lost while it had the request, which was reported
  * @held_until_us: time until which the request waits for the result of a trial
+ * @moved_from: daemon whose guard has handed the request back last, NULL for
+ *              none
+ * @moved_count: number of times that guards have handed it back
  * @targets_reached: number of targets that the request has, or may have,
  *                   reached
  * @may_have_run: a target may have run the request
@@ -73,6 +76,8 @@
   bool trial_running;
   bool loss_inferred;
   uint64_t held_until_us;
+  struct jl_member *moved_from;
+  unsigned moved_count;
   unsigned targets_reached;
   bool may_have_run;
   char reason[32];
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -535,8 +535,12 @@
   work->item.arrived_us = jl_now ();
   work->item.expires_us
       = work->item.arrived_us + work->header.remaining_ms * JL_USEC_PER_MSEC;
+  /* The time that the request has spent elsewhere counts towards its goal. */
   work->item.due_us
-      = work->item.arrived_us + work->header.latency_goal_ms * JL_USEC_PER_MSEC;
+      = work->item.arrived_us
+        + (work->header.latency_goal_ms
+           - MIN (work->header.spent_ms, work->header.latency_goal_ms))
+              * JL_USEC_PER_MSEC;
   if (!jl_trial_hold_work (work))
     jl_guard_start (work);
 }
--- a/source/proxy/load-report.c
+++ b/source/proxy/load-report.c
@@ -4,13 +4,17 @@
 
 #include "proxy/load-report.h"
 
+#include "policy/rebind.h"
+
 #include <string.h>
 
+/* Size of the body up to which a request may be handed back. */
+#define MOVED_BODY_BYTES_MAX 65536
 /* Age of a report after which a guard of another zone is asked again. */
 #define OTHER_ZONE_AGE_US (250 * JL_USEC_PER_MSEC)
 
-static struct jl_load_report
-own_report (const struct jl_proxy *proxy)
+struct jl_load_report
+jl_load_report_own (const struct jl_proxy *proxy)
 {
   double hold_ms = proxy->load_shedder.hold_us / (double)JL_USEC_PER_MSEC;
   struct jl_load_report report = {
@@ -36,7 +40,7 @@
 void
 jl_load_report_update_self (struct jl_proxy *proxy)
 {
-  struct jl_load_report report = own_report (proxy);
+  struct jl_load_report report = jl_load_report_own (proxy);
 
   proxy->roster.uses_load_reports = proxy->options->load_reports;
   if (has_report (proxy))
@@ -46,7 +50,7 @@
 void
 jl_load_report_add_line (const struct jl_work *work, char *lines, size_t size)
 {
-  struct jl_load_report report = own_report (work->proxy);
+  struct jl_load_report report = jl_load_report_own (work->proxy);
   size_t length = strlen (lines);
   char text[JL_LOAD_REPORT_SIZE];
 
@@ -70,6 +74,21 @@
     proxy->counters.late_starts++;
 }
 
+/* Returns how often a guard may hand a request back. The body must fit into the
+ * buffers of entry and guard, and bytes between zones are saved. */
+static unsigned
+moves_left (const struct jl_call *call)
+{
+  const struct jl_head *head = jl_request_head (call->relay.request);
+
+  if (call->member->in_other_zone || call->on_trial || head->chunked
+      || call->moved_count >= JL_REBIND_MOVES_MAX
+      || call->tried_count >= JL_PLACEMENTS_MAX
+      || (head->has_length && head->length > MOVED_BODY_BYTES_MAX))
+    return 0;
+  return JL_REBIND_MOVES_MAX - call->moved_count;
+}
+
 void
 jl_load_report_ask (const struct jl_call *call, struct jl_work_header *work)
 {
@@ -80,6 +99,7 @@
     return;
   work->accepts_load = !member->in_other_zone
                        || now_us > member->load.heard_us + OTHER_ZONE_AGE_US;
+  work->moves_left = moves_left (call);
   work->spent_ms = (unsigned)MIN (jl_call_age_ms (call), UINT32_MAX);
 }
 
@@ -97,13 +117,34 @@
   load->sent++;
 }
 
+/* Notes that the daemon of a call has handed it back. The one that did so
+ * before may get it again: its queue may have become shorter. */
+static void
+note_moved (struct jl_call *call)
+{
+  unsigned kept = 0;
+
+  for (unsigned i = 0; i < call->tried_count; i++)
+    if (call->tried[i] != call->moved_from)
+      call->tried[kept++] = call->tried[i];
+  call->tried_count = kept;
+  call->moved_from = call->member;
+  call->moved_count++;
+}
+
 void
 jl_load_report_heard (struct jl_call *call, const struct jl_head *head)
 {
   const char *text = jl_head_get (head, JL_LOAD_FIELD);
+  const char *outcome = jl_head_get (head, JL_OUTCOME_FIELD);
+  const char *reason = jl_head_get (head, JL_REASON_FIELD);
   struct jl_load_report report;
 
-  if (call->proxy->options->load_reports && text != NULL
-      && jl_load_report_parse (text, &report))
+  if (!call->proxy->options->load_reports)
+    return;
+  if (text != NULL && jl_load_report_parse (text, &report))
     jl_load_view_hear (&call->member->load, &report, jl_now ());
+  if (outcome != NULL && strcmp (outcome, "not-run") == 0 && reason != NULL
+      && strcmp (reason, JL_REASON_MOVED) == 0)
+    note_moved (call);
 }
--- a/source/proxy/load-report.h
+++ b/source/proxy/load-report.h
@@ -21,6 +21,11 @@
 /* Reason with which a guard hands a request back. */
 #define JL_REASON_MOVED "moved"
 
+/**
+ * jl_load_report_own - returns the load of the local target
+ */
+struct jl_load_report jl_load_report_own (const struct jl_proxy *proxy);
+
 /**
  * jl_load_report_update_self - copies the load of the local target into this
  * daemon's entry of the roster, which beacons announce
@@ -53,8 +58,17 @@
 void jl_load_report_sent (struct jl_call *call);
 
 /**
- * jl_load_report_heard - takes the report from a response of a guard
+ * jl_load_report_heard - takes the report from a response of a guard, and
+ * whether the guard has handed the request back
  */
 void jl_load_report_heard (struct jl_call *call, const struct jl_head *head);
 
+/* handback.c */
+
+/**
+ * jl_handback_check - hands back the waiting requests that another target
+ * completes sooner
+ */
+void jl_handback_check (struct jl_proxy *proxy);
+
 #endif
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -249,6 +249,7 @@
 
   if (proxy->lane.waiting > 0)
     jl_guard_run_queue (proxy);
+  jl_handback_check (proxy);
   jl_watch_check (proxy->watch);
   jl_record_flush ();
   jl_loop_start_timer (proxy->loop, timer, QUEUE_PERIOD_US, on_queue_timer,
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -81,6 +81,7 @@
  * @starts: requests that the local target received; this and the following
  *          members count only where load reports are on
  * @late_starts: those that had spent more than half of their latency goal
+ * @moved: requests that the guard handed back
  * @report_age: age of the load reports of the daemons that were chosen
  * @request_time: time from a request's arrival at the entry to the end of its
  *                response
@@ -115,6 +116,7 @@
   uint64_t beacons_sent;
   uint64_t starts;
   uint64_t late_starts;
+  uint64_t moved;
   struct jl_histogram report_age;
   struct jl_histogram request_time;
   struct jl_histogram lane_time;
--- a/tests/proxy/load-report.c
+++ b/tests/proxy/load-report.c
@@ -132,3 +132,217 @@
   cr_expect_null (strstr (head->str, JL_ACCEPT_LOAD_FIELD), "%s", head->str);
   g_string_free (head, TRUE);
 }
+
+/* A guard whose target runs all that it may, and one request that waits. */
+static int
+begin_queue (struct rig *rig,
+             struct raw_peer *peer,
+             unsigned host,
+             const char *last)
+{
+  struct jl_load_report idle = { 0, 0, 9, 100 };
+  GString *request = g_string_new (NULL);
+  int sender;
+
+  begin (rig, peer, host, TARGET_PORT);
+  rig_heartbeat (rig, "i-1", 5, 1);
+  rig->proxy->load_shedder.hold_us = 900 * JL_USEC_PER_MSEC;
+  for (unsigned i = 0; i < 9; i++)
+    {
+      rig_send_request (rig, PEER_PORT, WORK (""));
+      cr_assert_geq (raw_accept_request (rig, peer, request), 0);
+    }
+  sender = rig_send_request (rig, PEER_PORT, last);
+  rig_run (rig, 10);
+  cr_assert_eq (rig->proxy->lane.waiting, 1);
+  jl_load_view_hear (&rig_add_member (rig, "d7", "z1", "front")->load, &idle,
+                     jl_now ());
+  g_string_free (request, TRUE);
+  return sender;
+}
+
+/* Frees all slots, and expects that no further request comes. */
+static void
+expect_no_start (struct rig *rig, struct raw_peer *peer)
+{
+  GString *request = g_string_new (NULL);
+  struct jl_work *work;
+  struct jl_work *next;
+
+  cds_list_for_each_entry_safe (work, next, &rig->proxy->work_items,
+                                link) if (work->running)
+      jl_guard_refuse (work, "test");
+  jl_guard_run_queue (rig->proxy);
+  rig_run (rig, 60);
+  cr_expect_lt (raw_poll_request (rig, peer, request), 0, "%s", request->str);
+  cr_expect_eq (rig->proxy->lane.waiting, 0);
+  g_string_free (request, TRUE);
+}
+
+/* A request that another target completes sooner waited to its deadline. */
+Test (load_report, a_request_that_was_handed_back_never_starts)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  int sender = begin_queue (&rig, &peer, 162, WORK (ACCEPT ("2")));
+  char *head;
+
+  rig_run (&rig, 60);
+  head = read_head (&rig, sender);
+  cr_expect (g_str_has_prefix (head, "HTTP/1.1 503"), "%s", head);
+  cr_expect_not_null (strstr (head, "Jl-Outcome: not-run\r\n"), "%s", head);
+  cr_expect_not_null (strstr (head, "Jl-Reason: moved\r\n"), "%s", head);
+  cr_expect_eq (rig.proxy->counters.moved, 1);
+  expect_no_start (&rig, &peer);
+}
+
+/* The message that hands the request back is lost with its connection. */
+Test (load_report, a_request_whose_hand_back_is_lost_never_starts)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  int sender = begin_queue (&rig, &peer, 163, WORK (ACCEPT ("2")));
+
+  jl_handback_check (rig.proxy);
+  cr_expect_eq (rig.proxy->counters.moved, 1);
+  raw_reset (sender);
+  expect_no_start (&rig, &peer);
+}
+
+/* The entry leaves before the guard hands the request back. */
+Test (load_report, a_request_whose_entry_has_left_is_not_handed_back)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  int sender = begin_queue (&rig, &peer, 164, WORK (ACCEPT ("2")));
+
+  raw_reset (sender);
+  rig_run (&rig, 60);
+  cr_expect_eq (rig.proxy->counters.moved, 0);
+  expect_no_start (&rig, &peer);
+}
+
+/* A request would be handed back without end while reports lag behind. */
+Test (load_report, a_request_without_moves_left_stays)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  int sender = begin_queue (&rig, &peer, 165, WORK (ACCEPT ("0")));
+
+  rig_run (&rig, 60);
+  cr_expect_eq (rig.proxy->counters.moved, 0);
+  cr_expect_eq (rig.proxy->lane.waiting, 1);
+  close (sender);
+}
+
+#define MOVED                                                                  \
+  "HTTP/1.1 503 No\r\nJl-Outcome: not-run\r\nJl-Reason: moved\r\n"             \
+  "Connection: close\r\nContent-Length: 0\r\n\r\n"
+
+/* An entry with the two daemons d7 and d8 behind one raw peer, and a request
+ * that may run only once. Returns the connection of the first daemon. */
+static int
+begin_once (struct rig *rig,
+            struct raw_peer *peer,
+            unsigned host,
+            int *client,
+            GString *head)
+{
+  begin (rig, peer, host, OTHER_PORT);
+  rig_install_call_route (rig);
+  ((struct jl_route *)g_ptr_array_index (rig->proxy->site->routes, 0))
+      ->retry_policy
+      = JL_RETRY_POLICY_AT_MOST_ONCE;
+  rig_add_member (rig, "d7", "z1", "deep");
+  rig_add_member (rig, "d8", "z1", "deep");
+  return place (rig, peer, client, head);
+}
+
+/* Without the rule of two moves a request would wander; with a retry budget of
+ * zero it must still be placed. */
+Test (load_report, a_moved_request_is_placed_elsewhere_without_retry_budget)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  GString *head = g_string_new (NULL);
+  int client;
+  int fd = begin_once (&rig, &peer, 166, &client, head);
+  const char *const moves[] = { ": 1 2 ", ": 1 1 ", ": 1 0 " };
+  struct jl_member *last = NULL;
+  char *text;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (moves); i++)
+    {
+      struct jl_call *call
+          = cds_list_first_entry (&rig.proxy->calls, struct jl_call, link);
+
+      cr_assert_geq (fd, 0);
+      cr_expect_not_null (strstr (head->str, moves[i]), "%s", head->str);
+      cr_expect_neq (call->member, last, "it came back at once");
+      last = call->member;
+      if (i == 2)
+        break;
+      answer (&rig, fd, MOVED);
+      close (fd);
+      g_string_truncate (head, 0);
+      fd = raw_accept_request (&rig, &peer, head);
+    }
+  answer (&rig, fd, SUCCESS);
+  text = read_head (&rig, client);
+  cr_expect (g_str_has_prefix (text, "HTTP/1.1 200"), "%s", text);
+  g_string_free (head, TRUE);
+}
+
+/* The answer that hands the request back is cut off: the entry can't know that
+ * it has not run. */
+Test (load_report, a_request_with_a_lost_hand_back_is_not_placed_again)
+{
+  static const char *const cuts[]
+      = { "", "HTTP/1.1 503 No\r\nJl-Outcome: not-run\r\nJl-Reas",
+          "HTTP/1.1 503 No\r\nJl-Outcome: not-run\r\nJl-Reason: moved\r\n" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cuts); i++)
+    {
+      struct rig rig;
+      struct raw_peer peer;
+      GString *head = g_string_new (NULL);
+      int client;
+      int fd = begin_once (&rig, &peer, 167 + i, &client, head);
+      char *text;
+
+      raw_send (fd, cuts[i], strlen (cuts[i]));
+      raw_turn (&rig);
+      raw_reset (fd);
+      text = read_head (&rig, client);
+      cr_expect (g_str_has_prefix (text, "HTTP/1.1 502"), "%s", text);
+      rig_run (&rig, 60);
+      cr_expect_lt (raw_poll_request (&rig, &peer, head), 0);
+      g_string_free (head, TRUE);
+    }
+}
+
+/* The only other daemon ends before it gets the request. */
+Test (load_report, a_moved_request_returns_if_no_other_daemon_is_left)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  GString *head = g_string_new (NULL);
+  int client;
+  int fd = begin_once (&rig, &peer, 170, &client, head);
+
+  for (guint i = 0; i < rig.proxy->roster.members->len; i++)
+    {
+      struct jl_member *member
+          = g_ptr_array_index (rig.proxy->roster.members, i);
+
+      if (member->outstanding == 0 && strcmp (member->service, "deep") == 0)
+        member->state = JL_TARGET_DOWN;
+    }
+  answer (&rig, fd, MOVED);
+  close (fd);
+  fd = raw_accept_request (&rig, &peer, head);
+  cr_assert_geq (fd, 0, "%s", read_head (&rig, client));
+  answer (&rig, fd, SUCCESS);
+  cr_expect (g_str_has_prefix (read_head (&rig, client), "HTTP/1.1 200"));
+  g_string_free (head, TRUE);
+}
--- a/tests/proxy/parts/fleet.c
+++ b/tests/proxy/parts/fleet.c
@@ -276,7 +276,7 @@
   jl_lane_remove (&target->lane, &last->item);
   moved = *last;
   fleet->moved++;
-  target->shedder.arrivals -= target->shedder.arrivals > 0;
+  jl_load_shedder_discount_arrival (&target->shedder);
   leave_target (fleet, index, last);
   place (fleet, moved.entry, moved.begun_us, fleet->members[moved.entry][index],
          moved.moves + 1);
--- a/tests/proxy/placement.c
+++ b/tests/proxy/placement.c
@@ -184,3 +184,46 @@
   cr_expect (jl_load_report_parse ("12 3 28 180", &report));
   cr_expect_eq (report.hold_ms, 180);
 }
+
+/* Requests waited at a target that had become slow while others had free
+ * slots. */
+Test (placement, requests_that_wait_are_handed_back_to_free_targets)
+{
+  static const double shares[] = { 0.5, 0.7, HEAVY_LOAD };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      struct load load = { 8, shares[i], false };
+      struct outcome before = play (&load, true, false);
+      struct outcome after = play (&load, true, true);
+
+      cr_expect_lt (after.wait_ms, before.wait_ms);
+      cr_expect_gt (after.in_goal, before.in_goal - 0.002);
+      cr_expect_leq (after.half_spent, before.half_spent + 0.0005);
+      cr_expect_lt (after.moved, 0.1);
+    }
+}
+
+/* Guards that see the same idle target must not all fill it. */
+Test (placement, guards_share_the_free_slots_of_a_target)
+{
+  struct jl_load_report own = { 10, 20, 10, 100 };
+  struct jl_load_view idle = view_of (4, 0, 1000);
+  struct jl_load_view queue = view_of (10, 20, 1000);
+  struct jl_load_view *others[] = { &queue, &idle };
+  unsigned moved = 0;
+
+  while (jl_rebind_choose (&own, 3, others, 2, 1000) != NULL)
+    moved++;
+  cr_expect_eq (moved, 3, "%u of 6 slots for one of two guards", moved);
+}
+
+/* Two guards with queues must not trade requests back and forth. */
+Test (placement, targets_with_equal_queues_hand_nothing_back)
+{
+  struct jl_load_report own = { 10, 20, 10, 100 };
+  struct jl_load_view queue = view_of (10, 20, 1000);
+  struct jl_load_view *others[] = { &queue };
+
+  cr_expect_null (jl_rebind_choose (&own, 19, others, 1, 1000));
+}
