Announce a target that has just started with its cold speed

Cause: after a restart the hold time of the former incarnation stayed in the moving average for some 30 responses, so a cold and idle target was announced with the capacity of a warm one.

Change: where load reports are on, a new incarnation that says it is cold is expected to hold requests three times as long, and from its first response on the mean of its own hold times replaces that. A target whose capacity is not known counts for a third of an average one instead of a whole one. The factor 3 is chosen, not measured on a target.

--- a/source/policy/load-shedder.c
+++ b/source/policy/load-shedder.c
@@ -36,6 +36,7 @@
   shedder->spare_share = 1;
   shedder->admitted_share = 1;
   shedder->rate_limit = INFINITY;
+  shedder->first_holds = JL_NONE;
   for (unsigned i = 0; i < JL_CONTROL_DELAY_WINDOWS; i++)
     shedder->admitted_history[i] = 1;
 }
@@ -57,11 +58,27 @@
 jl_load_shedder_record_hold (struct jl_load_shedder *shedder, uint64_t hold_us)
 {
   double held = (double)hold_us;
-
+  double weight = HOLD_WEIGHT;
+
+  if (shedder->first_holds != JL_NONE)
+    {
+      shedder->first_holds++;
+      weight = MAX (weight, 1.0 / shedder->first_holds);
+    }
+  if (weight <= HOLD_WEIGHT)
+    shedder->first_holds = JL_NONE;
   if (shedder->hold_us <= 0)
     shedder->hold_us = held;
   else
-    shedder->hold_us += HOLD_WEIGHT * (held - shedder->hold_us);
+    shedder->hold_us += weight * (held - shedder->hold_us);
+}
+
+void
+jl_load_shedder_restart (struct jl_load_shedder *shedder, bool cold)
+{
+  if (cold)
+    shedder->hold_us *= JL_COLD_HOLD_FACTOR;
+  shedder->first_holds = 0;
 }
 
 double
--- a/source/policy/load-shedder.h
+++ b/source/policy/load-shedder.h
@@ -19,6 +19,10 @@
 /* Length of a control window. */
 #define JL_CONTROL_WINDOW_US (100 * JL_USEC_PER_MSEC)
 
+/* Expected hold time of a target that has just started, relative to that of a
+ * warm one. */
+#define JL_COLD_HOLD_FACTOR 3.0
+
 /* Number of windows until a refusal at an entry lowers the arrivals at a target
  * deep in the call graph. */
 #define JL_CONTROL_DELAY_WINDOWS 3
@@ -29,6 +33,8 @@
  * @spare_share: share of the capacity that is free for other zones, 0 to 1
  * @hold_us: exponential moving average of the time for which a request holds a
  *           slot
+ * @first_holds: hold times since the start of the incarnation, as long as they
+ *               weigh more than HOLD_WEIGHT; JL_NONE after that
  * @rate_limit: requests a second that the target takes, infinite for no limit
  * @arrival_rate: exponential moving average of the arrivals a second
  * @admitted_share: admitted share of the demand, averaged like @arrival_rate
@@ -43,6 +49,7 @@
   double shed_share;
   double spare_share;
   double hold_us;
+  unsigned first_holds;
   double rate_limit;
   double arrival_rate;
   double admitted_share;
@@ -71,6 +78,16 @@
 void jl_load_shedder_record_hold (struct jl_load_shedder *shedder,
                                   uint64_t hold_us);
 
+/**
+ * jl_load_shedder_restart - begins with a new incarnation of the target
+ * @cold: it is still slow
+ *
+ * A cold one is expected to hold requests for longer than the former one did,
+ * by JL_COLD_HOLD_FACTOR. Its own hold times replace that from the first one
+ * on, so it is announced with the capacity that it has while it is cold.
+ */
+void jl_load_shedder_restart (struct jl_load_shedder *shedder, bool cold);
+
 /**
  * jl_load_shedder_end_window - updates the shares at the end of a control
  * window
--- a/source/proxy/notice.c
+++ b/source/proxy/notice.c
@@ -110,6 +110,9 @@
 
   if (key == proxy->target_limit.key)
     return;
+  if (proxy->options->load_reports)
+    jl_load_shedder_restart (&proxy->load_shedder,
+                             proxy->target.last.warmup_us > 0);
   jl_notice_init (&proxy->target_limit);
   proxy->target_limit.key = key;
   jl_proxy_limit_changed (proxy);
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -5,6 +5,8 @@
 
 #include "proxy/place.h"
 
+#include "policy/load-shedder.h"
+
 #include <string.h>
 
 /* Depth of calls at which the estimate stops. */
@@ -402,6 +404,9 @@
   double slot_rate = mean_slot_rate (roster, service);
   struct jl_member *chosen;
 
+  /* A target that has not answered yet is probably cold. */
+  if (roster->uses_load_reports)
+    slot_rate /= JL_COLD_HOLD_FACTOR;
   for (guint i = 0; i < roster->members->len; i++)
     {
       struct jl_member *member = g_ptr_array_index (roster->members, i);
