Send work to a zone that completes it sooner, before refusing any

Cause: work left its zone only once the local targets had to refuse some, so requests waited in a zone with one target of a service while the other zone had free slots.

Change: for each route and control window, an entry sums the expected waits of the whole call tree here and in each other zone that is heard. It sends a share there that grows with the gain above 50 ms, as far as all services of the tree have spare capacity there. Requests of other zones are marked in Jl-Accept-Load; their guards tell the zone in beacons, and the zone's entries send none of that service by this rule for 1 s. Requests from other zones are not handed back.

--- a/source/proxy/announce.c
+++ b/source/proxy/announce.c
@@ -95,11 +95,20 @@
 
 /* Beacons that are passed on carry no load report, as it would be too old. */
 static bool
-encode_load (XDR *xdr, const struct jl_member *member, unsigned hops)
+encode_load (XDR *xdr,
+             const struct jl_member *member,
+             unsigned hops,
+             uint64_t now_us)
 {
   const struct jl_load_report *report = &member->load.report;
-  struct beacon_load load
-      = { report->running, report->waiting, report->limit, report->hold_ms };
+  uint64_t guest_ms = (now_us - member->guest_us) / JL_USEC_PER_MSEC;
+  struct beacon_load load = {
+    report->running,
+    report->waiting,
+    report->limit,
+    report->hold_ms,
+    (unsigned)MIN (guest_ms, BEACON_GUEST_NONE),
+  };
 
   return hops != JL_NONE || member->load.heard_us == 0
          || xdr_beacon_load (xdr, &load);
@@ -147,7 +156,7 @@
       || !xdr_beacon_message (&xdr, &message)
       || !xdr_beacon_extension (&xdr, &extension)
       || !xdr_beacon_notice (&xdr, &notice) || !xdr_beacon_watch (&xdr, &watch)
-      || !encode_load (&xdr, member, hops))
+      || !encode_load (&xdr, member, hops, now_us))
     return 0;
   return xdr_getpos (&xdr);
 }
@@ -267,8 +276,13 @@
   struct jl_load_report report = { beacon->load.running, beacon->load.waiting,
                                    beacon->load.limit, beacon->load.hold_ms };
 
-  if (!beacon->relayed && jl_load_report_is_valid (&report))
-    jl_load_view_hear (&member->load, &report, beacon->heard_us);
+  if (beacon->relayed || !jl_load_report_is_valid (&report))
+    return;
+  jl_load_view_hear (&member->load, &report, beacon->heard_us);
+  if (beacon->load.guest_ms < BEACON_GUEST_NONE)
+    member->guest_us
+        = beacon->heard_us
+          - MIN (beacon->load.guest_ms * JL_USEC_PER_MSEC, beacon->heard_us);
 }
 
 static void
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -10,6 +10,7 @@
 
 #include "proxy/proxy.h"
 
+#include "policy/spill.h"
 #include "proxy/announce.h"
 #include "proxy/digest.h"
 #include "proxy/freshness.h"
@@ -46,6 +47,7 @@
  * @sent_shed_share: shed share last sent
  * @sent_spare_share: spare capacity last sent
  * @sent_failure_rate: failure rate last sent
+ * @sent_guests: the local target had received work from another zone then
  * @sent_queue: requests waited at the local target when beacons were last sent
  * @buffer: received datagram
  */
@@ -62,6 +64,7 @@
   double sent_spare_share;
   double sent_failure_rate;
   bool sent_queue;
+  bool sent_guests;
   char buffer[JL_DATAGRAM_BYTES_MAX];
 };
 
@@ -287,6 +290,15 @@
     }
 }
 
+/* Whether the local target has received work from another zone lately. */
+static bool
+has_guests (const struct jl_beacon *beacon)
+{
+  uint64_t guest_us = beacon->proxy->self->guest_us;
+
+  return guest_us != 0 && jl_now () < guest_us + JL_SPILL_REST_US;
+}
+
 static void
 send_to_local_zone (struct jl_beacon *beacon)
 {
@@ -299,6 +311,7 @@
   beacon->sent_spare_share = proxy->load_shedder.spare_share;
   beacon->sent_failure_rate = proxy->self->failure_rate;
   beacon->sent_queue = proxy->lane.waiting > 0;
+  beacon->sent_guests = has_guests (beacon);
   jl_beacon_send_to_zone (beacon, true, datagram, size);
   jl_news_send_open (proxy->news, NULL, true);
 }
@@ -343,7 +356,8 @@
                 > CHANGE_MIN_RATIO * 2
          || (shedder->shed_share > 0) != (beacon->sent_shed_share > 0)
          || (beacon->proxy->options->load_reports
-             && (beacon->proxy->lane.waiting > 0) != beacon->sent_queue);
+             && ((beacon->proxy->lane.waiting > 0) != beacon->sent_queue
+                 || has_guests (beacon) != beacon->sent_guests));
 }
 
 static void
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -18,6 +18,7 @@
 #include "proxy/load-report.h"
 #include "proxy/report.h"
 #include "proxy/trial.h"
+#include "proxy/zone-spill.h"
 
 #include <string.h>
 
@@ -425,6 +426,7 @@
   jl_fanout_count_call (&proxy->fanout, call->route->key);
   call->zone
       = jl_demand_choose_call_zone (proxy, call->service, g_random_double ());
+  call->zone = jl_spill_choose_zone (call, call->zone);
   place_call (call);
 }
 
@@ -450,6 +452,7 @@
       demand->window_requests++;
       call->zone = jl_plan_choose_zone (&demand->plan, g_random_double ());
     }
+  call->zone = jl_spill_choose_zone (call, call->zone);
   if (call->zone == NULL)
     jl_call_refuse (call, "overload");
   else
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -140,8 +140,9 @@
     g_string_append_printf (text, " %08x %.3f", work->limited_key, work->limit);
   g_string_append (text, "\r\n");
   if (work->accepts_load)
-    g_string_append_printf (text, "%s: 1 %u %u\r\n", JL_ACCEPT_LOAD_FIELD,
-                            work->moves_left, work->spent_ms);
+    g_string_append_printf (text, "%s: 1 %u %u%s\r\n", JL_ACCEPT_LOAD_FIELD,
+                            work->moves_left, work->spent_ms,
+                            work->guest ? " 1" : "");
   append_framing (text, head);
   return text;
 }
@@ -169,18 +170,20 @@
 read_accept_load (const struct jl_head *head, struct jl_work_header *work)
 {
   const char *value = jl_head_get (head, JL_ACCEPT_LOAD_FIELD);
-  unsigned accepts;
+  unsigned accepts = 0;
+  unsigned guest = 0;
 
   if (value == NULL
-      || sscanf (value, "%1u %1u %9u", &accepts, &work->moves_left,
-                 &work->spent_ms)
-             != 3
+      || sscanf (value, "%1u %1u %9u %1u", &accepts, &work->moves_left,
+                 &work->spent_ms, &guest)
+             < 3
       || accepts != 1)
     {
       work->moves_left = 0;
       work->spent_ms = 0;
       return;
     }
+  work->guest = guest != 0;
   work->accepts_load = true;
 }
 
--- a/source/proxy/load-report.c
+++ b/source/proxy/load-report.c
@@ -69,6 +69,8 @@
 
   if (!proxy->options->load_reports)
     return;
+  if (work->header.guest)
+    proxy->self->guest_us = jl_now ();
   proxy->counters.starts++;
   if (2 * spent_us > work->header.latency_goal_ms * JL_USEC_PER_MSEC)
     proxy->counters.late_starts++;
@@ -99,6 +101,7 @@
     return;
   work->accepts_load = !member->in_other_zone
                        || now_us > member->load.heard_us + OTHER_ZONE_AGE_US;
+  work->guest = member->in_other_zone;
   work->moves_left = moves_left (call);
   work->spent_ms = (unsigned)MIN (jl_call_age_ms (call), UINT32_MAX);
 }
--- a/source/proxy/load-report.h
+++ b/source/proxy/load-report.h
@@ -14,7 +14,8 @@
 #include "proxy/guard.h"
 
 /* Header field of requests between daemons: "1 MOVES SPENT_MS", how often the
- * guard may still hand the request back, and how old the request is. */
+ * guard may still hand the request back, and how old the request is; followed
+ * by 1 if it comes from another zone. */
 #define JL_ACCEPT_LOAD_FIELD "Jl-Accept-Load"
 /* Header field of responses between daemons, a struct jl_load_report. */
 #define JL_LOAD_FIELD "Jl-Load"
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -68,6 +68,7 @@
   append_counter (text, "starts_total", counters->starts);
   append_counter (text, "late_starts_total", counters->late_starts);
   append_counter (text, "moved_total", counters->moved);
+  append_counter (text, "spilled_total", counters->spilled);
   append_histogram (text, "load_report_age", &counters->report_age);
 }
 
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -82,6 +82,7 @@
  *          members count only where load reports are on
  * @late_starts: those that had spent more than half of their latency goal
  * @moved: requests that the guard handed back
+ * @spilled: requests sent to another zone that completes them sooner
  * @report_age: age of the load reports of the daemons that were chosen
  * @request_time: time from a request's arrival at the entry to the end of its
  *                response
@@ -117,6 +118,7 @@
   uint64_t starts;
   uint64_t late_starts;
   uint64_t moved;
+  uint64_t spilled;
   struct jl_histogram report_age;
   struct jl_histogram request_time;
   struct jl_histogram lane_time;
@@ -137,6 +139,7 @@
 struct jl_freshness;
 struct jl_infer;
 struct jl_news;
+struct jl_spill_table;
 struct jl_sync;
 struct jl_watch;
 struct jl_work;
@@ -175,6 +178,7 @@
  *                     computed
  * @call_routes: keys of the routes that carry calls of the local target
  * @overflows: overflow plan of each service that the local target calls
+ * @spills: shares of routes that go to other zones, NULL before the first
  * @calls: requests in progress at the entry, of struct jl_call
  * @work_items: requests in progress at the guard, of struct jl_work
  * @leave_requests: leave announcements of the target, answered once the store
@@ -242,6 +246,7 @@
   uint32_t call_routes[JL_ARRIVAL_ROUTES_MAX];
   unsigned overflow_count;
   struct jl_overflow overflows[JL_OVERFLOW_SERVICES_MAX];
+  struct jl_spill_table *spills;
   unsigned budget_count;
   struct jl_service_budget budgets[JL_BUDGET_SERVICES_MAX];
   struct cds_list_head calls;
@@ -566,6 +571,7 @@
  *            field of its own
  * @accepts_load: the entry asks for a load report
  * @moves_left: how often the guard may hand the request back
+ * @guest: the request comes from another zone
  * @spent_ms: time since the request's arrival at the entry, 0 if not known
  *
  * Older daemons neither send nor read @trial and what follows it.
@@ -585,6 +591,7 @@
   const char *customer;
   bool accepts_load;
   unsigned moves_left;
+  bool guest;
   unsigned spent_ms;
 };
 
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -107,6 +107,8 @@
  * @outstanding: requests that this daemon has sent to it, without a response so
  *               far
  * @load: last report of its target's load
+ * @guest_us: of a daemon of the local zone: time at which it last received work
+ *            from another zone, 0 for none
  * @fanout: calls that runs at its target make
  * @arrivals: requests that it received as an entry
  */
@@ -150,6 +152,7 @@
   uint64_t failed_us;
   unsigned outstanding;
   struct jl_load_view load;
+  uint64_t guest_us;
   unsigned fanout_count;
   struct jl_fanout_entry fanout[JL_MEMBER_FANOUT_MAX];
   struct jl_arrivals arrivals;
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -70,13 +70,17 @@
 };
 
 /* Follows a beacon_watch in the same datagram if load reports are on: the load of
- * the sender's target. */
+ * the sender's target. guest_ms: time since it received work from another zone,
+ * BEACON_GUEST_NONE if that is longer. */
+const BEACON_GUEST_NONE = 60000;
+
 struct beacon_load
 {
   unsigned int running;
   unsigned int waiting;
   unsigned int limit;
   unsigned int hold_ms;
+  unsigned int guest_ms;
 };
 
 /* What a daemon has last announced of itself, as another one passes it on. key:
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -77,12 +77,14 @@
 	u_int store_lost;
 };
 typedef struct beacon_watch beacon_watch;
+#define BEACON_GUEST_NONE 60000
 
 struct beacon_load {
 	u_int running;
 	u_int waiting;
 	u_int limit;
 	u_int hold_ms;
+	u_int guest_ms;
 };
 typedef struct beacon_load beacon_load;
 #define BEACON_DEPARTED 128
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -223,7 +223,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -233,15 +233,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->hold_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->guest_ms))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->running);
 			IXDR_PUT_U_LONG(buf, objp->waiting);
 			IXDR_PUT_U_LONG(buf, objp->limit);
 			IXDR_PUT_U_LONG(buf, objp->hold_ms);
+			IXDR_PUT_U_LONG(buf, objp->guest_ms);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -251,11 +254,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->hold_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->guest_ms))
+				 return FALSE;
 		} else {
 			objp->running = IXDR_GET_U_LONG(buf);
 			objp->waiting = IXDR_GET_U_LONG(buf);
 			objp->limit = IXDR_GET_U_LONG(buf);
 			objp->hold_ms = IXDR_GET_U_LONG(buf);
+			objp->guest_ms = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -268,6 +274,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->hold_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->guest_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/proxy/parts/fleet.h
+++ b/tests/proxy/parts/fleet.h
@@ -12,12 +12,13 @@
 #include "policy/lane.h"
 #include "policy/load-shedder.h"
 #include "policy/rebind.h"
-#include "proxy/place.h"
+#include "proxy/zone-spill.h"
 
 #define FLEET_STEP_US (5 * JL_USEC_PER_MSEC)
 #define FLEET_ENTRIES_MAX 85
 #define FLEET_TARGETS_MAX 20
 #define FLEET_REQUESTS_MAX 4096
+#define FLEET_ZONES_MAX 2
 
 /**
  * struct fleet_request - one request, at its target
@@ -40,6 +41,8 @@
  * @hold_us: mean time of a run at its usual speed
  * @slow_until_us: it is slow until then
  * @cold_until_us: it is cold until then
+ * @zone: its zone; entries alternate between the zones
+ * @guest_us: time at which work of another zone last came
  * @busy: sum over all steps of the requests that run
  * @peers: load of the other targets as its guard knows it
  */
@@ -50,6 +53,8 @@
   double hold_us;
   uint64_t slow_until_us;
   uint64_t cold_until_us;
+  unsigned zone;
+  uint64_t guest_us;
   uint64_t busy;
   struct jl_load_view peers[FLEET_TARGETS_MAX];
   struct fleet_request requests[FLEET_REQUESTS_MAX];
@@ -61,6 +66,8 @@
  * @goal_us: latency goal, 0 for a service without goals and slow times
  * @slow_mean_s: mean time between two slow times of a target, 0 for none
  * @swing: part of the demand by which it rises and falls
+ * @zone_count: zones; their swings have shifted phases
+ * @spills: entries send to another zone that completes requests sooner
  * @reports: load reports are on
  * @moves: guards hand requests back
  * @sent: requests sent
@@ -72,6 +79,12 @@
  * @refused: requests that entries refused
  * @expired: requests that were refused because they could not end in time
  * @moved: times that requests were handed back
+ * @crossed: requests sent to another zone
+ * @traded: those of them that were sent because the other zone completes them
+ *          sooner, while the own zone was known to receive others from there
+ * @guests_since_us: by zone: time since which it has received others without a
+ *                   gap of GUEST_GAP_US
+ * @guests_us: by zone: time at which it received the last one
  */
 struct fleet
 {
@@ -81,8 +94,11 @@
   uint64_t goal_us;
   double slow_mean_s;
   double swing;
+  unsigned zone_count;
+  bool spills;
   bool reports;
   bool moves;
+  struct jl_spill spill[FLEET_ENTRIES_MAX];
   struct jl_roster rosters[FLEET_ENTRIES_MAX];
   struct jl_member *members[FLEET_ENTRIES_MAX][FLEET_TARGETS_MAX];
   struct fleet_target targets[FLEET_TARGETS_MAX];
@@ -95,6 +111,10 @@
   uint64_t refused;
   uint64_t expired;
   uint64_t moved;
+  uint64_t crossed;
+  uint64_t traded;
+  uint64_t guests_since_us[FLEET_ZONES_MAX];
+  uint64_t guests_us[FLEET_ZONES_MAX];
 };
 
 /**
@@ -103,8 +123,20 @@
 void
 fleet_init (struct fleet *fleet, unsigned entry_count, unsigned target_count);
 
+/**
+ * fleet_split - puts the first target into one zone and all others into
+ * another, and the entries into both
+ */
+void fleet_split (struct fleet *fleet);
+
 void fleet_clear (struct fleet *fleet);
 
+/**
+ * fleet_restart - ends a target with its requests; the new incarnation is cold
+ * @slow_start: its guard expects that
+ */
+void fleet_restart (struct fleet *fleet, unsigned index, bool slow_start);
+
 /**
  * fleet_run - runs @seconds in which the entries together send @rate requests a
  * second
