Test that two equal zones do not trade load

Cause: with the final steps and gain, the test of zones with one and two targets passes also without the rest of 1 s.

Change: a test with two equal zones whose targets become slow in turn.

--- a/tests/proxy/placement.c
+++ b/tests/proxy/placement.c
@@ -277,7 +277,7 @@
 
 /* One zone has one target of the service, the other two. */
 static struct outcome
-play_zones (double share, bool spills)
+play_zones (unsigned target_count, double share, bool spills)
 {
   struct outcome sum = { 0 };
 
@@ -287,7 +287,7 @@
       double rate;
 
       g_random_set_seed (seed);
-      fleet_init (fleet, FLEET_ENTRIES_MAX, 3);
+      fleet_init (fleet, FLEET_ENTRIES_MAX, target_count);
       fleet_split (fleet);
       g_rand_set_seed (fleet->outside, seed);
       fleet->goal_us = 800 * JL_USEC_PER_MSEC;
@@ -325,8 +325,8 @@
 
   for (unsigned i = 0; i < G_N_ELEMENTS (shares); i++)
     {
-      struct outcome before = play_zones (shares[i], false);
-      struct outcome after = play_zones (shares[i], true);
+      struct outcome before = play_zones (3, shares[i], false);
+      struct outcome after = play_zones (3, shares[i], true);
 
       cr_expect_gt (after.in_goal, before.in_goal);
       cr_expect_leq (after.half_spent, before.half_spent + 0.0005);
@@ -336,6 +336,16 @@
     }
 }
 
+/* Two equal zones whose targets become slow in turn would send each other the
+ * same load. */
+Test (placement, equal_zones_do_not_trade_load)
+{
+  static const double shares[] = { 0.5, 0.6, 0.7 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (shares); i++)
+    cr_expect_eq (play_zones (2, shares[i], true).traded, 0);
+}
+
 /* A zone must stop sending as soon as it receives, and must not send all its
  * work at once. */
 Test (placement, the_share_for_another_zone_rises_in_steps_and_ends_at_once)
