--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -219,6 +219,28 @@
     jl_call_refuse (call, reason);
 }
 
+const char *
+jl_call_choose_service (const struct jl_route *route)
+{
+  uint64_t total = 0;
+  uint64_t draw;
+
+  if (route->split_count == 1)
+    return route->split[0].service;
+  for (unsigned i = 0; i < route->split_count; i++)
+    total += route->split[i].weight;
+  if (total == 0)
+    return route->split[0].service;
+  draw = (uint64_t)(g_random_double () * (double)total);
+  for (unsigned i = 0; i < route->split_count; i++)
+    {
+      if (draw < route->split[i].weight)
+        return route->split[i].service;
+      draw -= route->split[i].weight;
+    }
+  return route->split[0].service;
+}
+
 /* Chooses a daemon for a trial: another one than this daemon if possible, which
  * could not report the loss of the whole instance. */
 static struct jl_member *
@@ -233,6 +255,20 @@
                                  excluded, call->tried_count + 1, now_us);
 }
 
+/* Whether a request goes back to the guard that has handed it back: there is no
+ * other daemon, or only @other in another zone. */
+static bool
+should_return (const struct jl_call *call,
+               const struct jl_member *other,
+               uint64_t now_us)
+{
+  const struct jl_member *from = call->moved_from;
+
+  return from != NULL && call->member != from
+         && (other == NULL || (other->in_other_zone && !from->in_other_zone))
+         && jl_member_accepts_work (from, call->service, now_us);
+}
+
 struct jl_member *
 jl_call_choose_daemon (struct jl_call *call, uint64_t now_us)
 {
@@ -241,7 +277,8 @@
 
   if (member != NULL)
     return member;
-  return jl_place_choose_daemon (&call->proxy->roster, call->service,
-                                 call->zone, call->tried, call->tried_count,
-                                 now_us);
+  member
+      = jl_place_choose_daemon (&call->proxy->roster, call->service, call->zone,
+                                call->tried, call->tried_count, now_us);
+  return should_return (call, member, now_us) ? call->moved_from : member;
 }
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -51,6 +51,9 @@
  * @token_ask: sequence number of the last datagram that asked for a token for
  *             it, 0 for none
  * @token_wait_us: time at which it began to wait
+ * @moved_from: daemon whose guard has handed the request back last, NULL for
+ *              none
+ * @moved_count: number of times that guards have handed it back
  * @targets_reached: number of targets that the request has, or may have,
  *                   reached
  * @may_have_run: a target may have run the request
@@ -91,6 +94,8 @@
   struct cds_list_head token_link;
   uint32_t token_ask;
   uint64_t token_wait_us;
+  struct jl_member *moved_from;
+  unsigned moved_count;
   unsigned targets_reached;
   bool may_have_run;
   char reason[32];
@@ -108,6 +113,12 @@
  */
 uint64_t jl_call_age_ms (const struct jl_call *call);
 
+/**
+ * jl_call_choose_service - chooses one of the route's services at random, by
+ * the weights of its split
+ */
+const char *jl_call_choose_service (const struct jl_route *route);
+
 /**
  * jl_call_choose_daemon - chooses the daemon that a request is sent to next
  *
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -16,10 +16,12 @@
 #include "proxy/hooks.h"
 #include "proxy/identify.h"
 #include "proxy/infer.h"
+#include "proxy/load-report.h"
 #include "proxy/quota.h"
 #include "proxy/report.h"
 #include "proxy/shares.h"
 #include "proxy/trial.h"
+#include "proxy/zone-spill.h"
 
 #include <string.h>
 
@@ -191,6 +193,7 @@
   g_strlcpy (reason, field != NULL ? field : "", sizeof reason);
   call->member->last_answer_us = jl_now ();
   jl_infer_member_answered (call->proxy, call->member);
+  jl_load_report_heard (call, head);
   if (outcome == NULL)
     jl_notice_passed_on (call, head);
   if (outcome == NULL && head->status >= 500 && prepare_failure_retry (call))
@@ -345,6 +348,7 @@
 
   g_strlcpy (work.service, call->service, sizeof work.service);
   jl_identify_fill_work (call, &work);
+  jl_load_report_ask (call, &work);
   text = jl_headers_to_guard (head, &work, call->caller_service);
   call->relay.upstream = jl_upstream_open (
       proxy->peer_pool, call->member->peer, false, 0, text,
@@ -377,6 +381,7 @@
   call->trial_running = false;
   member->asked_us = now_us;
   member->outstanding++;
+  jl_load_report_sent (call);
   if (strcmp (member->zone, proxy->roster.local_zone) != 0)
     proxy->counters.other_zone++;
   if (!open_upstream (call))
@@ -441,6 +446,7 @@
   inherit_rank (call);
   call->zone
       = jl_demand_choose_call_zone (proxy, call->service, g_random_double ());
+  call->zone = jl_spill_choose_zone (call, call->zone);
   place_call (call);
 }
 
@@ -468,6 +474,7 @@
       demand->window_requests++;
       call->zone = jl_shares_choose_zone (call, demand);
     }
+  call->zone = jl_spill_choose_zone (call, call->zone);
   if (call->zone == NULL)
     jl_call_refuse (call, jl_shares_refusal_reason (call));
   else if (demand != NULL && !is_worthwhile (proxy, &demand->plan))
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -9,6 +9,7 @@
 #include "proxy/freshness.h"
 #include "proxy/hooks.h"
 #include "proxy/infer.h"
+#include "proxy/load-report.h"
 #include "proxy/quota.h"
 #include "proxy/report.h"
 #include "proxy/rows.h"
@@ -136,6 +137,7 @@
   self->spare_share = proxy->load_shedder.spare_share;
   self->failure_rate = jl_failure_rate_get (&proxy->failure_rate);
   self->last_beacon_us = jl_now ();
+  jl_load_report_update_self (proxy);
 }
 
 void
@@ -249,6 +251,7 @@
 
   if (proxy->lane.waiting > 0)
     jl_guard_run_queue (proxy);
+  jl_handback_check (proxy);
   jl_watch_check (proxy->watch);
   jl_freshness_note_turn (proxy->freshness);
   jl_record_flush ();
--- a/source/proxy/shares.c
+++ b/source/proxy/shares.c
@@ -218,8 +218,11 @@
   item->arrived_us = jl_now ();
   item->expires_us
       = item->arrived_us + work->header.remaining_ms * JL_USEC_PER_MSEC;
-  item->due_us
-      = item->arrived_us + work->header.latency_goal_ms * JL_USEC_PER_MSEC;
+  /* The time that the request has spent elsewhere counts towards its goal. */
+  item->due_us = item->arrived_us
+                 + (work->header.latency_goal_ms
+                    - MIN (work->header.spent_ms, work->header.latency_goal_ms))
+                       * JL_USEC_PER_MSEC;
   if (proxy->site == NULL || proxy->site->customers == NULL)
     return;
   item->fair = true;
