--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -126,12 +126,6 @@
  */
 struct jl_member *jl_call_choose_daemon (struct jl_call *call, uint64_t now_us);
 
-/**
- * jl_call_choose_service - chooses a service at random, by the weights of the
- * route's split
- */
-const char *jl_call_choose_service (const struct jl_route *route);
-
 /**
  * jl_call_cancel_upstream - cancels the upstream request, if there is one
  */
