Review: render settings from a template with sections

The template of the settings has had optional sections and a list of feature words since customers were added; the stand of the review knew neither and ended with status 2 (KeyError). It leaves sections out and gives an empty list now.

--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -53,7 +53,9 @@
             found = found[int(name)] if isinstance(found, list) else found[name]
         return json.dumps(found)
     with open(TEMPLATE) as file:
-        return re.sub(r"\{\{([\w.]+)\|json\}\}", value, file.read())
+        # The deployment gives no field that a section is for, so that sections are left out.
+        text = re.sub(r"\{\{#([\w.]+)\}\}.*?\{\{/\1\}\}", "", file.read())
+        return re.sub(r"\{\{([\w.]+)\|json\}\}", value, text)
 
 
 class Record:
@@ -183,6 +185,7 @@
             "internalPorts": ports[3:5],
             "platform": {"address": "%s:%d" % self.fleet.store_address, "writesPerS": 400},
             "heartbeatS": HEARTBEAT_S,
+            "contracts": [],
             "bounds": {"configApplyS": 2, "graceS": GRACE_S, "retryBudgetRatio": 0.2, "retryBudgetSlack": 47,
                        "retryWindowS": 10},
         }
