Believe no refusal that additional bytes may be a part of

Cause: input on a connection to a target is parsed from the end of the last response on. The beginning of a refusal that a faulty target sends late, cut in a field's value, and the whole response behind it were read as one head, which names the request and states that it has not run; the entry then sent the request to a second target.

Change: a response whose reason phrase or field value contains a status line is malformed on all outgoing connections, and so are an empty line in front of a response and input that comes before the request was sent (the request is unsent then and may be sent elsewhere). The statement that a request has not run counts only in an error status, with at most one identifier, one X-Jackdawladder-Not-Executed and one instance, and not after a response to another request on the same connection. An own response with another status is still passed on after such a response. A cut elsewhere in a head was already malformed. Each byte is read once, and nothing more is buffered.

--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -190,6 +190,12 @@
  */
 bool jl_upstream_skip_response (struct jl_upstream *upstream);
 
+/**
+ * jl_upstream_has_skipped - whether a response was skipped, so that the peer
+ * has sent bytes that belong to no request
+ */
+bool jl_upstream_has_skipped (const struct jl_upstream *upstream);
+
 /**
  * jl_upstream_mark - marks the connection, so that later requests can avoid it
  * @mark: 0 for one that all requests avoid
--- a/source/net/lines.c
+++ b/source/net/lines.c
@@ -58,10 +58,13 @@
   return !is_control (byte);
 }
 
-/* LF alone ends a line of a head, but none between chunks. */
+/* LF alone ends a line of a head, but none between chunks. An empty line in
+ * front of a response belongs to no response. */
 static bool
 is_line_end_valid (const struct jl_lines *lines)
 {
+  if (lines->kind == JL_LINE_START && lines->at_begin && !lines->is_request)
+    return false;
   return lines->after_cr || lines->kind == JL_LINE_START
          || lines->kind == JL_LINE_FIELD;
 }
--- a/source/net/parse.c
+++ b/source/net/parse.c
@@ -40,6 +40,13 @@
   return conn->head.text->len > conn->net->head_bytes_max;
 }
 
+/* The reason phrase takes the place that the target has in a request. */
+static int
+on_status (http_parser *parser, const char *data, size_t size)
+{
+  return append_text (parser->data, data, size);
+}
+
 static int
 on_url (http_parser *parser, const char *data, size_t size)
 {
@@ -171,6 +178,39 @@
   return codings == 0 || conn->is_client || conn->parser.http_minor > 0;
 }
 
+/* Whether @text contains what the status line of a response begins with. */
+static bool
+has_status_line (const char *text)
+{
+  static const char name[] = "HTTP/";
+
+  while ((text = strstr (text, name)) != NULL)
+    {
+      text += strlen (name);
+      if (g_ascii_isdigit (text[0]) && text[1] == '.'
+          && g_ascii_isdigit (text[2]) && text[3] == ' '
+          && g_ascii_isdigit (text[3 + strspn (text + 3, " ")]))
+        return true;
+    }
+  return false;
+}
+
+/*
+ * Whether a response's head is of one response only. A faulty peer may send the
+ * beginning of another one in front of it, and the cut may be in the reason
+ * phrase or in a field's value, which the status line then continues.
+ */
+static bool
+stands_alone (const struct jl_head *head)
+{
+  if (has_status_line (jl_head_target (head)))
+    return false;
+  for (size_t i = 0; i < head->fields->len; i++)
+    if (has_status_line (jl_head_value (head, i)))
+      return false;
+  return true;
+}
+
 /* No request asks for another protocol, so that no response can begin one. */
 static bool
 is_head_valid (const struct jl_conn *conn)
@@ -181,6 +221,8 @@
     return false;
   if (!conn->is_client)
     return jl_head_count (&conn->head, "Host") <= 1;
+  if (!stands_alone (&conn->head))
+    return false;
   return parser->status_code >= 100
          && parser->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS;
 }
@@ -242,6 +284,7 @@
 static const http_parser_settings callbacks = {
   .on_message_begin = on_message_begin,
   .on_url = on_url,
+  .on_status = on_status,
   .on_header_field = on_field_name,
   .on_header_value = on_field_value,
   .on_headers_complete = on_head_complete,
@@ -341,6 +384,12 @@
         buffer_input (conn, data, size);
       return;
     }
+  if (conn->is_client && !conn->any_sent)
+    {
+      /* The input came before the request, so it is no response to it. */
+      jl_conn_fail (conn, JL_CONN_MALFORMED);
+      return;
+    }
   used = parse_lines (conn, data, size);
   if (has_ended (conn))
     return;
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -90,6 +90,7 @@
  * @reused: the request was sent on a pooled connection
  * @waits: the response has not begun
  * @not_reusable: the connection is closed after the request
+ * @skipped: a response was skipped
  * @buffered_bytes_max: the response callback is delayed until the response is
  *                      complete, with a body of at most this size; 0 if not
  * @idle_us: time for which the reused connection had been idle
@@ -110,6 +111,7 @@
   bool reused;
   bool waits;
   bool not_reusable;
+  bool skipped;
   size_t buffered_bytes_max;
   uint64_t idle_us;
   uint64_t start_us;
@@ -453,10 +455,10 @@
   struct jl_upstream *upstream = context;
   enum jl_upstream_failure failure = JL_UPSTREAM_LOST;
 
-  if (error == JL_CONN_MALFORMED || error == JL_CONN_TOO_LARGE)
-    failure = JL_UPSTREAM_MALFORMED;
-  else if (jl_conn_is_unsent (conn))
+  if (jl_conn_is_unsent (conn))
     failure = JL_UPSTREAM_NOT_SENT;
+  else if (error == JL_CONN_MALFORMED || error == JL_CONN_TOO_LARGE)
+    failure = JL_UPSTREAM_MALFORMED;
   else if (upstream->reused && !upstream->response_reported
            && jl_now () - upstream->start_us < STALE_DETECTION_US)
     reduce_safe_idle_max (upstream->pool, upstream->idle_us);
@@ -590,6 +592,7 @@
   if (!upstream->complete || !jl_upstream_head (upstream)->keep_alive)
     return false;
   upstream->not_reusable = true;
+  upstream->skipped = true;
   upstream->complete = false;
   upstream->response_reported = false;
   g_byte_array_set_size (upstream->body, 0);
@@ -597,6 +600,12 @@
   return true;
 }
 
+bool
+jl_upstream_has_skipped (const struct jl_upstream *upstream)
+{
+  return upstream->skipped;
+}
+
 void
 jl_upstream_mark (struct jl_upstream *upstream, uint64_t mark)
 {
--- a/source/proxy/match.c
+++ b/source/proxy/match.c
@@ -35,6 +35,36 @@
          && jl_match_hash (instance) != work->target_hash;
 }
 
+/* Status codes from this on are errors. */
+#define STATUS_ERROR_MIN 400
+
+/*
+ * Whether a statement that the request has not run can be believed. A sound
+ * target makes it once, in an error that names one attempt at most. Other
+ * statements may consist of parts of several responses, and so may all that
+ * come after a response to another request.
+ */
+static bool
+is_statement_sound (const struct jl_work *work, const struct jl_head *head)
+{
+  return head->status >= STATUS_ERROR_MIN
+         && jl_head_count (head, JL_HEADER_ATTEMPT_ID) <= 1
+         && jl_head_count (head, JL_HEADER_NOT_EXECUTED) <= 1
+         && jl_head_count (head, JL_HEADER_INSTANCE_ID) <= 1
+         && !jl_upstream_has_skipped (work->relay.upstream);
+}
+
+/* Whether a response that echoes identifiers names the attempt and no other. */
+static bool
+names_only (const struct jl_head *head, const char *asked)
+{
+  for (size_t i = 0; i < head->fields->len; i++)
+    if (g_ascii_strcasecmp (jl_head_name (head, i), JL_HEADER_ATTEMPT_ID) == 0
+        && strcmp (jl_head_value (head, i), asked) != 0)
+      return false;
+  return true;
+}
+
 enum jl_match
 jl_match_response (const struct jl_work *work)
 {
@@ -43,10 +73,14 @@
                                    JL_HEADER_ATTEMPT_ID);
   const char *echoed = jl_head_get (head, JL_HEADER_ATTEMPT_ID);
 
-  if (JL_TEST_DISABLED ("match") || asked == NULL)
+  if (JL_TEST_DISABLED ("match"))
+    return JL_MATCH_OWN;
+  if (asked != NULL && echoed != NULL && !names_only (head, asked))
+    return JL_MATCH_FOREIGN;
+  if (jl_match_says_not_run (head) && !is_statement_sound (work, head))
+    return JL_MATCH_UNKNOWN;
+  if (asked == NULL || echoed != NULL)
     return JL_MATCH_OWN;
-  if (echoed != NULL)
-    return strcmp (asked, echoed) == 0 ? JL_MATCH_OWN : JL_MATCH_FOREIGN;
   if (!jl_match_says_not_run (head))
     return JL_MATCH_FOREIGN;
   if (is_of_other_instance (work, head))
--- a/source/proxy/match.h
+++ b/source/proxy/match.h
@@ -41,7 +41,9 @@
  *
  * The target has to echo the attempt identifier if the request has one. A
  * target may refuse without reading the identifier, but on a connection that
- * has carried other requests such a refusal may be of any of them.
+ * has carried other requests such a refusal may be of any of them. After a
+ * response to another request, the target's statement that it has not run this
+ * one cannot be told from an additional response either.
  */
 enum jl_match jl_match_response (const struct jl_work *work);
 
