Keep connections and the process while ends of responses wait

Cause: a call ends when its response has been read from the other side, while up to 48 KB of it wait for a client that reads slowly. A graceful stop looked at calls only and ended the process, and an idle timeout looked at the last input only and closed the connection, both with the end of a complete response.

A connection with such output is not idle, and its idle time begins when the last of it was taken.

--- a/include/jackdawladder/conn.h
+++ b/include/jackdawladder/conn.h
@@ -23,7 +23,8 @@
  *                  expired
  * @JL_CONN_RESET: reading or writing failed, or output made no progress for too
  *                 long
- * @JL_CONN_MALFORMED: the input is not a valid HTTP/1.1 message
+ * @JL_CONN_MALFORMED: the input is not a valid HTTP/1.1 message, or came when
+ * no message was expected
  * @JL_CONN_TOO_LARGE: the head of a message exceeds the size limit
  */
 enum jl_conn_error
@@ -113,11 +114,19 @@
  */
 unsigned jl_net_open_count (const struct jl_net *net);
 
+/**
+ * jl_net_has_unsent_output - whether an accepted connection has output that the
+ * kernel has not taken yet, such as the end of a response to a slow reader
+ */
+bool jl_net_has_unsent_output (const struct jl_net *net);
+
 /**
  * jl_net_close_expired - closes connections whose timeouts have expired
  *
- * Applies the head, idle, write and linger timeouts. Call it about twice per
- * second.
+ * Applies the head, idle, write and linger timeouts to accepted connections,
+ * and ends those to peers that do not acknowledge output. A connection with
+ * output that waits is not idle, and a peer that reads nothing but acknowledges
+ * probes is alive. Call it about twice per second.
  */
 void jl_net_close_expired (struct jl_net *net);
 
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -270,6 +270,19 @@
   return net->open_count;
 }
 
+bool
+jl_net_has_unsent_output (const struct jl_net *net)
+{
+  const struct jl_conn *conn;
+
+  cds_list_for_each_entry (conn, &net->conns, link)
+  {
+    if (!conn->is_client && jl_conn_backlog (conn) > 0)
+      return true;
+  }
+  return false;
+}
+
 static bool
 has_elapsed (uint64_t now_us, uint64_t since_us, uint64_t timeout_us)
 {
@@ -317,8 +330,10 @@
   else if (conn->in_head
            && has_elapsed (now_us, conn->head_began_us, net->head_timeout_us))
     reject_slow_head (conn);
-  else if (!conn->in_head
-           && has_elapsed (now_us, conn->last_read_us, idle_timeout (conn)))
+  else if (!conn->in_head && jl_conn_backlog (conn) == 0
+           && has_elapsed (now_us,
+                           MAX (conn->last_read_us, conn->last_write_us),
+                           idle_timeout (conn)))
     jl_conn_fail (conn, JL_CONN_CLOSED);
 }
 
--- a/source/proxy/stop.c
+++ b/source/proxy/stop.c
@@ -48,14 +48,16 @@
   jl_beacon_send_soon (proxy->beacon);
 }
 
-/* Whether nothing is in progress, and no request has come since the last check:
- * the process would exit before the rest of its body is read, and the client
- * would get a reset in place of the response. */
+/* Whether nothing is in progress, no end of a response waits for its reader,
+ * and no request has come since the last check: the process would exit before
+ * the rest of its body is read, and the client would get a reset in place of
+ * the response. */
 static bool
 may_exit (struct jl_proxy *proxy, uint64_t age_us)
 {
-  bool idle
-      = cds_list_empty (&proxy->calls) && cds_list_empty (&proxy->work_items);
+  bool idle = cds_list_empty (&proxy->calls)
+              && cds_list_empty (&proxy->work_items)
+              && !jl_net_has_unsent_output (proxy->net);
   uint64_t requests = proxy->counters.requests + proxy->counters.calls;
   bool quiet = proxy->stop_requests == requests;
 
