Await peers that read nothing but are alive

Cause: TCP_USER_TIMEOUT ends a connection whose peer has had no room for output for 2.5 s, whether or not it acknowledges window probes. A target that read nothing while it worked lost its upload, and so did a guard that waited for it.

Change: the option is gone. Twice a second, connections with output that is not acknowledged are judged by what the kernel knows: the peer is lost if there were transmissions or probes since its last acknowledgement, and it has been silent for 2.5 s and for one and a half of the interval between them. A peer that is alive acknowledges one before the next is due. Connections without such output cost no system call. What the option gave otherwise is kept: a connection that is not established in 2.5 s fails, and an idle one whose peer is gone ends after 3 s (one keep-alive probe in place of two, as the option ended it after the first). The limit of 10 s without progress of output holds for accepted connections only; on outgoing ones the owner's deadline does.

--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -100,6 +100,8 @@
  * @head_began_us: time at which the first byte of the current head was read
  * @last_read_us: time of the last input
  * @last_write_us: time at which output last made progress
+ * @awaits_ack: the peer may have to acknowledge output
+ * @unacked_since_us: time of the first such output
  * @idle_timeout_us: idle timeout of this connection; 0 selects that of @net
  * @marks: marks of the owners, @mark_count of them
  * @output: output not yet passed to the kernel or to libuv
@@ -137,6 +139,8 @@
   uint64_t head_began_us;
   uint64_t last_read_us;
   uint64_t last_write_us;
+  bool awaits_ack;
+  uint64_t unacked_since_us;
   uint64_t idle_timeout_us;
   uint64_t marks[JL_CONN_MARKS_MAX];
   unsigned mark_count;
@@ -186,6 +190,43 @@
  */
 void jl_conn_parse (struct jl_conn *conn, const char *data, size_t size);
 
+/* peer-lost.c */
+
+/**
+ * struct jl_ack_state - what the kernel knows of a peer's acknowledgements
+ * @unacked: output is on its way that the peer has not acknowledged
+ * @unanswered: transmissions or window probes since the last acknowledgement of
+ *              output, or of anything if nothing is on its way
+ * @interval_us: time from the last of them to the next one
+ * @waited_us: time for which output has been waiting
+ * @quiet_us: time since the last acknowledgement of any kind
+ */
+struct jl_ack_state
+{
+  bool unacked;
+  unsigned unanswered;
+  uint64_t interval_us;
+  uint64_t waited_us;
+  uint64_t quiet_us;
+};
+
+/**
+ * jl_ack_is_overdue - whether a peer that is alive would have acknowledged
+ * something by now
+ */
+bool jl_ack_is_overdue (const struct jl_ack_state *state);
+
+/**
+ * jl_conn_expect_ack - notes that output is passed to the kernel
+ */
+void jl_conn_expect_ack (struct jl_conn *conn);
+
+/**
+ * jl_conn_is_peer_lost - whether the peer of a connection with output seems to
+ * be gone, as it acknowledges nothing
+ */
+bool jl_conn_is_peer_lost (struct jl_conn *conn, uint64_t now_us);
+
 /* conn.c */
 
 /**
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -13,16 +13,16 @@
 
 /* Connections that the kernel queues for a listener until they are accepted. */
 #define LISTEN_BACKLOG_MAX 1024
-/* Time after which the kernel drops a connection with unacknowledged output. */
-#define TCP_ACK_TIMEOUT_MS 2500
+/* Time after which a connection that is not established is given up. */
+#define CONNECT_TIMEOUT_US (2500 * JL_USEC_PER_MSEC)
 /*
  * TCP keep-alive: idle time before the first probe, interval between probes,
  * and number of unanswered probes after which the kernel drops the connection.
  */
 #define KEEPALIVE_IDLE_S 2
 #define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES_MAX 2
-/* Time without output progress after which the connection is closed. */
+#define KEEPALIVE_PROBES_MAX 1
+/* Time without output progress after which an accepted connection is closed. */
 #define WRITE_TIMEOUT_US (10 * JL_USEC_PER_SEC)
 /* Time to wait for the peer to close after the output was shut down. */
 #define LINGER_TIMEOUT_US (1 * JL_USEC_PER_SEC)
@@ -199,6 +199,7 @@
   if (conn->connecting || conn->uv_output->len > 0 || conn->output->len == 0)
     return;
   conn->any_sent = true;
+  jl_conn_expect_ack (conn);
   buffer = uv_buf_init ((char *)conn->output->data, conn->output->len);
   written = uv_try_write ((uv_stream_t *)&conn->tcp, &buffer, 1);
   if (written < 0 && written != UV_EAGAIN)
@@ -313,24 +314,38 @@
                                     : conn->net->idle_timeout_us;
 }
 
+/* Ends a connection to a peer that has not accepted it in time, or that is gone
+ * by what it acknowledges. How long an answer may take is up to the owner. */
+static void
+close_if_lost (struct jl_conn *conn, uint64_t now_us)
+{
+  if (conn->connecting
+      && has_elapsed (now_us, conn->last_write_us, CONNECT_TIMEOUT_US))
+    jl_conn_fail (conn, JL_CONN_CONNECT_FAILED);
+  else if (!conn->connecting && jl_conn_is_peer_lost (conn, now_us))
+    jl_conn_fail (conn, JL_CONN_RESET);
+}
+
 static void
 close_if_expired (struct jl_conn *conn, uint64_t now_us)
 {
   const struct jl_net *net = conn->net;
+  size_t backlog = jl_conn_backlog (conn);
 
-  if (conn->output_shut
-      && has_elapsed (now_us, conn->last_write_us, LINGER_TIMEOUT_US))
+  if (conn->is_client)
+    close_if_lost (conn, now_us);
+  else if (conn->output_shut
+           && has_elapsed (now_us, conn->last_write_us, LINGER_TIMEOUT_US))
     close_now (conn);
-  else if (jl_conn_backlog (conn) > 0
+  else if (backlog > 0
            && has_elapsed (now_us, conn->last_write_us, WRITE_TIMEOUT_US))
     jl_conn_fail (conn, JL_CONN_RESET);
-  else if (conn->is_client || conn->closing_after_flush
-           || conn->message_complete || conn->in_body)
+  else if (conn->closing_after_flush || conn->message_complete || conn->in_body)
     return;
   else if (conn->in_head
            && has_elapsed (now_us, conn->head_began_us, net->head_timeout_us))
     reject_slow_head (conn);
-  else if (!conn->in_head && jl_conn_backlog (conn) == 0
+  else if (!conn->in_head && backlog == 0
            && has_elapsed (now_us,
                            MAX (conn->last_read_us, conn->last_write_us),
                            idle_timeout (conn)))
@@ -447,7 +462,6 @@
 static void
 set_options (struct jl_conn *conn)
 {
-  int timeout = TCP_ACK_TIMEOUT_MS;
   int interval = KEEPALIVE_INTERVAL_S;
   int count = KEEPALIVE_PROBES_MAX;
   uv_os_fd_t fd;
@@ -458,7 +472,6 @@
   uv_tcp_keepalive (&conn->tcp, 1, KEEPALIVE_IDLE_S);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
 /**
--- /dev/null
+++ b/source/net/peer-lost.c
@@ -0,0 +1,80 @@
+/**
+ * DOC: Whether the peer of a connection with output is gone.
+ *
+ * TCP_USER_TIMEOUT does not tell a peer that is gone from one that is alive and
+ * reads nothing while it works: the kernel ends both connections. The latter
+ * acknowledges each window probe, though.
+ */
+
+#include "conn-impl.h"
+
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
+/* Time without any acknowledgement after which a peer may be gone. */
+#define ACK_TIMEOUT_US (2500 * JL_USEC_PER_MSEC)
+
+bool
+jl_ack_is_overdue (const struct jl_ack_state *state)
+{
+  /* A peer that is alive acknowledges the last transmission before the next one
+   * is due. Half an interval more is for one that was lost on its way. */
+  uint64_t timeout_us
+      = MAX (ACK_TIMEOUT_US, state->interval_us + state->interval_us / 2);
+
+  return state->unanswered > 0 && state->waited_us >= timeout_us
+         && state->quiet_us >= timeout_us;
+}
+
+void
+jl_conn_expect_ack (struct jl_conn *conn)
+{
+  if (conn->awaits_ack || !conn->is_client)
+    return;
+  conn->awaits_ack = true;
+  conn->unacked_since_us = conn->net->loop->now_us;
+}
+
+/* Whether the kernel has output that the peer has not acknowledged. */
+static bool
+has_unacked_output (uv_os_fd_t fd)
+{
+  int size = 0;
+
+  return ioctl (fd, TIOCOUTQ, &size) == 0 && size > 0;
+}
+
+static bool
+read_ack_state (uv_os_fd_t fd, struct jl_ack_state *state)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+
+  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return false;
+  state->unacked = info.tcpi_unacked > 0;
+  state->unanswered = state->unacked ? info.tcpi_retransmits : info.tcpi_probes;
+  state->interval_us = info.tcpi_rto;
+  /* The interval of retransmissions includes the back-off, that of probes of a
+   * closed window does not. */
+  if (!state->unacked)
+    state->interval_us <<= MIN (info.tcpi_backoff, 16);
+  state->quiet_us = info.tcpi_last_ack_recv * JL_USEC_PER_MSEC;
+  return true;
+}
+
+bool
+jl_conn_is_peer_lost (struct jl_conn *conn, uint64_t now_us)
+{
+  struct jl_ack_state state = { 0 };
+  uv_os_fd_t fd;
+
+  if (!conn->awaits_ack
+      || uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    return false;
+  conn->awaits_ack = has_unacked_output (fd);
+  if (!conn->awaits_ack || !read_ack_state (fd, &state))
+    return false;
+  state.waited_us = now_us - MIN (now_us, conn->unacked_since_us);
+  return jl_ack_is_overdue (&state);
+}
