Let a leave count for the start that it names

Cause: a leave announcement was taken for one of the start heard of last under the identifier. A heartbeat of the start that really left, arriving after the leave was acknowledged, counted as one of a new start and put the target back into service. Likewise, a late leave of an earlier start ended the use of the present one.

Change: the body of a leave announcement names the start ("born"), and the leave is recorded for it, and for the current one if that is earlier. One that names no start is of all that began before it came. A leave of an earlier start than the current one is acknowledged and changes nothing else. The target's own statement in a response names the start by its key as before.

--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -170,7 +170,8 @@
 {
   uint64_t now_ms = (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
 
-  if (jl_target_mark_departed (&proxy->target, id, now_ms))
+  if (jl_target_mark_departed (&proxy->target, id,
+                               proxy->target.last.started_ms, now_ms))
     jl_proxy_target_changed (proxy, cause);
   jl_rows_write_departed (proxy);
 }
@@ -247,9 +248,12 @@
 static void
 handle_leave (struct jl_proxy *proxy,
               struct jl_request *request,
-              const char *id)
+              const char *id,
+              const GByteArray *body)
 {
   uint64_t now_ms = (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
+  uint64_t started_ms
+      = jl_platform_decode_leave ((const char *)body->data, body->len);
   const char *refusal;
 
   if (proxy->heartbeat_held && strcmp (proxy->held_heartbeat.id, id) == 0)
@@ -260,7 +264,7 @@
       refuse_leave (request, id, refusal);
       return;
     }
-  if (jl_target_mark_departed (&proxy->target, id, now_ms))
+  if (jl_target_mark_departed (&proxy->target, id, started_ms, now_ms))
     jl_proxy_target_changed (proxy, "left");
   respond_to_leave (proxy, request);
 }
@@ -375,15 +379,13 @@
 static void
 on_announce_begin (void *context, struct jl_request *request)
 {
-  struct jl_proxy *proxy = context;
   const char *id = announced_id (request);
   const char *method = jl_request_head (request)->method;
 
+  (void)context;
   if (id == NULL || *id == '\0' || strlen (id) >= JL_TEXT_SIZE)
     respond_json (request, 404);
-  else if (strcmp (method, "DELETE") == 0)
-    handle_leave (proxy, request, id);
-  else if (strcmp (method, "PUT") == 0)
+  else if (strcmp (method, "DELETE") == 0 || strcmp (method, "PUT") == 0)
     jl_request_set_data (request, g_byte_array_new ());
   else
     respond_json (request, 405);
@@ -410,7 +412,10 @@
   if (body == NULL)
     return;
   jl_request_set_data (request, NULL);
-  handle_heartbeat (context, request, announced_id (request), body);
+  if (strcmp (jl_request_head (request)->method, "DELETE") == 0)
+    handle_leave (context, request, announced_id (request), body);
+  else
+    handle_heartbeat (context, request, announced_id (request), body);
   g_byte_array_free (body, TRUE);
 }
 
--- a/source/proxy/target.c
+++ b/source/proxy/target.c
@@ -403,14 +403,26 @@
 bool
 jl_target_mark_departed (struct jl_target *target,
                          const char *id,
+                         uint64_t started_ms,
                          uint64_t now_ms)
 {
+  uint64_t current_ms = target->last.started_ms;
+
   if (!is_current (target, id))
     {
       mark_other_departed (target, id, now_ms);
       return false;
     }
-  add_departed (target, id, target->last.started_ms);
+  if (started_ms != 0 && started_ms < current_ms)
+    {
+      add_departed (target, id, started_ms);
+      return false;
+    }
+  if (started_ms == 0 && target->state != JL_TARGET_LEAVING)
+    started_ms = now_ms;
+  add_departed (target, id, current_ms);
+  if (started_ms > current_ms && current_ms != 0)
+    add_departed (target, id, started_ms);
   target->state = JL_TARGET_LEAVING;
   return true;
 }
--- a/source/proxy/target.h
+++ b/source/proxy/target.h
@@ -186,15 +186,20 @@
 
 /**
  * jl_target_mark_departed - records that the target with identifier @id leaves
+ * @started_ms: wall clock at the start of the incarnation that leaves, 0 if not
+ *              known; then all that have started before now have left
  * @now_ms: wall clock
  *
  * The incarnation never takes work again, even if this daemon has just started
- * and has had no heartbeat of it.
+ * and has had no heartbeat of it. The incarnation may be a later one than that
+ * of the last heartbeat, as heartbeats may be late, or an earlier one, as the
+ * leave may be late.
  *
  * Return: whether it was the current incarnation.
  */
 bool jl_target_mark_departed (struct jl_target *target,
                               const char *id,
+                              uint64_t started_ms,
                               uint64_t now_ms);
 
 /**
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -52,7 +52,7 @@
   struct jl_target target = { 0 };
 
   apply (&target, heartbeat ("a", 5, 1, false));
-  cr_assert (jl_target_mark_departed (&target, "a", 8));
+  cr_assert (jl_target_mark_departed (&target, "a", 0, 8));
   cr_assert_not (apply (&target, heartbeat ("a", 5, 9, false)));
   cr_assert_eq (target.state, JL_TARGET_LEAVING);
 }
@@ -102,7 +102,7 @@
 {
   struct jl_target target = { 0 };
 
-  cr_assert_not (jl_target_mark_departed (&target, "a", 8));
+  cr_assert_not (jl_target_mark_departed (&target, "a", 0, 8));
   cr_assert_not (apply (&target, heartbeat ("a", 0, 21, false)));
   cr_assert_not (apply (&target, heartbeat ("a", 5, 21, false)));
   cr_assert_eq (target.state, JL_TARGET_NONE);
@@ -115,7 +115,7 @@
   struct jl_target target = { 0 };
 
   apply (&target, heartbeat ("a", 5, 7, false));
-  jl_target_mark_departed (&target, "a", 8);
+  jl_target_mark_departed (&target, "a", 0, 8);
   cr_assert (apply (&target, heartbeat ("a", 9, 1, false)));
   cr_assert_eq (target.state, JL_TARGET_UP);
 }
@@ -136,7 +136,7 @@
   struct jl_target target = { 0 };
 
   apply (&target, heartbeat ("b", 9, 1, false));
-  cr_assert_not (jl_target_mark_departed (&target, "a", 8));
+  cr_assert_not (jl_target_mark_departed (&target, "a", 0, 8));
   cr_assert_eq (target.state, JL_TARGET_UP);
 }
 
@@ -152,7 +152,7 @@
   apply (&before, heartbeat ("a", 5, 3, true));
   cr_assert_eq (before.departed_revision, 1);
   apply (&before, heartbeat ("a", 5, 4, true));
-  cr_assert (jl_target_mark_departed (&before, "a", 9));
+  cr_assert (jl_target_mark_departed (&before, "a", 0, 9));
   cr_assert_eq (before.departed_revision, 1,
                 "the incarnation is recorded once");
   cr_assert_not (
@@ -181,7 +181,7 @@
   cr_assert_not (apply (&target, heartbeat ("c", 7, 1, true)));
   cr_assert_str_eq (target.last.id, "b");
   cr_assert_eq (target.state, JL_TARGET_UP);
-  jl_target_mark_departed (&target, "b", 9);
+  jl_target_mark_departed (&target, "b", 0, 9);
   cr_assert_not (apply (&target, heartbeat ("c", 7, 2, false)));
 }
 
@@ -194,13 +194,13 @@
   uint64_t hour_ms = 3600000;
 
   apply (&target, heartbeat ("a", 0, 1, false));
-  jl_target_mark_departed (&target, "a", now_ms);
+  jl_target_mark_departed (&target, "a", 0, now_ms);
   apply (&target, heartbeat ("b", 0, 1, false));
   for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX; i++)
     {
       g_snprintf (id, sizeof id, "x%u", i);
       cr_assert (jl_target_can_mark_departed (&target, id, now_ms));
-      jl_target_mark_departed (&target, id, now_ms);
+      jl_target_mark_departed (&target, id, 0, now_ms);
     }
   cr_assert_not (jl_target_can_mark_departed (&target, "y", now_ms));
   cr_assert (jl_target_can_mark_departed (&target, "x0", now_ms),
@@ -218,7 +218,7 @@
   struct jl_target target = { 0 };
 
   for (unsigned i = 0; i < JL_TARGET_UNHEARD_MAX * 2; i++)
-    jl_target_mark_departed (&target, "x", i + 1);
+    jl_target_mark_departed (&target, "x", 0, i + 1);
   cr_assert (jl_target_can_mark_departed (&target, "y", 1));
   cr_assert_not (apply (&target, heartbeat ("x", 3, 1, false)));
 }
@@ -301,7 +301,7 @@
 
   apply_at (&left, "a", 1, 1000);
   apply_at (&left, "b", 1, 1010);
-  jl_target_mark_departed (&left, "a", 5);
+  jl_target_mark_departed (&left, "a", 0, 5);
   cr_assert_not (jl_target_reinstate (&left, "a", 1100));
   cr_assert_not (jl_target_reinstate (&left, "c", 1100), "it is not known");
   cr_assert_not (jl_target_reinstate (&left, "b", 1100),
@@ -332,7 +332,7 @@
 
   g_strlcpy (heartbeat.id, "left", sizeof heartbeat.id);
   jl_target_apply_heartbeat (&target, &heartbeat, 1);
-  jl_target_mark_departed (&target, "left", 5);
+  jl_target_mark_departed (&target, "left", 0, 5);
   g_strlcpy (heartbeat.id, "a", sizeof heartbeat.id);
   jl_target_apply_heartbeat (&target, &heartbeat, 10);
   g_strlcpy (heartbeat.id, "b", sizeof heartbeat.id);
