Refuse statuses from 600 on and bodies whose connection ends out of order

Cause: statuses from 600 to 999 were passed on. A response without a length ends with its connection, and the end was taken for one in order although a part of the request was still on its way: a target that closes then resets the connection for what still arrives, and the kernel reports that reset no more once the end of the input was read. The part of the body reached the client as a complete 200.

Change: statuses outside 100 to 599 are malformed. The end of such a body is in order only if the peer has acknowledged all output and the kernel has not closed the connection. A request that was sent whole is not affected.

Measured: tests/proxy/early.c plays uploads with a length and in chunks, and downloads, at the entry, the guard and between daemons, with five kinds of reset (together with the body, with unread and with drained requests, after the body was read, while reading is paused) and 22 statuses. Not covered: "0200" is read as 200.

--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -227,6 +227,15 @@
  */
 bool jl_conn_is_peer_lost (struct jl_conn *conn, uint64_t now_us);
 
+/**
+ * jl_conn_ended_in_order - whether the peer has ended a connection of which the
+ * end of the input was read, after it had received all output
+ *
+ * A peer that closes while output is on its way resets the connection for it,
+ * maybe a moment later. Its input may break off anywhere.
+ */
+bool jl_conn_ended_in_order (const struct jl_conn *conn);
+
 /* conn.c */
 
 /**
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -371,27 +371,10 @@
   *buffer = uv_buf_init (conn->net->read_buffer, READ_BUFFER_BYTES);
 }
 
-/*
- * libuv reports a hang-up after a partial read as the end of the input, even if
- * the peer has reset the connection. Reading from the socket directly tells the
- * two cases apart.
- */
-static bool
-was_reset (const struct jl_conn *conn)
-{
-  uv_os_fd_t fd;
-  char byte;
-
-  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
-    return true;
-  return recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0
-         && errno != EAGAIN;
-}
-
 static void
 on_end_of_input (struct jl_conn *conn, ssize_t status)
 {
-  if (status == UV_EOF && conn->in_body && was_reset (conn))
+  if (status == UV_EOF && conn->in_body && !jl_conn_ended_in_order (conn))
     status = UV_ECONNRESET;
   if (conn->closing_after_flush)
     {
--- a/source/net/parse.c
+++ b/source/net/parse.c
@@ -13,6 +13,9 @@
 #define PENDING_INPUT_BYTES_MAX 65536
 /* Maximum number of interim responses (1xx) before a response. */
 #define INTERIM_RESPONSES_MAX 16
+/* Bounds of the status codes of HTTP. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 static bool
 is_informational (const struct jl_conn *conn)
@@ -223,7 +226,7 @@
     return jl_head_count (&conn->head, "Host") <= 1;
   if (!stands_alone (&conn->head))
     return false;
-  return parser->status_code >= 100
+  return parser->status_code >= STATUS_MIN && parser->status_code <= STATUS_MAX
          && parser->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS;
 }
 
--- a/source/net/peer-lost.c
+++ b/source/net/peer-lost.c
@@ -1,5 +1,6 @@
 /**
- * DOC: Whether the peer of a connection with output is gone.
+ * DOC: Whether the peer of a connection is gone, and whether it has ended the
+ * connection in order.
  *
  * TCP_USER_TIMEOUT does not tell a peer that is gone from one that is alive and
  * reads nothing while it works: the kernel ends both connections. The latter
@@ -8,6 +9,7 @@
 
 #include "conn-impl.h"
 
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
@@ -44,6 +46,42 @@
   return ioctl (fd, TIOCOUTQ, &size) == 0 && size > 0;
 }
 
+/*
+ * libuv reports a hang-up after a partial read as the end of the input, even if
+ * the peer has reset the connection. Reading from the socket directly tells the
+ * two cases apart.
+ */
+static bool
+reports_reset (uv_os_fd_t fd)
+{
+  char byte;
+
+  return recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno != EAGAIN;
+}
+
+/* Whether the kernel has closed the connection, as it does if a reset follows
+ * the end of the input; reading then reports the end of the input only. */
+static bool
+is_closed (uv_os_fd_t fd)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+         || info.tcpi_state == TCP_CLOSE;
+}
+
+bool
+jl_conn_ended_in_order (const struct jl_conn *conn)
+{
+  uv_os_fd_t fd;
+
+  return jl_conn_backlog (conn) == 0
+         && uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+         && !reports_reset (fd) && !is_closed (fd) && !has_unacked_output (fd);
+}
+
 static bool
 read_ack_state (uv_os_fd_t fd, struct jl_ack_state *state)
 {
