Send an attempt that its target has refused on a new connection

Cause: a faulty target may send a late copy of a response on any of its connections. Only the connection of a refusal was avoided when the same attempt came again, so that a copy on another one names the attempt and looks sound.

Other requests use kept connections as before.

--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -43,15 +43,6 @@
                       JL_HEADER_ATTEMPT_ID);
 }
 
-/* Returns a mark for connections on which the attempt was refused. */
-static uint64_t
-attempt_mark (const struct jl_work *work)
-{
-  const char *id = attempt_id (work);
-
-  return id != NULL ? jl_match_hash (id) : 0;
-}
-
 const char *
 jl_guard_attempt_id (const struct jl_work *work)
 {
@@ -203,19 +194,6 @@
     fail_work (work, "foreign-answer");
 }
 
-/* Marks the connection of a refusal, which the target may write once more: the
- * attempt itself must not come there again, and no other attempt if the refusal
- * names none. */
-static void
-mark_refused (struct jl_work *work)
-{
-  bool named = jl_head_get (jl_upstream_head (work->relay.upstream),
-                            JL_HEADER_ATTEMPT_ID)
-               != NULL;
-
-  jl_upstream_mark (work->relay.upstream, named ? attempt_mark (work) : 0);
-}
-
 static void
 handle_target_refused (struct jl_work *work)
 {
@@ -228,7 +206,7 @@
              proxy->target.last.id,
              jl_upstream_is_reused (work->relay.upstream),
              jl_now () - work->started_us);
-  mark_refused (work);
+  jl_match_mark_refused (work);
   jl_failure_rate_count_run (&proxy->failure_rate,
                              status != JL_STATUS_MISDIRECTED);
   if (status == JL_STATUS_MISDIRECTED)
@@ -401,10 +379,7 @@
   GString *text = jl_headers_to_target (
       head, (unsigned)(remaining_us / JL_USEC_PER_MSEC), proxy->target.last.id);
 
-  /* Without an identifier, an earlier response on the connection could not be
-   * told from that of the request. */
-  if (attempt_id (work) == NULL)
-    work->fresh_connection = true;
+  work->fresh_connection |= jl_match_needs_new_conn (work);
   work->target_key = jl_target_key (&proxy->target);
   work->target_hash = jl_match_hash (proxy->target.last.id);
   work->running = true;
@@ -412,7 +387,7 @@
   jl_trial_started (work);
   work->relay.upstream = jl_upstream_open (
       proxy->target_pool, proxy->options->target, work->fresh_connection,
-      attempt_mark (work), text, strcmp (head->method, "HEAD") == 0,
+      jl_match_attempt_mark (work), text, strcmp (head->method, "HEAD") == 0,
       &upstream_ops, &work->relay);
   g_string_free (text, TRUE);
   if (work->relay.upstream == NULL)
--- a/source/proxy/match.c
+++ b/source/proxy/match.c
@@ -88,3 +88,32 @@
   return jl_upstream_is_reused (work->relay.upstream) ? JL_MATCH_UNKNOWN
                                                       : JL_MATCH_OWN;
 }
+
+uint64_t
+jl_match_attempt_mark (const struct jl_work *work)
+{
+  const char *id = jl_head_get (jl_request_head (work->relay.request),
+                                JL_HEADER_ATTEMPT_ID);
+
+  return id != NULL ? jl_match_hash (id) : 0;
+}
+
+void
+jl_match_mark_refused (struct jl_work *work)
+{
+  bool named = jl_head_get (jl_upstream_head (work->relay.upstream),
+                            JL_HEADER_ATTEMPT_ID)
+               != NULL;
+  uint64_t mark = jl_match_attempt_mark (work);
+
+  jl_refused_add (&work->proxy->refused, mark);
+  jl_upstream_mark (work->relay.upstream, named ? mark : 0);
+}
+
+bool
+jl_match_needs_new_conn (const struct jl_work *work)
+{
+  uint64_t mark = jl_match_attempt_mark (work);
+
+  return mark == 0 || jl_refused_has (&work->proxy->refused, mark);
+}
--- a/source/proxy/match.h
+++ b/source/proxy/match.h
@@ -6,6 +6,7 @@
  */
 
 #include "proxy/guard.h"
+#include "proxy/refused.h"
 
 /* Status of a target's response if the request was sent to another incarnation
  * of the target. The request has not run. */
@@ -47,4 +48,27 @@
  */
 enum jl_match jl_match_response (const struct jl_work *work);
 
+/**
+ * jl_match_attempt_mark - returns the mark of connections on which the attempt
+ * was refused, 0 if the request has no identifier
+ */
+uint64_t jl_match_attempt_mark (const struct jl_work *work);
+
+/**
+ * jl_match_mark_refused - remembers that the target has refused the attempt
+ *
+ * The target may write the refusal once more. On its connection the attempt
+ * must not come again, and no other attempt if the refusal names none.
+ */
+void jl_match_mark_refused (struct jl_work *work);
+
+/**
+ * jl_match_needs_new_conn - whether an earlier response could not be told from
+ * that of the request on a connection that was used before
+ *
+ * This is so without an identifier, and if the target has refused the attempt
+ * before: a copy of that refusal may come on any connection.
+ */
+bool jl_match_needs_new_conn (const struct jl_work *work);
+
 #endif
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -20,6 +20,7 @@
 #include "proxy/notice.h"
 #include "proxy/options.h"
 #include "proxy/plan.h"
+#include "proxy/refused.h"
 
 #include "store.h"
 
@@ -157,6 +158,7 @@
  * @watch: whether the local target has ended
  * @suspects: contents that are suspected of ending targets
  * @target_limit: limit that the local target has named in its responses
+ * @refused: attempts that the local target has refused last
  * @trial_work: the trial in progress at the local target, NULL for none
  * @infer: requests that were lost at other daemons
  * @news: sender of reports on suspect contents
@@ -216,6 +218,7 @@
   struct jl_member *self;
   struct jl_target target;
   struct jl_target_limit target_limit;
+  struct jl_refused refused;
   struct jl_watch *watch;
   struct jl_suspects suspects;
   struct jl_work *trial_work;
--- a/tests/proxy/additional.c
+++ b/tests/proxy/additional.c
@@ -212,8 +212,9 @@
   static const char *const refusals[] = {
     REFUSAL ("b"),
     "HTTP/1.1 503 No\r\nServer: SimpleHTTP/0.6 Python/3.9\r\n"
-    "Via: HTTP/1.1 gate\r\nContent-Length: 0\r\n" NOT_EXECUTED ID ("b") "\r\n"
+    "Via: HTTP/1.1 gate\r\nContent-Length: 0\r\n" NOT_EXECUTED ID ("c") "\r\n"
   };
+  static const char *const ids[] = { "b", "c" };
   struct play play;
 
   begin (&play, 194);
@@ -224,7 +225,7 @@
 
       play.target = -1;
       serve_work (&play);
-      fd = send_work (&play, "b");
+      fd = send_work (&play, ids[i]);
       answer (&play, refusals[i], strlen (refusals[i]));
       received = receive (&play, fd);
       cr_expect_eq (received.status, 503, "%s", received.head);
@@ -235,3 +236,32 @@
       rig_run (&play.rig, 5);
     }
 }
+
+/* Guards against a copy of a refusal on another connection than that of the
+ * refusal itself. */
+Test (additional, a_refused_attempt_comes_on_a_new_connection)
+{
+  struct play play;
+  struct raw_answer received;
+  int busy;
+  int first;
+  int fd;
+
+  begin (&play, 214);
+  busy = send_work (&play, "5e7f");
+  first = play.target;
+  play.target = -1;
+  fd = send_work (&play, "b");
+  answer (&play, REFUSAL ("b"), strlen (REFUSAL ("b")));
+  received = receive (&play, fd);
+  cr_assert_eq (received.status, 503);
+  raw_answer_clear (&received);
+  play.target = first;
+  answer (&play, SUCCESS ("5e7f"), strlen (SUCCESS ("5e7f")));
+  received = receive (&play, busy);
+  cr_assert_eq (received.status, 200);
+  raw_answer_clear (&received);
+  play.target = -1;
+  send_work (&play, "b");
+  cr_assert_neq (play.target, first);
+}
