--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -218,3 +218,45 @@
   else
     jl_call_refuse (call, reason);
 }
+
+/* Chooses a daemon for a trial: another one than this daemon if possible, which
+ * could not report the loss of the whole instance. */
+static struct jl_member *
+choose_daemon_for_trial (struct jl_call *call, uint64_t now_us)
+{
+  struct jl_proxy *proxy = call->proxy;
+  struct jl_member *excluded[JL_PLACEMENTS_MAX + 1];
+
+  memcpy (excluded, call->tried, sizeof call->tried);
+  excluded[call->tried_count] = proxy->self;
+  return jl_place_choose_daemon (&proxy->roster, call->service, call->zone,
+                                 excluded, call->tried_count + 1, now_us);
+}
+
+/* Whether a request goes back to the guard that has handed it back: there is no
+ * other daemon, or only @other in another zone. */
+static bool
+should_return (const struct jl_call *call,
+               const struct jl_member *other,
+               uint64_t now_us)
+{
+  const struct jl_member *from = call->moved_from;
+
+  return from != NULL && call->member != from
+         && (other == NULL || (other->in_other_zone && !from->in_other_zone))
+         && jl_member_accepts_work (from, call->service, now_us);
+}
+
+struct jl_member *
+jl_call_choose_daemon (struct jl_call *call, uint64_t now_us)
+{
+  struct jl_member *member
+      = call->on_trial ? choose_daemon_for_trial (call, now_us) : NULL;
+
+  if (member != NULL)
+    return member;
+  member
+      = jl_place_choose_daemon (&call->proxy->roster, call->service, call->zone,
+                                call->tried, call->tried_count, now_us);
+  return should_return (call, member, now_us) ? call->moved_from : member;
+}
