--- a/tests/proxy/quota-share.c
+++ b/tests/proxy/quota-share.c
@@ -243,13 +243,13 @@
   start (&pair, 198);
   tx = jl_store_tx_new (pair.rigs[0].proxy->store, "caps", &ops, &access);
   jl_store_tx_read (tx);
-  while (!access.read)
+  for (unsigned i = 0; i < 500 && !access.read; i++)
     run (&pair, 10);
   version = pair.rigs[0].store.version;
   pair.rigs[1].proxy->quota->issuer.active = false;
   jl_quota_shares_tick (pair.rigs[1].proxy->quota, jl_now ());
   pair.rigs[1].proxy->quota->issuer.active = true;
-  while (pair.rigs[0].store.version == version)
+  for (unsigned i = 0; i < 500 && pair.rigs[0].store.version == version; i++)
     run (&pair, 10);
   run (&pair, 100);
   jl_store_tx_write (
@@ -257,7 +257,7 @@
       (const struct jl_store_put[]){ { "z1", access.versions[0], "{}" },
                                      { "z2", access.versions[1], "{}" } },
       2);
-  while (access.result < 0)
+  for (unsigned i = 0; i < 500 && access.result < 0; i++)
     run (&pair, 10);
   cr_assert_eq (access.result, JL_STORE_REFUSED);
   cr_assert_str_neq (fake_store_get (&pair.rigs[0].store, "caps", "z1"), "{}");
