Name the last daemon of a request that the only one handed back twice

Cause: the list of daemons that had the request is empty after the second hand-back by the same daemon; the log line read its last entry, and the process ended.

Change: a function names the last daemon, also one that is not in the list.

Result: the new test crashes without the change and passes with it.

--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -33,6 +33,14 @@
   return (jl_now () - call->begun_us) / JL_USEC_PER_MSEC;
 }
 
+const char *
+jl_call_last_member (const struct jl_call *call)
+{
+  if (call->tried_count > 0)
+    return call->tried[call->tried_count - 1]->name;
+  return call->moved_from != NULL ? call->moved_from->name : "-";
+}
+
 const char *
 jl_call_choose_service (const struct jl_route *route)
 {
@@ -203,10 +211,8 @@
              "id=%s route=%s status=%u reason=%s member=%s arrivals=%u "
              "age_ms=%" PRIu64 " content=%016" PRIx64,
              jl_call_attempt_id (call), call->route->name, status, reason,
-             call->tried_count > 0 ? call->tried[call->tried_count - 1]->name
-                                   : "-",
-             call->targets_reached, jl_call_age_ms (call),
-             jl_content_id (&call->content));
+             jl_call_last_member (call), call->targets_reached,
+             jl_call_age_ms (call), jl_content_id (&call->content));
   jl_call_respond (call, status, "", reason);
 }
 
--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -113,6 +113,14 @@
  */
 uint64_t jl_call_age_ms (const struct jl_call *call);
 
+/**
+ * jl_call_last_member - returns the name of the daemon that had the request
+ * last, "-" if none had it
+ *
+ * A daemon whose guard has handed it back is not among those tried.
+ */
+const char *jl_call_last_member (const struct jl_call *call);
+
 /**
  * jl_call_choose_service - chooses one of the route's services at random, by
  * the weights of its split
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -63,7 +63,7 @@
              "id=%s route=%s reason=%s member=%s arrivals=%u age_ms=%" PRIu64
              " content=%016" PRIx64,
              jl_call_attempt_id (call), call->route->name, reason,
-             call->tried[call->tried_count - 1]->name, call->targets_reached,
+             jl_call_last_member (call), call->targets_reached,
              jl_call_age_ms (call), jl_content_id (&call->content));
   g_strlcpy (call->reason, reason, sizeof call->reason);
   place_call (call);
--- a/tests/proxy/load-report.c
+++ b/tests/proxy/load-report.c
@@ -367,6 +367,36 @@
   g_string_free (head, TRUE);
 }
 
+/* The only daemon hands a request back twice: the list of those that had it was
+ * empty then, and the entry read the name of the last one in front of it. */
+Test (load_report, the_only_daemon_may_hand_a_request_back_twice)
+{
+  struct rig rig;
+  struct raw_peer peer;
+  GString *head = g_string_new (NULL);
+  int client;
+  int fd = begin_once (&rig, &peer, 172, &client, head);
+
+  for (guint i = 0; i < rig.proxy->roster.members->len; i++)
+    {
+      struct jl_member *member
+          = g_ptr_array_index (rig.proxy->roster.members, i);
+
+      if (member->outstanding == 0 && strcmp (member->service, "deep") == 0)
+        member->state = JL_TARGET_DOWN;
+    }
+  for (unsigned i = 0; i < 2; i++)
+    {
+      answer (&rig, fd, MOVED);
+      close (fd);
+      fd = raw_accept_request (&rig, &peer, head);
+      cr_assert_geq (fd, 0, "%s", read_head (&rig, client));
+    }
+  answer (&rig, fd, SUCCESS);
+  cr_expect (g_str_has_prefix (read_head (&rig, client), "HTTP/1.1 200"));
+  g_string_free (head, TRUE);
+}
+
 /* A new incarnation was taken for as fast as the former one, or with a hold
  * time that only 30 responses replaced. */
 Test (load_report, a_cold_target_is_announced_with_less_capacity)
