Issue the whole allowance of a usage cap to customers above it

Cause: buckets filled at the cap's rate, so a customer that sends more than its cap all the time got rate x window in a window where rate x window + burst is its allowance: of a customer at twice its cap a sixth of what it may run was refused.

Change: buckets fill at the rate that uses up the allowance of a window evenly, with less depth, and a count of the tokens of the last window bounds what is issued.

--- a/source/policy/quota-bucket.h
+++ b/source/policy/quota-bucket.h
@@ -8,6 +8,11 @@
  * (rate x W + burst) x (1 + over) + slack. The zones' buckets, the time for
  * which a token is valid, and the floors of daemons that reach no issuer share
  * this allowance.
+ *
+ * A bucket fills at a rate that uses up rate x W + burst evenly in W, so that a
+ * customer who sends more than its cap all the time gets all of its allowance.
+ * A count of the tokens of the last window, and of the time for which they are
+ * valid, bounds what bursts add to that.
  */
 
 #include "jackdawladder/base.h"
@@ -15,11 +20,16 @@
 /* Time for which a token may be used after it was issued. */
 #define JL_QUOTA_VALID_US (250 * JL_USEC_PER_MSEC)
 
+/* Slots of the ring in which the tokens of the last window are counted. */
+#define JL_QUOTA_SLOT_COUNT 22
+
 /**
  * struct jl_quota_allowance - the parts of a customer's allowance, for the
  * whole site
  * @rate: tokens a second that issuers of all zones issue
  * @burst: depth of the buckets of all zones together, without @spread
+ * @window_us: length of the window
+ * @window: tokens that all issuers issue in a window, without @spread
  * @spread: additional depth, which is divided equally among the zones
  * @floor: requests in a window for all daemons that reach no issuer
  */
@@ -27,6 +37,8 @@
 {
   double rate;
   double burst;
+  uint64_t window_us;
+  double window;
   double spread;
   double floor;
 };
@@ -35,11 +47,15 @@
  * struct jl_quota_cap - the cap of a bucket
  * @rate: tokens a second
  * @depth: maximum number of tokens
+ * @window_us: length of the window
+ * @window: tokens that are issued in a window
  */
 struct jl_quota_cap
 {
   double rate;
   double depth;
+  uint64_t window_us;
+  double window;
 };
 
 /**
@@ -47,11 +63,15 @@
  * @fraction: level as a fraction of the depth, so that a changed cap takes
  *            effect at once
  * @updated_us: time of @fraction
+ * @slot: number of the current slot of @issued
+ * @issued: ring of the tokens issued, without those that other zones have lent
  */
 struct jl_quota_bucket
 {
   double fraction;
   uint64_t updated_us;
+  uint64_t slot;
+  double issued[JL_QUOTA_SLOT_COUNT];
 };
 
 /**
@@ -77,7 +97,7 @@
 /**
  * jl_quota_bucket_update - adds the tokens that are due at @now_us
  *
- * Return: the number of tokens.
+ * Return: the number of tokens that can be issued.
  */
 double jl_quota_bucket_update (struct jl_quota_bucket *bucket,
                                const struct jl_quota_cap *cap,
@@ -93,6 +113,15 @@
                                unsigned count,
                                uint64_t now_us);
 
+/**
+ * jl_quota_bucket_add - adds tokens that another zone has lent; those above the
+ * depth are lost
+ */
+void jl_quota_bucket_add (struct jl_quota_bucket *bucket,
+                          const struct jl_quota_cap *cap,
+                          unsigned count,
+                          uint64_t now_us);
+
 /**
  * jl_quota_bucket_withhold - removes tokens; the level may fall below 0
  */
--- a/source/policy/quota-issuer.c
+++ b/source/policy/quota-issuer.c
@@ -318,9 +318,7 @@
 
   if (account == NULL || !issuer->active || cap->depth <= 0)
     return;
-  jl_quota_bucket_update (&account->bucket, cap, now_us);
-  account->bucket.fraction
-      = MIN (1.0, account->bucket.fraction + count / cap->depth);
+  jl_quota_bucket_add (&account->bucket, cap, count, now_us);
 }
 
 void
