Let daemons run requests on credit after a restart of all

Change: daemons share a credit of 1.6 s of the rate and two requests, used once, after their start until an issuer answers.

--- a/source/policy/quota-bucket.c
+++ b/source/policy/quota-bucket.c
@@ -21,6 +21,9 @@
 /* Margin for rounding when whole tokens are counted. */
 #define ROUNDING 1e-9
 
+/* Part of the over ratio's allowance that issuers may use: the ring counts up
+ * to 2 in 100 more than a window and the time for which tokens are valid. */
+#define OVER_RATIO_USED 0.6
 /* Depth of the buckets as a part of the burst. A new issuer does not know what
  * was issued before it; its empty bucket, and the time without an issuer, make
  * up for that as long as the depth is below the over ratio's usual allowance.
@@ -42,7 +45,7 @@
     .rate = rate + burst / window_s,
     .burst = DEPTH_RATIO * burst,
     .window_us = window_us,
-    .window = rate * window_s + burst,
+    .window = rate * window_s + burst + OVER_RATIO_USED * extra,
     .spread = MIN (SPREAD_MAX, SPREAD_RATIO * slack),
     .floor = MIN (FLOOR_SLACK_MAX, FLOOR_SLACK_RATIO * slack),
   };
--- a/source/policy/quota-bucket.h
+++ b/source/policy/quota-bucket.h
@@ -21,7 +21,7 @@
 #define JL_QUOTA_VALID_US (250 * JL_USEC_PER_MSEC)
 
 /* Slots of the ring in which the tokens of the last window are counted. */
-#define JL_QUOTA_SLOT_COUNT 22
+#define JL_QUOTA_SLOT_COUNT 44
 
 /**
  * struct jl_quota_allowance - the parts of a customer's allowance, for the
--- a/source/policy/quota-stock.c
+++ b/source/policy/quota-stock.c
@@ -22,6 +22,10 @@
 /* Time for which a daemon goes on with its own rate, and the factor. */
 #define GRACE_US (2 * JL_USEC_PER_SEC)
 #define GRACE_RATIO 1.25
+/* Credit of all daemons together after their start: the cap of this time, and a
+ * number of requests. */
+#define START_CREDIT_S 1.6
+#define START_CREDIT 2.0
 /* Time for which a token of the floor may be used. */
 #define FLOOR_VALID_US (1 * JL_USEC_PER_SEC)
 
@@ -178,3 +182,11 @@
   stock->used++;
   return true;
 }
+
+unsigned
+jl_quota_start_credit (double rate, unsigned daemons, double draw)
+{
+  double credit = (START_CREDIT_S * rate + START_CREDIT) / MAX (1u, daemons);
+
+  return (unsigned)floor (credit + draw);
+}
--- a/source/policy/quota-stock.h
+++ b/source/policy/quota-stock.h
@@ -127,4 +127,16 @@
                                double draw,
                                uint64_t now_us);
 
+/**
+ * jl_quota_start_credit - returns the requests of a customer that a daemon runs
+ * after its start until the first issuer answers
+ * @rate: cap of the customer for the whole site
+ * @daemons: number of daemons of the site
+ * @draw: random number from 0 to 1, for the fraction of a request
+ *
+ * After a restart of all daemons of a zone nobody issues for nearly two
+ * seconds. The credit of all daemons fits into what issuers do not issue then.
+ */
+unsigned jl_quota_start_credit (double rate, unsigned daemons, double draw);
+
 #endif
--- a/source/proxy/quota-impl.h
+++ b/source/proxy/quota-impl.h
@@ -31,6 +31,8 @@
  * @waiting: requests that wait for a token, of struct jl_call
  * @pending: in the list of customers that the next datagram asks for
  * @is_pending: it is in that list
+ * @credit: requests that may run before the first issuer answers
+ * @credited: @credit was set
  * @debt: requests that have run without a token since the issuer's last answer
  * @debt_us: time of the last of them
  * @debt_epoch: incarnation of the issuer that they are charged to
@@ -43,6 +45,8 @@
   struct cds_list_head waiting;
   struct cds_list_head pending;
   bool is_pending;
+  unsigned credit;
+  bool credited;
   unsigned debt;
   uint64_t debt_us;
   uint64_t debt_epoch;
@@ -60,6 +64,7 @@
  * @sequence: number of the last request for tokens
  * @asked_us: times of the last requests, by their sequence number
  * @in_contact: the issuer answers
+ * @met_issuer: an issuer has answered since the start
  * @lost_us: time at which it ceased to answer, or this daemon's start
  * @known_count: number of daemons of the zone that have not left
  * @zone_heard: another daemon of the zone was heard since the start
@@ -93,6 +98,7 @@
   uint32_t sequence;
   uint64_t asked_us[JL_QUOTA_ASKS];
   bool in_contact;
+  bool met_issuer;
   uint64_t lost_us;
   unsigned known_count;
   bool zone_heard;
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -1,3 +1,9 @@
+/* Time after the start from which a daemon knows the others, from the rows of
+ * the store, and the time until which it has its credit. */
+#define START_KNOWN_US (800 * JL_USEC_PER_MSEC)
+#define START_CREDIT_US (4 * JL_USEC_PER_SEC)
+/* Daemons for each zone that it must know by then. */
+#define START_DAEMONS_MIN 2
 /**
  * DOC: Usage caps at the entry: the stocks of tokens, and requests that wait.
  */
@@ -93,6 +99,30 @@
   refuse (quota, call, after_us / JL_USEC_PER_MSEC + 1, "cap");
 }
 
+/* Uses a part of the credit that a daemon has after its start, once it knows
+ * the daemons that it shares the credit with. */
+static bool
+use_start_credit (struct jl_quota *quota,
+                  struct jl_quota_line *line,
+                  double rate,
+                  uint64_t now_us)
+{
+  const struct jl_proxy *proxy = quota->proxy;
+  unsigned daemons = proxy->roster.members->len;
+
+  if (quota->met_issuer || now_us < proxy->started_us + START_KNOWN_US
+      || now_us > proxy->started_us + START_CREDIT_US
+      || daemons < START_DAEMONS_MIN * MAX (1, quota->zone_count))
+    return false;
+  if (!line->credited)
+    line->credit = jl_quota_start_credit (rate, daemons, g_random_double ());
+  line->credited = true;
+  if (line->credit == 0)
+    return false;
+  line->credit--;
+  return true;
+}
+
 /* Whether a request may run although no issuer answers. */
 static bool
 allows_without_issuer (struct jl_quota *quota,
@@ -111,6 +141,8 @@
 
   if (!jl_quota_allowance_of (quota, line->stock.customer, &allowance))
     return true;
+  if (use_start_credit (quota, line, call->customer->rate, now_us))
+    return true;
   fallback.floor_rate = allowance.floor * 1e6 / (double)window_us
                         / MAX (1u, proxy->roster.members->len);
   return jl_quota_stock_fall_back (&line->stock, &fallback, g_random_double (),
@@ -153,6 +185,7 @@
   if (in_contact == quota->in_contact)
     return;
   quota->in_contact = in_contact;
+  quota->met_issuer |= in_contact;
   if (!in_contact)
     quota->lost_us = now_us;
   jl_record (JL_RECORD_CHANGE, JL_RECORD_ISSUER_CONTACT,
--- a/tests/proxy/quota.c
+++ b/tests/proxy/quota.c
@@ -8,6 +8,7 @@
 #include <math.h>
 #include <stdio.h>
 
+#include "policy/quota-stock.h"
 #include "proxy/parts/quota-model.h"
 
 #define S JL_USEC_PER_SEC
@@ -353,3 +354,21 @@
   cr_assert_lt (quota_model_refused_ratio (model, 1), 0.3);
   quota_model_free (model);
 }
+
+/* Guards against a cap that is broken by a restart of all daemons: their
+ * credits together stay within what issuers do not issue meanwhile, also where
+ * each daemon's part is less than a request. */
+Test (quota, credits_after_a_restart_of_all_fit_into_the_rule)
+{
+  static const double caps[] = { 7, 40, 400, 1265 };
+
+  g_random_set_seed (11);
+  for (unsigned i = 0; i < G_N_ELEMENTS (caps); i++)
+    {
+      unsigned sum = 0;
+
+      for (unsigned j = 0; j < 100 * 78; j++)
+        sum += jl_quota_start_credit (caps[i], 78, g_random_double ());
+      cr_assert_float_eq (sum / 100.0, 1.6 * caps[i] + 2, 0.05 * caps[i] + 1);
+    }
+}
