Split the admission of requests from the entry

Change: admission, ranks of calls and usage caps are called in source/proxy/admit.c; the test waits until the answer has come.

--- a/source/proxy/call.h
+++ b/source/proxy/call.h
@@ -189,6 +189,13 @@
 
 /* entry.c */
 
+/**
+ * jl_entry_place - sends a call to a daemon, or ends it if there is none
+ */
+void jl_entry_place (struct jl_call *call);
+
+/* admit.c */
+
 /**
  * jl_entry_start - begins the work on a request whose content may be sent to
  * targets
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -8,6 +8,7 @@
 #include "proxy/parts/address.h"
 
 #include <criterion/criterion.h>
+#include <poll.h>
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -151,6 +152,21 @@
   return fd;
 }
 
+/* Runs the proxy until a connection has input, for two seconds at most. A fixed
+ * time of 50 ms failed on machines that were busy with other processes. */
+static void
+wait_for_input (struct rig *rig, int fd)
+{
+  struct pollfd input = { .fd = fd, .events = POLLIN };
+
+  for (unsigned i = 0; i < 40; i++)
+    {
+      rig_run (rig, 50);
+      if (poll (&input, 1, 0) > 0)
+        return;
+    }
+}
+
 void
 rig_heartbeat (struct rig *rig,
                const char *id,
@@ -168,7 +184,7 @@
       "\"sequence\":%u,\"born\":%u}",
       address, sequence, born);
   fd = rig_announce (rig, id, body);
-  rig_run (rig, 50);
+  wait_for_input (rig, fd);
   cr_assert (g_str_has_prefix (rig_received (fd), "HTTP/1.1 200"));
   close (fd);
   g_free (body);
