Keep calls in their zone while the targets of all zones fail alike

Cause: a target whose failure rate is 0.2 or more loses its preference for its zone. While the targets of a service turn away half of all requests in all zones, calls went to any zone: three of four crossed zones for nothing.

Change: with load reports a target counts as failing from 0.15 above the lowest failure rate of its service on, and from 0.2 at least.

--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -18,6 +18,9 @@
 /* Failure rate at which a target in the preferred zone loses its
  * preference over targets of other zones. */
 #define FAILURE_RATE_MAX 0.2
+/* Difference from the lowest failure rate of the service at which a target
+ * counts as failing although all fail. */
+#define FAILURE_RATE_DIFFERENCE 0.15
 /* Share of the candidates' mean capacity below which a target may get nothing
  * for long. Requests that it answers are needed to learn that its limit has
  * ended. */
@@ -231,11 +234,36 @@
   unsigned preference;
 };
 
+/* Returns the failure rate from which on a target counts as failing. If the
+ * targets of all zones fail alike, none of them is better for being elsewhere,
+ * and requests must not cross zones for it. */
+static double
+failing_from (const struct jl_roster *roster,
+              const char *service,
+              uint64_t now_us)
+{
+  double lowest = 1;
+
+  if (!roster->uses_load_reports)
+    return FAILURE_RATE_MAX;
+  for (guint i = 0; i < roster->members->len; i++)
+    {
+      const struct jl_member *member = g_ptr_array_index (roster->members, i);
+
+      if (member->failure_rate < lowest
+          && jl_member_accepts_work (member, service, now_us))
+        lowest = member->failure_rate;
+    }
+  return MAX (FAILURE_RATE_MAX, lowest + FAILURE_RATE_DIFFERENCE);
+}
+
 /* Sound targets of the preferred zone come first, then sound ones of others. */
 static unsigned
-preference_of (const struct jl_member *member, const char *zone)
+preference_of (const struct jl_member *member,
+               const char *zone,
+               double failing_rate)
 {
-  if (member->failure_rate >= FAILURE_RATE_MAX)
+  if (member->failure_rate >= failing_rate)
     return 0;
   return strcmp (member->zone, zone) == 0 ? 2 : 1;
 }
@@ -402,6 +430,7 @@
   struct candidates candidates
       = { .list = g_array_new (FALSE, FALSE, sizeof (struct candidate)) };
   double slot_rate = mean_slot_rate (roster, service);
+  double failing_rate = failing_from (roster, service, now_us);
   struct jl_member *chosen;
 
   /* A target that has not answered yet is probably cold. */
@@ -415,7 +444,7 @@
           || was_tried (member, tried, tried_count))
         continue;
       add_candidate (&candidates, member, slot_rate,
-                     preference_of (member, zone));
+                     preference_of (member, zone, failing_rate));
     }
   chosen = choose_candidate (&candidates, roster, now_us);
   g_array_free (candidates.list, TRUE);
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -44,6 +44,29 @@
   jl_roster_clear (&roster);
 }
 
+/* While the targets of a service turn away half of their requests in all zones,
+ * three of four calls crossed zones for nothing. */
+Test (place, calls_stay_in_their_zone_while_all_targets_fail_alike)
+{
+  struct jl_roster roster;
+  struct jl_member *near;
+  struct jl_member *far;
+  unsigned crossed = 0;
+
+  jl_roster_init (&roster, "z1");
+  near = add_member (&roster, "near", "z1", "s");
+  far = add_member (&roster, "far", "z2", "s");
+  near->failure_rate = 0.58;
+  far->failure_rate = 0.5;
+  roster.uses_load_reports = true;
+  for (unsigned i = 0; i < 100; i++)
+    crossed += jl_place_choose_daemon (&roster, "s", "z1", NULL, 0, NOW) == far;
+  cr_assert_eq (crossed, 0);
+  far->failure_rate = 0.05;
+  cr_assert_eq (jl_place_choose_daemon (&roster, "s", "z1", NULL, 0, NOW), far);
+  jl_roster_clear (&roster);
+}
+
 Test (place, nothing_goes_to_one_that_leaves_fails_or_is_silent)
 {
   struct jl_roster roster;
