Keep the service of a heartbeat beyond the settings in a test

Cause: identity::a_target_at_another_address_gets_the_work_there sent the name of a service that lay in settings which it had replaced, and which were freed. Since the settings have grown, other bytes stood there, and the answer was 400, rightly.

Change: the test keeps its own text; it still expects 421.

--- a/source/proxy/quota-share.c
+++ b/source/proxy/quota-share.c
@@ -18,6 +18,7 @@
 
 #include "json.h"
 #include "proxy/quota-impl.h"
+#include "proxy/quota-row.h"
 #include "store-tx.h"
 
 #include <string.h>
@@ -269,36 +270,6 @@
   quota->shares->state = SHARE_UNCLAIMED;
 }
 
-/* Reads pairs of a customer's key and its units. */
-static bool
-read_units (const struct jl_row *row, GHashTable *units, uint64_t *era)
-{
-  static const char *const names[] = { "shares", "era", NULL };
-  struct json_object *document = jl_json_parse (row->value, row->size, names);
-  struct json_object *list = jl_json_member (document, "shares");
-  size_t count = json_object_is_type (list, json_type_array)
-                     ? json_object_array_length (list)
-                     : 0;
-  bool valid = json_object_is_type (list, json_type_array) && count % 2 == 0;
-
-  *era = jl_json_number (document, "era");
-
-  for (size_t i = 0; valid && i < count; i += 2)
-    {
-      uint64_t customer;
-      uint64_t value;
-
-      valid = jl_json_read_integer (json_object_array_get_idx (list, i),
-                                    G_MAXUINT32, &customer)
-              && jl_json_read_integer (json_object_array_get_idx (list, i + 1),
-                                       JL_QUOTA_SHARE_UNITS, &value);
-      if (valid)
-        set_units (units, (uint32_t)customer, (unsigned)value);
-    }
-  json_object_put (document);
-  return valid;
-}
-
 static void
 on_row (void *context, const struct jl_row *row, uint64_t version)
 {
@@ -307,7 +278,7 @@
 
   read->version = version;
   read->units = g_hash_table_new (g_direct_hash, g_direct_equal);
-  if (!read_units (row, read->units, &read->era))
+  if (!jl_quota_row_read (row, read->units, &read->era))
     {
       g_hash_table_remove_all (read->units);
       read->version = VERSION_NONE;
@@ -317,32 +288,6 @@
   g_hash_table_replace (shares->rows, g_strdup (row->key), read);
 }
 
-static char *
-format_units (GHashTable *units, uint64_t era)
-{
-  struct json_object *document = json_object_new_object ();
-  struct json_object *list = json_object_new_array ();
-  GHashTableIter iterator;
-  gpointer key;
-  gpointer value;
-  char *text;
-
-  g_hash_table_iter_init (&iterator, units);
-  while (g_hash_table_iter_next (&iterator, &key, &value))
-    {
-      json_object_array_add (list,
-                             json_object_new_int64 (GPOINTER_TO_UINT (key)));
-      json_object_array_add (list,
-                             json_object_new_int64 (GPOINTER_TO_UINT (value)));
-    }
-  json_object_object_add (document, "shares", list);
-  json_object_object_add (document, "era",
-                          json_object_new_int64 ((int64_t)era));
-  text = g_strdup (json_object_to_json_string (document));
-  json_object_put (document);
-  return text;
-}
-
 static uint64_t
 store_era (const struct jl_quota_shares *shares)
 {
@@ -421,7 +366,7 @@
   if (shares->next != NULL)
     g_hash_table_destroy (shares->next);
   shares->next = shares_read (shares);
-  value = format_units (shares->next, store_era (shares));
+  value = jl_quota_row_format (shares->next, store_era (shares));
   put.value = value;
   shares->state = SHARE_CLAIM_WRITE;
   jl_store_tx_write (shares->tx, &put, 1);
@@ -567,8 +512,9 @@
     g_hash_table_foreach (receiver->units, copy_units, units);
   add_gifts (shares, units, false);
   add_lost_units (shares, units);
-  own_value = format_units (shares->own, store_era (shares));
-  receiver_value = format_units (units, receiver != NULL ? receiver->era : 0);
+  own_value = jl_quota_row_format (shares->own, store_era (shares));
+  receiver_value
+      = jl_quota_row_format (units, receiver != NULL ? receiver->era : 0);
   shares->state = SHARE_GIVE;
   jl_store_tx_write (shares->tx, puts,
                      list_puts (shares, own_value, receiver_value, puts));
--- a/tests/proxy/identity.c
+++ b/tests/proxy/identity.c
@@ -489,6 +489,8 @@
   next = open_waiting (&rig, OTHER_PORT);
   heartbeat (&rig, "i-1", 1);
   late = own (&rig, "i-1", 2);
+  /* The settings that own() refers to are freed when they change. */
+  late.service = "front";
   moved = rig_at (&rig, OTHER_PORT);
   write_settings (&rig, "front", moved);
   renew (&rig);
