Show requests at a server whose leave was acknowledged

A leave that is announced while the store is down is acknowledged after 0.3 s without its row (on_leave_timer() in source/proxy/heartbeats.c). If all daemons are killed then, nobody remembers it, and a late heartbeat puts the target back into service (may_have_left()). 83 requests from machines in touch reach it later than drain_s after the acknowledgement.

--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,96 @@
+"""A server whose leave was acknowledged gets requests again: nobody remembers the leave."""
+
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "stand-2"))
+from stand import *  # noqa: E402, F403
+
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+DOWN_S = 4.5
+RESTART_S = 0.4
+# Time for which the server serves on after the acknowledgement.
+SERVES_ON_S = 12.0
+# Delay of the last ping that the server has sent before it left.
+LATE_S = 2.5
+
+
+async def play(log):
+    site = Site(log, zones=("z1", "z2"))
+    leaving = site.add("z1", "bookings", slots=40)
+    site.add("z1", "listings", slots=40)
+    site.add("z2", "bookings", slots=40)
+    site.add("z2", "listings", slots=40)
+    routes = [{"name": "book", "prefix": "/book/", "kind": "non_idempotent", "service": "bookings"}]
+    sent = {}
+    sending = []
+
+    async def send_all():
+        while True:
+            for machine in site.machines:
+                at = now()
+                task = asyncio.create_task(site.request(machine, "/book/1", "POST", body=b"seat"))
+                sending.append((at, task))
+                await asyncio.sleep(0.03)
+
+    async def restart(machine):
+        machine.signal(signal.SIGKILL)
+        await machine.process.wait()
+        await asyncio.sleep(RESTART_S)
+        await machine.start()
+
+    try:
+        await site.start(config(1, routes, ["bookings", "listings"]))
+        clients = asyncio.create_task(send_all())
+        await asyncio.sleep(2)
+        server = leaving.server
+        if TROUBLE:
+            site.store.set_down(True)
+            log("the store is down")
+        down_at = now()
+        await asyncio.sleep(0.3)
+        server.pinging.cancel()
+        late = server.next_ping()
+        late_at = now() + LATE_S
+        log(f"{server.id} sends a ping that will arrive {LATE_S} s late, and then that it leaves")
+        status = await server.tell("DELETE", {})
+        acked_at = now()
+        log(f"the leave of {server.id} is answered with {status}")
+        if status != 200:
+            return NOT_RUN
+        await asyncio.sleep(0.3)
+        restarting = []
+        if TROUBLE:
+            log("all daemons are killed")
+            restarting = [asyncio.create_task(restart(machine)) for machine in site.machines]
+        await asyncio.sleep(late_at - now())
+        log(f"the late ping arrives: {await server.tell('PUT', late)}")
+        await asyncio.sleep(down_at + DOWN_S - now())
+        site.store.set_down(False)
+        log("the store is back")
+        in_touch_at = now() + CONTACT_S
+        await asyncio.sleep(acked_at + SERVES_ON_S - now())
+        clients.cancel()
+        await asyncio.gather(*restarting)
+        sent = {number: at for at, task in sending for number, _ in [await task]}
+        served = sum(1 for _, task in sending if task.result()[1] == 200)
+        server.end()
+        late_runs = [(sent[number] - acked_at, at - acked_at, number) for at, number, _, _ in server.runs
+                     if sent[number] > acked_at + DRAIN_S]
+        # Only machines in touch are judged: for contactS the processes ran and the store was stable.
+        wrong = [run for run in late_runs if run[0] > in_touch_at - acked_at]
+        for since, ran, number in wrong:
+            log(f"wrong: {number}, sent {since:.2f} s after the acknowledgement, runs at {server.id} after {ran:.2f} s")
+        log(f"{len(late_runs)} requests sent later than drainS after the acknowledgement reached {server.id}, "
+            f"{len(wrong)} of them sent when all machines were in touch")
+        print(f"{served} of {len(sent)} served; {len(late_runs)} late requests reached the server that has left, "
+              f"{len(wrong)} of them from machines in touch"
+              + (f", from {wrong[0][0]:.2f} to {wrong[-1][0]:.2f} s after the acknowledgement" if wrong else ""))
+        return BROKEN if wrong else HELD
+    finally:
+        await site.stop()
+
+
+main(FOLDER, play)
--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -98,12 +98,14 @@
 
 
 class Store:
-    """The platform's store: rows, transactions and the feed of changes."""
+    """The platform's store: rows, transactions and the feed of changes. While it is down it resets connections."""
 
     ANSWER_S = 0.004
 
     def __init__(self):
         self.rows, self.feed_rows, self.version = {}, [], 0
+        self.down = False
+        self.writers = set()
         self.changed = asyncio.Event()
 
     async def start(self, host):
@@ -121,6 +123,11 @@
     def put_config(self, document):
         self.put("op", "config", base64.b64encode(json.dumps(document).encode()).decode())
 
+    def set_down(self, down):
+        self.down = down
+        for writer in list(self.writers) if down else []:
+            reset(writer)
+
     def transact(self, body):
         for row in body["expectedRevision"]:
             present = self.rows.get((row["table"], row["key"]))
@@ -146,6 +153,10 @@
                 await asyncio.wait_for(self.changed.wait(), until - now())
 
     async def serve(self, reader, writer):
+        if self.down:
+            reset(writer)
+            return
+        self.writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -163,6 +174,8 @@
                 writer.write(encode(f"HTTP/1.1 {status} X", {"Store-Era": 1}, json.dumps(document).encode()))
         except (EOFError, OSError, asyncio.IncompleteReadError):
             writer.close()
+        finally:
+            self.writers.discard(writer)
 
 
 class Server:
@@ -211,11 +224,13 @@
         except (OSError, EOFError, asyncio.TimeoutError):
             return 0
 
-    async def ping_once(self):
+    def next_ping(self):
         self.sequence += 1
-        return await self.tell("PUT", {
-            "service": self.service, "address": self.address, "zone": "z", "version": "v1", "slots": self.slots,
-            "state": self.state, "coldLeftS": 0, "sequence": self.sequence, "born": self.born})
+        return {"service": self.service, "address": self.address, "zone": "z", "version": "v1", "slots": self.slots,
+                "state": self.state, "coldLeftS": 0, "sequence": self.sequence, "born": self.born}
+
+    async def ping_once(self):
+        return await self.tell("PUT", self.next_ping())
 
     async def ping(self):
         while True:
