--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -365,7 +365,7 @@
 
     def __init__(self, site, number, zone, service, **server):
         self.site, self.name, self.zone, self.service = site, f"m{number}", zone, service
-        self.host = f"127.{site.block}.1.{number}"
+        self.host = f"{site.block}.{number}"
         self.path = os.path.join(site.folder, f"{self.name}.json")
         self.server = Server(site, self.host, service, **server)
         self.process = None
@@ -409,6 +409,15 @@
         return False
 
 
+def free_block():
+    """Returns the first three numbers of loopback addresses whose ports are free."""
+    while True:
+        block = f"127.{random.randint(120, 240)}.{random.randint(0, 255)}"
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((f"{block}.1", PORTS["server"]))
+            return block
+
+
 class Site:
     contracts = ["base", "drain", "config", "cost", "retry", "recover", "pressure", "platform"]
 
@@ -418,7 +427,7 @@
         self.more_settings = {}
         self.relays = False
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.block = random.randint(130, 230)
+        self.block = free_block()
         self.store = Store()
         self.machines = []
         self.number = 0
@@ -428,7 +437,7 @@
         return self.machines[-1]
 
     async def start(self, config):
-        self.store_address = await self.store.start(f"127.{self.block}.0.1")
+        self.store_address = await self.store.start(f"{self.block}.254")
         self.store.put_config(config)
         for machine in self.machines:
             if self.relays:
