--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Requests bear the service of a machine's former server after the settings file has changed without a signal."""
+"""A server whose leave was acknowledged gets requests again: nobody remembers the leave."""
 
 import os
 import sys
@@ -7,55 +7,96 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "stand-2"))
 from stand import *  # noqa: E402, F403
 
-REUSE_DELAY_S = 2.0
-# Time from the change of the file to the start of the new server.
-BOOT_S = 1.0
-# Requests that are sent sooner after the change than this are not judged.
-MARGIN_S = 0.25
-# The change comes this long after a whole multiple of 2 s since the start of the daemon.
-PHASE_S = 0.4
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+DOWN_S = 4.5
+RESTART_S = 0.4
+# Time for which the server serves on after the acknowledgement.
+SERVES_ON_S = 12.0
+# Delay of the last ping that the server has sent before it left.
+LATE_S = 2.5
 
 
 async def play(log):
+    """Plays twice: one process is killed, in a zone of its own; all processes are killed, in two equal zones."""
+    one = await play_once(log, "z2", 1)
+    all_of_them = await play_once(log, "z1", 4)
+    return max(one, all_of_them)
+
+
+async def play_once(log, second_zone, killed):
+    """second_zone: zone of the second machine; killed: number of machines whose daemons are killed."""
     site = Site(log, zones=("z1", "z2"))
-    changing = site.add("z1", "bookings", slots=40)
-    others = [site.add("z1", "listings", slots=40), site.add("z2", "listings", slots=40),
-              site.add("z2", "bookings", slots=40)]
-    routes = [{"name": "read", "prefix": "/read/", "service": "listings"}]
+    leaving = site.add("z1", "bookings", slots=40)
+    site.add(second_zone, "listings", slots=40)
+    site.add("z2", "bookings", slots=40)
+    site.add("z2", "listings", slots=40)
+    log(f"play with {killed} killed")
+    routes = [{"name": "book", "prefix": "/book/", "kind": "non_idempotent", "service": "bookings"}]
+    sent = {}
     sending = []
 
-    async def send(seconds):
-        until = now() + seconds
-        while now() < until:
-            sending.append((now(), asyncio.create_task(site.request(changing, "/read/1"))))
-            await asyncio.sleep(0.05)
+    async def send_all():
+        while True:
+            for machine in site.machines:
+                at = now()
+                task = asyncio.create_task(site.request(machine, "/book/1", "POST", body=b"seat"))
+                sending.append((at, task))
+                await asyncio.sleep(0.03)
+
+    async def restart(machine):
+        machine.signal(signal.SIGKILL)
+        await machine.process.wait()
+        await asyncio.sleep(RESTART_S)
+        await machine.start()
 
     try:
-        await site.start(config(1, routes, ["bookings", "listings", "media"]))
-        await send(1)
-        changing.server.end()
-        log("the server of m1 (bookings) has ended")
-        await send(REUSE_DELAY_S)
-        await send(2.0 - (now() - changing.started_at - PHASE_S) % 2.0)
-        changing.service = "media"
-        changing.write_settings()
-        changed_at = now()
-        log("the settings file of m1 names the service media" + ("" if TROUBLE else ", and SIGHUP says so"))
-        if not TROUBLE:
-            changing.signal(signal.SIGHUP)
-        await send(BOOT_S)
-        await changing.server.start("i-m1-new", "media")
-        log("the new server of m1 (media) has started")
-        await send(2.5)
+        await site.start(config(1, routes, ["bookings", "listings"]))
+        clients = asyncio.create_task(send_all())
+        await asyncio.sleep(2)
+        server = leaving.server
+        if TROUBLE:
+            site.store.set_down(True)
+            log("the store is down")
+        down_at = now()
+        await asyncio.sleep(0.3)
+        server.pinging.cancel()
+        late = server.next_ping()
+        late_at = now() + LATE_S
+        log(f"{server.id} sends a ping that will arrive {LATE_S} s late, and then that it leaves")
+        status = await server.tell("DELETE", {})
+        acked_at = now()
+        log(f"the leave of {server.id} is answered with {status}")
+        if status != 200:
+            return NOT_RUN
+        await asyncio.sleep(0.3)
+        restarting = []
+        if TROUBLE:
+            log(f"daemons of {killed} machines are killed")
+            restarting = [asyncio.create_task(restart(machine)) for machine in site.machines[:killed]]
+        await asyncio.sleep(late_at - now())
+        log(f"the late ping arrives: {await server.tell('PUT', late)}")
+        await asyncio.sleep(down_at + DOWN_S - now())
+        site.store.set_down(False)
+        log("the store is back")
+        in_touch_at = now() + CONTACT_S
+        await asyncio.sleep(acked_at + SERVES_ON_S - now())
+        clients.cancel()
+        await asyncio.gather(*restarting)
         sent = {number: at for at, task in sending for number, _ in [await task]}
-        judged = {number: at - changed_at for number, at in sent.items() if at > changed_at + MARGIN_S}
-        wrong = sorted((judged[number], number, caller) for machine in others
-                       for _, number, caller, _ in machine.server.runs
-                       if number in judged and caller != "media")
-        for since, number, caller in wrong:
-            log(f"wrong: {number}, sent {since:.2f} s after the change at m1, has run in the name of {caller}")
-        print(f"{len(wrong)} of {len(judged)} requests ran in the name of another service"
-              + (f", the last sent {wrong[-1][0]:.2f} s after the change" if wrong else ""))
+        served = sum(1 for _, task in sending if task.result()[1] == 200)
+        server.end()
+        late_runs = [(sent[number] - acked_at, at - acked_at, number) for at, number, _, _ in server.runs
+                     if sent[number] > acked_at + DRAIN_S]
+        # Only machines in touch are judged: for contactS the processes ran and the store was stable.
+        wrong = [run for run in late_runs if run[0] > in_touch_at - acked_at]
+        for since, ran, number in wrong:
+            log(f"wrong: {number}, sent {since:.2f} s after the acknowledgement, runs at {server.id} after {ran:.2f} s")
+        log(f"{len(late_runs)} requests sent later than drainS after the acknowledgement reached {server.id}, "
+            f"{len(wrong)} of them sent when all machines were in touch")
+        print(f"{killed} killed: {served} of {len(sent)} served; {len(late_runs)} late requests reached the server that has left, "
+              f"{len(wrong)} of them from machines in touch"
+              + (f", from {wrong[0][0]:.2f} to {wrong[-1][0]:.2f} s after the acknowledgement" if wrong else ""))
         return BROKEN if wrong else HELD
     finally:
         await site.stop()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A server whose leave was acknowledged gets requests again: nobody remembers the leave."""
+"""A valid config with a split of nine services is refused as a whole; the one before stays in force."""
 
 import os
 import sys
@@ -7,97 +7,53 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "stand-2"))
 from stand import *  # noqa: E402, F403
 
-DRAIN_S = 2.0
-CONTACT_S = 3.0
-DOWN_S = 4.5
-RESTART_S = 0.4
-# Time for which the server serves on after the acknowledgement.
-SERVES_ON_S = 12.0
-# Delay of the last ping that the server has sent before it left.
-LATE_S = 2.5
+APPLY_S = 2.0
+PARTS = 9 if TROUBLE else 8
 
 
 async def play(log):
-    """Plays twice: one process is killed, in a zone of its own; all processes are killed, in two equal zones."""
-    one = await play_once(log, "z2", 1)
-    all_of_them = await play_once(log, "z1", 4)
-    return max(one, all_of_them)
-
-
-async def play_once(log, second_zone, killed):
-    """second_zone: zone of the second machine; killed: number of machines whose daemons are killed."""
-    site = Site(log, zones=("z1", "z2"))
-    leaving = site.add("z1", "bookings", slots=40)
-    site.add(second_zone, "listings", slots=40)
-    site.add("z2", "bookings", slots=40)
-    site.add("z2", "listings", slots=40)
-    log(f"play with {killed} killed")
-    routes = [{"name": "book", "prefix": "/book/", "kind": "non_idempotent", "service": "bookings"}]
-    sent = {}
+    site = Site(log)
+    services = ["old"] + [f"part{number}" for number in range(9)]
+    machines = [site.add("z1", service, slots=40) for service in services]
+    entries = machines[:3]
     sending = []
 
-    async def send_all():
-        while True:
-            for machine in site.machines:
-                at = now()
-                task = asyncio.create_task(site.request(machine, "/book/1", "POST", body=b"seat"))
-                sending.append((at, task))
-                await asyncio.sleep(0.03)
-
-    async def restart(machine):
-        machine.signal(signal.SIGKILL)
-        await machine.process.wait()
-        await asyncio.sleep(RESTART_S)
-        await machine.start()
+    def version(number, moved_to, split):
+        """The route moved has one service, the route shared one service or a split."""
+        document = config(number, [{"name": "moved", "prefix": "/moved/", "service": moved_to},
+                                   {"name": "shared", "prefix": "/shared/", "service": "old"}], services)
+        document["routes"]["columns"].append("split")
+        for row in document["routes"]["rows"]:
+            row.append(split if row[0] == "shared" else None)
+            if row[-1]:
+                row[8] = None
+        return document
+
+    async def send(seconds):
+        until = now() + seconds
+        while now() < until:
+            for path in ("/moved/1", "/shared/1"):
+                sending.append((now(), path, asyncio.create_task(site.request(random.choice(entries), path))))
+            await asyncio.sleep(0.05)
 
     try:
-        await site.start(config(1, routes, ["bookings", "listings"]))
-        clients = asyncio.create_task(send_all())
-        await asyncio.sleep(2)
-        server = leaving.server
-        if TROUBLE:
-            site.store.set_down(True)
-            log("the store is down")
-        down_at = now()
-        await asyncio.sleep(0.3)
-        server.pinging.cancel()
-        late = server.next_ping()
-        late_at = now() + LATE_S
-        log(f"{server.id} sends a ping that will arrive {LATE_S} s late, and then that it leaves")
-        status = await server.tell("DELETE", {})
+        await site.start(version(3, "old", None))
+        await send(2)
+        site.store.put_config(version(7, "part0", [{"service": f"part{number}", "weight": 10} for number in range(PARTS)]))
         acked_at = now()
-        log(f"the leave of {server.id} is answered with {status}")
-        if status != 200:
-            return NOT_RUN
-        await asyncio.sleep(0.3)
-        restarting = []
-        if TROUBLE:
-            log(f"daemons of {killed} machines are killed")
-            restarting = [asyncio.create_task(restart(machine)) for machine in site.machines[:killed]]
-        await asyncio.sleep(late_at - now())
-        log(f"the late ping arrives: {await server.tell('PUT', late)}")
-        await asyncio.sleep(down_at + DOWN_S - now())
-        site.store.set_down(False)
-        log("the store is back")
-        in_touch_at = now() + CONTACT_S
-        await asyncio.sleep(acked_at + SERVES_ON_S - now())
-        clients.cancel()
-        await asyncio.gather(*restarting)
-        sent = {number: at for at, task in sending for number, _ in [await task]}
-        served = sum(1 for _, task in sending if task.result()[1] == 200)
-        server.end()
-        late_runs = [(sent[number] - acked_at, at - acked_at, number) for at, number, _, _ in server.runs
-                     if sent[number] > acked_at + DRAIN_S]
-        # Only machines in touch are judged: for contactS the processes ran and the store was stable.
-        wrong = [run for run in late_runs if run[0] > in_touch_at - acked_at]
-        for since, ran, number in wrong:
-            log(f"wrong: {number}, sent {since:.2f} s after the acknowledgement, runs at {server.id} after {ran:.2f} s")
-        log(f"{len(late_runs)} requests sent later than drainS after the acknowledgement reached {server.id}, "
-            f"{len(wrong)} of them sent when all machines were in touch")
-        print(f"{killed} killed: {served} of {len(sent)} served; {len(late_runs)} late requests reached the server that has left, "
-              f"{len(wrong)} of them from machines in touch"
-              + (f", from {wrong[0][0]:.2f} to {wrong[-1][0]:.2f} s after the acknowledgement" if wrong else ""))
-        return BROKEN if wrong else HELD
+        log(f"the store has acknowledged version 7: moved goes to part0, shared to {PARTS} services in equal parts")
+        await send(12)
+        judged = {}
+        for at, path, task in sending:
+            number, status = await task
+            if at > acked_at + APPLY_S:
+                judged[number] = (at - acked_at, path, status)
+        old = [number for _, number, _, _ in machines[0].server.runs if number in judged]
+        for number in old:
+            log(f"wrong: {number} {judged[number][1]}, sent {judged[number][0]:.2f} s after the acknowledgement, "
+                f"has run at old, to which only version 3 sends it")
+        print(f"{len(old)} of {len(judged)} requests sent later than configApplyS after the ack ran by version 3 only")
+        return BROKEN if old else HELD
     finally:
         await site.stop()
 
