--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -196,10 +196,12 @@
         self.runs = []
         self.unanswered = 0
         self.mute = 0.0
+        self.leaving = False
 
     async def start(self, name, service=None):
         self.id, self.service = name, service or self.service
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.leaving = False
         self.free = asyncio.Semaphore(self.slots)
         self.held = 0
         self.writers = set()
@@ -278,6 +280,8 @@
                 raise EOFError
             closing.cancel()
         status = await work
+        if self.leaving:
+            echo["Server-Leaving"] = "1"
         body = f"{number} by {self.id}".encode()
         seal = {"X-Jackdawladder-Server-Seal": f"{self.id}.{number}"}
         writer.write(encode(f"HTTP/1.1 {status} X", {**echo, **seal}, body))
