--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -465,6 +466,7 @@
             machine.signal(signal.SIGKILL)
             if machine.process is not None:
                 await machine.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def request(self, machine, path, method="GET", deadline_s=5.0, fields=None, body=b"", leave_s=None):
         """Sends a request on a new connection; returns the status, 0 if the connection ended, -1 if none came.
@@ -518,12 +520,15 @@
     log(f"trouble={int(TROUBLE)}")
 
     async def run():
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(lambda loop, context: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(play(log), 110)
 
     try:
         result = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         log(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         result = NOT_RUN
