Let a route be split among any number of services

Cause: a route held at most JL_SPLIT_MAX (8) parts, and a route that could not be read made the daemon refuse the whole configuration. The same would have come with 61 parts from the JSON filter, which kept 60 arrays and objects in a cell.

Change: a route owns an array of as many parts as there are, and texts of any length. Weights may have fractions.

--- a/include/jackdawladder/site.h
+++ b/include/jackdawladder/site.h
@@ -13,10 +13,8 @@
 #include "jackdawladder/base.h"
 #include "jackdawladder/customers.h"
 
-/* Size of a host, prefix or name in bytes, including the final NUL. */
+/* Size of a name that daemons announce in bytes, including the final NUL. */
 #define JL_TEXT_SIZE 208
-/* Services that the requests of one route are split among. */
-#define JL_SPLIT_MAX 8
 /* Number of unknown words that a configuration keeps for the log. */
 #define JL_UNKNOWN_WORDS_MAX 8
 /* Number of priorities, called ranks; 0 is the most important. */
@@ -45,8 +43,8 @@
  */
 struct jl_split
 {
-  char service[JL_TEXT_SIZE];
-  uint32_t weight;
+  const char *service;
+  double weight;
 };
 
 /**
@@ -57,12 +55,16 @@
  * @rank: priority; 0 is the most important
  * @attempts_max: number of targets that one request may be sent to
  * @public: requests need no API key, also on a site with customers
+ * @split_count: number of services that the requests are split among
+ * @split: array of these services
+ *
+ * The texts and @split belong to the configuration that holds the route.
  */
 struct jl_route
 {
-  char name[JL_TEXT_SIZE];
-  char host[JL_TEXT_SIZE];
-  char prefix[JL_TEXT_SIZE];
+  const char *name;
+  const char *host;
+  const char *prefix;
   uint32_t key;
   enum jl_retry_policy retry_policy;
   uint64_t timeout_us;
@@ -71,7 +73,7 @@
   unsigned attempts_max;
   bool public;
   unsigned split_count;
-  struct jl_split split[JL_SPLIT_MAX];
+  const struct jl_split *split;
 };
 
 /**
@@ -80,6 +82,11 @@
  */
 bool jl_route_is_idempotent (const struct jl_route *route);
 
+/**
+ * jl_route_weight - returns the sum of the weights of the route's services
+ */
+double jl_route_weight (const struct jl_route *route);
+
 /**
  * struct jl_site - one version of a site's configuration
  * @references: number of references
@@ -128,7 +135,8 @@
 void jl_site_drop (struct jl_site *site);
 
 /**
- * jl_site_add_route - adds a copy of @route with its key set
+ * jl_site_add_route - adds a copy of @route, its texts and its split, with its
+ * key set
  */
 void jl_site_add_route (struct jl_site *site, const struct jl_route *route);
 
--- a/source/policy/site.c
+++ b/source/policy/site.c
@@ -20,6 +20,30 @@
          || route->retry_policy == JL_RETRY_POLICY_DOWNLOAD;
 }
 
+double
+jl_route_weight (const struct jl_route *route)
+{
+  double sum = 0;
+
+  for (unsigned i = 0; i < route->split_count; i++)
+    sum += route->split[i].weight;
+  return sum;
+}
+
+static void
+free_route (gpointer data)
+{
+  struct jl_route *route = data;
+
+  for (unsigned i = 0; i < route->split_count; i++)
+    g_free ((gpointer)route->split[i].service);
+  g_free ((gpointer)route->split);
+  g_free ((gpointer)route->name);
+  g_free ((gpointer)route->host);
+  g_free ((gpointer)route->prefix);
+  g_free (route);
+}
+
 static void
 free_host (gpointer routes)
 {
@@ -33,7 +57,7 @@
 
   site->references = 1;
   site->version = version;
-  site->routes = g_ptr_array_new_with_free_func (g_free);
+  site->routes = g_ptr_array_new_with_free_func (free_route);
   site->by_host
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host);
   site->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
@@ -73,12 +97,29 @@
   return routes;
 }
 
+static struct jl_split *
+copy_split (const struct jl_split *split, unsigned count)
+{
+  struct jl_split *copy = g_new (struct jl_split, count);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      copy[i].service = g_strdup (split[i].service);
+      copy[i].weight = split[i].weight;
+    }
+  return copy;
+}
+
 void
 jl_site_add_route (struct jl_site *site, const struct jl_route *route)
 {
   struct jl_route *copy = g_memdup2 (route, sizeof *route);
   char *host = g_ascii_strdown (route->host, -1);
 
+  copy->name = g_strdup (route->name);
+  copy->host = g_strdup (route->host);
+  copy->prefix = g_strdup (route->prefix);
+  copy->split = copy_split (route->split, route->split_count);
   copy->key = jl_name_key (route->name);
   g_ptr_array_add (site->routes, copy);
   g_hash_table_insert (site->by_key, GUINT_TO_POINTER (copy->key), copy);
@@ -123,16 +164,10 @@
                     const char *host,
                     const char *target)
 {
-  char name[JL_TEXT_SIZE];
-  const GPtrArray *routes;
-  size_t length = strcspn (host, ":");
+  char *name = g_ascii_strdown (host, (gssize)strcspn (host, ":"));
+  const GPtrArray *routes = g_hash_table_lookup (site->by_host, name);
 
-  if (length >= sizeof name)
-    return NULL;
-  for (size_t i = 0; i < length; i++)
-    name[i] = g_ascii_tolower (host[i]);
-  name[length] = '\0';
-  routes = g_hash_table_lookup (site->by_host, name);
+  g_free (name);
   for (guint i = 0; routes != NULL && i < routes->len; i++)
     {
       const struct jl_route *route = g_ptr_array_index (routes, i);
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -44,23 +44,19 @@
 const char *
 jl_call_choose_service (const struct jl_route *route)
 {
-  uint64_t total = 0;
-  uint64_t draw;
+  const struct jl_split *chosen = &route->split[0];
+  double left;
 
   if (route->split_count == 1)
-    return route->split[0].service;
-  for (unsigned i = 0; i < route->split_count; i++)
-    total += route->split[i].weight;
-  if (total == 0)
-    return route->split[0].service;
-  draw = (uint64_t)(g_random_double () * (double)total);
-  for (unsigned i = 0; i < route->split_count; i++)
-    {
-      if (draw < route->split[i].weight)
-        return route->split[i].service;
-      draw -= route->split[i].weight;
-    }
-  return route->split[0].service;
+    return chosen->service;
+  left = g_random_double () * jl_route_weight (route);
+  for (unsigned i = 0; i < route->split_count && left >= 0; i++)
+    if (route->split[i].weight > 0)
+      {
+        chosen = &route->split[i];
+        left -= chosen->weight;
+      }
+  return chosen->service;
 }
 
 void
--- a/source/proxy/place.c
+++ b/source/proxy/place.c
@@ -117,14 +117,12 @@
               unsigned depth,
               struct jl_call_tree *tree)
 {
-  uint64_t weights = 0;
+  double weights = jl_route_weight (route);
 
-  for (unsigned i = 0; i < route->split_count; i++)
-    weights += route->split[i].weight;
   for (unsigned i = 0; i < route->split_count && weights > 0; i++)
     {
       const struct jl_split *split = &route->split[i];
-      double part_runs = runs * split->weight / (double)weights;
+      double part_runs = runs * split->weight / weights;
       struct call_sum sums[JL_FANOUT_ROUTES_MAX];
       unsigned daemons;
       unsigned count;
--- a/tests/proxy/daemon.c
+++ b/tests/proxy/daemon.c
@@ -279,12 +279,13 @@
   rig_start (&rig);
   for (unsigned i = 0; i < 3; i++)
     {
-      struct jl_route added = { .split_count = 1, .split[0].weight = 1 };
+      const struct jl_split split = { names[i], 1 };
+      struct jl_route added = { .name = names[i],
+                                .host = "a",
+                                .prefix = "",
+                                .split_count = 1,
+                                .split = &split };
 
-      g_strlcpy (added.name, names[i], sizeof added.name);
-      g_strlcpy (added.host, "a", sizeof added.host);
-      g_strlcpy (added.split[0].service, names[i],
-                 sizeof added.split[0].service);
       jl_site_add_route (site, &added);
       members[i] = rig_add_member (&rig, names[i], "z1", names[i]);
     }
--- a/tests/proxy/decode.c
+++ b/tests/proxy/decode.c
@@ -48,6 +48,54 @@
   jl_site_drop (site);
 }
 
+/* Returns a configuration with a route "/x/" that is split among @count
+ * services in the proportions 1, 2, 3 and so on, and a route "/y/". */
+static struct jl_site *
+decode_split (unsigned count)
+{
+  GString *text = g_string_new (
+      "{\"version\":\"1\",\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"prefix\",\"kind\",\"timeoutS\",\"split\",\"service\"],\"rows\":["
+      "[\"r1\",\"a\",\"/x/\",\"idempotent\",5,[");
+  struct jl_site *site;
+
+  for (unsigned i = 0; i < count; i++)
+    g_string_append_printf (text, "%s{\"service\":\"s%u\",\"weight\":%u}",
+                            i > 0 ? "," : "", i, i + 1);
+  g_string_append (text,
+                   "],null],[\"r2\",\"a\",\"/y/\",\"upload\",5,null,\"s1\"]"
+                   "]},\"limits\":{\"maxHeaderBytes\":16384,"
+                   "\"maxBodyBytes\":1000,\"headerTimeoutS\":3,"
+                   "\"idleTimeoutS\":15}}");
+  site = jl_platform_decode_site (text->str, text->len, NULL);
+  g_string_free (text, TRUE);
+  return site;
+}
+
+/* Guards against a configuration that is refused for the number of services
+ * that a route is split among, or that loses some of them. */
+Test (decode, a_split_has_any_number_of_services)
+{
+  static const unsigned counts[] = { 1, 8, 9, 60, 61, 2000 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      struct jl_site *site = decode_split (counts[i]);
+      const struct jl_route *route;
+      unsigned last = counts[i] - 1;
+      char *name = g_strdup_printf ("s%u", last);
+
+      cr_assert_not_null (site, "%u services", counts[i]);
+      route = jl_site_find_route (site, "a", "/x/1");
+      cr_assert_eq (route->split_count, counts[i]);
+      cr_assert_str_eq (route->split[last].service, name);
+      cr_assert_eq (route->split[last].weight, last + 1);
+      cr_assert_not_null (jl_site_find_route (site, "a", "/y/1"));
+      jl_site_drop (site);
+      g_free (name);
+    }
+}
+
 /* Returns a configuration of two routes whose kinds are @kind and "upload". */
 static struct jl_site *
 decode_kind (const char *kind)
--- a/tests/proxy/download.c
+++ b/tests/proxy/download.c
@@ -69,6 +69,7 @@
 static void
 install_route (struct rig *rig, const char *service, uint64_t timeout_us)
 {
+  const struct jl_split split = { service, 1 };
   struct jl_route route = {
     .name = "large",
     .host = "a",
@@ -77,11 +78,10 @@
     .timeout_us = timeout_us,
     .attempts_max = 2,
     .split_count = 1,
+    .split = &split,
   };
   struct jl_site *site = jl_site_new (1);
 
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, service, sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   rig->proxy->site = site;
--- a/tests/proxy/early.c
+++ b/tests/proxy/early.c
@@ -101,16 +101,16 @@
 static void
 install_route (struct rig *rig, const char *service)
 {
+  const struct jl_split split = { service, 1 };
   struct jl_route route = { .name = "early",
                             .host = "a",
                             .prefix = "/",
                             .timeout_us = 20 * JL_USEC_PER_SEC,
                             .attempts_max = 1,
-                            .split_count = 1 };
+                            .split_count = 1,
+                            .split = &split };
   struct jl_site *site = jl_site_new (1);
 
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, service, sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   site->body_bytes_max = 2 * (uint64_t)UPLOAD_BYTES;
--- a/tests/proxy/entry.c
+++ b/tests/proxy/entry.c
@@ -15,6 +15,7 @@
 static void
 install_route (struct rig *rig, const char *service)
 {
+  const struct jl_split split = { service, 1 };
   struct jl_route route = {
     .name = "r",
     .host = "a",
@@ -23,11 +24,10 @@
     .timeout_us = 5 * JL_USEC_PER_SEC,
     .attempts_max = 1,
     .split_count = 1,
+    .split = &split,
   };
   struct jl_site *site = jl_site_new (1);
 
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, service, sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   site->body_bytes_max = 1000;
--- a/tests/proxy/load-report.c
+++ b/tests/proxy/load-report.c
@@ -451,10 +451,6 @@
 
   begin (&rig, &peer, 172, OTHER_PORT);
   rig_install_call_route (&rig);
-  ((struct jl_route *)g_ptr_array_index (rig.proxy->site->routes, 0))
-      ->split[0]
-      .weight
-      = 1;
   member = rig_add_member (&rig, "d7", "z1", "deep");
   rig_add_member (&rig, "d8", "z2", "deep");
   jl_load_view_hear (&member->load, &busy, jl_now ());
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -245,6 +245,7 @@
 void
 rig_install_call_route (struct rig *rig)
 {
+  const struct jl_split split = { "deep", 1 };
   struct jl_route route = {
     .name = "inner",
     .host = "a",
@@ -253,10 +254,10 @@
     .timeout_us = JL_USEC_PER_SEC,
     .attempts_max = 2,
     .split_count = 1,
+    .split = &split,
   };
   struct jl_site *site = jl_site_new (1);
 
-  g_strlcpy (route.split[0].service, "deep", sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   site->body_bytes_max = 1000;
--- a/tests/proxy/pending.c
+++ b/tests/proxy/pending.c
@@ -88,16 +88,16 @@
 static void
 install_route (struct rig *rig)
 {
+  const struct jl_split split = { "front", 1 };
   struct jl_route route = { .name = "slow",
                             .host = "a",
                             .prefix = "/",
                             .timeout_us = 20 * JL_USEC_PER_SEC,
                             .attempts_max = 1,
-                            .split_count = 1 };
+                            .split_count = 1,
+                            .split = &split };
   struct jl_site *site = jl_site_new (1);
 
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, "front", sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   rig->proxy->site = site;
--- a/tests/proxy/place.c
+++ b/tests/proxy/place.c
@@ -325,13 +325,13 @@
 {
   struct jl_roster roster;
   struct jl_site *site = jl_site_new (1);
-  struct jl_route route = { .name = "r", .host = "h", .prefix = "/" };
+  const struct jl_split split = { "deep", 1 };
+  struct jl_route route = {
+    .name = "r", .host = "h", .prefix = "/", .split_count = 1, .split = &split
+  };
   struct jl_call_tree tree;
 
   jl_roster_init (&roster, "z1");
-  route.split_count = 1;
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, "deep", JL_TEXT_SIZE);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   jl_call_tree_estimate (&roster, site,
--- a/tests/proxy/shares.c
+++ b/tests/proxy/shares.c
@@ -26,18 +26,18 @@
 static struct jl_member *
 begin (struct rig *rig, unsigned host, bool with_customers)
 {
+  const struct jl_split split = { "deep", 1 };
   struct jl_route route = { .name = "r",
                             .host = "a",
                             .prefix = "/",
                             .timeout_us = 5 * JL_USEC_PER_SEC,
                             .attempts_max = 1,
-                            .split_count = 1 };
+                            .split_count = 1,
+                            .split = &split };
   struct jl_site *site = jl_site_new (1);
 
   rig_prepare (rig, host);
   rig_start (rig);
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, "deep", sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   site->body_bytes_max = 1000;
--- a/tests/proxy/spelling.c
+++ b/tests/proxy/spelling.c
@@ -35,6 +35,7 @@
 static void
 install_route (struct rig *rig)
 {
+  const struct jl_split split = { "front", 1 };
   struct jl_route route = {
     .name = "spelling",
     .host = "a",
@@ -43,11 +44,10 @@
     .timeout_us = 10 * JL_USEC_PER_SEC,
     .attempts_max = 1,
     .split_count = 1,
+    .split = &split,
   };
   struct jl_site *site = jl_site_new (1);
 
-  route.split[0].weight = 1;
-  g_strlcpy (route.split[0].service, "front", sizeof route.split[0].service);
   jl_site_add_route (site, &route);
   jl_site_seal (site);
   site->body_bytes_max = 1000;
