--- a/tests/proxy/malformed.c
+++ b/tests/proxy/malformed.c
@@ -144,6 +144,41 @@
   g_free (spaces);
 }
 
+#define LARGE_ROWS 40
+#define LARGE_ROW_BYTES 65536
+
+/* Guards against a daemon that hears of no change any more, once there were
+ * more of them than one answer can hold. */
+Test (malformed, changes_beyond_an_answer_are_read_as_a_whole_table)
+{
+  struct jl_endpoint endpoint = { .ip = test_address (79), .port = STORE_PORT };
+  struct jl_loop *loop = jl_loop_new ();
+  char *value = g_strnfill (LARGE_ROW_BYTES, 'v');
+  struct fake_store fake;
+  struct jl_store *store;
+  unsigned rows = 0;
+
+  fake_store_open (&fake, endpoint);
+  fake.page_rows = 8;
+  fake_store_put (&fake, "t", "k", "there");
+  store = jl_store_new (loop, jl_net_new (loop), endpoint, &ops, &rows);
+  jl_store_watch (store, "t", 0, 1000, 0);
+  fake_store_run (&fake, loop, 200);
+  cr_assert_eq (rows, 1);
+  fake_store_lose_calls (&fake, "t");
+  for (unsigned i = 0; i < LARGE_ROWS; i++)
+    {
+      char *key = g_strdup_printf ("k%u", i);
+
+      fake_store_put (&fake, "t", key, value);
+      g_free (key);
+    }
+  fake_store_put (&fake, "t", "k", "changed");
+  fake_store_run (&fake, loop, 5000);
+  cr_assert_geq (rows, 2);
+  g_free (value);
+}
+
 static const char *const rows_of_daemons[] = {
   "",
   "[]",
