Let no bound or character of one entry cost the whole configuration

One field out of them refused the whole document. The field that carries a request's service between daemons is split at spaces, so that a service with a space in its name was never reached.

Only a document none of whose routes can be read is refused. Names of customers and services are one word in logs and between daemons (jl_word_escape()). Settings name up to 64 zones, 16 before.

--- a/include/jackdawladder/base.h
+++ b/include/jackdawladder/base.h
@@ -245,6 +245,23 @@
  */
 uint64_t jl_now (void);
 
+/**
+ * jl_word_escape - returns a text as one word
+ *
+ * '%' and all bytes that are no visible ASCII are written as "%XX", so that the
+ * word can stand between spaces in a log line or in a header field.
+ *
+ * Return: the word, to be freed with g_free().
+ */
+char *jl_word_escape (const char *text);
+
+/**
+ * jl_word_unescape - returns the text that jl_word_escape() has made a word of
+ *
+ * Return: the text, to be freed with g_free(); NULL if @word is malformed.
+ */
+char *jl_word_unescape (const char *word);
+
 /**
  * jl_wipe - overwrites memory that has held secrets, before it is freed
  * @data: may be NULL if @size is 0
--- a/include/jackdawladder/customers.h
+++ b/include/jackdawladder/customers.h
@@ -10,9 +10,6 @@
 
 #include "jackdawladder/base.h"
 
-/* Size of a customer's name in bytes, including the final NUL. */
-#define JL_CUSTOMER_NAME_SIZE 208
-
 /* Size of the digest of an API key in bytes (SHA-256). */
 #define JL_API_KEY_DIGEST_BYTES 32
 /* Size of the hexadecimal text of a digest, including the final NUL. */
@@ -28,6 +25,8 @@
 
 /**
  * struct jl_customer - one customer
+ * @name: its name; belongs to the customers
+ * @label: the name as one word for logs and pages, see jl_word_escape()
  * @key: digest of the name, equal in all versions of the configuration; two
  *       customers may have the same one
  * @rank: priority; 0 is the most important
@@ -36,7 +35,8 @@
  */
 struct jl_customer
 {
-  char name[JL_CUSTOMER_NAME_SIZE];
+  const char *name;
+  const char *label;
   uint32_t key;
   unsigned rank;
   double rate;
@@ -68,7 +68,8 @@
 void jl_customers_free (struct jl_customers *customers);
 
 /**
- * jl_customers_add - adds a copy of @customer with its key set
+ * jl_customers_add - adds a copy of @customer and its name, with its label and
+ * key set
  *
  * Return: the copy, or NULL if the name is already taken.
  */
--- a/include/jackdawladder/site.h
+++ b/include/jackdawladder/site.h
@@ -15,6 +15,11 @@
 
 /* Size of a name that daemons announce in bytes, including the final NUL. */
 #define JL_TEXT_SIZE 208
+/* Number of parts that could not be read that a configuration keeps for the
+ * log. */
+#define JL_UNREAD_PARTS_MAX 8
+/* Index of a part that belongs to a list as a whole. */
+#define JL_SITE_WHOLE_LIST G_MAXSIZE
 /* Number of unknown words that a configuration keeps for the log. */
 #define JL_UNKNOWN_WORDS_MAX 8
 /* Number of priorities, called ranks; 0 is the most important. */
@@ -55,6 +60,7 @@
  * @rank: priority; 0 is the most important
  * @attempts_max: number of targets that one request may be sent to
  * @public: requests need no API key, also on a site with customers
+ * @unreadable: a field that is needed could not be read; requests are refused
  * @split_count: number of services that the requests are split among
  * @split: array of these services
  *
@@ -72,6 +78,7 @@
   unsigned rank;
   unsigned attempts_max;
   bool public;
+  bool unreadable;
   unsigned split_count;
   const struct jl_split *split;
 };
@@ -100,6 +107,7 @@
  * @by_key: routes by key
  * @unknown_words: words of the document that this program does not know, each
  *                 once; their routes run at most once
+ * @unread_parts: names of the parts that could not be read
  */
 struct jl_site
 {
@@ -114,6 +122,7 @@
   GHashTable *by_host;
   GHashTable *by_key;
   GPtrArray *unknown_words;
+  GPtrArray *unread_parts;
 };
 
 /**
@@ -146,6 +155,18 @@
  */
 void jl_site_add_unknown_word (struct jl_site *site, const char *word);
 
+/**
+ * jl_site_add_unread - adds a part that could not be read, unless there are
+ * JL_UNREAD_PARTS_MAX of them
+ * @list: name of the list that it belongs to
+ * @index: its entry in the list, or JL_SITE_WHOLE_LIST
+ * @field: name of the field
+ */
+void jl_site_add_unread (struct jl_site *site,
+                         const char *list,
+                         size_t index,
+                         const char *field);
+
 /**
  * jl_site_seal - completes a configuration: jl_site_find_route() may be used,
  * and routes may not be added any more
--- a/source/base/base.c
+++ b/source/base/base.c
@@ -218,3 +218,15 @@
   return (uint64_t)time.tv_sec * JL_USEC_PER_SEC
          + (uint64_t)time.tv_nsec / 1000;
 }
+
+char *
+jl_word_escape (const char *text)
+{
+  return g_uri_escape_string (text, "!\"#$&'()*+,/:;<=>?@[\\]^`{|}", FALSE);
+}
+
+char *
+jl_word_unescape (const char *word)
+{
+  return g_uri_unescape_string (word, NULL);
+}
--- a/source/base/record.c
+++ b/source/base/record.c
@@ -51,6 +51,7 @@
   { JL_RECORD_SITE_INSTALLED, "configuration installed" },
   { JL_RECORD_SITE_REFUSED, "configuration refused" },
   { JL_RECORD_SITE_WORD_UNKNOWN, "unknown word" },
+  { JL_RECORD_SITE_PART_UNREAD, "configuration part not read" },
   { JL_RECORD_SITE_FETCH_FAILED, "configuration not fetched" },
   { JL_RECORD_SHED_SHARE, "refused share" },
   { JL_RECORD_CALL_GRAPH, "call graph" },
--- a/source/policy/api-key.c
+++ b/source/policy/api-key.c
@@ -33,10 +33,10 @@
   if (*value != ' ' && *value != '\t')
     return NULL;
   value += strspn (value, " \t");
-  *length = strcspn (value, " \t");
-  if (*length == 0 || value[*length + strspn (value + *length, " \t")] != '\0')
-    return NULL;
-  return value;
+  *length = strlen (value);
+  while (*length > 0 && strchr (" \t", value[*length - 1]) != NULL)
+    (*length)--;
+  return *length > 0 ? value : NULL;
 }
 
 enum jl_identification
--- a/source/policy/customers.c
+++ b/source/policy/customers.c
@@ -71,12 +71,22 @@
   return memcmp (a, b, sizeof (struct jl_api_key_digest)) == 0;
 }
 
+static void
+free_customer (gpointer data)
+{
+  struct jl_customer *customer = data;
+
+  g_free ((gpointer)customer->name);
+  g_free ((gpointer)customer->label);
+  g_free (customer);
+}
+
 struct jl_customers *
 jl_customers_new (void)
 {
   struct jl_customers *customers = g_new0 (struct jl_customers, 1);
 
-  customers->list = g_ptr_array_new_with_free_func (g_free);
+  customers->list = g_ptr_array_new_with_free_func (free_customer);
   customers->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
   customers->by_api_key
       = g_hash_table_new_full (hash_digest, equal_digests, g_free, NULL);
@@ -118,6 +128,8 @@
   if (first != NULL && has_name (customers, customer->name))
     return NULL;
   copy = g_memdup2 (customer, sizeof *customer);
+  copy->name = g_strdup (customer->name);
+  copy->label = jl_word_escape (customer->name);
   copy->key = key;
   g_ptr_array_add (customers->list, copy);
   if (first == NULL)
--- a/source/policy/site.c
+++ b/source/policy/site.c
@@ -62,6 +62,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host);
   site->by_key = g_hash_table_new (g_direct_hash, g_direct_equal);
   site->unknown_words = g_ptr_array_new_with_free_func (g_free);
+  site->unread_parts = g_ptr_array_new_with_free_func (g_free);
   return site;
 }
 
@@ -82,6 +83,7 @@
   g_hash_table_destroy (site->by_key);
   g_ptr_array_free (site->routes, TRUE);
   g_ptr_array_free (site->unknown_words, TRUE);
+  g_ptr_array_free (site->unread_parts, TRUE);
   g_free (site);
 }
 
@@ -136,6 +138,22 @@
     g_ptr_array_add (site->unknown_words, g_strdup (word));
 }
 
+void
+jl_site_add_unread (struct jl_site *site,
+                    const char *list,
+                    size_t index,
+                    const char *field)
+{
+  char *part;
+
+  if (site->unread_parts->len == JL_UNREAD_PARTS_MAX)
+    return;
+  part = index == JL_SITE_WHOLE_LIST
+             ? g_strdup_printf ("%s: %s", list, field)
+             : g_strdup_printf ("%s[%zu]: %s", list, index, field);
+  g_ptr_array_add (site->unread_parts, part);
+}
+
 /* Orders routes from the longest prefix to the shortest. */
 static gint
 compare_prefix_length (gconstpointer a, gconstpointer b)
--- a/source/proxy/call.c
+++ b/source/proxy/call.c
@@ -164,7 +164,7 @@
              (jl_now () - proxy->plans_computed_us) / JL_USEC_PER_MSEC,
              jl_content_id (&call->content),
              call->customer != NULL ? " customer=" : "",
-             call->customer != NULL ? call->customer->name : "");
+             call->customer != NULL ? call->customer->label : "");
   g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
               (double)after_ms / 1000);
   jl_call_respond (call, 503, fields, reason);
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -445,6 +445,11 @@
     }
   if (!jl_identify_call (call))
     return;
+  if (call->route->unreadable)
+    {
+      jl_call_refuse (call, "unreadable-route");
+      return;
+    }
   if (jl_head_count (head, JL_HEADER_ATTEMPT_ID) > 1)
     {
       jl_call_respond (call, 400, "", "two-ids");
--- a/source/proxy/headers.c
+++ b/source/proxy/headers.c
@@ -26,6 +26,11 @@
   return *prefix == '\0' && (!whole || *name == '\0');
 }
 
+/* Size of a service's name as one word, in which a byte may take three, with
+ * the final NUL. */
+#define SERVICE_WORD_SIZE 624
+_Static_assert(SERVICE_WORD_SIZE > 3 * (JL_TEXT_SIZE - 1), "names fit");
+
 /* Statuses that promise a client that its request has not run. */
 #define STATUS_REQUEST_TIMEOUT 408
 #define STATUS_MISDIRECTED 421
@@ -122,6 +127,7 @@
                      const char *caller)
 {
   GString *text = g_string_sized_new (512);
+  char *service = jl_word_escape (work->service);
 
   append_first_line (text, head);
   for (size_t i = 0; i < head->fields->len; i++)
@@ -133,9 +139,10 @@
                             work->customer);
   g_string_append_printf (text, "%s: %s\r\n", JL_HEADER_CALLER_SERVICE, caller);
   g_string_append_printf (text, "%s: %s %u %u %u %08x %d %d", JL_WORK_FIELD,
-                          work->service, work->rank, work->remaining_ms,
+                          service, work->rank, work->remaining_ms,
                           work->latency_goal_ms, work->route_key,
                           work->idempotent, work->trial);
+  g_free (service);
   if (work->limited_key != 0)
     g_string_append_printf (text, " %08x %.3f", work->limited_key, work->limit);
   g_string_append (text, "\r\n");
@@ -195,17 +202,23 @@
 jl_headers_read_work (const struct jl_head *head, struct jl_work_header *work)
 {
   const char *value = jl_head_get (head, JL_WORK_FIELD);
+  char word[SERVICE_WORD_SIZE];
+  char *service;
   int idempotent;
   int trial = 0;
   unsigned limited_key = 0;
   double limit = -1;
 
   if (value == NULL
-      || sscanf (value, "%207s %u %u %u %8x %d %d %8x %lf", work->service,
-                 &work->rank, &work->remaining_ms, &work->latency_goal_ms,
-                 &work->route_key, &idempotent, &trial, &limited_key, &limit)
+      || sscanf (value, "%623s %u %u %u %8x %d %d %8x %lf", word, &work->rank,
+                 &work->remaining_ms, &work->latency_goal_ms, &work->route_key,
+                 &idempotent, &trial, &limited_key, &limit)
              < 6)
     return false;
+  service = jl_word_unescape (word);
+  g_strlcpy (work->service, service != NULL ? service : "",
+             sizeof work->service);
+  g_free (service);
   work->idempotent = idempotent != 0;
   work->trial = trial != 0;
   work->limited_key = limit >= 0 ? limited_key : 0;
--- a/source/proxy/identify.c
+++ b/source/proxy/identify.c
@@ -44,7 +44,7 @@
   if (previous != NULL)
     jl_identity_find (previous->customers,
                       jl_request_head (call->relay.request), &customer);
-  return customer != NULL ? customer->name : "-";
+  return customer != NULL ? customer->label : "-";
 }
 
 static bool
--- a/source/proxy/options.h
+++ b/source/proxy/options.h
@@ -8,7 +8,7 @@
 #include "jackdawladder/site.h"
 
 /* Maximum number of availability zones that the settings name. */
-#define JL_OPTIONS_ZONES_MAX 16
+#define JL_OPTIONS_ZONES_MAX 64
 
 /**
  * struct jl_cap_policy - how strictly usage caps are kept
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -196,6 +196,16 @@
     }
 }
 
+/* Logs each part of the configuration that could not be read. */
+static void
+log_unread_parts (const struct jl_site *site)
+{
+  for (guint i = 0; i < site->unread_parts->len; i++)
+    jl_record (JL_RECORD_CHANGE, JL_RECORD_SITE_PART_UNREAD,
+               "version=%" PRIx64 " part=\"%s\"", site->version,
+               (const char *)g_ptr_array_index (site->unread_parts, i));
+}
+
 void
 jl_proxy_apply_limits (struct jl_proxy *proxy)
 {
@@ -232,6 +242,7 @@
              site->version, proxy->site != NULL ? proxy->site->version : 0,
              source, site->routes->len);
   log_unknown_words (site);
+  log_unread_parts (site);
   jl_site_drop (proxy->previous_site);
   proxy->previous_site = proxy->site;
   proxy->site = site;
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -80,7 +80,7 @@
       JL_RECORD_FAILURE, JL_RECORD_REQUEST_OVER_CAP,
       "id=%s route=%s customer=%s rate=%g cause=%s retry_after_ms=%" PRIu64
       " age_ms=%" PRIu64,
-      jl_call_attempt_id (call), call->route->name, call->customer->name,
+      jl_call_attempt_id (call), call->route->name, call->customer->label,
       call->customer->rate, cause, after_ms, jl_call_age_ms (call));
   g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
               (double)after_ms / 1000);
@@ -569,7 +569,7 @@
       listed++;
       g_string_append_printf (
           text, "# cap: customer=%s rate=%g share=%.4f far=%d tokens=%u\n",
-          customer->name, customer->rate,
+          customer->label, customer->rate,
           jl_quota_share_of (quota, stock->customer), stock->far,
           jl_quota_stock_count (stock, now_us));
     }
--- a/source/proxy/shares.c
+++ b/source/proxy/shares.c
@@ -275,7 +275,7 @@
                                             : NULL;
       g_string_append_printf (
           text, "# customer: name=%s refused=%" PRIu64 " demand=%.2f\n",
-          known != NULL ? known->name : "-", customer->refused,
+          known != NULL ? known->label : "-", customer->refused,
           jl_fair_customer_demand (customer, jl_now ()));
     }
   g_ptr_array_free (refused, TRUE);
--- a/tests/proxy/decode.c
+++ b/tests/proxy/decode.c
@@ -96,6 +96,156 @@
     }
 }
 
+#define LIMITS                                                                 \
+  "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"                \
+  "\"headerTimeoutS\":3,\"idleTimeoutS\":15}"
+
+/* Returns a configuration with the routes @rows; @other follows them. */
+static struct jl_site *
+decode_rows (const char *rows, const char *other)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":\"1\",\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"prefix\",\"kind\",\"timeoutS\",\"priority\",\"maxAttempts\","
+      "\"split\",\"service\"],\"rows\":[%s]},%s}",
+      rows, other);
+  struct jl_site *site = jl_platform_decode_site (text, strlen (text), NULL);
+
+  cr_assert_not_null (site, "%s", text);
+  g_free (text);
+  return site;
+}
+
+/* Guards against a configuration that is refused, or a field that falls back to
+ * its default, for a value above a bound that the operator cannot know. */
+Test (decode, values_above_each_bound_are_in_force)
+{
+  char *host = g_strnfill (300, 'h');
+  char *prefix = g_strnfill (5000, 'p');
+  char *rows = g_strdup_printf (
+      "[\"%s\",\"%s\",\"/%s/\",\"idempotent\",90000,4,101,null,\"%s\"],"
+      "[\"r2\",\"a\",\"/y/\",\"upload\",1e300,1e30,1e30,"
+      "[{\"service\":\"s 1\",\"weight\":0.5},"
+      "{\"service\":\"s2\",\"weight\":5000000000}],null]",
+      host, host, prefix, host);
+  char *target = g_strdup_printf ("/%s/1", prefix);
+  struct jl_site *site
+      = decode_rows (rows, "\"limits\":{\"maxHeaderBytes\":3000000000,"
+                           "\"maxBodyBytes\":1e30,\"headerTimeoutS\":86401,"
+                           "\"idleTimeoutS\":100000}");
+  const struct jl_route *route = jl_site_find_route (site, host, target);
+
+  cr_assert_eq (site->unread_parts->len, 0);
+  cr_assert_not_null (route);
+  cr_expect_eq (route->timeout_us, 90000 * JL_USEC_PER_SEC);
+  cr_expect_eq (route->rank, JL_RANK_COUNT - 1);
+  cr_expect_eq (route->attempts_max, 101);
+  cr_expect_str_eq (route->split[0].service, host);
+  route = jl_site_find_route (site, "a", "/y/1");
+  cr_expect_geq (route->timeout_us, 86400 * JL_USEC_PER_SEC * 365);
+  cr_expect_eq (route->rank, JL_RANK_COUNT - 1);
+  cr_expect_geq (route->attempts_max, 101);
+  cr_expect_eq (route->split[0].weight, 0.5);
+  cr_expect_eq (route->split[1].weight, 5e9);
+  cr_expect_geq (site->head_bytes_max, 1 << 30);
+  cr_expect_geq (site->body_bytes_max, (uint64_t)1 << 40);
+  cr_expect_eq (site->head_timeout_us, 86401 * JL_USEC_PER_SEC);
+  cr_expect_eq (site->idle_timeout_us, 100000 * JL_USEC_PER_SEC);
+  jl_site_drop (site);
+  g_free (target);
+  g_free (rows);
+  g_free (prefix);
+  g_free (host);
+}
+
+/* Guards against a table that is refused for its number of columns. */
+Test (decode, a_table_has_any_number_of_columns)
+{
+  GString *text = g_string_new ("{\"version\":\"1\",\"routes\":{\"columns\":[");
+  GString *row = g_string_new (NULL);
+  struct jl_site *site;
+
+  for (unsigned i = 0; i < 3000; i++)
+    {
+      g_string_append_printf (text, "\"c%u\",", i);
+      g_string_append (row, "null,");
+    }
+  g_string_append_printf (
+      text,
+      "\"name\",\"host\",\"prefix\",\"kind\",\"timeoutS\",\"service\"],"
+      "\"rows\":[[%s\"r\",\"a\",\"/\",\"upload\",5,\"s\"]]}," LIMITS "}",
+      row->str);
+  site = jl_platform_decode_site (text->str, text->len, NULL);
+  cr_assert_not_null (site);
+  cr_assert_eq (site->unread_parts->len, 0);
+  cr_assert_str_eq (jl_site_find_route (site, "a", "/1")->split[0].service,
+                    "s");
+  jl_site_drop (site);
+  g_string_free (row, TRUE);
+  g_string_free (text, TRUE);
+}
+
+/* Guards against one route that cannot be read and costs all others. */
+Test (decode, a_route_that_cannot_be_read_costs_no_other_one)
+{
+  static const char *const rows[] = {
+    "[null,\"a\",\"/x/\",\"upload\",5,0,1,null,\"s\"]",
+    "[\"r1\",\"a\",\"/x/\",null,5,0,1,null,\"s\"]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",-1,0,1,null,\"s\"]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",\"5\",0,1,null,\"s\"]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",5,0,1,null,null]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",5,0,1,[],null]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",5,0,1,{},\"s\"]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",5,0,1,[{\"service\":\"s\"}],null]",
+    "[\"r1\",\"a\",\"/x/\",\"upload\",5,0,1,"
+    "[{\"service\":\"s\",\"weight\":1},{\"weight\":1}],null]",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *both = g_strdup_printf (
+          "%s,7,null,[],[\"r2\",\"a\",\"/y/\",\"upload\",5,0,1,null,\"s\"]",
+          rows[i]);
+      struct jl_site *site = decode_rows (both, LIMITS);
+      const struct jl_route *route = jl_site_find_route (site, "a", "/x/1");
+
+      cr_expect_eq (site->unread_parts->len, 4, "%s", rows[i]);
+      cr_assert_not_null (route, "%s", rows[i]);
+      cr_expect (route->unreadable, "%s", rows[i]);
+      route = jl_site_find_route (site, "a", "/y/1");
+      cr_assert_not_null (route, "%s", rows[i]);
+      cr_expect_not (route->unreadable, "%s", rows[i]);
+      jl_site_drop (site);
+      g_free (both);
+    }
+}
+
+/* Such a document hides no later configuration with a lower version. */
+Test (decode, a_configuration_none_of_whose_routes_can_be_read_is_refused)
+{
+  static const char text[]
+      = "{\"version\":\"ffff\",\"routes\":{\"columns\":[\"host\",\"prefix\"],"
+        "\"rows\":[[\"a\",\"/x/\"],7]}," LIMITS "}";
+  GError *error = NULL;
+
+  cr_assert_null (jl_platform_decode_site (text, strlen (text), &error));
+  cr_assert_not_null (error);
+  g_error_free (error);
+}
+
+Test (decode, a_limit_that_cannot_be_read_has_its_default)
+{
+  struct jl_site *site = decode_rows (
+      "", "\"limits\":{\"maxHeaderBytes\":\"many\",\"headerTimeoutS\":3}");
+
+  cr_expect_eq (site->unread_parts->len, 3);
+  cr_expect_geq (site->head_bytes_max, 16384);
+  cr_expect_geq (site->body_bytes_max, 1 << 30);
+  cr_expect_eq (site->head_timeout_us, 3 * JL_USEC_PER_SEC);
+  cr_expect_geq (site->idle_timeout_us, 15 * JL_USEC_PER_SEC);
+  jl_site_drop (site);
+}
+
 /* Returns a configuration of two routes whose kinds are @kind and "upload". */
 static struct jl_site *
 decode_kind (const char *kind)
--- a/tests/proxy/entry.c
+++ b/tests/proxy/entry.c
@@ -136,3 +136,55 @@
                     502, "%s", answers[i]);
     }
 }
+
+/* Guards against a service whose requests no daemon accepts for its name. */
+Test (entry, a_service_whose_name_has_spaces_is_reached)
+{
+  static const char name[] = "d\xc3\xa9p\xc3\xb4t nord 100%";
+  char address[JL_ENDPOINT_TEXT_SIZE];
+  struct rig rig;
+  struct raw_peer peer;
+  char *heartbeat;
+
+  rig_prepare (&rig, 242);
+  rig.options.heartbeat_us = 60 * JL_USEC_PER_SEC;
+  g_strlcpy (rig.options.service, name, sizeof rig.options.service);
+  raw_peer_open (&peer, &rig, TARGET_PORT);
+  rig_start (&rig);
+  install_route (&rig, name);
+  jl_endpoint_format (rig_at (&rig, TARGET_PORT), address);
+  heartbeat
+      = g_strdup_printf ("{\"service\":\"%s\",\"address\":\"%s\",\"slots\":10,"
+                         "\"state\":\"ready\",\"sequence\":1}",
+                         name, address);
+  close (rig_announce (&rig, "i-1", heartbeat));
+  rig_run (&rig, 30);
+  g_free (heartbeat);
+  raw_forget_failures (&rig);
+  cr_assert_eq (exchange (&rig, &peer, ENTRY_PORT,
+                          "GET /x HTTP/1.1\r\nHost: a\r\n" ID "\r\n",
+                          "HTTP/1.1 200 OK\r\n" ID "Content-Length: 0\r\n\r\n"),
+                200);
+}
+
+/* A 404 would say that there is no such route, and nothing may run. */
+Test (entry, requests_of_a_route_that_could_not_be_read_get_503)
+{
+  struct rig rig;
+  struct raw_peer peer;
+
+  rig_prepare (&rig, 241);
+  rig.options.heartbeat_us = 60 * JL_USEC_PER_SEC;
+  raw_peer_open (&peer, &rig, TARGET_PORT);
+  rig_start (&rig);
+  install_route (&rig, "front");
+  ((struct jl_route *)g_ptr_array_index (rig.proxy->site->routes, 0))
+      ->unreadable
+      = true;
+  rig_heartbeat (&rig, "i-1", 5, 1);
+  raw_forget_failures (&rig);
+  cr_assert_eq (exchange (&rig, &peer, ENTRY_PORT,
+                          "GET /x HTTP/1.1\r\nHost: a\r\n" ID "\r\n",
+                          "HTTP/1.1 200 OK\r\n" ID "Content-Length: 0\r\n\r\n"),
+                503);
+}
