Let a daemon that is restarted meet other zones without the store

Cause: after a restart while the store is away, a daemon hears digests of other zones but knows no address of their senders, so it answers nothing; and the senders had fed it before, so they introduced themselves to it no more.

Change: a daemon takes the address of the sender of a digest from the datagram if it knows none, and a representative that hears of a restart in another zone introduces the daemons of its own zone again.

Measured: digest::a_zone_that_is_restarted_meets_the_others_without_the_store, zones of 1 to 3 daemons, fails without either part and holds with both.

--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -116,7 +116,10 @@
   if (!member->in_other_zone)
     welcome_member (beacon, member);
   else if (jl_digest_is_representative (beacon->digest, jl_now ()))
-    jl_news_send_departed (proxy->news, member);
+    {
+      jl_digest_note_restart (beacon->digest, member);
+      jl_news_send_departed (proxy->news, member);
+    }
 }
 
 static void
@@ -214,6 +217,20 @@
     on_applied (beacon, &applied);
 }
 
+static struct jl_endpoint
+endpoint_of (const struct sockaddr *address)
+{
+  const struct sockaddr_in *in = (const struct sockaddr_in *)address;
+  struct jl_endpoint endpoint = { 0 };
+
+  if (address->sa_family == AF_INET)
+    {
+      endpoint.ip = ntohl (in->sin_addr.s_addr);
+      endpoint.port = ntohs (in->sin_port);
+    }
+  return endpoint;
+}
+
 static void
 on_datagram (uv_udp_t *socket,
              ssize_t size,
@@ -238,7 +255,8 @@
       break;
     case JL_FORMAT_DIGEST:
     case JL_FORMAT_RELAY:
-      jl_digest_read (beacon->digest, buffer->base, (size_t)size, jl_now ());
+      jl_digest_read (beacon->digest, buffer->base, (size_t)size,
+                      endpoint_of (address), jl_now ());
       break;
     case JL_FORMAT_FRESHNESS:
       jl_freshness_read (beacon->proxy->freshness, buffer->base, (size_t)size);
--- a/source/proxy/digest-read.c
+++ b/source/proxy/digest-read.c
@@ -148,6 +148,7 @@
 static void
 apply_digest (struct jl_digest *digest,
               struct beacon_digest *message,
+              struct jl_endpoint from,
               uint64_t now_us)
 {
   struct jl_member *sender
@@ -159,6 +160,10 @@
     jl_roster_set_zone (digest->roster, sender, message->zone);
   if (jl_digest_is_local (sender))
     return;
+  /* A daemon that has just started, and reaches no store, answers to where the
+   * digest came from: by its own beacon the sender learns of its start. */
+  if (sender->peer.port == 0 && message->hops == 0)
+    sender->peer = from;
   heard_before_us = sender->contact->heard_us;
   digest->counters.received++;
   sender->represents_until_us = now_us + REPRESENTS_US;
@@ -178,6 +183,7 @@
 read_digest (struct jl_digest *digest,
              const char *datagram,
              size_t size,
+             struct jl_endpoint from,
              uint64_t now_us)
 {
   struct beacon_digest message = { 0 };
@@ -186,7 +192,7 @@
   xdrmem_create (&xdr, (char *)datagram, (u_int)size, XDR_DECODE);
   if (xdr_beacon_digest (&xdr, &message) && message.name[0] != '\0'
       && message.zone[0] != '\0')
-    apply_digest (digest, &message, now_us);
+    apply_digest (digest, &message, from, now_us);
   xdr_free ((xdrproc_t)xdr_beacon_digest, &message);
 }
 
@@ -216,10 +222,11 @@
 jl_digest_read (struct jl_digest *digest,
                 const char *datagram,
                 size_t size,
+                struct jl_endpoint from,
                 uint64_t now_us)
 {
   if (jl_announce_format (datagram, size) == JL_FORMAT_DIGEST)
-    read_digest (digest, datagram, size, now_us);
+    read_digest (digest, datagram, size, from, now_us);
   else
     read_relay (digest, datagram, size, now_us);
 }
--- a/source/proxy/digest.c
+++ b/source/proxy/digest.c
@@ -258,6 +258,21 @@
   return false;
 }
 
+void
+jl_digest_note_restart (struct jl_digest *digest,
+                        const struct jl_member *member)
+{
+  for (guint i = 0; i < digest->links->len; i++)
+    {
+      struct zone_link *link
+          = &g_array_index (digest->links, struct zone_link, i);
+
+      for (unsigned j = 0; j < link->fed_count; j++)
+        if (link->fed[j] == member)
+          link->fed[j] = NULL;
+    }
+}
+
 /* Sends the digest to the next daemons of a zone of which none is known to be
  * alive. */
 static void
@@ -395,7 +410,7 @@
       unsigned chosen = g_random_int () % MAX (link->fed_count, 1);
 
       for (unsigned j = 0; j < link->fed_count; j++)
-        if (is_new || j == chosen)
+        if (link->fed[j] != NULL && (is_new || j == chosen))
           jl_digest_send_to (digest, link->fed[j], datagram, size);
     }
 }
--- a/source/proxy/digest.h
+++ b/source/proxy/digest.h
@@ -88,12 +88,22 @@
                      uint64_t store_era,
                      uint64_t now_us);
 
+/**
+ * jl_digest_note_restart - records that a daemon of another zone has been
+ * restarted: if it represents its zone, the next digest is followed by the
+ * beacons of all daemons of this zone
+ */
+void jl_digest_note_restart (struct jl_digest *digest,
+                             const struct jl_member *member);
+
 /**
  * jl_digest_read - reads a digest, or a beacon that was passed on
+ * @from: where it came from
  */
 void jl_digest_read (struct jl_digest *digest,
                      const char *datagram,
                      size_t size,
+                     struct jl_endpoint from,
                      uint64_t now_us);
 
 /**
--- a/tests/proxy/digest.c
+++ b/tests/proxy/digest.c
@@ -318,9 +318,44 @@
         bytes[g_random_int_range (4, (gint32)size)] = (char)g_random_int ();
       jl_digest_read (daemon->digest, bytes,
                       (size_t)g_random_int_range (0, (gint32)size + 1),
-                      site.now_us);
+                      (struct jl_endpoint){ 0 }, site.now_us);
     }
   site.flying = flying;
   cr_assert_lt (daemon->roster.members->len, 20000);
   zones_close (&site);
 }
+
+/* Guards against a daemon that knows of no other zone after its restart, and
+ * whose restart no other zone learns of, while the store cannot be reached: as
+ * the last one of its zone, or together with all of them. */
+Test (digest, a_zone_that_is_restarted_meets_the_others_without_the_store)
+{
+  for (unsigned size = 1; size <= 3; size++)
+    {
+      struct zones_site site;
+      struct zones_daemon *first;
+      struct zones_daemon *other;
+
+      g_random_set_seed (20 + size);
+      zones_open (&site, 3, size);
+      zones_run (&site, 4000);
+      for (unsigned i = 0; i < size; i++)
+        zones_kill (zones_daemon (&site, 0, i));
+      zones_run (&site, 500);
+      for (unsigned i = 0; i < size; i++)
+        zones_start_alone (zones_daemon (&site, 0, i));
+      zones_run (&site, 2500);
+      first = zones_daemon (&site, 0, 0);
+      for (unsigned zone = 1; zone < 3; zone++)
+        for (unsigned i = 0; i < size; i++)
+          {
+            other = zones_daemon (&site, zone, i);
+            cr_expect_eq (zones_view (other, first)->epoch, first->self->epoch,
+                          "zones of %u, zone %u", size, zone);
+            cr_expect (
+                jl_member_is_alive (zones_view (first, other), site.now_us),
+                "zones of %u, zone %u", size, zone);
+          }
+      zones_close (&site);
+    }
+}
--- a/tests/proxy/parts/zones.c
+++ b/tests/proxy/parts/zones.c
@@ -20,9 +20,11 @@
 
 /**
  * struct datagram - a datagram on its way
+ * @from: where it comes from
  */
 struct datagram
 {
+  struct jl_endpoint from;
   struct zones_daemon *to;
   uint64_t arrives_us;
   size_t size;
@@ -46,6 +48,7 @@
           || g_random_double () < site->loss))
     return;
   datagram = g_new0 (struct datagram, 1);
+  datagram->from = from->self->peer;
   datagram->to = to;
   datagram->arrives_us
       = site->now_us + (local ? LOCAL_DELAY_US : OTHER_ZONE_DELAY_US);
@@ -69,8 +72,14 @@
   char bytes[JL_DATAGRAM_BYTES_MAX];
   size_t size;
 
-  if (!applied->restarted || applied->member->in_other_zone)
+  if (!applied->restarted)
     return;
+  if (applied->member->in_other_zone)
+    {
+      if (jl_digest_is_representative (daemon->digest, daemon->site->now_us))
+        jl_digest_note_restart (daemon->digest, applied->member);
+      return;
+    }
   size = encode_own_beacon (daemon, bytes);
   send_datagram (daemon, applied->member->peer, bytes, size);
   jl_digest_introduce (daemon->digest, applied->member, daemon->site->now_us);
@@ -127,15 +136,15 @@
   return member;
 }
 
-void
-zones_start (struct zones_daemon *daemon)
+static void
+start (struct zones_daemon *daemon, bool knows_others)
 {
   struct zones_site *site = daemon->site;
   char zone[16];
 
   g_snprintf (zone, sizeof zone, "zone-%u", daemon->zone);
   jl_roster_init (&daemon->roster, zone);
-  for (unsigned i = 0; i < site->daemon_count; i++)
+  for (unsigned i = 0; knows_others && i < site->daemon_count; i++)
     add_member (daemon, &site->daemons[i]);
   daemon->self = add_member (daemon, daemon);
   g_strlcpy (daemon->self->service, "listings", JL_TEXT_SIZE);
@@ -151,6 +160,18 @@
   daemon->up = true;
 }
 
+void
+zones_start (struct zones_daemon *daemon)
+{
+  start (daemon, true);
+}
+
+void
+zones_start_alone (struct zones_daemon *daemon)
+{
+  start (daemon, false);
+}
+
 void
 zones_kill (struct zones_daemon *daemon)
 {
@@ -201,7 +222,8 @@
     return;
   if (jl_announce_format (datagram->bytes, datagram->size) != JL_FORMAT_BEACON)
     {
-      jl_digest_read (daemon->digest, datagram->bytes, datagram->size, now_us);
+      jl_digest_read (daemon->digest, datagram->bytes, datagram->size,
+                      datagram->from, now_us);
       return;
     }
   applied = jl_announce_read (&daemon->roster, daemon->self, datagram->bytes,
--- a/tests/proxy/parts/zones.h
+++ b/tests/proxy/parts/zones.h
@@ -82,6 +82,12 @@
  */
 void zones_start (struct zones_daemon *daemon);
 
+/**
+ * zones_start_alone - starts a daemon that was ended, and that knows no other
+ * one, as the store cannot be reached
+ */
+void zones_start_alone (struct zones_daemon *daemon);
+
 /**
  * zones_view - returns what @daemon knows of @of
  */
