Believe a target that may have left only on proof

Cause: a leave that is acknowledged while the store is away is known to daemons only. A daemon that was started held a heartbeat of its target until it had heard anybody, or for 1.5 s, and then believed it, though that heartbeat may have been sent before the leave. Nobody had to say anything of the target.

Change: policy/recall decides whether a started daemon believes its target: at once if the store had no row of the daemon's name; if another daemon that has heard the earlier one until its end vouches for the incarnation (a new kind of report) and the store has told which ones have left; else when the heartbeats go on. A heartbeat that is not believed is answered with 503, which makes a target that lives send the next one soon. A leave counts for all starts that it can be of, in one entry. The state of the target is in source/policy/ now, as it uses neither sockets nor clocks.

The tests of restore that believed one heartbeat after others were heard, or after 1.5 s, demanded the fault; they demand proof now. target::a_leaving_holds... had a start before a leave that names none return after it; it began before that leave, so it stays out, and the next one returns.

--- a/source/proxy/target.c
+++ b/source/policy/target.c
@@ -2,7 +2,7 @@
  * DOC: The state of the local target, as the daemon knows it.
  */
 
-#include "proxy/target.h"
+#include "policy/target.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -126,19 +126,37 @@
   return departed;
 }
 
-/* Records an incarnation that has left, once. */
+/* Returns an entry of @id that a leave of its starts up to @started_ms can
+ * extend: one of an earlier leave, or of a replaced start that it includes. */
+static struct jl_departed_incarnation *
+find_extensible (struct jl_target *target, const char *id, uint64_t started_ms)
+{
+  struct jl_departed_incarnation *replaced = find_replaced (target, id);
+
+  for (size_t i = 0; i < JL_TARGET_DEPARTED_MAX; i++)
+    if (!target->departed[i].replaced
+        && strcmp (target->departed[i].id, id) == 0)
+      return &target->departed[i];
+  return replaced != NULL && replaced->started_ms <= started_ms ? replaced
+                                                                : NULL;
+}
+
+/* Records that all starts of @id up to @started_ms have left, in one entry. */
 static void
 add_departed (struct jl_target *target, const char *id, uint64_t started_ms)
 {
-  struct jl_departed_incarnation *replaced = find_replaced (target, id);
+  struct jl_departed_incarnation *known
+      = find_extensible (target, id, started_ms);
 
-  if (replaced != NULL && replaced->started_ms <= started_ms)
-    {
-      replaced->replaced = false;
-      target->departed_revision++;
-    }
-  if (!has_departed (target, id, started_ms))
-    push_departed (target, id, started_ms);
+  if (known == NULL && has_departed (target, id, started_ms))
+    return;
+  if (known == NULL)
+    known = push_departed (target, id, started_ms);
+  if (!known->replaced && known->started_ms >= started_ms)
+    return;
+  known->replaced = false;
+  known->started_ms = started_ms;
+  target->departed_revision++;
 }
 
 /* Records an incarnation that has only been replaced. */
@@ -263,19 +281,44 @@
   return target->state != before;
 }
 
-bool
-jl_target_apply_heartbeat (struct jl_target *target,
-                           const struct jl_heartbeat *heartbeat,
-                           uint64_t now_us)
+/* Whether the incarnation of a heartbeat may take work: it cannot have left
+ * before this daemon's start, or is proven not to have. */
+static bool
+is_proven (const struct jl_target *target,
+           const struct jl_heartbeat *heartbeat,
+           uint64_t now_us)
+{
+  return target->state != JL_TARGET_NONE || heartbeat->draining
+         || jl_recall_is_proven (&target->recall, key_of (target, heartbeat),
+                                 heartbeat->started_ms, now_us);
+}
+
+/* Holds a heartbeat that is not proven. Returns whether its incarnation's
+ * heartbeats go on. */
+static bool
+hold (struct jl_target *target,
+      const struct jl_heartbeat *heartbeat,
+      uint64_t now_us)
+{
+  if (target->is_held && heartbeat->started_ms < target->held.started_ms)
+    return false;
+  target->is_held = true;
+  target->held = *heartbeat;
+  return jl_recall_count (&target->recall, key_of (target, heartbeat),
+                          heartbeat->sequence, now_us);
+}
+
+/* Makes a heartbeat that is neither stale nor held the last one. */
+static bool
+accept (struct jl_target *target,
+        const struct jl_heartbeat *heartbeat,
+        uint64_t now_us)
 {
   enum jl_target_state before = target->state;
   bool new_incarnation;
   bool changed;
 
-  if (is_stale (target, heartbeat))
-    return heartbeat->draining
-               ? apply_stale_leave (target, heartbeat)
-               : apply_stale_heartbeat (target, heartbeat, now_us);
+  target->is_held = false;
   new_incarnation = before == JL_TARGET_NONE
                     || !is_same_incarnation (&target->last, heartbeat);
   if (new_incarnation && before != JL_TARGET_NONE)
@@ -296,6 +339,32 @@
   return changed || target->state != before;
 }
 
+bool
+jl_target_apply_heartbeat (struct jl_target *target,
+                           const struct jl_heartbeat *heartbeat,
+                           uint64_t now_us)
+{
+  if (is_stale (target, heartbeat))
+    return heartbeat->draining
+               ? apply_stale_leave (target, heartbeat)
+               : apply_stale_heartbeat (target, heartbeat, now_us);
+  if (!is_proven (target, heartbeat, now_us)
+      && !hold (target, heartbeat, now_us))
+    return false;
+  return accept (target, heartbeat, now_us);
+}
+
+bool
+jl_target_apply_held (struct jl_target *target, uint64_t now_us)
+{
+  struct jl_heartbeat held = target->held;
+
+  if (!target->is_held || !is_proven (target, &held, now_us))
+    return false;
+  target->is_held = false;
+  return !is_stale (target, &held) && accept (target, &held, now_us);
+}
+
 uint32_t
 jl_target_key (const struct jl_target *target)
 {
@@ -400,14 +469,29 @@
   target->departed_revision++;
 }
 
+/* Makes the held incarnation the current one, as it is about to leave: others
+ * are told of the current one. */
+static void
+adopt_held (struct jl_target *target, const char *id, uint64_t started_ms)
+{
+  if (!target->is_held || strcmp (target->held.id, id) != 0
+      || (started_ms != 0 && started_ms < target->held.started_ms))
+    return;
+  target->is_held = false;
+  target->last = target->held;
+  target->state = JL_TARGET_UP;
+}
+
 bool
 jl_target_mark_departed (struct jl_target *target,
                          const char *id,
                          uint64_t started_ms,
                          uint64_t now_ms)
 {
-  uint64_t current_ms = target->last.started_ms;
+  uint64_t current_ms;
 
+  adopt_held (target, id, started_ms);
+  current_ms = target->last.started_ms;
   if (!is_current (target, id))
     {
       mark_other_departed (target, id, now_ms);
@@ -418,11 +502,12 @@
       add_departed (target, id, started_ms);
       return false;
     }
-  if (started_ms == 0 && target->state != JL_TARGET_LEAVING)
-    started_ms = now_ms;
-  add_departed (target, id, current_ms);
-  if (started_ms > current_ms && current_ms != 0)
-    add_departed (target, id, started_ms);
+  /* A target whose heartbeats name no start has only one. */
+  if (current_ms == 0)
+    started_ms = 0;
+  else if (started_ms == 0)
+    started_ms = MAX (now_ms, current_ms);
+  add_departed (target, id, started_ms);
   target->state = JL_TARGET_LEAVING;
   return true;
 }
@@ -453,6 +538,7 @@
 jl_target_forget (struct jl_target *target)
 {
   target->state = JL_TARGET_NONE;
+  target->is_held = false;
 }
 
 void
--- a/source/proxy/target.h
+++ b/source/policy/target.h
@@ -1,5 +1,5 @@
-#ifndef JACKDAWLADDER_PROXY_TARGET_H
-#define JACKDAWLADDER_PROXY_TARGET_H
+#ifndef JL_POLICY_TARGET_H
+#define JL_POLICY_TARGET_H
 
 /**
  * DOC: The state of the local target, as the daemon knows it.
@@ -7,10 +7,13 @@
  * It comes from the target's heartbeats. Each start of the target is a new
  * incarnation. Heartbeats may be late and out of order: one of an earlier
  * incarnation, or one with a lower sequence number, is ignored. An incarnation
- * that has begun to leave never takes work again.
+ * that has begun to leave never takes work again, whichever of its heartbeats
+ * come later, and whatever the daemon has forgotten by a restart
+ * (policy/recall.h).
  */
 
 #include "jackdawladder/site.h"
+#include "policy/recall.h"
 
 /**
  * struct jl_heartbeat - a heartbeat of the target
@@ -98,6 +101,9 @@
  * @departed_revision: number of changes of @departed and @unheard so far
  * @reinstated: number of replaced incarnations that became the current one
  *              again
+ * @recall: what is known of the time before the daemon's start
+ * @is_held: @held is valid
+ * @held: last heartbeat that was not believed yet
  */
 struct jl_target
 {
@@ -114,12 +120,18 @@
   struct jl_departed_incarnation unheard[JL_TARGET_UNHEARD_MAX];
   unsigned departed_revision;
   unsigned reinstated;
+  struct jl_recall recall;
+  bool is_held;
+  struct jl_heartbeat held;
 };
 
 /**
- * jl_target_apply_heartbeat - applies a heartbeat unless it is stale
+ * jl_target_apply_heartbeat - applies a heartbeat unless it is stale, or not
+ * believed yet
  *
- * A stale one that announces a leave counts: the leave will be acknowledged.
+ * After a restart of the daemon, one of an incarnation that may have left
+ * before is held until it is proven that the incarnation takes work. A stale
+ * one that announces a leave counts: the leave will be acknowledged.
  *
  * Without start times, a late heartbeat of an incarnation that has ended looks
  * like one of a new incarnation. The one that it replaced is reinstated if its
@@ -132,6 +144,14 @@
                                 const struct jl_heartbeat *heartbeat,
                                 uint64_t now_us);
 
+/**
+ * jl_target_apply_held - applies the held heartbeat if it is believed now
+ *
+ * Return: whether the state, the incarnation or the number of slots has
+ * changed.
+ */
+bool jl_target_apply_held (struct jl_target *target, uint64_t now_us);
+
 /**
  * jl_target_reinstate - makes a replaced incarnation the current one again,
  * after it has responded itself
@@ -191,9 +211,9 @@
  * @now_ms: wall clock
  *
  * The incarnation never takes work again, even if this daemon has just started
- * and has had no heartbeat of it. The incarnation may be a later one than that
- * of the last heartbeat, as heartbeats may be late, or an earlier one, as the
- * leave may be late.
+ * and has had no heartbeat of it, or none that it believed. The incarnation may
+ * be a later one than that of the last heartbeat, as heartbeats may be late, or
+ * an earlier one, as the leave may be late.
  *
  * Return: whether it was the current incarnation.
  */
--- a/source/proxy/announce.c
+++ b/source/proxy/announce.c
@@ -262,6 +262,8 @@
     jl_member_add_departed (member, target_key);
   if (state == JL_TARGET_UP && jl_member_has_departed (member, target_key))
     state = JL_TARGET_LEAVING;
+  if (state == JL_TARGET_UP)
+    member->serving_key = target_key;
   if (member->target_key != target_key)
     member->load.heard_us = 0;
   member->state = state;
@@ -339,6 +341,8 @@
     .site_version = message->site_version,
     .store_era = beacon->notice.store_era,
     .former_peer = member->peer,
+    .former_serving_key = member->serving_key,
+    .former_heard_us = member->last_beacon_us,
     .restarted = member->epoch != message->epoch,
   };
   bool newer = jl_member_beacon_is_newer (member, message->epoch,
@@ -354,6 +358,8 @@
   applied.member = member;
   if (newer)
     log_change (member, message, now_us);
+  if (newer && applied.restarted)
+    member->serving_key = 0;
   if (applied.identity)
     update_identity (roster, member, beacon);
   if (newer)
--- a/source/proxy/announce.h
+++ b/source/proxy/announce.h
@@ -35,6 +35,9 @@
  * @restarted: it is of a new incarnation of the daemon
  * @identity: it has the identity of the daemon, newer than the known one
  * @former_peer: endpoint of the daemon before, if @restarted
+ * @former_serving_key: key of the incarnation of its target that took work
+ *                      before, 0 for none
+ * @former_heard_us: time at which it was last heard before, 0 for never
  * @site_version: version of the configuration that the daemon uses
  * @store_era: era of the store that the daemon knows, 0 for none
  */
@@ -44,6 +47,8 @@
   bool restarted;
   bool identity;
   struct jl_endpoint former_peer;
+  uint32_t former_serving_key;
+  uint64_t former_heard_us;
   uint64_t site_version;
   uint64_t store_era;
 };
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -33,6 +33,9 @@
 #define CHECK_PERIOD_US (200 * JL_USEC_PER_MSEC)
 /* Minimum interval between two rounds of beacons. */
 #define ROUND_GAP_US (20 * JL_USEC_PER_MSEC)
+/* Time from the last beacon of a daemon to the first one of its next
+ * incarnation, up to which it counts as heard until its end. */
+#define HEARD_UNTIL_END_US (2500 * JL_USEC_PER_MSEC)
 /* Time for which a beacon may be in transit. */
 #define IN_FLIGHT_US (50 * JL_USEC_PER_MSEC)
 /* Change of the shed share that is announced at once. The spare capacity and
@@ -89,16 +92,31 @@
                            encode (beacon, datagram));
 }
 
+/* Tells a daemon that has just started what it has forgotten of its target. One
+ * that was not heard until its end may have acknowledged a leave since. */
+static void
+recall_target (struct jl_beacon *beacon, const struct jl_applied *applied)
+{
+  struct jl_news *news = beacon->proxy->news;
+  struct jl_member *member = applied->member;
+  uint32_t key = applied->former_serving_key;
+
+  jl_news_send_departed (news, member);
+  if (key != 0 && !jl_member_has_departed (member, key)
+      && jl_now () < applied->former_heard_us + HEARD_UNTIL_END_US)
+    jl_news_send_serving (news, member, key);
+}
+
 /* Tells a daemon of the local zone that has just started what it needs. */
 static void
-welcome_member (struct jl_beacon *beacon, struct jl_member *member)
+welcome_member (struct jl_beacon *beacon, const struct jl_applied *applied)
 {
-  struct jl_proxy *proxy = beacon->proxy;
+  struct jl_member *member = applied->member;
 
   send_to_member (beacon, member);
   jl_digest_introduce (beacon->digest, member, jl_now ());
-  jl_news_send_departed (proxy->news, member);
-  jl_news_send_open (proxy->news, member, true);
+  recall_target (beacon, applied);
+  jl_news_send_open (beacon->proxy->news, member, true);
 }
 
 /* Handles the restart of a daemon: its old connections are closed, it does not
@@ -114,11 +132,11 @@
   jl_infer_member_lost (proxy, member);
   jl_pool_close_endpoint (proxy->peer_pool, applied->former_peer);
   if (!member->in_other_zone)
-    welcome_member (beacon, member);
+    welcome_member (beacon, applied);
   else if (jl_digest_is_representative (beacon->digest, jl_now ()))
     {
       jl_digest_note_restart (beacon->digest, member);
-      jl_news_send_departed (proxy->news, member);
+      recall_target (beacon, applied);
     }
 }
 
--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -23,6 +23,9 @@
 #define LOGGED_BYTES_MAX 60
 /* Status of the response to a heartbeat of another target. */
 #define STATUS_MISDIRECTED 421
+/* Status of the response to a heartbeat that is not believed yet: a target that
+ * lives sends the next one soon. */
+#define STATUS_UNAVAILABLE 503
 /* Maximum time for which the response to a leave announcement waits for the
  * store and for other daemons. The target expects the response within a second
  * and otherwise asks another daemon. */
@@ -32,9 +35,6 @@
 #define LEAVE_ACK_START_TIMEOUT_US (700 * JL_USEC_PER_MSEC)
 /* Period of checks whether a leave announcement can be answered. */
 #define LEAVE_CHECK_PERIOD_US (10 * JL_USEC_PER_MSEC)
-/* Period of checks whether other daemons have been heard, longer than they need
- * to answer the first beacon of a daemon that has been restarted. */
-#define HELD_CHECK_PERIOD_US (40 * JL_USEC_PER_MSEC)
 
 static void
 respond_json (struct jl_request *request, unsigned status)
@@ -145,22 +145,63 @@
   jl_rows_write_departed (proxy);
 }
 
+/* Logs that a heartbeat is not believed yet, once for each incarnation. */
+static void
+log_held (const struct jl_proxy *proxy)
+{
+  const struct jl_heartbeat *held = &proxy->target.held;
+
+  jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_HELD,
+             "target=%s born=%" PRIu64 " sequence=%" PRIu64
+             " row_read=%d vouched=%d site=%" PRIx64,
+             held->id, held->started_ms, held->sequence,
+             proxy->target.recall.row_read,
+             proxy->target.recall.vouched_us != 0,
+             proxy->site != NULL ? proxy->site->version : 0);
+}
+
 static void
 apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
 {
-  uint64_t up_since_us = proxy->target.up_since_us;
-  unsigned reinstated = proxy->target.reinstated;
+  struct jl_target *target = &proxy->target;
+  uint64_t up_since_us = target->up_since_us;
+  unsigned reinstated = target->reinstated;
+  uint32_t candidate = target->recall.candidate;
   bool changed;
 
-  if (jl_target_is_replaced_by (&proxy->target, heartbeat))
+  if (jl_target_is_replaced_by (target, heartbeat))
     jl_watch_target_ended (proxy->watch, JL_TARGET_END_REPLACED);
-  changed = jl_target_apply_heartbeat (&proxy->target, heartbeat, jl_now ());
-  if (proxy->target.reinstated != reinstated)
+  changed = jl_target_apply_heartbeat (target, heartbeat, jl_now ());
+  if (target->reinstated != reinstated)
     handle_reinstated (proxy);
   else if (changed)
     jl_proxy_target_changed (proxy, "heartbeat");
-  if (proxy->target.up_since_us != up_since_us)
+  if (target->up_since_us != up_since_us)
     jl_watch_begin (proxy->watch);
+  if (target->is_held && target->recall.candidate != candidate)
+    log_held (proxy);
+}
+
+static void
+on_held_timer (void *context, struct jl_timer *timer)
+{
+  (void)timer;
+  jl_heartbeats_check_held (context);
+}
+
+void
+jl_heartbeats_check_held (struct jl_proxy *proxy)
+{
+  uint64_t retry_us = jl_recall_retry_us (&proxy->target.recall, jl_now ());
+
+  if (jl_target_apply_held (&proxy->target, jl_now ()))
+    {
+      jl_proxy_target_changed (proxy, "heartbeat");
+      jl_watch_begin (proxy->watch);
+    }
+  if (retry_us > 0)
+    jl_loop_start_timer (proxy->loop, &proxy->held_timer, retry_us,
+                         on_held_timer, proxy);
 }
 
 void
@@ -170,8 +211,7 @@
 {
   uint64_t now_ms = (uint64_t)g_get_real_time () / JL_USEC_PER_MSEC;
 
-  if (jl_target_mark_departed (&proxy->target, id,
-                               proxy->target.last.started_ms, now_ms))
+  if (jl_target_mark_departed (&proxy->target, id, 0, now_ms))
     jl_proxy_target_changed (proxy, cause);
   jl_rows_write_departed (proxy);
 }
@@ -185,20 +225,6 @@
   jl_watch_begin (proxy->watch);
 }
 
-void
-jl_heartbeats_forget_held (struct jl_proxy *proxy)
-{
-  jl_timer_stop (proxy->loop->timers, &proxy->held_timer);
-  proxy->heartbeat_held = false;
-}
-
-static void
-apply_held_heartbeat (struct jl_proxy *proxy)
-{
-  jl_heartbeats_forget_held (proxy);
-  apply_heartbeat (proxy, &proxy->held_heartbeat);
-}
-
 /* Whether a target with this identifier runs beside another daemon. Digests of
  * other zones tell only its key, here of one without a start time. */
 static bool
@@ -225,7 +251,8 @@
 {
   const struct jl_target *target = &proxy->target;
 
-  if (target->state != JL_TARGET_NONE && strcmp (target->last.id, id) == 0)
+  if ((target->state != JL_TARGET_NONE && strcmp (target->last.id, id) == 0)
+      || (target->is_held && strcmp (target->held.id, id) == 0))
     return NULL;
   if (is_beside_other (proxy, id))
     return "beside another daemon";
@@ -256,8 +283,6 @@
       = jl_platform_decode_leave ((const char *)body->data, body->len);
   const char *refusal;
 
-  if (proxy->heartbeat_held && strcmp (proxy->held_heartbeat.id, id) == 0)
-    apply_held_heartbeat (proxy);
   refusal = leave_refusal (proxy, id, now_ms);
   if (refusal != NULL)
     {
@@ -269,48 +294,6 @@
   respond_to_leave (proxy, request);
 }
 
-static void
-on_held_timer (void *context, struct jl_timer *timer)
-{
-  struct jl_proxy *proxy = context;
-
-  if (proxy->others_heard)
-    {
-      apply_held_heartbeat (proxy);
-      return;
-    }
-  proxy->others_heard = jl_proxy_has_heard_others (proxy);
-  jl_loop_start_timer (proxy->loop, timer, HELD_CHECK_PERIOD_US, on_held_timer,
-                       proxy);
-}
-
-/* Whether the target may have left before this daemon started, and others have
- * not had the time to tell it. */
-static bool
-may_have_left (const struct jl_proxy *proxy,
-               const struct jl_heartbeat *heartbeat)
-{
-  return proxy->target.state == JL_TARGET_NONE && !heartbeat->draining
-         && heartbeat->started_ms < proxy->epoch / JL_USEC_PER_MSEC
-         && (proxy->heartbeat_held || !jl_proxy_has_heard_others (proxy));
-}
-
-static void
-hold_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
-{
-  if (!proxy->heartbeat_held)
-    {
-      jl_record (JL_RECORD_CHANGE, JL_RECORD_TARGET_HELD,
-                 "target=%s born=%" PRIu64 " site=%" PRIx64, heartbeat->id,
-                 heartbeat->started_ms,
-                 proxy->site != NULL ? proxy->site->version : 0);
-      jl_loop_start_timer (proxy->loop, &proxy->held_timer,
-                           HELD_CHECK_PERIOD_US, on_held_timer, proxy);
-    }
-  proxy->heartbeat_held = true;
-  proxy->held_heartbeat = *heartbeat;
-}
-
 /* Whether a heartbeat comes from the target that the settings name. */
 static bool
 is_own (const struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
@@ -320,6 +303,17 @@
              && strcmp (heartbeat->service, proxy->options->service) == 0);
 }
 
+/* Whether a heartbeat is held, and no leave or later one has come since. */
+static bool
+is_held (const struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
+{
+  const struct jl_target *target = &proxy->target;
+
+  return target->is_held && target->held.sequence == heartbeat->sequence
+         && target->held.started_ms == heartbeat->started_ms
+         && strcmp (target->held.id, heartbeat->id) == 0;
+}
+
 static void
 refuse_foreign (const struct jl_proxy *proxy,
                 struct jl_request *request,
@@ -366,14 +360,12 @@
       refuse_foreign (proxy, request, &heartbeat);
       return;
     }
-  if (may_have_left (proxy, &heartbeat))
-    hold_heartbeat (proxy, &heartbeat);
-  else
-    apply_heartbeat (proxy, &heartbeat);
+  apply_heartbeat (proxy, &heartbeat);
   if (heartbeat.draining)
     respond_to_leave (proxy, request);
   else
-    respond_json (request, 200);
+    respond_json (request,
+                  is_held (proxy, &heartbeat) ? STATUS_UNAVAILABLE : 200);
 }
 
 static void
--- a/source/proxy/news.c
+++ b/source/proxy/news.c
@@ -311,6 +311,22 @@
   flush_reports (news, member, false, &batch);
 }
 
+void
+jl_news_send_serving (struct jl_news *news,
+                      const struct jl_member *member,
+                      uint32_t target_key)
+{
+  struct batch batch = { 0 };
+  struct jl_report report = {
+    .kind = JL_REPORT_SERVING,
+    .target = target_key,
+    .at_us = jl_now (),
+  };
+
+  add_report (&batch, &report);
+  flush_reports (news, member, false, &batch);
+}
+
 static uint64_t
 digest_of (const char *id)
 {
@@ -354,6 +370,13 @@
     jl_proxy_target_changed (proxy, "left-before");
 }
 
+static void
+apply_serving (struct jl_proxy *proxy, uint32_t target_key)
+{
+  jl_recall_vouch (&proxy->target.recall, target_key, jl_now ());
+  jl_heartbeats_check_held (proxy);
+}
+
 static void
 apply_wire (struct jl_proxy *proxy,
             const struct beacon_report *wire,
@@ -377,6 +400,8 @@
     apply_departed_member (proxy, by, report.contents[0]);
   else if (wire->kind == JL_REPORT_DEPARTED)
     apply_departed (proxy, wire->target);
+  else if (wire->kind == JL_REPORT_SERVING)
+    apply_serving (proxy, wire->target);
   else if (wire->kind >= JL_REPORT_STRIKE
            && wire->kind <= JL_REPORT_TRIAL_RUNNING)
     jl_report_apply (proxy, &report, by);
--- a/source/proxy/proxy.c
+++ b/source/proxy/proxy.c
@@ -354,7 +354,6 @@
 static void
 leave_target (struct jl_proxy *proxy, const struct jl_options *former)
 {
-  jl_heartbeats_forget_held (proxy);
   jl_target_forget (&proxy->target);
   jl_fanout_init (&proxy->fanout);
   jl_pool_close_endpoint (proxy->target_pool, former->target);
@@ -590,6 +589,8 @@
   proxy->options_path = path;
   proxy->epoch = (uint64_t)g_get_real_time ();
   proxy->started_us = jl_now ();
+  jl_recall_start (&proxy->target.recall, proxy->epoch / JL_USEC_PER_MSEC,
+                   proxy->started_us);
   init_modules (proxy);
   if (!open_sockets (proxy, &why))
     {
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -220,14 +220,12 @@
  * @leave_requests: leave announcements of the target, answered once the store
  *                  has acknowledged the row that records them
  * @leave_until_us: time at which the announcements are answered in any case
- * @held_heartbeat: heartbeat that is applied once other daemons have been
- * heard, which may know that the target has left
- * @heartbeat_held: @held_heartbeat is valid
- * @others_heard: other daemons had been heard at the last check of it
+ * @held_timer: checks whether a held heartbeat is believed
  * @departed_revision_sent: value of the target's departed_revision that was
  *                          last handed to the store client
  * @departed_row_acknowledged: the store has acknowledged the latest row
  * @daemon_row_acknowledged: the store has acknowledged this daemon's own row
+ * @own_row_found: the store had a row of this daemon's name before
  * @follows_store: this daemon follows the changes in the store
  * @follow_rank: number of daemons of the zone that come before this one in
  *               following them
@@ -311,12 +309,10 @@
   uint64_t leave_until_us;
   GPtrArray *leave_requests;
   struct jl_timer held_timer;
-  struct jl_heartbeat held_heartbeat;
-  bool heartbeat_held;
-  bool others_heard;
   unsigned departed_revision_sent;
   bool departed_row_acknowledged;
   bool daemon_row_acknowledged;
+  bool own_row_found;
   bool follows_store;
   unsigned follow_rank;
   uint64_t store_lost_us;
@@ -520,9 +516,11 @@
 void jl_heartbeats_reinstate (struct jl_proxy *proxy, const char *id);
 
 /**
- * jl_heartbeats_forget_held - drops a heartbeat that waits for other daemons
+ * jl_heartbeats_check_held - applies a held heartbeat of the target if it is
+ * believed now; called when more is known of the time before this daemon's
+ * start
  */
-void jl_heartbeats_forget_held (struct jl_proxy *proxy);
+void jl_heartbeats_check_held (struct jl_proxy *proxy);
 
 /* sync.c */
 
--- a/source/proxy/report.c
+++ b/source/proxy/report.c
@@ -22,7 +22,7 @@
 {
   static const char *const names[]
       = { "-",          "target-ended",  "answered", "trial-begun",
-          "trial-over", "trial-running", "departed" };
+          "trial-over", "trial-running", "departed", "serving" };
 
   return names[kind];
 }
@@ -83,6 +83,7 @@
       jl_suspects_end_trial (suspects, content, report->at_us);
       break;
     case JL_REPORT_DEPARTED:
+    case JL_REPORT_SERVING:
       break;
     }
 }
--- a/source/proxy/report.h
+++ b/source/proxy/report.h
@@ -22,6 +22,8 @@
  * its leave to an earlier incarnation of the receiver. With a content: the
  * sender's target, of which the content is the digest of the identifier, has
  * announced its leave, and the sender does not know its incarnation
+ * @JL_REPORT_SERVING: without contents: the receiver's target took work when an
+ * earlier incarnation of the receiver was last heard
  *
  * The values are sent to other daemons.
  */
@@ -33,6 +35,7 @@
   JL_REPORT_TRIAL_OVER = 4,
   JL_REPORT_TRIAL_RUNNING = 5,
   JL_REPORT_DEPARTED = 6,
+  JL_REPORT_SERVING = 7,
 };
 
 /* Maximum number of contents of one report. */
@@ -108,6 +111,15 @@
                         const struct jl_member *member,
                         bool local_zone);
 
+/**
+ * jl_news_send_serving - tells a daemon that has just started that its target
+ * took work when it was last heard before
+ * @target_key: key of the target's incarnation
+ */
+void jl_news_send_serving (struct jl_news *news,
+                           const struct jl_member *member,
+                           uint32_t target_key);
+
 /**
  * jl_news_send_departed - tells a daemon that has just started which
  * incarnations of its target have announced their leave to its earlier
--- a/source/proxy/roster.c
+++ b/source/proxy/roster.c
@@ -364,6 +364,7 @@
 {
   if (target_key == 0 || jl_member_has_departed (member, target_key))
     return;
+  member->serving_key = 0;
   member->departed_keys[member->departed_next] = target_key;
   member->departed_next = (member->departed_next + 1) % JL_MEMBER_DEPARTED_MAX;
 }
--- a/source/proxy/roster.h
+++ b/source/proxy/roster.h
@@ -16,7 +16,7 @@
 #include "policy/expected-wait.h"
 #include "policy/fanout.h"
 #include "policy/origin.h"
-#include "proxy/target.h"
+#include "policy/target.h"
 
 /* Number of incarnations of a daemon's target that are remembered to have left.
  */
@@ -68,6 +68,8 @@
  * @known_target: identifier of the last incarnation of a target that it has
  *                announced; kept while it knows none after a restart
  * @known_target_key: its key
+ * @serving_key: key of the incarnation of its target that last took work, 0 for
+ *               none since its start, or since one has left
  * @departed_keys: ring of keys of incarnations that have announced their leave,
  * 0 for none
  * @departed_next: index in @departed_keys of the next one to write
@@ -122,6 +124,7 @@
   uint32_t target_key;
   char known_target[JL_TEXT_SIZE];
   uint32_t known_target_key;
+  uint32_t serving_key;
   uint32_t departed_keys[JL_MEMBER_DEPARTED_MAX];
   unsigned departed_next;
   struct jl_endpoint peer;
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -84,7 +84,8 @@
          && !jl_endpoint_equal (endpoint, proxy->self->peer);
 }
 
-/* Adds a daemon that no beacon has announced yet. */
+/* Adds a daemon that no beacon has announced yet. A row of this daemon's name
+ * that is there before it is written is of an earlier one. */
 static void
 handle_daemon_row (struct jl_proxy *proxy, const struct jl_row *row)
 {
@@ -95,6 +96,8 @@
       = jl_json_text (jl_json_member (document, "zone"), JL_TEXT_SIZE - 1);
   struct jl_endpoint endpoint;
 
+  if (strcmp (row->key, proxy->options->name) == 0)
+    proxy->own_row_found = true;
   if (peer != NULL && zone != NULL && strlen (row->key) < JL_TEXT_SIZE
       && jl_endpoint_parse (peer, &endpoint)
       && is_of_other_daemon (proxy, endpoint))
@@ -323,6 +326,27 @@
   proxy->daemon_row_acknowledged = true;
 }
 
+/* Before this daemon's row was written for the first time, the store had none
+ * of its name: no earlier daemon has acknowledged a leave. */
+static void
+note_first_start (struct jl_proxy *proxy)
+{
+  if (proxy->daemon_row_acknowledged || proxy->own_row_found)
+    return;
+  proxy->target.recall.is_first = true;
+  jl_heartbeats_check_held (proxy);
+}
+
+static void
+on_row_read (void *context, const char *table)
+{
+  struct jl_proxy *proxy = context;
+
+  (void)table;
+  proxy->target.recall.row_read = true;
+  jl_heartbeats_check_held (proxy);
+}
+
 static void
 on_written (void *context, const char *table)
 {
@@ -331,6 +355,7 @@
   if (strcmp (table, DAEMON_TABLE) == 0)
     {
       proxy->refused_row_pending = false;
+      note_first_start (proxy);
       read_daemons_once (proxy);
     }
   if (strcmp (table, TARGET_TABLE) != 0)
@@ -532,6 +557,7 @@
   .reachable = on_reachability,
   .written = on_written,
   .confirmed = on_confirmed,
+  .row_read = on_row_read,
   .restored = on_restored,
 };
 
--- a/tests/proxy/identity.c
+++ b/tests/proxy/identity.c
@@ -320,22 +320,32 @@
   cr_expect_eq (rig.proxy->target.departed_revision, 0);
 }
 
-/* A daemon that has just started holds the first heartbeat of its target. */
+/* Sends a heartbeat that a daemon does not believe, as it was restarted. */
+static void
+held_heartbeat (struct rig *rig, const char *id, unsigned sequence)
+{
+  struct announced announced = own (rig, id, sequence);
+
+  cr_assert_eq (announce (rig, &announced), 503);
+  cr_assert (rig->proxy->target.is_held);
+}
+
+/* A daemon that was restarted holds the first heartbeat of its target. */
 Test (identity, a_strange_heartbeat_does_not_replace_a_held_one)
 {
   struct rig rig;
   struct announced strange;
 
   rig_prepare (&rig, 104);
+  rig.options.heartbeat_us = HEARTBEAT_MS * JL_USEC_PER_MSEC;
+  rig_put_own_row (&rig);
   rig_start_now (&rig);
-  heartbeat (&rig, "i-1", 1);
-  cr_assert (rig.proxy->heartbeat_held);
+  held_heartbeat (&rig, "i-1", 1);
   strange = own (&rig, "i-9", 1);
   strange.service = "other";
   cr_expect_eq (announce (&rig, &strange), 421);
-  rig.proxy->started_us -= 2 * JL_USEC_PER_SEC;
-  for (unsigned i = 0; i < 100 && rig.proxy->heartbeat_held; i++)
-    rig_run (&rig, 10);
+  rig_run (&rig, HEARTBEAT_MS);
+  heartbeat (&rig, "i-1", 2);
   expect_target (&rig, "i-1", JL_TARGET_UP);
 }
 
@@ -510,12 +520,14 @@
 
   rig_prepare (&rig, 111);
   write_settings (&rig, "front", rig.options.target);
+  rig_put_own_row (&rig);
   rig_start_now (&rig);
-  heartbeat (&rig, "i-1", 1);
-  cr_assert (rig.proxy->heartbeat_held);
+  held_heartbeat (&rig, "i-1", 1);
   write_settings (&rig, "back", rig.options.target);
   renew (&rig);
-  rig.proxy->started_us -= 2 * JL_USEC_PER_SEC;
+  cr_expect_not (rig.proxy->target.is_held);
+  rig.proxy->target.recall.is_first = true;
+  jl_heartbeats_check_held (rig.proxy);
   rig_run (&rig, 150);
   expect_target (&rig, "", JL_TARGET_NONE);
   end_with_settings (&rig);
--- a/tests/proxy/parts/rig.c
+++ b/tests/proxy/parts/rig.c
@@ -190,6 +190,12 @@
   g_free (body);
 }
 
+void
+rig_put_own_row (struct rig *rig)
+{
+  fake_store_put (&rig->store, "daemons", rig->options.name, "{}");
+}
+
 int
 rig_leave (struct rig *rig, const char *id)
 {
--- a/tests/proxy/parts/rig.h
+++ b/tests/proxy/parts/rig.h
@@ -102,6 +102,12 @@
                     unsigned born,
                     unsigned sequence);
 
+/**
+ * rig_put_own_row - lets the store have a row of the daemon, as if an earlier
+ * one of its name had run
+ */
+void rig_put_own_row (struct rig *rig);
+
 /**
  * rig_leave - sends a leave announcement of the target
  *
--- a/tests/proxy/restore.c
+++ b/tests/proxy/restore.c
@@ -19,6 +19,8 @@
 #define RESTORED_MS 2000
 /* Version of the store in the copy. */
 #define COPY_VERSION 2
+/* Interval of heartbeats. */
+#define INTERVAL_MS 300
 
 static void
 begin (struct rig *rig, unsigned host)
@@ -259,10 +261,10 @@
   rig_run (rig, 50);
 }
 
-/* Whether the daemon was told of a leave, with this key and this digest; 0 for
- * none. */
+/* Whether a daemon was told something of a target, with this key and this
+ * digest; 0 for none. */
 static bool
-is_told_of_departure (int fd, uint32_t target_key, uint64_t digest)
+is_told (int fd, enum jl_report_kind kind, uint32_t target_key, uint64_t digest)
 {
   char datagram[2048];
   bool told = false;
@@ -283,8 +285,8 @@
                                  ? report->contents.contents_val[0]
                                  : 0;
 
-          told |= report->kind == JL_REPORT_DEPARTED
-                  && report->target == target_key && content == digest;
+          told |= report->kind == kind && report->target == target_key
+                  && content == digest;
         }
       xdr_free ((xdrproc_t)xdr_beacon_reports, &message);
     }
@@ -308,7 +310,7 @@
   cr_assert_not_null (member);
   cr_assert_eq (member->state, JL_TARGET_LEAVING);
   send_beacon (&rig, fd, 2, 77, &none);
-  cr_assert (is_told_of_departure (fd, 77, 0));
+  cr_assert (is_told (fd, JL_REPORT_DEPARTED, 77, 0));
   cr_assert_eq (member->state, JL_TARGET_LEAVING);
   send_beacon (&rig, fd, 2, 78, &none);
   cr_assert_eq (member->state, JL_TARGET_UP, "another incarnation");
@@ -399,65 +401,171 @@
   rig_send_datagram (rig, fd, datagram, xdr_getpos (&xdr));
 }
 
-/* Starts a daemon whose target has lived before it, and applies the target's
- * first heartbeat. Returns a socket of the daemon "d6". */
+/* Sends a heartbeat of the target "i-1". Returns the status of the answer. */
+static unsigned
+send_heartbeat (struct rig *rig, unsigned born, unsigned sequence)
+{
+  char address[JL_ENDPOINT_TEXT_SIZE];
+  unsigned status = 0;
+  char *body;
+  int fd;
+
+  jl_endpoint_format (rig_at (rig, TARGET_PORT), address);
+  body = g_strdup_printf ("{\"service\":\"front\",\"address\":\"%s\","
+                          "\"slots\":10,\"state\":\"ready\","
+                          "\"sequence\":%u,\"born\":%u}",
+                          address, sequence, born);
+  fd = rig_announce (rig, "i-1", body);
+  rig_run (rig, 20);
+  sscanf (rig_received (fd), "HTTP/1.1 %u", &status);
+  close (fd);
+  g_free (body);
+  return status;
+}
+
+/* Starts a daemon whose target has lived before it and its predecessor, and
+ * sends the target's first heartbeat. Returns a socket of the daemon "d6". */
 static int
 begin_after_target (struct rig *rig, unsigned host)
 {
   rig_prepare (rig, host);
+  rig->options.heartbeat_us = INTERVAL_MS * JL_USEC_PER_MSEC;
+  rig_put_own_row (rig);
   rig_start_now (rig);
-  rig_heartbeat (rig, "i-1", 5, 1);
+  cr_assert_eq (send_heartbeat (rig, 5, 1), 503);
+  cr_assert_eq (rig->proxy->target.state, JL_TARGET_NONE);
   return rig_open_datagrams (rig, OTHER_PORT);
 }
 
+/* Tells the daemon of the target "i-1", that has begun at 5. */
+static void
+tell_of_target (struct rig *rig, int fd, enum jl_report_kind kind)
+{
+  struct beacon_report report = {
+    .kind = kind,
+    .target = jl_target_make_key (rig->proxy->target.name_key, "i-1", 5),
+  };
+
+  send_report (rig, fd, &report);
+}
+
 /* Guards against requests to a target that has left, from a daemon that has
- * just been restarted, reaches no store and has not heard the others yet. */
-Test (restore, a_daemon_hears_others_before_it_believes_its_target)
+ * just been restarted, also if another daemon has missed the leave. */
+Test (restore, a_target_of_which_others_know_that_it_left_is_never_used)
 {
-  struct jl_heartbeat heartbeat = { .id = "i-1", .started_ms = 5 };
-  struct jl_target before = { 0 };
-  struct beacon_report report = { .kind = JL_REPORT_DEPARTED };
   struct rig rig;
   int fd = begin_after_target (&rig, 62);
 
-  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
-  before.name_key = rig.proxy->target.name_key;
-  jl_target_apply_heartbeat (&before, &heartbeat, 1);
-  report.target = jl_target_key (&before);
-  send_report (&rig, fd, &report);
+  tell_of_target (&rig, fd, JL_REPORT_SERVING);
+  rig_run (&rig, 10);
+  tell_of_target (&rig, fd, JL_REPORT_DEPARTED);
   send_beacon (&rig, fd, 1, 77, &(struct beacon_notice){ 0 });
-  rig_heartbeat (&rig, "i-1", 5, 2);
-  rig_run (&rig, 100);
-  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
-  rig_heartbeat (&rig, "i-1", 6, 1);
+  for (unsigned i = 2; i < 5; i++)
+    {
+      send_heartbeat (&rig, 5, i);
+      rig_run (&rig, INTERVAL_MS);
+      cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
+    }
+  cr_assert_eq (send_heartbeat (&rig, 6, 1), 503);
+  rig_run (&rig, INTERVAL_MS);
+  cr_assert_eq (send_heartbeat (&rig, 6, 2), 200);
   cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP, "it is restarted");
   close (fd);
 }
 
-Test (restore, a_target_of_which_others_say_nothing_is_used_soon)
+Test (restore, a_target_that_another_daemon_vouches_for_is_used_soon)
 {
   struct rig rig;
   int fd = begin_after_target (&rig, 63);
 
   send_beacon (&rig, fd, 1, 77, &(struct beacon_notice){ 0 });
-  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
+  rig_run (&rig, 100);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE,
+                "others say nothing of it");
+  tell_of_target (&rig, fd, JL_REPORT_SERVING);
   rig_run (&rig, 100);
   cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP);
   close (fd);
 }
 
-Test (restore, a_daemon_that_hears_nobody_believes_its_target_after_some_time)
+/* Guards against a daemon that vouches for a target of which it has not heard
+ * until the other daemon's end. */
+Test (restore, daemons_vouch_for_the_target_of_one_that_is_restarted)
 {
+  static const struct beacon_notice none = { 0 };
   struct rig rig;
-  int fd = begin_after_target (&rig, 64);
+  struct jl_member *member;
+  int fd;
 
-  rig_run (&rig, 1000);
+  begin (&rig, 64);
+  fd = rig_open_datagrams (&rig, OTHER_PORT);
+  send_beacon (&rig, fd, 1, 77, &none);
+  send_beacon (&rig, fd, 2, 0, &none);
+  cr_assert (is_told (fd, JL_REPORT_SERVING, 77, 0));
+  send_beacon (&rig, fd, 3, 77, &none);
+  cr_assert_not (is_told (fd, JL_REPORT_SERVING, 77, 0),
+                 "the second one had no target");
+  member = g_hash_table_lookup (rig.proxy->roster.by_name, "d6");
+  member->last_beacon_us -= 3 * JL_USEC_PER_SEC;
+  send_beacon (&rig, fd, 4, 77, &none);
+  cr_assert_not (is_told (fd, JL_REPORT_SERVING, 77, 0),
+                 "it was not heard until its end");
+  close (fd);
+}
+
+/* Two late heartbeats may come together. */
+Test (restore, a_daemon_that_hears_nobody_believes_heartbeats_that_go_on)
+{
+  struct rig rig;
+  int fd = begin_after_target (&rig, 57);
+
+  cr_assert_eq (send_heartbeat (&rig, 5, 2), 503);
+  rig_run (&rig, 2000);
   cr_assert_eq (rig.proxy->target.state, JL_TARGET_NONE);
-  rig_run (&rig, 700);
+  cr_assert_eq (send_heartbeat (&rig, 5, 3), 200);
   cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP);
   close (fd);
 }
 
+Test (restore, the_first_daemon_of_its_name_believes_its_target_at_once)
+{
+  struct rig rig;
+
+  rig_prepare (&rig, 56);
+  rig_start_now (&rig);
+  cr_assert_eq (send_heartbeat (&rig, 5, 1), 200);
+  cr_assert_eq (rig.proxy->target.state, JL_TARGET_UP);
+}
+
+/* Guards against a target that gets requests after its leave was acknowledged
+ * while the store was away, since nobody remembers it: the daemon is killed,
+ * and a heartbeat that was sent before the leave arrives later. */
+Test (restore, a_leave_that_nobody_remembers_is_not_undone_by_a_late_heartbeat)
+{
+  struct rig rig;
+  struct rig next;
+  int leave;
+
+  rig_prepare (&rig, 55);
+  rig_start (&rig);
+  cr_assert_eq (send_heartbeat (&rig, 5, 1), 200);
+  rig.store.away = true;
+  leave = rig_leave (&rig, "i-1");
+  rig_run (&rig, 900);
+  cr_assert (g_str_has_prefix (rig_received (leave), "HTTP/1.1 200"));
+  close (leave);
+  rig_prepare (&next, 54);
+  next.options.heartbeat_us = INTERVAL_MS * JL_USEC_PER_MSEC;
+  rig_put_own_row (&next);
+  next.store.away = true;
+  rig_start (&next);
+  cr_assert_eq (send_heartbeat (&next, 5, 3), 503);
+  rig_run (&next, 1000);
+  next.store.away = false;
+  rig_run (&next, 2000);
+  cr_assert_eq (next.proxy->target.state, JL_TARGET_NONE);
+}
+
 Test (restore, a_target_that_is_younger_than_its_daemon_is_used_at_once)
 {
   struct rig rig;
@@ -494,7 +602,7 @@
   send_beacon (&rig, fd, 3, 77, &(struct beacon_notice){ 0 });
   member = g_hash_table_lookup (rig.proxy->roster.by_name, "d6");
   cr_assert_eq (member->state, JL_TARGET_LEAVING);
-  cr_assert (is_told_of_departure (fd, 77, 0));
+  cr_assert (is_told (fd, JL_REPORT_DEPARTED, 77, 0));
   close (fd);
 }
 
@@ -510,7 +618,7 @@
   leave = rig_leave (&rig, "i-1");
   while (rig_received (leave)[0] == '\0')
     rig_run (&rig, 1);
-  cr_assert (is_told_of_departure (fd, 0, XXH64 ("i-1", 3, 0)));
+  cr_assert (is_told (fd, JL_REPORT_DEPARTED, 0, XXH64 ("i-1", 3, 0)));
   close (fd);
 }
 
--- a/tests/proxy/target.c
+++ b/tests/proxy/target.c
@@ -4,7 +4,7 @@
 
 #include <criterion/criterion.h>
 
-#include "proxy/target.h"
+#include "policy/target.h"
 
 static struct jl_heartbeat
 heartbeat (const char *id,
@@ -152,9 +152,10 @@
   apply (&before, heartbeat ("a", 5, 3, true));
   cr_assert_eq (before.departed_revision, 1);
   apply (&before, heartbeat ("a", 5, 4, true));
-  cr_assert (jl_target_mark_departed (&before, "a", 0, 9));
   cr_assert_eq (before.departed_revision, 1,
                 "the incarnation is recorded once");
+  cr_assert (jl_target_mark_departed (&before, "a", 0, 9));
+  cr_assert_eq (before.departed[1].id[0], '\0', "and in one place");
   cr_assert_not (
       jl_target_restore_departed (&restored_first, &before.departed[0]));
   cr_assert_not (apply (&restored_first, heartbeat ("a", 5, 2, false)));
@@ -163,7 +164,9 @@
   cr_assert (
       jl_target_restore_departed (&heartbeat_first, &before.departed[0]));
   cr_assert_eq (heartbeat_first.state, JL_TARGET_LEAVING);
-  cr_assert (apply (&heartbeat_first, heartbeat ("a", 6, 1, false)),
+  cr_assert_not (apply (&heartbeat_first, heartbeat ("a", 9, 1, false)),
+                 "it began before the leave that names no start");
+  cr_assert (apply (&heartbeat_first, heartbeat ("a", 10, 1, false)),
              "a new incarnation");
   cr_assert_eq (heartbeat_first.state, JL_TARGET_UP);
 }
