Read nothing of a request that a guard has refused

Cause: jl_trial_hold_work() read the request's header after decide_work(), which may refuse the request and free it: a trial that its entry has begun and that reaches a guard without a target, or one that is stopping. With another byte in its place the guard would have gone on with freed memory.

Change: what is needed is read before. The check unit-sanitized plays the tests of trials too.

--- a/source/proxy/trial.c
+++ b/source/proxy/trial.c
@@ -296,6 +296,7 @@
 jl_trial_hold_work (struct jl_work *work)
 {
   bool has_to_wait = has_to_be_known (work->proxy, &work->content);
+  bool is_trial = work->header.trial;
 
   if (has_to_wait)
     {
@@ -303,9 +304,10 @@
       jl_timer_start (work->proxy->loop->timers, &work->timer,
                       work->item.expires_us, on_work_timer, work);
     }
-  else if (work->header.trial)
+  else if (is_trial)
+    /* This may refuse the work, which frees it. */
     decide_work (work);
-  return has_to_wait || work->header.trial;
+  return has_to_wait || is_trial;
 }
 
 void
--- a/tests/proxy/trial.c
+++ b/tests/proxy/trial.c
@@ -294,3 +294,23 @@
   cr_assert_not_null (strstr (answer, JL_REASON_FIELD ": poison"), "%s",
                       answer);
 }
+
+/* Guards against a guard that reads a request after it has refused and freed
+ * it; AddressSanitizer tells (tests/checks/unit-sanitized). The guard knows
+ * nothing of the content, and has no target. */
+Test (trial, a_trial_of_an_entry_that_a_guard_refuses_is_not_used_again)
+{
+  struct rig rig;
+  struct peer peer;
+  const char *answer;
+  int fd;
+
+  begin (&rig, &peer, 36);
+  fd = rig_send_request (&rig, PEER_PORT,
+                         "GET /x HTTP/1.1\r\n" WORK_FIELDS
+                         ": front 1 700 300 00000001 1 1\r\n\r\n");
+  rig_run (&rig, 50);
+  answer = rig_received (fd);
+  cr_assert_not_null (strstr (answer, JL_REASON_FIELD ": no-target"), "%s",
+                      answer);
+}
