--- a/source/policy/target.c
+++ b/source/policy/target.c
@@ -310,9 +310,9 @@
 
 /* Makes a heartbeat that is neither stale nor held the last one. */
 static bool
-accept (struct jl_target *target,
-        const struct jl_heartbeat *heartbeat,
-        uint64_t now_us)
+make_last (struct jl_target *target,
+           const struct jl_heartbeat *heartbeat,
+           uint64_t now_us)
 {
   enum jl_target_state before = target->state;
   bool new_incarnation;
@@ -351,7 +351,7 @@
   if (!is_proven (target, heartbeat, now_us)
       && !hold (target, heartbeat, now_us))
     return false;
-  return accept (target, heartbeat, now_us);
+  return make_last (target, heartbeat, now_us);
 }
 
 bool
@@ -362,7 +362,7 @@
   if (!target->is_held || !is_proven (target, &held, now_us))
     return false;
   target->is_held = false;
-  return !is_stale (target, &held) && accept (target, &held, now_us);
+  return !is_stale (target, &held) && make_last (target, &held, now_us);
 }
 
 uint32_t
