Review: uploads whose clients have left reach the server later

A guard does not read while a body of more than 64 KB waits in its queue (source/proxy/guard.c), so it does not learn that the entry has closed the connection, and sends the request to the server when its turn comes.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
