--- a/review/12/case.py
+++ b/review/12/case.py
@@ -19,9 +19,9 @@
 
 def site(folder):
     site = kit.Site(folder, ["derby-hall", "lichfield-hall"])
-    site.old = site.add("listings-1", "derby-hall", "listings", heartbeat_s=1.5)
+    site.old = site.add("listings-1", "derby-hall", "listings", heartbeat_s=1.5, work_s=0.1)
     for i, zone in enumerate(["derby-hall", "lichfield-hall", "lichfield-hall"]):
-        site.add(f"listings-{i + 2}", zone, "listings", heartbeat_s=1.5)
+        site.add(f"listings-{i + 2}", zone, "listings", heartbeat_s=1.5, work_s=0.1)
     return site
 
 
@@ -51,6 +51,7 @@
     late.append(server.document("ready"))
     await asyncio.sleep(0.1)
     status = 0
+    server.leaves = True
     while status != 200:
         status = await server.tell("DELETE", None)
     acknowledged = time.monotonic()
@@ -68,10 +69,11 @@
     if kit.trouble():
         site.store.set_down(False)
     stable_at = time.monotonic()
-    # All machines are in touch from here on.
+    # All machines are in touch from here on. Clients were quiet since the kill.
     judged_from = max(stable_at, back_at) + CONTACT_S + 0.1
+    await asyncio.sleep(judged_from - time.monotonic())
     while time.monotonic() < acknowledged + SERVES_S:
-        await asyncio.gather(*[read(daemon) for daemon in site.daemons])
+        await asyncio.gather(*[read(daemon) for daemon in site.daemons for _ in range(4)])
         await asyncio.sleep(0.2)
     broken = [run for run in site.runs if run[1] is server and run[0] > acknowledged + DRAIN_S
               and run[0] > judged_from]
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,13 +10,13 @@
 import cut  # noqa: E402
 import kit  # noqa: E402
 
-RATE = BURST = 60
+RATE = BURST = 30
 WINDOW_S, OVER, SLACK = 5.0, 0.1, 20
 CUT_S = 5.5
 # Time for which the draining servers go on.
 DRAINS_S = 10.0
-# Requests a second that the tenant sends on each machine.
-PRESS = 40
+# Requests a second that the tenant sends on the machine that is cut off, and on each other one.
+PRESS_CUT, PRESS = 24, 12
 FEATURES = ("base", "drain", "config", "cost", "retry", "recover", "health", "pool", "pressure", "tenants", "quota",
             "platform")
 KEY = "rcpihhacruddedev3nax"
@@ -39,15 +39,16 @@
     return most
 
 
-async def press(site, daemon, until):
+async def press(site, daemon, per_s, until):
     fields = {"Authorization": f"Bearer {KEY}"}
     while time.monotonic() < until:
         asyncio.create_task(site.request(daemon, "GET", "/report/1", b"", 3000, fields))
-        await asyncio.sleep(1 / PRESS)
+        await asyncio.sleep(1 / per_s)
 
 
 async def drain(server):
     server.beating.cancel()
+    server.leaves = True
     while await server.tell("PUT", server.document("draining")) != 200:
         await asyncio.sleep(0.1)
     server.record.say(f"the draining of {server.id} beside {server.daemon.name} is acknowledged")
@@ -70,9 +71,10 @@
     await asyncio.sleep(4)
     began = time.monotonic()
     until = began + 4 + DRAINS_S
-    pressing = [asyncio.create_task(press(site, daemon, until)) for daemon in site.daemons]
-    await asyncio.sleep(4)
     first, second, third = site.daemons[:3]
+    pressing = [asyncio.create_task(press(site, daemon, PRESS_CUT if daemon is third else PRESS, until))
+                for daemon in site.daemons]
+    await asyncio.sleep(4)
     await asyncio.gather(drain(first.server), drain(second.server))
     draining = [asyncio.create_task(keep_draining(daemon.server, until)) for daemon in (first, second)]
     await asyncio.sleep(0.5)
--- a/review/stand-3/kit.py
+++ b/review/stand-3/kit.py
@@ -94,13 +94,19 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+GIVEN = set()
+
+
 def free_port(host, datagrams=False):
-    """Returns a port of the address that is free for TCP, and for UDP if datagrams."""
+    """Returns a port of the address that is free for TCP, and for UDP if datagrams; each one once."""
     while True:
         with contextlib.ExitStack() as stack:
             stream = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             stream.bind((host, 0))
             port = stream.getsockname()[1]
+            if (host, port) in GIVEN:
+                continue
+            GIVEN.add((host, port))
             if not datagrams:
                 return port
             datagram = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
@@ -228,6 +234,7 @@
     slots requests run at once, each for work_s; some more wait; beyond these it rejects.
     hangs: a function that says whether a request is one that it never answers.
     window: bytes that its connections hold unread, None for what the system does.
+    leaves: it says in all its answers that it leaves.
     """
 
     def __init__(self, daemon, slots=16, work_s=0.05, heartbeat_s=0.5, window=None):
@@ -240,6 +247,7 @@
         self.beats = True
         self.writers = set()
         self.hung = 0
+        self.leaves = False
 
     async def start(self):
         self.id = f"i-{RUN}-{next(IDS)}"
@@ -326,6 +334,8 @@
                 await asyncio.sleep(self.work_s)
         finally:
             self.waiting -= 1
+        if self.leaves:
+            echo["Server-Leaving"] = "1"
         writer.write(encode("HTTP/1.1 200 OK", {**echo, "X-Jackdawladder-Server-Seal": f"{self.id}.{number}"},
                             f"{number} by {self.id}".encode()))
         await writer.drain()
@@ -432,7 +442,7 @@
         for daemon in self.daemons:
             await daemon.start()
             await daemon.server.start()
-        until = time.monotonic() + 15
+        until = time.monotonic() + 25
         while not all([await daemon.is_ready() for daemon in self.daemons]):
             if time.monotonic() > until:
                 raise RuntimeError("the daemons do not get ready")
@@ -470,7 +480,8 @@
                           f"{began - self.record.began:.3f}: {status}{text}")
         return status, began, number
 
-    async def stop(self):
+    async def stop(self, spared=()):
+        """Ends all processes and tasks but the one that calls it, and the spared ones."""
         if self.ended is not None:
             self.ended.set()
         for daemon in self.daemons:
@@ -479,7 +490,7 @@
                     daemon.process.send_signal(signal.SIGCONT)
                     daemon.process.kill()
                 await daemon.process.wait()
-        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        for task in asyncio.all_tasks() - {asyncio.current_task(), *spared}:
             task.cancel()
         if os.environ.get("KEEP"):
             shutil.copytree(self.folder, os.environ["KEEP"], dirs_exist_ok=True)
@@ -509,25 +520,30 @@
 
 def play(case, folder):
     """Runs a case, a coroutine function that returns whether the rule held; exits as run.sh has to."""
-    async def run():
+    async def run(caller):
         site = None
         try:
             site = case.site(folder)
             return 0 if await asyncio.wait_for(case.play(site), 110) else 1
-        except Exception as error:  # noqa: BLE001
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
             print(f"could not run: {error!r}", flush=True)
             if site is not None:
                 site.record.write(f"could not run: {error!r}")
             return 2
         finally:
             if site is not None:
-                await site.stop()
+                await site.stop({caller})
 
     def ignore(loop, context):
         del loop, context
 
     async def main():
-        asyncio.get_running_loop().set_exception_handler(ignore)
-        return await run()
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(ignore)
+        # A script that is ended by a signal ends all processes that it has started.
+        running = asyncio.create_task(run(asyncio.current_task()))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, running.cancel)
+        return await running
 
     sys.exit(asyncio.run(main()))
