Leave: acknowledge it only when a kill of all daemons cannot forget it

Cause: the 200 was given after 0.3 s although the store had no row of the leave (E723 written=0), so only the memory of daemons knew it; and heartbeats that go on counted as proof of life, though late ones go on, too.

Change: policy/leave-ack decides the answer. The leave is in force and told at once; 200 needs the row, or 15 s since the leave, after which no earlier heartbeat can arrive; else 503 after 0.8 s. policy/recall counts heartbeats that go on only once the store, or another daemon, has spoken of the time before the start. After a kill of all without the store nobody has a configuration either.

--- a/source/base/record.c
+++ b/source/base/record.c
@@ -39,7 +39,7 @@
   { JL_RECORD_TARGET_REFUSED, "target refused" },
   { JL_RECORD_TARGET_CHANGED, "own target" },
   { JL_RECORD_TARGET_HEARTBEAT_REFUSED, "heartbeat refused" },
-  { JL_RECORD_LEAVING_ACKNOWLEDGED, "leaving acknowledged" },
+  { JL_RECORD_LEAVING_ACKNOWLEDGED, "leave answered" },
   { JL_RECORD_TARGET_ENDED, "target ended" },
   { JL_RECORD_TARGET_HELD, "own target held" },
   { JL_RECORD_TARGET_LIMIT, "target limit" },
--- a/source/policy/recall.c
+++ b/source/policy/recall.c
@@ -4,11 +4,6 @@
 
 #include "policy/recall.h"
 
-#include "jackdawladder/base.h"
-
-/* Time by which a heartbeat may be late. One that comes later after the start
- * was sent after it. */
-#define LATE_MAX_US (15 * JL_USEC_PER_SEC)
 /* Time after a heartbeat within which another one may have come together with
  * it. A target that lives answers a refusal with the next heartbeat later. */
 #define TOGETHER_US (200 * JL_USEC_PER_MSEC)
@@ -49,7 +44,7 @@
                      uint64_t now_us)
 {
   return recall->is_first || started_ms >= recall->started_ms
-         || now_us >= recall->started_us + LATE_MAX_US
+         || now_us >= recall->started_us + JL_HEARTBEAT_LATE_MAX_US
          || (recall->row_read && is_vouched (recall, key)
              && now_us >= recall->vouched_us + WORD_WAIT_US);
 }
@@ -60,6 +55,8 @@
                  uint64_t sequence,
                  uint64_t now_us)
 {
+  if (!recall->row_read && recall->vouched_us == 0)
+    return false;
   if (recall->candidate != key)
     {
       recall->candidate = key;
--- a/source/policy/recall.h
+++ b/source/policy/recall.h
@@ -5,10 +5,9 @@
  * DOC: Whether a daemon that was started believes a heartbeat of its target.
  *
  * A daemon keeps nothing beyond its own life. The leaves that an earlier one
- * has acknowledged are known from the store, and from other daemons. One that
- * was acknowledged while the store could not be reached is known to other
- * daemons alone, and to nobody if these were restarted too. As a heartbeat may
- * be late, a single one does not show that the target has not left.
+ * has acknowledged are known from the store (policy/leave-ack.h), and from
+ * other daemons unless these were restarted too. As heartbeats may be late,
+ * they do not show by themselves that the target has not left.
  *
  * So, for some time after its start, a daemon believes the heartbeats of an
  * incarnation that may be older than itself only if
@@ -17,12 +16,14 @@
  * - or another daemon, which has heard of the earlier one until its end, says
  *   that this incarnation took work then, and the store has told which ones
  *   have left;
- * - or the heartbeats go on.
+ * - or the heartbeats go on after the store has told which ones have left, or
+ *   after another daemon has said which incarnation took work.
  */
 
-#include <stdbool.h>
-#include <stdint.h>
+#include "jackdawladder/base.h"
 
+/* Time by which a heartbeat may be late. */
+#define JL_HEARTBEAT_LATE_MAX_US (15 * JL_USEC_PER_SEC)
 /* Number of incarnations of which others have said that they took work. */
 #define JL_RECALL_VOUCHED_MAX 4
 
@@ -84,7 +85,8 @@
  * @sequence: sequence number of the heartbeat
  *
  * Several late ones may come together, so those that follow the first one at
- * once do not count.
+ * once do not count. Neither do those that come while neither the store nor
+ * another daemon has said anything of the time before the start.
  *
  * Return: whether the heartbeats go on.
  */
--- a/source/proxy/heartbeats.c
+++ b/source/proxy/heartbeats.c
@@ -24,15 +24,15 @@
 /* Status of the response to a heartbeat of another target. */
 #define STATUS_MISDIRECTED 421
 /* Status of the response to a heartbeat that is not believed yet: a target that
- * lives sends the next one soon. */
+ * lives sends the next one soon. Also that of the response to a leave that the
+ * store has not recorded. */
 #define STATUS_UNAVAILABLE 503
-/* Maximum time for which the response to a leave announcement waits for the
- * store and for other daemons. The target expects the response within a second
- * and otherwise asks another daemon. */
-#define LEAVE_ACK_TIMEOUT_US (300 * JL_USEC_PER_MSEC)
+/* Maximum time for which the response to a leave announcement waits for other
+ * daemons. */
+#define TELL_TIMEOUT_US (300 * JL_USEC_PER_MSEC)
 /* The same for a daemon that has just been started: it needs more time to hear
  * others. */
-#define LEAVE_ACK_START_TIMEOUT_US (700 * JL_USEC_PER_MSEC)
+#define TELL_START_TIMEOUT_US (700 * JL_USEC_PER_MSEC)
 /* Period of checks whether a leave announcement can be answered. */
 #define LEAVE_CHECK_PERIOD_US (10 * JL_USEC_PER_MSEC)
 
@@ -66,36 +66,54 @@
     jl_beacon_send_now (proxy->beacon);
 }
 
-/* Whether a leave is known to others that outlive this daemon: to the store,
- * and to other daemons in case the store loses it. */
-static bool
-is_leave_known (const struct jl_proxy *proxy)
+static enum jl_leave_answer
+leave_answer (const struct jl_proxy *proxy, struct jl_request *request)
 {
-  return proxy->departed_row_acknowledged && jl_proxy_has_heard_others (proxy);
+  struct jl_leave_progress progress = {
+    .written = proxy->departed_row_acknowledged,
+    .told = jl_proxy_has_heard_others (proxy),
+    .asked_us = proxy->leave_asked_us,
+    .tell_timeout_us = proxy->leave_tell_timeout_us,
+  };
+
+  return jl_leave_ack_decide (&proxy->leave_ack, announced_id (request),
+                              &progress, jl_now ());
 }
 
-/* Responds to the pending leave announcements. A later incarnation of this
- * daemon knows that the target has left only if the row was written. */
-static void
-acknowledge_leave (struct jl_proxy *proxy)
+/* Answers a leave announcement if that can be decided. Returns whether it was.
+ */
+static bool
+answer_leave (struct jl_proxy *proxy, struct jl_request *request)
 {
-  jl_timer_stop (proxy->loop->timers, &proxy->leave_timer);
-  for (guint i = 0; i < proxy->leave_requests->len; i++)
-    {
-      tell_leave (proxy, g_ptr_array_index (proxy->leave_requests, i));
-      respond_json (g_ptr_array_index (proxy->leave_requests, i), 200);
-    }
-  jl_record (JL_RECORD_CHANGE, JL_RECORD_LEAVING_ACKNOWLEDGED,
-             "target=%s written=%d heartbeats=%u", proxy->target.last.id,
-             proxy->departed_row_acknowledged, proxy->leave_requests->len);
-  g_ptr_array_set_size (proxy->leave_requests, 0);
+  enum jl_leave_answer answer = leave_answer (proxy, request);
+  bool acknowledged = answer == JL_LEAVE_ACKNOWLEDGED;
+
+  if (answer == JL_LEAVE_PENDING)
+    return false;
+  tell_leave (proxy, request);
+  jl_record (acknowledged ? JL_RECORD_CHANGE : JL_RECORD_FAILURE,
+             JL_RECORD_LEAVING_ACKNOWLEDGED,
+             "target=%s acknowledged=%d written=%d waited_ms=%" PRIu64,
+             announced_id (request), acknowledged,
+             proxy->departed_row_acknowledged,
+             (jl_now () - proxy->leave_asked_us) / JL_USEC_PER_MSEC);
+  respond_json (request, acknowledged ? 200 : STATUS_UNAVAILABLE);
+  return true;
 }
 
 void
-jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy)
+jl_heartbeats_answer_leaves (struct jl_proxy *proxy)
 {
-  if (proxy->leave_requests->len > 0 && is_leave_known (proxy))
-    acknowledge_leave (proxy);
+  for (guint i = proxy->leave_requests->len; i-- > 0;)
+    {
+      struct jl_request *request
+          = g_ptr_array_steal_index (proxy->leave_requests, i);
+
+      if (!answer_leave (proxy, request))
+        g_ptr_array_insert (proxy->leave_requests, (gint)i, request);
+    }
+  if (proxy->leave_requests->len == 0)
+    jl_timer_stop (proxy->loop->timers, &proxy->leave_timer);
 }
 
 static void
@@ -103,36 +121,36 @@
 {
   struct jl_proxy *proxy = context;
 
-  if (is_leave_known (proxy) || jl_now () >= proxy->leave_until_us)
-    acknowledge_leave (proxy);
-  else
+  jl_heartbeats_answer_leaves (proxy);
+  if (proxy->leave_requests->len > 0)
     jl_loop_start_timer (proxy->loop, timer, LEAVE_CHECK_PERIOD_US,
                          on_leave_timer, proxy);
 }
 
-/* Responds to a leave announcement once it is known to others, or after a
- * timeout. */
+/* Responds to a leave announcement once the leave is final, or after a timeout.
+ * The leave is in force at once. */
 static void
 respond_to_leave (struct jl_proxy *proxy, struct jl_request *request)
 {
+  jl_leave_ack_note (&proxy->leave_ack, announced_id (request), jl_now ());
   jl_rows_write_departed (proxy);
-  if (is_leave_known (proxy))
+  if (proxy->target.state == JL_TARGET_NONE)
+    tell_leave (proxy, request);
+  if (proxy->leave_requests->len == 0)
+    {
+      proxy->leave_asked_us = jl_now ();
+      proxy->leave_tell_timeout_us = jl_proxy_has_heard_others (proxy)
+                                         ? TELL_TIMEOUT_US
+                                         : TELL_START_TIMEOUT_US;
+    }
+  if (leave_answer (proxy, request) == JL_LEAVE_ACKNOWLEDGED)
     {
-      /* Beacons have told it already, unless there was no heartbeat. */
-      if (proxy->target.state == JL_TARGET_NONE)
-        tell_leave (proxy, request);
       respond_json (request, 200);
       return;
     }
   if (proxy->leave_requests->len == 0)
-    {
-      proxy->leave_until_us
-          = jl_now ()
-            + (jl_proxy_has_heard_others (proxy) ? LEAVE_ACK_TIMEOUT_US
-                                                 : LEAVE_ACK_START_TIMEOUT_US);
-      jl_loop_start_timer (proxy->loop, &proxy->leave_timer,
-                           LEAVE_CHECK_PERIOD_US, on_leave_timer, proxy);
-    }
+    jl_loop_start_timer (proxy->loop, &proxy->leave_timer,
+                         LEAVE_CHECK_PERIOD_US, on_leave_timer, proxy);
   g_ptr_array_add (proxy->leave_requests, request);
 }
 
@@ -160,13 +178,22 @@
              proxy->site != NULL ? proxy->site->version : 0);
 }
 
+/* Whether a heartbeat of the same incarnation is held. */
+static bool
+is_incarnation_held (const struct jl_target *target,
+                     const struct jl_heartbeat *heartbeat)
+{
+  return target->is_held && target->held.started_ms == heartbeat->started_ms
+         && strcmp (target->held.id, heartbeat->id) == 0;
+}
+
 static void
 apply_heartbeat (struct jl_proxy *proxy, const struct jl_heartbeat *heartbeat)
 {
   struct jl_target *target = &proxy->target;
   uint64_t up_since_us = target->up_since_us;
   unsigned reinstated = target->reinstated;
-  uint32_t candidate = target->recall.candidate;
+  bool was_held = is_incarnation_held (target, heartbeat);
   bool changed;
 
   if (jl_target_is_replaced_by (target, heartbeat))
@@ -178,7 +205,9 @@
     jl_proxy_target_changed (proxy, "heartbeat");
   if (target->up_since_us != up_since_us)
     jl_watch_begin (proxy->watch);
-  if (target->is_held && target->recall.candidate != candidate)
+  if (target->state == JL_TARGET_UP)
+    jl_leave_ack_forget (&proxy->leave_ack, target->last.id);
+  if (!was_held && is_incarnation_held (target, heartbeat))
     log_held (proxy);
 }
 
@@ -309,9 +338,8 @@
 {
   const struct jl_target *target = &proxy->target;
 
-  return target->is_held && target->held.sequence == heartbeat->sequence
-         && target->held.started_ms == heartbeat->started_ms
-         && strcmp (target->held.id, heartbeat->id) == 0;
+  return is_incarnation_held (target, heartbeat)
+         && target->held.sequence == heartbeat->sequence;
 }
 
 static void
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -18,6 +18,7 @@
 #include "policy/fair-share.h"
 #include "policy/hold-time.h"
 #include "policy/lane.h"
+#include "policy/leave-ack.h"
 #include "policy/lineage.h"
 #include "policy/load-shedder.h"
 #include "policy/suspect.h"
@@ -217,9 +218,10 @@
  * @spills: shares of routes that go to other zones, NULL before the first
  * @calls: requests in progress at the entry, of struct jl_call
  * @work_items: requests in progress at the guard, of struct jl_work
- * @leave_requests: leave announcements of the target, answered once the store
- *                  has acknowledged the row that records them
- * @leave_until_us: time at which the announcements are answered in any case
+ * @leave_requests: leave announcements of the target that wait for their answer
+ * @leave_asked_us: time of the first of them
+ * @leave_tell_timeout_us: time for which their answers wait for other daemons
+ * @leave_ack: the leave that was announced last
  * @held_timer: checks whether a held heartbeat is believed
  * @departed_revision_sent: value of the target's departed_revision that was
  *                          last handed to the store client
@@ -306,7 +308,9 @@
   struct jl_timer stop_timer;
   struct jl_timer reload_timer;
   struct jl_timer leave_timer;
-  uint64_t leave_until_us;
+  uint64_t leave_asked_us;
+  uint64_t leave_tell_timeout_us;
+  struct jl_leave_ack leave_ack;
   GPtrArray *leave_requests;
   struct jl_timer held_timer;
   unsigned departed_revision_sent;
@@ -492,11 +496,10 @@
 extern const struct jl_handler jl_announce_handler;
 
 /**
- * jl_heartbeats_acknowledge_leave - responds to the pending leave
- * announcements; called when the store has acknowledged the row that records
- * them
+ * jl_heartbeats_answer_leaves - responds to those pending leave announcements
+ * whose answer is decided
  */
-void jl_heartbeats_acknowledge_leave (struct jl_proxy *proxy);
+void jl_heartbeats_answer_leaves (struct jl_proxy *proxy);
 
 /**
  * jl_heartbeats_note_leave - records a leave that the target with this
--- a/source/proxy/rows.c
+++ b/source/proxy/rows.c
@@ -361,7 +361,7 @@
   if (strcmp (table, TARGET_TABLE) != 0)
     return;
   proxy->departed_row_acknowledged = true;
-  jl_heartbeats_acknowledge_leave (proxy);
+  jl_heartbeats_answer_leaves (proxy);
 }
 
 static void
