--- a/source/policy/quota-bucket.c
+++ b/source/policy/quota-bucket.c
@@ -70,6 +70,19 @@
   return cap;
 }
 
+struct jl_quota_cap
+jl_quota_cap_part (const struct jl_quota_cap *cap, double part)
+{
+  struct jl_quota_cap scaled = {
+    .rate = part * cap->rate,
+    .depth = part * cap->depth,
+    .window_us = cap->window_us,
+    .window = part * cap->window,
+  };
+
+  return scaled;
+}
+
 /* Moves the ring on to the current slot. */
 static void
 advance (struct jl_quota_bucket *bucket,
--- a/source/policy/quota-bucket.h
+++ b/source/policy/quota-bucket.h
@@ -94,6 +94,12 @@
                    double share,
                    unsigned zone_count);
 
+/**
+ * jl_quota_cap_part - returns a part, from 0 to 1, of a cap
+ */
+struct jl_quota_cap jl_quota_cap_part (const struct jl_quota_cap *cap,
+                                       double part);
+
 /**
  * jl_quota_bucket_update - adds the tokens that are due at @now_us
  *
--- a/source/policy/quota-issuer.c
+++ b/source/policy/quota-issuer.c
@@ -44,52 +44,49 @@
 jl_quota_issuer_support (struct jl_quota_issuer *issuer,
                          uint32_t daemon,
                          uint64_t stamp_us,
+                         const struct jl_quota_quorum *quorum,
+                         struct jl_quota_list_id list,
                          uint64_t now_us)
 {
   uint64_t until_us = stamp_us + JL_QUOTA_SUPPORT_US;
-  uint64_t *known
+  struct jl_quota_supporter *known
       = g_hash_table_lookup (issuer->supporters, GUINT_TO_POINTER (daemon));
 
-  if (stamp_us > now_us || until_us <= now_us)
+  if (stamp_us > now_us || until_us <= now_us || list.version == 0
+      || list.version > quorum->id.version
+      || (list.version == quorum->id.version && list.tag != quorum->id.tag))
     return;
   if (known == NULL)
     {
-      known = g_new0 (uint64_t, 1);
+      known = g_new0 (struct jl_quota_supporter, 1);
       g_hash_table_insert (issuer->supporters, GUINT_TO_POINTER (daemon),
                            known);
     }
-  *known = MAX (*known, until_us);
+  known->until_us = MAX (known->until_us, until_us);
+  known->list = list;
 }
 
-/* Drops the support that has ended, and returns the number of supporters.
- * @lost: receives the number of daemons that have not left and whose support
- *        has ended */
+/* Drops the support that has ended. Returns the number of daemons that have not
+ * left and whose support has ended. */
 static unsigned
-count_supporters (struct jl_quota_issuer *issuer,
-                  bool (*counts) (const void *context, uint32_t key),
-                  const void *context,
-                  uint64_t now_us,
-                  unsigned *lost)
+drop_supporters (struct jl_quota_issuer *issuer,
+                 const struct jl_quota_zone *zone,
+                 uint64_t now_us)
 {
   GHashTableIter iterator;
   gpointer key;
   gpointer value;
-  unsigned count = 0;
+  unsigned lost = 0;
 
   g_hash_table_iter_init (&iterator, issuer->supporters);
   while (g_hash_table_iter_next (&iterator, &key, &value))
     {
-      bool counted = counts (context, GPOINTER_TO_UINT (key));
-
-      if (*(const uint64_t *)value > now_us)
-        count += counted;
-      else
-        {
-          *lost += counted;
-          g_hash_table_iter_remove (&iterator);
-        }
+      if (((const struct jl_quota_supporter *)value)->until_us > now_us)
+        continue;
+      lost += zone->counts (zone->context, GPOINTER_TO_UINT (key));
+      g_hash_table_iter_remove (&iterator);
     }
-  return count;
+  return lost;
 }
 
 /* Withholds the tokens in place of which @lost of @known_count daemons may have
@@ -112,17 +109,86 @@
     }
 }
 
+/* Sets the part that is issued. The buckets gain no tokens by a larger one. */
+static void
+set_part (struct jl_quota_issuer *issuer, double part)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  double ratio = part > 0 ? issuer->part / part : 1;
+
+  issuer->part = part;
+  if (ratio >= 1)
+    return;
+  g_hash_table_iter_init (&iterator, issuer->customers);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct jl_quota_bucket *bucket
+          = &((struct jl_quota_account *)value)->bucket;
+
+      if (bucket->fraction > 0)
+        bucket->fraction *= ratio;
+    }
+}
+
+/**
+ * struct supporters - the supporters under a list, for policy/quota-quorum.h
+ */
+struct supporters
+{
+  const struct jl_quota_issuer *issuer;
+  const struct jl_quota_quorum *quorum;
+};
+
+static bool
+supports (const void *context, uint32_t key, bool adopted)
+{
+  const struct supporters *supporters = context;
+  const struct jl_quota_supporter *supporter = g_hash_table_lookup (
+      supporters->issuer->supporters, GUINT_TO_POINTER (key));
+
+  return supporter != NULL
+         && (!adopted
+             || jl_quota_list_id_equal (supporter->list,
+                                        supporters->quorum->id));
+}
+
+bool
+jl_quota_issuer_next_list (const struct jl_quota_issuer *issuer,
+                           struct jl_quota_quorum *quorum,
+                           const uint32_t *here,
+                           unsigned here_count,
+                           unsigned known_count,
+                           uint64_t now_us,
+                           struct jl_quota_members *next)
+{
+  const struct supporters supporters = { issuer, quorum };
+  const struct jl_quota_support support = { supports, &supporters };
+
+  return jl_quota_quorum_next (quorum, &support, here, here_count, known_count,
+                               now_us, next);
+}
+
+uint64_t
+jl_quota_issuer_confirm_due_us (const struct jl_quota_issuer *issuer,
+                                const struct jl_quota_quorum *quorum)
+{
+  const struct supporters supporters = { issuer, quorum };
+  const struct jl_quota_support support = { supports, &supporters };
+
+  return jl_quota_quorum_confirm_due_us (quorum, &support);
+}
+
 bool
 jl_quota_issuer_update (struct jl_quota_issuer *issuer,
-                        unsigned known_count,
-                        bool (*counts) (const void *context, uint32_t key),
-                        const void *context,
+                        const struct jl_quota_zone *zone,
                         uint64_t now_us)
 {
-  unsigned lost = 0;
-  unsigned supporters
-      = count_supporters (issuer, counts, context, now_us, &lost);
-  bool active = 2 * supporters > known_count;
+  unsigned lost = drop_supporters (issuer, zone, now_us);
+  const struct supporters supporters = { issuer, zone->quorum };
+  const struct jl_quota_support support = { supports, &supporters };
+  double part = jl_quota_quorum_part (zone->quorum, &support, now_us);
+  bool active = part > 0;
 
   if (active && !issuer->active)
     {
@@ -131,7 +197,8 @@
       g_hash_table_remove_all (issuer->customers);
     }
   else if (active && lost > 0)
-    withhold (issuer, lost, known_count);
+    withhold (issuer, lost, MAX (zone->known_count, lost));
+  set_part (issuer, part);
   issuer->active = active;
   return active;
 }
@@ -140,6 +207,7 @@
 jl_quota_issuer_resign (struct jl_quota_issuer *issuer)
 {
   g_hash_table_remove_all (issuer->supporters);
+  issuer->part = 0;
   issuer->active = false;
 }
 
--- a/source/policy/quota-issuer.h
+++ b/source/policy/quota-issuer.h
@@ -4,12 +4,11 @@
 /**
  * DOC: The issuer of a zone: support by the zone's daemons, and the buckets.
  *
- * A daemon issues tokens while more than half of all known daemons of its zone
- * support it. Each supports at most one daemon at a time (policy/quota-vote.h),
- * so that two daemons that know the same daemons never issue at the same time.
- * Support is counted from the time of this daemon's own answer that the
- * supporter returns, hence neither delays of datagrams nor a suspended process
- * lengthen it.
+ * A daemon issues the part of its zone's tokens that its support allows
+ * (policy/quota-quorum.h). Each daemon supports at most one at a time
+ * (policy/quota-vote.h). Support is counted from the time of this daemon's own
+ * answer that the supporter returns, hence neither delays of datagrams nor a
+ * suspended process lengthen it.
  *
  * A daemon that loses contact runs some requests without tokens for a short
  * time (policy/quota-stock.h). Once its support ends, the buckets withhold as
@@ -17,6 +16,7 @@
  */
 
 #include "policy/quota-bucket.h"
+#include "policy/quota-quorum.h"
 #include "policy/quota-share.h"
 
 /* Time after an answer for which a daemon that returns its stamp supports no
@@ -27,9 +27,10 @@
 
 /**
  * struct jl_quota_issuer - state of the issuer
- * @supporters: time until which each daemon supports this one, by its key
+ * @supporters: struct jl_quota_supporter by the daemon's key
  * @customers: struct jl_quota_account by the customer's key
- * @active: this daemon issues
+ * @part: part of the zone's shares that this daemon issues
+ * @active: this daemon issues, as @part is above 0
  * @since_us: time from which it issues, if @active
  * @issued: total of tokens issued
  * @refused: total of requests for a token that were refused
@@ -38,12 +39,24 @@
 {
   GHashTable *supporters;
   GHashTable *customers;
+  double part;
   bool active;
   uint64_t since_us;
   uint64_t issued;
   uint64_t refused;
 };
 
+/**
+ * struct jl_quota_supporter - a daemon that supports this one
+ * @until_us: time until which it does
+ * @list: list of the zone's daemons that it has adopted
+ */
+struct jl_quota_supporter
+{
+  uint64_t until_us;
+  struct jl_quota_list_id list;
+};
+
 /**
  * struct jl_quota_account - a customer at the issuer
  * @demand: requests a second that asked for a token, recently
@@ -89,17 +102,35 @@
 
 /**
  * jl_quota_issuer_support - counts a daemon as a supporter
- * @stamp_us: time of this daemon's answer that the supporter has returned
+ * @stamp_us: time of this daemon's own answer that the supporter has returned
+ * @list: list of the zone's daemons that the supporter has adopted
+ *
+ * A daemon that has adopted a later list than this one, or none, is no
+ * supporter.
  */
 void jl_quota_issuer_support (struct jl_quota_issuer *issuer,
                               uint32_t daemon,
                               uint64_t stamp_us,
+                              const struct jl_quota_quorum *quorum,
+                              struct jl_quota_list_id list,
                               uint64_t now_us);
 
 /**
- * jl_quota_issuer_update - decides whether this daemon issues
- * @known_count: number of daemons of the zone that have not left, with this one
+ * struct jl_quota_zone - the daemons of the zone, as this one knows them
+ * @quorum: the list of those that count
+ * @known_count: number of those that have not left, with this one
  * @counts: whether the daemon with a key is one of them
+ */
+struct jl_quota_zone
+{
+  const struct jl_quota_quorum *quorum;
+  unsigned known_count;
+  bool (*counts) (const void *context, uint32_t key);
+  const void *context;
+};
+
+/**
+ * jl_quota_issuer_update - decides whether this daemon issues, and which part
  *
  * Has to be called before support is counted, so that a suspended process
  * notices that its support has ended.
@@ -107,11 +138,28 @@
  * Return: whether it issues.
  */
 bool jl_quota_issuer_update (struct jl_quota_issuer *issuer,
-                             unsigned known_count,
-                             bool (*counts) (const void *context, uint32_t key),
-                             const void *context,
+                             const struct jl_quota_zone *zone,
                              uint64_t now_us);
 
+/**
+ * jl_quota_issuer_next_list - decides whether to change the list of the zone's
+ * daemons, see jl_quota_quorum_next()
+ */
+bool jl_quota_issuer_next_list (const struct jl_quota_issuer *issuer,
+                                struct jl_quota_quorum *quorum,
+                                const uint32_t *here,
+                                unsigned here_count,
+                                unsigned known_count,
+                                uint64_t now_us,
+                                struct jl_quota_members *next);
+
+/**
+ * jl_quota_issuer_confirm_due_us - returns the time at which this daemon has to
+ * ask the store again whether its list is current
+ */
+uint64_t jl_quota_issuer_confirm_due_us (const struct jl_quota_issuer *issuer,
+                                         const struct jl_quota_quorum *quorum);
+
 /**
  * jl_quota_issuer_resign - ends issuing, before another daemon begins
  */
--- a/source/policy/quota-vote.c
+++ b/source/policy/quota-vote.c
@@ -90,6 +90,49 @@
   memset (vote->avoided, 0, sizeof vote->avoided);
 }
 
+static void
+set_chosen (struct jl_quota_vote *vote, uint32_t chosen, uint64_t now_us)
+{
+  vote->chosen = chosen;
+  vote->chosen_us = now_us;
+  vote->patience_us = INACTIVE_US + scatter_us (now_us ^ chosen);
+  vote->epoch = 0;
+  vote->stamp_us = 0;
+  vote->elected_us = 0;
+  vote->active_us = 0;
+  vote->part = 0;
+  vote->unanswered_us = 0;
+}
+
+/* Returns the part that the chosen daemon issues, 0 if it does not answer. One
+ * that has just been chosen may not have answered yet. */
+static double
+chosen_part (const struct jl_quota_vote *vote, uint64_t now_us)
+{
+  return jl_quota_vote_in_contact (vote, now_us)
+                 || now_us < vote->chosen_us + SILENT_US
+             ? vote->part
+             : 0;
+}
+
+void
+jl_quota_vote_hear_issuer (struct jl_quota_vote *vote,
+                           uint32_t daemon,
+                           double part,
+                           bool precedes,
+                           uint64_t now_us)
+{
+  double known = chosen_part (vote, now_us);
+  bool is_larger = precedes ? part >= known && part > 0 : part > known;
+
+  if (!is_larger || daemon == vote->chosen || is_avoided (vote, daemon, now_us))
+    return;
+  set_chosen (vote, daemon, now_us);
+  vote->part = part;
+  /* It has told so itself, and is kept as long as it answers. */
+  vote->elected_us = now_us;
+}
+
 bool
 jl_quota_vote_choose (struct jl_quota_vote *vote,
                       const uint32_t *candidates,
@@ -113,14 +156,7 @@
   chosen = first_candidate (vote, candidates, count, now_us);
   if (chosen == vote->chosen)
     return false;
-  vote->chosen = chosen;
-  vote->chosen_us = now_us;
-  vote->patience_us = INACTIVE_US + scatter_us (now_us ^ chosen);
-  vote->epoch = 0;
-  vote->stamp_us = 0;
-  vote->elected_us = 0;
-  vote->active_us = 0;
-  vote->unanswered_us = 0;
+  set_chosen (vote, chosen, now_us);
   return true;
 }
 
@@ -145,7 +181,7 @@
 jl_quota_vote_answered (struct jl_quota_vote *vote,
                         uint64_t epoch,
                         uint64_t stamp_us,
-                        bool elected,
+                        double part,
                         bool active,
                         uint64_t now_us)
 {
@@ -155,7 +191,8 @@
   vote->stamp_us = stamp_us;
   vote->stamp_heard_us = now_us;
   vote->unanswered_us = 0;
-  if (elected)
+  vote->part = part;
+  if (part > 0)
     vote->elected_us = now_us;
   if (active)
     vote->active_us = now_us;
--- a/source/policy/quota-vote.h
+++ b/source/policy/quota-vote.h
@@ -28,6 +28,7 @@
  * @elected_us: time of its last answer in which it had enough support, 0 for
  *              none
  * @active_us: time of its last answer as the issuer, 0 for none
+ * @part: part of the zone's shares that it issues, by its last answer
  * @asked_us: time at which it was last asked
  * @unanswered_us: time of the first request to it since its last answer, 0 if
  *                 none waits for an answer
@@ -45,6 +46,7 @@
   uint64_t stamp_heard_us;
   uint64_t elected_us;
   uint64_t active_us;
+  double part;
   uint64_t asked_us;
   uint64_t unanswered_us;
   uint32_t promised;
@@ -72,6 +74,20 @@
                            unsigned count,
                            uint64_t now_us);
 
+/**
+ * jl_quota_vote_hear_issuer - chooses a daemon that says that it issues, if its
+ * part is larger than that of the chosen one, unless it is passed over
+ * @part: part of the zone's shares that it issues
+ * @precedes: it comes before the chosen one if their parts are equal
+ *
+ * All daemons that hear several issuers so choose the same one.
+ */
+void jl_quota_vote_hear_issuer (struct jl_quota_vote *vote,
+                                uint32_t daemon,
+                                double part,
+                                bool precedes,
+                                uint64_t now_us);
+
 /**
  * jl_quota_vote_asked - records that the chosen daemon is asked
  *
@@ -81,13 +97,14 @@
 
 /**
  * jl_quota_vote_answered - records an answer of the chosen daemon
- * @elected: it has enough support
+ * @part: part of the zone's shares that it issues, or will issue soon; 0 if it
+ *        has no support
  * @active: it issues
  */
 void jl_quota_vote_answered (struct jl_quota_vote *vote,
                              uint64_t epoch,
                              uint64_t stamp_us,
-                             bool elected,
+                             double part,
                              bool active,
                              uint64_t now_us);
 
--- a/source/proxy/announce.h
+++ b/source/proxy/announce.h
@@ -23,6 +23,7 @@
 #define JL_FORMAT_QUOTA_ASK 7
 #define JL_FORMAT_QUOTA_ANSWER 8
 #define JL_FORMAT_QUOTA_SHARES 9
+#define JL_FORMAT_QUOTA_MEMBERS 10
 /* Time for which a daemon of another zone that sends beacons to this one counts
  * as an older daemon. */
 #define JL_OLDER_DAEMON_US (5 * JL_USEC_PER_SEC)
--- a/source/proxy/beacon.c
+++ b/source/proxy/beacon.c
@@ -282,6 +282,7 @@
     case JL_FORMAT_QUOTA_ASK:
     case JL_FORMAT_QUOTA_ANSWER:
     case JL_FORMAT_QUOTA_SHARES:
+    case JL_FORMAT_QUOTA_MEMBERS:
       jl_quota_read (beacon->proxy->quota, buffer->base, (size_t)size);
       break;
     }
--- a/source/proxy/quota-ask.c
+++ b/source/proxy/quota-ask.c
@@ -121,16 +121,74 @@
                            xdr_getpos (&xdr));
 }
 
+/**
+ * struct ask, struct answer - a datagram: a message and the list that follows
+ * it
+ */
+struct ask
+{
+  struct beacon_quota_ask message;
+  struct beacon_quota_list list;
+};
+
+struct answer
+{
+  struct beacon_quota_answer message;
+  struct beacon_quota_list list;
+};
+
 static bool
-encode_ask (XDR *xdr, void *message)
+encode_ask (XDR *xdr, void *datagram)
 {
-  return xdr_beacon_quota_ask (xdr, message);
+  struct ask *ask = datagram;
+
+  return xdr_beacon_quota_ask (xdr, &ask->message)
+         && xdr_beacon_quota_list (xdr, &ask->list);
 }
 
 static bool
-encode_answer (XDR *xdr, void *message)
+encode_answer (XDR *xdr, void *datagram)
 {
-  return xdr_beacon_quota_answer (xdr, message);
+  struct answer *answer = datagram;
+
+  return xdr_beacon_quota_answer (xdr, &answer->message)
+         && xdr_beacon_quota_list (xdr, &answer->list);
+}
+
+/* Reads the list that follows a message. Older daemons send none. */
+static struct beacon_quota_list
+decode_list (XDR *xdr)
+{
+  struct beacon_quota_list list;
+  const struct beacon_quota_list none = { 0 };
+
+  return xdr_beacon_quota_list (xdr, &list) ? list : none;
+}
+
+static struct jl_quota_list_id
+id_of (const struct beacon_quota_list *list)
+{
+  struct jl_quota_list_id id = { list->list_version, list->tag };
+
+  return id;
+}
+
+/* Returns the list that this daemon uses as an issuer. */
+static struct beacon_quota_list
+used_list (const struct jl_quota *quota, uint64_t now_us)
+{
+  const struct jl_quota_quorum *quorum = &quota->quorum;
+  uint64_t age_ms = (now_us - quorum->confirmed_us) / JL_USEC_PER_MSEC + 1;
+  struct beacon_quota_list list = {
+    .list_version = quorum->id.version,
+    .tag = quorum->id.tag,
+    .age_ms = G_MAXUINT32,
+    .part_millionths = jl_quota_millionths (quota->issuer.part),
+  };
+
+  if (quorum->confirmed_us != 0)
+    list.age_ms = (u_int)MIN (age_ms, G_MAXUINT32);
+  return list;
 }
 
 /* Asks this daemon itself. */
@@ -141,10 +199,12 @@
 {
   struct beacon_quota_grant grants[BEACON_QUOTA_MAX];
   struct beacon_quota_answer answer = { .grants.grants_val = grants };
+  struct beacon_quota_list list;
   uint32_t key = quota->proxy->self->key;
 
-  jl_quota_serve (quota, key, ask, &answer, now_us);
-  jl_quota_answered (quota, key, &answer, now_us);
+  jl_quota_serve (quota, key, ask, quota->quorum.adopted, &answer, now_us);
+  list = used_list (quota, now_us);
+  jl_quota_answered (quota, key, &answer, &list, now_us);
 }
 
 static void
@@ -152,22 +212,24 @@
 {
   struct jl_proxy *proxy = quota->proxy;
   struct beacon_quota_want wants[BEACON_QUOTA_MAX];
-  struct beacon_quota_ask ask = {
-    .format = JL_FORMAT_QUOTA_ASK,
-    .name = proxy->self->name,
-    .epoch = quota->vote.epoch,
-    .wants.wants_val = wants,
+  struct ask ask = {
+    .message.format = JL_FORMAT_QUOTA_ASK,
+    .message.name = proxy->self->name,
+    .message.epoch = quota->vote.epoch,
+    .message.wants.wants_val = wants,
+    .list.list_version = quota->quorum.adopted.version,
+    .list.tag = quota->quorum.adopted.tag,
   };
   const struct jl_member *issuer;
 
   quota->sequence = quota->sequence == G_MAXUINT32 ? 1 : quota->sequence + 1;
   quota->asked_us[quota->sequence % JL_QUOTA_ASKS] = now_us;
-  ask.sequence = quota->sequence;
-  ask.stamp = jl_quota_vote_asked (&quota->vote, now_us);
-  fill_wants (quota, &ask, now_us);
+  ask.message.sequence = quota->sequence;
+  ask.message.stamp = jl_quota_vote_asked (&quota->vote, now_us);
+  fill_wants (quota, &ask.message, now_us);
   issuer = jl_roster_find_key (&proxy->roster, quota->vote.chosen);
   if (issuer == proxy->self)
-    ask_self (quota, &ask, now_us);
+    ask_self (quota, &ask.message, now_us);
   else if (issuer != NULL)
     send_datagram (quota, issuer->peer, encode_ask, &ask);
 }
@@ -188,17 +250,22 @@
 {
   struct jl_proxy *proxy = quota->proxy;
   struct beacon_quota_grant grants[BEACON_QUOTA_MAX];
-  struct beacon_quota_answer answer = { .grants.grants_val = grants };
+  struct answer answer = { .message.grants.grants_val = grants };
   struct beacon_quota_ask ask = { 0 };
   const struct jl_member *member;
 
   if (xdr_beacon_quota_ask (xdr, &ask))
     {
+      struct beacon_quota_list list = decode_list (xdr);
+      uint64_t now_us = jl_now ();
+
       member = g_hash_table_lookup (proxy->roster.by_name, ask.name);
       if (member != NULL && member != proxy->self && member->peer.port != 0
           && member->contact == NULL)
         {
-          jl_quota_serve (quota, member->key, &ask, &answer, jl_now ());
+          jl_quota_serve (quota, member->key, &ask, id_of (&list),
+                          &answer.message, now_us);
+          answer.list = used_list (quota, now_us);
           send_datagram (quota, member->peer, encode_answer, &answer);
         }
     }
@@ -215,7 +282,11 @@
     {
       member = g_hash_table_lookup (quota->proxy->roster.by_name, answer.name);
       if (member != NULL && member != quota->proxy->self)
-        jl_quota_answered (quota, member->key, &answer, jl_now ());
+        {
+          struct beacon_quota_list list = decode_list (xdr);
+
+          jl_quota_answered (quota, member->key, &answer, &list, jl_now ());
+        }
     }
   xdr_free ((xdrproc_t)xdr_beacon_quota_answer, &answer);
 }
@@ -234,6 +305,9 @@
     case JL_FORMAT_QUOTA_ANSWER:
       read_answer (quota, &xdr);
       break;
+    case JL_FORMAT_QUOTA_MEMBERS:
+      jl_quota_read_members (quota, &xdr);
+      break;
     default:
       jl_quota_read_shares (quota, &xdr);
     }
--- a/source/proxy/quota-impl.h
+++ b/source/proxy/quota-impl.h
@@ -61,6 +61,8 @@
  * @pending: customers that the next datagram asks for
  * @site_version: version of the configuration that @has_customers is of
  * @has_customers: the configuration lists customers
+ * @quorum: the list of the zone's daemons that count
+ * @told_us: time at which the zone was last told that list
  * @sequence: number of the last request for tokens
  * @asked_us: times of the last requests, by their sequence number
  * @in_contact: the issuer answers
@@ -89,6 +91,8 @@
   struct jl_proxy *proxy;
   struct jl_quota_vote vote;
   struct jl_quota_issuer issuer;
+  struct jl_quota_quorum quorum;
+  uint64_t told_us;
   GHashTable *lines;
   struct cds_list_head pending;
   struct jl_timer tick_timer;
@@ -131,7 +135,8 @@
                             struct jl_quota_allowance *allowance);
 
 /**
- * jl_quota_cap_of - returns the cap of a customer's bucket in the local zone
+ * jl_quota_cap_of - returns the cap of a customer's bucket at this daemon: the
+ * part that it issues of what the local zone has
  */
 struct jl_quota_cap jl_quota_cap_of (const struct jl_quota *quota,
                                      uint32_t customer);
@@ -160,14 +165,28 @@
 /**
  * jl_quota_serve - answers a request for tokens
  * @daemon: key of the daemon that asks
+ * @list: list of the zone's daemons that it has adopted
  * @answer: receives the answer; its list of grants has BEACON_QUOTA_MAX places
  */
 void jl_quota_serve (struct jl_quota *quota,
                      uint32_t daemon,
                      const struct beacon_quota_ask *ask,
+                     struct jl_quota_list_id list,
                      struct beacon_quota_answer *answer,
                      uint64_t now_us);
 
+/**
+ * jl_quota_stands - whether this daemon issues, or would if it was supported
+ */
+bool jl_quota_stands (const struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_next_list - decides whether to change the list of the zone's daemons
+ */
+bool jl_quota_next_list (struct jl_quota *quota,
+                         uint64_t now_us,
+                         struct jl_quota_members *next);
+
 /**
  * jl_quota_expire_accounts - drops old state of the issuer
  */
@@ -219,6 +238,12 @@
  */
 void jl_quota_shares_moved (struct jl_quota *quota);
 
+/**
+ * jl_quota_shares_doubt - notes that the list of the zone's daemons may have
+ * changed, or has to be confirmed
+ */
+void jl_quota_shares_doubt (struct jl_quota *quota, uint64_t now_us);
+
 /**
  * jl_quota_shares_list - lists the shares that differ or have differed from the
  * equal ones
@@ -253,6 +278,28 @@
  */
 void jl_quota_read_shares (struct jl_quota *quota, XDR *xdr);
 
+/* quota-members.c */
+
+/* Units in which datagrams tell the part of the zone's shares that is issued.
+ */
+#define JL_QUOTA_MILLION 1e6
+
+/**
+ * jl_quota_millionths - returns a part in the units of datagrams
+ */
+unsigned jl_quota_millionths (double part);
+
+/**
+ * jl_quota_members_tick - tells the zone which of its daemons count, if this
+ * one issues
+ */
+void jl_quota_members_tick (struct jl_quota *quota, uint64_t now_us);
+
+/**
+ * jl_quota_read_members - reads a datagram with such a list
+ */
+void jl_quota_read_members (struct jl_quota *quota, XDR *xdr);
+
 /* quota-ask.c */
 
 /**
@@ -271,10 +318,12 @@
 /**
  * jl_quota_answered - applies an answer
  * @daemon: key of the daemon that has sent it
+ * @list: list of the zone's daemons that it uses
  */
 void jl_quota_answered (struct jl_quota *quota,
                         uint32_t daemon,
                         const struct beacon_quota_answer *answer,
+                        const struct beacon_quota_list *list,
                         uint64_t now_us);
 
 #endif
--- a/source/proxy/quota-issue.c
+++ b/source/proxy/quota-issue.c
@@ -1,6 +1,6 @@
 /**
- * DOC: The issuer of a zone: caps and shares, the daemons that count, and the
- * answers to requests for tokens.
+ * DOC: The issuer of a zone: caps and shares, the daemons that are there, and
+ * the answers to requests for tokens.
  */
 
 #include "proxy/announce.h"
@@ -41,12 +41,13 @@
 jl_quota_cap_of (const struct jl_quota *quota, uint32_t customer)
 {
   struct jl_quota_allowance allowance;
-  struct jl_quota_cap none = { 0 };
+  struct jl_quota_cap cap = { 0 };
 
   if (!jl_quota_allowance_of (quota, customer, &allowance))
-    return none;
-  return jl_quota_zone_cap (&allowance, jl_quota_share_of (quota, customer),
-                            quota->zone_count);
+    return cap;
+  cap = jl_quota_zone_cap (&allowance, jl_quota_share_of (quota, customer),
+                           quota->zone_count);
+  return jl_quota_cap_part (&cap, quota->issuer.part);
 }
 
 static struct jl_quota_cap
@@ -154,20 +155,50 @@
 void
 jl_quota_update_issuer (struct jl_quota *quota, uint64_t now_us)
 {
-  bool before = quota->issuer.active;
+  const struct jl_quota_zone zone = {
+    .quorum = &quota->quorum,
+    .known_count = quota->known_count,
+    .counts = counts,
+    .context = quota,
+  };
+  double before = quota->issuer.part;
 
   quota->updated_us = now_us;
   if (quota->proxy->stopping)
     jl_quota_issuer_resign (&quota->issuer);
   else
-    jl_quota_issuer_update (&quota->issuer, quota->known_count, counts, quota,
-                            now_us);
-  if (quota->issuer.active != before)
+    jl_quota_issuer_update (&quota->issuer, &zone, now_us);
+  if (quota->issuer.part < before || quota->issuer.part > before)
     jl_record (JL_RECORD_CHANGE, JL_RECORD_ISSUER_CHANGED,
-               "issues=%d supporters=%u known=%u zones=%u",
-               quota->issuer.active,
-               g_hash_table_size (quota->issuer.supporters), quota->known_count,
-               quota->zone_count);
+               "issues=%d part=%.3f supporters=%u members=%u list=%" PRIu64
+               " known=%u zones=%u",
+               quota->issuer.active, quota->issuer.part,
+               g_hash_table_size (quota->issuer.supporters),
+               quota->quorum.list.count, quota->quorum.list.version,
+               quota->known_count, quota->zone_count);
+}
+
+bool
+jl_quota_stands (const struct jl_quota *quota, uint64_t now_us)
+{
+  const struct jl_proxy *proxy = quota->proxy;
+
+  return quota->issuer.active
+         || (!proxy->stopping && quota->vote.chosen == proxy->self->key
+             && now_us >= proxy->started_us + JL_QUOTA_SUPPORT_US);
+}
+
+bool
+jl_quota_next_list (struct jl_quota *quota,
+                    uint64_t now_us,
+                    struct jl_quota_members *next)
+{
+  uint32_t here[JL_QUOTA_MEMBERS_MAX];
+  unsigned count
+      = jl_quota_list_candidates (quota, here, G_N_ELEMENTS (here), now_us);
+
+  return jl_quota_issuer_next_list (&quota->issuer, &quota->quorum, here, count,
+                                    quota->known_count, now_us, next);
 }
 
 /* Whether a customer has no cap in the configuration that this daemon uses. The
@@ -210,6 +241,7 @@
 jl_quota_serve (struct jl_quota *quota,
                 uint32_t daemon,
                 const struct beacon_quota_ask *ask,
+                struct jl_quota_list_id list,
                 struct beacon_quota_answer *answer,
                 uint64_t now_us)
 {
@@ -219,7 +251,11 @@
   if (now_us >= quota->updated_us + UPDATE_PERIOD_US)
     jl_quota_update_issuer (quota, now_us);
   if (ask->epoch == proxy->epoch && !proxy->stopping)
-    jl_quota_issuer_support (&quota->issuer, daemon, ask->stamp, now_us);
+    jl_quota_issuer_support (&quota->issuer, daemon, ask->stamp, &quota->quorum,
+                             list, now_us);
+  if (list.version > quota->quorum.id.version
+      || (list.version == 0 && jl_quota_quorum_has (&quota->quorum, daemon)))
+    jl_quota_shares_doubt (quota, now_us);
   issues = quota->issuer.active && now_us >= quota->issuer.since_us;
   answer->format = JL_FORMAT_QUOTA_ANSWER;
   answer->name = proxy->self->name;
--- a/source/proxy/quota-row.h
+++ b/source/proxy/quota-row.h
@@ -8,23 +8,36 @@
  * units, and "era", the era of the store in which it was written.
  */
 
+#include "policy/quota-quorum.h"
 #include "store.h"
 
+/**
+ * struct jl_quota_row - what the row of a zone holds
+ * @units: units of shares by the customer's key
+ * @era: era of the store in which the zone's issuer has written it
+ * @list: list of the zone's daemons that count; version 0 for none
+ */
+struct jl_quota_row
+{
+  GHashTable *units;
+  uint64_t era;
+  struct jl_quota_members list;
+};
+
 /**
  * jl_quota_row_read - reads a row
- * @units: receives the units by the customer's key
- * @era: receives the era
+ * @read: receives its content; @units must be a table
+ *
+ * A malformed list counts as none.
  *
  * Return: false if the row does not hold shares; @units may then have a part of
  * them.
  */
-bool
-jl_quota_row_read (const struct jl_row *row, GHashTable *units, uint64_t *era);
+bool jl_quota_row_read (const struct jl_row *row, struct jl_quota_row *read);
 
 /**
  * jl_quota_row_format - returns the value of a row; free it with g_free()
- * @units: units by the customer's key
  */
-char *jl_quota_row_format (GHashTable *units, uint64_t era);
+char *jl_quota_row_format (const struct jl_quota_row *row);
 
 #endif
--- a/source/proxy/quota-share.c
+++ b/source/proxy/quota-share.c
@@ -1,5 +1,6 @@
 /**
- * DOC: Shares of the local zone in usage caps, and the rows that hold them.
+ * DOC: Shares of the local zone in usage caps, the list of its daemons that
+ * count, and the rows that hold both.
  *
  * The table has a row for each zone, with the shares that differ from the equal
  * ones. Units move in one transaction that changes the rows of giver and
@@ -9,7 +10,8 @@
  * A transaction whose outcome is unknown, or that an earlier issuer of the zone
  * has begun, may still be applied. So the issuer first claims its row: it reads
  * the row and writes it again under the condition that it has not changed.
- * After that, no transaction that expects an older version can be applied.
+ * After that, no transaction that expects an older version can be applied. The
+ * list of the zone's daemons changes with a claim, too.
  *
  * Units that a store lost when it came back from an older copy belong to no
  * zone. Once all zones have written their rows in its new era, a giver adds
@@ -17,9 +19,7 @@
  */
 
 #include "json.h"
-#include "proxy/quota-impl.h"
-#include "proxy/quota-row.h"
-#include "store-tx.h"
+#include "proxy/quota-share-impl.h"
 
 #include <string.h>
 
@@ -27,91 +27,18 @@
 /* Time after which an issuer that cannot reach the store uses the shares that
  * the issuer before has told. */
 #define CLAIM_WAIT_US (1 * JL_USEC_PER_SEC)
-/* Time between two attempts. */
-#define RETRY_US (1 * JL_USEC_PER_SEC)
 /* Version that no row has: nothing is given to a zone whose row cannot be read.
  */
 #define VERSION_NONE JL_JSON_INTEGER_MAX
 /* Minimum time between two transactions that give units. */
 #define GIVE_PERIOD_US (1 * JL_USEC_PER_SEC)
 
-/**
- * enum share_state - state of the own row
- * @SHARE_UNCLAIMED: it has to be claimed
- * @SHARE_CLAIM_READ: it is read in order to claim it
- * @SHARE_CLAIM_WRITE: it is written in order to claim it
- * @SHARE_READY: it is claimed
- * @SHARE_READ: it is read, as it has changed
- * @SHARE_GIVE: a transaction that gives units is in progress
- */
-enum share_state
-{
-  SHARE_UNCLAIMED,
-  SHARE_CLAIM_READ,
-  SHARE_CLAIM_WRITE,
-  SHARE_READY,
-  SHARE_READ,
-  SHARE_GIVE,
-};
-
-/**
- * struct zone_row - row of a zone as it was last read
- * @era: era of the store in which the zone's issuer has written it
- * @units: units by the customer's key
- */
-struct zone_row
-{
-  uint64_t version;
-  uint64_t era;
-  GHashTable *units;
-};
-
-/**
- * struct jl_quota_shares - shares
- * @own: units of the local zone by the customer's key
- * @heard: @own was read from the store, or told by an issuer of this zone
- * @claimed: the row was claimed since this daemon issues
- * @restored: the store has come back from an older copy, and the row was not
- *            written since
- * @in_doubt: it is not known whether the receiver has got the last gifts
- * @changed: the row has changed, and has to be read
- * @issues_since_us: time since which this daemon issues, 0 if it does not
- * @rows: rows of zones, by the zone's name
- * @invalid: the own row does not hold shares
- * @next: units of the local zone once the claim is written
- * @receiver: zone that units are given to
- * @wanted: array of struct beacon_share, what that zone wants
- * @gifts: array of struct beacon_share, what is given in the transaction in
- *         progress
- */
-struct jl_quota_shares
-{
-  struct jl_quota *quota;
-  struct jl_store_tx *tx;
-  enum share_state state;
-  GHashTable *own;
-  bool heard;
-  bool claimed;
-  bool restored;
-  bool in_doubt;
-  bool changed;
-  uint64_t issues_since_us;
-  uint64_t retry_us;
-  uint64_t gave_us;
-  GHashTable *rows;
-  bool invalid;
-  GHashTable *next;
-  char receiver[JL_TEXT_SIZE];
-  GArray *wanted;
-  GArray *gifts;
-};
-
 static void
 free_row (gpointer data)
 {
   struct zone_row *row = data;
 
-  g_hash_table_destroy (row->units);
+  g_hash_table_destroy (row->content.units);
   g_free (row);
 }
 
@@ -154,25 +81,6 @@
          && has_zone (quota, quota->proxy->roster.local_zone);
 }
 
-static unsigned
-units_in (GHashTable *table, const struct jl_quota *quota, uint32_t customer)
-{
-  gpointer units;
-
-  if (table != NULL
-      && g_hash_table_lookup_extended (table, GUINT_TO_POINTER (customer), NULL,
-                                       &units))
-    return GPOINTER_TO_UINT (units);
-  return jl_quota_share_default (quota->zone_count);
-}
-
-static void
-set_units (GHashTable *table, uint32_t customer, unsigned units)
-{
-  g_hash_table_insert (table, GUINT_TO_POINTER (customer),
-                       GUINT_TO_POINTER (units));
-}
-
 /* Whether the shares of the local zone are known. */
 static bool
 is_known (const struct jl_quota *quota)
@@ -199,8 +107,8 @@
     return jl_quota_share_default (quota->zone_count);
   if (quota->issuer.active && !is_known (quota))
     return 0;
-  return units_in (quota->shares != NULL ? quota->shares->own : NULL, quota,
-                   customer);
+  return jl_quota_units_in (quota->shares != NULL ? quota->shares->own : NULL,
+                            quota, customer);
 }
 
 double
@@ -250,8 +158,8 @@
     return;
   shares->heard = true;
   for (unsigned i = 0; i < count; i++)
-    set_units (shares->own, list[i].customer,
-               MIN (list[i].units, JL_QUOTA_SHARE_UNITS));
+    jl_quota_units_set (shares->own, list[i].customer,
+                        MIN (list[i].units, JL_QUOTA_SHARE_UNITS));
 }
 
 void
@@ -260,6 +168,15 @@
   get_shares (quota)->changed = true;
 }
 
+void
+jl_quota_shares_doubt (struct jl_quota *quota, uint64_t now_us)
+{
+  struct jl_quota_shares *shares = get_shares (quota);
+
+  if (now_us >= shares->read_us + JL_QUOTA_RETRY_US)
+    shares->changed = true;
+}
+
 void
 jl_quota_store_restored (struct jl_quota *quota)
 {
@@ -277,62 +194,13 @@
   struct zone_row *read = g_new0 (struct zone_row, 1);
 
   read->version = version;
-  read->units = g_hash_table_new (g_direct_hash, g_direct_equal);
-  if (!jl_quota_row_read (row, read->units, &read->era))
-    {
-      g_hash_table_remove_all (read->units);
-      read->version = VERSION_NONE;
-      shares->invalid
-          |= strcmp (row->key, shares->quota->proxy->roster.local_zone) == 0;
-    }
+  read->content.units = g_hash_table_new (g_direct_hash, g_direct_equal);
+  read->invalid = !jl_quota_row_read (row, &read->content);
+  if (read->invalid)
+    g_hash_table_remove_all (read->content.units);
   g_hash_table_replace (shares->rows, g_strdup (row->key), read);
 }
 
-static uint64_t
-store_era (const struct jl_quota_shares *shares)
-{
-  return jl_store_era (shares->quota->proxy->store);
-}
-
-static const struct zone_row *
-own_row (const struct jl_quota_shares *shares)
-{
-  return g_hash_table_lookup (shares->rows,
-                              shares->quota->proxy->roster.local_zone);
-}
-
-/* Returns the shares of the own row as it was read. After the store came back
- * from an older copy, the smaller of the known and the read share applies. */
-static GHashTable *
-shares_read (const struct jl_quota_shares *shares)
-{
-  const struct zone_row *row = own_row (shares);
-  GHashTable *read = row != NULL ? row->units : NULL;
-  GHashTable *units = g_hash_table_new (g_direct_hash, g_direct_equal);
-  GHashTable *const tables[] = { read, shares->own };
-
-  for (unsigned i = 0; i < G_N_ELEMENTS (tables); i++)
-    {
-      GHashTableIter iterator;
-      gpointer key;
-
-      if (tables[i] == NULL)
-        continue;
-      g_hash_table_iter_init (&iterator, tables[i]);
-      while (g_hash_table_iter_next (&iterator, &key, NULL))
-        {
-          uint32_t customer = GPOINTER_TO_UINT (key);
-          unsigned count = units_in (read, shares->quota, customer);
-
-          if (shares->restored && shares->heard)
-            count
-                = MIN (count, units_in (shares->own, shares->quota, customer));
-          set_units (units, customer, count);
-        }
-    }
-  return units;
-}
-
 static void
 replace_own (struct jl_quota_shares *shares, GHashTable *units)
 {
@@ -347,37 +215,16 @@
 {
   shares->state = state;
   shares->changed = false;
-  shares->invalid = false;
+  shares->read_us = jl_now ();
   g_hash_table_remove_all (shares->rows);
   jl_store_tx_read (shares->tx);
 }
 
-/* Claims the own row with the shares that apply from then on. */
-static void
-write_claim (struct jl_quota_shares *shares)
-{
-  const struct zone_row *row = own_row (shares);
-  struct jl_store_put put = {
-    .key = shares->quota->proxy->roster.local_zone,
-    .version = row != NULL ? row->version : 0,
-  };
-  char *value;
-
-  if (shares->next != NULL)
-    g_hash_table_destroy (shares->next);
-  shares->next = shares_read (shares);
-  value = jl_quota_row_format (shares->next, store_era (shares));
-  put.value = value;
-  shares->state = SHARE_CLAIM_WRITE;
-  jl_store_tx_write (shares->tx, &put, 1);
-  g_free (value);
-}
-
 static void
 retry_later (struct jl_quota_shares *shares, enum share_state state)
 {
   shares->state = state;
-  shares->retry_us = jl_now () + RETRY_US;
+  shares->retry_us = jl_now () + JL_QUOTA_RETRY_US;
 }
 
 /* Chooses what to give of what the receiver wants. */
@@ -424,9 +271,10 @@
       const struct zone_row *row
           = g_hash_table_lookup (shares->rows, options->zones[i]);
 
-      if (row == NULL || row->era != store_era (shares))
+      if (row == NULL || row->invalid
+          || row->content.era != jl_quota_shares_era (shares))
         return 0;
-      sum += units_in (row->units, quota, customer);
+      sum += jl_quota_units_in (row->content.units, quota, customer);
     }
   return sum < all ? all - sum : 0;
 }
@@ -439,10 +287,10 @@
     {
       const struct beacon_share *gift
           = &g_array_index (shares->gifts, struct beacon_share, i);
-      unsigned units = units_in (table, shares->quota, gift->customer);
+      unsigned units = jl_quota_units_in (table, shares->quota, gift->customer);
 
-      set_units (table, gift->customer,
-                 take ? units - gift->units : units + gift->units);
+      jl_quota_units_set (table, gift->customer,
+                          take ? units - gift->units : units + gift->units);
     }
 }
 
@@ -455,9 +303,9 @@
       uint32_t customer
           = g_array_index (shares->gifts, struct beacon_share, i).customer;
 
-      set_units (units, customer,
-                 units_in (units, shares->quota, customer)
-                     + lost_units (shares, customer));
+      jl_quota_units_set (units, customer,
+                          jl_quota_units_in (units, shares->quota, customer)
+                              + lost_units (shares, customer));
     }
 }
 
@@ -478,7 +326,9 @@
           = g_hash_table_lookup (shares->rows, options->zones[i]);
 
       puts[i].key = options->zones[i];
-      puts[i].version = row != NULL ? row->version : 0;
+      puts[i].version = row == NULL    ? 0
+                        : row->invalid ? VERSION_NONE
+                                       : row->version;
       puts[i].value = NULL;
       if (strcmp (puts[i].key, proxy->roster.local_zone) == 0)
         puts[i].value = own_value;
@@ -501,7 +351,10 @@
   struct jl_store_put puts[JL_OPTIONS_ZONES_MAX];
   const struct zone_row *receiver
       = g_hash_table_lookup (shares->rows, shares->receiver);
-  GHashTable *units = g_hash_table_new (g_direct_hash, g_direct_equal);
+  struct jl_quota_row own = { .units = shares->own,
+                              .era = jl_quota_shares_era (shares),
+                              .list = shares->quota->quorum.list };
+  struct jl_quota_row other = { 0 };
   char *own_value;
   char *receiver_value;
 
@@ -509,16 +362,18 @@
   add_gifts (shares, shares->own, true);
   jl_quota_send_list (shares->quota, now_us);
   if (receiver != NULL)
-    g_hash_table_foreach (receiver->units, copy_units, units);
-  add_gifts (shares, units, false);
-  add_lost_units (shares, units);
-  own_value = jl_quota_row_format (shares->own, store_era (shares));
-  receiver_value
-      = jl_quota_row_format (units, receiver != NULL ? receiver->era : 0);
+    other = receiver->content;
+  other.units = g_hash_table_new (g_direct_hash, g_direct_equal);
+  if (receiver != NULL)
+    g_hash_table_foreach (receiver->content.units, copy_units, other.units);
+  add_gifts (shares, other.units, false);
+  add_lost_units (shares, other.units);
+  own_value = jl_quota_row_format (&own);
+  receiver_value = jl_quota_row_format (&other);
   shares->state = SHARE_GIVE;
   jl_store_tx_write (shares->tx, puts,
                      list_puts (shares, own_value, receiver_value, puts));
-  g_hash_table_destroy (units);
+  g_hash_table_destroy (other.units);
   g_free (own_value);
   g_free (receiver_value);
 }
@@ -527,11 +382,12 @@
 on_read (void *context, bool complete)
 {
   struct jl_quota_shares *shares = context;
+  struct jl_quota_members list;
   uint64_t now_us = jl_now ();
 
   if (shares->state != SHARE_READ && shares->state != SHARE_CLAIM_READ)
     return;
-  if (!complete || shares->invalid)
+  if (!complete)
     {
       shares->changed = true;
       g_array_set_size (shares->wanted, 0);
@@ -539,13 +395,17 @@
                    shares->state == SHARE_READ ? SHARE_READY : SHARE_UNCLAIMED);
       return;
     }
-  if (shares->state == SHARE_CLAIM_READ)
+  list = jl_quota_list_read (shares);
+  jl_quota_quorum_learn (&shares->quota->quorum, &list, shares->read_us,
+                         now_us);
+  if (shares->state == SHARE_CLAIM_READ || !jl_quota_list_is_read (shares))
     {
-      write_claim (shares);
+      g_array_set_size (shares->wanted, 0);
+      jl_quota_claim (shares);
       return;
     }
   shares->state = SHARE_READY;
-  replace_own (shares, shares_read (shares));
+  replace_own (shares, jl_quota_shares_read (shares));
   choose_gifts (shares, now_us);
   if (shares->gifts->len > 0)
     write_gifts (shares, now_us);
@@ -565,6 +425,8 @@
   shares->state = SHARE_READY;
   shares->claimed = true;
   shares->restored = false;
+  jl_quota_quorum_learn (&shares->quota->quorum, &shares->next_list,
+                         shares->read_us, jl_now ());
   replace_own (shares, g_steal_pointer (&shares->next));
   if (shares->in_doubt)
     jl_quota_send_moved (shares->quota, shares->receiver);
@@ -630,7 +492,9 @@
 {
   struct jl_quota_shares *shares = get_shares (quota);
 
-  if (shares->state != SHARE_READY || !has_zone (quota, zone)
+  /* Another issuer of this zone would not know of the smaller share. */
+  if (quota->issuer.part < 1 || shares->state != SHARE_READY
+      || !has_zone (quota, zone)
       || strcmp (zone, quota->proxy->roster.local_zone) == 0
       || now_us < shares->gave_us + GIVE_PERIOD_US || now_us < shares->retry_us)
     return;
@@ -644,31 +508,56 @@
   begin_read (shares, SHARE_READ);
 }
 
-void
-jl_quota_shares_tick (struct jl_quota *quota, uint64_t now_us)
+/* Follows whether this daemon issues. One that begins to issue has to claim the
+ * row: another issuer may have begun a transaction before. */
+static void
+follow_issuer (struct jl_quota_shares *shares, uint64_t now_us)
 {
-  struct jl_quota_shares *shares = get_shares (quota);
+  const struct jl_quota *quota = shares->quota;
+  bool begins = quota->issuer.active && !shares->was_active;
+  bool stands = jl_quota_stands (quota, now_us);
 
-  if (!shares_move (quota))
-    return;
-  if (!quota->issuer.active)
+  shares->was_active = quota->issuer.active;
+  if (!stands || begins)
     {
-      shares->issues_since_us = 0;
       shares->claimed = false;
       shares->state = SHARE_UNCLAIMED;
-      return;
+      shares->retry_us = 0;
     }
+  if (!stands)
+    shares->issues_since_us = 0;
+  else if (shares->issues_since_us == 0 || begins)
+    shares->issues_since_us = now_us;
+}
+
+/* Whether the list of the zone's daemons is to be changed now. */
+static bool
+changes_list (struct jl_quota *quota, uint64_t now_us)
+{
+  struct jl_quota_members next;
+
+  return quota->quorum.list.version > 0
+         && jl_quota_next_list (quota, now_us, &next);
+}
+
+void
+jl_quota_shares_tick (struct jl_quota *quota, uint64_t now_us)
+{
+  struct jl_quota_shares *shares = get_shares (quota);
+
+  follow_issuer (shares, now_us);
+  if (shares->issues_since_us == 0)
+    return;
   if (shares->tx == NULL)
     shares->tx = jl_store_tx_new (quota->proxy->store, TABLE, &tx_ops, shares);
-  if (shares->issues_since_us == 0)
-    {
-      shares->issues_since_us = now_us;
-      shares->retry_us = 0;
-    }
   if (now_us < shares->retry_us)
     return;
-  if (shares->state == SHARE_UNCLAIMED)
+  if (shares->state == SHARE_UNCLAIMED
+      || (shares->state == SHARE_READY && changes_list (quota, now_us)))
     begin_read (shares, SHARE_CLAIM_READ);
-  else if (shares->state == SHARE_READY && shares->changed)
+  else if (shares->state == SHARE_READY
+           && (shares->changed
+               || now_us >= jl_quota_issuer_confirm_due_us (&quota->issuer,
+                                                            &quota->quorum)))
     begin_read (shares, SHARE_READ);
 }
--- a/source/proxy/quota.c
+++ b/source/proxy/quota.c
@@ -376,10 +376,24 @@
   g_list_free (lines);
 }
 
+/* Notes the list that an issuer uses. It has answered after it was asked. */
+static void
+hear_list (struct jl_quota *quota,
+           const struct beacon_quota_list *list,
+           uint64_t asked_us)
+{
+  struct jl_quota_list_id id = { list->list_version, list->tag };
+  uint64_t age_us = list->age_ms * JL_USEC_PER_MSEC;
+
+  jl_quota_quorum_hear (&quota->quorum, id,
+                        asked_us > age_us ? asked_us - age_us : 0);
+}
+
 void
 jl_quota_answered (struct jl_quota *quota,
                    uint32_t daemon,
                    const struct beacon_quota_answer *answer,
+                   const struct beacon_quota_list *list,
                    uint64_t now_us)
 {
   uint64_t asked_us = asked_at (quota, answer->sequence);
@@ -388,12 +402,12 @@
 
   if (asked_us == 0)
     return;
+  hear_list (quota, list, asked_us);
   if (answer->state == JL_QUOTA_RESIGNED)
     jl_quota_vote_release (&quota->vote, daemon, now_us);
   else if (chosen)
     jl_quota_vote_answered (&quota->vote, answer->epoch, answer->stamp,
-                            answer->state == JL_QUOTA_ISSUES
-                                || answer->state == JL_QUOTA_ELECTED,
+                            list->part_millionths / JL_QUOTA_MILLION,
                             answer->state == JL_QUOTA_ISSUES, now_us);
   note_contact (quota, now_us);
   for (unsigned i = 0; i < answer->grants.grants_len; i++)
@@ -473,6 +487,7 @@
   jl_quota_count_zone (quota, now_us);
   jl_quota_update_issuer (quota, now_us);
   jl_quota_shares_tick (quota, now_us);
+  jl_quota_members_tick (quota, now_us);
   jl_quota_exchange_tick (quota, now_us);
   choose_issuer (quota, now_us);
   if (is_ask_due (quota, now_us))
@@ -506,6 +521,7 @@
   quota->known_count = 1;
   CDS_INIT_LIST_HEAD (&quota->pending);
   jl_quota_vote_init (&quota->vote, proxy->started_us);
+  jl_quota_quorum_init (&quota->quorum, proxy->self->key, proxy->started_us);
   jl_quota_issuer_init (&quota->issuer);
   jl_loop_start_timer (proxy->loop, &quota->tick_timer, TICK_US, on_tick_timer,
                        quota);
@@ -550,10 +566,11 @@
     return;
   g_string_append_printf (
       text,
-      "# issuer: name=%s answers=%d since_ms=%" PRIu64 " issues=%d known=%u "
-      "zones=%u\n",
+      "# issuer: name=%s answers=%d since_ms=%" PRIu64
+      " part=%.3f list=%" PRIu64 " members=%u known=%u zones=%u\n",
       issuer != NULL ? issuer->name : "-", quota->in_contact,
-      (now_us - quota->vote.chosen_us) / JL_USEC_PER_MSEC, quota->issuer.active,
+      (now_us - quota->vote.chosen_us) / JL_USEC_PER_MSEC, quota->issuer.part,
+      quota->quorum.adopted.version, quota->quorum.list.count,
       quota->known_count, quota->zone_count);
   g_hash_table_iter_init (&iterator, quota->lines);
   while (listed < STATE_LINES_MAX
--- a/source/rpc/beacon.x
+++ b/source/rpc/beacon.x
@@ -11,6 +11,7 @@
 const BEACON_DIGEST_MAX = 38;
 const BEACON_QUOTA_MAX = 40;
 const BEACON_SHARES_MAX = 60;
+const BEACON_MEMBERS_MAX = 128;
 
 struct beacon_fanout
 {
@@ -236,3 +237,27 @@
   unsigned hyper stamp;
   beacon_share shares<BEACON_SHARES_MAX>;
 };
+
+/* Follows beacon_quota_ask and beacon_quota_answer in the same datagram: the list of
+ * the zone's daemons that the sender has adopted; list_version 0 for none. age_ms: in an
+ * answer, time since the moment as of which it was the current one in the store.
+ * part_millionths: in an answer, part of the zone's shares that the sender issues. */
+struct beacon_quota_list
+{
+  unsigned hyper list_version;
+  unsigned int tag;
+  unsigned int age_ms;
+  unsigned int part_millionths;
+};
+
+/* An issuer tells its zone the list of the daemons that count, keys by their names,
+ * and the list before. part_millionths: part of the zone's shares that it issues. */
+struct beacon_quota_members
+{
+  unsigned int format;
+  string name<BEACON_TEXT_MAX>;
+  unsigned hyper list_version;
+  unsigned int part_millionths;
+  unsigned int keys<BEACON_MEMBERS_MAX>;
+  unsigned int previous<BEACON_MEMBERS_MAX>;
+};
--- a/source/rpc/gen/beacon.h
+++ b/source/rpc/gen/beacon.h
@@ -21,6 +21,7 @@
 #define BEACON_DIGEST_MAX 38
 #define BEACON_QUOTA_MAX 40
 #define BEACON_SHARES_MAX 60
+#define BEACON_MEMBERS_MAX 128
 
 struct beacon_fanout {
 	u_int run;
@@ -233,6 +234,30 @@
 };
 typedef struct beacon_shares beacon_shares;
 
+struct beacon_quota_list {
+	u_quad_t list_version;
+	u_int tag;
+	u_int age_ms;
+	u_int part_millionths;
+};
+typedef struct beacon_quota_list beacon_quota_list;
+
+struct beacon_quota_members {
+	u_int format;
+	char *name;
+	u_quad_t list_version;
+	u_int part_millionths;
+	struct {
+		u_int keys_len;
+		u_int *keys_val;
+	} keys;
+	struct {
+		u_int previous_len;
+		u_int *previous_val;
+	} previous;
+};
+typedef struct beacon_quota_members beacon_quota_members;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -256,6 +281,8 @@
 extern  bool_t xdr_beacon_quota_answer (XDR *, beacon_quota_answer*);
 extern  bool_t xdr_beacon_share (XDR *, beacon_share*);
 extern  bool_t xdr_beacon_shares (XDR *, beacon_shares*);
+extern  bool_t xdr_beacon_quota_list (XDR *, beacon_quota_list*);
+extern  bool_t xdr_beacon_quota_members (XDR *, beacon_quota_members*);
 
 #else /* K&R C */
 extern bool_t xdr_beacon_fanout ();
@@ -278,6 +305,8 @@
 extern bool_t xdr_beacon_quota_answer ();
 extern bool_t xdr_beacon_share ();
 extern bool_t xdr_beacon_shares ();
+extern bool_t xdr_beacon_quota_list ();
+extern bool_t xdr_beacon_quota_members ();
 
 #endif /* K&R C */
 
--- a/source/rpc/gen/beacon_xdr.c
+++ b/source/rpc/gen/beacon_xdr.c
@@ -772,3 +772,41 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_beacon_quota_list (XDR *xdrs, beacon_quota_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->list_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tag))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part_millionths))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_beacon_quota_members (XDR *xdrs, beacon_quota_members *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BEACON_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->list_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->part_millionths))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, BEACON_MEMBERS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->previous.previous_val, (u_int *) &objp->previous.previous_len, BEACON_MEMBERS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
--- a/tests/proxy/parts/quota-model.h
+++ b/tests/proxy/parts/quota-model.h
@@ -56,6 +56,8 @@
 
 /**
  * struct model_daemon - a daemon
+ * @read_us: time at which it last read the zone's row
+ * @told_us: time at which it last told the zone its list
  * @frozen_until_us: it does nothing until then
  * @down: it does not run
  */
@@ -64,6 +66,9 @@
   unsigned zone;
   struct jl_quota_vote vote;
   struct jl_quota_issuer issuer;
+  struct jl_quota_quorum quorum;
+  uint64_t read_us;
+  uint64_t told_us;
   struct model_line lines[MODEL_CUSTOMERS_MAX];
   uint64_t heard_us[MODEL_DAEMONS_MAX];
   uint64_t epoch;
@@ -83,6 +88,7 @@
  * @exchanges: number of requests to lend tokens so far
  * @shares_move: shares of zones move
  * @loss: share of the datagrams that are lost
+ * @rows: list of the daemons that count, by zone, as the store has it
  */
 struct quota_model
 {
@@ -96,6 +102,7 @@
   bool shares_move;
   double loss;
   GRand *random;
+  struct jl_quota_members rows[8];
   struct model_daemon daemons[MODEL_DAEMONS_MAX];
   struct model_customer customers[MODEL_CUSTOMERS_MAX];
 };
@@ -123,10 +130,10 @@
 void quota_model_restart (struct quota_model *model, unsigned daemon);
 
 /**
- * quota_model_issuer - returns the daemon that issues in a zone, G_MAXUINT for
- * none
+ * quota_model_issuer - returns the daemon that issues the largest part in a
+ * zone, G_MAXUINT for none
  *
- * Fails the test if several do.
+ * Fails the test if the parts of several sum to more than one.
  */
 unsigned quota_model_issuer (struct quota_model *model, unsigned zone);
 
--- a/tests/proxy/quota-entry.c
+++ b/tests/proxy/quota-entry.c
@@ -230,3 +230,92 @@
         = site[1 - i].options.advertise;
   run_until_issuer (rigs, 0);
 }
+
+/* Adds daemons that are heard of now, and never again. */
+static void
+add_silent (struct rig *rig, const char *const *names, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    rig_add_member (rig, names[i], "z1", "front");
+}
+
+/* Returns the part of the zone's cap that a daemon issues. */
+static double
+part_of (const struct rig *rig)
+{
+  const struct jl_quota *quota = rig->proxy->quota;
+  uint32_t customer = jl_name_key ("c");
+  struct jl_quota_allowance allowance;
+
+  if (!issues (rig) || !jl_quota_allowance_of (quota, customer, &allowance))
+    return 0;
+  return jl_quota_cap_of (quota, customer).rate / allowance.rate
+         * quota->zone_count;
+}
+
+/* Runs until a daemon issues this part; returns how long that took, in s. */
+static double
+run_until_part (struct rig *const *rigs, struct rig *rig, double part)
+{
+  uint64_t begun_us = jl_now ();
+
+  while (part_of (rig) < part - 0.01 && jl_now () < begun_us + 25e6)
+    run_all (rigs, 50);
+  cr_assert_geq (part_of (rig), part - 0.01, "%.3f", part_of (rig));
+  return (double)(jl_now () - begun_us) / 1e6;
+}
+
+/* Guards against two issuers: the other daemons of the zone leave, and are then
+ * not heard any more, as they are cut off. They go on to issue. */
+Test (quota_entry, daemons_that_leave_and_are_silent_still_count)
+{
+  static const char *const others[] = { "d2", "d3" };
+  struct rig rig;
+  struct rig *rigs[DAEMONS] = { &rig };
+
+  quota_rig_prepare (&rig, 166, "d1", "z1");
+  rig_start (&rig);
+  rig_add_member (&rig, "e1", "z2", "deep");
+  add_silent (&rig, others, G_N_ELEMENTS (others));
+  quota_rig_install (&rig, 20);
+  for (unsigned i = 0; i < 40; i++)
+    {
+      add_silent (&rig, others, G_N_ELEMENTS (others));
+      run_all (rigs, 50);
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    jl_roster_get_or_add (&rig.proxy->roster, others[i])->state
+        = JL_TARGET_LEAVING;
+  for (unsigned i = 0; i < 160; i++)
+    {
+      run_all (rigs, 50);
+      cr_assert_leq (part_of (&rig), 0.34, "after %u ms: %.3f", i * 50,
+                     part_of (&rig));
+    }
+}
+
+/* Guards against a zone without an issuer: half of its daemons end without
+ * saying so. */
+Test (quota_entry, a_zone_that_has_lost_half_issues_all_again)
+{
+  struct rig site[2];
+  struct rig *rigs[DAEMONS] = { &site[0], &site[1] };
+  static const char *const names[] = { "d1", "d2" };
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      quota_rig_prepare (&site[i], 167 + i, names[i], "z1");
+      site[i].options.store = site[0].options.store;
+      rig_start (&site[i]);
+      rig_add_member (&site[i], "e1", "z2", "deep");
+      quota_rig_install (&site[i], 20);
+    }
+  for (unsigned i = 0; i < 2; i++)
+    rig_add_member (&site[i], names[1 - i], "z1", "front")->peer
+        = site[1 - i].options.advertise;
+  run_until_issuer (rigs, 0);
+  run_until_part (rigs, rigs[0], 1);
+  rigs[1] = NULL;
+  run_all (rigs, 3000);
+  cr_assert_leq (run_until_part (rigs, rigs[0], 1), 17);
+}
--- a/tests/proxy/quota-share.c
+++ b/tests/proxy/quota-share.c
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <string.h>
+
 #include "proxy/parts/quota-rig.h"
 #include "store-tx.h"
 
@@ -70,6 +72,9 @@
   cr_assert_not_null (fake_store_get (store, "caps", "z2"));
 }
 
+/* Value of the row of the first zone at the start, NULL for none. */
+static const char *first_row;
+
 static void
 start (struct pair *pair, unsigned host)
 {
@@ -81,6 +86,8 @@
       quota_rig_prepare (&pair->rigs[i], host + i, names[i], zones[i]);
       pair->rigs[i].options.store = pair->rigs[0].options.store;
     }
+  if (first_row != NULL)
+    fake_store_put (&pair->rigs[0].store, "caps", "z1", first_row);
   for (unsigned i = 0; i < 2; i++)
     {
       pair->rigs[i].proxy = jl_proxy_new (&pair->rigs[i].options, NULL);
@@ -262,3 +269,14 @@
   cr_assert_eq (access.result, JL_STORE_REFUSED);
   cr_assert_str_neq (fake_store_get (&pair.rigs[0].store, "caps", "z1"), "{}");
 }
+
+/* Guards against a zone without an issuer because its row is malformed. */
+Test (quota_share, an_odd_row_is_replaced)
+{
+  struct pair pair;
+
+  first_row = "{\"shares\":7,\"members\":[[]]}";
+  start (&pair, 169);
+  cr_assert_not_null (
+      strstr (fake_store_get (&pair.rigs[0].store, "caps", "z1"), "\"keys\""));
+}
