Connections: notice the end of what is not read, and end work that nobody awaits

Cause: a connection that is not read does not tell that its peer has ended it, and the end is not even there while the window is full; and a guard had no bound of its own for what runs at its server, so slots were held for good.

Change: accepted connections that are not read are checked each 100 ms for the peer's end; a client that gives a request up resets a connection with unacknowledged output; policy/awaited says until when somebody waits for a run, and the guard ends it then as possibly run (E712 abandoned).

--- a/include/jackdawladder/conn.h
+++ b/include/jackdawladder/conn.h
@@ -262,7 +262,9 @@
 /**
  * jl_conn_abort - closes the connection immediately and discards its output
  *
- * The owner receives no further callbacks.
+ * A connection of a client with output that its peer has not acknowledged is
+ * reset: the end of the connection would reach a peer that does not read only
+ * behind that output. The owner receives no further callbacks.
  */
 void jl_conn_abort (struct jl_conn *conn);
 
--- a/include/jackdawladder/upstream.h
+++ b/include/jackdawladder/upstream.h
@@ -144,6 +144,11 @@
  */
 bool jl_upstream_is_unsent (const struct jl_upstream *upstream);
 
+/**
+ * jl_upstream_has_begun - whether the head of the response was received
+ */
+bool jl_upstream_has_begun (const struct jl_upstream *upstream);
+
 /**
  * jl_upstream_is_reused - whether the request was sent on a connection that had
  * carried another one
--- a/source/net/conn-impl.h
+++ b/source/net/conn-impl.h
@@ -52,6 +52,8 @@
  * struct jl_net - state shared by all connections of the process
  * @conns: the open connections
  * @flush_queue: connections whose output must be flushed before the next poll
+ * @unread: accepted connections that are not read, whose end is looked for
+ * @unread_timer: runs while there are any
  * @open_count: number of entries of @conns
  * @head_bytes_max: maximum size of the head of a message
  * @head_timeout_us: maximum time from the first byte of a request head to its
@@ -64,6 +66,8 @@
   struct jl_loop *loop;
   struct cds_list_head conns;
   struct cds_list_head flush_queue;
+  struct cds_list_head unread;
+  struct jl_timer unread_timer;
   unsigned open_count;
   size_t head_bytes_max;
   uint64_t head_timeout_us;
@@ -76,6 +80,8 @@
  * struct jl_conn - one connection
  * @link: link in the list of open connections
  * @flush_link: link in the flush queue, valid if @flush_queued
+ * @unread_link: link in the list of connections that are not read, valid if
+ *               @is_unread
  * @lines: position in the lines of the message that is being read
  * @head: the message head that is being read
  * @is_client: this process opened the connection
@@ -116,6 +122,8 @@
   void *context;
   struct cds_list_head link;
   struct cds_list_head flush_link;
+  struct cds_list_head unread_link;
+  bool is_unread;
   http_parser parser;
   struct jl_lines lines;
   struct jl_head head;
@@ -227,6 +235,18 @@
  */
 bool jl_conn_is_peer_lost (struct jl_conn *conn, uint64_t now_us);
 
+/**
+ * jl_conn_has_unacked_output - whether the kernel has output that the peer has
+ * not acknowledged
+ */
+bool jl_conn_has_unacked_output (const struct jl_conn *conn);
+
+/**
+ * jl_conn_has_peer_ended - whether the peer has closed or reset the connection,
+ * also if input is left to be read
+ */
+bool jl_conn_has_peer_ended (const struct jl_conn *conn);
+
 /**
  * jl_conn_ended_in_order - whether the peer has ended a connection of which the
  * end of the input was read, after it had received all output
--- a/source/net/conn.c
+++ b/source/net/conn.c
@@ -26,6 +26,8 @@
 #define WRITE_TIMEOUT_US (10 * JL_USEC_PER_SEC)
 /* Time to wait for the peer to close after the output was shut down. */
 #define LINGER_TIMEOUT_US (1 * JL_USEC_PER_SEC)
+/* Period of checks whether peers have ended connections that are not read. */
+#define UNREAD_CHECK_PERIOD_US (100 * JL_USEC_PER_MSEC)
 /* Size of an output buffer up to which its memory is kept for further output.
  */
 #define OUTPUT_KEPT_BYTES 4096
@@ -57,15 +59,33 @@
 }
 
 static void
-close_now (struct jl_conn *conn)
+remove_from_unread (struct jl_conn *conn)
+{
+  if (!conn->is_unread)
+    return;
+  cds_list_del (&conn->unread_link);
+  conn->is_unread = false;
+}
+
+/* @reset: the peer must not wait for output that is on its way */
+static void
+close_conn (struct jl_conn *conn, bool reset)
 {
   if (conn->closing)
     return;
   conn->closing = true;
   remove_from_flush_queue (conn);
+  remove_from_unread (conn);
   cds_list_del (&conn->link);
   conn->net->open_count--;
-  uv_close ((uv_handle_t *)&conn->tcp, on_closed);
+  if (!reset || uv_tcp_close_reset (&conn->tcp, on_closed) != 0)
+    uv_close ((uv_handle_t *)&conn->tcp, on_closed);
+}
+
+static void
+close_now (struct jl_conn *conn)
+{
+  close_conn (conn, false);
 }
 
 void
@@ -242,6 +262,7 @@
   net->loop = loop;
   CDS_INIT_LIST_HEAD (&net->conns);
   CDS_INIT_LIST_HEAD (&net->flush_queue);
+  CDS_INIT_LIST_HEAD (&net->unread);
   jl_net_set_limits (net, HEAD_BYTES_MAX_DEFAULT, HEAD_TIMEOUT_DEFAULT_US,
                      IDLE_TIMEOUT_DEFAULT_US);
   loop->flush = flush_all;
@@ -408,6 +429,49 @@
   jl_wipe (buffer->base, (size_t)size);
 }
 
+/* Ends the connections that are not read and that their peers have ended. What
+ * is left to be read belongs to requests that nobody waits for. */
+static void
+on_unread_timer (void *context, struct jl_timer *timer)
+{
+  struct jl_net *net = context;
+  GPtrArray *ended = g_ptr_array_new ();
+  struct jl_conn *conn;
+
+  cds_list_for_each_entry (conn, &net->unread, unread_link)
+  {
+    if (jl_conn_has_peer_ended (conn))
+      g_ptr_array_add (ended, conn);
+  }
+  /* The owners' callbacks may change the list; connections are freed later. */
+  for (guint i = 0; i < ended->len; i++)
+    jl_conn_fail (g_ptr_array_index (ended, i), JL_CONN_RESET);
+  g_ptr_array_free (ended, TRUE);
+  if (!cds_list_empty (&net->unread))
+    jl_loop_start_timer (net->loop, timer, UNREAD_CHECK_PERIOD_US,
+                         on_unread_timer, net);
+}
+
+/* Notes whether an accepted connection is not read, so that its end does not
+ * show. */
+static void
+update_unread (struct jl_conn *conn)
+{
+  struct jl_net *net = conn->net;
+
+  if (conn->reading || conn->is_client || conn->closing)
+    {
+      remove_from_unread (conn);
+      return;
+    }
+  if (net->unread_timer.heap_position == 0)
+    jl_loop_start_timer (net->loop, &net->unread_timer, UNREAD_CHECK_PERIOD_US,
+                         on_unread_timer, net);
+  if (!conn->is_unread)
+    cds_list_add_tail (&conn->unread_link, &net->unread);
+  conn->is_unread = true;
+}
+
 /* Starts or stops reading from the socket, as the connection's state requires.
  */
 static void
@@ -418,6 +482,7 @@
   if (should_read == conn->reading)
     return;
   conn->reading = should_read;
+  update_unread (conn);
   if (should_read)
     uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
   else
@@ -746,8 +811,12 @@
 void
 jl_conn_abort (struct jl_conn *conn)
 {
+  bool reset
+      = conn->is_client && !conn->connecting && !conn->closing
+        && (jl_conn_backlog (conn) > 0 || jl_conn_has_unacked_output (conn));
+
   conn->ops = NULL;
-  close_now (conn);
+  close_conn (conn, reset);
 }
 
 void
--- a/source/net/peer-lost.c
+++ b/source/net/peer-lost.c
@@ -46,6 +46,28 @@
   return ioctl (fd, TIOCOUTQ, &size) == 0 && size > 0;
 }
 
+bool
+jl_conn_has_unacked_output (const struct jl_conn *conn)
+{
+  uv_os_fd_t fd;
+
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+         && has_unacked_output (fd);
+}
+
+bool
+jl_conn_has_peer_ended (const struct jl_conn *conn)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0
+      || getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return true;
+  return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+}
+
 /*
  * libuv reports a hang-up after a partial read as the end of the input, even if
  * the peer has reset the connection. Reading from the socket directly tells the
--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -549,6 +549,12 @@
   return upstream->conn != NULL && jl_conn_is_unsent (upstream->conn);
 }
 
+bool
+jl_upstream_has_begun (const struct jl_upstream *upstream)
+{
+  return !upstream->waits;
+}
+
 bool
 jl_upstream_is_reused (const struct jl_upstream *upstream)
 {
--- a/source/proxy/entry.c
+++ b/source/proxy/entry.c
@@ -10,6 +10,7 @@
 #include "proxy/proxy.h"
 
 #include "names.h"
+#include "policy/awaited.h"
 #include "proxy/call.h"
 #include "proxy/demand.h"
 #include "proxy/hooks.h"
@@ -26,9 +27,6 @@
 #define BUFFERED_BODY_BYTES_MAX 262144u
 /* Timeout for sending the first byte of a request to a daemon. */
 #define CONNECT_TIMEOUT_US (250 * JL_USEC_PER_MSEC)
-/* Time after a request's deadline in which a response that has begun may end.
- */
-#define RESPONSE_GRACE_US (200 * JL_USEC_PER_MSEC)
 /* Status of a target's response when the request's deadline has passed. */
 #define STATUS_GATEWAY_TIMEOUT 504
 
@@ -287,7 +285,7 @@
 static void
 limit_response (struct jl_call *call, struct jl_timer *timer)
 {
-  uint64_t until_us = call->expires_us + RESPONSE_GRACE_US;
+  uint64_t until_us = call->expires_us + JL_RESPONSE_GRACE_US;
 
   if (jl_now () >= until_us)
     abort_call (call, "answer-endless");
--- a/source/proxy/guard.c
+++ b/source/proxy/guard.c
@@ -9,6 +9,7 @@
 #include "proxy/guard.h"
 
 #include "names.h"
+#include "policy/awaited.h"
 #include "proxy/hooks.h"
 #include "proxy/load-report.h"
 #include "proxy/match.h"
@@ -360,16 +361,57 @@
   .failed = on_failed,
 };
 
+/* Ends work that nobody waits for. It may have run, and its target may still be
+ * at it; an entry that waits all the same sees that its connection ends. */
+static void
+abandon_work (struct jl_work *work)
+{
+  struct jl_proxy *proxy = work->proxy;
+  struct jl_request *request = work->relay.request;
+  struct jl_ended_run run = jl_watch_end_run (work);
+
+  proxy->counters.runs_in_vain++;
+  proxy->counters.runs_abandoned++;
+  jl_record (JL_RECORD_FAILURE, JL_RECORD_WORK_FAILED,
+             "id=%s reason=abandoned target=%s ran_ms=%" PRIu64
+             " running=%u content=%016" PRIx64,
+             jl_guard_attempt_id (work), proxy->target.last.id,
+             (jl_now () - work->started_us) / JL_USEC_PER_MSEC,
+             proxy->lane.running, jl_content_id (&work->content));
+  jl_watch_run_cancelled (proxy->watch, &run);
+  jl_request_set_data (request, NULL);
+  free_work (work);
+  jl_request_abort (request);
+  jl_guard_run_queue (proxy);
+}
+
+static void
+on_awaited_timer (void *context, struct jl_timer *timer)
+{
+  struct jl_work *work = context;
+  bool has_begun = jl_upstream_has_begun (work->relay.upstream);
+  uint64_t until_us = jl_awaited_until_us (work->item.expires_us, has_begun);
+
+  if (jl_now () < until_us)
+    jl_timer_start (work->proxy->loop->timers, timer, until_us,
+                    on_awaited_timer, work);
+  else
+    abandon_work (work);
+}
+
 static void
 on_connect_timer (void *context, struct jl_timer *timer)
 {
   struct jl_work *work = context;
   struct jl_proxy *proxy = work->proxy;
 
-  (void)timer;
-  if (work->relay.upstream == NULL
-      || !jl_upstream_is_unsent (work->relay.upstream))
+  if (work->relay.upstream == NULL)
     return;
+  if (!jl_upstream_is_unsent (work->relay.upstream))
+    {
+      on_awaited_timer (context, timer);
+      return;
+    }
   jl_guard_refuse (work, "target-silent");
   jl_watch_target_ended (proxy->watch, JL_TARGET_END_UNREACHABLE);
 }
--- a/source/proxy/guard.h
+++ b/source/proxy/guard.h
@@ -28,7 +28,8 @@
  * @target_key: key of the target's incarnation that the request names
  * @target_hash: hash of the target's identifier that the request names
  * @started_us: time at which the request was sent to the target
- * @timer: connection timeout
+ * @timer: until the request is sent to the target: connection timeout; then the
+ *         time after which nobody waits for the response
  */
 struct jl_work
 {
--- a/source/proxy/pages.c
+++ b/source/proxy/pages.c
@@ -101,6 +101,7 @@
   append_counter (text, "work_refused_total", counters->work_refused);
   append_counter (text, "work_lost_total", counters->work_lost);
   append_counter (text, "runs_in_vain_total", counters->runs_in_vain);
+  append_counter (text, "runs_abandoned_total", counters->runs_abandoned);
   append_counter (text, "answers_dropped_total", counters->responses_dropped);
   append_counter (text, "targets_ended_total", counters->targets_ended);
   append_counter (text, "target_probes_total", counters->target_probes);
--- a/source/proxy/proxy.h
+++ b/source/proxy/proxy.h
@@ -74,6 +74,7 @@
  * @work_refused: requests that the guard refused
  * @work_lost: requests sent to the local target for which the guard could not
  *             pass on a complete response
+ * @runs_abandoned: runs that were ended as nobody waited for them any more
  * @runs_in_vain: runs at the local target that ended with a server error, or
  *                whose request was given up: the work was of no use
  * @responses_dropped: responses of the local target that belong to another
@@ -117,6 +118,7 @@
   uint64_t work;
   uint64_t work_refused;
   uint64_t work_lost;
+  uint64_t runs_abandoned;
   uint64_t runs_in_vain;
   uint64_t responses_dropped;
   uint64_t targets_ended;
--- a/tests/proxy/net.c
+++ b/tests/proxy/net.c
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +17,12 @@
 
 /* Iterations of one run_loop(), with a sleep of 0.5 ms after each. */
 #define LOOP_ITERATIONS 40
+/* Runs of the loop in which the end of a connection that is not read is
+ * noticed.
+ */
+#define NOTICE_RUNS 10
+/* More than the kernel holds on the way. */
+#define LARGE_BODY_BYTES 24000000
 
 /**
  * struct response_log - callbacks received by the owner of a request
@@ -716,3 +723,55 @@
   run_loop (&fixture);
   cr_assert_eq (fixture.response.status, 200);
 }
+
+/* Whether the kernel has closed a connection, as after a reset. */
+static bool
+is_reset (int fd)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+         && info.tcpi_state == TCP_CLOSE;
+}
+
+/* Guards against a peer that never learns that a request was given up: the end
+ * of the connection is behind a body that the peer does not read. */
+Test (net, a_request_that_is_given_up_within_its_body_is_reset)
+{
+  struct fixture fixture;
+  static char body[LARGE_BODY_BYTES];
+
+  fixture_open (&fixture);
+  send_request (&fixture);
+  accept_request (&fixture);
+  jl_upstream_write_body (fixture.upstream, body, sizeof body, false);
+  run_loop (&fixture);
+  cr_assert_not (is_reset (fixture.peer));
+  jl_upstream_close (fixture.upstream);
+  run_loop (&fixture);
+  cr_assert (is_reset (fixture.peer));
+}
+
+/* Guards against requests that are worked on for a client that has left behind
+ * a body that is not read, and against the end of one that has not. */
+Test (net, a_client_that_leaves_is_noticed_while_it_is_not_read)
+{
+  struct fixture fixture;
+  struct handler_log handled;
+
+  open_server (&fixture, &handled);
+  peer_send (&fixture,
+             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
+  run_loop (&fixture);
+  jl_request_set_read_paused (handled.request, true);
+  peer_send (&fixture, "cdefghi");
+  for (unsigned i = 0; i < NOTICE_RUNS; i++)
+    run_loop (&fixture);
+  cr_assert_eq (handled.disconnected, 0);
+  close (fixture.peer);
+  for (unsigned i = 0; i < NOTICE_RUNS; i++)
+    run_loop (&fixture);
+  cr_assert_eq (handled.disconnected, 1);
+  cr_assert_eq (handled.end_count, 0);
+}
