--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,6 +44,8 @@
 RESTART_S = 0.4
 # Exit statuses: graceful shutdown, killed, or shutdown that aborted requests at its end.
 EXPECTED_EXITS = (0, -signal.SIGKILL, 4)
+# Begin of the log line of a process that has started.
+START_LINE = b"E771 started "
 # Second numbers of the loopback addresses that runs reserve.
 FIRST_ADDRESS_BLOCK = 41
 ADDRESS_BLOCKS = 80
@@ -93,6 +95,9 @@
         self.process = None
         self.pidfd = None
         self.run = 0
+        # The log, and where that of the running process begins in it.
+        self.log_path = os.path.join(site.directory, f"{self.name}.log")
+        self.log_begin = 0
         # Time before which an ended process is not started again.
         self.hold_until = 0.0
         self.target.tells_start = site.targets_tell_start
@@ -146,15 +151,24 @@
                 return
             if status == 0:
                 self.site.history.stops[self.name].append(time.monotonic())
-            if status not in EXPECTED_EXITS:
+            if status not in EXPECTED_EXITS and not self.was_ended_before_start(status):
                 self.site.history.fail("ends", f"{self.name} exited with status {status}")
             await asyncio.sleep(max(RESTART_S, self.hold_until - time.monotonic()))
             if self.site.ending:
                 return
 
+    def was_ended_before_start(self, status):
+        """Whether SIGTERM has ended a process that had begun nothing: it had not logged its start."""
+        if status != -signal.SIGTERM:
+            return False
+        with open(self.log_path, "rb") as log:
+            log.seek(self.log_begin)
+            return START_LINE not in log.read()
+
     async def start(self):
         self.run += 1
-        log = open(os.path.join(self.site.directory, f"{self.name}.log"), "ab")
+        log = open(self.log_path, "ab")
+        self.log_begin = log.tell()
         environment = dict(os.environ)
         if self.site.off:
             environment["JL_SWITCHED_OFF"] = self.site.off
