Usage caps: a daemon is added to its zone's list once it supports the issuer

Change: jl_quota_quorum_next() adds those that support the issuer under the list before, which they do within a request and an answer.

--- a/source/policy/quota-quorum.c
+++ b/source/policy/quota-quorum.c
@@ -282,8 +282,11 @@
   return true;
 }
 
+/* Makes the list of those that are here. One that joins is in it once it
+ * supports this daemon, since the part of that would shrink before. */
 static void
 make_list (const struct jl_quota_quorum *quorum,
+           const struct jl_quota_support *support,
            const uint32_t *here,
            unsigned here_count,
            struct jl_quota_members *next)
@@ -291,8 +294,13 @@
   const struct jl_quota_members *list = &quorum->list;
 
   next->version = quorum->adopted.version + 1;
-  next->count = MIN (here_count, JL_QUOTA_MEMBERS_MAX);
-  memcpy (next->keys, here, next->count * sizeof here[0]);
+  next->count = 0;
+  for (unsigned i = 0; i < here_count && next->count < JL_QUOTA_MEMBERS_MAX;
+       i++)
+    if (list->version == 0 || jl_quota_quorum_has (quorum, here[i])
+        || here[i] == quorum->self
+        || support->supports (support->context, here[i], true))
+      next->keys[next->count++] = here[i];
   next->challenger = 0;
   next->previous_count = list->count;
   memcpy (next->previous, list->keys, list->count * sizeof list->keys[0]);
@@ -310,7 +318,7 @@
   const struct jl_quota_members *list = &quorum->list;
   unsigned kept = count_here (quorum, here, here_count);
 
-  make_list (quorum, here, here_count, next);
+  make_list (quorum, support, here, here_count, next);
   if (quorum->adopted.version == 0)
     return 2 * here_count > known_count;
   if (!jl_quota_list_id_equal (quorum->id, quorum->adopted))
