--- a/source/policy/quota-quorum.c
+++ b/source/policy/quota-quorum.c
@@ -7,8 +7,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Confirmations in the time of a lease, so that some may fail. */
-#define CONFIRMS_PER_LEASE 3
+/* Time between two confirmations, and for an issuer that more than half of the
+ * members support: the short lease goes on for some time if they become fewer.
+ */
+#define CONFIRM_US (JL_QUOTA_LEASE_SHORT_US / 3)
+#define CONFIRM_MAJORITY_US (3 * JL_USEC_PER_SEC)
 /* Time for which a daemon that fewer than half of the members support leaves a
  * change of the list to others. */
 #define FEW_WAIT_US (3 * JL_USEC_PER_SEC)
@@ -219,9 +222,11 @@
 jl_quota_quorum_confirm_due_us (const struct jl_quota_quorum *quorum,
                                 const struct jl_quota_support *support)
 {
+  unsigned supporters = count_members (quorum, support, false);
+
   return quorum->confirmed_us
-         + lease_us (quorum, count_members (quorum, support, false))
-               / CONFIRMS_PER_LEASE;
+         + (is_majority (quorum, supporters) ? CONFIRM_MAJORITY_US
+                                             : CONFIRM_US);
 }
 
 static unsigned
